build(workspace): lay down the base package and the contracts

Problem: there is no code yet, and several parts have to be written against the same interfaces.

Solution: a workspace of packages under CMake with a thin Makefile, the base package (errors, log events, counters, arena, mailbox, handle table), the header of the decision loop and of each daemon module, and the wire protocols.

--- /dev/null
+++ b/packages/base/include/base/log.h
@@ -0,0 +1,30 @@
+// Numbered log events as syslog-style lines on standard error.
+#pragma once
+
+#include <syslog.h>
+
+enum log_event {
+#define EVENT(sym, num, level, name, doc) sym = (num),
+#include "base/event.def"
+#undef EVENT
+};
+
+/// Set what each line carries besides the event.
+///
+/// @param program  program name, static lifetime
+/// @param node     node id, copied
+/// @param level    least urgent syslog level that is written (LOG_DEBUG = all)
+void log_setup(const char *program, const char *node, int level);
+
+/// Write one event. Values must not hold keys or hashes of keys.
+///
+/// @param ev   event from the table
+/// @param fmt  printf format of `key=value` fields
+void log_event(enum log_event ev, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
+/// Name of an event.
+///
+/// @param ev  event
+/// @return static string, "unknown" for a number outside the table
+const char *log_event_name(enum log_event ev);
--- /dev/null
+++ b/packages/base/include/base/mbox.h
@@ -0,0 +1,44 @@
+// Mailbox: a bounded ring of pointers, many producers, one consumer, with an
+// eventfd that the consumer can poll. Joins the threads of the duties.
+#pragma once
+
+#include <stdbool.h>
+
+#include "base/err.h"
+
+struct mbox;
+
+/// Create a mailbox.
+///
+/// @param cap  entries, a power of two of at least 4; one stays unused
+/// @return mailbox, NULL when out of memory or descriptors
+struct mbox *mbox_new(unsigned int cap);
+
+/// Free a mailbox. Entries left in it are the caller's loss.
+///
+/// @param m  mailbox or NULL
+void mbox_free(struct mbox *m);
+
+/// Put an entry and wake the consumer. Never waits.
+///
+/// @param m  mailbox
+/// @param p  entry, not NULL
+/// @return ERR_OK, or ERR_FULL: the entry stays the caller's
+enum err mbox_put(struct mbox *m, void *p);
+
+/// Take the oldest entry. Consumer thread only.
+///
+/// @param m  mailbox
+/// @return entry, NULL when empty
+void *mbox_get(struct mbox *m);
+
+/// Descriptor that is readable while entries may be waiting.
+///
+/// @param m  mailbox
+/// @return eventfd, owned by the mailbox
+int mbox_fd(const struct mbox *m);
+
+/// Reset the descriptor before draining with mbox_get(). Consumer only.
+///
+/// @param m  mailbox
+void mbox_clear(struct mbox *m);
--- /dev/null
+++ b/packages/base/include/base/rng.h
@@ -0,0 +1,40 @@
+// Seeded generator (splitmix64): the same seed gives the same decisions.
+#pragma once
+
+#include <stdint.h>
+
+struct rng {
+	uint64_t state;
+};
+
+/// Next 64 random bits.
+///
+/// @param r  generator; its state may be seeded with any value
+/// @return uniform value
+static inline uint64_t rng_next(struct rng *r)
+{
+	uint64_t z = (r->state += 0x9e3779b97f4a7c15u);
+
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
+	z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
+	return z ^ (z >> 31);
+}
+
+/// Uniform integer below a bound.
+///
+/// @param r  generator
+/// @param n  bound, at least 1
+/// @return value in [0, n)
+static inline uint64_t rng_below(struct rng *r, uint64_t n)
+{
+	return rng_next(r) % n;
+}
+
+/// Uniform real.
+///
+/// @param r  generator
+/// @return value in [0, 1)
+static inline double rng_unit(struct rng *r)
+{
+	return (double)(rng_next(r) >> 11) / 9007199254740992.0;
+}
--- /dev/null
+++ b/packages/base/test/test_base.c
@@ -0,0 +1,87 @@
+// Tests of the base package: arena, mailbox, handle table, tables.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "base/arena.h"
+#include "base/err.h"
+#include "base/htab.h"
+#include "base/log.h"
+#include "base/mbox.h"
+#include "base/metric.h"
+
+static void test_arena_limit(void **state)
+{
+	struct arena a;
+
+	arena_init(&a, 64);
+	assert_non_null(arena_alloc(&a, 48));
+	assert_null(arena_alloc(&a, 48));
+	arena_free(&a);
+	assert_string_equal(arena_strdup(&a, "again"), "again");
+	arena_free(&a);
+}
+
+static void test_mbox_full(void **state)
+{
+	struct mbox *m = mbox_new(4);
+	int v[4];
+
+	assert_int_equal(mbox_put(m, &v[0]), ERR_OK);
+	assert_int_equal(mbox_put(m, &v[1]), ERR_OK);
+	assert_int_equal(mbox_put(m, &v[2]), ERR_OK);
+	assert_int_equal(mbox_put(m, &v[3]), ERR_FULL);
+	assert_ptr_equal(mbox_get(m), &v[0]);
+	assert_int_equal(mbox_put(m, &v[3]), ERR_OK);
+	mbox_free(m);
+}
+
+static void test_htab_stale(void **state)
+{
+	struct htab *t = htab_new(2, sizeof(int));
+	htab_handle a, b, c;
+
+	assert_non_null(htab_add(t, &a));
+	assert_non_null(htab_add(t, &b));
+	assert_null(htab_add(t, &c));
+	assert_true(htab_del(t, a));
+	assert_false(htab_del(t, a));
+	assert_non_null(htab_add(t, &c));
+	assert_null(htab_get(t, a));
+	assert_non_null(htab_get(t, c));
+	assert_int_equal(htab_count(t), 2);
+	htab_free(t);
+}
+
+static void test_err_table(void **state)
+{
+	assert_string_equal(err_code(ERR_FULL), "full");
+	assert_int_equal(err_http(ERR_TOO_LARGE), 413);
+	assert_int_equal(err_run(ERR_TIMEOUT), RUN_MAYBE);
+	assert_string_equal(err_code((enum err)99999), "unknown");
+}
+
+static void test_metric_render(void **state)
+{
+	char buf[65536];
+
+	metric_add(M_HTTP_REQUESTS, 3);
+	metric_render(buf, sizeof(buf));
+	assert_non_null(strstr(buf, "catkinpath_http_requests_total 3\n"));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_arena_limit),
+		cmocka_unit_test(test_mbox_full),
+		cmocka_unit_test(test_htab_stale),
+		cmocka_unit_test(test_err_table),
+		cmocka_unit_test(test_metric_render),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/core/include/core/core_defs.h
@@ -0,0 +1,111 @@
+// Types that modules share with the loop and the edges behind it.
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/arena.h"
+#include "base/err.h"
+#include "base/htab.h"
+#include "base/trace.h"
+
+struct core;
+struct core_req;
+
+/// Which of the daemon's listeners a request came in by.
+enum core_listener {
+	CORE_PUBLIC, ///< callers and trainers
+	CORE_ADMIN, ///< operators
+};
+
+/// A caller's request, whole, with its arena. Lives until it is answered or
+/// aborted; keep its handle, not its address, across events.
+struct core_req {
+	htab_handle h;
+	struct arena arena; ///< freed with the request
+	enum core_listener listener;
+	const char *method;
+	const char *path; ///< without the query
+	const char *bearer; ///< caller's key, NULL if none; never logged
+	const char *body;
+	size_t body_len; ///< bytes
+	int64_t arrived_ms; ///< clock_now_ms()
+	struct span span; ///< span of the caller's hop
+	/// Called once if the caller goes away before the answer is complete.
+	void (*on_abort)(struct core *c, struct core_req *r, void *user);
+	void *user; ///< the handler's own
+};
+
+struct core_route_opts {
+	enum core_listener listener;
+	const char *method; ///< "GET", "POST", ...
+	const char *prefix; ///< longest matching prefix of the path wins
+	void (*fn)(struct core *c, struct core_req *r, void *ctx);
+	void *ctx;
+};
+
+/// Outcome of an outgoing request.
+struct core_fetch_result {
+	enum err
+		err; ///< ERR_OK when a status line arrived and the body is whole
+	bool sent; ///< a byte of the request may have left this process
+	int status; ///< HTTP status, 0 if none arrived
+	const char *body; ///< whole body, NULL when it was streamed
+	size_t body_len; ///< bytes
+	const char *ctype; ///< Content-Type, "" if none
+	int64_t total_us; ///< microseconds from start to end
+};
+
+struct core_fetch_opts {
+	const char *method;
+	const char *url;
+	const char *const *headers; ///< "Name: value", NULL-terminated, or NULL
+	const char *body;
+	size_t body_len;
+	int64_t timeout_ms; ///< whole request; 0 for none
+	int64_t connect_timeout_ms; ///< 0 for the setting's value
+	int64_t idle_timeout_ms; ///< longest silence once sent; 0 for none
+	size_t max_body; ///< bytes; 0 for the setting's value
+	bool fresh; ///< use a new connection
+	const struct trace_ctx *trace; ///< sent as traceparent if not NULL
+	/// Streamed body; NULL to have it whole in on_done.
+	void (*on_data)(struct core *c, void *ctx, const char *data,
+			size_t len);
+	/// Called exactly once unless cancelled.
+	void (*on_done)(struct core *c, void *ctx,
+			const struct core_fetch_result *res);
+	void *ctx;
+};
+
+/// Modules of the daemon, in start order; stopped in reverse.
+enum core_mod {
+	MOD_PLATFORM,
+	MOD_MEMBER,
+	MOD_CONF,
+	MOD_FLEET,
+	MOD_DUTY,
+	MOD_USAGE,
+	MOD_WORK,
+	MOD_ROLLOUT,
+	MOD_COUNT
+};
+
+struct json_t;
+
+/// What a module does for the loop. All are called on the loop's thread; all
+/// but start may be NULL.
+struct core_mod_ops {
+	const char *name;
+	enum err (*start)(struct core *c, void **state);
+	void (*tick)(struct core *c, void *state, int64_t now_ms);
+	/// SIGTERM: take no new work.
+	void (*drain)(struct core *c, void *state);
+	/// @return true when nothing that was accepted is still running
+	bool (*idle)(struct core *c, void *state);
+	/// @return true when the node may receive work
+	bool (*ready)(struct core *c, void *state);
+	/// Add the module's part of GET /admin/status.
+	void (*status)(struct core *c, void *state, struct json_t *obj);
+	void (*stop)(struct core *c, void *state);
+};
--- /dev/null
+++ b/packages/daemon/include/daemon/rollout_mod.h
@@ -0,0 +1,4 @@
+// Rollout batches: /v1/rollouts of the public listener.
+#pragma once
+
+#include "core/core.h"
--- /dev/null
+++ b/packages/daemon/src/mods.c
@@ -0,0 +1,9 @@
+// The table of the daemon's modules.
+#include "daemon/mods.h"
+
+const struct core_mod_ops *const daemon_mods[MOD_COUNT] = {
+	[MOD_PLATFORM] = &platform_mod_ops, [MOD_MEMBER] = &member_mod_ops,
+	[MOD_CONF] = &conf_mod_ops,	    [MOD_FLEET] = &fleet_mod_ops,
+	[MOD_DUTY] = &duty_mod_ops,	    [MOD_USAGE] = &usage_mod_ops,
+	[MOD_WORK] = &work_mod_ops,	    [MOD_ROLLOUT] = &rollout_mod_ops,
+};
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Formatter and linter over every source file; exit 1 on any finding.
+set -u
+cd "$(dirname "$0")/.."
+mapfile -t all < <(git ls-files '*.c' '*.h')
+clang-format --dry-run -Werror "${all[@]}" || exit 1
+cmake -G Ninja -S . -B build/release >/dev/null || exit 1
+git ls-files '*.c' | xargs -P "${JOBS:-10}" -n 4 \
+	clang-tidy --quiet -p build/release >build/lint.log 2>/dev/null
+if grep -qE '(warning|error):' build/lint.log; then
+	grep -E '(warning|error):' build/lint.log | sort -u
+	exit 1
+fi
+echo "lint: ${#all[@]} files clean"
