--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -2,7 +2,7 @@
 #
 # Builds src/*.c into the static library catkin_<name> with include/ public.
 # Each test/test_*.c becomes one program, registered with ctest under its own
-# name and linked with the package, cmocka and the other test/*.c files.
+# name and linked with the package, the test support and the other test/*.c files.
 function(catkin_package name)
   cmake_parse_arguments(A "" "" "DEPS;LIBS" ${ARGN})
   file(GLOB srcs CONFIGURE_DEPENDS src/*.c)
@@ -29,7 +29,7 @@
   foreach(t ${tests})
     get_filename_component(tn ${t} NAME_WE)
     add_executable(${tn} ${t} ${support})
-    target_link_libraries(${tn} PRIVATE catkin_${name} PkgConfig::cmocka m)
+    target_link_libraries(${tn} PRIVATE catkin_${name} catkin_support m)
     add_test(NAME ${tn} COMMAND ${tn})
     set_tests_properties(${tn} PROPERTIES TIMEOUT 120 LABELS ${name})
   endforeach()
--- a/test/support/addr.c
+++ b/test/support/addr.c
@@ -7,8 +7,9 @@
 const char *addr_ip(int n, char *buf)
 {
 	unsigned int pid = (unsigned int)getpid();
+	unsigned char b = (unsigned char)(16 + (pid >> 8) % 200);
+	unsigned char c = (unsigned char)(pid & 0xff);
 
-	snprintf(buf, 16, "127.%u.%u.%d", 16 + (pid >> 8) % 200, pid & 0xff,
-		 n + 1);
+	snprintf(buf, 16, "127.%u.%u.%u", b, c, (unsigned char)(n + 1));
 	return buf;
 }
