--- a/packages/core/include/core/core.h
+++ b/packages/core/include/core/core.h
@@ -12,8 +12,16 @@
 #undef PEER_MSG
 };
 
+struct http_ops;
+struct upstream_ops;
+struct peer_ops;
+
 struct core_opts {
-	const struct settings *settings; ///< outlives the core
+	struct settings *settings; ///< outlives the core; changed by a reload
+	const char *settings_path; ///< file read by a reload, NULL for none
+	const struct http_ops *http; ///< NULL for the usual one
+	const struct upstream_ops *upstream; ///< NULL for the usual one
+	const struct peer_ops *peer; ///< NULL for the usual one
 	const struct core_mod_ops *const *mods; ///< MOD_COUNT entries
 };
 
--- a/packages/core/include/core/core_defs.h
+++ b/packages/core/include/core/core_defs.h
@@ -26,21 +26,24 @@
 	struct arena arena; ///< freed with the request
 	enum core_listener listener;
 	const char *method;
-	const char *path; ///< without the query
+	const char *path; ///< as sent, without the query
+	const char *query; ///< as sent, "" if none
 	const char *bearer; ///< caller's key, NULL if none; never logged
 	const char *body;
 	size_t body_len; ///< bytes
 	int64_t arrived_ms; ///< clock_now_ms()
 	struct span span; ///< span of the caller's hop
-	/// Called once if the caller goes away before the answer is complete.
+	/// Called once if the caller goes away before the answer is complete;
+	/// the request must not be answered then.
 	void (*on_abort)(struct core *c, struct core_req *r, void *user);
 	void *user; ///< the handler's own
 };
 
 struct core_route_opts {
 	enum core_listener listener;
-	const char *method; ///< "GET", "POST", ...
+	const char *method; ///< "GET", "POST", ...; NULL for any
 	const char *prefix; ///< longest matching prefix of the path wins
+	bool while_draining; ///< still served after SIGTERM
 	void (*fn)(struct core *c, struct core_req *r, void *ctx);
 	void *ctx;
 };
--- /dev/null
+++ b/packages/core/src/core.c
@@ -0,0 +1,246 @@
+// Builds the core: edges, mailboxes, tables, modules.
+#include "core.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+enum {
+	HTTP_EVENTS_A_REQ = 2,
+};
+
+int64_t core_now(const struct core *c)
+{
+	return c->now_ms;
+}
+
+const struct settings *core_settings(const struct core *c)
+{
+	return c->opts.settings;
+}
+
+const char *core_node(const struct core *c)
+{
+	return settings_str(c->opts.settings, S_NODE_ID);
+}
+
+const char *core_domain(const struct core *c)
+{
+	return settings_str(c->opts.settings, S_NODE_DOMAIN);
+}
+
+const char *core_incarnation(const struct core *c)
+{
+	return c->incarnation;
+}
+
+void *core_mod_state(const struct core *c, enum core_mod m)
+{
+	return c->mod_states[m];
+}
+
+bool core_draining(const struct core *c)
+{
+	return c->phase != CORE_SERVING;
+}
+
+static unsigned int round_up_pow2(unsigned int n)
+{
+	unsigned int p = 4;
+
+	while (p <= n)
+		p *= 2;
+	return p;
+}
+
+static unsigned int max_requests(const struct core *c)
+{
+	int64_t conns = settings_int(c->opts.settings, S_HTTP_MAX_CONNS);
+	int64_t n = HTTP_LISTENERS * conns;
+
+	return n < UINT16_MAX ? (unsigned int)n : UINT16_MAX;
+}
+
+static enum err start_http(struct core *c)
+{
+	const struct settings *s = c->opts.settings;
+	struct http_opts opts = {
+		.events = c->http_box,
+		.max_requests = max_requests(c),
+		.listen = {settings_str(s, S_HTTP_LISTEN),
+			   settings_str(s, S_HTTP_ADMIN)},
+		.max_connections =
+			(unsigned int)settings_int(s, S_HTTP_MAX_CONNS),
+		.idle_timeout_ms = settings_int(s, S_HTTP_IDLE),
+		.receive_timeout_ms = settings_int(s, S_HTTP_RECEIVE),
+		.max_body = (size_t)settings_int(s, S_HTTP_MAX_BODY),
+	};
+
+	return c->opts.http->start(&opts, &c->http);
+}
+
+static enum err start_upstream(struct core *c)
+{
+	struct upstream_opts opts = {
+		.events = c->up_box,
+		.max_calls = CORE_CALLS,
+	};
+
+	return c->opts.upstream->start(&opts, &c->up);
+}
+
+static enum err start_peer(struct core *c)
+{
+	struct peer_opts opts = {
+		.events = c->peer_box,
+		.node = core_node(c),
+		.listen = settings_str(c->opts.settings, S_PEER_LISTEN),
+	};
+
+	return c->opts.peer->start(&opts, &c->peer);
+}
+
+static enum err start_mods(struct core *c)
+{
+	for (int i = 0; i < MOD_COUNT; i++) {
+		const struct core_mod_ops *m = c->opts.mods[i];
+		enum err e = m->start(c, &c->mod_states[i]);
+
+		if (e != ERR_OK) {
+			log_event(EV_FATAL, "module=%s error=%s", m->name,
+				  err_code(e));
+			return e;
+		}
+		c->n_started++;
+	}
+	return ERR_OK;
+}
+
+static bool watch_fd(struct core *c, int fd)
+{
+	struct epoll_event ev = {.events = EPOLLIN, .data.fd = fd};
+
+	return fd >= 0 && epoll_ctl(c->epoll, EPOLL_CTL_ADD, fd, &ev) == 0;
+}
+
+static bool make_parts(struct core *c)
+{
+	unsigned int reqs = max_requests(c);
+
+	c->http_box = mbox_new(round_up_pow2(HTTP_EVENTS_A_REQ * reqs));
+	c->up_box = mbox_new(CORE_CALL_EVENTS * CORE_CALLS);
+	c->peer_box = mbox_new(CORE_PEER_EVENTS);
+	c->reqs = htab_new(reqs, sizeof(struct req_entry));
+	c->fetches = htab_new(CORE_CALLS, sizeof(struct fetch_entry));
+	c->epoll = epoll_create1(EPOLL_CLOEXEC);
+	c->wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	if (!c->http_box || !c->up_box || !c->peer_box || !c->reqs ||
+	    !c->fetches || c->epoll < 0)
+		return false;
+	return watch_fd(c, c->wake) && watch_fd(c, mbox_fd(c->http_box)) &&
+	       watch_fd(c, mbox_fd(c->up_box)) &&
+	       watch_fd(c, mbox_fd(c->peer_box));
+}
+
+static enum err start_edge(const char *edge, enum err e)
+{
+	if (e != ERR_OK)
+		log_event(EV_FATAL, "edge=%s error=%s", edge, err_code(e));
+	return e;
+}
+
+static enum err start_parts(struct core *c)
+{
+	enum err e = start_edge("upstream", start_upstream(c));
+
+	if (e == ERR_OK)
+		e = start_edge("peer", start_peer(c));
+	if (e == ERR_OK)
+		e = core_status_routes(c);
+	if (e == ERR_OK)
+		e = start_mods(c);
+	/* Last: from here on requests arrive. */
+	if (e == ERR_OK)
+		e = start_edge("http", start_http(c));
+	if (e == ERR_OK && !watch_fd(c, c->opts.http->poll_fd(c->http)))
+		e = ERR_SYS;
+	return e;
+}
+
+enum err core_new(const struct core_opts *opts, struct core **out)
+{
+	struct core *c = calloc(1, sizeof(*c));
+	uint64_t id;
+	enum err e;
+
+	*out = NULL;
+	if (!c || sodium_init() < 0) {
+		free(c);
+		return ERR_NOMEM;
+	}
+	c->opts = *opts;
+	c->opts.http = opts->http ? opts->http : &http_mhd_ops;
+	c->opts.upstream = opts->upstream ? opts->upstream : &upstream_curl_ops;
+	c->opts.peer = opts->peer ? opts->peer : &peer_zmq_ops;
+	c->epoll = -1;
+	c->wake = -1;
+	c->now_ms = clock_now_ms();
+	c->next_tick_ms = c->now_ms;
+	randombytes_buf(&id, sizeof(id));
+	snprintf(c->incarnation, sizeof(c->incarnation), "%016llx",
+		 (unsigned long long)id);
+	e = make_parts(c) ? start_parts(c) : ERR_SYS;
+	if (e != ERR_OK) {
+		core_free(c);
+		return e;
+	}
+	*out = c;
+	return ERR_OK;
+}
+
+static void stop_mods(struct core *c)
+{
+	while (c->n_started > 0) {
+		int i = --c->n_started;
+
+		if (c->opts.mods[i]->stop)
+			c->opts.mods[i]->stop(c, c->mod_states[i]);
+		c->mod_states[i] = NULL;
+	}
+}
+
+static void close_fd(int fd)
+{
+	if (fd >= 0)
+		close(fd);
+}
+
+void core_free(struct core *c)
+{
+	if (!c)
+		return;
+	stop_mods(c);
+	core_drop_all(c);
+	if (c->http)
+		c->opts.http->stop(c->http);
+	if (c->up)
+		c->opts.upstream->stop(c->up);
+	if (c->peer)
+		c->opts.peer->stop(c->peer);
+	mbox_free(c->http_box);
+	mbox_free(c->up_box);
+	mbox_free(c->peer_box);
+	htab_free(c->reqs);
+	htab_free(c->fetches);
+	free(c->peers);
+	close_fd(c->epoll);
+	close_fd(c->wake);
+	free(c);
+}
--- /dev/null
+++ b/packages/core/src/settings_load.c
@@ -0,0 +1,184 @@
+// Reads a settings file through inih; prints every fault in one go.
+#include <errno.h>
+#include <ini.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "settings.h"
+
+enum {
+	LINE_MAX_BYTES = 8192, ///< of a line in a settings file
+};
+
+struct loader {
+	const char *path;
+	FILE *file;
+	FILE *faults;
+	struct settings *s;
+	int lines[SETTING_COUNT]; ///< where each setting stands, 0: not yet
+	int line; ///< line being read
+	bool plain; ///< the line is blank, a comment, a section or was taken
+	int n_faults;
+};
+
+__attribute__((format(printf, 3, 4))) static void
+fault(struct loader *l, int line, const char *fmt, ...)
+{
+	va_list ap;
+
+	l->n_faults++;
+	fprintf(l->faults, "%s:%d: ", l->path, line);
+	va_start(ap, fmt);
+	vfprintf(l->faults, fmt, ap);
+	va_end(ap);
+	fputc('\n', l->faults);
+}
+
+static void check_line(struct loader *l)
+{
+	if (l->line && !l->plain)
+		fault(l, l->line,
+		      "not a setting; allowed are [section], key = value "
+		      "and lines that start with # or ;");
+	l->plain = true;
+}
+
+static bool line_plain(const char *s)
+{
+	s += strspn(s, " \t\r\n\xef\xbb\xbf");
+	if (*s == '[')
+		return strchr(s, ']') != NULL;
+	return *s == '\0' || *s == '#' || *s == ';';
+}
+
+/// Line reader for inih. Leading blanks go, so that no line continues another.
+static char *read_line(char *buf, int len, void *ctx)
+{
+	struct loader *l = ctx;
+	size_t n;
+
+	check_line(l);
+	if (!fgets(buf, len, l->file))
+		return NULL;
+	l->line++;
+	n = strspn(buf, " \t");
+	memmove(buf, buf + n, strlen(buf + n) + 1);
+	l->plain = line_plain(buf);
+	if (strlen(buf) + 1 == (size_t)len && buf[len - 2] != '\n') {
+		fault(l, l->line, "line too long; allowed are %d bytes",
+		      LINE_MAX_BYTES - 3);
+		l->plain = true;
+		while (fgets(buf, len, l->file) && !strchr(buf, '\n'))
+			;
+		strcpy(buf, "\n");
+	}
+	return buf;
+}
+
+static bool take_value(struct setting_value *v, const struct setting_row *row,
+		       const char *text)
+{
+	size_t len = strlen(text);
+
+	if (row->kind == SETTING_INT)
+		return setting_parse_int(row, text, &v->num) &&
+		       v->num >= row->min && v->num <= row->max;
+	if (len < (size_t)row->min || len > (size_t)row->max)
+		return false;
+	free(v->str);
+	v->str = strdup(text);
+	return v->str != NULL;
+}
+
+static int on_pair(void *ctx, const char *section, const char *key,
+		   const char *value)
+{
+	struct loader *l = ctx;
+	enum setting k = setting_find(section, key);
+	char allowed[96];
+
+	l->plain = true;
+	if (k == SETTING_COUNT) {
+		fault(l, l->line,
+		      "[%s] %s: unknown key; allowed are those that --help lists",
+		      section, key);
+		return 1;
+	}
+	if (l->lines[k]) {
+		fault(l, l->line,
+		      "[%s] %s: set before, in line %d; allowed once", section,
+		      key, l->lines[k]);
+		return 1;
+	}
+	l->lines[k] = l->line;
+	if (take_value(&l->s->values[k], &setting_rows[k], value))
+		return 1;
+	setting_allowed(&setting_rows[k], allowed, sizeof(allowed));
+	fault(l, l->line, "[%s] %s: \"%s\" can't be used; allowed is %s",
+	      section, key, value, allowed);
+	return 1;
+}
+
+static bool fill_defaults(struct settings *s)
+{
+	for (size_t i = 0; i < SETTING_COUNT; i++) {
+		const struct setting_row *row = &setting_rows[i];
+
+		s->values[i].num = row->def_int;
+		if (row->kind != SETTING_STR)
+			continue;
+		s->values[i].str = strdup(row->def_str ? row->def_str : "");
+		if (!s->values[i].str)
+			return false;
+	}
+	return true;
+}
+
+static void check_required(struct loader *l)
+{
+	for (size_t i = 0; i < SETTING_COUNT; i++) {
+		const struct setting_row *row = &setting_rows[i];
+		char allowed[96];
+
+		if (row->kind != SETTING_STR || row->def_str || l->lines[i])
+			continue;
+		setting_allowed(row, allowed, sizeof(allowed));
+		fault(l, l->line, "[%s] %s: missing; allowed is %s",
+		      row->section, row->key, allowed);
+	}
+}
+
+enum err settings_load(const char *path, FILE *faults, struct settings **out)
+{
+	struct loader l = {.path = path, .faults = faults, .plain = true};
+
+	*out = NULL;
+	l.file = fopen(path, "re");
+	if (!l.file) {
+		fprintf(faults, "%s:0: %s; allowed is a readable file\n", path,
+			strerror(errno));
+		return ERR_SETTINGS;
+	}
+	l.s = calloc(1, sizeof(*l.s));
+	if (!l.s || !fill_defaults(l.s)) {
+		l.n_faults++;
+		goto out;
+	}
+	ini_use_stack = false;
+	ini_max_line = LINE_MAX_BYTES;
+	ini_initial_alloc = LINE_MAX_BYTES;
+	ini_allow_multiline = false;
+	ini_parse_stream(read_line, &l, on_pair, &l);
+	check_line(&l);
+	check_required(&l);
+
+out:
+	fclose(l.file);
+	if (l.n_faults) {
+		settings_free(l.s);
+		return ERR_SETTINGS;
+	}
+	*out = l.s;
+	return ERR_OK;
+}
--- /dev/null
+++ b/packages/http/src/mhd_answer.c
@@ -0,0 +1,233 @@
+// Answers: whole ones, chunked ones with a bounded buffer, errors.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/metric.h"
+#include "mhd_req.h"
+
+enum {
+	ANSWER_HEADERS = 16, ///< most headers that the reader may add
+	STREAM_BLOCK = 16384, ///< bytes handed to the server at once
+	STREAM_BUF_MIN = 1024, ///< bytes
+};
+
+static struct mhd_req *req_of(struct http_req *req)
+{
+	return (struct mhd_req *)req;
+}
+
+void mhd_header(struct http_req *req, const char *name, const char *value)
+{
+	struct mhd_req *r = req_of(req);
+	struct http_pair *h;
+
+	if (!r->added)
+		r->added = arena_alloc(&req->arena,
+				       ANSWER_HEADERS * sizeof(*r->added));
+	if (!r->added || r->n_added == ANSWER_HEADERS)
+		return;
+	h = &r->added[r->n_added++];
+	h->name = arena_strdup(&req->arena, name);
+	h->value = arena_strdup(&req->arena, value);
+}
+
+static void answer_headers(struct mhd_req *r, struct MHD_Response *resp,
+			   const char *ctype)
+{
+	if (ctype && *ctype)
+		MHD_add_response_header(resp, MHD_HTTP_HEADER_CONTENT_TYPE,
+					ctype);
+	for (size_t i = 0; i < r->n_added; i++) {
+		if (r->added[i].name && r->added[i].value)
+			MHD_add_response_header(resp, r->added[i].name,
+						r->added[i].value);
+	}
+	if (atomic_load(&r->at->edge->draining))
+		MHD_add_response_header(resp, MHD_HTTP_HEADER_CONNECTION,
+					"close");
+}
+
+/// Make the answer known to the listener's thread; locked.
+static void answer_ready(struct mhd_req *r, int status,
+			 struct MHD_Response *resp)
+{
+	r->status = status;
+	r->response = resp;
+	r->phase = resp ? MHD_PHASE_ANSWER : MHD_PHASE_DROP;
+	mhd_req_resume(r);
+}
+
+void mhd_answer(struct http_req *req, int status, const char *ctype,
+		const void *body, size_t len)
+{
+	struct mhd_req *r = req_of(req);
+	struct MHD_Response *resp = MHD_create_response_from_buffer(
+		len, (void *)body, MHD_RESPMEM_MUST_COPY);
+
+	if (resp)
+		answer_headers(r, resp, ctype);
+	pthread_mutex_lock(&r->lock);
+	answer_ready(r, status, resp);
+	r->ended = true;
+	pthread_mutex_unlock(&r->lock);
+	mhd_req_unref(r);
+}
+
+void mhd_drop(struct http_req *req)
+{
+	struct mhd_req *r = req_of(req);
+
+	pthread_mutex_lock(&r->lock);
+	if (r->phase == MHD_PHASE_WAIT)
+		r->phase = MHD_PHASE_DROP;
+	r->ended = true;
+	r->whole = false;
+	mhd_req_resume(r);
+	pthread_mutex_unlock(&r->lock);
+	mhd_req_unref(r);
+}
+
+/// Called by the listener's thread for the next bytes of a stream.
+static ssize_t stream_read(void *ctx, uint64_t pos, char *out, size_t max)
+{
+	struct mhd_req *r = ctx;
+	size_t n;
+	ssize_t res;
+
+	pthread_mutex_lock(&r->lock);
+	n = r->buf_len < max ? r->buf_len : max;
+	if (n) {
+		memcpy(out, r->buf + r->buf_at, n);
+		r->buf_at += n;
+		r->buf_len -= n;
+		res = (ssize_t)n;
+	} else if (r->ended) {
+		res = r->whole ? MHD_CONTENT_READER_END_OF_STREAM
+			       : MHD_CONTENT_READER_END_WITH_ERROR;
+	} else {
+		MHD_suspend_connection(r->conn);
+		r->suspended = true;
+		res = 0;
+	}
+	pthread_mutex_unlock(&r->lock);
+	return res;
+}
+
+static void stream_free(void *ctx)
+{
+	mhd_req_unref(ctx);
+}
+
+void mhd_stream_begin(struct http_req *req, int status, const char *ctype)
+{
+	struct mhd_req *r = req_of(req);
+	struct MHD_Response *resp;
+
+	mhd_req_ref(r);
+	resp = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, STREAM_BLOCK,
+						 stream_read, r, stream_free);
+	if (resp)
+		answer_headers(r, resp, ctype);
+	else
+		mhd_req_unref(r);
+	pthread_mutex_lock(&r->lock);
+	r->stream = true;
+	answer_ready(r, status, resp);
+	pthread_mutex_unlock(&r->lock);
+}
+
+static bool buf_room(struct mhd_req *r, size_t len)
+{
+	size_t cap = r->buf_cap ? r->buf_cap : STREAM_BUF_MIN;
+	char *p;
+
+	if (r->buf_at) {
+		memmove(r->buf, r->buf + r->buf_at, r->buf_len);
+		r->buf_at = 0;
+	}
+	while (cap < r->buf_len + len)
+		cap *= 2;
+	if (cap == r->buf_cap)
+		return true;
+	p = realloc(r->buf, cap);
+	if (!p)
+		return false;
+	r->buf = p;
+	r->buf_cap = cap;
+	return true;
+}
+
+enum err mhd_stream_write(struct http_req *req, const void *data, size_t len)
+{
+	struct mhd_req *r = req_of(req);
+	enum err e = ERR_OK;
+
+	pthread_mutex_lock(&r->lock);
+	if (r->closed || r->phase == MHD_PHASE_DROP) {
+		e = ERR_CLOSED;
+	} else if (r->buf_len + len > HTTP_STREAM_BUF || !buf_room(r, len)) {
+		e = ERR_FULL;
+	} else {
+		memcpy(r->buf + r->buf_len, data, len);
+		r->buf_len += len;
+		mhd_req_resume(r);
+	}
+	pthread_mutex_unlock(&r->lock);
+	return e;
+}
+
+void mhd_stream_end(struct http_req *req, bool whole)
+{
+	struct mhd_req *r = req_of(req);
+
+	pthread_mutex_lock(&r->lock);
+	r->ended = true;
+	r->whole = whole;
+	mhd_req_resume(r);
+	pthread_mutex_unlock(&r->lock);
+	mhd_req_unref(r);
+}
+
+enum MHD_Result mhd_req_queue(struct mhd_req *r)
+{
+	enum MHD_Result res = MHD_NO;
+	struct MHD_Response *resp = NULL;
+
+	pthread_mutex_lock(&r->lock);
+	if (r->phase == MHD_PHASE_ANSWER && !r->queued) {
+		resp = r->response;
+		r->response = NULL;
+		r->queued = true;
+	}
+	pthread_mutex_unlock(&r->lock);
+	if (!resp)
+		return MHD_NO;
+	res = MHD_queue_response(r->conn, (unsigned int)r->status, resp);
+	MHD_destroy_response(resp);
+	return res;
+}
+
+enum MHD_Result mhd_req_refuse(struct mhd_req *r, enum err e)
+{
+	char *text = http_err_body(e, RUN_NO, 0, NULL);
+	struct MHD_Response *resp;
+	enum MHD_Result res;
+
+	metric_add(M_HTTP_REFUSED, 1);
+	if (!text)
+		return MHD_NO;
+	resp = MHD_create_response_from_buffer(strlen(text), text,
+					       MHD_RESPMEM_MUST_FREE);
+	if (!resp) {
+		free(text);
+		return MHD_NO;
+	}
+	MHD_add_response_header(resp, MHD_HTTP_HEADER_CONTENT_TYPE,
+				"application/json");
+	MHD_add_response_header(resp, "Catkin-Run", run_state_name(RUN_NO));
+	MHD_add_response_header(resp, MHD_HTTP_HEADER_CONNECTION, "close");
+	res = MHD_queue_response(r->conn, (unsigned int)err_http(e), resp);
+	MHD_destroy_response(resp);
+	return res;
+}
--- /dev/null
+++ b/packages/http/src/mhd_req.c
@@ -0,0 +1,264 @@
+// A request from its first byte to the reader: headers, body, references.
+#include "mhd_req.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/epoll.h>
+
+#include "base/clock.h"
+#include "base/mbox.h"
+#include "base/metric.h"
+
+enum {
+	REQ_ARENA_MAX = 1048576, ///< bytes of headers, answer headers, queries
+	REQ_BODY_MIN = 1024, ///< bytes of a body buffer at first
+	REQ_EXCESS = 1048576, ///< bytes read past the limit to answer in order
+};
+
+/// Split a path and query; refuse bytes that no URL may hold.
+static bool req_uri(struct http_req *p, const char *uri)
+{
+	const char *q = strchr(uri, '?');
+	size_t len = q ? (size_t)(q - uri) : strlen(uri);
+
+	p->path = arena_strndup(&p->arena, uri, len);
+	p->query = arena_strdup(&p->arena, q ? q + 1 : "");
+	return p->path && p->query;
+}
+
+struct mhd_req *mhd_req_new(struct mhd_listener *at, const char *uri)
+{
+	struct mhd_req *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		return NULL;
+	atomic_fetch_add(&at->edge->open, 1);
+	atomic_init(&r->refs, 1);
+	pthread_mutex_init(&r->lock, NULL);
+	arena_init(&r->pub.arena, REQ_ARENA_MAX);
+	r->at = at;
+	r->pub.listener = at->index;
+	r->pub.arrived_ms = clock_now_ms();
+	r->req_event = (struct http_event){HTTP_REQ, &r->pub};
+	r->gone_event = (struct http_event){HTTP_GONE, &r->pub};
+	if (!req_uri(&r->pub, uri))
+		r->refuse = ERR_TOO_LARGE;
+	return r;
+}
+
+void mhd_req_ref(struct mhd_req *r)
+{
+	atomic_fetch_add(&r->refs, 1);
+}
+
+void mhd_req_unref(struct mhd_req *r)
+{
+	struct http_edge *edge = r->at->edge;
+
+	if (atomic_fetch_sub(&r->refs, 1) != 1)
+		return;
+	if (r->counted) {
+		unsigned int n = atomic_fetch_sub(&edge->live, 1);
+
+		metric_set(M_HTTP_LIVE, n - 1);
+	}
+	if (r->response)
+		MHD_destroy_response(r->response);
+	pthread_mutex_destroy(&r->lock);
+	arena_free(&r->pub.arena);
+	free(r->pub.body);
+	free(r->buf);
+	free(r);
+	atomic_fetch_sub(&edge->open, 1);
+}
+
+static void take_authorization(struct http_req *p, const char *value)
+{
+	static const char scheme[] = "Bearer ";
+	size_t len = sizeof(scheme) - 1;
+
+	if (strncasecmp(value, scheme, len) == 0 && value[len])
+		p->bearer = arena_strdup(&p->arena, value + len);
+}
+
+static enum MHD_Result take_header(void *ctx, enum MHD_ValueKind kind,
+				   const char *name, const char *value)
+{
+	struct mhd_req *r = ctx;
+	struct http_req *p = &r->pub;
+	struct http_pair *h;
+
+	value = value ? value : "";
+	if (strcasecmp(name, "Authorization") == 0) {
+		take_authorization(p, value);
+		return MHD_YES;
+	}
+	if (p->n_headers == HTTP_MAX_HEADERS) {
+		r->refuse = ERR_TOO_LARGE;
+		return MHD_NO;
+	}
+	h = &p->headers[p->n_headers];
+	h->name = arena_strdup(&p->arena, name);
+	h->value = arena_strdup(&p->arena, value);
+	if (!h->name || !h->value) {
+		r->refuse = ERR_TOO_LARGE;
+		return MHD_NO;
+	}
+	p->n_headers++;
+	return MHD_YES;
+}
+
+static bool uri_ok(const char *s)
+{
+	for (; *s; s++) {
+		if ((unsigned char)*s <= ' ' || (unsigned char)*s >= 0x7f)
+			return false;
+	}
+	return true;
+}
+
+enum err mhd_req_headers(struct mhd_req *r, const char *method)
+{
+	struct http_req *p = &r->pub;
+	const char *length;
+
+	r->seen = true;
+	p->method = arena_strdup(&p->arena, method);
+	MHD_get_connection_values(r->conn, MHD_HEADER_KIND, take_header, r);
+	if (r->refuse != ERR_OK)
+		return r->refuse;
+	if (p->path[0] != '/' || !uri_ok(p->path) || !uri_ok(p->query))
+		return ERR_HTTP_PATH;
+	length = http_req_header(p, "Content-Length");
+	if (length &&
+	    strtoull(length, NULL, 10) > atomic_load(&r->at->edge->max_body))
+		return ERR_TOO_LARGE;
+	return ERR_OK;
+}
+
+static bool body_grow(struct mhd_req *r, size_t need)
+{
+	size_t cap = r->body_cap ? r->body_cap : REQ_BODY_MIN;
+	char *p;
+
+	while (cap < need)
+		cap *= 2;
+	if (cap == r->body_cap)
+		return true;
+	p = realloc(r->pub.body, cap);
+	if (!p)
+		return false;
+	r->pub.body = p;
+	r->body_cap = cap;
+	return true;
+}
+
+enum err mhd_req_body(struct mhd_req *r, const char *data, size_t len)
+{
+	struct http_req *p = &r->pub;
+	size_t max = atomic_load(&r->at->edge->max_body);
+
+	if (r->refuse != ERR_OK || p->body_len + len > max) {
+		r->refuse = r->refuse != ERR_OK ? r->refuse : ERR_TOO_LARGE;
+		p->body_len += len;
+		return p->body_len > max + REQ_EXCESS ? ERR_TOO_LARGE : ERR_OK;
+	}
+	if (!body_grow(r, p->body_len + len + 1))
+		return ERR_NOMEM;
+	memcpy(p->body + p->body_len, data, len);
+	p->body_len += len;
+	p->body[p->body_len] = '\0';
+	return ERR_OK;
+}
+
+static int req_socket(const struct mhd_req *r)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	return info->connect_fd;
+}
+
+/// A suspended connection is not read: watch its socket for the caller's end.
+static void watch_add(struct mhd_req *r)
+{
+	struct epoll_event ev = {
+		.events = EPOLLRDHUP | EPOLLONESHOT,
+		.data.ptr = r,
+	};
+
+	r->watched = epoll_ctl(r->at->edge->watch, EPOLL_CTL_ADD, req_socket(r),
+			       &ev) == 0;
+}
+
+static void watch_del(struct mhd_req *r)
+{
+	if (r->watched)
+		epoll_ctl(r->at->edge->watch, EPOLL_CTL_DEL, req_socket(r),
+			  NULL);
+	r->watched = false;
+}
+
+static void req_wait(struct mhd_req *r)
+{
+	r->posted = true;
+	r->phase = MHD_PHASE_WAIT;
+	MHD_suspend_connection(r->conn);
+	r->suspended = true;
+	watch_add(r);
+}
+
+enum err mhd_req_post(struct mhd_req *r)
+{
+	struct http_edge *edge = r->at->edge;
+	unsigned int live = atomic_fetch_add(&edge->live, 1);
+	enum err e;
+
+	r->counted = true;
+	if (live >= edge->opts.max_requests)
+		return ERR_HTTP_BUSY;
+	if (!body_grow(r, r->pub.body_len + 1) || !r->pub.body)
+		return ERR_NOMEM;
+	r->pub.body[r->pub.body_len] = '\0';
+	metric_set(M_HTTP_LIVE, live + 1);
+	metric_add(M_HTTP_REQUESTS, 1);
+	pthread_mutex_lock(&r->lock);
+	mhd_req_ref(r);
+	e = mbox_put(edge->opts.events, &r->req_event);
+	if (e == ERR_OK)
+		req_wait(r);
+	pthread_mutex_unlock(&r->lock);
+	if (e == ERR_OK)
+		return ERR_OK;
+	mhd_req_unref(r);
+	return ERR_HTTP_BUSY;
+}
+
+void mhd_req_resume(struct mhd_req *r)
+{
+	if (!r->suspended)
+		return;
+	r->suspended = false;
+	watch_del(r);
+	MHD_resume_connection(r->conn);
+}
+
+void mhd_req_gone(struct mhd_req *r)
+{
+	if (r->gone_posted || r->ended || r->phase == MHD_PHASE_BODY)
+		return;
+	r->gone_posted = true;
+	mhd_req_ref(r);
+	if (mbox_put(r->at->edge->opts.events, &r->gone_event) != ERR_OK)
+		abort(); /* The mailbox has room for it: see struct http_opts. */
+}
+
+void mhd_req_close(struct mhd_req *r)
+{
+	pthread_mutex_lock(&r->lock);
+	r->closed = true;
+	mhd_req_gone(r);
+	pthread_mutex_unlock(&r->lock);
+	mhd_req_unref(r);
+}
--- /dev/null
+++ b/packages/peer/src/link.c
@@ -0,0 +1,141 @@
+// DEALER sockets by node id.
+#include "link.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#include "base/metric.h"
+
+enum {
+	LINK_HWM = 4096, ///< messages waiting for one peer
+	LINK_BUCKETS = 256,
+	LINK_CONNECT_MS = 1000,
+	LINK_RECONNECT_MS = 100,
+	LINK_RECONNECT_MAX_MS = 1000,
+	LINK_HEARTBEAT_MS = 2000,
+	LINK_SILENCE_MS = 4000, ///< silent connections are closed
+};
+
+struct link {
+	char node[PEER_ID_MAX];
+	void *sock;
+	struct link *next; ///< in its bucket
+};
+
+struct link_table {
+	void *zmq;
+	const char *node;
+	struct link *buckets[LINK_BUCKETS];
+};
+
+struct link_table *link_table_new(void *zmq, const char *node)
+{
+	struct link_table *t = calloc(1, sizeof(*t));
+
+	if (!t)
+		return NULL;
+	t->zmq = zmq;
+	t->node = node;
+	return t;
+}
+
+static struct link **link_at(struct link_table *t, const char *node)
+{
+	uint32_t h = 2166136261u;
+	struct link **p;
+
+	for (const char *s = node; *s; s++)
+		h = (h ^ (unsigned char)*s) * 16777619u;
+	p = &t->buckets[h % LINK_BUCKETS];
+	while (*p && strcmp((*p)->node, node) != 0)
+		p = &(*p)->next;
+	return p;
+}
+
+static void set_int(void *sock, int option, int value)
+{
+	zmq_setsockopt(sock, option, &value, sizeof(value));
+}
+
+static void *link_socket(struct link_table *t, const char *addr)
+{
+	void *sock = zmq_socket(t->zmq, ZMQ_DEALER);
+	char url[PEER_ADDR_MAX + 8];
+
+	if (!sock)
+		return NULL;
+	set_int(sock, ZMQ_LINGER, 0);
+	set_int(sock, ZMQ_SNDHWM, LINK_HWM);
+	set_int(sock, ZMQ_IMMEDIATE, 1);
+	set_int(sock, ZMQ_CONNECT_TIMEOUT, LINK_CONNECT_MS);
+	set_int(sock, ZMQ_RECONNECT_IVL, LINK_RECONNECT_MS);
+	set_int(sock, ZMQ_RECONNECT_IVL_MAX, LINK_RECONNECT_MAX_MS);
+	set_int(sock, ZMQ_HEARTBEAT_IVL, LINK_HEARTBEAT_MS);
+	set_int(sock, ZMQ_HEARTBEAT_TIMEOUT, LINK_SILENCE_MS);
+	snprintf(url, sizeof(url), "tcp://%s", addr);
+	if (zmq_connect(sock, url) == 0)
+		return sock;
+	zmq_close(sock);
+	return NULL;
+}
+
+void link_table_add(struct link_table *t, const char *node, const char *addr)
+{
+	struct link **at;
+	struct link *l;
+
+	link_table_del(t, node);
+	at = link_at(t, node);
+	l = calloc(1, sizeof(*l));
+	if (!l)
+		return;
+	snprintf(l->node, sizeof(l->node), "%s", node);
+	l->sock = link_socket(t, addr);
+	if (!l->sock) {
+		free(l);
+		return;
+	}
+	l->next = *at;
+	*at = l;
+}
+
+void link_table_del(struct link_table *t, const char *node)
+{
+	struct link **at = link_at(t, node);
+	struct link *l = *at;
+
+	if (!l)
+		return;
+	*at = l->next;
+	zmq_close(l->sock);
+	free(l);
+}
+
+void link_table_send(struct link_table *t, const char *node, uint32_t type,
+		     const void *buf, size_t len)
+{
+	struct link *l = *link_at(t, node);
+	uint32_t wire = htonl(type);
+	int more = ZMQ_DONTWAIT | ZMQ_SNDMORE;
+
+	if (!l || zmq_send(l->sock, t->node, strlen(t->node), more) < 0 ||
+	    zmq_send(l->sock, &wire, sizeof(wire), more) < 0 ||
+	    zmq_send(l->sock, buf, len, ZMQ_DONTWAIT) < 0) {
+		metric_add(M_PEER_DROPPED, 1);
+		return;
+	}
+	metric_add(M_PEER_SENT, 1);
+	metric_add(M_PEER_SENT_BYTES, strlen(t->node) + sizeof(wire) + len);
+}
+
+void link_table_free(struct link_table *t)
+{
+	for (size_t i = 0; i < LINK_BUCKETS; i++) {
+		while (t->buckets[i])
+			link_table_del(t, t->buckets[i]->node);
+	}
+	free(t);
+}
--- /dev/null
+++ b/packages/peer/src/link.h
@@ -0,0 +1,29 @@
+// Outgoing connections, one a peer. Used by the edge's thread alone.
+#pragma once
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "peer/peer.h"
+
+struct link_table;
+
+/// Create an empty table.
+///
+/// @param zmq   ZeroMQ context
+/// @param node  this node's id, kept by reference
+/// @return table, NULL when out of memory
+struct link_table *link_table_new(void *zmq, const char *node);
+
+/// Close all connections.
+void link_table_free(struct link_table *t);
+
+/// Connect to a peer, on a new connection if it is known already.
+void link_table_add(struct link_table *t, const char *node, const char *addr);
+
+/// Close a peer's connection.
+void link_table_del(struct link_table *t, const char *node);
+
+/// Write a message; dropped when there is no connection or no space.
+void link_table_send(struct link_table *t, const char *node, uint32_t type,
+		     const void *buf, size_t len);
--- /dev/null
+++ b/packages/upstream/src/call.c
@@ -0,0 +1,132 @@
+// Copies, counts and frees calls; turns a transfer's end into a result.
+#include "call.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+
+static const char *const *copy_headers(struct arena *a, const char *const *src)
+{
+	size_t n = 0;
+	const char **dst;
+
+	if (!src)
+		return NULL;
+	while (src[n])
+		n++;
+	dst = arena_alloc(a, (n + 1) * sizeof(*dst));
+	for (size_t i = 0; dst && i < n; i++) {
+		dst[i] = arena_strdup(a, src[i]);
+		if (!dst[i])
+			return NULL;
+	}
+	return dst;
+}
+
+static bool copy_opts(struct upstream_call *c,
+		      const struct upstream_call_opts *o)
+{
+	c->opts = *o;
+	c->opts.method = arena_strdup(&c->arena, o->method);
+	c->opts.url = arena_strdup(&c->arena, o->url);
+	c->opts.headers = copy_headers(&c->arena, o->headers);
+	c->opts.body = arena_strndup(&c->arena, o->body, o->body_len);
+	return c->opts.method && c->opts.url && c->opts.body &&
+	       (c->opts.headers || !o->headers);
+}
+
+struct upstream_call *call_new(struct upstream *up,
+			       const struct upstream_call_opts *opts)
+{
+	struct upstream_call *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return NULL;
+	atomic_init(&c->refs, 1);
+	c->up = up;
+	c->start_cmd = (struct call_cmd){CALL_START, c};
+	c->cancel_cmd = (struct call_cmd){CALL_CANCEL, c};
+	c->start_us = clock_now_us();
+	arena_init(&c->arena, 0);
+	if (copy_opts(c, opts))
+		return c;
+	arena_free(&c->arena);
+	free(c);
+	return NULL;
+}
+
+void call_ref(struct upstream_call *c)
+{
+	atomic_fetch_add(&c->refs, 1);
+}
+
+void call_unref(struct upstream_call *c)
+{
+	struct upstream *up = c->up;
+
+	if (atomic_fetch_sub(&c->refs, 1) != 1)
+		return;
+	free(c->result.body);
+	arena_free(&c->arena);
+	free(c);
+	upstream_call_freed(up);
+}
+
+void call_drop(struct upstream_call *c)
+{
+	if (c->easy)
+		curl_easy_cleanup(c->easy);
+	c->easy = NULL;
+	curl_slist_free_all(c->headers);
+	c->headers = NULL;
+}
+
+static enum err call_error(const struct upstream_call *c, CURLcode code)
+{
+	if (c->too_large)
+		return ERR_TOO_LARGE;
+	if (c->idle)
+		return ERR_TIMEOUT;
+	switch (code) {
+	case CURLE_OK:
+		return c->result.status ? ERR_OK : ERR_UP_BROKEN;
+	case CURLE_OPERATION_TIMEDOUT:
+		return ERR_TIMEOUT;
+	case CURLE_URL_MALFORMAT:
+	case CURLE_UNSUPPORTED_PROTOCOL:
+		return ERR_INVALID;
+	case CURLE_OUT_OF_MEMORY:
+		return ERR_NOMEM;
+	default:
+		return c->result.sent ? ERR_UP_BROKEN : ERR_UP_CONNECT;
+	}
+}
+
+/// A byte may have left once libcurl counted one, or when it was stopped at a
+/// second attempt of its own: the first one wrote and got nothing back.
+static bool call_sent(const struct upstream_call *c, long request_size)
+{
+	return request_size > 0 || c->attempts > 1 || c->result.status > 0;
+}
+
+void call_finish(struct upstream_call *c, CURLcode code)
+{
+	struct upstream_result *r = &c->result;
+	const char *ctype = NULL;
+	long status = 0;
+	long size = 0;
+
+	if (c->easy) {
+		curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
+		curl_easy_getinfo(c->easy, CURLINFO_REQUEST_SIZE, &size);
+		curl_easy_getinfo(c->easy, CURLINFO_CONTENT_TYPE, &ctype);
+	}
+	r->status = (int)status;
+	r->sent = call_sent(c, size);
+	r->err = call_error(c, code);
+	r->total_us = clock_now_us() - c->start_us;
+	if (ctype && strlen(ctype) < sizeof(r->ctype))
+		strcpy(r->ctype, ctype);
+	call_drop(c);
+}
--- /dev/null
+++ b/packages/upstream/src/curl_edge.c
@@ -0,0 +1,418 @@
+// The thread that carries outgoing requests: epoll over libcurl's sockets.
+#include <assert.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/mbox.h"
+#include "base/metric.h"
+#include "call.h"
+
+enum {
+	EDGE_EVENTS = 128, ///< descriptors handled a round
+	EDGE_SCAN_MS = 50, ///< interval of the scan for silent calls
+	EDGE_CMDS_A_CALL = 4, ///< ring entries a call; it needs two
+	EDGE_IDLE_CONNS = 1024, ///< connections kept for reuse
+	EDGE_DATA_MAX = 64 * 1024 * 1024, ///< bytes waiting for the receiver
+};
+
+struct upstream {
+	struct upstream_opts opts;
+	struct mbox *cmds; ///< struct call_cmd
+	struct call_cmd quit;
+	pthread_t thread;
+	CURLM *multi;
+	int epoll;
+	int64_t timer_ms; ///< when libcurl wants to be called, -1 for never
+	int64_t scan_ms; ///< next scan
+	struct upstream_call *running; ///< list
+	atomic_uint live; ///< calls not yet freed
+	atomic_uint events; ///< events not yet freed
+	atomic_size_t data; ///< bytes of data in them
+};
+
+void upstream_call_freed(struct upstream *up)
+{
+	metric_set(M_UP_LIVE, atomic_fetch_sub(&up->live, 1) - 1);
+}
+
+static void list_add(struct upstream *up, struct upstream_call *c)
+{
+	c->next = up->running;
+	if (c->next)
+		c->next->prev = c;
+	up->running = c;
+	c->running = true;
+}
+
+static void list_del(struct upstream *up, struct upstream_call *c)
+{
+	if (c->prev)
+		c->prev->next = c->next;
+	else
+		up->running = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+	c->prev = NULL;
+	c->next = NULL;
+	c->running = false;
+}
+
+static void curl_event_free(struct upstream_event *ev)
+{
+	struct upstream_call *c = ev->call;
+
+	if (ev->kind == UPSTREAM_DATA) {
+		atomic_fetch_sub(&c->up->events, 1);
+		atomic_fetch_sub(&c->up->data, ev->len);
+		free(ev);
+	}
+	call_unref(c);
+}
+
+/// Half of the mailbox is kept for the ends of calls, so none is ever lost.
+static bool receiver_behind(const struct upstream *up)
+{
+	return atomic_load(&up->events) >= 2 * up->opts.max_calls ||
+	       atomic_load(&up->data) >= EDGE_DATA_MAX;
+}
+
+bool upstream_post_data(struct upstream_call *c, const char *data, size_t len)
+{
+	struct upstream_event *ev;
+	char *copy;
+
+	if (receiver_behind(c->up))
+		return false;
+	ev = malloc(sizeof(*ev) + len);
+	if (!ev)
+		return false;
+	copy = (char *)(ev + 1);
+	memcpy(copy, data, len);
+	*ev = (struct upstream_event){
+		.kind = UPSTREAM_DATA,
+		.id = c->opts.id,
+		.call = c,
+		.data = copy,
+		.len = len,
+	};
+	call_ref(c);
+	atomic_fetch_add(&c->up->events, 1);
+	atomic_fetch_add(&c->up->data, len);
+	if (mbox_put(c->up->opts.events, ev) == ERR_OK)
+		return true;
+	curl_event_free(ev);
+	return false;
+}
+
+/// Give the list's reference to the last event.
+static void call_done(struct upstream *up, struct upstream_call *c,
+		      CURLcode code)
+{
+	enum err e;
+
+	list_del(up, c);
+	call_finish(c, code);
+	if (c->result.err != ERR_OK)
+		metric_add(M_UP_FAILED, 1);
+	c->done = (struct upstream_event){
+		.kind = UPSTREAM_DONE,
+		.id = c->opts.id,
+		.call = c,
+		.result = &c->result,
+	};
+	e = mbox_put(up->opts.events, &c->done);
+	assert(e == ERR_OK);
+	(void)e;
+}
+
+static void call_begin(struct upstream *up, struct upstream_call *c)
+{
+	list_add(up, c);
+	if (!call_setup(c)) {
+		call_done(up, c, CURLE_URL_MALFORMAT);
+		return;
+	}
+	if (curl_multi_add_handle(up->multi, c->easy) != CURLM_OK)
+		call_done(up, c, CURLE_OUT_OF_MEMORY);
+}
+
+static void call_stop(struct upstream *up, struct upstream_call *c)
+{
+	curl_multi_remove_handle(up->multi, c->easy);
+	list_del(up, c);
+	call_drop(c);
+	call_unref(c);
+}
+
+/// @return false when the thread is to end
+static bool commands(struct upstream *up)
+{
+	struct call_cmd *cmd;
+
+	mbox_clear(up->cmds);
+	while ((cmd = mbox_get(up->cmds))) {
+		if (cmd->kind == CALL_QUIT)
+			return false;
+		if (cmd->kind == CALL_START) {
+			call_begin(up, cmd->call);
+			continue;
+		}
+		if (cmd->call->running)
+			call_stop(up, cmd->call);
+		call_unref(cmd->call);
+	}
+	return true;
+}
+
+static int on_socket(CURL *easy, curl_socket_t fd, int what, void *ctx,
+		     void *known)
+{
+	struct upstream *up = ctx;
+	struct epoll_event ev = {.data.fd = fd};
+
+	if (what == CURL_POLL_REMOVE) {
+		epoll_ctl(up->epoll, EPOLL_CTL_DEL, fd, NULL);
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		ev.events |= EPOLLIN;
+	if (what & CURL_POLL_OUT)
+		ev.events |= EPOLLOUT;
+	if (known) {
+		epoll_ctl(up->epoll, EPOLL_CTL_MOD, fd, &ev);
+		return 0;
+	}
+	epoll_ctl(up->epoll, EPOLL_CTL_ADD, fd, &ev);
+	curl_multi_assign(up->multi, fd, up);
+	return 0;
+}
+
+static int on_timer(CURLM *multi, long timeout_ms, void *ctx)
+{
+	struct upstream *up = ctx;
+
+	up->timer_ms = timeout_ms < 0 ? -1 : clock_now_ms() + timeout_ms;
+	return 0;
+}
+
+static void reap(struct upstream *up)
+{
+	CURLMsg *msg;
+	int left;
+
+	while ((msg = curl_multi_info_read(up->multi, &left))) {
+		struct upstream_call *c;
+		CURLcode code = msg->data.result;
+
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &c);
+		curl_multi_remove_handle(up->multi, c->easy);
+		call_done(up, c, code);
+	}
+}
+
+static bool call_silent(const struct upstream_call *c, int64_t now)
+{
+	return c->opts.idle_timeout_ms && c->heard_ms && !c->paused &&
+	       now - c->heard_ms >= c->opts.idle_timeout_ms;
+}
+
+/// End silent calls, and go on reading once the receiver caught up.
+static void scan(struct upstream *up, int64_t now)
+{
+	struct upstream_call *next;
+	bool behind = receiver_behind(up);
+
+	for (struct upstream_call *c = up->running; c; c = next) {
+		next = c->next;
+		if (c->paused && !behind) {
+			c->paused = false;
+			c->heard_ms = now;
+			curl_easy_pause(c->easy, CURLPAUSE_CONT);
+			continue;
+		}
+		if (!call_silent(c, now))
+			continue;
+		c->idle = true;
+		curl_multi_remove_handle(up->multi, c->easy);
+		call_done(up, c, CURLE_OPERATION_TIMEDOUT);
+	}
+	up->scan_ms = now + EDGE_SCAN_MS;
+}
+
+static int edge_timeout(const struct upstream *up)
+{
+	int64_t now = clock_now_ms();
+	int64_t at = up->running ? up->scan_ms : INT64_MAX;
+
+	if (up->timer_ms >= 0 && up->timer_ms < at)
+		at = up->timer_ms;
+	if (at == INT64_MAX)
+		return -1;
+	return at > now ? (int)(at - now) : 0;
+}
+
+static int curl_bits(uint32_t events)
+{
+	int bits = 0;
+
+	if (events & EPOLLIN)
+		bits |= CURL_CSELECT_IN;
+	if (events & EPOLLOUT)
+		bits |= CURL_CSELECT_OUT;
+	if (events & (EPOLLERR | EPOLLHUP))
+		bits |= CURL_CSELECT_ERR;
+	return bits;
+}
+
+static void *edge_run(void *arg)
+{
+	struct upstream *up = arg;
+	struct epoll_event evs[EDGE_EVENTS];
+	int running;
+
+	for (;;) {
+		int n = epoll_wait(up->epoll, evs, EDGE_EVENTS,
+				   edge_timeout(up));
+		int64_t now = clock_now_ms();
+
+		for (int i = 0; i < n; i++) {
+			if (evs[i].data.fd == mbox_fd(up->cmds))
+				continue;
+			curl_multi_socket_action(up->multi, evs[i].data.fd,
+						 curl_bits(evs[i].events),
+						 &running);
+		}
+		if (up->timer_ms >= 0 && up->timer_ms <= now) {
+			up->timer_ms = -1;
+			curl_multi_socket_action(up->multi, CURL_SOCKET_TIMEOUT,
+						 0, &running);
+		}
+		reap(up);
+		if (now >= up->scan_ms)
+			scan(up, now);
+		if (!commands(up))
+			return NULL;
+	}
+}
+
+static enum err curl_call(struct upstream *up,
+			  const struct upstream_call_opts *opts,
+			  struct upstream_call **out)
+{
+	struct upstream_call *c;
+	unsigned int live = atomic_fetch_add(&up->live, 1);
+	enum err e;
+
+	if (live >= up->opts.max_calls) {
+		atomic_fetch_sub(&up->live, 1);
+		return ERR_FULL;
+	}
+	c = call_new(up, opts);
+	if (!c) {
+		atomic_fetch_sub(&up->live, 1);
+		return ERR_NOMEM;
+	}
+	call_ref(c);
+	e = mbox_put(up->cmds, &c->start_cmd);
+	assert(e == ERR_OK);
+	(void)e;
+	metric_add(M_UP_CALLS, 1);
+	metric_set(M_UP_LIVE, live + 1);
+	*out = c;
+	return ERR_OK;
+}
+
+static void curl_cancel(struct upstream *up, struct upstream_call *c)
+{
+	enum err e = mbox_put(up->cmds, &c->cancel_cmd);
+
+	assert(e == ERR_OK);
+	(void)e;
+}
+
+static void curl_forget(struct upstream *up, struct upstream_call *c)
+{
+	call_unref(c);
+}
+
+static bool edge_multi(struct upstream *up)
+{
+	up->multi = curl_multi_init();
+	if (!up->multi)
+		return false;
+	curl_multi_setopt(up->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(up->multi, CURLMOPT_SOCKETDATA, up);
+	curl_multi_setopt(up->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+	curl_multi_setopt(up->multi, CURLMOPT_TIMERDATA, up);
+	curl_multi_setopt(up->multi, CURLMOPT_MAXCONNECTS, EDGE_IDLE_CONNS);
+	return true;
+}
+
+static bool edge_epoll(struct upstream *up)
+{
+	struct epoll_event ev = {
+		.events = EPOLLIN,
+		.data.fd = mbox_fd(up->cmds),
+	};
+
+	up->epoll = epoll_create1(EPOLL_CLOEXEC);
+	return up->epoll >= 0 &&
+	       epoll_ctl(up->epoll, EPOLL_CTL_ADD, mbox_fd(up->cmds), &ev) == 0;
+}
+
+static enum err curl_start(const struct upstream_opts *opts,
+			   struct upstream **out)
+{
+	struct upstream *up = calloc(1, sizeof(*up));
+
+	if (!up)
+		return ERR_NOMEM;
+	up->opts = *opts;
+	up->timer_ms = -1;
+	up->epoll = -1;
+	up->quit.kind = CALL_QUIT;
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	up->cmds = mbox_new(EDGE_CMDS_A_CALL * opts->max_calls);
+	if (!up->cmds || !edge_multi(up) || !edge_epoll(up))
+		goto err;
+	if (pthread_create(&up->thread, NULL, edge_run, up))
+		goto err;
+	*out = up;
+	return ERR_OK;
+
+err:
+	if (up->epoll >= 0)
+		close(up->epoll);
+	curl_multi_cleanup(up->multi);
+	mbox_free(up->cmds);
+	free(up);
+	return ERR_SYS;
+}
+
+static void curl_stop(struct upstream *up)
+{
+	mbox_put(up->cmds, &up->quit);
+	pthread_join(up->thread, NULL);
+	while (up->running)
+		call_stop(up, up->running);
+	curl_multi_cleanup(up->multi);
+	close(up->epoll);
+	mbox_free(up->cmds);
+	free(up);
+}
+
+const struct upstream_ops upstream_curl_ops = {
+	.start = curl_start,
+	.call = curl_call,
+	.cancel = curl_cancel,
+	.forget = curl_forget,
+	.event_free = curl_event_free,
+	.stop = curl_stop,
+};
--- /dev/null
+++ b/packages/upstream/src/transfer.c
@@ -0,0 +1,162 @@
+// The libcurl transfer of a call: options in, body and progress out.
+#include "call.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/clock.h"
+
+enum {
+	MS_PER_S = 1000,
+	BODY_MIN = 1024, ///< bytes of a body buffer at first
+};
+
+static bool body_append(struct upstream_call *c, const char *data, size_t len)
+{
+	struct upstream_result *r = &c->result;
+	size_t need = r->body_len + len;
+	size_t cap = c->body_cap ? c->body_cap : BODY_MIN;
+	char *p;
+
+	while (cap < need + 1)
+		cap *= 2;
+	if (cap != c->body_cap) {
+		p = realloc(r->body, cap);
+		if (!p)
+			return false;
+		r->body = p;
+		c->body_cap = cap;
+	}
+	memcpy(r->body + r->body_len, data, len);
+	r->body_len = need;
+	r->body[need] = '\0';
+	return true;
+}
+
+static size_t on_body(char *data, size_t size, size_t n, void *ctx)
+{
+	struct upstream_call *c = ctx;
+	size_t len = size * n;
+
+	c->heard_ms = clock_now_ms();
+	if (c->opts.streamed) {
+		if (upstream_post_data(c, data, len))
+			return len;
+		c->paused = true;
+		return CURL_WRITEFUNC_PAUSE;
+	}
+	if (c->result.body_len + len > c->opts.max_body) {
+		c->too_large = true;
+		return 0;
+	}
+	return body_append(c, data, len) ? len : 0;
+}
+
+static size_t on_header(char *data, size_t size, size_t n, void *ctx)
+{
+	struct upstream_call *c = ctx;
+
+	c->heard_ms = clock_now_ms();
+	return size * n;
+}
+
+/// libcurl writes a request again by itself when a connection that it used
+/// before turns out dead. The other side may have run it: allow one attempt.
+static int on_request(void *ctx, char *ip, char *local_ip, int port,
+		      int local_port)
+{
+	struct upstream_call *c = ctx;
+
+	c->heard_ms = clock_now_ms();
+	c->attempts++;
+	return c->attempts > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+static bool header_add(struct upstream_call *c, const char *line)
+{
+	struct curl_slist *l = curl_slist_append(c->headers, line);
+
+	if (!l)
+		return false;
+	c->headers = l;
+	return true;
+}
+
+static bool setup_headers(struct upstream_call *c)
+{
+	const char *const *h = c->opts.headers;
+	bool typed = false;
+
+	for (; h && *h; h++) {
+		if (strncasecmp(*h, "Content-Type:", 13) == 0)
+			typed = true;
+		if (!header_add(c, *h))
+			return false;
+	}
+	if (!typed && !header_add(c, "Content-Type:"))
+		return false;
+	if (!header_add(c, "Expect:") || !header_add(c, "Accept:"))
+		return false;
+	return curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->headers) ==
+	       CURLE_OK;
+}
+
+static void setup_method(struct upstream_call *c)
+{
+	const struct upstream_call_opts *o = &c->opts;
+
+	if (strcmp(o->method, "HEAD") == 0) {
+		curl_easy_setopt(c->easy, CURLOPT_NOBODY, 1L);
+		return;
+	}
+	if (o->body_len || strcmp(o->method, "POST") == 0 ||
+	    strcmp(o->method, "PUT") == 0) {
+		curl_easy_setopt(c->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)o->body_len);
+		curl_easy_setopt(c->easy, CURLOPT_POSTFIELDS, o->body);
+	}
+	curl_easy_setopt(c->easy, CURLOPT_CUSTOMREQUEST, o->method);
+}
+
+static void setup_limits(struct upstream_call *c)
+{
+	const struct upstream_call_opts *o = &c->opts;
+	long age = (long)((o->max_idle_age_ms + MS_PER_S - 1) / MS_PER_S);
+
+	curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS, (long)o->timeout_ms);
+	curl_easy_setopt(c->easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)o->connect_timeout_ms);
+	curl_easy_setopt(c->easy, CURLOPT_MAXAGE_CONN, age > 0 ? age : 1L);
+	curl_easy_setopt(c->easy, CURLOPT_FRESH_CONNECT, o->fresh ? 1L : 0L);
+	curl_easy_setopt(c->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(c->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(c->easy, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(c->easy, CURLOPT_HTTP_VERSION,
+			 (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(c->easy, CURLOPT_TCP_NODELAY, 1L);
+}
+
+static void setup_callbacks(struct upstream_call *c)
+{
+	curl_easy_setopt(c->easy, CURLOPT_PRIVATE, c);
+	curl_easy_setopt(c->easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(c->easy, CURLOPT_WRITEDATA, c);
+	curl_easy_setopt(c->easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(c->easy, CURLOPT_HEADERDATA, c);
+	curl_easy_setopt(c->easy, CURLOPT_PREREQFUNCTION, on_request);
+	curl_easy_setopt(c->easy, CURLOPT_PREREQDATA, c);
+}
+
+bool call_setup(struct upstream_call *c)
+{
+	c->easy = curl_easy_init();
+	if (!c->easy)
+		return false;
+	if (curl_easy_setopt(c->easy, CURLOPT_URL, c->opts.url) != CURLE_OK)
+		return false;
+	setup_method(c);
+	setup_limits(c);
+	setup_callbacks(c);
+	return setup_headers(c);
+}
--- /dev/null
+++ b/programs/catkinpathd/main.c
@@ -0,0 +1,159 @@
+// catkinpathd: reads settings, runs the daemon's modules until SIGTERM.
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "core/core.h"
+#include "core/settings.h"
+#include "daemon/mods.h"
+
+enum {
+	EXIT_USAGE = 2, ///< bad command line
+	EXIT_SETTINGS = 3, ///< faults in the settings file
+	EXIT_START = 4, ///< something could not start
+	MAX_ERRORS = 8,
+};
+
+struct options {
+	const char *config;
+	bool check;
+	int exit; ///< -1 to go on
+};
+
+static struct core *running;
+
+static void on_term(int sig)
+{
+	core_stop(running);
+}
+
+static void on_hup(int sig)
+{
+	core_reload(running);
+}
+
+static void print_help(void **table)
+{
+	printf("Usage: catkinpathd");
+	arg_print_syntax(stdout, table, "\n");
+	printf("\nServes callers, trainers and operators of one entry VM.\n\n");
+	arg_print_glossary(stdout, table, "  %-18s %s\n");
+	printf("\nSIGTERM drains and ends; SIGHUP reads the settings again.\n"
+	       "Exit codes: 0 clean, 2 command line, 3 settings, 4 start.\n\n"
+	       "Settings (INI; see docs/help/settings.md):\n\n");
+	settings_print_help(stdout);
+}
+
+static struct options parse_args(int argc, char **argv)
+{
+	struct arg_file *config =
+		arg_file0("c", "config", "FILE", "settings file");
+	struct arg_lit *check = arg_lit0(
+		NULL, "check", "check the settings file, print all faults");
+	struct arg_lit *version = arg_lit0(NULL, "version", "print version");
+	struct arg_lit *help = arg_lit0("h", "help", "print this help");
+	struct arg_end *end = arg_end(MAX_ERRORS);
+	void *table[] = {config, check, version, help, end};
+	struct options o = {.exit = -1};
+	int errors = arg_parse(argc, argv, table);
+
+	if (help->count) {
+		print_help(table);
+		o.exit = 0;
+	} else if (version->count) {
+		printf("catkinpathd %s\n", CATKIN_VERSION);
+		o.exit = 0;
+	} else if (errors || !config->count) {
+		arg_print_errors(stderr, end, "catkinpathd");
+		fprintf(stderr, "catkinpathd: --config FILE is needed; "
+				"see --help\n");
+		o.exit = EXIT_USAGE;
+	} else {
+		o.config = strdup(config->filename[0]);
+		o.check = check->count > 0;
+	}
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return o;
+}
+
+static int level_of(const char *name)
+{
+	static const char *const names[] = {"emerg", "alert",	"crit",
+					    "err",   "warning", "notice",
+					    "info",  "debug"};
+
+	for (int i = 0; i < 8; i++) {
+		if (strcmp(names[i], name) == 0)
+			return i;
+	}
+	return LOG_INFO;
+}
+
+static void handle_signals(void)
+{
+	struct sigaction term = {.sa_handler = on_term};
+	struct sigaction hup = {.sa_handler = on_hup};
+
+	sigaction(SIGTERM, &term, NULL);
+	sigaction(SIGINT, &term, NULL);
+	sigaction(SIGHUP, &hup, NULL);
+	signal(SIGPIPE, SIG_IGN);
+}
+
+static void ignore_signals(void)
+{
+	signal(SIGTERM, SIG_IGN);
+	signal(SIGINT, SIG_IGN);
+	signal(SIGHUP, SIG_IGN);
+}
+
+static int run(struct settings *s, const char *path)
+{
+	struct core_opts opts = {
+		.settings = s,
+		.settings_path = path,
+		.mods = daemon_mods,
+	};
+	const char *spans = settings_str(s, S_TRACE_FILE);
+
+	log_setup("catkinpathd", settings_str(s, S_NODE_ID),
+		  level_of(settings_str(s, S_LOG_LEVEL)));
+	if (*spans && !trace_open(spans)) {
+		log_event(EV_FATAL, "trace_file=%s", spans);
+		return EXIT_START;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	if (core_new(&opts, &running) != ERR_OK) {
+		trace_close();
+		return EXIT_START;
+	}
+	handle_signals();
+	core_run(running);
+	ignore_signals();
+	core_free(running);
+	trace_close();
+	return 0;
+}
+
+int main(int argc, char **argv)
+{
+	struct options o = parse_args(argc, argv);
+	struct settings *s;
+	int code;
+
+	if (o.exit >= 0)
+		return o.exit;
+	if (settings_load(o.config, stderr, &s) != ERR_OK) {
+		free((char *)o.config);
+		return EXIT_SETTINGS;
+	}
+	code = o.check ? 0 : run(s, o.config);
+	if (o.check)
+		printf("%s: no faults\n", o.config);
+	settings_free(s);
+	free((char *)o.config);
+	return code;
+}
