feat(member): decide who is alive from links that nodes vouch for

Problem: nodes must see joins, silent deaths, dead connections, one-way loss and partitions, at a cost that does not grow with the fleet.

Solution: package member. In a failure domain a node exchanges heartbeats with a few neighbours on a ring and tells all which of them it hears; a node is alive if links lead from here to it and back. One-way loss between two nodes therefore gives nobody up, and a partition shows on both sides at once. Two nodes of a domain watch each other domain and tell its summary. Ruled out: heartbeat counters spread by gossip (each counter changes each second, so nothing can be left out) and suspicion with refutation (under lasting one-way loss a live member flickers).

Fuzzing found that msgpack allocates whatever a count names (137 GB from five bytes): base/packed checks the counts before decoding.

--- a/packages/base/test/test_base.c
+++ b/packages/base/test/test_base.c
@@ -12,6 +12,7 @@
 #include "base/log.h"
 #include "base/mbox.h"
 #include "base/metric.h"
+#include "base/packed.h"
 
 static void test_arena_limit(void **state)
 {
@@ -73,6 +74,36 @@
 	assert_non_null(strstr(buf, "catkinpath_http_requests_total 3\n"));
 }
 
+static void test_packed(void **state)
+{
+	static const struct {
+		const char *bytes;
+		size_t len;
+		bool ok;
+	} cases[] = {
+		{"\x93\x01\xa2hi\xc0", 6, true},
+		{"\x81\xa1k\xcd\x01\x00", 6, true},
+		{"\xdc\x00\x01\xc3", 4, true},
+		{"", 0, false},
+		{"\x01\x01", 2, false}, /* two objects */
+		{"\x92\x01", 2, false}, /* one is missing */
+		{"\xa5hi", 3, false}, /* cut off text */
+		{"\xcd\x01", 2, false}, /* cut off number */
+		{"\xc1", 1, false}, /* not in use */
+		{"\xdd\xff\xff\xff\xff", 5, false}, /* a count of billions */
+		{"\xdf\xff\xff\xff\xff\x01", 6, false},
+		{"\xdb\xff\xff\xff\xff", 5, false},
+	};
+	char deep[64];
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		assert_int_equal(packed_ok(cases[i].bytes, cases[i].len),
+				 cases[i].ok);
+	memset(deep, 0x91, sizeof(deep));
+	deep[sizeof(deep) - 1] = 1;
+	assert_false(packed_ok(deep, sizeof(deep)));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -81,6 +112,7 @@
 		cmocka_unit_test(test_htab_stale),
 		cmocka_unit_test(test_err_table),
 		cmocka_unit_test(test_metric_render),
+		cmocka_unit_test(test_packed),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/packages/member/src/actions.c
@@ -0,0 +1,67 @@
+// The queue of things to do.
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "state.h"
+
+static struct action_node *act_new(struct member *m,
+				   enum member_action_kind kind,
+				   const char *node, const char *addr,
+				   const void *buf, size_t len)
+{
+	struct action_node *n = calloc(1, sizeof(*n) + len);
+
+	if (!n)
+		return NULL;
+	n->a.kind = kind;
+	snprintf(n->a.node, sizeof(n->a.node), "%s", node);
+	snprintf(n->a.addr, sizeof(n->a.addr), "%s", addr);
+	if (len)
+		memcpy(n->data, buf, len);
+	n->a.buf = n->data;
+	n->a.len = len;
+	*m->tail = n;
+	m->tail = &n->next;
+	return n;
+}
+
+void act_connect(struct member *m, const char *node, const char *addr)
+{
+	act_new(m, MEMBER_CONNECT, node, addr, NULL, 0);
+}
+
+void act_reset(struct member *m, const char *node, const char *addr)
+{
+	act_new(m, MEMBER_RESET, node, addr, NULL, 0);
+}
+
+void act_disconnect(struct member *m, const char *node)
+{
+	act_new(m, MEMBER_DISCONNECT, node, "", NULL, 0);
+}
+
+void act_send(struct member *m, const char *node, enum member_msg type,
+	      const void *buf, size_t len)
+{
+	struct action_node *n = act_new(m, MEMBER_SEND, node, "", buf, len);
+
+	if (n)
+		n->a.type = type;
+}
+
+bool member_next(struct member *m, struct member_action *out)
+{
+	struct action_node *n = m->head;
+
+	free(m->taken);
+	m->taken = n;
+	if (!n)
+		return false;
+	m->head = n->next;
+	if (!m->head)
+		m->tail = &m->head;
+	*out = n->a;
+	return true;
+}
--- /dev/null
+++ b/packages/member/src/member.c
@@ -0,0 +1,228 @@
+// The membership's front: construction, seeds, values, time.
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "state.h"
+
+enum {
+	START_MS = 5000, ///< nodes are looked for more often at first
+	START_PROBE_MS = 100,
+	START_PROBES = 8, ///< nodes looked for at once at first
+};
+
+struct member *member_new(const struct member_opts *opts, int64_t now_ms)
+{
+	struct member *m = calloc(1, sizeof(*m));
+	struct rec *self;
+
+	if (!m)
+		return NULL;
+	m->opts = *opts;
+	m->tail = &m->head;
+	m->rng.state = opts->seed;
+	m->now_ms = now_ms;
+	m->start_ms = now_ms;
+	m->beat_ms = now_ms;
+	m->probe_ms = now_ms;
+	m->dirty = true;
+	snprintf(m->id, sizeof(m->id), "%s", opts->id);
+	snprintf(m->domain, sizeof(m->domain), "%s", opts->domain);
+	snprintf(m->addr, sizeof(m->addr), "%s", opts->addr);
+	if (rec_add(&m->t, m->id, now_ms) != SELF) {
+		free(m);
+		return NULL;
+	}
+	self = m->t.recs[SELF];
+	snprintf(self->addr, sizeof(self->addr), "%s", opts->addr);
+	self->inc = opts->incarnation;
+	self->seq = 1;
+	self->state = MEMBER_ALIVE;
+	self->seed = true;
+	return m;
+}
+
+void member_free(struct member *m)
+{
+	struct member_action a;
+
+	if (!m)
+		return;
+	while (member_next(m, &a))
+		;
+	rec_table_clear(&m->t);
+	free(m->views);
+	free(m);
+}
+
+static struct remote *remote_find(struct member *m, const char *domain)
+{
+	for (int i = 0; i < m->n_remotes; i++) {
+		if (strcmp(m->remotes[i].name, domain) == 0)
+			return &m->remotes[i];
+	}
+	return NULL;
+}
+
+struct remote *remote_of(struct member *m, const char *domain)
+{
+	struct remote *r = remote_find(m, domain);
+
+	if (r || m->n_remotes == MEMBER_DOMAINS)
+		return r;
+	r = &m->remotes[m->n_remotes++];
+	memset(r, 0, sizeof(*r));
+	snprintf(r->name, sizeof(r->name), "%s", domain);
+	m->dirty = true;
+	return r;
+}
+
+static enum err seed_remote(struct member *m, const char *id,
+			    const char *domain, const char *addr, bool fixed)
+{
+	struct remote *r = remote_of(m, domain);
+	struct remote_cand *c = r ? remote_cand_add(r, id, addr) : NULL;
+
+	if (!c)
+		return ERR_FULL;
+	c->seed = true;
+	c->fixed = fixed;
+	return ERR_OK;
+}
+
+static bool text_ok(const char *s)
+{
+	return *s && strlen(s) < MEMBER_ID_MAX;
+}
+
+enum err member_seed(struct member *m, const char *id, const char *domain,
+		     const char *addr, bool fixed)
+{
+	struct rec *r;
+	int i;
+
+	if (!text_ok(id) || !text_ok(domain) || !text_ok(addr))
+		return ERR_INVALID;
+	if (strcmp(id, m->id) == 0)
+		return ERR_OK;
+	if (strcmp(domain, m->domain) != 0)
+		return seed_remote(m, id, domain, addr, fixed);
+	i = rec_find(&m->t, id);
+	if (i == REC_NONE)
+		i = rec_add(&m->t, id, m->now_ms);
+	if (i == REC_NONE)
+		return ERR_FULL;
+	r = m->t.recs[i];
+	r->seed = true;
+	if (fixed || (r->inc == 0 && !r->fixed))
+		snprintf(r->dial, sizeof(r->dial), "%s", addr);
+	r->fixed |= fixed;
+	m->dirty = true;
+	return ERR_OK;
+}
+
+enum err member_on_msg(struct member *m, int64_t now_ms, const char *from,
+		       enum member_msg type, const void *buf, size_t len)
+{
+	m->now_ms = now_ms;
+	if (strcmp(from, m->id) == 0 || !text_ok(from))
+		return ERR_INVALID;
+	switch (type) {
+	case MEMBER_BEAT:
+		return beat_take(m, from, buf, len);
+	case MEMBER_VERSIONS:
+		return versions_take(m, from, buf, len);
+	case MEMBER_SUMMARY:
+		return summary_take(m, from, buf, len);
+	}
+	return ERR_INVALID;
+}
+
+static void heartbeat(struct member *m)
+{
+	if (m->keys_changed || summary_reports(m, true))
+		own_changed(m);
+	m->keys_changed = false;
+	beat_neighbours(m, true);
+	summary_beat(m);
+	m->beat_ms = m->now_ms + m->opts.heartbeat_ms;
+}
+
+static void probe(struct member *m)
+{
+	bool starting = m->now_ms - m->start_ms < START_MS;
+
+	beat_probe(m, starting ? START_PROBES : 1);
+	m->probe_ms =
+		m->now_ms + (starting ? START_PROBE_MS : m->opts.heartbeat_ms);
+}
+
+void member_tick(struct member *m, int64_t now_ms)
+{
+	m->now_ms = now_ms;
+	if (reach_own_links(m) || summary_reports(m, false))
+		own_changed(m);
+	reach_expire(m);
+	summary_lapse(m);
+	if (m->dirty)
+		reach_update(m);
+	if (now_ms >= m->beat_ms)
+		heartbeat(m);
+	else
+		beat_neighbours(m, false);
+	if (now_ms >= m->probe_ms)
+		probe(m);
+}
+
+void member_drain(struct member *m)
+{
+	m->t.recs[SELF]->draining = true;
+	own_changed(m);
+}
+
+void member_leave(struct member *m, int64_t now_ms)
+{
+	m->now_ms = now_ms;
+	m->t.recs[SELF]->left = true;
+	own_changed(m);
+	beat_neighbours(m, false);
+}
+
+void member_set(struct member *m, enum member_key key, int64_t value)
+{
+	struct rec *self = m->t.recs[SELF];
+
+	if (self->keys[key] == value)
+		return;
+	self->keys[key] = value;
+	m->keys_changed = true;
+}
+
+bool member_get(const struct member *m, const char *id, enum member_key key,
+		int64_t *value)
+{
+	int i = rec_find(&m->t, id);
+
+	if (i == REC_NONE || m->t.recs[i]->state != MEMBER_ALIVE)
+		return false;
+	*value = m->t.recs[i]->keys[key];
+	return true;
+}
+
+const struct member_view *member_views(const struct member *m, size_t *n)
+{
+	*n = m->n_views;
+	return m->views;
+}
+
+const struct member_domain *member_domains(const struct member *m, size_t *n)
+{
+	*n = m->n_domains;
+	return m->domains;
+}
+
+uint64_t member_gen(const struct member *m)
+{
+	return m->gen;
+}
--- /dev/null
+++ b/packages/member/src/summary.c
@@ -0,0 +1,262 @@
+// Other failure domains: two nodes of this one watch each of them.
+#include <string.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <xxhash.h>
+
+#include "state.h"
+
+enum {
+	WATCHERS = 2, ///< nodes of a domain that watch another one
+	WATCH_TRIES = 2, ///< nodes asked at once while none is heard
+};
+
+static uint64_t rank(const char *id, const char *salt)
+{
+	return XXH64(id, strlen(id), XXH32(salt, strlen(salt), 0));
+}
+
+static void summary_keys(const struct member *m, struct member_domain *out)
+{
+	memcpy(out->min, m->t.recs[SELF]->keys, sizeof(out->min));
+	memcpy(out->max, m->t.recs[SELF]->keys, sizeof(out->max));
+	for (int i = 0; i < m->t.n; i++) {
+		const struct rec *r = m->t.recs[i];
+
+		if (r->state != MEMBER_ALIVE)
+			continue;
+		out->alive++;
+		out->draining += r->draining;
+		for (int k = 0; k < MEMBER_KEYS; k++) {
+			if (r->keys[k] < out->min[k])
+				out->min[k] = r->keys[k];
+			if (r->keys[k] > out->max[k])
+				out->max[k] = r->keys[k];
+		}
+	}
+}
+
+static void put_contact(struct member_domain *out, int at, const struct rec *r)
+{
+	struct member_contact *c = &out->contacts[at];
+
+	memcpy(c->id, r->id, sizeof(c->id));
+	memcpy(c->addr, r->addr, sizeof(c->addr));
+}
+
+/// The contacts differ from one asking domain to the next, to spread load.
+static void summary_contacts(const struct member *m, const char *to,
+			     struct member_domain *out)
+{
+	uint64_t ranks[MEMBER_CONTACTS];
+
+	put_contact(out, 0, m->t.recs[SELF]);
+	out->n_contacts = 1;
+	for (int i = 1; i < m->t.n; i++) {
+		const struct rec *r = m->t.recs[i];
+		uint64_t v = rank(r->id, to);
+		int at = out->n_contacts;
+
+		if (r->state != MEMBER_ALIVE || r->draining)
+			continue;
+		if (at == MEMBER_CONTACTS && ranks[--at] <= v)
+			continue;
+		while (at > 1 && ranks[at - 1] > v) {
+			out->contacts[at] = out->contacts[at - 1];
+			ranks[at] = ranks[at - 1];
+			at--;
+		}
+		put_contact(out, at, r);
+		ranks[at] = v;
+		if (out->n_contacts < MEMBER_CONTACTS)
+			out->n_contacts++;
+	}
+}
+
+void summary_own(const struct member *m, const char *to,
+		 struct member_domain *out)
+{
+	memset(out, 0, sizeof(*out));
+	memcpy(out->name, m->domain, sizeof(out->name));
+	out->heard = true;
+	summary_keys(m, out);
+	if (to)
+		summary_contacts(m, to, out);
+}
+
+static bool watches(const struct member *m, const struct remote *d)
+{
+	uint64_t own = rank(m->id, d->name);
+	int before = 0;
+
+	for (int i = 1; i < m->t.n; i++) {
+		const struct rec *r = m->t.recs[i];
+
+		if (r->state == MEMBER_ALIVE && !r->draining &&
+		    rank(r->id, d->name) < own)
+			before++;
+	}
+	return before < WATCHERS;
+}
+
+static bool lately(const struct member *m, int64_t heard_ms)
+{
+	return heard_ms && m->now_ms - heard_ms <= m->opts.silence_ms;
+}
+
+bool summary_heard(const struct member *m, const struct remote *r)
+{
+	return lately(m, r->heard_ms);
+}
+
+void summary_lapse(struct member *m)
+{
+	for (int i = 0; i < m->n_remotes; i++) {
+		if (m->remotes[i].heard != summary_heard(m, &m->remotes[i]))
+			m->dirty = true;
+	}
+}
+
+static void summary_send(struct member *m, struct remote *r,
+			 struct remote_cand *c, bool reply)
+{
+	struct member_domain own;
+	msgpack_sbuffer buf;
+
+	if (!c->connected) {
+		c->connected = true;
+		c->reset_ms = m->now_ms;
+		act_connect(m, c->id, c->addr);
+	}
+	summary_own(m, r->name, &own);
+	msgpack_sbuffer_init(&buf);
+	wire_put_summary(&buf, reply, &own);
+	act_send(m, c->id, MEMBER_SUMMARY, buf.data, buf.size);
+	msgpack_sbuffer_destroy(&buf);
+}
+
+static void ask(struct member *m, struct remote *r, int at)
+{
+	struct remote_cand *c = &r->cands[at];
+	int64_t since = c->heard_ms > c->reset_ms ? c->heard_ms : c->reset_ms;
+
+	if (c->connected && m->now_ms - since > m->opts.silence_ms) {
+		c->reset_ms = m->now_ms;
+		act_reset(m, c->id, c->addr);
+	}
+	summary_send(m, r, c, false);
+}
+
+static void watch(struct member *m, struct remote *r)
+{
+	if (r->n_cands == 0)
+		return;
+	if (lately(m, r->cands[r->target].heard_ms)) {
+		ask(m, r, r->target);
+		return;
+	}
+	for (int i = 0; i < WATCH_TRIES; i++) {
+		r->target = (int)rng_below(&m->rng, (uint64_t)r->n_cands);
+		ask(m, r, r->target);
+	}
+}
+
+void summary_beat(struct member *m)
+{
+	for (int i = 0; i < m->n_remotes; i++) {
+		struct remote *r = &m->remotes[i];
+
+		r->watching = watches(m, r);
+		if (r->watching)
+			watch(m, r);
+	}
+}
+
+static int own_reports(const struct member *m, struct rec_report *out)
+{
+	int n = 0;
+
+	for (int i = 0; i < m->n_remotes; i++) {
+		const struct remote *r = &m->remotes[i];
+
+		if (!r->watching)
+			continue;
+		memset(&out[n], 0, sizeof(out[n]));
+		out[n].d = r->last;
+		memcpy(out[n].d.name, r->name, sizeof(r->name));
+		out[n].d.heard = summary_heard(m, r);
+		n++;
+	}
+	return n;
+}
+
+static bool same_heard(const struct rec *self, const struct rec_report *now,
+		       int n)
+{
+	if (n != self->n_reports)
+		return false;
+	for (int i = 0; i < n; i++) {
+		if (strcmp(now[i].d.name, self->reports[i].d.name) != 0 ||
+		    now[i].d.heard != self->reports[i].d.heard)
+			return false;
+	}
+	return true;
+}
+
+bool summary_reports(struct member *m, bool all)
+{
+	struct rec *self = m->t.recs[SELF];
+	struct rec_report now[MEMBER_DOMAINS];
+	int n = own_reports(m, now);
+	size_t size = (size_t)n * sizeof(now[0]);
+	struct rec_report *copy;
+
+	if (same_heard(self, now, n) &&
+	    (!all || n == 0 || memcmp(now, self->reports, size) == 0))
+		return false;
+	copy = n ? malloc(size) : NULL;
+	if (n && !copy)
+		return false;
+	if (n)
+		memcpy(copy, now, size);
+	free(self->reports);
+	self->reports = copy;
+	self->n_reports = n;
+	return true;
+}
+
+static bool summary_ok(const struct member *m, const char *from,
+		       const struct wire_summary *s)
+{
+	return strcmp(s->d.name, m->domain) != 0 && s->d.n_contacts > 0 &&
+	       strcmp(s->d.contacts[0].id, from) == 0;
+}
+
+enum err summary_take(struct member *m, const char *from, const void *buf,
+		      size_t len)
+{
+	struct wire_summary s;
+	enum err e = wire_get_summary(buf, len, &s);
+	struct remote *r;
+	struct remote_cand *c;
+
+	if (e != ERR_OK)
+		return e;
+	if (!summary_ok(m, from, &s))
+		return ERR_INVALID;
+	r = remote_of(m, s.d.name);
+	if (!r)
+		return ERR_FULL;
+	if (!r->heard || memcmp(&r->last, &s.d, sizeof(s.d)) != 0)
+		m->dirty = true;
+	r->heard_ms = m->now_ms;
+	r->last = s.d;
+	remote_take_contacts(r, &s.d);
+	c = remote_cand_find(r, from);
+	if (!c)
+		return ERR_FULL;
+	c->heard_ms = m->now_ms;
+	if (!s.reply)
+		summary_send(m, r, c, true);
+	return ERR_OK;
+}
--- /dev/null
+++ b/packages/member/src/view.c
@@ -0,0 +1,173 @@
+// What the other modules see: members and failure domains.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "state.h"
+
+static struct member_view *view_add(struct member *m)
+{
+	size_t cap = m->views_cap ? 2 * m->views_cap : 16;
+	struct member_view *v;
+
+	if (m->n_views == m->views_cap) {
+		v = realloc(m->views, cap * sizeof(*v));
+		if (!v)
+			return NULL;
+		m->views = v;
+		m->views_cap = cap;
+	}
+	v = &m->views[m->n_views++];
+	memset(v, 0, sizeof(*v));
+	return v;
+}
+
+static void view_own_domain(struct member *m)
+{
+	for (int i = 1; i < m->t.n; i++) {
+		struct rec *r = m->t.recs[i];
+		struct member_view *v = r->left ? NULL : view_add(m);
+
+		if (!v)
+			continue;
+		memcpy(v->id, r->id, sizeof(v->id));
+		memcpy(v->domain, m->domain, sizeof(v->domain));
+		v->state = r->state;
+		v->draining = r->draining;
+		v->last_heard_ms = r->alive_ms;
+		if (r->state == MEMBER_ALIVE && !r->connected) {
+			r->connected = true;
+			r->reset_ms = m->now_ms;
+			act_connect(m, r->id, r->dial);
+		}
+	}
+}
+
+/// Report of another domain by a member alive.
+static const struct member_domain *report_of(const struct member *m,
+					     const char *domain)
+{
+	const struct member_domain *best = NULL;
+	uint32_t best_hash = UINT32_MAX;
+
+	for (int i = 1; i < m->t.n; i++) {
+		const struct rec *r = m->t.recs[i];
+
+		if (r->state != MEMBER_ALIVE)
+			continue;
+		for (int k = 0; k < r->n_reports; k++) {
+			const struct member_domain *d = &r->reports[k].d;
+
+			if (!d->heard || strcmp(d->name, domain) != 0 ||
+			    (best && r->hash >= best_hash))
+				continue;
+			best = d;
+			best_hash = r->hash;
+		}
+	}
+	return best;
+}
+
+static void merge_domain(const struct member *m, struct remote *r,
+			 struct member_domain *out)
+{
+	bool direct = summary_heard(m, r);
+	const struct member_domain *d =
+		direct ? &r->last : report_of(m, r->name);
+	bool heard = d != NULL;
+
+	r->heard = direct;
+	*out = d ? *d : r->last;
+	memcpy(out->name, r->name, sizeof(out->name));
+	out->heard = heard;
+	if (heard && !direct)
+		remote_take_contacts(r, d);
+}
+
+static uint64_t cand_rank(const struct member *m, const struct remote_cand *c)
+{
+	uint64_t own = XXH64(m->id, strlen(m->id), 0);
+
+	return XXH64(c->id, strlen(c->id), own);
+}
+
+/// Contacts differ from node to node, to spread load.
+static void choose_contacts(const struct member *m, struct remote *r)
+{
+	for (int i = 0; i < r->n_cands; i++)
+		r->cands[i].wanted = false;
+	for (int k = 0; k < REMOTE_LINKS; k++) {
+		struct remote_cand *best = NULL;
+
+		for (int i = 0; i < r->n_cands; i++) {
+			struct remote_cand *c = &r->cands[i];
+
+			if (c->wanted || !c->contact)
+				continue;
+			if (!best || cand_rank(m, c) < cand_rank(m, best))
+				best = c;
+		}
+		if (best)
+			best->wanted = true;
+	}
+}
+
+static void view_contacts(struct member *m, struct remote *r,
+			  const struct member_domain *d)
+{
+	choose_contacts(m, r);
+	for (int i = 0; i < r->n_cands; i++) {
+		struct remote_cand *c = &r->cands[i];
+		struct member_view *v;
+
+		if (c->connected && !c->wanted && i != r->target) {
+			c->connected = false;
+			act_disconnect(m, c->id);
+		}
+		if (!c->wanted)
+			continue;
+		if (!c->connected) {
+			c->connected = true;
+			c->reset_ms = m->now_ms;
+			act_connect(m, c->id, c->addr);
+		}
+		v = view_add(m);
+		if (!v)
+			return;
+		memcpy(v->id, c->id, sizeof(v->id));
+		memcpy(v->domain, r->name, sizeof(v->domain));
+		v->state = d->heard ? MEMBER_ALIVE : MEMBER_DEAD;
+		v->last_heard_ms = d->heard ? m->now_ms : c->heard_ms;
+	}
+}
+
+/// Domains that only reports name become known.
+static void learn_domains(struct member *m)
+{
+	for (int i = 1; i < m->t.n; i++) {
+		const struct rec *r = m->t.recs[i];
+
+		for (int k = 0; k < r->n_reports; k++) {
+			if (strcmp(r->reports[k].d.name, m->domain) != 0)
+				remote_of(m, r->reports[k].d.name);
+		}
+	}
+}
+
+void view_update(struct member *m)
+{
+	m->n_views = 0;
+	m->n_domains = 0;
+	learn_domains(m);
+	m->dirty = false;
+	summary_own(m, NULL, &m->domains[m->n_domains++]);
+	view_own_domain(m);
+	for (int i = 0; i < m->n_remotes; i++) {
+		struct member_domain *d = &m->domains[m->n_domains++];
+
+		merge_domain(m, &m->remotes[i], d);
+		view_contacts(m, &m->remotes[i], d);
+	}
+	m->gen++;
+}
--- /dev/null
+++ b/packages/member/src/wire_get.c
@@ -0,0 +1,260 @@
+// Reads messages; checks every length and type.
+#include "wire.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/packed.h"
+
+static bool get_array(const msgpack_object *o, uint32_t min, uint32_t max)
+{
+	return o->type == MSGPACK_OBJECT_ARRAY && o->via.array.size >= min &&
+	       o->via.array.size <= max;
+}
+
+static const msgpack_object *at(const msgpack_object *o, uint32_t i)
+{
+	return &o->via.array.ptr[i];
+}
+
+static bool get_str(const msgpack_object *o, char *out, bool empty_ok)
+{
+	uint32_t len;
+
+	if (o->type != MSGPACK_OBJECT_STR)
+		return false;
+	len = o->via.str.size;
+	if (len >= MEMBER_ID_MAX || (len == 0 && !empty_ok) ||
+	    memchr(o->via.str.ptr, '\0', len))
+		return false;
+	memcpy(out, o->via.str.ptr, len);
+	out[len] = '\0';
+	return true;
+}
+
+static bool get_bool(const msgpack_object *o, bool *out)
+{
+	*out = o->via.boolean;
+	return o->type == MSGPACK_OBJECT_BOOLEAN;
+}
+
+static bool get_u64(const msgpack_object *o, uint64_t max, uint64_t *out)
+{
+	*out = o->via.u64;
+	return o->type == MSGPACK_OBJECT_POSITIVE_INTEGER && *out <= max;
+}
+
+static bool get_u32(const msgpack_object *o, uint32_t *out)
+{
+	uint64_t v;
+
+	if (!get_u64(o, UINT32_MAX, &v))
+		return false;
+	*out = (uint32_t)v;
+	return true;
+}
+
+static bool get_count(const msgpack_object *o, int32_t *out)
+{
+	uint64_t v;
+
+	if (!get_u64(o, INT32_MAX, &v))
+		return false;
+	*out = (int32_t)v;
+	return true;
+}
+
+static bool get_keys(const msgpack_object *o, int64_t *keys)
+{
+	if (!get_array(o, MEMBER_KEYS, MEMBER_KEYS))
+		return false;
+	for (uint32_t i = 0; i < MEMBER_KEYS; i++) {
+		const msgpack_object *k = at(o, i);
+
+		if (k->type == MSGPACK_OBJECT_NEGATIVE_INTEGER ||
+		    (k->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+		     k->via.u64 <= INT64_MAX))
+			keys[i] = k->via.i64;
+		else
+			return false;
+	}
+	return true;
+}
+
+static bool get_contacts(const msgpack_object *o, struct member_domain *d)
+{
+	if (!get_array(o, 0, MEMBER_CONTACTS))
+		return false;
+	for (uint32_t i = 0; i < o->via.array.size; i++) {
+		const msgpack_object *c = at(o, i);
+
+		if (!get_array(c, 2, 2) ||
+		    !get_str(at(c, 0), d->contacts[i].id, false) ||
+		    !get_str(at(c, 1), d->contacts[i].addr, false))
+			return false;
+	}
+	d->n_contacts = (int)o->via.array.size;
+	return true;
+}
+
+static bool get_domain(const msgpack_object *o, struct member_domain *d)
+{
+	return get_array(o, 7, 7) && get_str(at(o, 0), d->name, false) &&
+	       get_bool(at(o, 1), &d->heard) &&
+	       get_count(at(o, 2), &d->alive) &&
+	       get_count(at(o, 3), &d->draining) &&
+	       get_keys(at(o, 4), d->min) && get_keys(at(o, 5), d->max) &&
+	       get_contacts(at(o, 6), d);
+}
+
+static bool get_heard(const msgpack_object *o, struct rec *r)
+{
+	if (!get_array(o, 0, REC_HEARD))
+		return false;
+	for (uint32_t i = 0; i < o->via.array.size; i++) {
+		if (!get_u32(at(o, i), &r->heard[i]))
+			return false;
+	}
+	r->n_heard = (int)o->via.array.size;
+	return true;
+}
+
+static bool get_reports(const msgpack_object *o, struct rec *r)
+{
+	if (!get_array(o, 0, MEMBER_DOMAINS))
+		return false;
+	if (o->via.array.size == 0)
+		return true;
+	r->reports = calloc(o->via.array.size, sizeof(*r->reports));
+	if (!r->reports)
+		return false;
+	r->n_reports = (int)o->via.array.size;
+	for (int i = 0; i < r->n_reports; i++) {
+		if (!get_domain(at(o, (uint32_t)i), &r->reports[i].d))
+			return false;
+	}
+	return true;
+}
+
+static bool get_rec(const msgpack_object *o, struct rec *r)
+{
+	if (!get_array(o, 9, 9) || !get_str(at(o, 0), r->id, false) ||
+	    !get_str(at(o, 1), r->addr, false) ||
+	    !get_u64(at(o, 2), UINT64_MAX, &r->inc) || r->inc == 0 ||
+	    !get_u32(at(o, 3), &r->seq))
+		return false;
+	r->hash = rec_hash(r->id);
+	return get_bool(at(o, 4), &r->draining) &&
+	       get_bool(at(o, 5), &r->left) && get_keys(at(o, 6), r->keys) &&
+	       get_heard(at(o, 7), r) && get_reports(at(o, 8), r);
+}
+
+void wire_beat_clear(struct wire_beat *b)
+{
+	for (int i = 0; i < b->n_recs; i++)
+		rec_clear(&b->recs[i]);
+	free(b->recs);
+	b->recs = NULL;
+	b->n_recs = 0;
+}
+
+static bool get_beat(const msgpack_object *o, struct wire_beat *b)
+{
+	const msgpack_object *recs;
+
+	if (!get_array(o, 4, 4) || !get_str(at(o, 0), b->domain, false) ||
+	    !get_bool(at(o, 1), &b->hears_you) ||
+	    !get_u64(at(o, 2), UINT64_MAX, &b->digest))
+		return false;
+	recs = at(o, 3);
+	if (!get_array(recs, 0, REC_MAX))
+		return false;
+	if (recs->via.array.size == 0)
+		return true;
+	b->recs = calloc(recs->via.array.size, sizeof(*b->recs));
+	if (!b->recs)
+		return false;
+	b->n_recs = (int)recs->via.array.size;
+	for (int i = 0; i < b->n_recs; i++) {
+		if (!get_rec(at(recs, (uint32_t)i), &b->recs[i]))
+			return false;
+	}
+	return true;
+}
+
+static bool get_versions(const msgpack_object *o, struct wire_versions *v)
+{
+	const msgpack_object *list;
+
+	if (!get_array(o, 2, 2) || !get_str(at(o, 0), v->domain, false))
+		return false;
+	list = at(o, 1);
+	if (!get_array(list, 0, REC_MAX))
+		return false;
+	v->v = calloc(list->via.array.size + 1, sizeof(*v->v));
+	if (!v->v)
+		return false;
+	v->n = (int)list->via.array.size;
+	for (int i = 0; i < v->n; i++) {
+		const msgpack_object *e = at(list, (uint32_t)i);
+
+		if (!get_array(e, 3, 3) || !get_u32(at(e, 0), &v->v[i].hash) ||
+		    !get_u64(at(e, 1), UINT64_MAX, &v->v[i].inc) ||
+		    !get_u32(at(e, 2), &v->v[i].seq))
+			return false;
+	}
+	return true;
+}
+
+/// Unpack one object that fills the buffer.
+static bool unpack(msgpack_unpacked *u, const void *buf, size_t len)
+{
+	size_t off = 0;
+
+	msgpack_unpacked_init(u);
+	return packed_ok(buf, len) && msgpack_unpack_next(u, buf, len, &off) ==
+		       MSGPACK_UNPACK_SUCCESS &&
+	       off == len;
+}
+
+enum err wire_get_beat(const void *buf, size_t len, struct wire_beat *out)
+{
+	msgpack_unpacked u;
+	bool ok;
+
+	memset(out, 0, sizeof(*out));
+	ok = unpack(&u, buf, len) && get_beat(&u.data, out);
+	msgpack_unpacked_destroy(&u);
+	if (!ok)
+		wire_beat_clear(out);
+	return ok ? ERR_OK : ERR_PARSE;
+}
+
+enum err wire_get_versions(const void *buf, size_t len,
+			   struct wire_versions *out)
+{
+	msgpack_unpacked u;
+	bool ok;
+
+	memset(out, 0, sizeof(*out));
+	ok = unpack(&u, buf, len) && get_versions(&u.data, out);
+	msgpack_unpacked_destroy(&u);
+	if (ok)
+		return ERR_OK;
+	free(out->v);
+	out->v = NULL;
+	return ERR_PARSE;
+}
+
+enum err wire_get_summary(const void *buf, size_t len, struct wire_summary *out)
+{
+	msgpack_unpacked u;
+	bool ok;
+
+	memset(out, 0, sizeof(*out));
+	ok = unpack(&u, buf, len) && get_array(&u.data, 2, 2) &&
+	     get_bool(at(&u.data, 0), &out->reply) &&
+	     get_domain(at(&u.data, 1), &out->d);
+	msgpack_unpacked_destroy(&u);
+	return ok ? ERR_OK : ERR_PARSE;
+}
--- /dev/null
+++ b/packages/member/test/test_member.c
@@ -0,0 +1,351 @@
+// Membership over a virtual network: join, death, dead connections, loss,
+// partition, heal, values, malformed messages. Seeds are printed.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "net.h"
+
+enum {
+	SETTLE_MS = 20000,
+	DETECT_MS = 5000, ///< silence, suspicion and spreading
+	SEEDS = 5,
+};
+
+static struct net net;
+
+static void start(int domains, int each, uint64_t seed)
+{
+	int64_t ms;
+
+	net_start(&net, domains, each, seed);
+	ms = net_until(&net, net_settled, NULL, SETTLE_MS);
+	printf("seed %llu: %d x %d settled after %lld ms\n",
+	       (unsigned long long)seed, domains, each, (long long)ms);
+	assert_true(ms >= 0);
+}
+
+static void test_join(void **state)
+{
+	static const int sizes[][2] = {
+		{1, 1}, {1, 2}, {3, 3}, {4, 10}, {10, 10}};
+
+	for (size_t i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+		start(sizes[i][0], sizes[i][1], i + 1);
+		net_stop(&net);
+	}
+}
+
+/// Death without a word is seen by all, wherever it strikes.
+static void test_death(void **state)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		int victim;
+		int64_t ms;
+
+		start(3, 8, seed);
+		victim = (int)rng_below(&net.rng, (uint64_t)net.n);
+		net_kill(&net, victim);
+		ms = net_until(&net, net_settled, NULL, DETECT_MS);
+		printf("seed %llu: n%d dead, seen after %lld ms\n",
+		       (unsigned long long)seed, victim, (long long)ms);
+		assert_true(ms >= 0);
+		net_up(&net, victim);
+		assert_true(net_until(&net, net_settled, NULL, SETTLE_MS) >= 0);
+		net_stop(&net);
+	}
+}
+
+static bool all_see_left(struct net *n, void *ctx)
+{
+	for (int i = 1; i < n->n; i++) {
+		if (net_sees(n, i, 0) != MEMBER_DEAD)
+			return false;
+	}
+	return true;
+}
+
+/// Leaving is known at once, without the wait of a death.
+static void test_leave(void **state)
+{
+	struct member_action a;
+	int64_t ms;
+
+	start(1, 9, 7);
+	member_leave(net.nodes[0].m, net.now_ms);
+	net_run(&net, 1);
+	while (member_next(net.nodes[0].m, &a))
+		;
+	ms = net_until(&net, all_see_left, NULL, DETECT_MS);
+	assert_in_range(ms, 0, 200);
+	net_stop(&net);
+}
+
+static int count_seen(struct net *n, enum member_state state)
+{
+	int count = 0;
+
+	for (int i = 0; i < n->n; i++) {
+		for (int k = 0; k < n->n; k++)
+			count += i != k && net_sees(n, i, k) == state;
+	}
+	return count;
+}
+
+/// Connections that went silent for good: new ones are made in time, so that
+/// no living member is given up.
+static void test_dead_connections(void **state)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		start(1, 12, seed);
+		for (int i = 0; i < net.n; i++) {
+			for (int k = 0; k < net.n; k++)
+				net.dead[i][k] = net.linked[i][k] &&
+						 rng_below(&net.rng, 2) == 0;
+		}
+		net_run(&net, 10000);
+		assert_int_equal(count_seen(&net, MEMBER_ALIVE),
+				 net.n * (net.n - 1));
+		net_stop(&net);
+	}
+}
+
+/// Links that lose one direction only: the others vouch for both ends.
+static void test_asymmetric_loss(void **state)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		start(1, 12, seed);
+		for (int i = 0; i < net.n; i++)
+			net.cut[i][(i + 1 + rng_below(&net.rng, 10)) % net.n] =
+				true;
+		for (int s = 0; s < 500; s++) {
+			net_run(&net, NET_STEP_MS);
+			assert_int_equal(count_seen(&net, MEMBER_ALIVE),
+					 net.n * (net.n - 1));
+		}
+		net_stop(&net);
+	}
+}
+
+/// A node that can send but hears nobody is not alive to anyone.
+static void test_deaf_node(void **state)
+{
+	start(1, 9, 3);
+	for (int i = 1; i < net.n; i++)
+		net.cut[i][0] = true;
+	net_run(&net, DETECT_MS);
+	for (int i = 1; i < net.n; i++)
+		assert_int_not_equal(net_sees(&net, i, 0), MEMBER_ALIVE);
+	net_stop(&net);
+}
+
+/// Tenths of messages lost: nobody is given up.
+static void test_lossy(void **state)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		start(2, 10, seed);
+		net.loss_permille = 100;
+		for (int s = 0; s < 1000; s++) {
+			net_run(&net, NET_STEP_MS);
+			for (int i = 0; i < 10; i++)
+				for (int k = 0; k < 10; k++)
+					assert_true(i == k ||
+						    net_sees(&net, i, k) !=
+							    MEMBER_DEAD);
+		}
+		net_stop(&net);
+	}
+}
+
+static void cut_groups(struct net *n, const int *group, bool cut)
+{
+	for (int i = 0; i < n->n; i++) {
+		for (int k = 0; k < n->n; k++) {
+			if (group[i] != group[k])
+				n->cut[i][k] = cut;
+		}
+	}
+}
+
+struct split {
+	const int *group;
+};
+
+static bool split_seen(struct net *n, void *ctx)
+{
+	const int *group = ((struct split *)ctx)->group;
+
+	for (int i = 0; i < n->n; i++) {
+		for (int k = 0; k < n->n; k++) {
+			bool near = strcmp(n->nodes[i].domain,
+					   n->nodes[k].domain) == 0;
+
+			if (i == k || !near)
+				continue;
+			if ((net_sees(n, i, k) == MEMBER_ALIVE) !=
+			    (group[i] == group[k]))
+				return false;
+		}
+	}
+	return true;
+}
+
+/// A partition through the middle of a domain, and its end.
+static void test_partition_inside(void **state)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		int group[NET_NODES];
+		struct split split = {group};
+		int64_t seen, healed;
+
+		start(2, 12, seed);
+		for (int i = 0; i < net.n; i++)
+			group[i] = (int)rng_below(&net.rng, 2);
+		cut_groups(&net, group, true);
+		seen = net_until(&net, split_seen, &split, 2 * DETECT_MS);
+		net_run(&net, 60000);
+		assert_true(split_seen(&net, &split));
+		cut_groups(&net, group, false);
+		healed = net_until(&net, net_settled, NULL, SETTLE_MS);
+		printf("seed %llu: split seen after %lld ms, healed after "
+		       "%lld ms\n",
+		       (unsigned long long)seed, (long long)seen,
+		       (long long)healed);
+		assert_true(seen >= 0);
+		assert_true(healed >= 0);
+		net_stop(&net);
+	}
+}
+
+struct heard {
+	int domain;
+	bool want;
+};
+
+static bool others_heard(struct net *n, void *ctx)
+{
+	struct heard *h = ctx;
+	char name[16];
+
+	snprintf(name, sizeof(name), "d%d", h->domain);
+	for (int i = 0; i < n->n; i++) {
+		size_t count;
+		const struct member_domain *d =
+			member_domains(n->nodes[i].m, &count);
+		bool inside = strcmp(n->nodes[i].domain, name) == 0;
+
+		for (size_t k = 1; k < count; k++) {
+			if ((inside || strcmp(d[k].name, name) == 0) &&
+			    d[k].heard != h->want)
+				return false;
+		}
+	}
+	return true;
+}
+
+/// A whole domain cut off: all others and itself know in time.
+static void test_domain_cut_off(void **state)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		int group[NET_NODES];
+		struct heard h = {.domain = 1, .want = false};
+		int64_t cut, back;
+
+		start(4, 6, seed);
+		for (int i = 0; i < net.n; i++)
+			group[i] = i / 6 == 1;
+		cut_groups(&net, group, true);
+		cut = net_until(&net, others_heard, &h, DETECT_MS);
+		net_run(&net, 30000);
+		cut_groups(&net, group, false);
+		h.want = true;
+		back = net_until(&net, others_heard, &h, SETTLE_MS);
+		printf("seed %llu: cut off seen after %lld ms, back after "
+		       "%lld ms\n",
+		       (unsigned long long)seed, (long long)cut,
+		       (long long)back);
+		assert_true(cut >= 0);
+		assert_true(back >= 0);
+		net_stop(&net);
+	}
+}
+
+static bool rev_everywhere(struct net *n, void *ctx)
+{
+	for (int i = 0; i < n->n; i++) {
+		size_t count;
+		const struct member_domain *d =
+			member_domains(n->nodes[i].m, &count);
+
+		for (size_t k = 0; k < count; k++) {
+			if (d[k].max[MEMBER_CONF_REV] != 42 || d[k].alive != 5)
+				return false;
+		}
+	}
+	return true;
+}
+
+/// A value that one node of each domain sets is in every summary.
+static void test_values(void **state)
+{
+	int64_t v = 0;
+	int64_t ms;
+
+	start(3, 5, 11);
+	for (int i = 0; i < net.n; i += 5)
+		member_set(net.nodes[i].m, MEMBER_CONF_REV, 42);
+	ms = net_until(&net, rev_everywhere, NULL, DETECT_MS);
+	assert_true(ms >= 0);
+	assert_true(member_get(net.nodes[1].m, "n0", MEMBER_CONF_REV, &v));
+	assert_int_equal(v, 42);
+	assert_false(member_get(net.nodes[1].m, "n9", MEMBER_CONF_REV, &v));
+	net_stop(&net);
+}
+
+/// Bytes that are no message, and messages that were damaged.
+static void test_malformed(void **state)
+{
+	struct rng rng = {99};
+	int refused = 0;
+
+	start(1, 4, 5);
+	for (int i = 0; i < 5000; i++) {
+		unsigned char buf[200];
+		size_t len = rng_below(&rng, sizeof(buf));
+
+		for (size_t k = 0; k < len; k++)
+			buf[k] = (unsigned char)rng_next(&rng);
+		if (len && rng_below(&rng, 2))
+			buf[0] = (unsigned char)(0x92 + rng_below(&rng, 3));
+		refused += member_on_msg(net.nodes[0].m, net.now_ms, "n1",
+					 (enum member_msg)rng_below(&rng, 4),
+					 buf, len) != ERR_OK;
+	}
+	assert_int_equal(refused, 5000);
+	net_run(&net, 3000);
+	assert_true(net_settled(&net, NULL));
+	net_stop(&net);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_join),
+		cmocka_unit_test(test_death),
+		cmocka_unit_test(test_leave),
+		cmocka_unit_test(test_dead_connections),
+		cmocka_unit_test(test_asymmetric_loss),
+		cmocka_unit_test(test_deaf_node),
+		cmocka_unit_test(test_lossy),
+		cmocka_unit_test(test_partition_inside),
+		cmocka_unit_test(test_domain_cut_off),
+		cmocka_unit_test(test_values),
+		cmocka_unit_test(test_malformed),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
