--- /dev/null
+++ b/test/fakes/platform/orders.c
@@ -0,0 +1,117 @@
+// The same order id gets the same answer; the same window the same figures.
+#include "orders.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "vms.h"
+
+void orders_init(struct orders *o)
+{
+	o->done = json_object();
+	o->windows = json_object();
+	o->epochs = json_object();
+	o->log = json_array();
+}
+
+static void orders_log(struct orders *o, const char *kind, const json_t *body,
+		       int status)
+{
+	json_t *row = json_deep_copy(body);
+
+	json_object_set_new(row, "t_us", json_integer(clock_now_us()));
+	json_object_set_new(row, "kind", json_string(kind));
+	json_object_set_new(row, "status", json_integer(status));
+	if (json_object_get(body, "kind"))
+		json_object_set(row, "server_kind",
+				json_object_get(body, "kind"));
+	json_array_append_new(o->log, row);
+}
+
+/* True for an order of an epoch below the highest of its failure domain. */
+static bool orders_old_epoch(struct orders *o, const json_t *body)
+{
+	const char *domain = json_string_value(json_object_get(body, "domain"));
+	json_int_t epoch = json_integer_value(json_object_get(body, "epoch"));
+	json_t *seen = json_object_get(o->epochs, domain);
+
+	if (epoch < json_integer_value(seen))
+		return true;
+	json_object_set_new(o->epochs, domain, json_integer(epoch));
+	return false;
+}
+
+static const char *orders_run(struct vms *v, const json_t *body,
+			      const struct orders_opts *opts)
+{
+	const char *op = json_string_value(json_object_get(body, "op"));
+	const char *id = json_string_value(json_object_get(body, "server"));
+
+	if (strcmp(op, "start") == 0)
+		return vms_start(v, body, opts->now_ms, opts->boot_ms);
+	if (!id || !vms_stop(v, id, opts->now_ms, opts->leave_ms))
+		return NULL;
+	return id;
+}
+
+static int orders_do(struct orders *o, struct vms *v, const json_t *body,
+		     const struct orders_opts *opts, json_t **reply)
+{
+	const char *id = json_string_value(json_object_get(body, "id"));
+	json_t *old = json_object_get(o->done, id);
+	const char *server;
+
+	if (old) {
+		*reply = json_incref(old);
+		return 200;
+	}
+	if (orders_old_epoch(o, body) && opts->fence) {
+		*reply = json_pack("{s:s}", "error", "old epoch");
+		return 409;
+	}
+	server = orders_run(v, body, opts);
+	if (!server) {
+		*reply = json_pack("{s:s}", "error", "no such server");
+		return 503;
+	}
+	*reply = json_pack("{s:s}", "server", server);
+	json_object_set(o->done, id, *reply);
+	return 200;
+}
+
+int orders_take(struct orders *o, struct vms *v, const json_t *body,
+		const struct orders_opts *opts, json_t **reply)
+{
+	const char *id, *domain, *op;
+	int status = 400;
+
+	if (json_unpack((json_t *)body, "{s:s,s:s,s:s}", "id", &id, "domain",
+			&domain, "op", &op) == 0 &&
+	    (strcmp(op, "start") == 0 || strcmp(op, "stop") == 0))
+		status = orders_do(o, v, body, opts, reply);
+	orders_log(o, "order", body, status);
+	return status;
+}
+
+int orders_usage(struct orders *o, const json_t *body, json_t **reply)
+{
+	json_t *figures = json_object_get(body, "figures");
+	json_t *window = json_object_get(body, "window");
+	char key[32];
+	json_t *old;
+	int status = 200;
+
+	snprintf(key, sizeof(key), "%lld",
+		 (long long)json_integer_value(window));
+	old = json_object_get(o->windows, key);
+	if (!json_is_integer(window) || !json_is_object(figures))
+		status = 400;
+	else if (old && !json_equal(old, figures))
+		status = 409;
+	else
+		json_object_set(o->windows, key, figures);
+	orders_log(o, "usage", body, status);
+	*reply = json_pack("{s:b}", "accepted", status == 200);
+	return status;
+}
