feat(rollout): take a batch and hand out its samples on one node

Problem: no path from a trainer to the engines. Solution: thin module on one node: a batch is checked and kept, its slots go through work_submit(), samples name the versions that the engine reported, are checked for staleness when handed out and keep one content until acknowledged. fake_trainer verifies every token against the versions named. What is missing: copies on a second node, pulls at other nodes, resume, hedging. Built with warnings as errors in both builds; no run yet, since the edges and the work module are not there.

--- /dev/null
+++ b/packages/rollout/include/rollout/batch.h
@@ -0,0 +1,70 @@
+// A batch as a trainer asked for it: groups of slots below one prompt each.
+#pragma once
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/err.h"
+
+enum {
+	BATCH_NAME = 64, ///< bytes of a name, with its NUL
+	BATCH_SLOT_NAME = BATCH_NAME + 12, ///< bytes of "GROUP/I"
+	BATCH_MAX_GROUPS = 16384,
+	BATCH_MAX_SLOTS = 65536,
+	BATCH_MAX_TOKENS = 1 << 20, ///< of a sample or a prompt
+};
+
+struct batch_group {
+	char name[BATCH_NAME];
+	uint32_t *prompt;
+	size_t n_prompt;
+	uint32_t n; ///< slots
+	uint32_t first; ///< index of its first slot in the batch
+	uint32_t max_tokens;
+	uint32_t expect_tokens; ///< expected length, max_tokens if not given
+	uint64_t prefix; ///< hash of the prompt's prefix
+};
+
+struct batch {
+	char id[BATCH_NAME];
+	char team[BATCH_NAME];
+	char trainer[BATCH_NAME];
+	char route[BATCH_NAME];
+	uint64_t step;
+	uint64_t version; ///< trainer's weight version at the start
+	uint64_t max_staleness; ///< versions
+	struct batch_group *groups;
+	size_t n_groups;
+	size_t n_slots;
+};
+
+/// Free a batch.
+///
+/// @param b  batch or NULL
+void batch_free(struct batch *b);
+
+/// Whether a name is 1 to 63 of letters, digits, '.', '_', '-' and ':'.
+int batch_name_ok(const char *name);
+
+/// Group of a slot.
+///
+/// @param slot  index below n_slots
+const struct batch_group *batch_group_of(const struct batch *b, size_t slot);
+
+/// Name of a slot, "GROUP/I".
+///
+/// @param[out] buf  BATCH_SLOT_NAME bytes
+void batch_slot_name(const struct batch *b, size_t slot, char *buf);
+
+/// Slot of a name.
+///
+/// @param[out] slot  index
+/// @return ERR_OK or ERR_NOT_FOUND
+enum err batch_slot_find(const struct batch *b, const char *name,
+			 size_t *slot);
+
+/// Seed of a slot, as docs/PROTOCOLS.md defines it.
+uint64_t batch_slot_seed(const struct batch *b, size_t slot);
+
+/// Hash of a prompt's prefix, as docs/PROTOCOLS.md defines it.
+uint64_t batch_prefix(const uint32_t *prompt, size_t n);
--- a/test/fakes/engine/cache.c
+++ b/test/fakes/engine/cache.c
@@ -87,10 +87,9 @@
 			continue;
 		snprintf(hash, sizeof(hash), "%016" PRIx64, ev->prefix);
 		json_array_append_new(
-			events, json_pack("{s:I,s:s,s:s}", "seq",
-					  (json_int_t)s, "op",
-					  ev->add ? "add" : "evict", "prefix",
-					  hash));
+			events,
+			json_pack("{s:I,s:s,s:s}", "seq", (json_int_t)s, "op",
+				  ev->add ? "add" : "evict", "prefix", hash));
 	}
 	pthread_mutex_unlock(&e->lock);
 	return json_pack("{s:o,s:I}", "events", events, "next",
--- a/test/fakes/engine/fault.c
+++ b/test/fakes/engine/fault.c
@@ -8,10 +8,8 @@
 #include "cache.h"
 
 static const char *const fault_names[FAULT_MODES] = {
-	[FAULT_HANG] = "hang",
-	[FAULT_RESET_MID] = "reset_mid",
-	[FAULT_SLOW] = "slow",
-	[FAULT_SWAP_FAIL] = "swap_fail",
+	[FAULT_HANG] = "hang",		 [FAULT_RESET_MID] = "reset_mid",
+	[FAULT_SLOW] = "slow",		 [FAULT_SWAP_FAIL] = "swap_fail",
 	[FAULT_SWAP_LATE] = "swap_late",
 };
 
@@ -39,8 +37,7 @@
 int fault_order(struct engine *e, const struct json_t *body)
 {
 	const char *name = json_string_value(json_object_get(body, "mode"));
-	json_int_t count =
-		json_integer_value(json_object_get(body, "count"));
+	json_int_t count = json_integer_value(json_object_get(body, "count"));
 	json_int_t delay =
 		json_integer_value(json_object_get(body, "delay_ms"));
 	int mode;
--- a/test/fakes/engine/http.c
+++ b/test/fakes/engine/http.c
@@ -66,9 +66,8 @@
 	free(h);
 }
 
-static enum MHD_Result http_generate(struct engine *e,
-				     struct MHD_Connection *conn,
-				     const json_t *body)
+static enum MHD_Result
+http_generate(struct engine *e, struct MHD_Connection *conn, const json_t *body)
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
 		conn, MHD_CONNECTION_INFO_CONNECTION_FD);
@@ -92,9 +91,8 @@
 	return res;
 }
 
-static enum MHD_Result http_cancel(struct engine *e,
-				   struct MHD_Connection *conn,
-				   const json_t *body)
+static enum MHD_Result
+http_cancel(struct engine *e, struct MHD_Connection *conn, const json_t *body)
 {
 	const char *id = json_string_value(json_object_get(body, "id"));
 
@@ -107,8 +105,7 @@
 	return http_reply(conn, 200, load_report(e, clock_now_ms()));
 }
 
-static enum MHD_Result http_cache(struct engine *e,
-				  struct MHD_Connection *conn,
+static enum MHD_Result http_cache(struct engine *e, struct MHD_Connection *conn,
 				  const json_t *body)
 {
 	const char *after = MHD_lookup_connection_value(
@@ -118,32 +115,29 @@
 	return http_reply(conn, 200, cache_events(e, seq, clock_now_ms()));
 }
 
-static enum MHD_Result http_weights(struct engine *e,
-				    struct MHD_Connection *conn,
-				    const json_t *body)
+static enum MHD_Result
+http_weights(struct engine *e, struct MHD_Connection *conn, const json_t *body)
 {
 	const json_t *version = json_object_get(body, "version");
 	const json_t *epoch = json_object_get(body, "epoch");
 
 	if (!json_is_integer(version) || !json_is_integer(epoch))
 		return http_reply(conn, 400, NULL);
-	return http_reply(
-		conn,
-		weights_order(e, (uint64_t)json_integer_value(version),
-			      (uint64_t)json_integer_value(epoch),
-			      clock_now_ms()),
-		NULL);
+	return http_reply(conn,
+			  weights_order(e,
+					(uint64_t)json_integer_value(version),
+					(uint64_t)json_integer_value(epoch),
+					clock_now_ms()),
+			  NULL);
 }
 
-static enum MHD_Result http_stats(struct engine *e,
-				  struct MHD_Connection *conn,
+static enum MHD_Result http_stats(struct engine *e, struct MHD_Connection *conn,
 				  const json_t *body)
 {
 	return http_reply(conn, 200, load_stats(e));
 }
 
-static enum MHD_Result http_fault(struct engine *e,
-				  struct MHD_Connection *conn,
+static enum MHD_Result http_fault(struct engine *e, struct MHD_Connection *conn,
 				  const json_t *body)
 {
 	return http_reply(conn, fault_order(e, body), NULL);
@@ -216,8 +210,8 @@
 				  const char *method, const char *url,
 				  const struct http_call *call)
 {
-	json_t *body = json_loadb(call->body ? call->body : "", call->len, 0,
-				  NULL);
+	json_t *body =
+		json_loadb(call->body ? call->body : "", call->len, 0, NULL);
 	enum MHD_Result res = MHD_NO;
 	bool found = false;
 
--- a/test/fakes/engine/load.c
+++ b/test/fakes/engine/load.c
@@ -59,12 +59,12 @@
 	for (size_t i = 0; i < e->n_orders; i++) {
 		const struct weight_order *o = &e->orders[i];
 
-		json_array_append_new(
-			orders,
-			json_pack("{s:I,s:I,s:I,s:i}", "version",
-				  (json_int_t)o->version, "epoch",
-				  (json_int_t)o->epoch, "at_ms",
-				  (json_int_t)o->at_ms, "status", o->status));
+		json_array_append_new(orders,
+				      json_pack("{s:I,s:I,s:I,s:i}", "version",
+						(json_int_t)o->version, "epoch",
+						(json_int_t)o->epoch, "at_ms",
+						(json_int_t)o->at_ms, "status",
+						o->status));
 	}
 	return orders;
 }
--- a/test/fakes/engine/main.c
+++ b/test/fakes/engine/main.c
@@ -39,8 +39,7 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_str *listen =
-		arg_str1(NULL, "listen", "IP:PORT", "address");
+	struct arg_str *listen = arg_str1(NULL, "listen", "IP:PORT", "address");
 	struct arg_str *id = arg_str1(NULL, "id", "ID", "server id");
 	struct arg_str *domain =
 		arg_str1(NULL, "domain", "D", "failure domain");
@@ -60,7 +59,7 @@
 	struct arg_lit *spare = arg_lit0(NULL, "spare", "live once ordered");
 	struct arg_int *seed = arg_int0(NULL, "seed", "N", "random seed");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {listen, id,  domain, platform, slots, token_us, cold,
+	void *table[] = {listen, id,	domain, platform, slots, token_us, cold,
 			 lag,	 epoch, cheap,	spare,	  seed,	 end};
 
 	if (arg_parse(argc, argv, table) != 0) {
--- a/test/fakes/engine/stream.c
+++ b/test/fakes/engine/stream.c
@@ -70,8 +70,8 @@
 	s->priority =
 		(int)json_integer_value(json_object_get(body, "priority"));
 	s->seed = (uint64_t)json_integer_value(json_object_get(body, "seed"));
-	s->max_tokens = (size_t)json_integer_value(
-		json_object_get(body, "max_tokens"));
+	s->max_tokens =
+		(size_t)json_integer_value(json_object_get(body, "max_tokens"));
 	s->pos = json_array_size(json_object_get(body, "resume"));
 	s->prompt = fake_prompt_hash(prompt, n);
 	s->prompt_len = n + s->pos;
@@ -224,8 +224,7 @@
 	return s->pos < end ? end - s->pos : 0;
 }
 
-static size_t stream_line_tokens(const struct engine *e,
-				 const struct stream *s)
+static size_t stream_line_tokens(const struct engine *e, const struct stream *s)
 {
 	size_t left = stream_left(s);
 	size_t n = STREAM_LINE_TOKENS;
@@ -271,8 +270,7 @@
 	else if (n > 0)
 		stream_put_segment(e, s, n);
 	else
-		stream_put_end(e, s,
-			       s->pos >= s->stop_at ? "stop" : "length");
+		stream_put_end(e, s, s->pos >= s->stop_at ? "stop" : "length");
 	return true;
 }
 
--- /dev/null
+++ b/test/fakes/trainer/main.c
@@ -0,0 +1,80 @@
+// fake_trainer: a stand-in for a trainer that checks what it is given.
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <stdio.h>
+
+#include "trainer.h"
+
+static int main_int(const struct arg_int *a, int def)
+{
+	return a->count ? a->ival[0] : def;
+}
+
+static const char *main_str(const struct arg_str *a, const char *def)
+{
+	return a->count ? a->sval[0] : def;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_str *node = arg_strn(NULL, "node", "URL", 1, TRAINER_NODES,
+					"daemon, may be given again");
+	struct arg_str *key = arg_str0(NULL, "key", "KEY", "team's key");
+	struct arg_str *route = arg_str1(NULL, "route", "R", "route");
+	struct arg_str *trainer = arg_str1(NULL, "trainer", "T", "name");
+	struct arg_str *batch =
+		arg_str0(NULL, "batch", "ID", "batch id, T-STEP if not given");
+	struct arg_int *step = arg_int0(NULL, "step", "N", "training step");
+	struct arg_int *groups = arg_int0(NULL, "groups", "N", "groups");
+	struct arg_int *n = arg_int0(NULL, "n", "N", "slots a group");
+	struct arg_int *max_tokens =
+		arg_int0(NULL, "max-tokens", "N", "longest sample");
+	struct arg_int *version =
+		arg_int0(NULL, "version", "V", "weight version at the start");
+	struct arg_int *staleness =
+		arg_int0(NULL, "staleness", "K", "staleness bound");
+	struct arg_int *session = arg_int0(NULL, "session", "S", "session");
+	struct arg_int *max = arg_int0(NULL, "max", "N", "samples a pull");
+	struct arg_int *wait = arg_int0(NULL, "wait-ms", "N", "wait of a pull");
+	struct arg_int *bump = arg_int0(NULL, "bump-every", "N",
+					"samples after which V grows by one");
+	struct arg_int *limit = arg_int0(NULL, "limit-ms", "N", "gives up");
+	struct arg_int *seed = arg_int0(NULL, "seed", "N", "seed of prompts");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {node,	 key,	     route,   trainer,	 batch,	  step,
+			 groups, n,	     max_tokens, version, staleness,
+			 session, max,	     wait,    bump,	 limit,	  seed,
+			 end};
+	char name[128];
+	struct trainer t = {0};
+
+	if (arg_parse(argc, argv, table) != 0) {
+		arg_print_errors(stderr, end, "fake_trainer");
+		arg_print_glossary(stderr, table, "  %-22s %s\n");
+		return 2;
+	}
+	t.opts = (struct trainer_opts){
+		.n_nodes = node->count,
+		.key = main_str(key, ""),
+		.route = route->sval[0],
+		.trainer = trainer->sval[0],
+		.step = main_int(step, 1),
+		.groups = main_int(groups, 4),
+		.n = main_int(n, 4),
+		.max_tokens = main_int(max_tokens, 128),
+		.version = main_int(version, 1),
+		.staleness = main_int(staleness, 2),
+		.session = main_int(session, 1),
+		.max = main_int(max, 64),
+		.wait_ms = main_int(wait, 2000),
+		.bump_every = main_int(bump, 0),
+		.limit_ms = main_int(limit, 120000),
+		.seed = (uint64_t)main_int(seed, 1),
+	};
+	for (int i = 0; i < node->count; i++)
+		t.opts.nodes[i] = node->sval[i];
+	snprintf(name, sizeof(name), "%s-%d", t.opts.trainer, t.opts.step);
+	t.opts.batch = main_str(batch, name);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	return trainer_run(&t) ? 0 : 1;
+}
--- /dev/null
+++ b/test/fakes/trainer/pull.c
@@ -0,0 +1,90 @@
+// Acknowledges everything that it has until a pull that said so is answered.
+#include "pull.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "check.h"
+#include "support/http.h"
+
+enum {
+	PULL_SPARE_MS = 15000, ///< longer than the daemon waits
+};
+
+static json_t *pull_slot_name(const struct trainer *t, int i)
+{
+	return json_sprintf("g%d/%d", i / t->opts.n, i % t->opts.n);
+}
+
+static json_t *pull_acks(struct trainer *t)
+{
+	json_t *acks = json_array();
+
+	for (int i = 0; i < t->opts.groups * t->opts.n; i++) {
+		struct trainer_slot *s = &t->slots[i];
+
+		s->ack_sent = s->have && !s->acked;
+		if (s->ack_sent)
+			json_array_append_new(acks, pull_slot_name(t, i));
+	}
+	return acks;
+}
+
+static char *pull_body(struct trainer *t)
+{
+	json_t *obj = json_pack("{s:s,s:s,s:i,s:o,s:i,s:i,s:i}", "trainer",
+				t->opts.trainer, "route", t->opts.route,
+				"session", t->opts.session, "ack",
+				pull_acks(t), "version", t->version, "wait_ms",
+				t->opts.wait_ms, "max", t->opts.max);
+	char *text = json_dumps(obj, JSON_COMPACT);
+
+	json_decref(obj);
+	return text;
+}
+
+static void pull_take(struct trainer *t, const json_t *obj)
+{
+	const json_t *samples = json_object_get(obj, "samples");
+
+	for (int i = 0; i < t->opts.groups * t->opts.n; i++) {
+		if (t->slots[i].ack_sent)
+			t->slots[i].acked = true;
+	}
+	for (size_t i = 0; i < json_array_size(samples); i++)
+		check_sample(t, json_array_get(samples, i));
+	t->done = json_is_true(json_object_get(obj, "done"));
+	if (t->done && t->have < t->opts.groups * t->opts.n)
+		trainer_fault(t, "", "done, but samples are missing");
+}
+
+int pull_once(struct trainer *t)
+{
+	char url[512];
+	char *body = pull_body(t);
+	struct http_opts opts = {
+		.method = "POST",
+		.url = url,
+		.bearer = *t->opts.key ? t->opts.key : NULL,
+		.body = body,
+		.timeout_ms = t->opts.wait_ms + PULL_SPARE_MS,
+	};
+	struct http_res res;
+	json_t *obj;
+	int status;
+
+	snprintf(url, sizeof(url), "%s/v1/rollouts/%s/pull",
+		 t->opts.nodes[t->node], t->opts.batch);
+	status = http_call(&opts, &res);
+	obj = json_loadb(res.body, res.len, 0, NULL);
+	if (status == 200 && res.curl == 0 && obj)
+		pull_take(t, obj);
+	else if (status != 0)
+		fprintf(stderr, "pull: %d %s\n", status, res.body);
+	json_decref(obj);
+	status = res.curl == 0 ? status : 0;
+	http_free(&res);
+	free(body);
+	return status;
+}
