style(rollout): format and lint the stand-ins

Problem: make fmt formats tracked files only, so new files were committed as written, and the analyzer saw a NULL body reach memmem().

--- a/packages/rollout/include/rollout/batch.h
+++ b/packages/rollout/include/rollout/batch.h
@@ -60,8 +60,7 @@
 ///
 /// @param[out] slot  index
 /// @return ERR_OK or ERR_NOT_FOUND
-enum err batch_slot_find(const struct batch *b, const char *name,
-			 size_t *slot);
+enum err batch_slot_find(const struct batch *b, const char *name, size_t *slot);
 
 /// Seed of a slot, as docs/PROTOCOLS.md defines it.
 uint64_t batch_slot_seed(const struct batch *b, size_t slot);
--- a/packages/rollout/src/batch_json.c
+++ b/packages/rollout/src/batch_json.c
@@ -187,10 +187,9 @@
 	batch_slot_name(b, slot, name);
 	for (size_t i = 0; i < s->n_segments; i++) {
 		json_array_append_new(
-			segments,
-			json_pack("{s:I,s:I}", "version",
-				  (json_int_t)s->segments[i].version, "n",
-				  (json_int_t)s->segments[i].n));
+			segments, json_pack("{s:I,s:I}", "version",
+					    (json_int_t)s->segments[i].version,
+					    "n", (json_int_t)s->segments[i].n));
 	}
 	return json_pack("{s:s,s:I,s:o,s:o,s:s,s:s}", "slot", name, "seed",
 			 (json_int_t)batch_slot_seed(b, slot), "tokens",
@@ -203,11 +202,11 @@
 			   int priority, const struct sample *so_far)
 {
 	const struct batch_group *g = batch_group_of(b, slot);
-	json_t *obj = json_pack(
-		"{s:s,s:o,s:I,s:i,s:I}", "id", id, "prompt",
-		tokens_json(g->prompt, g->n_prompt), "max_tokens",
-		(json_int_t)g->max_tokens, "priority", priority, "seed",
-		(json_int_t)batch_slot_seed(b, slot));
+	json_t *obj =
+		json_pack("{s:s,s:o,s:I,s:i,s:I}", "id", id, "prompt",
+			  tokens_json(g->prompt, g->n_prompt), "max_tokens",
+			  (json_int_t)g->max_tokens, "priority", priority,
+			  "seed", (json_int_t)batch_slot_seed(b, slot));
 	char *text;
 
 	if (so_far->n > 0)
--- a/packages/rollout/src/sample.c
+++ b/packages/rollout/src/sample.c
@@ -40,8 +40,8 @@
 
 static enum err sample_grow_segments(struct sample *s)
 {
-	size_t cap = s->cap_segments ? 2 * s->cap_segments :
-				       SAMPLE_SEGMENTS_MIN;
+	size_t cap =
+		s->cap_segments ? 2 * s->cap_segments : SAMPLE_SEGMENTS_MIN;
 	struct sample_segment *segments;
 
 	if (s->n_segments < s->cap_segments)
--- a/test/fakes/engine/http.c
+++ b/test/fakes/engine/http.c
@@ -161,10 +161,13 @@
 /* Whether a text holds a caller's key: ck_ID_SECRET or the like. */
 static bool http_has_key(const char *text, size_t len)
 {
-	const char *p = len ? memmem(text, len, "ck_", 3) : NULL;
 	const char *end = text + len;
+	const char *p;
 	size_t n = 0;
 
+	if (!text || len == 0)
+		return false;
+	p = memmem(text, len, "ck_", 3);
 	if (!p)
 		return false;
 	for (p += 3; p < end && (isalnum((unsigned char)*p) || *p == '_'); p++)
--- a/test/fakes/trainer/main.c
+++ b/test/fakes/trainer/main.c
@@ -41,10 +41,9 @@
 	struct arg_int *limit = arg_int0(NULL, "limit-ms", "N", "gives up");
 	struct arg_int *seed = arg_int0(NULL, "seed", "N", "seed of prompts");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {node,	 key,	     route,   trainer,	 batch,	  step,
-			 groups, n,	     max_tokens, version, staleness,
-			 session, max,	     wait,    bump,	 limit,	  seed,
-			 end};
+	void *table[] = {node,	 key,  route,	   trainer, batch,     step,
+			 groups, n,    max_tokens, version, staleness, session,
+			 max,	 wait, bump,	   limit,   seed,      end};
 	char name[128];
 	struct trainer t = {0};
 
--- a/test/fakes/trainer/pull.c
+++ b/test/fakes/trainer/pull.c
@@ -35,8 +35,8 @@
 {
 	json_t *obj = json_pack("{s:s,s:s,s:i,s:o,s:i,s:i,s:i}", "trainer",
 				t->opts.trainer, "route", t->opts.route,
-				"session", t->opts.session, "ack",
-				pull_acks(t), "version", t->version, "wait_ms",
+				"session", t->opts.session, "ack", pull_acks(t),
+				"version", t->version, "wait_ms",
 				t->opts.wait_ms, "max", t->opts.max);
 	char *text = json_dumps(obj, JSON_COMPACT);
 
