test(service): add the stand-in of a plain service

*Problem:* Calls that may not be repeated need a server that knows how often each one ran, and that fails before, during and after the run on order.

*Solution:* fake_service counts runs by the body's call and by Catkin-Request, answers with a digest of the request, refuses and counts anything that looks like a caller's key, and takes faults by POST /fake/fault.

--- /dev/null
+++ b/test/fakes/service/desk.c
@@ -0,0 +1,300 @@
+// The booking desk: runs calls, counts them, answers.
+#include "desk.h"
+
+#include <jansson.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include "fault.h"
+#include "keyscan.h"
+
+struct desk_req {
+	char *body;
+	size_t len;
+};
+
+/// A half-sent answer: bytes up to `cut`, then a broken connection.
+struct desk_cut {
+	char *body;
+	size_t cut;
+};
+
+static struct desk_opts desk;
+static pthread_mutex_t desk_lock = PTHREAD_MUTEX_INITIALIZER;
+static json_t *desk_calls; ///< runs by the body's "call"
+static json_t *desk_requests; ///< runs by Catkin-Request
+static long long desk_runs;
+static long long desk_keys_seen;
+static long long desk_booking;
+
+void desk_init(const struct desk_opts *opts)
+{
+	desk = *opts;
+	desk_calls = json_object();
+	desk_requests = json_object();
+	desk_booking = opts->seed;
+}
+
+static void desk_pause(int ms)
+{
+	if (ms > 0)
+		usleep((useconds_t)ms * 1000);
+}
+
+static long long desk_count(json_t *table, const char *name)
+{
+	long long n = json_integer_value(json_object_get(table, name)) + 1;
+
+	json_object_set_new(table, name, json_integer(n));
+	return n;
+}
+
+static enum MHD_Result desk_reply(struct MHD_Connection *conn,
+				  unsigned int status, json_t *obj)
+{
+	char *text = json_dumps(obj, JSON_COMPACT);
+	struct MHD_Response *res = MHD_create_response_from_buffer(
+		strlen(text), text, MHD_RESPMEM_MUST_FREE);
+	enum MHD_Result rc;
+
+	MHD_add_response_header(res, "Content-Type", "application/json");
+	rc = MHD_queue_response(conn, status, res);
+	MHD_destroy_response(res);
+	json_decref(obj);
+	return rc;
+}
+
+static ssize_t desk_cut_read(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	struct desk_cut *c = cls;
+	size_t n = c->cut - (size_t)pos;
+
+	if (pos >= c->cut)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	n = n < max ? n : max;
+	memcpy(buf, c->body + pos, n);
+	return (ssize_t)n;
+}
+
+static void desk_cut_free(void *cls)
+{
+	struct desk_cut *c = cls;
+
+	free(c->body);
+	free(c);
+}
+
+static enum MHD_Result desk_reply_half(struct MHD_Connection *conn, json_t *obj)
+{
+	struct desk_cut *c = calloc(1, sizeof(*c));
+	struct MHD_Response *res;
+	enum MHD_Result rc;
+	size_t len;
+
+	c->body = json_dumps(obj, JSON_COMPACT);
+	len = strlen(c->body);
+	c->cut = len / 2;
+	res = MHD_create_response_from_callback(len, len, desk_cut_read, c,
+						desk_cut_free);
+	rc = MHD_queue_response(conn, MHD_HTTP_OK, res);
+	MHD_destroy_response(res);
+	json_decref(obj);
+	return rc;
+}
+
+/* Close with a reset instead of an orderly end. */
+static enum MHD_Result desk_reset(struct MHD_Connection *conn)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	struct linger hard = {1, 0};
+
+	setsockopt(info->connect_fd, SOL_SOCKET, SO_LINGER, &hard,
+		   sizeof(hard));
+	return MHD_NO;
+}
+
+static enum MHD_Result desk_scan_header(void *cls, enum MHD_ValueKind kind,
+					const char *name, const char *value)
+{
+	bool *seen = cls;
+
+	if (strcasecmp(name, "Authorization") == 0 ||
+	    strcasecmp(name, "Idempotency-Key") == 0 ||
+	    (value && keyscan(value, strlen(value))))
+		*seen = true;
+	return MHD_YES;
+}
+
+static bool desk_sees_key(struct MHD_Connection *conn,
+			  const struct desk_req *req)
+{
+	bool seen = keyscan(req->body ? req->body : "", req->len);
+
+	MHD_get_connection_values(conn, MHD_HEADER_KIND, desk_scan_header,
+				  &seen);
+	return seen;
+}
+
+/* One booking: counted, numbered, answered with a digest of the request. */
+static json_t *desk_run(struct MHD_Connection *conn, const struct desk_req *req)
+{
+	const char *id = MHD_lookup_connection_value(conn, MHD_HEADER_KIND,
+						     "Catkin-Request");
+	const char *trace = MHD_lookup_connection_value(conn, MHD_HEADER_KIND,
+							"traceparent");
+	json_t *body =
+		json_loadb(req->body ? req->body : "", req->len, 0, NULL);
+	const char *call = json_string_value(json_object_get(body, "call"));
+	char digest[20];
+	json_t *out;
+
+	snprintf(digest, sizeof(digest), "%016llx",
+		 (unsigned long long)XXH64(req->body, req->len, 0));
+	pthread_mutex_lock(&desk_lock);
+	desk_runs++;
+	if (call)
+		desk_count(desk_calls, call);
+	if (id)
+		desk_count(desk_requests, id);
+	out = json_pack("{s:I, s:s, s:s, s:I, s:s, s:s, s:s}", "booking",
+			(json_int_t)++desk_booking, "server", desk.id, "digest",
+			digest, "bytes", (json_int_t)req->len, "call",
+			call ? call : "", "request", id ? id : "", "trace",
+			trace ? trace : "");
+	pthread_mutex_unlock(&desk_lock);
+	json_decref(body);
+	return out;
+}
+
+static enum MHD_Result desk_after_run(struct MHD_Connection *conn,
+				      struct fault f, json_t *answer)
+{
+	switch (f.mode) {
+	case FAULT_RESET_AFTER:
+		json_decref(answer);
+		return desk_reset(conn);
+	case FAULT_HANG:
+		json_decref(answer);
+		desk_pause(f.delay_ms);
+		return desk_reset(conn);
+	case FAULT_LATE:
+		desk_pause(f.delay_ms);
+		return desk_reply(conn, MHD_HTTP_OK, answer);
+	case FAULT_DROP_HALF:
+		return desk_reply_half(conn, answer);
+	case FAULT_ERROR:
+		return desk_reply(conn, MHD_HTTP_INTERNAL_SERVER_ERROR, answer);
+	default:
+		return desk_reply(conn, MHD_HTTP_OK, answer);
+	}
+}
+
+static enum MHD_Result desk_book(struct MHD_Connection *conn,
+				 const struct desk_req *req)
+{
+	struct fault f = fault_for_request();
+	json_t *answer;
+
+	if (desk_sees_key(conn, req)) {
+		pthread_mutex_lock(&desk_lock);
+		desk_keys_seen++;
+		pthread_mutex_unlock(&desk_lock);
+		return desk_reply(conn, MHD_HTTP_INTERNAL_SERVER_ERROR,
+				  json_pack("{s:s}", "error", "key seen"));
+	}
+	if (f.mode == FAULT_RESET_BEFORE)
+		return desk_reset(conn);
+	if (f.mode == FAULT_SLOW)
+		desk_pause(f.delay_ms);
+	desk_pause(desk.delay_ms);
+	answer = desk_run(conn, req);
+	return desk_after_run(conn, f, answer);
+}
+
+static enum MHD_Result desk_stats(struct MHD_Connection *conn)
+{
+	json_t *out;
+
+	pthread_mutex_lock(&desk_lock);
+	out = json_pack("{s:I, s:I, s:o, s:o}", "runs", (json_int_t)desk_runs,
+			"keys_seen", (json_int_t)desk_keys_seen, "calls",
+			json_copy(desk_calls), "requests",
+			json_copy(desk_requests));
+	pthread_mutex_unlock(&desk_lock);
+	return desk_reply(conn, MHD_HTTP_OK, out);
+}
+
+static enum MHD_Result desk_fault(struct MHD_Connection *conn,
+				  const struct desk_req *req)
+{
+	json_t *order =
+		json_loadb(req->body ? req->body : "", req->len, 0, NULL);
+	bool ok = fault_order(order);
+
+	json_decref(order);
+	return desk_reply(conn, ok ? MHD_HTTP_OK : MHD_HTTP_BAD_REQUEST,
+			  json_pack("{s:b}", "taken", ok));
+}
+
+static bool desk_collect(struct desk_req *req, const char *data, size_t len)
+{
+	char *body = realloc(req->body, req->len + len + 1);
+
+	if (!body)
+		return false;
+	memcpy(body + req->len, data, len);
+	req->body = body;
+	req->len += len;
+	body[req->len] = '\0';
+	return true;
+}
+
+enum MHD_Result desk_handle(void *cls, struct MHD_Connection *conn,
+			    const char *url, const char *method,
+			    const char *version, const char *data,
+			    size_t *data_len, void **state)
+{
+	struct desk_req *req = *state;
+
+	if (!req) {
+		*state = calloc(1, sizeof(*req));
+		return *state ? MHD_YES : MHD_NO;
+	}
+	if (*data_len > 0) {
+		bool ok = desk_collect(req, data, *data_len);
+
+		*data_len = 0;
+		return ok ? MHD_YES : MHD_NO;
+	}
+	if (strcmp(url, "/fake/stats") == 0)
+		return desk_stats(conn);
+	if (strcmp(url, "/fake/fault") == 0)
+		return desk_fault(conn, req);
+	if (strcmp(method, "POST") == 0)
+		return desk_book(conn, req);
+	return desk_reply(conn, MHD_HTTP_METHOD_NOT_ALLOWED, json_object());
+}
+
+void desk_completed(void *cls, struct MHD_Connection *conn, void **state,
+		    enum MHD_RequestTerminationCode code)
+{
+	struct desk_req *req = *state;
+
+	if (!req)
+		return;
+	free(req->body);
+	free(req);
+	*state = NULL;
+}
+
+enum MHD_Result desk_accept(void *cls, const struct sockaddr *addr,
+			    socklen_t len)
+{
+	return fault_for_connection().mode == FAULT_REFUSE ? MHD_NO : MHD_YES;
+}
