feat(work): send calls and generations to backend servers, thin

*Problem:* The daemon took no work. Callers need a call to reach a plain service, or an engine, in the own failure domain or in another one.

*Solution:* Module work: caller API, submit and cancel for other modules, one attempt state machine (package attempt: a request that may not be repeated gets no further attempt once a byte may have left), forwarding to a node in another failure domain in bounded chunks, probes so that a lost message is found within a second or so.

--- a/packages/daemon/src/work_mod.c
+++ b/packages/daemon/src/work_mod.c
@@ -1,15 +1,94 @@
-// Module work.
+// Module work: takes requests to backend servers and brings back answers.
 #include "daemon/work_mod.h"
 
+#include <jansson.h>
+#include <stdlib.h>
+
 #include "daemon/mods.h"
+#include "work_mod_int.h"
+
+static enum err work_new(struct core *c, struct work_state **out)
+{
+	struct work_state *s = calloc(1, sizeof(*s));
+
+	if (!s)
+		return ERR_NOMEM;
+	s->works = htab_new(WORK_CAP, sizeof(struct work));
+	s->rng.state = strtoull(core_incarnation(c), NULL, 16);
+	attempt_budget_init(&s->budget, WORK_RETRY_CAP);
+	*out = s;
+	return s->works ? ERR_OK : ERR_NOMEM;
+}
 
 static enum err work_start(struct core *c, void **state)
 {
-	*state = NULL;
-	return ERR_OK;
+	struct work_state *s = NULL;
+	enum err e = work_new(c, &s);
+
+	*state = s;
+	if (e == ERR_OK)
+		e = work_peer_out_start(c);
+	if (e == ERR_OK)
+		e = work_peer_in_start(c, s);
+	if (e == ERR_OK)
+		e = work_call_start(c, s);
+	return e;
+}
+
+static void work_expire(struct core *c, struct work_state *s, int64_t now)
+{
+	struct work *w;
+	size_t iter = 0;
+
+	while ((w = htab_next(s->works, &iter, NULL))) {
+		if (now >= w->o.deadline_ms)
+			work_give_up(c, w, ERR_WORK_DEADLINE);
+	}
+}
+
+static void work_tick(struct core *c, void *state, int64_t now_ms)
+{
+	work_expire(c, state, now_ms);
+	work_peer_tick(c, now_ms);
+	work_peer_in_tick(c, now_ms);
+}
+
+static bool work_idle(struct core *c, void *state)
+{
+	struct work_state *s = state;
+
+	return htab_count(s->works) == 0 && htab_count(s->ins) == 0;
+}
+
+static void work_status(struct core *c, void *state, struct json_t *obj)
+{
+	struct work_state *s = state;
+
+	json_object_set_new(obj, "running",
+			    json_integer((json_int_t)htab_count(s->works)));
+	json_object_set_new(obj, "for_other_domains",
+			    json_integer((json_int_t)htab_count(s->ins)));
+}
+
+static void work_stop(struct core *c, void *state)
+{
+	struct work_state *s = state;
+	size_t iter = 0;
+	htab_handle h;
+
+	while (htab_next(s->works, &iter, &h))
+		work_cancel(c, h);
+	work_peer_in_stop(s);
+	htab_free(s->works);
+	htab_free(s->calls);
+	free(s);
 }
 
 const struct core_mod_ops work_mod_ops = {
 	.name = "work",
 	.start = work_start,
+	.tick = work_tick,
+	.idle = work_idle,
+	.status = work_status,
+	.stop = work_stop,
 };
--- /dev/null
+++ b/packages/daemon/src/work_mod_attempt.c
@@ -0,0 +1,219 @@
+// Runs attempts: sends to a backend server or a peer, and takes the outcome.
+#include <stdio.h>
+#include <string.h>
+
+#include "base/metric.h"
+#include "conf/conf.h"
+#include "daemon/conf_mod.h"
+#include "work_mod_int.h"
+
+enum {
+	HEADER_LEN = 256, ///< bytes of a header line
+	END_LINE_MAX = 512, ///< bytes; segments are told apart by their type
+};
+
+static struct work *attempt_work(struct core *c, void *ctx)
+{
+	return htab_get(work_state(c)->works, (htab_handle)(uintptr_t)ctx);
+}
+
+static void attempt_line(struct core *c, struct work *w, const char *line,
+			 size_t len)
+{
+	if (len == 0)
+		return;
+	if (len < END_LINE_MAX && memmem(line, len, "\"end\"", 5) &&
+	    !memmem(line, len, "\"segment\"", 9))
+		w->ended = true;
+	w->delivered = true;
+	w->o.on_line(c, w->o.ctx, line, len);
+}
+
+/* Split a stream into whole lines; the rest waits in w->part. */
+static void attempt_on_data(struct core *c, void *ctx, const char *data,
+			    size_t len)
+{
+	struct work *w = attempt_work(c, ctx);
+
+	while (w && len > 0) {
+		const char *nl = memchr(data, '\n', len);
+		size_t n = nl ? (size_t)(nl - data) : len;
+		struct work_buf line;
+
+		if (work_buf_add(&w->part, data, n, WORK_LINE_MAX) != ERR_OK) {
+			work_give_up(c, w, ERR_TOO_LARGE);
+			return;
+		}
+		if (!nl)
+			return;
+		data += n + 1;
+		len -= n + 1;
+		line = w->part;
+		w->part = (struct work_buf){0};
+		attempt_line(c, w, line.data, line.len);
+		work_buf_free(&line);
+		w = attempt_work(c, ctx);
+	}
+}
+
+static void attempt_on_done(struct core *c, void *ctx,
+			    const struct core_fetch_result *fr)
+{
+	struct work *w = attempt_work(c, ctx);
+	bool broken;
+	struct attempt_outcome out;
+	struct work_result res;
+
+	if (!w)
+		return;
+	broken = fr->err == ERR_OK && w->o.on_line && fr->status == 200 &&
+		 !w->ended;
+	out = (struct attempt_outcome){
+		.err = broken ? ERR_WORK_BROKEN : fr->err,
+		.sent = fr->sent,
+		.delivered = w->delivered,
+		.status = fr->status,
+	};
+	res = (struct work_result){
+		.status = fr->status,
+		.ctype = fr->ctype ? fr->ctype : "",
+		.body = fr->body,
+		.body_len = fr->body_len,
+	};
+	work_attempt_end(c, w, &out, &res);
+}
+
+static int64_t attempt_idle_ms(const struct work *w)
+{
+	return w->o.kind == VM_ENGINE ? WORK_ENGINE_IDLE_MS : 0;
+}
+
+static enum err attempt_fetch(struct core *c, struct work *w,
+			      const struct fleet_vm *vm)
+{
+	char url[512];
+	char ctype[HEADER_LEN];
+	char request[HEADER_LEN];
+	const char *headers[] = {request, *w->o.ctype ? ctype : NULL, NULL};
+	struct core_fetch_opts f = {
+		.method = w->o.method,
+		.url = url,
+		.headers = headers,
+		.body = w->o.body,
+		.body_len = w->o.body_len,
+		.timeout_ms = w->o.deadline_ms - core_now(c),
+		.idle_timeout_ms = attempt_idle_ms(w),
+		.fresh = w->att.tries > 1,
+		.trace = &w->span.ctx,
+		.on_data = w->o.on_line ? attempt_on_data : NULL,
+		.on_done = attempt_on_done,
+		.ctx = (void *)(uintptr_t)w->h,
+	};
+
+	snprintf(url, sizeof(url), "http://%s%s", vm->addr, w->o.path);
+	snprintf(ctype, sizeof(ctype), "Content-Type: %s", w->o.ctype);
+	snprintf(request, sizeof(request), "Catkin-Request: %s-%llu",
+		 core_incarnation(c), (unsigned long long)w->id);
+	snprintf(w->target, sizeof(w->target), "%s", vm->id);
+	return core_fetch(c, &f, &w->fetch);
+}
+
+static enum err attempt_send(struct core *c, struct work *w)
+{
+	const struct fleet_vm *vm = work_pick_server(c, w);
+	const char *peer;
+	enum err e;
+
+	if (vm) {
+		e = attempt_fetch(c, w, vm);
+		if (e == ERR_OK)
+			w->via = WORK_VIA_FETCH;
+		return e;
+	}
+	peer = w->forwarded ? NULL : work_pick_peer(c, w);
+	if (!peer)
+		return ERR_ROUTE_NO_SERVER;
+	e = work_peer_open(c, w, peer);
+	if (e == ERR_OK)
+		w->via = WORK_VIA_PEER;
+	return e;
+}
+
+enum err work_attempt(struct core *c, struct work *w)
+{
+	enum err e;
+
+	if (core_now(c) >= w->o.deadline_ms)
+		return ERR_WORK_DEADLINE;
+	attempt_begin(&w->att);
+	span_begin(&w->span, &w->trace, "attempt");
+	w->ended = false;
+	e = attempt_send(c, w);
+	if (e != ERR_OK)
+		span_end(&w->span, err_code(e), NULL);
+	else if (w->att.tries > 1)
+		metric_add(M_WORK_RETRIES, 1);
+	return e;
+}
+
+static int64_t attempt_retry_ratio(struct core *c, const struct work *w)
+{
+	const struct conf *conf = conf_mod_current(c);
+	struct conf_scope scope = {
+		.team = w->o.team,
+		.domain = core_domain(c),
+	};
+
+	return conf ? conf_int(conf, CF_RETRY_RATIO, &scope) : 0;
+}
+
+static void attempt_span_end(struct work *w, enum err e)
+{
+	char detail[2 * WORK_NAME_LEN];
+
+	snprintf(detail, sizeof(detail), "target=%s try=%d", w->target,
+		 w->att.tries);
+	span_end(&w->span, err_code(e), detail);
+}
+
+void work_attempt_end(struct core *c, struct work *w,
+		      const struct attempt_outcome *out,
+		      struct work_result *res)
+{
+	struct attempt_budget *b = &work_state(c)->budget;
+	struct attempt_step step;
+	char server[WORK_NAME_LEN];
+	enum err e = ERR_OK;
+
+	attempt_span_end(w, out->err);
+	w->via = WORK_VIA_NONE;
+	work_buf_free(&w->part);
+	if (out->err == ERR_OK)
+		attempt_budget_success(b, attempt_retry_ratio(c, w));
+	step = attempt_end(&w->att, b, core_now(c), out);
+	if (step.again) {
+		memcpy(w->avoid, w->target, sizeof(w->avoid));
+		e = work_attempt(c, w);
+		if (e == ERR_OK)
+			return;
+		step = attempt_give_up(&w->att, false, e);
+	}
+	res->err = step.err;
+	res->run = step.run;
+	res->retry_after_ms = step.retry_after_ms;
+	memcpy(server, w->target, sizeof(server));
+	if (!res->server)
+		res->server = server;
+	work_finish(c, w, res);
+}
+
+void work_attempt_cancel(struct core *c, struct work *w)
+{
+	if (w->via == WORK_VIA_FETCH)
+		core_fetch_cancel(c, w->fetch);
+	if (w->via == WORK_VIA_PEER)
+		work_peer_cancel(c, w);
+	if (w->via != WORK_VIA_NONE)
+		attempt_span_end(w, ERR_CLOSED);
+	w->via = WORK_VIA_NONE;
+}
--- /dev/null
+++ b/packages/daemon/src/work_mod_call.c
@@ -0,0 +1,350 @@
+// Callers' API: POST /v1/call/ROUTE[/PATH] and POST /v1/generate/ROUTE.
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "conf/conf.h"
+#include "daemon/conf_mod.h"
+#include "daemon/usage_mod.h"
+#include "work_mod_int.h"
+
+enum {
+	CALL_PATH_LEN = 1024, ///< bytes
+	CALL_KEY_LEN = 128, ///< most bytes of an Idempotency-Key
+	CALL_COST = 1, ///< of a call to a plain service
+	GENERATE_TOKENS = 1024, ///< expected of a request that names none
+};
+
+/// What a caller's request needs until it is answered.
+struct work_call {
+	htab_handle req; ///< 0 once the caller is gone
+	htab_handle work;
+	char team[WORK_NAME_LEN];
+	bool may_cut; ///< nobody needs the outcome once the caller is gone
+	bool streaming; ///< an answer's first line went out
+	bool broken; ///< the caller reads too slowly
+	uint64_t tokens; ///< delivered
+};
+
+/// A caller's request as the route and the headers describe it.
+struct call_ask {
+	struct core_req *req;
+	const struct conf_route *route;
+	enum conf_target target;
+	char team[WORK_NAME_LEN];
+	char path[CALL_PATH_LEN]; ///< at the backend server
+};
+
+static struct work_call *call_get(struct core *c, void *ctx)
+{
+	return htab_get(work_state(c)->calls, (htab_handle)(uintptr_t)ctx);
+}
+
+static void call_refuse(struct core *c, struct core_req *r, enum err e,
+			int64_t retry_after_ms)
+{
+	core_reply_err(c, r->h, e, RUN_NO, retry_after_ms, err_doc(e));
+}
+
+/* Split /v1/KIND/ROUTE[/PATH]. */
+static bool call_split(const char *rest, char *route, size_t len,
+		       const char **path)
+{
+	size_t n = strcspn(rest, "/");
+
+	if (n == 0 || n >= len)
+		return false;
+	memcpy(route, rest, n);
+	route[n] = '\0';
+	*path = rest[n] ? rest + n : "/";
+	return strlen(*path) < CALL_PATH_LEN;
+}
+
+static enum err call_resolve(struct core *c, const char *prefix,
+			     struct call_ask *ask)
+{
+	const struct conf *conf = conf_mod_current(c);
+	char name[WORK_NAME_LEN];
+	const char *path;
+
+	if (!conf)
+		return ERR_CONF_NONE;
+	if (!call_split(ask->req->path + strlen(prefix), name, sizeof(name),
+			&path))
+		return ERR_ROUTE_UNKNOWN;
+	ask->route = conf_route_find(conf, name);
+	if (!ask->route)
+		return ERR_ROUTE_UNKNOWN;
+	if (ask->route->target != ask->target)
+		return ERR_WORK_TARGET;
+	snprintf(ask->path, sizeof(ask->path), "%s", path);
+	return conf_mod_auth(c, ask->route, ask->req->bearer, ask->team,
+			     sizeof(ask->team));
+}
+
+static int64_t call_deadline(struct core *c, const struct call_ask *ask)
+{
+	struct conf_scope scope = {
+		.route = ask->route->name,
+		.team = ask->team,
+		.domain = core_domain(c),
+	};
+	enum conf_field f = ask->target == CONF_ENGINE ? CF_GENERATE_DEADLINE
+						       : CF_CALL_DEADLINE;
+	int64_t ms = conf_int(conf_mod_current(c), f, &scope);
+	const char *asked = core_req_header(ask->req, "X-Deadline-Ms");
+	int64_t want = asked ? strtoll(asked, NULL, 10) : 0;
+
+	if (want > 0 && want < ms)
+		ms = want;
+	return core_now(c) + ms;
+}
+
+static void call_drop(struct core *c, struct work_call *call, void *ctx)
+{
+	htab_del(work_state(c)->calls, (htab_handle)(uintptr_t)ctx);
+}
+
+/* The caller went away: a call that may not be repeated is let finish. */
+static void call_on_abort(struct core *c, struct core_req *r, void *user)
+{
+	struct work_call *call = call_get(c, user);
+
+	if (!call)
+		return;
+	call->req = 0;
+	if (call->may_cut) {
+		work_cancel(c, call->work);
+		call_drop(c, call, user);
+	}
+}
+
+static uint64_t call_line_tokens(const char *line, size_t len)
+{
+	json_t *obj = json_loadb(line, len, 0, NULL);
+	uint64_t n = json_array_size(json_object_get(obj, "tokens"));
+
+	json_decref(obj);
+	return n;
+}
+
+static void call_on_line(struct core *c, void *ctx, const char *line,
+			 size_t len)
+{
+	struct work_call *call = call_get(c, ctx);
+	char *out;
+
+	if (!call || !call->req || call->broken)
+		return;
+	if (!call->streaming) {
+		core_reply_header(c, call->req, "Catkin-Run", "done");
+		core_stream_begin(c, call->req, 200, "application/x-ndjson");
+		call->streaming = true;
+	}
+	out = malloc(len + 1);
+	if (!out) {
+		call->broken = true;
+		return;
+	}
+	memcpy(out, line, len);
+	out[len] = '\n';
+	if (core_stream_write(c, call->req, out, len + 1) != ERR_OK)
+		call->broken = true;
+	else
+		call->tokens += call_line_tokens(line, len);
+	free(out);
+}
+
+static void call_answer(struct core *c, const struct work_call *call,
+			const struct work_result *res)
+{
+	if (call->streaming) {
+		core_stream_end(c, call->req,
+				res->err == ERR_OK && !call->broken);
+		return;
+	}
+	if (res->err != ERR_OK) {
+		core_reply_err(c, call->req, res->err, res->run,
+			       res->retry_after_ms, err_doc(res->err));
+		return;
+	}
+	core_reply_header(c, call->req, "Catkin-Run", "done");
+	core_reply(c, call->req, res->status, res->ctype, res->body,
+		   res->body_len);
+}
+
+static void call_on_done(struct core *c, void *ctx,
+			 const struct work_result *res)
+{
+	struct work_call *call = call_get(c, ctx);
+	struct work_call done;
+
+	if (!call)
+		return;
+	done = *call;
+	call_drop(c, call, ctx);
+	if (res->err == ERR_OK)
+		usage_mod_add(c, done.team, USAGE_REQUESTS, 1);
+	if (done.tokens > 0)
+		usage_mod_add(c, done.team, USAGE_TOKENS, done.tokens);
+	if (done.req)
+		call_answer(c, &done, res);
+}
+
+static void call_submit(struct core *c, const struct call_ask *ask,
+			struct work_opts *o)
+{
+	struct work_state *s = work_state(c);
+	struct core_req *r = ask->req;
+	int64_t retry_after_ms = 0;
+	struct work_call *call;
+	htab_handle h;
+	enum err e;
+
+	call = htab_add(s->calls, &h);
+	if (!call) {
+		call_refuse(c, r, ERR_ADMIT_FULL, ATTEMPT_RETRY_AFTER_MS);
+		return;
+	}
+	call->req = r->h;
+	call->may_cut = o->on_line != NULL;
+	memcpy(call->team, ask->team, sizeof(call->team));
+	o->ctx = (void *)(uintptr_t)h;
+	o->on_done = call_on_done;
+	e = work_submit(c, o, &call->work, &retry_after_ms);
+	if (e != ERR_OK) {
+		htab_del(s->calls, h);
+		call_refuse(c, r, e, retry_after_ms);
+		return;
+	}
+	r->user = o->ctx;
+	r->on_abort = call_on_abort;
+}
+
+static const char *call_ctype(const struct core_req *r)
+{
+	const char *t = core_req_header(r, "Content-Type");
+
+	return t ? t : "application/octet-stream";
+}
+
+static void call_on_call(struct core *c, struct core_req *r, void *ctx)
+{
+	struct call_ask ask = {.req = r, .target = CONF_SERVICE};
+	enum err e = call_resolve(c, "/v1/call/", &ask);
+	const char *key = core_req_header(r, "Idempotency-Key");
+	struct work_opts o;
+
+	if (e == ERR_OK && key && strlen(key) > CALL_KEY_LEN)
+		e = ERR_TOO_LARGE;
+	if (e != ERR_OK) {
+		call_refuse(c, r, e, 0);
+		return;
+	}
+	o = (struct work_opts){
+		.cls = WORK_BOOKING,
+		.kind = VM_SERVICE,
+		.service = ask.route->service,
+		.team = ask.team,
+		.method = "POST",
+		.path = ask.path,
+		.body = r->body,
+		.body_len = r->body_len,
+		.ctype = call_ctype(r),
+		.idempotent = ask.route->idempotent,
+		.idem_key = key,
+		.deadline_ms = call_deadline(c, &ask),
+		.cost = CALL_COST,
+		.trace = &r->span.ctx,
+	};
+	call_submit(c, &ask, &o);
+}
+
+/* The engine's request: the caller's fields, under this node's id. */
+static char *generate_body(struct core *c, const struct core_req *r,
+			   uint64_t *cost)
+{
+	json_t *in = json_loadb(r->body ? r->body : "", r->body_len, 0, NULL);
+	json_t *prompt = json_object_get(in, "prompt");
+	json_t *max = json_object_get(in, "max_tokens");
+	json_t *seed = json_object_get(in, "seed");
+	json_int_t tokens = max ? json_integer_value(max) : GENERATE_TOKENS;
+	char id[80];
+	json_t *out;
+	char *text = NULL;
+
+	if (!json_is_array(prompt) || tokens < 1 ||
+	    (seed && !json_is_integer(seed)))
+		goto out;
+	snprintf(id, sizeof(id), "%s-g%llu", core_incarnation(c),
+		 (unsigned long long)++work_state(c)->next_id);
+	out = json_pack("{s:s, s:O, s:I, s:i, s:I}", "id", id, "prompt", prompt,
+			"max_tokens", tokens, "priority", 5, "seed",
+			json_integer_value(seed));
+	text = json_dumps(out, JSON_COMPACT);
+	json_decref(out);
+	*cost = (uint64_t)tokens;
+out:
+	json_decref(in);
+	return text;
+}
+
+static void call_on_generate(struct core *c, struct core_req *r, void *ctx)
+{
+	struct call_ask ask = {.req = r, .target = CONF_ENGINE};
+	enum err e = call_resolve(c, "/v1/generate/", &ask);
+	uint64_t cost = 0;
+	char *body = NULL;
+	struct work_opts o;
+
+	if (e == ERR_OK) {
+		body = generate_body(c, r, &cost);
+		e = body ? ERR_OK : ERR_PARSE;
+	}
+	if (e != ERR_OK) {
+		call_refuse(c, r, e, 0);
+		return;
+	}
+	o = (struct work_opts){
+		.cls = WORK_INTERACTIVE,
+		.kind = VM_ENGINE,
+		.team = ask.team,
+		.method = "POST",
+		.path = "/v1/generate",
+		.body = body,
+		.body_len = strlen(body),
+		.ctype = "application/json",
+		.idempotent = true,
+		.deadline_ms = call_deadline(c, &ask),
+		.cost = cost,
+		.may_cut = true,
+		.trace = &r->span.ctx,
+		.on_line = call_on_line,
+	};
+	call_submit(c, &ask, &o);
+	free(body);
+}
+
+enum err work_call_start(struct core *c, struct work_state *s)
+{
+	const struct core_route_opts call = {
+		.listener = CORE_PUBLIC,
+		.method = "POST",
+		.prefix = "/v1/call/",
+		.fn = call_on_call,
+	};
+	const struct core_route_opts generate = {
+		.listener = CORE_PUBLIC,
+		.method = "POST",
+		.prefix = "/v1/generate/",
+		.fn = call_on_generate,
+	};
+	enum err e;
+
+	s->calls = htab_new(WORK_CALL_CAP, sizeof(struct work_call));
+	if (!s->calls)
+		return ERR_NOMEM;
+	e = core_route(c, &call);
+	return e == ERR_OK ? core_route(c, &generate) : e;
+}
--- /dev/null
+++ b/packages/daemon/src/work_mod_int.h
@@ -0,0 +1,138 @@
+// Types and calls that the files of module work share.
+#pragma once
+
+#include <msgpack.h>
+
+#include "attempt/attempt.h"
+#include "base/rng.h"
+#include "daemon/work_mod.h"
+
+enum {
+	WORK_CAP = 16384, ///< requests held at once
+	WORK_IN_CAP = 8192, ///< requests held for other failure domains
+	WORK_CALL_CAP = 16384, ///< callers' requests held at once
+	WORK_ARENA_LIMIT = 80 << 20, ///< bytes copied for one request
+	WORK_LINE_MAX = 512 << 10, ///< bytes of a streamed line
+	WORK_CHUNK = 256 << 10, ///< bytes of a body in one peer message
+	WORK_BODY_MAX = 64 << 20, ///< bytes of a forwarded body or answer
+	WORK_RETRY_CAP = 10, ///< retries saved up
+	WORK_PROBE_MS = 1000, ///< interval of probes of a forwarded request
+	WORK_NAME_LEN = 64, ///< bytes of a server's, node's or team's name
+	WORK_ENGINE_IDLE_MS = 20000, ///< longest silence inside a stream
+	WORK_NO_SERVER_RETRY_MS = 1000, ///< told when no server is known
+};
+
+enum work_via {
+	WORK_VIA_NONE, ///< no attempt is running
+	WORK_VIA_FETCH, ///< at a backend server
+	WORK_VIA_PEER, ///< at a node in another failure domain
+};
+
+/// Bytes gathered from several pieces.
+struct work_buf {
+	char *data;
+	size_t len;
+	size_t cap;
+};
+
+/// One request on this node.
+struct work {
+	htab_handle h;
+	uint64_t id; ///< unique among this process's requests
+	struct arena arena; ///< holds what `o` points to
+	struct work_opts o;
+	struct trace_ctx trace; ///< parent of the attempts' spans
+	struct attempt att;
+	struct span span; ///< of the attempt that runs
+	enum work_via via;
+	htab_handle fetch; ///< with WORK_VIA_FETCH
+	char target[WORK_NAME_LEN]; ///< server or node of the attempt
+	char avoid[WORK_NAME_LEN]; ///< server that failed before
+	bool forwarded; ///< came from another failure domain: stays in this one
+	bool delivered; ///< a line went to the submitter
+	bool ended; ///< the stream's end line came
+	struct work_buf part; ///< incomplete line, or answer from a peer
+	uint64_t next_line; ///< expected number of a peer's line
+	int64_t probe_ms; ///< last probe of the peer
+	struct work_result peer_res; ///< of an answer that comes in chunks
+	char *peer_ctype; ///< in the arena
+	size_t peer_total; ///< bytes of that answer
+};
+
+struct work_state {
+	struct htab *works; ///< struct work
+	struct htab *ins; ///< struct work_in
+	struct htab *calls; ///< struct work_call
+	struct attempt_budget budget;
+	struct rng rng;
+	uint64_t next_id;
+	int64_t probed_ms;
+};
+
+static inline struct work_state *work_state(const struct core *c)
+{
+	return core_mod_state(c, MOD_WORK);
+}
+
+// work_mod_buf.c
+enum err work_buf_add(struct work_buf *b, const void *data, size_t len,
+		      size_t max);
+void work_buf_free(struct work_buf *b);
+
+// work_mod_submit.c
+
+/// Submit; `forwarded` work is not forwarded again.
+enum err work_submit_from(struct core *c, const struct work_opts *opts,
+			  bool forwarded, htab_handle *h,
+			  int64_t *retry_after_ms);
+
+/// End a request: calls on_done and frees it.
+void work_finish(struct core *c, struct work *w, const struct work_result *res);
+
+/// Give up at once with the answer that is true now.
+void work_give_up(struct core *c, struct work *w, enum err e);
+
+// work_mod_attempt.c
+
+/// Begin an attempt.
+///
+/// @return ERR_OK, or why none could begin; nothing left this process
+enum err work_attempt(struct core *c, struct work *w);
+
+/// Take the end of the running attempt: try again or finish.
+///
+/// @param res  what to answer if this was the last attempt
+void work_attempt_end(struct core *c, struct work *w,
+		      const struct attempt_outcome *out,
+		      struct work_result *res);
+
+/// Stop the running attempt; no end follows.
+void work_attempt_cancel(struct core *c, struct work *w);
+
+// work_mod_pick.c
+
+/// Live backend server for a request in the own failure domain.
+///
+/// @return server, NULL if there is none
+const struct fleet_vm *work_pick_server(struct core *c, const struct work *w);
+
+/// Node in another failure domain that has a backend server for it.
+///
+/// @return node id, NULL if there is none
+const char *work_pick_peer(struct core *c, const struct work *w);
+
+// work_mod_peer_out.c
+
+/// Send a request to a node of another failure domain.
+enum err work_peer_open(struct core *c, struct work *w, const char *node);
+void work_peer_cancel(struct core *c, struct work *w);
+void work_peer_tick(struct core *c, int64_t now);
+enum err work_peer_out_start(struct core *c);
+
+// work_mod_peer_in.c
+enum err work_peer_in_start(struct core *c, struct work_state *s);
+void work_peer_in_stop(struct work_state *s);
+void work_peer_in_tick(struct core *c, int64_t now);
+
+// work_mod_call.c
+enum err work_call_start(struct core *c, struct work_state *s);
--- /dev/null
+++ b/packages/daemon/src/work_mod_peer_in.c
@@ -0,0 +1,289 @@
+// Forwarding, the receiving end: runs a request for a node of another failure
+// domain, under this failure domain's own limits, and sends the answer back.
+#include <stdio.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "work_mod_peer.h"
+
+enum {
+	LINE_FIELDS = 4,
+	REF_FIELDS = 2,
+	IN_RETRY_MS = 500, ///< told with a refusal that names no time
+	IN_SWEEP_MS = 30000, ///< a request whose body never became whole
+};
+
+/// A request held for another node.
+struct work_in {
+	htab_handle h;
+	char from[WORK_NAME_LEN];
+	struct work_ref ref; ///< its name there
+	struct work_open open; ///< `chunk` is not valid
+	struct work_buf body;
+	struct trace_ctx trace;
+	htab_handle work; ///< 0 until the body is whole
+	uint64_t lines; ///< lines sent back
+	int64_t since_ms;
+};
+
+static struct work_in *in_get(struct core *c, void *ctx)
+{
+	return htab_get(work_state(c)->ins, (htab_handle)(uintptr_t)ctx);
+}
+
+static struct work_in *in_find(struct core *c, const char *from,
+			       const struct work_ref *ref)
+{
+	struct work_in *in;
+	size_t iter = 0;
+
+	while ((in = htab_next(work_state(c)->ins, &iter, NULL))) {
+		if (in->ref.h == ref->h && in->ref.id == ref->id &&
+		    strcmp(in->from, from) == 0)
+			return in;
+	}
+	return NULL;
+}
+
+static void in_free(struct core *c, struct work_in *in)
+{
+	work_buf_free(&in->body);
+	htab_del(work_state(c)->ins, in->h);
+}
+
+static void in_send_done(struct core *c, const char *to,
+			 const struct work_ref *ref, uint64_t lines,
+			 const struct work_result *res)
+{
+	size_t len = res->body_len <= WORK_BODY_MAX ? res->body_len : 0;
+	struct work_done m = {
+		.ref = *ref,
+		.err = len == res->body_len ? res->err : ERR_TOO_LARGE,
+		.run = res->run,
+		.status = res->status,
+		.retry_after_ms = res->retry_after_ms,
+		.lines = lines,
+		.body_len = len,
+		.chunk = res->body,
+		.chunk_len = len < WORK_CHUNK ? len : WORK_CHUNK,
+	};
+
+	snprintf(m.server, sizeof(m.server), "%s",
+		 res->server ? res->server : "");
+	snprintf(m.ctype, sizeof(m.ctype), "%s", res->ctype ? res->ctype : "");
+	if (work_done_send(c, to, &m) == ERR_OK)
+		work_send_chunks(c, to, PEER_WORK_DONE_CHUNK, ref, res->body,
+				 len);
+}
+
+static void in_refuse(struct core *c, const char *to,
+		      const struct work_ref *ref, enum err e,
+		      enum run_state run, int64_t retry_after_ms)
+{
+	struct work_result res = {
+		.err = e,
+		.run = run,
+		.retry_after_ms = retry_after_ms ? retry_after_ms : IN_RETRY_MS,
+	};
+
+	in_send_done(c, to, ref, 0, &res);
+}
+
+static void in_on_line(struct core *c, void *ctx, const char *line, size_t len)
+{
+	struct work_in *in = in_get(c, ctx);
+	msgpack_sbuffer sb;
+	msgpack_packer pk;
+
+	if (!in)
+		return;
+	work_pack_begin(&pk, &sb, LINE_FIELDS, &in->ref);
+	msgpack_pack_uint64(&pk, in->lines++);
+	work_pack_bin(&pk, line, len);
+	work_pack_send(c, in->from, PEER_WORK_LINE, &sb);
+}
+
+static void in_on_done(struct core *c, void *ctx, const struct work_result *res)
+{
+	struct work_in *in = in_get(c, ctx);
+
+	if (!in)
+		return;
+	in_send_done(c, in->from, &in->ref, in->lines, res);
+	in_free(c, in);
+}
+
+static void in_submit(struct core *c, struct work_in *in)
+{
+	struct work_open *m = &in->open;
+	int64_t retry_after_ms = 0;
+	struct work_opts o = {
+		.cls = m->cls,
+		.kind = m->kind,
+		.service = m->service,
+		.team = m->team,
+		.method = m->method,
+		.path = m->path,
+		.body = in->body.data,
+		.body_len = in->body.len,
+		.ctype = m->ctype,
+		.idempotent = m->idempotent,
+		.deadline_ms = in->since_ms + m->left_ms,
+		.cost = m->cost,
+		.prefix = m->prefix,
+		.may_cut = m->may_cut,
+		.trace = &in->trace,
+		.on_line = m->streamed ? in_on_line : NULL,
+		.on_done = in_on_done,
+		.ctx = (void *)(uintptr_t)in->h,
+	};
+	enum err e = work_submit_from(c, &o, true, &in->work, &retry_after_ms);
+
+	if (e == ERR_OK)
+		return;
+	in_refuse(c, in->from, &in->ref, e, RUN_NO, retry_after_ms);
+	in_free(c, in);
+}
+
+static void in_take_body(struct core *c, struct work_in *in, const char *data,
+			 size_t len)
+{
+	enum err e = work_buf_add(&in->body, data, len, in->open.body_len);
+
+	if (e != ERR_OK) {
+		in_refuse(c, in->from, &in->ref, e, RUN_NO, 0);
+		in_free(c, in);
+	} else if (in->body.len == in->open.body_len) {
+		in_submit(c, in);
+	}
+}
+
+static void in_open(struct core *c, const char *from, const struct work_open *m)
+{
+	struct work_state *s = work_state(c);
+	struct work_in *in;
+	htab_handle h;
+
+	if (in_find(c, from, &m->ref))
+		return;
+	in = core_draining(c) ? NULL : htab_add(s->ins, &h);
+	if (!in) {
+		in_refuse(c, from, &m->ref, ERR_ADMIT_FULL, RUN_NO, 0);
+		return;
+	}
+	in->h = h;
+	in->ref = m->ref;
+	in->open = *m;
+	in->since_ms = core_now(c);
+	snprintf(in->from, sizeof(in->from), "%s", from);
+	trace_parse(&in->trace, m->trace);
+	in_take_body(c, in, m->chunk, m->chunk_len);
+}
+
+static void in_on_open(struct core *c, void *ctx, const char *from,
+		       const void *buf, size_t len)
+{
+	struct work_reader r;
+	struct work_open m;
+
+	if (work_open_read(&r, buf, len, &m))
+		in_open(c, from, &m);
+	else
+		log_event(EV_WORK_PEER_BAD, "from=%s message=open", from);
+	work_read_end(&r);
+}
+
+static void in_on_chunk(struct core *c, void *ctx, const char *from,
+			const void *buf, size_t len)
+{
+	struct work_reader r;
+	struct work_chunk k;
+	struct work_in *in = NULL;
+
+	if (work_read_chunk(&r, buf, len, &k))
+		in = in_find(c, from, &k.ref);
+	else
+		log_event(EV_WORK_PEER_BAD, "from=%s message=chunk", from);
+	if (in && !in->work && k.offset == in->body.len)
+		in_take_body(c, in, k.data, k.len);
+	work_read_end(&r);
+}
+
+static bool in_read_ref(const char *from, const void *buf, size_t len,
+			struct work_ref *ref)
+{
+	struct work_reader r;
+	bool ok;
+
+	work_read_begin(&r, buf, len, REF_FIELDS);
+	work_read_ref(&r, ref);
+	ok = !r.bad;
+	work_read_end(&r);
+	if (!ok)
+		log_event(EV_WORK_PEER_BAD, "from=%s message=ref", from);
+	return ok;
+}
+
+static void in_on_cancel(struct core *c, void *ctx, const char *from,
+			 const void *buf, size_t len)
+{
+	struct work_ref ref;
+	struct work_in *in;
+
+	if (!in_read_ref(from, buf, len, &ref))
+		return;
+	in = in_find(c, from, &ref);
+	if (!in)
+		return;
+	if (in->work)
+		work_cancel(c, in->work);
+	in_free(c, in);
+}
+
+/* A probe for a request that isn't held: its open or its end was lost. */
+static void in_on_probe(struct core *c, void *ctx, const char *from,
+			const void *buf, size_t len)
+{
+	struct work_ref ref;
+
+	if (in_read_ref(from, buf, len, &ref) && !in_find(c, from, &ref))
+		in_refuse(c, from, &ref, ERR_WORK_PEER_LOST, RUN_MAYBE, 0);
+}
+
+void work_peer_in_tick(struct core *c, int64_t now)
+{
+	struct work_in *in;
+	size_t iter = 0;
+
+	while ((in = htab_next(work_state(c)->ins, &iter, NULL))) {
+		if (!in->work && now - in->since_ms > IN_SWEEP_MS)
+			in_free(c, in);
+	}
+}
+
+enum err work_peer_in_start(struct core *c, struct work_state *s)
+{
+	enum err e;
+
+	s->ins = htab_new(WORK_IN_CAP, sizeof(struct work_in));
+	if (!s->ins)
+		return ERR_NOMEM;
+	e = core_peer_on(c, PEER_WORK_OPEN, in_on_open, NULL);
+	if (e == ERR_OK)
+		e = core_peer_on(c, PEER_WORK_CHUNK, in_on_chunk, NULL);
+	if (e == ERR_OK)
+		e = core_peer_on(c, PEER_WORK_CANCEL, in_on_cancel, NULL);
+	if (e == ERR_OK)
+		e = core_peer_on(c, PEER_WORK_PROBE, in_on_probe, NULL);
+	return e;
+}
+
+void work_peer_in_stop(struct work_state *s)
+{
+	struct work_in *in;
+	size_t iter = 0;
+
+	while (s->ins && (in = htab_next(s->ins, &iter, NULL)))
+		work_buf_free(&in->body);
+	htab_free(s->ins);
+}
--- /dev/null
+++ b/packages/daemon/src/work_mod_submit.c
@@ -0,0 +1,145 @@
+// Takes requests in, holds them, and ends them.
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "base/metric.h"
+#include "work_mod_int.h"
+
+static const char *work_copy(struct work *w, const char *s)
+{
+	return s ? arena_strdup(&w->arena, s) : NULL;
+}
+
+/* Copy everything that the options point to. */
+static enum err work_copy_opts(struct work *w, const struct work_opts *opts)
+{
+	struct work_opts *o = &w->o;
+
+	*o = *opts;
+	o->service = work_copy(w, opts->service ? opts->service : "");
+	o->team = work_copy(w, opts->team ? opts->team : "");
+	o->method = work_copy(w, opts->method);
+	o->path = work_copy(w, opts->path);
+	o->ctype = work_copy(w, opts->ctype ? opts->ctype : "");
+	o->idem_key = work_copy(w, opts->idem_key);
+	o->body = arena_strndup(&w->arena, opts->body, opts->body_len);
+	if (!o->service || !o->team || !o->method || !o->path || !o->body)
+		return ERR_NOMEM;
+	if (opts->avoid)
+		strncpy(w->avoid, opts->avoid, sizeof(w->avoid) - 1);
+	if (opts->trace)
+		w->trace = *opts->trace;
+	else
+		trace_parse(&w->trace, NULL);
+	return ERR_OK;
+}
+
+static void work_free(struct work *w)
+{
+	work_buf_free(&w->part);
+	arena_free(&w->arena);
+}
+
+static void work_drop(struct work_state *s, struct work *w)
+{
+	work_free(w);
+	htab_del(s->works, w->h);
+	metric_set(M_WORK_RUNNING, htab_count(s->works));
+}
+
+static struct work *work_add(struct work_state *s, const struct work_opts *opts,
+			     bool forwarded)
+{
+	htab_handle h;
+	struct work *w = htab_add(s->works, &h);
+
+	if (!w)
+		return NULL;
+	w->h = h;
+	w->id = ++s->next_id;
+	w->forwarded = forwarded;
+	arena_init(&w->arena, WORK_ARENA_LIMIT);
+	if (work_copy_opts(w, opts) != ERR_OK) {
+		work_drop(s, w);
+		return NULL;
+	}
+	attempt_init(&w->att, &(struct attempt_opts){
+				      .idempotent = opts->idempotent,
+				      .deadline_ms = opts->deadline_ms,
+			      });
+	return w;
+}
+
+enum err work_submit_from(struct core *c, const struct work_opts *opts,
+			  bool forwarded, htab_handle *h,
+			  int64_t *retry_after_ms)
+{
+	struct work_state *s = work_state(c);
+	struct work *w = work_add(s, opts, forwarded);
+	enum err e;
+
+	*retry_after_ms = ATTEMPT_RETRY_AFTER_MS;
+	if (!w)
+		return ERR_ADMIT_FULL;
+	e = work_attempt(c, w);
+	if (e != ERR_OK) {
+		*retry_after_ms = WORK_NO_SERVER_RETRY_MS;
+		work_drop(s, w);
+		return e;
+	}
+	if (h)
+		*h = w->h;
+	metric_add(M_WORK_SUBMITTED, 1);
+	metric_set(M_WORK_RUNNING, htab_count(s->works));
+	return ERR_OK;
+}
+
+enum err work_submit(struct core *c, const struct work_opts *opts,
+		     htab_handle *h, int64_t *retry_after_ms)
+{
+	return work_submit_from(c, opts, false, h, retry_after_ms);
+}
+
+void work_cancel(struct core *c, htab_handle h)
+{
+	struct work_state *s = work_state(c);
+	struct work *w = htab_get(s->works, h);
+
+	if (!w)
+		return;
+	work_attempt_cancel(c, w);
+	work_drop(s, w);
+}
+
+void work_finish(struct core *c, struct work *w, const struct work_result *res)
+{
+	struct work_state *s = work_state(c);
+	struct work done = *w;
+
+	htab_del(s->works, w->h);
+	metric_set(M_WORK_RUNNING, htab_count(s->works));
+	metric_add(res->err == ERR_OK ? M_WORK_ANSWERED : M_WORK_FAILED, 1);
+	if (res->err != ERR_OK)
+		log_event(EV_WORK_GIVEN_UP, "error=%s run=%s target=%s",
+			  err_code(res->err), run_state_name(res->run),
+			  done.target);
+	done.o.on_done(c, done.o.ctx, res);
+	work_free(&done);
+}
+
+void work_give_up(struct core *c, struct work *w, enum err e)
+{
+	bool in_flight = w->via != WORK_VIA_NONE;
+	struct attempt_step step = attempt_give_up(&w->att, in_flight, e);
+	struct work_result res = {
+		.err = step.err,
+		.run = step.run,
+		.retry_after_ms = step.retry_after_ms,
+		.ctype = "",
+		.server = "",
+	};
+
+	work_attempt_cancel(c, w);
+	work_finish(c, w, &res);
+}
