--- a/packages/conf/include/conf/conf.h
+++ b/packages/conf/include/conf/conf.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "base/err.h"
+#include "key/key.h"
 
 enum conf_field {
 #define FIELD(sym, name, unit, def, min, max, doc) sym,
@@ -45,6 +46,20 @@
 	const char *name;
 };
 
+/// A team's key as stored.
+struct conf_key {
+	struct key_record rec;
+	const char *team;
+	bool withdrawn; ///< kept for a while, so that callers are told why
+};
+
+enum {
+	CONF_DOC_MAX =
+		900 * 1024, ///< bytes; fits a KV value and a peer message
+	CONF_NAME_MAX = 63, ///< characters of a name
+	CONF_REASON_MAX = 500, ///< bytes of a reason
+};
+
 /// Parse and check a document.
 ///
 /// @param text      JSON
@@ -77,6 +92,22 @@
 /// @return team, NULL past the end
 const struct conf_team *conf_team_at(const struct conf *c, size_t i);
 
+/// Team of a name.
+///
+/// @return team, NULL if there is none
+const struct conf_team *conf_team_find(const struct conf *c, const char *name);
+
+/// Key of an id.
+///
+/// @return key, NULL if there is none
+const struct conf_key *conf_key_find(const struct conf *c, const char *id);
+
+/// The document's text.
+///
+/// @param[out] len  bytes
+/// @return JSON, owned by the snapshot
+const char *conf_text(const struct conf *c, size_t *len);
+
 /// Whether operators have the failure domain in service.
 ///
 /// @return true also for a failure domain that the document doesn't name
--- /dev/null
+++ b/packages/conf/include/conf/field.h
@@ -0,0 +1,40 @@
+// The table of fields that operators edit.
+#pragma once
+
+#include <stdbool.h>
+
+#include "conf/conf.h"
+
+enum conf_unit {
+	CONF_UNIT_COUNT,
+	CONF_UNIT_MS,
+	CONF_UNIT_PERCENT,
+	CONF_UNIT_VERSIONS,
+};
+
+struct conf_field_info {
+	const char *name;
+	enum conf_unit unit;
+	int64_t def;
+	int64_t min;
+	int64_t max;
+	const char *doc;
+};
+
+/// Row of a field.
+const struct conf_field_info *conf_field_info(enum conf_field f);
+
+/// Field of a name.
+///
+/// @return field, CONF_FIELDS if there is none
+enum conf_field conf_field_find(const char *name);
+
+/// Read a value as operators write it: a number, for durations with a unit
+/// ("500ms", "3s", "2m", "1h"; milliseconds without one).
+///
+/// @param[out] v  value in the field's unit
+/// @return ERR_OK, ERR_PARSE, or ERR_INVALID out of the field's range
+enum err conf_field_value(enum conf_field f, const char *text, int64_t *v);
+
+/// Name of a field's unit for people: "", "ms", "%" or "versions".
+const char *conf_unit_name(enum conf_unit u);
--- /dev/null
+++ b/packages/conf/src/doc.h
@@ -0,0 +1,57 @@
+// Inside of a snapshot: the JSON tree and sorted tables over it.
+#pragma once
+
+#include <jansson.h>
+
+#include "conf/conf.h"
+#include "conf/field.h"
+
+/// One exception, sorted by field, scope kind and name.
+struct doc_except {
+	enum conf_field field;
+	int kind; ///< index into doc_scope_names
+	const char *name;
+	int64_t value;
+};
+
+struct doc_domain {
+	const char *name;
+	bool in;
+};
+
+struct conf {
+	json_t *root; ///< owned; strings below point into it
+	char *text; ///< owned
+	size_t len; ///< bytes of text
+	uint64_t rev;
+	int64_t defaults[CONF_FIELDS];
+	struct doc_except *excepts;
+	size_t n_excepts;
+	size_t first[CONF_FIELDS + 1]; ///< index range of a field's exceptions
+	struct conf_route *routes; ///< sorted by name
+	size_t n_routes;
+	struct conf_team *teams; ///< sorted by name
+	size_t n_teams;
+	struct conf_key *keys; ///< sorted by id
+	size_t n_keys;
+	struct doc_domain *domains; ///< sorted by name
+	size_t n_domains;
+};
+
+enum {
+	DOC_SCOPES = 4,
+};
+
+/// Kinds of scope, the one that goes first first.
+extern const char *const doc_scope_names[DOC_SCOPES];
+
+/// Kind of a scope's name.
+///
+/// @return index, -1 if there is none
+int doc_scope_kind(const char *name);
+
+/// Build a snapshot of a tree; takes over root and text also on error.
+enum err doc_build(json_t *root, char *text, size_t len, struct conf **out);
+
+/// Whether a name may stand in a document.
+bool doc_name_ok(const char *name);
