feat(conf): keep one document in force on every node

Problem: an edit had no way to reach the daemons, nor a key to be checked. Solution: conf/sync.h is a state machine without I/O: two watchers a failure domain, the rest ask one of them each second, new documents go down a tree of pushes, and each confirmation counts from the moment of its question. The daemon's conf module feeds it with store answers and peer messages, applies edits by compare-and-swap until the outcome is known, and checks keys.

--- /dev/null
+++ b/packages/conf/src/sync_priv.h
@@ -0,0 +1,81 @@
+// State behind conf/sync.h.
+#pragma once
+
+#include "base/rng.h"
+#include "conf/sync.h"
+
+enum {
+	SYNC_NEVER = INT32_MIN, ///< a time before every other
+	SYNC_SENT = 64, ///< questions whose answers are awaited
+};
+
+struct sync_peer {
+	struct conf_sync_member m;
+	uint64_t rev;
+};
+
+struct sync_domain {
+	char name[64];
+	int64_t heard_ms; ///< when a question that was answered was asked
+	int64_t seen_ms; ///< when it last had a node in view
+	bool in_view; ///< it has a node in view now
+};
+
+/// A question on its way.
+struct sync_question {
+	uint64_t nonce; ///< 0 for a free entry
+	int64_t asked_ms;
+};
+
+struct conf_sync {
+	char node[64];
+	char domain[64];
+	const struct conf_sync_ops *ops;
+	void *ctx;
+	struct rng rng;
+	struct conf *doc;
+	int64_t fresh_ms; ///< the document was the store's newest then
+	uint64_t kv_rev; ///< to watch after
+	bool watching; ///< a watch is out
+	unsigned int watches; ///< started so far
+	int64_t watch_at; ///< when to start the next watch
+	int64_t watch_sent; ///< when the watch that is out was started
+	int64_t read_at; ///< when to read the store next, while stale
+	int64_t ask_at; ///< when to ask next
+	int64_t spread_at; ///< when to ask every failure domain next
+	unsigned int turn; ///< rotates through the watchers
+	struct sync_peer *peers; ///< sorted by id
+	size_t n_peers;
+	struct sync_domain domains[CONF_SYNC_DOMAINS_MAX];
+	size_t n_domains;
+	struct sync_question sent[SYNC_SENT];
+	size_t next_sent;
+};
+
+/// Peer of an id.
+///
+/// @return NULL if there is none
+struct sync_peer *sync_peer_find(const struct conf_sync *s, const char *id);
+
+/// Failure domain of a name.
+///
+/// @return NULL if there is none
+struct sync_domain *sync_domain_find(struct conf_sync *s, const char *name);
+
+/// Whether a node is among the watchers of its failure domain, as seen here.
+bool sync_is_watcher(const struct conf_sync *s, const char *id,
+		     const char *domain);
+
+/// Push the document down the tree of the own failure domain.
+///
+/// @param from_kv  it came from the store, so the tree's root has to be told
+void sync_push(struct conf_sync *s, bool from_kv);
+
+/// Ask one peer.
+void sync_ask(struct conf_sync *s, int64_t now, const char *to);
+
+/// Ask one member of each failure domain.
+void sync_ask_domains(struct conf_sync *s, int64_t now);
+
+/// Ask a watcher of the own failure domain, another one each time.
+void sync_ask_watcher(struct conf_sync *s, int64_t now);
--- a/packages/daemon/include/daemon/conf_mod.h
+++ b/packages/daemon/include/daemon/conf_mod.h
@@ -1,18 +1,9 @@
 // The configuration in force on this node, and key checks.
 #pragma once
 
+#include "conf/sync.h"
 #include "core/core.h"
 
-struct conf;
-struct conf_route;
-
-enum conf_fresh {
-	CONF_NONE, ///< no document yet: nothing keyed is served
-	CONF_FRESH, ///< contact with the KV, own or through a peer
-	CONF_KV_DOWN, ///< every failure domain is heard and none has contact
-	CONF_CUT_OFF, ///< some failure domain is unheard and there is no contact
-};
-
 /// Document in force; valid until the next event.
 ///
 /// @return snapshot, NULL before the first
@@ -31,6 +22,21 @@
 enum err conf_mod_auth(struct core *c, const struct conf_route *route,
 		       const char *bearer, char *team, size_t len);
 
-/// Call fn on every new document, after it came into force.
+/// Id of a caller's key, to check again later; the key itself isn't kept.
+///
+/// @param bearer   key, may be NULL
+/// @param[out] id  KEY_ID_LEN + 1 bytes, "" if there is none
+void conf_mod_key_id(const char *bearer, char *id);
+
+/// Check again whether work that was let in by a key may start or go on.
+///
+/// @param route  route of the current document, NULL if it was removed
+/// @param id     id of the key, "" for none
+/// @return as conf_mod_auth()
+enum err conf_mod_key_ok(struct core *c, const struct conf_route *route,
+			 const char *id);
+
+/// Call fn on every new document, after it came into force, and when keyed
+/// work begins or ends to be refused because the node is cut off.
 enum err conf_mod_on_change(struct core *c,
 			    void (*fn)(struct core *c, void *ctx), void *ctx);
--- a/packages/daemon/src/conf_mod.c
+++ b/packages/daemon/src/conf_mod.c
@@ -1,15 +1,186 @@
-// Module conf.
+// Module conf: keeps the document in force and tells the other modules.
 #include "daemon/conf_mod.h"
 
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/log.h"
+#include "base/metric.h"
+#include "conf_mod_priv.h"
 #include "daemon/mods.h"
 
+static const char *const fresh_names[] = {
+	[CONF_NONE] = "none",
+	[CONF_FRESH] = "fresh",
+	[CONF_KV_DOWN] = "kv-down",
+	[CONF_CUT_OFF] = "cut-off",
+};
+
+struct conf_mod *conf_mod_of(const struct core *c)
+{
+	return core_mod_state(c, MOD_CONF);
+}
+
+const struct conf *conf_mod_current(struct core *c)
+{
+	struct conf_mod *m = conf_mod_of(c);
+
+	return m ? conf_sync_doc(m->sync) : NULL;
+}
+
+enum conf_fresh conf_mod_fresh(struct core *c)
+{
+	struct conf_mod *m = conf_mod_of(c);
+
+	return m ? conf_sync_fresh(m->sync, core_now(c)) : CONF_NONE;
+}
+
+enum err conf_mod_on_change(struct core *c,
+			    void (*fn)(struct core *c, void *ctx), void *ctx)
+{
+	struct conf_mod *m = conf_mod_of(c);
+
+	if (!m || m->n_listeners == CONF_MOD_LISTENERS)
+		return ERR_FULL;
+	m->listeners[m->n_listeners].fn = fn;
+	m->listeners[m->n_listeners++].ctx = ctx;
+	return ERR_OK;
+}
+
+void conf_mod_notify(struct conf_mod *m)
+{
+	for (size_t i = 0; i < m->n_listeners; i++)
+		m->listeners[i].fn(m->c, m->listeners[i].ctx);
+}
+
+static void on_changed(void *ctx)
+{
+	struct conf_mod *m = ctx;
+	uint64_t rev = conf_rev(conf_sync_doc(m->sync));
+
+	metric_set(M_CONF_REV, rev);
+	log_event(EV_CONF_IN_FORCE, "rev=%llu", (unsigned long long)rev);
+	conf_mod_notify(m);
+}
+
+static void on_bad(void *ctx, const char *from, enum err e)
+{
+	metric_add(M_CONF_BAD, 1);
+	log_event(EV_CONF_BAD, "from=%s err=%s", from, err_code(e));
+}
+
+static void on_send(void *ctx, const char *to, const struct conf_msg *msg)
+{
+	conf_mod_peer_send(ctx, to, msg);
+}
+
+static const struct conf_sync_ops sync_ops = {
+	.watch = conf_mod_kv_watch,
+	.read = conf_mod_kv_read,
+	.send = on_send,
+	.changed = on_changed,
+	.bad = on_bad,
+};
+
+static void conf_mod_free(struct conf_mod *m)
+{
+	conf_sync_free(m->sync);
+	conf_mod_edit_stop(m);
+	free(m);
+}
+
 static enum err conf_start(struct core *c, void **state)
 {
-	*state = NULL;
+	struct conf_mod *m = calloc(1, sizeof(*m));
+	struct conf_sync_opts opts = {
+		.node = core_node(c),
+		.domain = core_domain(c),
+		.ops = &sync_ops,
+		.ctx = m,
+	};
+	const char *run = core_incarnation(c);
+	enum err e;
+
+	if (!m)
+		return ERR_NOMEM;
+	opts.seed = XXH64(run, strlen(run), 0);
+	m->c = c;
+	e = conf_sync_new(&opts, &m->sync);
+	if (e)
+		goto fail;
+	e = conf_mod_edit_start(m);
+	if (e)
+		goto fail;
+	e = conf_mod_peer_start(m);
+	if (e)
+		goto fail;
+	e = conf_mod_admin_start(m);
+	if (e)
+		goto fail;
+	*state = m;
 	return ERR_OK;
+fail:
+	conf_mod_free(m);
+	return e;
+}
+
+static void fresh_changed(struct conf_mod *m, enum conf_fresh fresh)
+{
+	bool refused = m->fresh == CONF_CUT_OFF;
+
+	m->fresh = fresh;
+	log_event(EV_CONF_FRESH, "state=%s", fresh_names[fresh]);
+	if (refused != (fresh == CONF_CUT_OFF))
+		conf_mod_notify(m);
+}
+
+static void conf_tick(struct core *c, void *state, int64_t now)
+{
+	struct conf_mod *m = state;
+	enum conf_fresh fresh;
+	int64_t age;
+
+	conf_mod_view(m);
+	conf_sync_tick(m->sync, now);
+	conf_mod_edit_tick(m, now);
+	fresh = conf_sync_fresh(m->sync, now);
+	if (fresh != m->fresh)
+		fresh_changed(m, fresh);
+	age = conf_sync_age(m->sync, now);
+	metric_set(M_CONF_AGE, age < 0 ? 0 : (uint64_t)age);
+}
+
+static bool conf_ready(struct core *c, void *state)
+{
+	return conf_mod_current(c) != NULL;
+}
+
+static void conf_status(struct core *c, void *state, struct json_t *obj)
+{
+	struct conf_mod *m = state;
+	const struct conf *doc = conf_sync_doc(m->sync);
+	json_t *part = json_pack(
+		"{s:I,s:s,s:I,s:b}", "rev",
+		(json_int_t)(doc ? conf_rev(doc) : 0), "contact",
+		fresh_names[conf_sync_fresh(m->sync, core_now(c))], "age_ms",
+		(json_int_t)conf_sync_age(m->sync, core_now(c)), "watcher",
+		(int)conf_sync_watcher(m->sync));
+
+	json_object_set_new(obj, "conf", part);
+}
+
+static void conf_stop(struct core *c, void *state)
+{
+	conf_mod_free(state);
 }
 
 const struct core_mod_ops conf_mod_ops = {
 	.name = "conf",
 	.start = conf_start,
+	.tick = conf_tick,
+	.ready = conf_ready,
+	.status = conf_status,
+	.stop = conf_stop,
 };
--- /dev/null
+++ b/packages/daemon/src/conf_mod_auth.c
@@ -0,0 +1,102 @@
+// Which team a request runs for, and whether its key is still good.
+#include <stdio.h>
+
+#include "base/metric.h"
+#include "conf_mod_priv.h"
+#include "key/key.h"
+
+#include <string.h>
+
+static bool team_allowed(const struct conf_route *route, const char *team)
+{
+	if (!route->teams)
+		return true;
+	for (size_t i = 0; i < route->n_teams; i++) {
+		if (strcmp(route->teams[i], team) == 0)
+			return true;
+	}
+	return false;
+}
+
+/// Whether keyed work on a route may go on with what is known of keys.
+static enum err contact_ok(struct core *c, const struct conf_route *route)
+{
+	switch (conf_mod_fresh(c)) {
+	case CONF_NONE:
+		return ERR_CONF_NONE;
+	case CONF_CUT_OFF:
+		return route->keep_cut_off ? ERR_OK : ERR_CONF_CUT_OFF;
+	default:
+		return ERR_OK;
+	}
+}
+
+static enum err key_ok(const struct conf *doc, const struct conf_route *route,
+		       const char *id, const struct conf_key **out)
+{
+	const struct conf_key *k = conf_key_find(doc, id);
+
+	*out = k;
+	if (!k)
+		return ERR_KEY_UNKNOWN;
+	if (k->withdrawn)
+		return ERR_KEY_WITHDRAWN;
+	if (!conf_team_find(doc, k->team) || !team_allowed(route, k->team))
+		return ERR_KEY_TEAM;
+	return ERR_OK;
+}
+
+static enum err auth(struct core *c, const struct conf_route *route,
+		     const char *bearer, const struct conf_key **key)
+{
+	const struct conf *doc = conf_mod_current(c);
+	char id[KEY_ID_LEN + 1];
+	enum err e;
+
+	*key = NULL;
+	if (!doc)
+		return ERR_CONF_NONE;
+	if (route->open && !bearer)
+		return ERR_OK;
+	e = key_id(bearer, id);
+	if (e)
+		return e;
+	e = key_ok(doc, route, id, key);
+	if (*key && !key_check(&(*key)->rec, bearer))
+		return ERR_KEY_UNKNOWN;
+	return e ? e : contact_ok(c, route);
+}
+
+enum err conf_mod_auth(struct core *c, const struct conf_route *route,
+		       const char *bearer, char *team, size_t len)
+{
+	const struct conf_key *key;
+	enum err e = auth(c, route, bearer, &key);
+
+	snprintf(team, len, "%s", !e && key ? key->team : "");
+	if (e)
+		metric_add(M_KEY_REFUSED, 1);
+	return e;
+}
+
+void conf_mod_key_id(const char *bearer, char *id)
+{
+	key_id(bearer, id);
+}
+
+enum err conf_mod_key_ok(struct core *c, const struct conf_route *route,
+			 const char *id)
+{
+	const struct conf *doc = conf_mod_current(c);
+	const struct conf_key *key;
+	enum err e;
+
+	if (!doc)
+		return ERR_CONF_NONE;
+	if (!route)
+		return ERR_NOT_FOUND;
+	if (!*id)
+		return route->open ? ERR_OK : ERR_KEY_MISSING;
+	e = key_ok(doc, route, id, &key);
+	return e ? e : contact_ok(c, route);
+}
