--- /dev/null
+++ b/programs/catkinctl/call.c
@@ -0,0 +1,80 @@
+// Calls to the nodes' admin listeners, the next node when one is silent.
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ctl.h"
+
+enum {
+	CONNECT_MS = 1000,
+	CALL_MS = 8000,
+};
+
+struct buf {
+	char *data;
+	size_t len;
+};
+
+static size_t on_body(char *p, size_t size, size_t n, void *ctx)
+{
+	struct buf *b = ctx;
+	char *data = realloc(b->data, b->len + size * n + 1);
+
+	if (!data)
+		return 0;
+	b->data = data;
+	memcpy(data + b->len, p, size * n);
+	b->len += size * n;
+	data[b->len] = '\0';
+	return size * n;
+}
+
+static CURLcode call_one(const char *url, const char *method, const char *body,
+			 struct buf *b, long *status)
+{
+	CURL *h = curl_easy_init();
+	CURLcode rc;
+
+	if (!h)
+		return CURLE_FAILED_INIT;
+	curl_easy_setopt(h, CURLOPT_URL, url);
+	curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, method);
+	curl_easy_setopt(h, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_MS);
+	curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, (long)CALL_MS);
+	curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(h, CURLOPT_WRITEDATA, b);
+	if (body)
+		curl_easy_setopt(h, CURLOPT_POSTFIELDS, body);
+	rc = curl_easy_perform(h);
+	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, status);
+	curl_easy_cleanup(h);
+	return rc;
+}
+
+void ctl_call(const struct ctl *ctl, const char *method, const char *path,
+	      const json_t *body, struct ctl_answer *out)
+{
+	char *text = body ? json_dumps(body, JSON_COMPACT) : NULL;
+
+	memset(out, 0, sizeof(*out));
+	for (int i = 0; i < ctl->n_nodes && out->status == 0; i++) {
+		struct buf b = {NULL, 0};
+		long status = 0;
+		char url[512];
+		CURLcode rc;
+
+		snprintf(url, sizeof(url), "%s%s", ctl->nodes[i], path);
+		rc = call_one(url, method, text, &b, &status);
+		if (rc == CURLE_OK) {
+			out->status = (int)status;
+			out->body = json_loadb(b.data ? b.data : "", b.len, 0,
+					       NULL);
+		}
+		out->sent |= rc != CURLE_COULDNT_CONNECT &&
+			     rc != CURLE_COULDNT_RESOLVE_HOST;
+		free(b.data);
+	}
+	free(text);
+}
