feat(platform): call the key-value store with exact outcomes

*Problem:* Modules need the store's calls, and the truth about a write whose answer never came. *Solution:* platform_mod over core_fetch behind a table of encode and decode functions: ERR_KV_UNKNOWN whenever a byte may have left or the answer makes no sense, ERR_KV_DOWN only if none did. Contact counts from the start of a call: an answer that lay unread through a pause would else look fresh. After a failed call the next one takes a new connection.

--- a/packages/daemon/include/daemon/platform_mod.h
+++ b/packages/daemon/include/daemon/platform_mod.h
@@ -11,11 +11,14 @@
 };
 
 struct kv_result {
-	enum err err; ///< ERR_OK; ERR_KV_CONFLICT; ERR_NOT_FOUND;
-		///< ERR_KV_UNKNOWN: the call may have taken effect
+	enum err err; ///< ERR_OK; ERR_KV_CONFLICT; ERR_NOT_FOUND; ERR_KV_LEASE;
+		///< ERR_KV_UNKNOWN: the call may have taken effect;
+		///< ERR_KV_DOWN: it surely did not
 	uint64_t rev; ///< store's revision, or that of the key after a put
 	const struct kv_item *items;
 	size_t n_items;
+	const char *const *deleted; ///< keys that a watch saw go
+	size_t n_deleted;
 	uint64_t lease; ///< of kv_lease_grant()
 	int64_t ttl_ms; ///< of grant and renew, counted from core_now() at the call
 };
@@ -51,7 +54,9 @@
 enum err kv_lease_renew(struct core *c, uint64_t lease, struct kv_cb cb);
 enum err kv_lease_revoke(struct core *c, uint64_t lease, struct kv_cb cb);
 
-/// Last time a KV call of this node was answered.
+/// Latest time from which the store was surely heard: the start of a call that
+/// it answered, or the end of the wait of a watch that ended with no items. An
+/// answer that lay unread while the process was paused doesn't count as new.
 ///
 /// @return clock_now_ms() time, 0 for never
 int64_t kv_last_contact(struct core *c);
--- a/packages/daemon/src/platform_mod.c
+++ b/packages/daemon/src/platform_mod.c
@@ -1,15 +1,251 @@
-// Module platform.
+// Calls to the platform's key-value store, with the exact truth of each outcome.
 #include "daemon/platform_mod.h"
 
+#include <stdlib.h>
+
+#include "base/metric.h"
+#include "core/settings.h"
 #include "daemon/mods.h"
+#include "platform_wire.h"
+
+enum {
+	PLATFORM_CALLS = 1024, ///< calls at once
+	PLATFORM_BODY_MAX = 64 << 20, ///< bytes of a list
+};
+
+struct platform {
+	const struct kv_wire_ops *wire;
+	struct htab *calls;
+	int64_t contact_ms; ///< see kv_last_contact()
+	bool fresh; ///< the last call failed: don't trust old connections
+};
+
+struct platform_call {
+	struct kv_call call;
+	struct kv_cb cb;
+	struct arena arena;
+	int64_t start_ms;
+};
+
+static struct platform *platform_of(const struct core *c)
+{
+	return core_mod_state(c, MOD_PLATFORM);
+}
 
 static enum err platform_start(struct core *c, void **state)
 {
-	*state = NULL;
+	struct platform *p = calloc(1, sizeof(*p));
+
+	if (!p)
+		return ERR_NOMEM;
+	p->wire = &kv_wire_json;
+	p->calls = htab_new(PLATFORM_CALLS, sizeof(struct platform_call *));
+	if (!p->calls) {
+		free(p);
+		return ERR_NOMEM;
+	}
+	*state = p;
+	return ERR_OK;
+}
+
+static void platform_call_free(struct platform_call *pc)
+{
+	arena_free(&pc->arena);
+	free(pc);
+}
+
+static void platform_stop(struct core *c, void *state)
+{
+	struct platform *p = state;
+	size_t iter = 0;
+	struct platform_call **pc;
+
+	while ((pc = htab_next(p->calls, &iter, NULL)))
+		platform_call_free(*pc);
+	htab_free(p->calls);
+	free(p);
+}
+
+int64_t kv_last_contact(struct core *c)
+{
+	return platform_of(c)->contact_ms;
+}
+
+/* Latest time at which the store surely was there to answer. */
+static int64_t platform_heard(const struct platform_call *pc,
+			      const struct kv_result *res)
+{
+	if (pc->call.op == KV_WATCH && res->err == ERR_OK &&
+	    res->n_items == 0 && res->n_deleted == 0)
+		return pc->start_ms + pc->call.ms;
+	return pc->start_ms;
+}
+
+static void platform_note(struct platform *p, const struct platform_call *pc,
+			  const struct kv_result *res)
+{
+	int64_t heard = platform_heard(pc, res);
+
+	p->fresh = res->err == ERR_KV_UNKNOWN || res->err == ERR_KV_DOWN;
+	if (p->fresh)
+		metric_add(M_KV_FAILED, 1);
+	else if (heard > p->contact_ms)
+		p->contact_ms = heard;
+}
+
+static void platform_done(struct core *c, void *ctx,
+			  const struct core_fetch_result *fetch)
+{
+	struct platform *p = platform_of(c);
+	htab_handle h = (htab_handle)(uintptr_t)ctx;
+	struct platform_call **slot = htab_get(p->calls, h);
+	struct platform_call *pc = *slot;
+	struct kv_result res = {
+		.err = fetch->sent ? ERR_KV_UNKNOWN : ERR_KV_DOWN,
+	};
+
+	htab_del(p->calls, h);
+	if (fetch->err == ERR_OK)
+		p->wire->decode(&pc->call, fetch->status, fetch->body,
+				fetch->body_len, &pc->arena, &res);
+	platform_note(p, pc, &res);
+	pc->cb.fn(c, pc->cb.ctx, &res);
+	platform_call_free(pc);
+}
+
+static enum err platform_fetch(struct core *c, struct platform_call *pc,
+			       htab_handle h)
+{
+	static const char *const headers[] = {"Content-Type: application/json",
+					      NULL};
+	const struct settings *s = core_settings(c);
+	struct platform *p = platform_of(c);
+	struct kv_wire_req req;
+	enum err e = p->wire->encode(&pc->call, settings_str(s, S_PLATFORM_URL),
+				     &pc->arena, &req);
+	struct core_fetch_opts opts = {
+		.headers = headers,
+		.timeout_ms = settings_int(s, S_PLATFORM_TIMEOUT),
+		.max_body = PLATFORM_BODY_MAX,
+		.fresh = p->fresh,
+		.on_done = platform_done,
+		.ctx = (void *)(uintptr_t)h,
+	};
+
+	if (e != ERR_OK)
+		return e;
+	if (pc->call.op == KV_WATCH)
+		opts.timeout_ms += pc->call.ms;
+	opts.method = req.method;
+	opts.url = req.url;
+	opts.body = req.body;
+	opts.body_len = req.len;
+	return core_fetch(c, &opts, NULL);
+}
+
+static enum err platform_call(struct core *c, const struct kv_call *call,
+			      struct kv_cb cb)
+{
+	struct platform *p = platform_of(c);
+	struct platform_call *pc = calloc(1, sizeof(*pc));
+	struct platform_call **slot;
+	htab_handle h;
+	enum err e = ERR_FULL;
+
+	if (!pc)
+		return ERR_NOMEM;
+	slot = htab_add(p->calls, &h);
+	if (!slot)
+		goto err_slot;
+	*slot = pc;
+	pc->call = *call;
+	pc->cb = cb;
+	pc->start_ms = core_now(c);
+	arena_init(&pc->arena, 0);
+	e = platform_fetch(c, pc, h);
+	if (e != ERR_OK)
+		goto err_fetch;
+	metric_add(M_KV_CALLS, 1);
+	/* The caller's key and value are gone after this. */
+	pc->call.key = NULL;
+	pc->call.value = NULL;
 	return ERR_OK;
+
+err_fetch:
+	htab_del(p->calls, h);
+err_slot:
+	platform_call_free(pc);
+	return e;
+}
+
+enum err kv_get(struct core *c, const char *key, struct kv_cb cb)
+{
+	const struct kv_call call = {.op = KV_GET, .key = key};
+
+	return platform_call(c, &call, cb);
+}
+
+enum err kv_list(struct core *c, const char *prefix, struct kv_cb cb)
+{
+	const struct kv_call call = {.op = KV_LIST, .key = prefix};
+
+	return platform_call(c, &call, cb);
+}
+
+enum err kv_put(struct core *c, const struct kv_put_opts *opts, struct kv_cb cb)
+{
+	const struct kv_call call = {
+		.op = KV_PUT,
+		.key = opts->key,
+		.value = opts->value,
+		.len = opts->len,
+		.rev = opts->prev_rev,
+		.lease = opts->lease,
+	};
+
+	return platform_call(c, &call, cb);
+}
+
+enum err kv_del(struct core *c, const char *key, uint64_t prev_rev,
+		struct kv_cb cb)
+{
+	const struct kv_call call = {.op = KV_DEL, .key = key, .rev = prev_rev};
+
+	return platform_call(c, &call, cb);
+}
+
+enum err kv_watch(struct core *c, const char *prefix, uint64_t after,
+		  int64_t wait_ms, struct kv_cb cb)
+{
+	const struct kv_call call = {
+		.op = KV_WATCH, .key = prefix, .rev = after, .ms = wait_ms};
+
+	return platform_call(c, &call, cb);
+}
+
+enum err kv_lease_grant(struct core *c, int64_t ttl_ms, struct kv_cb cb)
+{
+	const struct kv_call call = {.op = KV_GRANT, .ms = ttl_ms};
+
+	return platform_call(c, &call, cb);
+}
+
+enum err kv_lease_renew(struct core *c, uint64_t lease, struct kv_cb cb)
+{
+	const struct kv_call call = {.op = KV_RENEW, .lease = lease};
+
+	return platform_call(c, &call, cb);
+}
+
+enum err kv_lease_revoke(struct core *c, uint64_t lease, struct kv_cb cb)
+{
+	const struct kv_call call = {.op = KV_REVOKE, .lease = lease};
+
+	return platform_call(c, &call, cb);
 }
 
 const struct core_mod_ops platform_mod_ops = {
 	.name = "platform",
 	.start = platform_start,
+	.stop = platform_stop,
 };
