feat(fleet): keep the platform's VM list on each node

*Problem:* Routing needs the VMs, the list lags, and the platform has outages. *Solution:* fleet_mod polls GET /vms; the last list stays in an outage.

--- a/packages/daemon/include/daemon/fleet_mod.h
+++ b/packages/daemon/include/daemon/fleet_mod.h
@@ -35,3 +35,7 @@
 
 /// Number that changes whenever the list does.
 uint64_t fleet_mod_gen(struct core *c);
+
+/// Take a backend server as leaving before the list says so, for instance when
+/// it said so itself.
+void fleet_mod_leaving(struct core *c, const char *id);
--- a/packages/daemon/src/fleet_mod.c
+++ b/packages/daemon/src/fleet_mod.c
@@ -1,15 +1,152 @@
-// Module fleet.
+// Polls the platform's VM list. In an outage the last list stays.
 #include "daemon/fleet_mod.h"
 
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "base/metric.h"
+#include "core/settings.h"
 #include "daemon/mods.h"
+#include "fleet_list.h"
+#include "fleet_wire.h"
+
+enum {
+	FLEET_URL_MAX = 320,
+	FLEET_BODY_MAX = 8 << 20, ///< bytes
+};
+
+struct fleet {
+	const struct fleet_wire_ops *wire;
+	struct fleet_list list;
+	int64_t next_ms; ///< next poll
+	int64_t heard_ms; ///< last list taken, 0 for none
+	bool polling; ///< a poll is under way
+	bool failing; ///< the last poll failed
+};
+
+static struct fleet *fleet_of(const struct core *c)
+{
+	return core_mod_state(c, MOD_FLEET);
+}
+
+const struct fleet_vm *fleet_mod_vms(struct core *c, size_t *n)
+{
+	const struct fleet_list *l = &fleet_of(c)->list;
+
+	*n = l->n;
+	return l->vms;
+}
+
+uint64_t fleet_mod_gen(struct core *c)
+{
+	return fleet_of(c)->list.gen;
+}
+
+void fleet_mod_leaving(struct core *c, const char *id)
+{
+	fleet_list_leaving(&fleet_of(c)->list, id, core_now(c));
+}
+
+static enum err fleet_take(struct core *c, struct fleet *f,
+			   const struct core_fetch_result *res)
+{
+	struct fleet_vm *vms = NULL;
+	size_t n, bad = 0;
+	enum err e = res->err;
+
+	if (e == ERR_OK && res->status != 200)
+		e = ERR_KV_UNKNOWN;
+	if (e == ERR_OK)
+		e = f->wire->vms_decode(res->body, res->body_len, &vms, &n,
+					&bad);
+	if (e == ERR_OK)
+		e = fleet_list_merge(&f->list, vms, n, core_now(c));
+	if (bad > 0)
+		log_event(EV_FLEET_BAD_ROWS, "rows=%zu", bad);
+	free(vms);
+	return e;
+}
+
+static void fleet_polled(struct core *c, void *ctx,
+			 const struct core_fetch_result *res)
+{
+	struct fleet *f = ctx;
+	enum err e = fleet_take(c, f, res);
+
+	f->polling = false;
+	if (e == ERR_OK)
+		f->heard_ms = core_now(c);
+	else if (!f->failing)
+		log_event(EV_FLEET_LIST_LOST, "err=%s kept=%zu", err_code(e),
+			  f->list.n);
+	f->failing = e != ERR_OK;
+	metric_set(M_FLEET_VMS, f->list.n);
+}
+
+static void fleet_poll(struct core *c, struct fleet *f)
+{
+	const struct settings *s = core_settings(c);
+	char url[FLEET_URL_MAX];
+	const struct core_fetch_opts opts = {
+		.method = "GET",
+		.url = url,
+		.timeout_ms = settings_int(s, S_PLATFORM_TIMEOUT),
+		.max_body = FLEET_BODY_MAX,
+		.fresh = f->failing,
+		.on_done = fleet_polled,
+		.ctx = f,
+	};
+
+	snprintf(url, sizeof(url), "%s%s", settings_str(s, S_PLATFORM_URL),
+		 f->wire->vms_path);
+	f->polling = core_fetch(c, &opts, NULL) == ERR_OK;
+}
 
 static enum err fleet_start(struct core *c, void **state)
 {
-	*state = NULL;
+	struct fleet *f = calloc(1, sizeof(*f));
+
+	if (!f)
+		return ERR_NOMEM;
+	f->wire = &fleet_wire_json;
+	*state = f;
 	return ERR_OK;
 }
 
+static void fleet_tick(struct core *c, void *state, int64_t now_ms)
+{
+	struct fleet *f = state;
+
+	if (f->polling || now_ms < f->next_ms)
+		return;
+	f->next_ms =
+		now_ms + settings_int(core_settings(c), S_PLATFORM_VM_POLL);
+	fleet_poll(c, f);
+}
+
+static void fleet_status(struct core *c, void *state, json_t *obj)
+{
+	const struct fleet *f = state;
+	json_int_t age = f->heard_ms ? core_now(c) - f->heard_ms : -1;
+
+	json_object_set_new(obj, "vms", json_integer((json_int_t)f->list.n));
+	json_object_set_new(obj, "list_age_ms", json_integer(age));
+}
+
+static void fleet_stop(struct core *c, void *state)
+{
+	struct fleet *f = state;
+
+	fleet_list_free(&f->list);
+	free(f);
+}
+
 const struct core_mod_ops fleet_mod_ops = {
 	.name = "fleet",
 	.start = fleet_start,
+	.tick = fleet_tick,
+	.status = fleet_status,
+	.stop = fleet_stop,
 };
--- /dev/null
+++ b/packages/daemon/src/fleet_wire_json.c
@@ -0,0 +1,96 @@
+// The VM list as JSON.
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet_list.h"
+#include "fleet_wire.h"
+
+static bool wire_copy(char *to, size_t size, const json_t *obj,
+		      const char *name)
+{
+	const char *s = json_string_value(json_object_get(obj, name));
+	size_t len = s ? strlen(s) : 0;
+
+	if (len >= size)
+		return false;
+	memcpy(to, s ? s : "", len + 1);
+	return true;
+}
+
+/* Index of a word in a list, -1 if it is none of them. */
+static int wire_word(const json_t *obj, const char *name,
+		     const char *const words[], int n)
+{
+	const char *s = json_string_value(json_object_get(obj, name));
+
+	for (int i = 0; s && i < n; i++) {
+		if (strcmp(words[i], s) == 0)
+			return i;
+	}
+	return -1;
+}
+
+static bool wire_vm(const json_t *obj, struct fleet_vm *vm)
+{
+	static const char *const kinds[] = {
+		[VM_ENTRY] = "entry",
+		[VM_ENGINE] = "engine",
+		[VM_SERVICE] = "service",
+	};
+	static const char *const states[] = {
+		[VM_STARTING] = "starting",
+		[VM_LIVE] = "live",
+		[VM_LEAVING] = "leaving",
+	};
+	int kind = wire_word(obj, "kind", kinds, 3);
+	int state = wire_word(obj, "state", states, 3);
+
+	if (kind < 0 || state < 0)
+		return false;
+	memset(vm, 0, sizeof(*vm));
+	vm->kind = (enum vm_kind)kind;
+	vm->state = (enum vm_state)state;
+	vm->cheap = json_is_true(json_object_get(obj, "cheap"));
+	return wire_copy(vm->id, sizeof(vm->id), obj, "id") && *vm->id &&
+	       wire_copy(vm->addr, sizeof(vm->addr), obj, "addr") &&
+	       wire_copy(vm->domain, sizeof(vm->domain), obj, "domain") &&
+	       wire_copy(vm->service, sizeof(vm->service), obj, "service");
+}
+
+static enum err wire_rows(const json_t *arr, struct fleet_vm **vms, size_t *n,
+			  size_t *bad)
+{
+	size_t count = json_array_size(arr);
+	struct fleet_vm *rows;
+
+	if (!json_is_array(arr))
+		return ERR_PARSE;
+	if (count > FLEET_VMS_MAX)
+		return ERR_TOO_LARGE;
+	rows = calloc(count + 1, sizeof(*rows));
+	if (!rows)
+		return ERR_NOMEM;
+	*n = 0;
+	for (size_t i = 0; i < count; i++)
+		*n += wire_vm(json_array_get(arr, i), &rows[*n]);
+	*bad = count - *n;
+	*vms = rows;
+	return ERR_OK;
+}
+
+static enum err json_vms_decode(const char *body, size_t len,
+				struct fleet_vm **vms, size_t *n, size_t *bad)
+{
+	json_t *obj = json_loadb(body, len, 0, NULL);
+	enum err e = wire_rows(json_object_get(obj, "vms"), vms, n, bad);
+
+	json_decref(obj);
+	return e;
+}
+
+const struct fleet_wire_ops fleet_wire_json = {
+	.name = "json",
+	.vms_path = "/vms",
+	.vms_decode = json_vms_decode,
+};
