--- a/packages/base/src/packed.c
+++ b/packages/base/src/packed.c
@@ -96,8 +96,7 @@
 		if (len == 0)
 			return false;
 		h = head_of(p, len);
-		if (h.bytes == 0 || h.bytes > len ||
-		    h.children > len - h.bytes)
+		if (h.bytes == 0 || h.bytes > len || h.children > len - h.bytes)
 			return false;
 		todo[depth]--;
 		p += h.bytes;
--- a/packages/core/include/core/core.h
+++ b/packages/core/include/core/core.h
@@ -84,6 +84,11 @@
 /// Register a handler; call from a module's start().
 enum err core_route(struct core *c, const struct core_route_opts *opts);
 
+/// Register a handler that is still called after SIGTERM; those of
+/// core_route() are then refused as draining.
+enum err core_route_draining(struct core *c,
+			     const struct core_route_opts *opts);
+
 /// Request of a handle.
 ///
 /// @return request, NULL once answered or aborted
@@ -161,7 +166,12 @@
 /// Forget a peer and close its connection.
 void core_peer_del(struct core *c, const char *node);
 
-/// Send a message, copied; delivery is not promised.
+/// Use a new connection to a peer: the old one may be dead at one end. For
+/// modules whose messages stay without an answer.
+void core_peer_reset(struct core *c, const char *node);
+
+/// Send a message, copied; delivery is not promised. The body must be one
+/// msgpack object; the other side refuses anything else.
 ///
 /// @return ERR_NOT_FOUND for an unknown peer, ERR_FULL
 enum err core_peer_send(struct core *c, const char *node,
--- a/packages/core/include/core/core_defs.h
+++ b/packages/core/include/core/core_defs.h
@@ -43,7 +43,6 @@
 	enum core_listener listener;
 	const char *method; ///< "GET", "POST", ...; NULL for any
 	const char *prefix; ///< longest matching prefix of the path wins
-	bool while_draining; ///< still served after SIGTERM
 	void (*fn)(struct core *c, struct core_req *r, void *ctx);
 	void *ctx;
 };
--- a/packages/core/src/core.h
+++ b/packages/core/src/core.h
@@ -77,6 +77,7 @@
 	struct htab *reqs; ///< struct req_entry
 	struct htab *fetches; ///< struct fetch_entry
 	struct core_route_opts routes[CORE_ROUTES];
+	bool route_draining[CORE_ROUTES]; ///< still served after SIGTERM
 	size_t n_routes;
 	struct peer_handler peer_handlers[CORE_PEER_TYPES];
 	struct core_peer *peers;
--- a/packages/core/src/peers.c
+++ b/packages/core/src/peers.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/metric.h"
+#include "base/packed.h"
 #include "core.h"
 
 static struct core_peer *peer_find(const struct core *c, const char *node)
@@ -63,6 +64,14 @@
 	*p = c->peers[--c->n_peers];
 }
 
+void core_peer_reset(struct core *c, const char *node)
+{
+	const struct core_peer *p = peer_find(c, node);
+
+	if (p)
+		c->opts.peer->add(c->peer, p->node, p->addr);
+}
+
 enum err core_peer_send(struct core *c, const char *node,
 			enum core_peer_msg type, const void *buf, size_t len)
 {
@@ -88,7 +97,7 @@
 
 	if (m->type < CORE_PEER_TYPES)
 		h = c->peer_handlers[m->type];
-	if (h.fn)
+	if (h.fn && packed_ok(m->data, m->len))
 		h.fn(c, h.ctx, m->from, m->data, m->len);
 	else
 		metric_add(M_PEER_MALFORMED, 1);
--- a/packages/core/src/req.c
+++ b/packages/core/src/req.c
@@ -36,14 +36,26 @@
 	return http_req_query(((const struct req_entry *)r)->http, name);
 }
 
-enum err core_route(struct core *c, const struct core_route_opts *opts)
+static enum err route_add(struct core *c, const struct core_route_opts *opts,
+			  bool draining)
 {
 	if (c->n_routes == CORE_ROUTES)
 		return ERR_FULL;
+	c->route_draining[c->n_routes] = draining;
 	c->routes[c->n_routes++] = *opts;
 	return ERR_OK;
 }
 
+enum err core_route(struct core *c, const struct core_route_opts *opts)
+{
+	return route_add(c, opts, false);
+}
+
+enum err core_route_draining(struct core *c, const struct core_route_opts *opts)
+{
+	return route_add(c, opts, true);
+}
+
 static const struct core_route_opts *route_find(const struct core *c,
 						const struct core_req *r)
 {
@@ -127,7 +139,7 @@
 	route = route_find(c, &e->pub);
 	if (!route)
 		core_reply_err(c, e->pub.h, ERR_HTTP_ROUTE, RUN_NO, 0, NULL);
-	else if (core_draining(c) && !route->while_draining)
+	else if (core_draining(c) && !c->route_draining[route - c->routes])
 		core_reply_err(c, e->pub.h, ERR_HTTP_DRAINING, RUN_NO, MS_PER_S,
 			       NULL);
 	else
--- a/packages/core/src/status.c
+++ b/packages/core/src/status.c
@@ -71,16 +71,16 @@
 enum err core_status_routes(struct core *c)
 {
 	static const struct core_route_opts routes[] = {
-		{CORE_PUBLIC, "GET", "/healthz", true, on_health, NULL},
-		{CORE_PUBLIC, "GET", "/readyz", true, on_ready, NULL},
-		{CORE_ADMIN, "GET", "/healthz", true, on_health, NULL},
-		{CORE_ADMIN, "GET", "/readyz", true, on_ready, NULL},
-		{CORE_ADMIN, "GET", "/metrics", true, on_metrics, NULL},
-		{CORE_ADMIN, "GET", "/admin/status", true, on_status, NULL},
+		{CORE_PUBLIC, "GET", "/healthz", on_health, NULL},
+		{CORE_PUBLIC, "GET", "/readyz", on_ready, NULL},
+		{CORE_ADMIN, "GET", "/healthz", on_health, NULL},
+		{CORE_ADMIN, "GET", "/readyz", on_ready, NULL},
+		{CORE_ADMIN, "GET", "/metrics", on_metrics, NULL},
+		{CORE_ADMIN, "GET", "/admin/status", on_status, NULL},
 	};
 
 	for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
-		enum err e = core_route(c, &routes[i]);
+		enum err e = core_route_draining(c, &routes[i]);
 
 		if (e != ERR_OK)
 			return e;
--- a/packages/core/test/test_core.c
+++ b/packages/core/test/test_core.c
@@ -123,11 +123,11 @@
 static enum err test_start(struct core *c, void **state)
 {
 	static const struct core_route_opts routes[] = {
-		{CORE_PUBLIC, NULL, "/echo", false, on_echo, NULL},
-		{CORE_PUBLIC, "GET", "/stream", false, on_stream, NULL},
-		{CORE_PUBLIC, "POST", "/fetch", false, on_fetch, NULL},
-		{CORE_PUBLIC, "POST", "/send", false, on_send, NULL},
-		{CORE_PUBLIC, "GET", "/hang", false, on_hang, NULL},
+		{CORE_PUBLIC, NULL, "/echo", on_echo, NULL},
+		{CORE_PUBLIC, "GET", "/stream", on_stream, NULL},
+		{CORE_PUBLIC, "POST", "/fetch", on_fetch, NULL},
+		{CORE_PUBLIC, "POST", "/send", on_send, NULL},
+		{CORE_PUBLIC, "GET", "/hang", on_hang, NULL},
 	};
 
 	for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++)
@@ -234,7 +234,7 @@
 
 static bool msg_came(void *ctx)
 {
-	json_t *obj = call("POST", "/send", "ping");
+	json_t *obj = call("POST", "/send", "\xa4ping");
 
 	json_decref(obj);
 	return atomic_load(&got_msgs) > 0;
@@ -243,7 +243,7 @@
 static void test_peer(void **state)
 {
 	assert_true(wait_until(msg_came, NULL, WAIT_MS));
-	assert_string_equal(got_from, "a:ping");
+	assert_string_equal(got_from, "a:\xa4ping");
 }
 
 static bool abort_came(void *ctx)
--- a/packages/member/include/member/member.h
+++ b/packages/member/include/member/member.h
@@ -63,6 +63,10 @@
 enum err member_seed(struct member *m, const char *id, const char *domain,
 		     const char *addr, bool fixed);
 
+/// Nodes that were learnt by member_seed() without `fixed` are no seeds any
+/// more; call before learning them anew from a list.
+void member_unseed(struct member *m);
+
 /// Take a message.
 ///
 /// @param from  sender's id
--- a/packages/member/src/member.c
+++ b/packages/member/src/member.c
@@ -122,6 +122,18 @@
 	return ERR_OK;
 }
 
+void member_unseed(struct member *m)
+{
+	for (int i = 1; i < m->t.n; i++)
+		m->t.recs[i]->seed = m->t.recs[i]->fixed;
+	for (int i = 0; i < m->n_remotes; i++) {
+		struct remote *r = &m->remotes[i];
+
+		for (int k = 0; k < r->n_cands; k++)
+			r->cands[k].seed = r->cands[k].fixed;
+	}
+}
+
 enum err member_on_msg(struct member *m, int64_t now_ms, const char *from,
 		       enum member_msg type, const void *buf, size_t len)
 {
--- a/packages/member/src/wire_get.c
+++ b/packages/member/src/wire_get.c
@@ -212,7 +212,8 @@
 	size_t off = 0;
 
 	msgpack_unpacked_init(u);
-	return packed_ok(buf, len) && msgpack_unpack_next(u, buf, len, &off) ==
+	return packed_ok(buf, len) &&
+	       msgpack_unpack_next(u, buf, len, &off) ==
 		       MSGPACK_UNPACK_SUCCESS &&
 	       off == len;
 }
--- a/packages/peer/src/link.c
+++ b/packages/peer/src/link.c
@@ -10,13 +10,14 @@
 #include "base/metric.h"
 
 enum {
+	LINK_LINGER_MS = 100, ///< for messages that wait when it is closed
 	LINK_HWM = 4096, ///< messages waiting for one peer
 	LINK_BUCKETS = 256,
 	LINK_CONNECT_MS = 1000,
 	LINK_RECONNECT_MS = 100,
 	LINK_RECONNECT_MAX_MS = 1000,
-	LINK_HEARTBEAT_MS = 2000,
-	LINK_SILENCE_MS = 4000, ///< silent connections are closed
+	LINK_HEARTBEAT_MS = 10000,
+	LINK_SILENCE_MS = 10000, ///< silent connections are closed
 };
 
 struct link {
@@ -67,7 +68,7 @@
 
 	if (!sock)
 		return NULL;
-	set_int(sock, ZMQ_LINGER, 0);
+	set_int(sock, ZMQ_LINGER, LINK_LINGER_MS);
 	set_int(sock, ZMQ_SNDHWM, LINK_HWM);
 	set_int(sock, ZMQ_IMMEDIATE, 1);
 	set_int(sock, ZMQ_CONNECT_TIMEOUT, LINK_CONNECT_MS);
