fix(daemon): stand in for the calls of usage and membership

Problem: other modules call usage_mod_add() and member_mod_all(), whose modules are not written yet, so that catkinpathd does not link.

Solution: empty ones until the modules come.

--- a/packages/daemon/src/conf_mod_admin.c
+++ b/packages/daemon/src/conf_mod_admin.c
@@ -72,9 +72,21 @@
 enum err conf_mod_admin_start(struct conf_mod *m)
 {
 	const struct core_route_opts routes[] = {
-		{CORE_ADMIN, "GET", "/admin/conf", get_conf, m},
-		{CORE_ADMIN, "GET", "/admin/conf/force", get_force, m},
-		{CORE_ADMIN, "POST", "/admin/conf/edit", conf_mod_edit, m},
+		{.listener = CORE_ADMIN,
+		 .method = "GET",
+		 .prefix = "/admin/conf",
+		 .fn = get_conf,
+		 .ctx = m},
+		{.listener = CORE_ADMIN,
+		 .method = "GET",
+		 .prefix = "/admin/conf/force",
+		 .fn = get_force,
+		 .ctx = m},
+		{.listener = CORE_ADMIN,
+		 .method = "POST",
+		 .prefix = "/admin/conf/edit",
+		 .fn = conf_mod_edit,
+		 .ctx = m},
 	};
 
 	for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
--- a/packages/daemon/src/member_mod.c
+++ b/packages/daemon/src/member_mod.c
@@ -13,3 +13,14 @@
 	.name = "member",
 	.start = member_start,
 };
+
+const struct member_view *member_mod_all(struct core *c, size_t *n)
+{
+	*n = 0;
+	return NULL;
+}
+
+bool member_mod_domain_heard(struct core *c, const char *domain)
+{
+	return true;
+}
--- a/packages/daemon/src/usage_mod.c
+++ b/packages/daemon/src/usage_mod.c
@@ -13,3 +13,8 @@
 	.name = "usage",
 	.start = usage_start,
 };
+
+void usage_mod_add(struct core *c, const char *team, enum usage_unit u,
+		   uint64_t n)
+{
+}
