--- a/packages/core/src/drop.c
+++ b/packages/core/src/drop.c
@@ -10,7 +10,8 @@
 	while (c->http && (hev = mbox_get(c->http_box))) {
 		if (hev->kind == HTTP_REQ)
 			c->opts.http->drop(hev->req);
-		c->opts.http->event_done(hev);
+		else
+			c->opts.http->gone_done(hev->req);
 	}
 	while (c->up && (uev = mbox_get(c->up_box)))
 		c->opts.upstream->event_free(uev);
--- a/packages/core/src/req.c
+++ b/packages/core/src/req.c
@@ -163,11 +163,14 @@
 
 void core_on_http(struct core *c, struct http_event *ev)
 {
-	if (ev->kind == HTTP_REQ)
-		req_arrived(c, ev->req);
-	else
-		req_gone(c, ev->req);
-	c->opts.http->event_done(ev);
+	struct http_req *http = ev->req;
+
+	if (ev->kind == HTTP_REQ) {
+		req_arrived(c, http);
+		return;
+	}
+	req_gone(c, http);
+	c->opts.http->gone_done(http);
 }
 
 void core_reply_header(struct core *c, htab_handle h, const char *name,
--- a/packages/daemon/src/member_mod.c
+++ b/packages/daemon/src/member_mod.c
@@ -284,14 +284,3 @@
 	.status = member_status,
 	.stop = member_mod_stop,
 };
-
-const struct member_view *member_mod_all(struct core *c, size_t *n)
-{
-	*n = 0;
-	return NULL;
-}
-
-bool member_mod_domain_heard(struct core *c, const char *domain)
-{
-	return true;
-}
--- a/packages/http/include/http/http.h
+++ b/packages/http/include/http/http.h
@@ -63,8 +63,8 @@
 struct http_ops {
 	enum err (*start)(const struct http_opts *opts, struct http_edge **out);
 
-	/// Release an event. For HTTP_GONE the request may be freed by it.
-	void (*event_done)(struct http_event *ev);
+	/// Release what an HTTP_GONE event holds of its request.
+	void (*gone_done)(struct http_req *r);
 
 	/// Add a header to the answer.
 	void (*header)(struct http_req *r, const char *name, const char *value);
--- a/packages/http/src/mhd_edge.c
+++ b/packages/http/src/mhd_edge.c
@@ -240,15 +240,14 @@
 	atomic_store(&h->draining, true);
 }
 
-static void mhd_event_done(struct http_event *ev)
+static void mhd_gone_done(struct http_req *r)
 {
-	if (ev->kind == HTTP_GONE)
-		mhd_req_unref((struct mhd_req *)ev->req);
+	mhd_req_unref((struct mhd_req *)r);
 }
 
 const struct http_ops http_mhd_ops = {
 	.start = mhd_start,
-	.event_done = mhd_event_done,
+	.gone_done = mhd_gone_done,
 	.header = mhd_header,
 	.answer = mhd_answer,
 	.stream_begin = mhd_stream_begin,
--- a/packages/member/src/ring.c
+++ b/packages/member/src/ring.c
@@ -41,7 +41,7 @@
 		if (m->t.recs[i]->state == MEMBER_ALIVE)
 			ring[n++] = m->t.recs[i];
 	}
-	qsort(ring, (size_t)n, sizeof(ring[0]), by_hash);
+	qsort(ring, (size_t)n, sizeof(struct rec *), by_hash);
 	while (ring[at] != m->t.recs[SELF])
 		at++;
 	for (int step = 1; step_used(step, n); step = next_step(step, n)) {
--- a/packages/member/src/summary.c
+++ b/packages/member/src/summary.c
@@ -190,14 +190,41 @@
 	return n;
 }
 
-static bool same_heard(const struct rec *self, const struct rec_report *now,
-		       int n)
+static bool same_contacts(const struct member_domain *a,
+			  const struct member_domain *b)
+{
+	if (a->n_contacts != b->n_contacts)
+		return false;
+	for (int i = 0; i < a->n_contacts; i++) {
+		if (strcmp(a->contacts[i].id, b->contacts[i].id) != 0 ||
+		    strcmp(a->contacts[i].addr, b->contacts[i].addr) != 0)
+			return false;
+	}
+	return true;
+}
+
+static bool same_domain(const struct member_domain *a,
+			const struct member_domain *b)
+{
+	return a->heard == b->heard && a->alive == b->alive &&
+	       a->draining == b->draining &&
+	       memcmp(a->min, b->min, sizeof(a->min)) == 0 &&
+	       memcmp(a->max, b->max, sizeof(a->max)) == 0 &&
+	       same_contacts(a, b);
+}
+
+/// @param all  also compare what can wait for a heartbeat
+static bool same_reports(const struct rec *self, const struct rec_report *now,
+			 int n, bool all)
 {
 	if (n != self->n_reports)
 		return false;
 	for (int i = 0; i < n; i++) {
-		if (strcmp(now[i].d.name, self->reports[i].d.name) != 0 ||
-		    now[i].d.heard != self->reports[i].d.heard)
+		const struct member_domain *was = &self->reports[i].d;
+
+		if (strcmp(now[i].d.name, was->name) != 0 ||
+		    now[i].d.heard != was->heard ||
+		    (all && !same_domain(&now[i].d, was)))
 			return false;
 	}
 	return true;
@@ -211,8 +238,7 @@
 	size_t size = (size_t)n * sizeof(now[0]);
 	struct rec_report *copy;
 
-	if (same_heard(self, now, n) &&
-	    (!all || n == 0 || memcmp(now, self->reports, size) == 0))
+	if (same_reports(self, now, n, all))
 		return false;
 	copy = n ? malloc(size) : NULL;
 	if (n && !copy)
@@ -247,7 +273,7 @@
 	r = remote_of(m, s.d.name);
 	if (!r)
 		return ERR_FULL;
-	if (!r->heard || memcmp(&r->last, &s.d, sizeof(s.d)) != 0)
+	if (!r->heard || !same_domain(&r->last, &s.d))
 		m->dirty = true;
 	r->heard_ms = m->now_ms;
 	r->last = s.d;
--- a/packages/member/test/test_member.c
+++ b/packages/member/test/test_member.c
@@ -198,7 +198,7 @@
 static void test_partition_inside(void **state)
 {
 	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
-		int group[NET_NODES];
+		int group[NET_NODES] = {0};
 		struct split split = {group};
 		int64_t seen, healed;
 
@@ -251,7 +251,7 @@
 static void test_domain_cut_off(void **state)
 {
 	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
-		int group[NET_NODES];
+		int group[NET_NODES] = {0};
 		struct heard h = {.domain = 1, .want = false};
 		int64_t cut, back;
 
