--- /dev/null
+++ b/packages/usage/src/book.c
@@ -0,0 +1,220 @@
+// Books: counters that only grow, merged by maximum.
+#include "usage/book.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char *const unit_names[USAGE_UNITS] = {
+	[USAGE_REQUESTS] = "requests",
+	[USAGE_TOKENS] = "tokens",
+	[USAGE_SAMPLES] = "samples",
+};
+
+static const char total_run[] = "total";
+
+const char *usage_unit_name(enum usage_unit u)
+{
+	return unit_names[u];
+}
+
+void usage_book_clear(struct usage_book *b)
+{
+	for (size_t i = 0; i < b->n_entries; i++)
+		free(b->entries[i].rows);
+	free(b->entries);
+	memset(b, 0, sizeof(*b));
+}
+
+struct usage_entry *usage_book_entry(struct usage_book *b, const char *run)
+{
+	struct usage_entry *more;
+
+	for (size_t i = 0; i < b->n_entries; i++) {
+		if (strcmp(b->entries[i].run, run) == 0)
+			return &b->entries[i];
+	}
+	if (b->n_entries == USAGE_ENTRIES_MAX || strlen(run) > USAGE_RUN_MAX)
+		return NULL;
+	more = realloc(b->entries, (b->n_entries + 1) * sizeof(*more));
+	if (!more)
+		return NULL;
+	b->entries = more;
+	more += b->n_entries++;
+	memset(more, 0, sizeof(*more));
+	snprintf(more->run, sizeof(more->run), "%s", run);
+	return more;
+}
+
+static struct usage_row *entry_row(struct usage_entry *e, const char *team)
+{
+	struct usage_row *more;
+
+	for (size_t i = 0; i < e->n_rows; i++) {
+		if (strcmp(e->rows[i].team, team) == 0)
+			return &e->rows[i];
+	}
+	if (e->n_rows == USAGE_TEAMS_MAX)
+		return NULL;
+	more = realloc(e->rows, (e->n_rows + 1) * sizeof(*more));
+	if (!more)
+		return NULL;
+	e->rows = more;
+	more += e->n_rows++;
+	memset(more, 0, sizeof(*more));
+	snprintf(more->team, sizeof(more->team), "%s", team);
+	return more;
+}
+
+static enum err book_row(struct usage_book *b, const char *run,
+			 const char *team, struct usage_entry **e,
+			 struct usage_row **row)
+{
+	size_t len = strlen(team);
+
+	if (len == 0 || len > USAGE_NAME_MAX || strlen(run) > USAGE_RUN_MAX)
+		return ERR_INVALID;
+	*e = usage_book_entry(b, run);
+	*row = *e ? entry_row(*e, team) : NULL;
+	return *row ? ERR_OK : ERR_FULL;
+}
+
+static void mark_changed(struct usage_book *b, struct usage_entry *e,
+			 struct usage_row *row)
+{
+	row->changed = ++b->version;
+	e->changed = b->version;
+}
+
+enum err usage_book_add(struct usage_book *b, const char *run, const char *team,
+			enum usage_unit u, uint64_t n)
+{
+	struct usage_entry *e;
+	struct usage_row *row;
+	enum err err = book_row(b, run, team, &e, &row);
+
+	if (err)
+		return err;
+	row->v[u] += n;
+	mark_changed(b, e, row);
+	return ERR_OK;
+}
+
+enum err usage_book_raise(struct usage_book *b, const char *run,
+			  const char *team, const uint64_t *v)
+{
+	struct usage_entry *e;
+	struct usage_row *row;
+	enum err err = book_row(b, run, team, &e, &row);
+	bool higher = false;
+
+	if (err)
+		return err;
+	for (int u = 0; u < USAGE_UNITS; u++) {
+		if (v[u] <= row->v[u])
+			continue;
+		row->v[u] = v[u];
+		higher = true;
+	}
+	if (higher)
+		mark_changed(b, e, row);
+	return ERR_OK;
+}
+
+enum err usage_book_merge(struct usage_book *b, const struct usage_book *from)
+{
+	for (size_t i = 0; i < from->n_entries; i++) {
+		const struct usage_entry *e = &from->entries[i];
+
+		for (size_t k = 0; k < e->n_rows; k++) {
+			enum err err = usage_book_raise(
+				b, e->run, e->rows[k].team, e->rows[k].v);
+
+			if (err)
+				return err;
+		}
+	}
+	return ERR_OK;
+}
+
+static json_t *entry_json(const struct usage_entry *e)
+{
+	json_t *teams = json_object();
+
+	for (size_t k = 0; k < e->n_rows; k++) {
+		json_t *v = json_array();
+
+		for (int u = 0; u < USAGE_UNITS; u++)
+			json_array_append_new(
+				v, json_integer((json_int_t)e->rows[k].v[u]));
+		json_object_set_new(teams, e->rows[k].team, v);
+	}
+	return teams;
+}
+
+struct json_t *usage_book_json(const struct usage_book *b)
+{
+	json_t *j = json_object();
+
+	for (size_t i = 0; i < b->n_entries; i++)
+		json_object_set_new(j, b->entries[i].run,
+				    entry_json(&b->entries[i]));
+	return j;
+}
+
+static enum err merge_row_json(struct usage_book *b, const char *run,
+			       const char *team, const json_t *j)
+{
+	uint64_t v[USAGE_UNITS];
+
+	if (json_array_size(j) != USAGE_UNITS)
+		return ERR_PARSE;
+	for (size_t u = 0; u < USAGE_UNITS; u++) {
+		const json_t *n = json_array_get(j, u);
+
+		if (!json_is_integer(n) || json_integer_value(n) < 0)
+			return ERR_PARSE;
+		v[u] = (uint64_t)json_integer_value(n);
+	}
+	return usage_book_raise(b, run, team, v);
+}
+
+enum err usage_book_merge_json(struct usage_book *b, const struct json_t *j)
+{
+	const char *run, *team;
+	json_t *teams, *row;
+
+	if (!json_is_object(j))
+		return ERR_PARSE;
+	json_object_foreach((json_t *)j, run, teams) {
+		if (!json_is_object(teams))
+			return ERR_PARSE;
+		json_object_foreach(teams, team, row) {
+			enum err e = merge_row_json(b, run, team, row);
+
+			if (e)
+				return e;
+		}
+	}
+	return ERR_OK;
+}
+
+enum err usage_book_total(const struct usage_book *b, struct usage_book *out)
+{
+	for (size_t i = 0; i < b->n_entries; i++) {
+		const struct usage_entry *e = &b->entries[i];
+
+		for (size_t k = 0; k < e->n_rows; k++) {
+			for (int u = 0; u < USAGE_UNITS; u++) {
+				enum err err = usage_book_add(
+					out, total_run, e->rows[k].team,
+					(enum usage_unit)u, e->rows[k].v[u]);
+
+				if (err)
+					return err;
+			}
+		}
+	}
+	return ERR_OK;
+}
--- /dev/null
+++ b/packages/usage/src/collect.c
@@ -0,0 +1,86 @@
+// The collector's rounds.
+#include "usage/collect.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	CALL_LOST_MS = 10000, ///< a call without an answer is given up
+};
+
+static void round_end(struct usage_collect *c, int64_t now)
+{
+	c->state = USAGE_COLLECT_IDLE;
+	c->next_ms = now + c->interval_ms;
+}
+
+void usage_collect_tick(struct usage_collect *c, int64_t now, bool wanted)
+{
+	if (c->state != USAGE_COLLECT_IDLE && now - c->asked_ms > CALL_LOST_MS)
+		round_end(c, now);
+	if (!wanted || c->state != USAGE_COLLECT_IDLE || now < c->next_ms ||
+	    c->stored == c->book->version)
+		return;
+	c->state = USAGE_COLLECT_READ;
+	c->asked_ms = now;
+	c->call++;
+	c->ops->get(c->ctx);
+}
+
+static void write_book(struct usage_collect *c, int64_t now, uint64_t prev_rev)
+{
+	json_t *j = usage_book_json(c->book);
+	char *text = j ? json_dumps(j, JSON_COMPACT) : NULL;
+
+	json_decref(j);
+	if (!text) {
+		round_end(c, now);
+		return;
+	}
+	c->state = USAGE_COLLECT_WRITE;
+	c->writing = c->book->version;
+	c->asked_ms = now;
+	c->call++;
+	c->ops->put(c->ctx, text, strlen(text), prev_rev);
+	free(text);
+}
+
+static void on_read(struct usage_collect *c, int64_t now,
+		    const struct usage_kv *kv)
+{
+	json_t *j;
+	enum err e;
+
+	if (kv->err == ERR_NOT_FOUND) {
+		write_book(c, now, 0);
+		return;
+	}
+	if (kv->err) {
+		round_end(c, now);
+		return;
+	}
+	j = json_loadb(kv->text, kv->len, JSON_REJECT_DUPLICATES, NULL);
+	e = j ? usage_book_merge_json(c->book, j) : ERR_PARSE;
+	json_decref(j);
+	if (e) {
+		c->ops->bad(c->ctx, e);
+		round_end(c, now);
+		return;
+	}
+	write_book(c, now, kv->rev);
+}
+
+void usage_collect_on_kv(struct usage_collect *c, int64_t now,
+			 const struct usage_kv *kv)
+{
+	if (c->state == USAGE_COLLECT_READ) {
+		on_read(c, now, kv);
+		return;
+	}
+	if (c->state != USAGE_COLLECT_WRITE)
+		return;
+	if (!kv->err)
+		c->stored = c->writing;
+	round_end(c, now);
+}
