fix(conf): name the members of the route options

Problem: the options of a route got a member, so the conf module's table of routes, written by position, no longer compiled on main. Solution: designated initialisers. Built with warnings as errors.

--- a/packages/daemon/src/conf_mod_admin.c
+++ b/packages/daemon/src/conf_mod_admin.c
@@ -71,15 +71,22 @@
 
 enum err conf_mod_admin_start(struct conf_mod *m)
 {
-	const struct core_route_opts routes[] = {
-		{CORE_ADMIN, "GET", "/admin/conf", get_conf, m},
-		{CORE_ADMIN, "GET", "/admin/conf/force", get_force, m},
-		{CORE_ADMIN, "POST", "/admin/conf/edit", conf_mod_edit, m},
+	struct core_route_opts routes[] = {
+		{.method = "GET", .prefix = "/admin/conf", .fn = get_conf},
+		{.method = "GET",
+		 .prefix = "/admin/conf/force",
+		 .fn = get_force},
+		{.method = "POST",
+		 .prefix = "/admin/conf/edit",
+		 .fn = conf_mod_edit},
 	};
 
 	for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
-		enum err e = core_route(m->c, &routes[i]);
+		enum err e;
 
+		routes[i].listener = CORE_ADMIN;
+		routes[i].ctx = m;
+		e = core_route(m->c, &routes[i]);
 		if (e)
 			return e;
 	}
