feat(work): claim idempotency keys before a call that may not be repeated runs

*Problem:* The claim log stood alone; the daemon passed keyed calls on at once.

Outcomes are noted; a repeat gets the first answer, or is told that the first still runs or is lost. Requests held for other nodes are found by a hash chain in place of a scan.

--- a/packages/daemon/src/work_mod.c
+++ b/packages/daemon/src/work_mod.c
@@ -30,6 +30,8 @@
 		e = work_peer_out_start(c);
 	if (e == ERR_OK)
 		e = work_peer_in_start(c, s);
+	if (e == ERR_OK)
+		e = work_claim_start(c, s);
 	if (e == ERR_OK)
 		e = work_call_start(c, s);
 	return e;
@@ -51,13 +53,16 @@
 	work_expire(c, state, now_ms);
 	work_peer_tick(c, now_ms);
 	work_peer_in_tick(c, now_ms);
+	work_claim_tick(c, now_ms);
+	work_keyed_tick(c, now_ms);
 }
 
 static bool work_idle(struct core *c, void *state)
 {
 	struct work_state *s = state;
 
-	return htab_count(s->works) == 0 && htab_count(s->ins) == 0;
+	return htab_count(s->works) == 0 && htab_count(s->ins) == 0 &&
+	       htab_count(s->calls) == 0;
 }
 
 static void work_status(struct core *c, void *state, struct json_t *obj)
@@ -79,6 +84,7 @@
 	while (htab_next(s->works, &iter, &h))
 		work_cancel(c, h);
 	work_peer_in_stop(s);
+	work_claim_stop(s);
 	htab_free(s->works);
 	htab_free(s->calls);
 	free(s);
--- a/packages/daemon/src/work_mod_call.c
+++ b/packages/daemon/src/work_mod_call.c
@@ -16,24 +16,14 @@
 	GENERATE_TOKENS = 1024, ///< expected of a request that names none
 };
 
-/// What a caller's request needs until it is answered.
-struct work_call {
-	htab_handle req; ///< 0 once the caller is gone
-	htab_handle work;
-	char team[WORK_NAME_LEN];
-	bool may_cut; ///< nobody needs the outcome once the caller is gone
-	bool streaming; ///< an answer's first line went out
-	bool broken; ///< the caller reads too slowly
-	uint64_t tokens; ///< delivered
-};
-
 /// A caller's request as the route and the headers describe it.
 struct call_ask {
 	struct core_req *req;
 	const struct conf_route *route;
 	enum conf_target target;
 	char team[WORK_NAME_LEN];
-	char path[CALL_PATH_LEN]; ///< at the backend server
+	const char *path; ///< at the backend server
+	const char *service;
 };
 
 static struct work_call *call_get(struct core *c, void *ctx)
@@ -78,7 +68,10 @@
 		return ERR_ROUTE_UNKNOWN;
 	if (ask->route->target != ask->target)
 		return ERR_WORK_TARGET;
-	snprintf(ask->path, sizeof(ask->path), "%s", path);
+	ask->path = arena_strdup(&ask->req->arena, path);
+	ask->service = arena_strdup(&ask->req->arena, ask->route->service);
+	if (!ask->path || !ask->service)
+		return ERR_NOMEM;
 	return conf_mod_auth(c, ask->route, ask->req->bearer, ask->team,
 			     sizeof(ask->team));
 }
@@ -101,9 +94,9 @@
 	return core_now(c) + ms;
 }
 
-static void call_drop(struct core *c, struct work_call *call, void *ctx)
+void work_call_drop(struct core *c, struct work_call *call)
 {
-	htab_del(work_state(c)->calls, (htab_handle)(uintptr_t)ctx);
+	htab_del(work_state(c)->calls, call->h);
 }
 
 /* The caller went away: a call that may not be repeated is let finish. */
@@ -116,7 +109,9 @@
 	call->req = 0;
 	if (call->may_cut) {
 		work_cancel(c, call->work);
-		call_drop(c, call, user);
+		work_call_drop(c, call);
+	} else if (!call->work) {
+		work_keyed_abort(c, call);
 	}
 }
 
@@ -183,7 +178,9 @@
 	if (!call)
 		return;
 	done = *call;
-	call_drop(c, call, ctx);
+	work_call_drop(c, call);
+	if (done.keyed)
+		work_keyed_end(c, &done, res);
 	if (res->err == ERR_OK)
 		usage_mod_add(c, done.team, USAGE_REQUESTS, 1);
 	if (done.tokens > 0)
@@ -192,34 +189,45 @@
 		call_answer(c, &done, res);
 }
 
-static void call_submit(struct core *c, const struct call_ask *ask,
-			struct work_opts *o)
+bool work_call_submit(struct core *c, struct work_call *call)
 {
-	struct work_state *s = work_state(c);
-	struct core_req *r = ask->req;
 	int64_t retry_after_ms = 0;
-	struct work_call *call;
-	htab_handle h;
+	htab_handle req = call->req;
 	enum err e;
 
-	call = htab_add(s->calls, &h);
+	e = work_submit(c, &call->o, &call->work, &retry_after_ms);
+	if (e == ERR_OK)
+		return true;
+	work_call_drop(c, call);
+	core_reply_err(c, req, e, RUN_NO, retry_after_ms, err_doc(e));
+	return false;
+}
+
+static void call_begin(struct core *c, const struct call_ask *ask,
+		       const struct work_opts *o)
+{
+	struct core_req *r = ask->req;
+	htab_handle h;
+	struct work_call *call = htab_add(work_state(c)->calls, &h);
+
 	if (!call) {
 		call_refuse(c, r, ERR_ADMIT_FULL, ATTEMPT_RETRY_AFTER_MS);
 		return;
 	}
+	call->h = h;
 	call->req = r->h;
+	call->o = *o;
+	call->o.ctx = (void *)(uintptr_t)h;
+	call->o.on_done = call_on_done;
 	call->may_cut = o->on_line != NULL;
 	memcpy(call->team, ask->team, sizeof(call->team));
-	o->ctx = (void *)(uintptr_t)h;
-	o->on_done = call_on_done;
-	e = work_submit(c, o, &call->work, &retry_after_ms);
-	if (e != ERR_OK) {
-		htab_del(s->calls, h);
-		call_refuse(c, r, e, retry_after_ms);
-		return;
-	}
-	r->user = o->ctx;
+	call->o.team = call->team;
+	r->user = call->o.ctx;
 	r->on_abort = call_on_abort;
+	if (o->idem_key && !o->idempotent)
+		work_keyed_begin(c, call, ask->route->name);
+	else
+		work_call_submit(c, call);
 }
 
 static const char *call_ctype(const struct core_req *r)
@@ -245,8 +253,7 @@
 	o = (struct work_opts){
 		.cls = WORK_BOOKING,
 		.kind = VM_SERVICE,
-		.service = ask.route->service,
-		.team = ask.team,
+		.service = ask.service,
 		.method = "POST",
 		.path = ask.path,
 		.body = r->body,
@@ -258,7 +265,7 @@
 		.cost = CALL_COST,
 		.trace = &r->span.ctx,
 	};
-	call_submit(c, &ask, &o);
+	call_begin(c, &ask, &o);
 }
 
 /* The engine's request: the caller's fields, under this node's id. */
@@ -309,7 +316,6 @@
 	o = (struct work_opts){
 		.cls = WORK_INTERACTIVE,
 		.kind = VM_ENGINE,
-		.team = ask.team,
 		.method = "POST",
 		.path = "/v1/generate",
 		.body = body,
@@ -322,7 +328,7 @@
 		.trace = &r->span.ctx,
 		.on_line = call_on_line,
 	};
-	call_submit(c, &ask, &o);
+	call_begin(c, &ask, &o);
 	free(body);
 }
 
--- /dev/null
+++ b/packages/daemon/src/work_mod_claim.c
@@ -0,0 +1,378 @@
+// The claim log on this node: its shards, their KV calls, and claims that
+// other nodes ask for.
+#include "claim/shard.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/metric.h"
+#include "daemon/member_mod.h"
+#include "daemon/platform_mod.h"
+#include "work_mod_claim_msg.h"
+
+enum {
+	CLAIM_COMMIT_MS = 50, ///< least time between two writes of a shard
+	CLAIM_WAIT_MS = 1200, ///< longest wait for a verdict
+	CLAIM_SEGMENT_MAX = 16 << 10, ///< bytes after which a segment is sealed
+};
+
+/// One shard, made when it is first used.
+struct claim_slot {
+	struct core *c;
+	int number;
+	char prefix[32];
+	struct claim_shard *shard;
+	bool failed; ///< the KV call could not begin; told at the next tick
+	struct claim_stats told; ///< counted in the metrics so far
+};
+
+/// Who asked for a claim.
+struct claim_asker {
+	char from[WORK_NAME_LEN]; ///< node, "" for this one
+	uint64_t ticket; ///< handle of its call
+};
+
+struct work_claims {
+	struct claim_slot slots[WORK_CLAIM_SHARDS];
+	struct htab *askers; ///< struct claim_asker
+};
+
+static struct claim_time claim_now(const struct core *c)
+{
+	return (struct claim_time){core_now(c), clock_wall_ms()};
+}
+
+static int claim_shard_of(struct claim_name key)
+{
+	return (int)(key.hi % WORK_CLAIM_SHARDS);
+}
+
+// --- KV calls of a shard ----------------------------------------------------
+
+static void claim_on_kv(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct claim_slot *s = ctx;
+	struct claim_kv_item *items = calloc(res->n_items + 1, sizeof(*items));
+	struct claim_kv kv = {
+		.err = items ? res->err : ERR_NOMEM,
+		.rev = res->rev,
+		.items = items,
+		.n_items = items ? res->n_items : 0,
+	};
+
+	for (size_t i = 0; i < kv.n_items; i++)
+		items[i] = (struct claim_kv_item){
+			res->items[i].key, res->items[i].value,
+			res->items[i].len, res->items[i].rev};
+	claim_shard_kv(s->shard, claim_now(c), &kv);
+	free(items);
+}
+
+static void claim_began(struct claim_slot *s, enum err e)
+{
+	if (e != ERR_OK)
+		s->failed = true;
+}
+
+static void claim_list(void *ctx, const char *prefix)
+{
+	struct claim_slot *s = ctx;
+
+	claim_began(s, kv_list(s->c, prefix, (struct kv_cb){claim_on_kv, s}));
+}
+
+static void claim_get(void *ctx, const char *key)
+{
+	struct claim_slot *s = ctx;
+
+	claim_began(s, kv_get(s->c, key, (struct kv_cb){claim_on_kv, s}));
+}
+
+static void claim_put(void *ctx, const char *key, const char *value, size_t len,
+		      uint64_t prev_rev)
+{
+	struct claim_slot *s = ctx;
+	struct kv_put_opts o = {
+		.key = key,
+		.value = value,
+		.len = len,
+		.prev_rev = prev_rev,
+	};
+
+	claim_began(s, kv_put(s->c, &o, (struct kv_cb){claim_on_kv, s}));
+}
+
+static void claim_on_del(struct core *c, void *ctx, const struct kv_result *res)
+{
+	/* A segment that stays is deleted by a later writer. */
+}
+
+static void claim_del(void *ctx, const char *key, uint64_t rev)
+{
+	struct claim_slot *s = ctx;
+
+	kv_del(s->c, key, rev, (struct kv_cb){claim_on_del, s});
+}
+
+static void claim_verdict(void *ctx, uint64_t ticket, enum claim_verdict v,
+			  const struct claim_answer *a)
+{
+	struct claim_slot *s = ctx;
+	struct htab *askers = work_state(s->c)->claims->askers;
+	struct claim_asker *found = htab_get(askers, (htab_handle)ticket);
+	struct claim_asker asker;
+
+	if (!found)
+		return;
+	asker = *found;
+	htab_del(askers, (htab_handle)ticket);
+	if (*asker.from)
+		claim_verdict_send(s->c, asker.from, asker.ticket, v, a);
+	else
+		work_keyed_verdict(s->c, (htab_handle)asker.ticket, v, a, true);
+}
+
+static const struct claim_ops claim_slot_ops = {
+	.list = claim_list,
+	.get = claim_get,
+	.put = claim_put,
+	.del = claim_del,
+	.verdict = claim_verdict,
+};
+
+static struct claim_shard *claim_slot_shard(struct core *c,
+					    struct claim_name key)
+{
+	int i = claim_shard_of(key);
+	struct claim_slot *s = &work_state(c)->claims->slots[i];
+	struct claim_shard_opts o = {
+		.prefix = s->prefix,
+		.ops = &claim_slot_ops,
+		.ctx = s,
+		.commit_ms = CLAIM_COMMIT_MS,
+		.wait_ms = CLAIM_WAIT_MS,
+		.segment_max = CLAIM_SEGMENT_MAX,
+	};
+
+	if (s->shard)
+		return s->shard;
+	s->c = c;
+	s->number = i;
+	snprintf(s->prefix, sizeof(s->prefix), "claim/%d/", i);
+	s->shard = claim_shard_new(&o);
+	return s->shard;
+}
+
+// --- who writes a shard -----------------------------------------------------
+
+struct claim_choice {
+	const char *name;
+	uint64_t score;
+};
+
+/* Rendezvous hashing: the highest score wins. */
+static void claim_consider(struct claim_choice *best, const char *name,
+			   int shard)
+{
+	uint64_t score = XXH64(name, strlen(name), (uint64_t)shard);
+
+	if (!best->name || score > best->score)
+		*best = (struct claim_choice){name, score};
+}
+
+static bool claim_reachable(const struct member_view *m)
+{
+	return m->state == MEMBER_ALIVE && !m->draining;
+}
+
+/* Writer of a shard: first its home failure domain, then a node there. Views
+ * may differ between nodes; the log is safe with any number of writers. */
+static const char *claim_writer(struct core *c, int shard)
+{
+	struct claim_choice home = {0};
+	struct claim_choice node = {0};
+	size_t n;
+	const struct member_view *all = member_mod_all(c, &n);
+
+	claim_consider(&home, core_domain(c), shard);
+	for (size_t i = 0; i < n; i++) {
+		if (claim_reachable(&all[i]))
+			claim_consider(&home, all[i].domain, shard);
+	}
+	if (strcmp(home.name, core_domain(c)) == 0)
+		claim_consider(&node, core_node(c), shard);
+	for (size_t i = 0; i < n; i++) {
+		if (claim_reachable(&all[i]) &&
+		    strcmp(all[i].domain, home.name) == 0)
+			claim_consider(&node, all[i].id, shard);
+	}
+	return node.name;
+}
+
+bool work_claim_is_writer(struct core *c, struct claim_name key)
+{
+	return strcmp(claim_writer(c, claim_shard_of(key)), core_node(c)) == 0;
+}
+
+// --- asking and noting ------------------------------------------------------
+
+static void claim_refuse(struct core *c, const struct claim_asker *a)
+{
+	if (*a->from)
+		claim_verdict_send(c, a->from, a->ticket, CLAIM_UNAVAILABLE,
+				   NULL);
+}
+
+static void claim_ask_here(struct core *c, const struct claim_request *req,
+			   const struct claim_asker *from)
+{
+	struct htab *askers = work_state(c)->claims->askers;
+	struct claim_shard *shard = claim_slot_shard(c, req->key);
+	htab_handle h;
+	struct claim_asker *a = shard ? htab_add(askers, &h) : NULL;
+
+	if (!a) {
+		claim_refuse(c, from);
+		return;
+	}
+	*a = *from;
+	metric_add(M_CLAIM_ASKED, 1);
+	if (claim_shard_ask(shard, claim_now(c), req, h) == ERR_OK)
+		return;
+	htab_del(askers, h);
+	claim_refuse(c, from);
+}
+
+void work_claim_ask(struct core *c, const struct claim_request *req,
+		    htab_handle call, bool self)
+{
+	struct claim_asker me = {.ticket = call};
+
+	if (self)
+		claim_ask_here(c, req, &me);
+	else
+		claim_ask_send(c, claim_writer(c, claim_shard_of(req->key)),
+			       call, req);
+}
+
+static void claim_note_here(struct core *c, const struct claim_record *r)
+{
+	struct claim_shard *shard = claim_slot_shard(c, r->req.key);
+
+	if (shard)
+		claim_shard_note(shard, claim_now(c), r);
+}
+
+void work_claim_note(struct core *c, const struct claim_record *r)
+{
+	const char *writer = claim_writer(c, claim_shard_of(r->req.key));
+
+	if (strcmp(writer, core_node(c)) == 0 ||
+	    claim_note_send(c, writer, r) != ERR_OK)
+		claim_note_here(c, r);
+}
+
+static void claim_on_ask(struct core *c, void *ctx, const char *from,
+			 const void *buf, size_t len)
+{
+	struct claim_asker a = {0};
+	struct claim_request req;
+
+	if (!claim_ask_read(buf, len, &a.ticket, &req)) {
+		log_event(EV_WORK_PEER_BAD, "from=%s message=claim-ask", from);
+		return;
+	}
+	snprintf(a.from, sizeof(a.from), "%s", from);
+	claim_ask_here(c, &req, &a);
+}
+
+static void claim_on_verdict(struct core *c, void *ctx, const char *from,
+			     const void *buf, size_t len)
+{
+	struct claim_verdict_msg m;
+
+	if (claim_verdict_read(buf, len, &m))
+		work_keyed_verdict(c, (htab_handle)m.ticket, m.verdict,
+				   &m.answer, false);
+	else
+		log_event(EV_WORK_PEER_BAD, "from=%s message=claim-verdict",
+			  from);
+	claim_verdict_end(&m);
+}
+
+static void claim_on_note(struct core *c, void *ctx, const char *from,
+			  const void *buf, size_t len)
+{
+	struct claim_note_msg m;
+
+	if (claim_note_read(buf, len, &m))
+		claim_note_here(c, &m.rec);
+	else
+		log_event(EV_WORK_PEER_BAD, "from=%s message=claim-note", from);
+	claim_note_end(&m);
+}
+
+// --- time -------------------------------------------------------------------
+
+static void claim_count(struct claim_slot *s)
+{
+	const struct claim_stats *now = claim_shard_stats(s->shard);
+
+	metric_add(M_CLAIM_PUTS, now->puts - s->told.puts);
+	metric_add(M_CLAIM_GETS, now->gets - s->told.gets);
+	if (now->bad != s->told.bad)
+		log_event(EV_CLAIM_BAD, "shard=%d", s->number);
+	s->told = *now;
+}
+
+void work_claim_tick(struct core *c, int64_t now)
+{
+	struct work_claims *k = work_state(c)->claims;
+
+	for (int i = 0; i < WORK_CLAIM_SHARDS; i++) {
+		struct claim_slot *s = &k->slots[i];
+		struct claim_kv none = {.err = ERR_KV_DOWN};
+
+		if (!s->shard)
+			continue;
+		if (s->failed) {
+			s->failed = false;
+			claim_shard_kv(s->shard, claim_now(c), &none);
+		}
+		claim_shard_tick(s->shard, claim_now(c));
+		claim_count(s);
+	}
+}
+
+enum err work_claim_start(struct core *c, struct work_state *s)
+{
+	enum err e;
+
+	s->claims = calloc(1, sizeof(*s->claims));
+	if (!s->claims)
+		return ERR_NOMEM;
+	s->claims->askers =
+		htab_new(WORK_CLAIM_CAP, sizeof(struct claim_asker));
+	if (!s->claims->askers)
+		return ERR_NOMEM;
+	e = core_peer_on(c, PEER_CLAIM_ASK, claim_on_ask, NULL);
+	if (e == ERR_OK)
+		e = core_peer_on(c, PEER_CLAIM_VERDICT, claim_on_verdict, NULL);
+	if (e == ERR_OK)
+		e = core_peer_on(c, PEER_CLAIM_NOTE, claim_on_note, NULL);
+	return e;
+}
+
+void work_claim_stop(struct work_state *s)
+{
+	if (!s->claims)
+		return;
+	for (int i = 0; i < WORK_CLAIM_SHARDS; i++)
+		claim_shard_free(s->claims->slots[i].shard);
+	htab_free(s->claims->askers);
+	free(s->claims);
+}
--- a/packages/daemon/src/work_mod_int.h
+++ b/packages/daemon/src/work_mod_int.h
@@ -5,6 +5,8 @@
 
 #include "attempt/attempt.h"
 #include "base/rng.h"
+#include "claim/ask.h"
+#include "claim/shard.h"
 #include "daemon/work_mod.h"
 
 enum {
@@ -19,6 +21,8 @@
 	WORK_PROBE_MS = 1000, ///< interval of probes of a forwarded request
 	WORK_NAME_LEN = 64, ///< bytes of a server's, node's or team's name
 	WORK_ENGINE_IDLE_MS = 20000, ///< longest silence inside a stream
+	WORK_CLAIM_SHARDS = 8, ///< of the claim log; part of its format
+	WORK_CLAIM_CAP = 8192, ///< claims asked of this node at once
 	WORK_NO_SERVER_RETRY_MS = 1000, ///< told when no server is known
 };
 
@@ -59,14 +63,33 @@
 	size_t peer_total; ///< bytes of that answer
 };
 
+/// What a caller's request needs until it is answered.
+struct work_call {
+	htab_handle h;
+	htab_handle req; ///< 0 once the caller is gone
+	htab_handle work; ///< 0 before it is submitted
+	struct work_opts o; ///< strings live with the caller's request
+	char team[WORK_NAME_LEN];
+	bool may_cut; ///< nobody needs the outcome once the caller is gone
+	bool streaming; ///< an answer's first line went out
+	bool broken; ///< the caller reads too slowly
+	uint64_t tokens; ///< delivered
+	bool keyed; ///< holds an idempotency key
+	struct claim_ask ask;
+	struct claim_request claim;
+};
+
+struct work_claims;
+
 struct work_state {
 	struct htab *works; ///< struct work
 	struct htab *ins; ///< struct work_in
+	htab_handle in_buckets[WORK_IN_CAP]; ///< heads of chains, by name
 	struct htab *calls; ///< struct work_call
 	struct attempt_budget budget;
 	struct rng rng;
+	struct work_claims *claims;
 	uint64_t next_id;
-	int64_t probed_ms;
 };
 
 static inline struct work_state *work_state(const struct core *c)
@@ -134,5 +157,50 @@
 void work_peer_in_stop(struct work_state *s);
 void work_peer_in_tick(struct core *c, int64_t now);
 
+// work_mod_claim.c: the shards of the claim log that this node writes
+
+enum err work_claim_start(struct core *c, struct work_state *s);
+void work_claim_stop(struct work_state *s);
+void work_claim_tick(struct core *c, int64_t now);
+
+/// Whether this node is the writer of a key's shard.
+bool work_claim_is_writer(struct core *c, struct claim_name key);
+
+/// Ask the shard's writer, or this node's own shard. The verdict comes by
+/// work_call_verdict().
+void work_claim_ask(struct core *c, const struct claim_request *req,
+		    htab_handle call, bool self);
+
+/// Tell the shard's writer how a claimed request ended.
+void work_claim_note(struct core *c, const struct claim_record *r);
+
+// work_mod_keyed.c: callers' requests that carry an idempotency key
+
+/// Claim the key, then submit.
+void work_keyed_begin(struct core *c, struct work_call *call,
+		      const char *route);
+
+/// The caller went away before the claim was settled.
+void work_keyed_abort(struct core *c, struct work_call *call);
+
+/// Note how a keyed request ended.
+void work_keyed_end(struct core *c, const struct work_call *call,
+		    const struct work_result *res);
+void work_keyed_tick(struct core *c, int64_t now);
+
+/// Take a verdict from a shard.
+///
+/// @param self  from this node's own shard
+void work_keyed_verdict(struct core *c, htab_handle call, enum claim_verdict v,
+			const struct claim_answer *a, bool self);
+
 // work_mod_call.c
+
+/// Submit a caller's request; answers it if it is refused.
+///
+/// @return false if it was refused; `call` is gone then
+bool work_call_submit(struct core *c, struct work_call *call);
+
+/// Forget a caller's request.
+void work_call_drop(struct core *c, struct work_call *call);
 enum err work_call_start(struct core *c, struct work_state *s);
--- a/packages/daemon/src/work_mod_peer_in.c
+++ b/packages/daemon/src/work_mod_peer_in.c
@@ -2,6 +2,7 @@
 // domain, under this failure domain's own limits, and sends the answer back.
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/log.h"
 #include "work_mod_peer.h"
@@ -24,6 +25,7 @@
 	htab_handle work; ///< 0 until the body is whole
 	uint64_t lines; ///< lines sent back
 	int64_t since_ms;
+	htab_handle next; ///< of its bucket
 };
 
 static struct work_in *in_get(struct core *c, void *ctx)
@@ -31,24 +33,43 @@
 	return htab_get(work_state(c)->ins, (htab_handle)(uintptr_t)ctx);
 }
 
+/* Head of the chain of a request's bucket. */
+static htab_handle *in_bucket(struct work_state *s, const char *from,
+			      const struct work_ref *ref)
+{
+	uint64_t hash = XXH64(from, strlen(from), ref->id);
+
+	return &s->in_buckets[hash % WORK_IN_CAP];
+}
+
 static struct work_in *in_find(struct core *c, const char *from,
 			       const struct work_ref *ref)
 {
-	struct work_in *in;
-	size_t iter = 0;
+	struct work_state *s = work_state(c);
+	struct work_in *in = htab_get(s->ins, *in_bucket(s, from, ref));
 
-	while ((in = htab_next(work_state(c)->ins, &iter, NULL))) {
+	while (in) {
 		if (in->ref.h == ref->h && in->ref.id == ref->id &&
 		    strcmp(in->from, from) == 0)
 			return in;
+		in = htab_get(s->ins, in->next);
 	}
 	return NULL;
 }
 
 static void in_free(struct core *c, struct work_in *in)
 {
+	struct work_state *s = work_state(c);
+	htab_handle *link = in_bucket(s, in->from, &in->ref);
+
+	while (*link != in->h) {
+		struct work_in *other = htab_get(s->ins, *link);
+
+		link = &other->next;
+	}
+	*link = in->next;
 	work_buf_free(&in->body);
-	htab_del(work_state(c)->ins, in->h);
+	htab_del(s->ins, in->h);
 }
 
 static void in_send_done(struct core *c, const char *to,
@@ -176,6 +197,8 @@
 	in->open = *m;
 	in->since_ms = core_now(c);
 	snprintf(in->from, sizeof(in->from), "%s", from);
+	in->next = *in_bucket(s, from, &m->ref);
+	*in_bucket(s, from, &m->ref) = h;
 	trace_parse(&in->trace, m->trace);
 	in_take_body(c, in, m->chunk, m->chunk_len);
 }
