fix(work): name the server from the request's own copy

*Problem:* The linter found that a result kept the address of a local buffer after the call; a submitter that kept the result would have read freed memory.

*Solution:* work_finish() fills the server's name from its own copy of the request, which lives through the callback.

--- a/packages/claim/test/test_claim_faults.c
+++ b/packages/claim/test/test_claim_faults.c
@@ -20,7 +20,7 @@
 	struct sim_totals t = {0};
 
 	for (int i = 0; i < seeds; i++)
-		sim_run(v, (uint64_t)(FIRST_SEED + i), &t);
+		sim_run(v, (uint64_t)FIRST_SEED + (uint64_t)i, &t);
 	printf("variant %d, seeds %d..%d: %d requests, %d runs, %d answered, "
 	       "%d replayed, %d told running, %d refused, %d maybe, "
 	       "%llu conflicts, %llu lost replies; double runs %d, false "
--- a/packages/daemon/src/work_mod_attempt.c
+++ b/packages/daemon/src/work_mod_attempt.c
@@ -182,7 +182,6 @@
 {
 	struct attempt_budget *b = &work_state(c)->budget;
 	struct attempt_step step;
-	char server[WORK_NAME_LEN];
 	enum err e = ERR_OK;
 
 	attempt_span_end(w, out->err);
@@ -201,9 +200,6 @@
 	res->err = step.err;
 	res->run = step.run;
 	res->retry_after_ms = step.retry_after_ms;
-	memcpy(server, w->target, sizeof(server));
-	if (!res->server)
-		res->server = server;
 	work_finish(c, w, res);
 }
 
--- a/packages/daemon/src/work_mod_submit.c
+++ b/packages/daemon/src/work_mod_submit.c
@@ -116,6 +116,7 @@
 {
 	struct work_state *s = work_state(c);
 	struct work done = *w;
+	struct work_result end = *res;
 
 	htab_del(s->works, w->h);
 	metric_set(M_WORK_RUNNING, htab_count(s->works));
@@ -124,7 +125,9 @@
 		log_event(EV_WORK_GIVEN_UP, "error=%s run=%s target=%s",
 			  err_code(res->err), run_state_name(res->run),
 			  done.target);
-	done.o.on_done(c, done.o.ctx, res);
+	if (!end.server)
+		end.server = done.target;
+	done.o.on_done(c, done.o.ctx, &end);
 	work_free(&done);
 }
 
