fix(core): don't touch an event after its request was answered

*Problem:* A handler that answers at once ends the request, and the event lives in it: event_done() read freed memory. The address sanitizer stopped one of three daemons in 3 of 3 runs of test_work_calls, at the first refused call.

*Solution:* Only the event of a caller gone holds a reference of its own, so only that one is given back. The same runs go past that point now.

--- a/packages/core/src/req.c
+++ b/packages/core/src/req.c
@@ -151,10 +151,12 @@
 
 void core_on_http(struct core *c, struct http_event *ev)
 {
-	if (ev->kind == HTTP_REQ)
+	if (ev->kind == HTTP_REQ) {
+		/* The answer may free the request and, in it, the event. */
 		req_arrived(c, ev->req);
-	else
-		req_gone(c, ev->req);
+		return;
+	}
+	req_gone(c, ev->req);
 	c->opts.http->event_done(ev);
 }
 
