--- a/packages/daemon/src/conf_mod_admin.c
+++ b/packages/daemon/src/conf_mod_admin.c
@@ -72,10 +72,9 @@
 enum err conf_mod_admin_start(struct conf_mod *m)
 {
 	const struct core_route_opts routes[] = {
-		{CORE_ADMIN, "GET", "/admin/conf", false, get_conf, m},
-		{CORE_ADMIN, "GET", "/admin/conf/force", false, get_force, m},
-		{CORE_ADMIN, "POST", "/admin/conf/edit", false, conf_mod_edit,
-		 m},
+		{CORE_ADMIN, "GET", "/admin/conf", get_conf, m},
+		{CORE_ADMIN, "GET", "/admin/conf/force", get_force, m},
+		{CORE_ADMIN, "POST", "/admin/conf/edit", conf_mod_edit, m},
 	};
 
 	for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
