--- a/packages/daemon/src/work_mod_keyed.c
+++ b/packages/daemon/src/work_mod_keyed.c
@@ -1,4 +1,5 @@
 // Callers' requests that carry an idempotency key: claimed, run, noted.
+#include <assert.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -84,6 +85,7 @@
 {
 	char detail[KEYED_DETAIL_LEN];
 
+	assert(a);
 	metric_add(M_CLAIM_REPLAYED, 1);
 	if (a->len == 0 || a->body) {
 		core_reply_header(c, req, "Catkin-Run", "done");
