test(daemon): prove that a graceful shutdown cuts off no request

Problem: nothing showed that SIGTERM lets running calls and streams finish. With the sanitizers the drained daemon ended with exit 1: a call that was in progress at the end (a watch) was dropped without on_done, so its module never freed what belonged to it.

Solution: test_drain signals a daemon at random points of 12 calls and 12 streams; all must come whole, new calls must be refused as draining with run=no, /readyz must fail while the listeners are open, exit code 0. At the end of the loop each call left gets its on_done with ERR_CLOSED, as the contract of core_fetch says, and no new one starts.

--- a/packages/core/include/core/core.h
+++ b/packages/core/include/core/core.h
@@ -148,7 +148,8 @@
 /// Start an outgoing request; everything in opts is copied.
 ///
 /// @param[out] h  handle for core_fetch_cancel(), may be NULL
-/// @return ERR_OK, or ERR_FULL: on_done will not be called and nothing left
+/// @return ERR_OK, or ERR_FULL, ERR_TOO_LARGE, ERR_NOMEM, ERR_CLOSED:
+///         on_done will not be called and nothing left
 enum err core_fetch(struct core *c, const struct core_fetch_opts *opts,
 		    htab_handle *h);
 
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -226,6 +226,9 @@
 {
 	if (!c)
 		return;
+	c->phase = CORE_ENDED;
+	if (c->fetches)
+		core_fetch_end_all(c);
 	stop_mods(c);
 	core_drop_all(c);
 	if (c->http)
--- a/packages/core/src/core.h
+++ b/packages/core/src/core.h
@@ -105,5 +105,8 @@
 /// Close the connections of all unanswered requests.
 void core_drop_requests(struct core *c);
 
+/// End all calls with ERR_CLOSED; no new ones start after CORE_ENDED.
+void core_fetch_end_all(struct core *c);
+
 /// End all requests and calls that are left.
 void core_drop_all(struct core *c);
--- a/packages/core/src/fetch.c
+++ b/packages/core/src/fetch.c
@@ -76,6 +76,10 @@
 
 	if (!f)
 		return ERR_FULL;
+	if (c->phase == CORE_ENDED) {
+		htab_del(c->fetches, id);
+		return ERR_CLOSED;
+	}
 	f->on_data = opts->on_data;
 	f->on_done = opts->on_done;
 	f->ctx = opts->ctx;
@@ -129,6 +133,26 @@
 	c->opts.upstream->forget(c->up, was.call);
 }
 
+void core_fetch_end_all(struct core *c)
+{
+	static const struct core_fetch_result res = {
+		.err = ERR_CLOSED,
+		.sent = true,
+		.ctype = "",
+	};
+	struct fetch_entry *f;
+	htab_handle h;
+	size_t iter = 0;
+
+	while ((f = htab_next(c->fetches, &iter, &h))) {
+		struct fetch_entry was = *f;
+
+		core_fetch_cancel(c, h);
+		if (was.on_done)
+			was.on_done(c, was.ctx, &res);
+	}
+}
+
 void core_on_upstream(struct core *c, struct upstream_event *ev)
 {
 	struct fetch_entry *f = htab_get(c->fetches, ev->id);
--- /dev/null
+++ b/test/e2e/test_drain.c
@@ -0,0 +1,300 @@
+// Graceful shutdown: SIGTERM at random points of running calls and streams
+// cuts off none. An abrupt end fails the same check.
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <cmocka.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <sys/wait.h>
+
+#include "base/rng.h"
+#include "support/http.h"
+#include "support/sys.h"
+
+enum {
+	UP_MS = 30000,
+	CTL_MS = 20000,
+	ANSWER_MS = 40000, ///< longest wait for an answer
+	CALLS = 12,
+	STREAMS = 12,
+	REQUESTS = CALLS + STREAMS,
+	SLOW_MS = 1500, ///< of a call at the backend server
+	TOKENS = 60, ///< of a stream
+	SPREAD_MS = 1200, ///< within it, the signal comes at random
+	ROUNDS = 4,
+};
+
+static struct sys sys;
+
+struct request {
+	pthread_t thread;
+	bool stream;
+	bool whole;
+	int status;
+	int curl;
+};
+
+static void ctl(const char *const *words)
+{
+	const char *argv[16] = {"catkinctl", "--node", sys.nodes[0].admin};
+	struct proc p;
+	int status = -1;
+
+	for (int i = 0; words[i]; i++)
+		argv[3 + i] = words[i];
+	assert_true(proc_start(&p, "ctl", argv));
+	assert_true(proc_wait(&p, CTL_MS, &status));
+	assert_int_equal(status, 0);
+}
+
+static int post(const char *base, const char *path, const char *body,
+		struct http_res *res)
+{
+	char url[128];
+	struct http_opts opts = {
+		.method = "POST",
+		.url = url,
+		.body = body,
+		.timeout_ms = ANSWER_MS,
+	};
+
+	snprintf(url, sizeof(url), "%s%s", base, path);
+	return http_call(&opts, res);
+}
+
+static bool desk_up(void *ctx)
+{
+	struct http_res res;
+	int status = post(sys.nodes[0].url, "/v1/call/desk/book",
+			  "{\"call\":\"up\"}", &res);
+
+	http_free(&res);
+	return status == 200;
+}
+
+static bool talk_up(void *ctx)
+{
+	struct http_res res;
+	int status = post(sys.nodes[0].url, "/v1/generate/talk",
+			  "{\"prompt\":[1],\"max_tokens\":1}", &res);
+
+	http_free(&res);
+	return status == 200;
+}
+
+static void *run_request(void *arg)
+{
+	struct request *r = arg;
+	struct http_res res;
+	char body[96];
+
+	snprintf(body, sizeof(body), "{\"prompt\":[1,2],\"max_tokens\":%d}",
+		 TOKENS);
+	if (r->stream)
+		r->status =
+			post(sys.nodes[0].url, "/v1/generate/talk", body, &res);
+	else
+		r->status = post(sys.nodes[0].url, "/v1/call/desk/book",
+				 "{\"call\":\"slow\"}", &res);
+	r->curl = res.curl;
+	r->whole = r->curl == 0 && r->status == 200 && res.body &&
+		   (!r->stream || strstr(res.body, "\"end\""));
+	http_free(&res);
+	return NULL;
+}
+
+static int running(void)
+{
+	char url[128];
+	json_t *obj;
+	int n;
+
+	snprintf(url, sizeof(url), "%s/admin/status", sys.nodes[0].admin);
+	obj = http_json("GET", url, NULL, NULL, NULL);
+	n = (int)json_integer_value(json_object_get(obj, "requests"));
+	json_decref(obj);
+	return n - 1; /* the status request itself */
+}
+
+static bool all_running(void *ctx)
+{
+	return running() >= REQUESTS;
+}
+
+static void slow_calls(void)
+{
+	struct http_res res;
+	char body[96];
+
+	snprintf(body, sizeof(body),
+		 "{\"mode\":\"slow\",\"count\":%d,\"delay_ms\":%d}", CALLS,
+		 SLOW_MS);
+	for (int i = 0; i < sys.n_servers; i++) {
+		if (sys.servers[i].engine)
+			continue;
+		assert_int_equal(
+			post(sys.servers[i].url, "/fake/fault", body, &res),
+			200);
+		http_free(&res);
+	}
+}
+
+static void start_requests(struct request *r)
+{
+	memset(r, 0, REQUESTS * sizeof(*r));
+	slow_calls();
+	for (int i = 0; i < REQUESTS; i++) {
+		r[i].stream = i >= CALLS;
+		assert_int_equal(
+			pthread_create(&r[i].thread, NULL, run_request, &r[i]),
+			0);
+	}
+	assert_true(wait_until(all_running, NULL, UP_MS));
+}
+
+/// @return answers that came whole
+static int join_requests(struct request *r)
+{
+	int whole = 0;
+
+	for (int i = 0; i < REQUESTS; i++) {
+		pthread_join(r[i].thread, NULL);
+		whole += r[i].whole;
+	}
+	return whole;
+}
+
+static void pause_ms(uint64_t ms)
+{
+	struct timespec ts = {(time_t)(ms / 1000), (long)(ms % 1000) * 1000000};
+
+	nanosleep(&ts, NULL);
+}
+
+/// While it drains, the node answers that it does.
+static void check_refusals(void)
+{
+	struct http_res res;
+	char url[128];
+
+	snprintf(url, sizeof(url), "%s/readyz", sys.nodes[0].url);
+	assert_true(sys_wait_status(url, 503, 2000));
+	assert_int_equal(post(sys.nodes[0].url, "/v1/call/desk/book",
+			      "{\"call\":\"new\"}", &res),
+			 503);
+	assert_string_equal(res.run, "no");
+	assert_non_null(strstr(res.body, "draining"));
+	assert_true(res.retry_after >= 1);
+	http_free(&res);
+}
+
+static int runs_of(const char *call)
+{
+	int runs = 0;
+
+	for (int i = 0; i < sys.n_servers; i++) {
+		char url[128];
+		json_t *obj;
+
+		if (sys.servers[i].engine)
+			continue;
+		snprintf(url, sizeof(url), "%s/fake/stats", sys.servers[i].url);
+		obj = http_json("GET", url, NULL, NULL, NULL);
+		runs += (int)json_integer_value(
+			json_object_get(json_object_get(obj, "calls"), call));
+		json_decref(obj);
+	}
+	return runs;
+}
+
+static void node_again(void)
+{
+	assert_true(sys_node_start(&sys, 0));
+	assert_true(wait_until(desk_up, NULL, UP_MS));
+	assert_true(wait_until(talk_up, NULL, UP_MS));
+}
+
+static void test_term(void **state)
+{
+	struct rng rng = {20261204};
+
+	for (int round = 0; round < ROUNDS; round++) {
+		struct request r[REQUESTS];
+		uint64_t wait = rng_below(&rng, SPREAD_MS);
+		int status = -1;
+		int whole;
+
+		start_requests(r);
+		pause_ms(wait);
+		proc_signal(&sys.nodes[0].proc, SIGTERM);
+		check_refusals();
+		whole = join_requests(r);
+		printf("round %d: SIGTERM after %d ms, %d of %d whole\n", round,
+		       (int)wait, whole, REQUESTS);
+		assert_int_equal(whole, REQUESTS);
+		assert_true(proc_wait(&sys.nodes[0].proc, UP_MS, &status));
+		assert_int_equal(status, 0);
+		node_again();
+	}
+	assert_int_equal(runs_of("new"), 0);
+}
+
+/// The check can fail: an abrupt end does not pass it.
+static void test_kill(void **state)
+{
+	struct request r[REQUESTS];
+	int whole;
+
+	start_requests(r);
+	proc_kill(&sys.nodes[0].proc);
+	whole = join_requests(r);
+	printf("SIGKILL: %d of %d whole\n", whole, REQUESTS);
+	assert_true(whole < REQUESTS);
+	node_again();
+}
+
+static int start(void **state)
+{
+	static const char *const engine[] = {
+		"--cold", "0", "--slots", "32", "--token-us", "30000", NULL};
+	struct sys_opts opts = {
+		.domains = 1,
+		.nodes_per_domain = 2,
+		.engines_per_domain = 1,
+		.services_per_domain = 1,
+		.engine_args = engine,
+	};
+
+	assert_true(sys_start(&sys, &opts));
+	ctl((const char *const[]){"route", "add", "desk", "--service", "desk",
+				  "--open", NULL});
+	ctl((const char *const[]){"route", "add", "talk", "--engine", "--open",
+				  NULL});
+	ctl((const char *const[]){"set", "slot.start", "64", NULL});
+	assert_true(wait_until(desk_up, NULL, UP_MS));
+	assert_true(wait_until(talk_up, NULL, UP_MS));
+	return 0;
+}
+
+static int stop(void **state)
+{
+	sys_stop(&sys);
+	return 0;
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_term),
+		cmocka_unit_test(test_kill),
+	};
+
+	return cmocka_run_group_tests(tests, start, stop);
+}
