--- a/packages/base/include/base/log.h
+++ b/packages/base/include/base/log.h
@@ -1,6 +1,7 @@
 // Numbered log events as syslog-style lines on standard error.
 #pragma once
 
+#include <stdbool.h>
 #include <syslog.h>
 
 enum log_event {
@@ -16,6 +17,12 @@
 /// @param level    least urgent syslog level that is written (LOG_DEBUG = all)
 void log_setup(const char *program, const char *node, int level);
 
+/// Change the least urgent level that is written.
+///
+/// @param name  "err", "warning", "notice", "info" or "debug"
+/// @return false for any other name
+bool log_set_level(const char *name);
+
 /// Write one event. Values must not hold keys or hashes of keys.
 ///
 /// @param ev   event from the table
--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -2,6 +2,7 @@
 #include "base/log.h"
 
 #include <stdarg.h>
+#include <stdatomic.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <string.h>
@@ -27,7 +28,7 @@
 
 static const char *log_program = "catkinpath";
 static char log_node[64] = "-";
-static int log_level = LOG_INFO;
+static atomic_int log_level = LOG_INFO;
 
 static const struct event_row *event_find(enum log_event ev)
 {
@@ -45,6 +46,23 @@
 	snprintf(log_node, sizeof(log_node), "%s", node);
 }
 
+bool log_set_level(const char *name)
+{
+	static const char *const names[] = {
+		[LOG_ERR] = "err",	 [LOG_WARNING] = "warning",
+		[LOG_NOTICE] = "notice", [LOG_INFO] = "info",
+		[LOG_DEBUG] = "debug",
+	};
+
+	for (int i = LOG_ERR; i <= LOG_DEBUG; i++) {
+		if (strcmp(names[i], name) == 0) {
+			log_level = i;
+			return true;
+		}
+	}
+	return false;
+}
+
 const char *log_event_name(enum log_event ev)
 {
 	const struct event_row *r = event_find(ev);
--- a/packages/core/src/loop.c
+++ b/packages/core/src/loop.c
@@ -228,6 +228,7 @@
 		log_faults(text);
 	} else {
 		settings_reload(c->opts.settings, newer);
+		log_set_level(settings_str(c->opts.settings, S_LOG_LEVEL));
 		settings_free(newer);
 		c->opts.http->set_max_body(
 			c->http, (size_t)settings_int(c->opts.settings,
--- a/packages/core/src/settings_load.c
+++ b/packages/core/src/settings_load.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "setting_form.h"
 #include "settings.h"
 
 enum {
@@ -20,6 +21,7 @@
 	int line; ///< line being read
 	bool plain; ///< the line is blank, a comment, a section or was taken
 	int n_faults;
+	char allowed[96]; ///< what the setting just read allows
 };
 
 __attribute__((format(printf, 3, 4))) static void
@@ -76,19 +78,30 @@
 	return buf;
 }
 
-static bool take_value(struct setting_value *v, const struct setting_row *row,
-		       const char *text)
+/// @return NULL when the value was taken, else what is allowed
+static const char *take_value(struct loader *l, enum setting k,
+			      const char *text)
 {
+	const struct setting_row *row = &setting_rows[k];
+	struct setting_value *v = &l->s->values[k];
 	size_t len = strlen(text);
+	const char *form;
 
-	if (row->kind == SETTING_INT)
-		return setting_parse_int(row, text, &v->num) &&
-		       v->num >= row->min && v->num <= row->max;
+	setting_allowed(row, l->allowed, sizeof(l->allowed));
+	if (row->kind == SETTING_INT) {
+		bool good = setting_parse_int(row, text, &v->num) &&
+			    v->num >= row->min && v->num <= row->max;
+
+		return good ? NULL : l->allowed;
+	}
 	if (len < (size_t)row->min || len > (size_t)row->max)
-		return false;
+		return l->allowed;
+	form = setting_form_fault(k, text);
+	if (form)
+		return form;
 	free(v->str);
 	v->str = strdup(text);
-	return v->str != NULL;
+	return v->str ? NULL : l->allowed;
 }
 
 static int on_pair(void *ctx, const char *section, const char *key,
@@ -96,7 +109,7 @@
 {
 	struct loader *l = ctx;
 	enum setting k = setting_find(section, key);
-	char allowed[96];
+	const char *allowed;
 
 	l->plain = true;
 	if (k == SETTING_COUNT) {
@@ -112,9 +125,9 @@
 		return 1;
 	}
 	l->lines[k] = l->line;
-	if (take_value(&l->s->values[k], &setting_rows[k], value))
+	allowed = take_value(l, k, value);
+	if (!allowed)
 		return 1;
-	setting_allowed(&setting_rows[k], allowed, sizeof(allowed));
 	fault(l, l->line, "[%s] %s: \"%s\" can't be used; allowed is %s",
 	      section, key, value, allowed);
 	return 1;
--- a/packages/core/src/status.c
+++ b/packages/core/src/status.c
@@ -49,10 +49,11 @@
 static void on_status(struct core *c, struct core_req *r, void *ctx)
 {
 	json_t *obj = json_pack(
-		"{s:s,s:s,s:s,s:s,s:b,s:I,s:I}", "node", core_node(c), "domain",
-		core_domain(c), "incarnation", core_incarnation(c), "version",
-		CATKIN_VERSION, "draining", (int)core_draining(c), "requests",
-		(json_int_t)htab_count(c->reqs), "fetches",
+		"{s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:I}", "node", core_node(c),
+		"domain", core_domain(c), "incarnation", core_incarnation(c),
+		"version", CATKIN_VERSION, "draining", (int)core_draining(c),
+		"requests", (json_int_t)htab_count(c->reqs), "open",
+		(json_int_t)c->opts.http->open(c->http), "fetches",
 		(json_int_t)htab_count(c->fetches));
 
 	for (int i = 0; i < c->n_started; i++) {
--- a/programs/catkinpathd/main.c
+++ b/programs/catkinpathd/main.c
@@ -79,19 +79,6 @@
 	return o;
 }
 
-static int level_of(const char *name)
-{
-	static const char *const names[] = {"emerg", "alert",	"crit",
-					    "err",   "warning", "notice",
-					    "info",  "debug"};
-
-	for (int i = 0; i < 8; i++) {
-		if (strcmp(names[i], name) == 0)
-			return i;
-	}
-	return LOG_INFO;
-}
-
 static void handle_signals(void)
 {
 	struct sigaction term = {.sa_handler = on_term};
@@ -119,8 +106,8 @@
 	};
 	const char *spans = settings_str(s, S_TRACE_FILE);
 
-	log_setup("catkinpathd", settings_str(s, S_NODE_ID),
-		  level_of(settings_str(s, S_LOG_LEVEL)));
+	log_setup("catkinpathd", settings_str(s, S_NODE_ID), LOG_INFO);
+	log_set_level(settings_str(s, S_LOG_LEVEL));
 	if (*spans && !trace_open(spans)) {
 		log_event(EV_FATAL, "trace_file=%s", spans);
 		return EXIT_START;
