--- /dev/null
+++ b/bench/bench_attempt_claim.c
@@ -0,0 +1,232 @@
+// What idempotency keys cost: KV writes a second and added latency, in virtual
+// time, against one KV key a claim (two writes a call).
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/rng.h"
+#include "claim/shard.h"
+
+enum {
+	SHARDS = 8,
+	SECONDS = 20,
+	KV_MIN_MS = 2, ///< of a call to the store
+	KV_SPREAD_MS = 5,
+	RUN_MS = 20, ///< from the claim to the outcome
+	COMMIT_MS = 50,
+	SEGMENT_MAX = 16 << 10, ///< bytes
+	CALLS_MAX = 40000,
+	WRITES_MAX = 300, ///< a second; "several hundred" are for all
+	LATENCY_MAX_MS = 2 * (COMMIT_MS + KV_MIN_MS + KV_SPREAD_MS),
+	SEED = 7,
+};
+
+struct call {
+	int64_t asked;
+	int64_t granted; ///< 0 before
+	int64_t note_at;
+};
+
+struct shard {
+	struct claim_shard *s;
+	int64_t reply_at; ///< 0: no call is out
+	struct claim_kv reply;
+	char *text; ///< the newest segment
+	size_t len;
+	uint64_t rev;
+};
+
+static struct shard shards[SHARDS];
+static struct call calls[CALLS_MAX];
+static size_t n_calls;
+static int64_t now;
+static struct rng rng = {SEED};
+
+static void out(struct shard *sh, enum err e)
+{
+	sh->reply = (struct claim_kv){.err = e, .rev = sh->rev};
+	sh->reply_at = now + KV_MIN_MS + (int64_t)rng_below(&rng, KV_SPREAD_MS);
+}
+
+static void op_list(void *ctx, const char *prefix)
+{
+	out(ctx, ERR_OK);
+}
+
+static void op_get(void *ctx, const char *key)
+{
+	out(ctx, ERR_NOT_FOUND);
+}
+
+static void op_put(void *ctx, const char *key, const char *value, size_t len,
+		   uint64_t prev_rev)
+{
+	struct shard *sh = ctx;
+
+	sh->rev++;
+	out(sh, ERR_OK);
+}
+
+static void op_del(void *ctx, const char *key, uint64_t rev)
+{
+}
+
+static void op_verdict(void *ctx, uint64_t ticket, enum claim_verdict v,
+		       const struct claim_answer *a)
+{
+	calls[ticket].granted = now;
+	calls[ticket].note_at = now + RUN_MS;
+}
+
+static const struct claim_ops ops = {op_list, op_get, op_put, op_del,
+				     op_verdict};
+
+static struct claim_time at(void)
+{
+	return (struct claim_time){now, now};
+}
+
+static struct claim_request request(size_t i)
+{
+	return (struct claim_request){
+		.key = {i % SHARDS, i + 1},
+		.id = {1, i + 1},
+		.until_ms = now + 10000,
+		.expires_ms = now + 900000,
+	};
+}
+
+static void arrive(double rate_per_ms)
+{
+	for (double left = rate_per_ms; left > 0; left -= 1) {
+		size_t i = n_calls;
+
+		if (rng_unit(&rng) >= left || n_calls == CALLS_MAX)
+			continue;
+		n_calls++;
+		calls[i] = (struct call){.asked = now};
+		struct claim_request q = request(i);
+
+		claim_shard_ask(shards[i % SHARDS].s, at(), &q, i);
+	}
+}
+
+static void note_due(size_t *first)
+{
+	for (size_t i = *first; i < n_calls; i++) {
+		struct claim_record r = {.op = CLAIM_OP_DONE,
+					 .req = request(i)};
+
+		if (calls[i].note_at != now || calls[i].granted == 0)
+			continue;
+		r.answer = (struct claim_answer){
+			.status = 200,
+			.ctype = "application/json",
+			.body = "{\"booking\":123456,\"truck\":\"t-17\"}",
+			.len = 34,
+		};
+		claim_shard_note(shards[i % SHARDS].s, at(), &r);
+	}
+	while (*first < n_calls && calls[*first].granted &&
+	       calls[*first].note_at <= now)
+		(*first)++;
+}
+
+static void step(void)
+{
+	for (int i = 0; i < SHARDS; i++) {
+		struct shard *sh = &shards[i];
+
+		if (sh->reply_at && sh->reply_at <= now) {
+			sh->reply_at = 0;
+			claim_shard_kv(sh->s, at(), &sh->reply);
+		}
+		claim_shard_tick(sh->s, at());
+	}
+}
+
+static int by_value(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+static int64_t latency(double share)
+{
+	static int64_t all[CALLS_MAX];
+	size_t n = 0;
+
+	for (size_t i = 0; i < n_calls; i++) {
+		if (calls[i].granted)
+			all[n++] = calls[i].granted - calls[i].asked;
+	}
+	qsort(all, n, sizeof(*all), by_value);
+	return n ? all[(size_t)(share * (double)(n - 1))] : 0;
+}
+
+static int line(const char *name, int rate, double v, const char *unit,
+		double bound)
+{
+	int ok = v <= bound;
+
+	printf("bench claim_%s_%d %.1f %s bound %.1f %s\n", name, rate, v, unit,
+	       bound, ok ? "pass" : "fail");
+	return !ok;
+}
+
+static int run(int rate)
+{
+	struct claim_stats sum = {0};
+	size_t first = 0;
+	int bad = 0;
+
+	n_calls = 0;
+	for (int i = 0; i < SHARDS; i++) {
+		struct claim_shard_opts o = {
+			.prefix = "claim/0/",
+			.ops = &ops,
+			.ctx = &shards[i],
+			.commit_ms = COMMIT_MS,
+			.wait_ms = 1200,
+			.segment_max = SEGMENT_MAX,
+		};
+
+		shards[i] = (struct shard){.s = claim_shard_new(&o)};
+	}
+	for (now = 1; now < SECONDS * 1000; now++) {
+		arrive(rate / 1000.0);
+		note_due(&first);
+		step();
+	}
+	for (int i = 0; i < SHARDS; i++) {
+		const struct claim_stats *st = claim_shard_stats(shards[i].s);
+
+		sum.puts += st->puts;
+		sum.bytes += st->bytes;
+		sum.records += st->records;
+		claim_shard_free(shards[i].s);
+	}
+	bad |= line("kv_writes", rate, (double)sum.puts / SECONDS, "1/s",
+		    WRITES_MAX);
+	bad |= line("added_p50", rate, (double)latency(0.5), "ms",
+		    LATENCY_MAX_MS);
+	bad |= line("added_p99", rate, (double)latency(0.99), "ms",
+		    LATENCY_MAX_MS);
+	printf("# %d calls/s: %.1f writes a call (one key a claim: 2), %.0f "
+	       "KB/s to the store\n",
+	       rate, (double)sum.puts / (double)n_calls,
+	       (double)sum.bytes / 1024 / SECONDS);
+	return bad;
+}
+
+int main(void)
+{
+	int bad = 0;
+
+	bad |= run(10);
+	bad |= run(100);
+	bad |= run(800);
+	return bad;
+}
