--- a/test/e2e/test_work_calls.c
+++ b/test/e2e/test_work_calls.c
@@ -120,7 +120,7 @@
 		.domains = 3,
 		.nodes_per_domain = 1,
 		.services_per_domain = 1,
-		.empty_domain = 0,
+		.empty_domain = 3,
 	};
 
 	assert_true(sys_start(&sys, &o));
