--- /dev/null
+++ b/packages/gate/test/test_gate.c
@@ -0,0 +1,248 @@
+// The gate against a stand-in platform: what passes, and what never does.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <cmocka.h>
+#include <curl/curl.h>
+#include <jansson.h>
+
+#include "base/clock.h"
+#include "gate/gate.h"
+#include "support/addr.h"
+#include "support/http.h"
+#include "support/proc.h"
+
+enum {
+	PORT = 7000,
+	UP_MS = 20000,
+	SHORT_MS = 1500,
+	LONG_MS = 60000,
+};
+
+static struct proc platform;
+static char base[64];
+
+static struct gate *gate_for(const char *url, int64_t until_ms)
+{
+	const struct gate_opts opts = {
+		.url = url,
+		.until_ms = until_ms,
+		.connect_timeout_ms = LONG_MS,
+		.timeout_ms = LONG_MS,
+		.user_timeout_ms = 1000,
+	};
+	struct gate *g = NULL;
+
+	assert_int_equal(gate_open(&opts, &g), ERR_OK);
+	return g;
+}
+
+static enum err send_usage(struct gate *g, uint64_t tag)
+{
+	char body[96];
+	const struct gate_order o = {
+		.tag = tag,
+		.path = "/usage",
+		.body = body,
+		.len = (size_t)snprintf(body, sizeof(body),
+					"{\"window\":%d,\"epoch\":1,"
+					"\"figures\":{}}",
+					(int)tag),
+	};
+
+	return gate_send(g, &o);
+}
+
+struct waiter {
+	struct gate *gate;
+	struct gate_reply reply;
+};
+
+static bool replied(void *ctx)
+{
+	struct waiter *w = ctx;
+
+	return gate_reply(w->gate, &w->reply);
+}
+
+static struct gate_reply wait_reply(struct gate *g)
+{
+	struct waiter w = {.gate = g};
+
+	assert_true(wait_until(replied, &w, UP_MS));
+	free(w.reply.body);
+	return w.reply;
+}
+
+static bool ended(void *ctx)
+{
+	return gate_ended(ctx);
+}
+
+static int fake(const char *method, const char *path, const char *body)
+{
+	char url[128];
+	int status;
+
+	snprintf(url, sizeof(url), "%s%s", base, path);
+	json_decref(http_json(method, url, NULL, body, &status));
+	return status;
+}
+
+/* Whether the stand-in saw a usage report of this window. */
+static bool seen(int window)
+{
+	char url[128];
+	json_t *j, *row;
+	size_t i;
+	bool found = false;
+
+	snprintf(url, sizeof(url), "%s/fake/log", base);
+	j = http_json("GET", url, NULL, NULL, NULL);
+	json_array_foreach(json_object_get(j, "log"), i, row) {
+		json_t *w = json_object_get(row, "window");
+
+		found |= json_integer_value(w) == window;
+	}
+	json_decref(j);
+	return found;
+}
+
+static void test_passes_while_open(void **state)
+{
+	struct gate *g = gate_for(base, clock_now_ms() + LONG_MS);
+	struct gate_reply r;
+
+	assert_int_equal(send_usage(g, 1), ERR_OK);
+	r = wait_reply(g);
+	assert_int_equal(r.err, ERR_OK);
+	assert_int_equal(r.status, 200);
+	assert_int_equal(r.tag, 1);
+	assert_true(seen(1));
+	gate_free(g);
+}
+
+static void test_shuts_by_itself(void **state)
+{
+	struct gate *g = gate_for(base, clock_now_ms() + 50);
+
+	assert_true(wait_until(ended, g, UP_MS));
+	assert_int_equal(send_usage(g, 2), ERR_CLOSED);
+	gate_free(g);
+	assert_false(seen(2));
+}
+
+static void test_extended(void **state)
+{
+	int64_t start = clock_now_ms();
+	struct gate *g = gate_for(base, start + SHORT_MS);
+	const struct timespec nap = {0, 20000000};
+
+	gate_extend(g, start + LONG_MS);
+	gate_extend(g, start);
+	while (clock_now_ms() < start + SHORT_MS + 100)
+		nanosleep(&nap, NULL);
+	assert_int_equal(send_usage(g, 3), ERR_OK);
+	assert_int_equal(wait_reply(g).err, ERR_OK);
+	gate_free(g);
+}
+
+/* An order that is under way when the gate shuts comes back at once. */
+static void test_cuts_a_running_order(void **state)
+{
+	struct gate *g = gate_for(base, clock_now_ms() + SHORT_MS);
+	int64_t start = clock_now_ms();
+	struct gate_reply r;
+
+	fake("POST", "/fake/fault",
+	     "{\"path\":\"/usage\",\"mode\":\"hang\",\"count\":-1}");
+	assert_int_equal(send_usage(g, 4), ERR_OK);
+	assert_int_equal(send_usage(g, 5), ERR_OK);
+	r = wait_reply(g);
+	assert_int_equal(r.err, ERR_CLOSED);
+	assert_int_equal(r.status, 0);
+	assert_true(r.sent);
+	r = wait_reply(g);
+	assert_int_equal(r.err, ERR_CLOSED);
+	assert_false(r.sent);
+	assert_true(clock_now_ms() - start < LONG_MS / 2);
+	fake("DELETE", "/fake/fault", NULL);
+	gate_free(g);
+	assert_false(seen(5));
+}
+
+static void test_outcomes(void **state)
+{
+	struct gate *g = gate_for(base, clock_now_ms() + LONG_MS);
+	struct gate_reply r;
+
+	fake("POST", "/fake/fault",
+	     "{\"path\":\"/usage\",\"mode\":\"drop_reply\",\"count\":1}");
+	assert_int_equal(send_usage(g, 6), ERR_OK);
+	r = wait_reply(g);
+	assert_int_equal(r.err, ERR_TIMEOUT);
+	assert_true(r.sent);
+	assert_true(seen(6));
+	gate_free(g);
+	g = gate_for("http://127.0.0.1:1", clock_now_ms() + LONG_MS);
+	assert_int_equal(send_usage(g, 7), ERR_OK);
+	r = wait_reply(g);
+	assert_int_equal(r.err, ERR_TIMEOUT);
+	assert_false(r.sent);
+	gate_free(g);
+}
+
+static void test_bounded(void **state)
+{
+	struct gate *g = gate_for(base, clock_now_ms() + LONG_MS);
+
+	fake("POST", "/fake/fault",
+	     "{\"path\":\"/usage\",\"mode\":\"hang\",\"count\":-1}");
+	for (int i = 0; i < GATE_ORDERS_MAX; i++)
+		assert_int_equal(send_usage(g, 100), ERR_OK);
+	assert_int_equal(send_usage(g, 100), ERR_FULL);
+	gate_shut(g);
+	for (int i = 0; i < GATE_ORDERS_MAX; i++)
+		assert_int_equal(wait_reply(g).err, ERR_CLOSED);
+	fake("DELETE", "/fake/fault", NULL);
+	gate_free(g);
+}
+
+static int setup(void **state)
+{
+	char ip[16], listen[32];
+	const char *argv[] = {"fake_platform", "--listen", listen, NULL};
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	snprintf(listen, sizeof(listen), "%s:%d", addr_ip(0, ip), PORT);
+	snprintf(base, sizeof(base), "http://%s", listen);
+	return proc_start(&platform, "platform", argv) &&
+			       wait_port(ip, PORT, UP_MS)
+		       ? 0
+		       : -1;
+}
+
+static int teardown(void **state)
+{
+	proc_kill(&platform);
+	return 0;
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_passes_while_open),
+		cmocka_unit_test(test_shuts_by_itself),
+		cmocka_unit_test(test_extended),
+		cmocka_unit_test(test_cuts_a_running_order),
+		cmocka_unit_test(test_outcomes),
+		cmocka_unit_test(test_bounded),
+	};
+
+	return cmocka_run_group_tests(tests, setup, teardown);
+}
--- a/test/support/link.c
+++ b/test/support/link.c
@@ -13,15 +13,27 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/clock.h"
+
 enum {
 	LINK_PAIRS = 128,
 	LINK_BUF = 65536, ///< bytes
 	LINK_POLL_MS = 20,
 };
 
+/* Bytes from the caller that are held up. */
+struct link_chunk {
+	struct link_chunk *next;
+	int64_t due_ms;
+	size_t len;
+	char data[];
+};
+
 struct link_pair {
-	int fd[2]; ///< caller's side, target's side
+	int fd[2]; ///< caller's side (-1: gone), target's side
 	bool dead; ///< lost bytes: silent for good
+	struct link_chunk *head; ///< oldest held up
+	struct link_chunk *tail;
 };
 
 struct link {
@@ -29,6 +41,7 @@
 	struct sockaddr_in to;
 	pthread_t thread;
 	_Atomic int mode;
+	_Atomic int delay_ms;
 	_Atomic bool stop;
 	struct link_pair pairs[LINK_PAIRS];
 	size_t n;
@@ -53,9 +66,20 @@
 	close(fd);
 }
 
+static void link_pop(struct link_pair *p)
+{
+	struct link_chunk *chunk = p->head;
+
+	p->head = chunk->next;
+	free(chunk);
+}
+
 static void link_drop(struct link *l, size_t i)
 {
-	link_reset(l->pairs[i].fd[0]);
+	while (l->pairs[i].head)
+		link_pop(&l->pairs[i]);
+	if (l->pairs[i].fd[0] >= 0)
+		link_reset(l->pairs[i].fd[0]);
 	link_reset(l->pairs[i].fd[1]);
 	l->pairs[i] = l->pairs[--l->n];
 }
@@ -75,7 +99,7 @@
 			close(to);
 		return;
 	}
-	l->pairs[l->n++] = (struct link_pair){{fd, to}, false};
+	l->pairs[l->n++] = (struct link_pair){.fd = {fd, to}};
 }
 
 static bool link_send(int fd, const char *p, ssize_t n)
@@ -99,6 +123,42 @@
 	       (mode == LINK_SILENT_BACK && side == 1);
 }
 
+static void link_queue(struct link_pair *p, const char *buf, size_t n,
+		       int delay_ms)
+{
+	struct link_chunk *chunk = malloc(sizeof(*chunk) + n);
+
+	*chunk = (struct link_chunk){.due_ms = clock_now_ms() + delay_ms,
+				     .len = n};
+	memcpy(chunk->data, buf, n);
+	if (p->head)
+		p->tail->next = chunk;
+	else
+		p->head = chunk;
+	p->tail = chunk;
+}
+
+/* Pass on what was held up long enough; false when the pair is over. */
+static bool link_flush(struct link_pair *p)
+{
+	while (p->head && p->head->due_ms <= clock_now_ms()) {
+		if (!link_send(p->fd[1], p->head->data, (ssize_t)p->head->len))
+			return false;
+		link_pop(p);
+	}
+	return true;
+}
+
+/* One side ended: bytes that are held up outlive the caller. */
+static bool link_ended(struct link_pair *p, int side)
+{
+	if (side == 1 || !p->head)
+		return false;
+	link_reset(p->fd[0]);
+	p->fd[0] = -1;
+	return true;
+}
+
 /* Move what one side has; false when the pair is over. */
 static bool link_move(struct link *l, struct link_pair *p, int side)
 {
@@ -106,7 +166,13 @@
 	ssize_t n = recv(p->fd[side], buf, sizeof(buf), MSG_DONTWAIT);
 
 	if (n <= 0)
-		return false;
+		return link_ended(p, side);
+	if (side == 0 && (l->delay_ms > 0 || p->head)) {
+		link_queue(p, buf, (size_t)n, l->delay_ms);
+		return true;
+	}
+	if (p->fd[!side] < 0)
+		return p->head != NULL;
 	if (link_lost(l, p, side)) {
 		p->dead = true;
 		return true;
@@ -126,7 +192,7 @@
 	}
 	poll(fds, 1 + 2 * n, LINK_POLL_MS);
 	for (size_t i = n; i-- > 0;) {
-		bool ok = l->mode != LINK_CUT;
+		bool ok = l->mode != LINK_CUT && link_flush(&l->pairs[i]);
 
 		for (int s = 0; ok && s < 2; s++) {
 			if (fds[1 + 2 * i + (size_t)s].revents)
@@ -175,6 +241,11 @@
 	l->mode = (int)mode;
 }
 
+void link_hold(struct link *l, int delay_ms)
+{
+	l->delay_ms = delay_ms;
+}
+
 void link_stop(struct link *l)
 {
 	if (!l)
--- a/test/support/link.h
+++ b/test/support/link.h
@@ -24,5 +24,11 @@
 /// was silent never works again; new ones follow the mode.
 void link_set(struct link *l, enum link_mode mode);
 
+/// Hold up what callers send from now on. It arrives late even if the caller has
+/// closed or reset its connection by then.
+///
+/// @param delay_ms  milliseconds, 0 for none
+void link_hold(struct link *l, int delay_ms);
+
 /// Stop the relay and close its connections.
 void link_stop(struct link *l);
