--- a/packages/lease/include/lease/lease.h
+++ b/packages/lease/include/lease/lease.h
@@ -14,7 +14,8 @@
 #include "base/rng.h"
 
 enum {
-	LEASE_HOLDER_MAX = 96, ///< bytes of a holder id, with the NUL
+	LEASE_NODE_MAX = 96, ///< bytes of lease_opts.node, with the NUL
+	LEASE_HOLDER_MAX = 128, ///< bytes of a holder id, with the NUL
 };
 
 /// Call that the candidate wants made next.
@@ -44,7 +45,7 @@
 	enum err err; ///< as of struct kv_result
 	const char *holder; ///< holder in the value that was read, "" if none
 	uint64_t epoch; ///< epoch in the value that was read
-	uint64_t rev; ///< revision of the key that was read
+	uint64_t rev; ///< of the key that was read; WATCH: of the store
 	uint64_t store_lease; ///< of GRANT
 	bool gone; ///< WATCH saw the key go
 	bool changed; ///< WATCH saw another value
@@ -78,6 +79,7 @@
 	struct lease_opts opts;
 	enum lease_state state;
 	struct rng rng;
+	char node[LEASE_NODE_MAX];
 	char holder[LEASE_HOLDER_MAX];
 	uint64_t attempt; ///< number in the holder id
 	uint64_t epoch; ///< of the holding, or the one to be written
@@ -118,3 +120,6 @@
 
 /// Give the duty up for good; call when nothing more will be sent under it.
 void lease_release(struct lease *l);
+
+/// Whether a release is complete: no store call is left to make.
+bool lease_ended(const struct lease *l);
--- a/packages/lease/src/lease.c
+++ b/packages/lease/src/lease.c
@@ -10,6 +10,8 @@
 	assert(opts->margin_ms < opts->ttl_ms);
 	memset(l, 0, sizeof(*l));
 	l->opts = *opts;
+	snprintf(l->node, sizeof(l->node), "%s", opts->node);
+	l->opts.node = NULL;
 	l->rng.state = opts->seed;
 	l->state = LEASE_ST_READ;
 }
@@ -48,7 +50,7 @@
 static void lease_attempt(struct lease *l, int64_t now)
 {
 	l->attempt++;
-	snprintf(l->holder, sizeof(l->holder), "%s/%llu", l->opts.node,
+	snprintf(l->holder, sizeof(l->holder), "%s/%llu", l->node,
 		 (unsigned long long)l->attempt);
 	lease_go(l, LEASE_ST_GRANT, now);
 }
@@ -166,7 +168,7 @@
 	else if (ans->changed)
 		lease_go(l, LEASE_ST_READ, now);
 	else
-		lease_stand_by(l, now, l->rev);
+		lease_stand_by(l, now, ans->rev > l->rev ? ans->rev : l->rev);
 }
 
 static void on_grant(struct lease *l, int64_t now,
@@ -299,3 +301,8 @@
 {
 	l->ending = true;
 }
+
+bool lease_ended(const struct lease *l)
+{
+	return l->state == LEASE_ST_ENDED && !l->waiting;
+}
