test(duty): count stale orders over freezes and faults

Ruled out: holding up all bytes in the late row, since that keeps the order of old and new and proves nothing.

--- a/test/fakes/platform/calls.c
+++ b/test/fakes/platform/calls.c
@@ -229,7 +229,10 @@
 
 static void on_fake_log(struct fake *f, struct call *c, const char *rest)
 {
-	call_reply(c, 200, json_pack("{s:O}", "log", f->orders.log));
+	call_reply(
+		c, 200,
+		json_pack("{s:o}", "log",
+			  orders_log_of(&f->orders, call_query(c, "domain"))));
 }
 
 static void on_fake_stats(struct fake *f, struct call *c, const char *rest)
--- a/test/fakes/platform/orders.c
+++ b/test/fakes/platform/orders.c
@@ -115,3 +115,19 @@
 	*reply = json_pack("{s:b}", "accepted", status == 200);
 	return status;
 }
+
+json_t *orders_log_of(const struct orders *o, const char *domain)
+{
+	json_t *arr = json_array();
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(o->log, i, row) {
+		const char *d =
+			json_string_value(json_object_get(row, "domain"));
+
+		if (!domain || (d && strcmp(d, domain) == 0))
+			json_array_append(arr, row);
+	}
+	return arr;
+}
--- a/test/fakes/platform/orders.h
+++ b/test/fakes/platform/orders.h
@@ -35,3 +35,9 @@
 ///
 /// @return HTTP status
 int orders_usage(struct orders *o, const json_t *body, json_t **reply);
+
+/// What came, in order.
+///
+/// @param domain  only orders of this failure domain, NULL for all
+/// @return new reference
+json_t *orders_log_of(const struct orders *o, const char *domain);
--- a/test/support/link.c
+++ b/test/support/link.c
@@ -32,6 +32,8 @@
 struct link_pair {
 	int fd[2]; ///< caller's side (-1: gone), target's side
 	bool dead; ///< lost bytes: silent for good
+	bool begun; ///< the caller sent something
+	bool held; ///< its bytes are held up
 	struct link_chunk *head; ///< oldest held up
 	struct link_chunk *tail;
 };
@@ -42,6 +44,8 @@
 	pthread_t thread;
 	_Atomic int mode;
 	_Atomic int delay_ms;
+	const char *_Atomic first; ///< see link_hold()
+	char buf[LINK_BUF];
 	_Atomic bool stop;
 	struct link_pair pairs[LINK_PAIRS];
 	size_t n;
@@ -149,6 +153,19 @@
 	return true;
 }
 
+/* Whether to hold up the n bytes of the buffer. */
+static bool link_holds(struct link *l, struct link_pair *p, size_t n)
+{
+	const char *first = l->first;
+	size_t len = first ? strlen(first) : 0;
+
+	if (!p->begun)
+		p->held = n >= len &&
+			  strncmp(l->buf, first ? first : "", len) == 0;
+	p->begun = true;
+	return p->head || (p->held && l->delay_ms > 0);
+}
+
 /* One side ended: bytes that are held up outlive the caller. */
 static bool link_ended(struct link_pair *p, int side)
 {
@@ -162,12 +179,12 @@
 /* Move what one side has; false when the pair is over. */
 static bool link_move(struct link *l, struct link_pair *p, int side)
 {
-	char buf[LINK_BUF];
-	ssize_t n = recv(p->fd[side], buf, sizeof(buf), MSG_DONTWAIT);
+	char *buf = l->buf;
+	ssize_t n = recv(p->fd[side], buf, sizeof(l->buf), MSG_DONTWAIT);
 
 	if (n <= 0)
 		return link_ended(p, side);
-	if (side == 0 && (l->delay_ms > 0 || p->head)) {
+	if (side == 0 && link_holds(l, p, (size_t)n)) {
 		link_queue(p, buf, (size_t)n, l->delay_ms);
 		return true;
 	}
@@ -241,8 +258,9 @@
 	l->mode = (int)mode;
 }
 
-void link_hold(struct link *l, int delay_ms)
+void link_hold(struct link *l, int delay_ms, const char *first)
 {
+	l->first = first;
 	l->delay_ms = delay_ms;
 }
 
--- a/test/support/link.h
+++ b/test/support/link.h
@@ -28,7 +28,9 @@
 /// closed or reset its connection by then.
 ///
 /// @param delay_ms  milliseconds, 0 for none
-void link_hold(struct link *l, int delay_ms);
+/// @param first     only connections whose first bytes are these, "" for all;
+///                  lives as long as the link
+void link_hold(struct link *l, int delay_ms, const char *first);
 
 /// Stop the relay and close its connections.
 void link_stop(struct link *l);
