--- a/test/support/link.c
+++ b/test/support/link.c
@@ -13,15 +13,29 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/clock.h"
+
 enum {
 	LINK_PAIRS = 128,
 	LINK_BUF = 65536, ///< bytes
 	LINK_POLL_MS = 20,
 };
 
+/* Bytes from the caller that are held up. */
+struct link_chunk {
+	struct link_chunk *next;
+	int64_t due_ms;
+	size_t len;
+	char data[];
+};
+
 struct link_pair {
-	int fd[2]; ///< caller's side, target's side
+	int fd[2]; ///< caller's side (-1: gone), target's side
 	bool dead; ///< lost bytes: silent for good
+	bool begun; ///< the caller sent something
+	bool held; ///< its bytes are held up
+	struct link_chunk *head; ///< oldest held up
+	struct link_chunk *tail;
 };
 
 struct link {
@@ -29,6 +43,9 @@
 	struct sockaddr_in to;
 	pthread_t thread;
 	_Atomic int mode;
+	_Atomic int delay_ms;
+	const char *_Atomic first; ///< see link_hold()
+	char buf[LINK_BUF];
 	_Atomic bool stop;
 	struct link_pair pairs[LINK_PAIRS];
 	size_t n;
@@ -53,9 +70,20 @@
 	close(fd);
 }
 
+static void link_pop(struct link_pair *p)
+{
+	struct link_chunk *chunk = p->head;
+
+	p->head = chunk->next;
+	free(chunk);
+}
+
 static void link_drop(struct link *l, size_t i)
 {
-	link_reset(l->pairs[i].fd[0]);
+	while (l->pairs[i].head)
+		link_pop(&l->pairs[i]);
+	if (l->pairs[i].fd[0] >= 0)
+		link_reset(l->pairs[i].fd[0]);
 	link_reset(l->pairs[i].fd[1]);
 	l->pairs[i] = l->pairs[--l->n];
 }
@@ -75,7 +103,7 @@
 			close(to);
 		return;
 	}
-	l->pairs[l->n++] = (struct link_pair){{fd, to}, false};
+	l->pairs[l->n++] = (struct link_pair){.fd = {fd, to}};
 }
 
 static bool link_send(int fd, const char *p, ssize_t n)
@@ -99,14 +127,69 @@
 	       (mode == LINK_SILENT_BACK && side == 1);
 }
 
+static void link_queue(struct link_pair *p, const char *buf, size_t n,
+		       int delay_ms)
+{
+	struct link_chunk *chunk = malloc(sizeof(*chunk) + n);
+
+	*chunk = (struct link_chunk){.due_ms = clock_now_ms() + delay_ms,
+				     .len = n};
+	memcpy(chunk->data, buf, n);
+	if (p->head)
+		p->tail->next = chunk;
+	else
+		p->head = chunk;
+	p->tail = chunk;
+}
+
+/* Pass on what was held up long enough; false when the pair is over. */
+static bool link_flush(struct link_pair *p)
+{
+	while (p->head && p->head->due_ms <= clock_now_ms()) {
+		if (!link_send(p->fd[1], p->head->data, (ssize_t)p->head->len))
+			return false;
+		link_pop(p);
+	}
+	return true;
+}
+
+/* Whether to hold up the n bytes of the buffer. */
+static bool link_holds(struct link *l, struct link_pair *p, size_t n)
+{
+	const char *first = l->first;
+	size_t len = first ? strlen(first) : 0;
+
+	if (!p->begun)
+		p->held = n >= len &&
+			  strncmp(l->buf, first ? first : "", len) == 0;
+	p->begun = true;
+	return p->head || (p->held && l->delay_ms > 0);
+}
+
+/* One side ended: bytes that are held up outlive the caller. */
+static bool link_ended(struct link_pair *p, int side)
+{
+	if (side == 1 || !p->head)
+		return false;
+	link_reset(p->fd[0]);
+	p->fd[0] = -1;
+	return true;
+}
+
 /* Move what one side has; false when the pair is over. */
 static bool link_move(struct link *l, struct link_pair *p, int side)
 {
-	char buf[LINK_BUF];
-	ssize_t n = recv(p->fd[side], buf, sizeof(buf), MSG_DONTWAIT);
+	char *buf = l->buf;
+	ssize_t n = recv(p->fd[side], buf, sizeof(l->buf), MSG_DONTWAIT);
 
 	if (n <= 0)
-		return false;
+		return link_ended(p, side);
+	if (side == 0 && link_holds(l, p, (size_t)n)) {
+		link_queue(p, buf, (size_t)n, l->delay_ms);
+		return true;
+	}
+	if (p->fd[!side] < 0)
+		return p->head != NULL;
 	if (link_lost(l, p, side)) {
 		p->dead = true;
 		return true;
@@ -126,7 +209,7 @@
 	}
 	poll(fds, 1 + 2 * n, LINK_POLL_MS);
 	for (size_t i = n; i-- > 0;) {
-		bool ok = l->mode != LINK_CUT;
+		bool ok = l->mode != LINK_CUT && link_flush(&l->pairs[i]);
 
 		for (int s = 0; ok && s < 2; s++) {
 			if (fds[1 + 2 * i + (size_t)s].revents)
@@ -175,6 +258,12 @@
 	l->mode = (int)mode;
 }
 
+void link_hold(struct link *l, int delay_ms, const char *first)
+{
+	l->first = first;
+	l->delay_ms = delay_ms;
+}
+
 void link_stop(struct link *l)
 {
 	if (!l)
