--- /dev/null
+++ b/test/support/ctl.h
@@ -0,0 +1,22 @@
+// Runs catkinctl against a local system.
+#pragma once
+
+#include <stddef.h>
+
+struct sys;
+
+/// Run catkinctl with --json against the first node.
+///
+/// @param words     command and arguments, NULL-terminated
+/// @param[out] out  its output, cut to fit
+/// @param len       bytes of out
+/// @return exit code, -1 if it did not end in time
+int ctl_run(const struct sys *s, const char *const *words, char *out,
+	    size_t len);
+
+/// Grant a key to a team.
+///
+/// @param[out] key  key
+/// @param len       bytes of key
+/// @return exit code, -1 if no key was printed
+int ctl_grant(const struct sys *s, const char *team, char *key, size_t len);
--- /dev/null
+++ b/test/support/load.c
@@ -0,0 +1,145 @@
+// One thread a caller; counts under one lock.
+#include "support/load.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/clock.h"
+#include "support/http.h"
+
+enum {
+	LOAD_CALLERS = 64,
+	US_PER_S = 1000000,
+	BODY_LEN = 96,
+};
+
+struct load_caller {
+	struct load *load;
+	pthread_t thread;
+	int index;
+};
+
+struct load {
+	struct load_opts opts;
+	struct load_caller callers[LOAD_CALLERS];
+	atomic_bool stop;
+	pthread_mutex_t lock; ///< guards what follows
+	struct load_count count;
+	int64_t latency_us[LOAD_LATENCIES];
+	int n_latencies;
+};
+
+static void load_note(struct load *l, const struct http_res *res, int64_t us)
+{
+	pthread_mutex_lock(&l->lock);
+	l->count.sent++;
+	if (res->status == 200)
+		l->count.answered++;
+	else if (strcmp(res->run, "no") == 0)
+		l->count.refused++;
+	else
+		l->count.unknown++;
+	if (res->status == 200 && l->n_latencies < LOAD_LATENCIES)
+		l->latency_us[l->n_latencies++] = us;
+	pthread_mutex_unlock(&l->lock);
+}
+
+static void load_call(struct load_caller *me, int serial)
+{
+	struct load *l = me->load;
+	char body[BODY_LEN];
+	struct http_opts o = {
+		.method = "POST",
+		.url = l->opts.urls[me->index],
+		.bearer = l->opts.bearer,
+		.body = body,
+		.timeout_ms = l->opts.timeout_ms,
+	};
+	struct http_res res;
+	int64_t start = clock_now_us();
+
+	snprintf(body, sizeof(body), "{\"call\":\"load-%d-%d\"}", me->index,
+		 serial);
+	http_call(&o, &res);
+	load_note(l, &res, clock_now_us() - start);
+	http_free(&res);
+}
+
+static void *load_main(void *arg)
+{
+	struct load_caller *me = arg;
+	int64_t gap = US_PER_S / me->load->opts.calls_per_s;
+	int64_t next = clock_now_us();
+
+	for (int i = 0; !me->load->stop; i++) {
+		int64_t left;
+
+		load_call(me, i);
+		next += gap;
+		left = next - clock_now_us();
+		if (left > 0) {
+			struct timespec ts = {left / US_PER_S,
+					      left % US_PER_S * 1000};
+
+			nanosleep(&ts, NULL);
+		} else {
+			next -= left; /* late: no burst to catch up */
+		}
+	}
+	return NULL;
+}
+
+struct load *load_start(const struct load_opts *opts)
+{
+	struct load *l = calloc(1, sizeof(*l));
+
+	if (!l || opts->n_urls > LOAD_CALLERS) {
+		free(l);
+		return NULL;
+	}
+	l->opts = *opts;
+	pthread_mutex_init(&l->lock, NULL);
+	for (int i = 0; i < opts->n_urls; i++) {
+		l->callers[i].load = l;
+		l->callers[i].index = i;
+		pthread_create(&l->callers[i].thread, NULL, load_main,
+			       &l->callers[i]);
+	}
+	return l;
+}
+
+static int by_value(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+void load_take(struct load *l, struct load_count *out)
+{
+	pthread_mutex_lock(&l->lock);
+	qsort(l->latency_us, (size_t)l->n_latencies, sizeof(int64_t), by_value);
+	*out = l->count;
+	if (l->n_latencies > 0) {
+		out->p50_us = l->latency_us[l->n_latencies / 2];
+		out->p99_us = l->latency_us[l->n_latencies * 99 / 100];
+	}
+	memset(&l->count, 0, sizeof(l->count));
+	l->n_latencies = 0;
+	pthread_mutex_unlock(&l->lock);
+}
+
+void load_stop(struct load *l)
+{
+	if (!l)
+		return;
+	l->stop = true;
+	for (int i = 0; i < l->opts.n_urls; i++)
+		pthread_join(l->callers[i].thread, NULL);
+	pthread_mutex_destroy(&l->lock);
+	free(l);
+}
