test(lab): run experiments from a plan: a system, a load, actions, expectations

Problem: to see how the system serves while something fails, a program had to be written for each case.

--- /dev/null
+++ b/test/lab/act.h
@@ -0,0 +1,14 @@
+// The actions that a plan can take on a running system.
+#pragma once
+
+#include <stdbool.h>
+
+#include "support/sys.h"
+
+/// Carry out an action: `kill|term|freeze|thaw|start node|server NAME`,
+/// `kill|start domain NAME`, `cut|silence|heal platform NODE|all`,
+/// `ctl WORD...`.
+///
+/// @param words  NULL-terminated
+/// @return false for an unknown action or name
+bool act(struct sys *s, const char *const *words);
--- /dev/null
+++ b/test/lab/main.c
@@ -0,0 +1,176 @@
+// catkin_lab PLAN: start a local system, load it, act on it as the plan says,
+// print a line a second, and check what the plan expects.
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include "act.h"
+#include "base/clock.h"
+#include "plan.h"
+#include "support/ctl.h"
+#include "support/http.h"
+#include "support/load.h"
+
+enum {
+	UP_MS = 30000,
+	CALL_MS = 8000,
+	STEP_MS = 10,
+	SECOND_MS = 1000,
+};
+
+static struct sys sys;
+static struct plan plan;
+static char key[256];
+static char call_urls[SYS_MAX_NODES][128];
+
+static bool lab_serves(void *url)
+{
+	struct http_opts o = {
+		.method = "POST",
+		.url = url,
+		.bearer = key,
+		.body = "{\"call\":\"up\"}",
+		.timeout_ms = CALL_MS,
+	};
+	struct http_res res;
+	int status = http_call(&o, &res);
+
+	http_free(&res);
+	return status == 200;
+}
+
+static bool lab_configure(void)
+{
+	const char *const route[] = {"route",	  "add",  "desk",
+				     "--service", "desk", NULL};
+	const char *const team[] = {"team", "add", "depot", NULL};
+	char out[4096];
+
+	return ctl_run(&sys, route, out, sizeof(out)) == 0 &&
+	       ctl_run(&sys, team, out, sizeof(out)) == 0 &&
+	       ctl_grant(&sys, "depot", key, sizeof(key)) == 0;
+}
+
+static bool lab_start(void)
+{
+	const struct sys_opts o = {
+		.domains = plan.domains,
+		.nodes_per_domain = plan.nodes_per_domain,
+		.services_per_domain = plan.services_per_domain,
+		.engines_per_domain = plan.engines_per_domain,
+		.platform_links = true,
+	};
+
+	if (!sys_start(&sys, &o) || !lab_configure())
+		return false;
+	for (int i = 0; i < sys.n_nodes; i++) {
+		snprintf(call_urls[i], sizeof(call_urls[i]),
+			 "%s/v1/call/desk/book", sys.nodes[i].url);
+		if (!wait_until(lab_serves, call_urls[i], UP_MS))
+			return false;
+	}
+	return true;
+}
+
+static struct load *lab_load(void)
+{
+	static const char *urls[SYS_MAX_NODES];
+	struct load_opts o = {
+		.urls = urls,
+		.n_urls = sys.n_nodes,
+		.bearer = key,
+		.calls_per_s = plan.calls_per_s,
+		.timeout_ms = CALL_MS,
+	};
+
+	for (int i = 0; i < sys.n_nodes; i++)
+		urls[i] = call_urls[i];
+	return load_start(&o);
+}
+
+static void lab_line(int second, struct load *l, struct load_count *sum)
+{
+	struct load_count n;
+
+	load_take(l, &n);
+	sum->sent += n.sent;
+	sum->answered += n.answered;
+	sum->refused += n.refused;
+	sum->unknown += n.unknown;
+	printf("lab t=%d sent=%d answered=%d refused=%d unknown=%d "
+	       "unreached=%d p50_us=%lld p99_us=%lld\n",
+	       second, n.sent, n.answered, n.refused, n.unknown, n.unreached,
+	       (long long)n.p50_us, (long long)n.p99_us);
+	sum->unreached += n.unreached;
+	fflush(stdout);
+}
+
+static bool lab_act(int elapsed_ms, int *next)
+{
+	while (*next < plan.n_actions &&
+	       plan.actions[*next].at_ms <= elapsed_ms) {
+		const struct plan_action *a = &plan.actions[(*next)++];
+
+		printf("lab action=\"%s\"\n", a->text);
+		if (!act(&sys, a->words)) {
+			printf("lab failed action=\"%s\"\n", a->text);
+			return false;
+		}
+	}
+	return true;
+}
+
+static bool lab_run(struct load *l, struct load_count *sum)
+{
+	const struct timespec nap = {0, STEP_MS * 1000000L};
+	int64_t start = clock_now_ms();
+	int next = 0;
+
+	for (int s = 1; s <= plan.duration_s;) {
+		int elapsed = (int)(clock_now_ms() - start);
+
+		if (!lab_act(elapsed, &next))
+			return false;
+		if (elapsed >= s * SECOND_MS)
+			lab_line(s++, l, sum);
+		nanosleep(&nap, NULL);
+	}
+	return true;
+}
+
+/* Calls that found no process to talk to are the balancer's matter. */
+static bool lab_verdict(const struct load_count *n)
+{
+	int reached = n->sent - n->unreached;
+	int percent = reached ? 100 * n->answered / reached : 0;
+	bool ok = percent >= plan.min_answered &&
+		  (plan.max_unknown < 0 || n->unknown <= plan.max_unknown);
+
+	printf("lab total sent=%d reached=%d answered=%d refused=%d "
+	       "unknown=%d: %s\n",
+	       n->sent, reached, n->answered, n->refused, n->unknown,
+	       ok ? "as expected" : "NOT as expected");
+	return ok;
+}
+
+int main(int argc, char **argv)
+{
+	struct load_count sum = {0};
+	struct load *l = NULL;
+	bool ok;
+
+	if (argc != 2 || !plan_load(argv[1], &plan)) {
+		fprintf(stderr, "usage: catkin_lab PLAN.ini\n");
+		return 2;
+	}
+	ok = lab_start();
+	if (ok) {
+		l = lab_load();
+		ok = l && lab_run(l, &sum);
+		load_stop(l);
+		ok = lab_verdict(&sum) && ok;
+	}
+	sys_stop(&sys);
+	return ok ? 0 : 1;
+}
--- /dev/null
+++ b/test/lab/plan.h
@@ -0,0 +1,37 @@
+// An experiment: a system, a load, actions at given times, expectations.
+#pragma once
+
+#include <stdbool.h>
+
+enum {
+	PLAN_ACTIONS = 64,
+	PLAN_WORDS = 12,
+	PLAN_LINE = 256, ///< bytes
+};
+
+struct plan_action {
+	int at_ms; ///< from the start of the load
+	char text[PLAN_LINE]; ///< as written
+	char buf[PLAN_LINE]; ///< holds the words
+	const char *words[PLAN_WORDS + 1]; ///< NULL-terminated
+};
+
+struct plan {
+	int domains;
+	int nodes_per_domain;
+	int services_per_domain;
+	int engines_per_domain;
+	int calls_per_s; ///< of each caller; one caller a node
+	int duration_s;
+	int min_answered; ///< percent of the calls sent to running nodes
+	int max_unknown; ///< calls; -1 for any number
+	struct plan_action actions[PLAN_ACTIONS];
+	int n_actions;
+};
+
+/// Read a plan.
+///
+/// @param path  INI file
+/// @param[out] p  plan
+/// @return false after printing the first fault on standard error
+bool plan_load(const char *path, struct plan *p);
--- a/test/support/load.c
+++ b/test/support/load.c
@@ -1,6 +1,7 @@
 // One thread a caller; counts under one lock.
 #include "support/load.h"
 
+#include <curl/curl.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -40,6 +41,8 @@
 		l->count.answered++;
 	else if (strcmp(res->run, "no") == 0)
 		l->count.refused++;
+	else if (res->curl == CURLE_COULDNT_CONNECT)
+		l->count.unreached++;
 	else
 		l->count.unknown++;
 	if (res->status == 200 && l->n_latencies < LOAD_LATENCIES)
--- a/test/support/load.h
+++ b/test/support/load.h
@@ -21,7 +21,8 @@
 	int sent;
 	int answered; ///< status 200
 	int refused; ///< typed refusal with run "no"
-	int unknown; ///< run "maybe", or no answer at all
+	int unknown; ///< run "maybe", or an answer that broke off
+	int unreached; ///< no connection: nothing was sent
 	int64_t p50_us;
 	int64_t p99_us;
 };
