feat(usage): count, copy, collect, seal and report in the daemon

Problem: the counters of the usage package had no daemon around them. A draining node waits until a peer or the store holds what it counted.

--- a/packages/daemon/include/daemon/usage_mod.h
+++ b/packages/daemon/include/daemon/usage_mod.h
@@ -2,13 +2,7 @@
 #pragma once
 
 #include "core/core.h"
-
-enum usage_unit {
-	USAGE_REQUESTS, ///< answered requests
-	USAGE_TOKENS, ///< tokens delivered
-	USAGE_SAMPLES, ///< samples acknowledged
-	USAGE_UNITS
-};
+#include "usage/book.h"
 
 /// Count use of a team.
 ///
--- a/packages/daemon/src/conf_mod.c
+++ b/packages/daemon/src/conf_mod.c
@@ -168,7 +168,7 @@
 		(json_int_t)conf_sync_age(m->sync, core_now(c)), "watcher",
 		(int)conf_sync_watcher(m->sync));
 
-	json_object_set_new(obj, "conf", part);
+	json_object_update_new(obj, part);
 }
 
 static void conf_stop(struct core *c, void *state)
--- a/packages/daemon/src/usage_mod.c
+++ b/packages/daemon/src/usage_mod.c
@@ -1,20 +1,146 @@
-// Module usage.
+// Module usage: counts, has peers hold copies, collects, seals and reports.
 #include "daemon/usage_mod.h"
 
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "base/metric.h"
+#include "conf/conf.h"
+#include "core/settings.h"
+#include "daemon/conf_mod.h"
+#include "daemon/duty_mod.h"
 #include "daemon/mods.h"
+#include "usage_mod_priv.h"
+
+#include "base/clock.h"
+
+struct usage_mod *usage_mod_of(const struct core *c)
+{
+	return core_mod_state(c, MOD_USAGE);
+}
+
+void usage_mod_add(struct core *c, const char *team, enum usage_unit u,
+		   uint64_t n)
+{
+	struct usage_mod *m = usage_mod_of(c);
+	enum err e;
+
+	if (!m || !*team || n == 0)
+		return;
+	e = usage_book_add(&m->book, m->run, team, u, n);
+	if (e) {
+		metric_add(M_USAGE_BAD, 1);
+		log_event(EV_USAGE_BAD, "team=%.63s err=%s", team, err_code(e));
+		return;
+	}
+	if (!m->unheld_since)
+		m->unheld_since = core_now(c);
+}
+
+static void usage_mod_free(struct usage_mod *m)
+{
+	usage_seal_end(&m->seal);
+	usage_book_clear(&m->book);
+	free(m);
+}
 
 static enum err usage_start(struct core *c, void **state)
 {
-	*state = NULL;
+	struct usage_mod *m = calloc(1, sizeof(*m));
+	enum err e;
+
+	if (!m)
+		return ERR_NOMEM;
+	m->c = c;
+	snprintf(m->run, sizeof(m->run), "%.63s/%.16s", core_node(c),
+		 core_incarnation(c));
+	usage_mod_store_start(m);
+	e = usage_mod_copy_start(m);
+	if (e)
+		goto fail;
+	e = usage_mod_admin_start(m);
+	if (e)
+		goto fail;
+	e = duty_mod_want(c, USAGE_DUTY);
+	if (e)
+		goto fail;
+	*state = m;
 	return ERR_OK;
+fail:
+	usage_mod_free(m);
+	return e;
+}
+
+static void tick_duty(struct usage_mod *m, int64_t now)
+{
+	uint64_t epoch = 0;
+
+	if (!duty_mod_held(m->c, USAGE_DUTY, &epoch))
+		epoch = 0;
+	if (epoch == m->epoch)
+		return;
+	if (m->epoch)
+		usage_seal_end(&m->seal);
+	if (epoch)
+		usage_seal_begin(&m->seal, now, epoch);
+	m->epoch = epoch;
+}
+
+static void tick_unheld(struct usage_mod *m, int64_t now)
+{
+	if (usage_mod_held(m))
+		m->unheld_since = 0;
+	metric_set(M_USAGE_UNHELD,
+		   m->unheld_since ? (uint64_t)(now - m->unheld_since) : 0);
+}
+
+static void usage_tick(struct core *c, void *state, int64_t now)
+{
+	struct usage_mod *m = state;
+	int64_t window_ms =
+		conf_int(conf_mod_current(c), CF_USAGE_WINDOW, NULL);
+
+	usage_mod_copy_tick(m, now);
+	tick_unheld(m, now);
+	m->collect.interval_ms =
+		settings_int(core_settings(c), S_USAGE_COLLECT);
+	usage_collect_tick(&m->collect, now, m->collecting);
+	tick_duty(m, now);
+	usage_seal_tick(&m->seal, now, clock_wall_ms(), window_ms);
+}
+
+/// Nothing that was counted here is known to this process alone.
+static bool usage_idle(struct core *c, void *state)
+{
+	const struct usage_mod *m = state;
+
+	return usage_mod_held(m) || m->collect.stored == m->book.version;
+}
+
+static void usage_status(struct core *c, void *state, struct json_t *obj)
+{
+	struct usage_mod *m = state;
+
+	json_object_set_new(obj, "collecting", json_boolean(m->collecting));
+	json_object_set_new(obj, "reporting", json_boolean(m->epoch != 0));
+	json_object_set_new(obj, "reported",
+			    json_integer((json_int_t)m->seal.reported));
+	json_object_set_new(obj, "runs",
+			    json_integer((json_int_t)m->book.n_entries));
+}
+
+static void usage_stop(struct core *c, void *state)
+{
+	usage_mod_free(state);
 }
 
 const struct core_mod_ops usage_mod_ops = {
 	.name = "usage",
 	.start = usage_start,
+	.tick = usage_tick,
+	.idle = usage_idle,
+	.status = usage_status,
+	.stop = usage_stop,
 };
-
-void usage_mod_add(struct core *c, const char *team, enum usage_unit u,
-		   uint64_t n)
-{
-}
--- /dev/null
+++ b/packages/daemon/src/usage_mod_copy.c
@@ -0,0 +1,330 @@
+// Copies of the counters: to the collector of the own failure domain (or the
+// next in line, on the collector) and to a node of another failure domain.
+#include <msgpack.h>
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/log.h"
+#include "base/metric.h"
+#include "core/settings.h"
+#include "usage_mod_priv.h"
+
+enum {
+	FULL_MS = 30000, ///< interval between sending everything again
+	ROWS_MAX = 4000, ///< rows in one message
+	TARGET_OWN = 0, ///< in the own failure domain
+	TARGET_OTHER = 1, ///< in another one
+};
+
+static uint64_t rank_of(const char *id)
+{
+	return XXH64(id, strlen(id), 1);
+}
+
+/// Alive member of a failure domain that ranks first, with this node's own
+/// salt for other failure domains, so that copies spread.
+static const struct member_view *first_in(struct usage_mod *m,
+					  const char *domain, bool salted)
+{
+	uint64_t salt = salted ? rank_of(core_node(m->c)) : 0;
+	const struct member_view *best = NULL;
+	size_t n;
+	const struct member_view *v = member_mod_all(m->c, &n);
+
+	for (size_t i = 0; i < n; i++) {
+		if (v[i].state != MEMBER_ALIVE || v[i].draining ||
+		    strcmp(v[i].domain, domain) != 0)
+			continue;
+		if (!best ||
+		    (rank_of(v[i].id) ^ salt) < (rank_of(best->id) ^ salt))
+			best = &v[i];
+	}
+	return best;
+}
+
+/// Next failure domain by name, around the end, with an alive member.
+static const char *other_domain(struct usage_mod *m)
+{
+	const char *own = core_domain(m->c);
+	const char *next = NULL;
+	const char *first = NULL;
+	size_t n;
+	const struct member_view *v = member_mod_all(m->c, &n);
+
+	for (size_t i = 0; i < n; i++) {
+		const char *d = v[i].domain;
+
+		if (v[i].state != MEMBER_ALIVE || strcmp(d, own) == 0)
+			continue;
+		if (!first || strcmp(d, first) < 0)
+			first = d;
+		if (strcmp(d, own) > 0 && (!next || strcmp(d, next) < 0))
+			next = d;
+	}
+	return next ? next : first;
+}
+
+static void target_set(struct usage_target *t, const struct member_view *v,
+		       int64_t now)
+{
+	const char *id = v ? v->id : "";
+
+	if (strcmp(t->node, id) == 0)
+		return;
+	memset(t, 0, sizeof(*t));
+	snprintf(t->node, sizeof(t->node), "%s", id);
+	t->full_at = now + FULL_MS;
+}
+
+static void choose_targets(struct usage_mod *m, int64_t now)
+{
+	const struct member_view *own = first_in(m, core_domain(m->c), false);
+	const char *domain = other_domain(m);
+
+	m->collecting = !own || rank_of(core_node(m->c)) < rank_of(own->id);
+	target_set(&m->targets[TARGET_OWN], own, now);
+	target_set(&m->targets[TARGET_OTHER],
+		   domain ? first_in(m, domain, true) : NULL, now);
+}
+
+static size_t rows_after(const struct usage_entry *e, uint64_t after)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < e->n_rows; i++)
+		n += e->rows[i].changed > after;
+	return n;
+}
+
+static void pack_entry(msgpack_packer *pk, const struct usage_entry *e,
+		       uint64_t after)
+{
+	msgpack_pack_array(pk, 2);
+	msgpack_pack_str_with_body(pk, e->run, strlen(e->run));
+	msgpack_pack_array(pk, rows_after(e, after));
+	for (size_t i = 0; i < e->n_rows; i++) {
+		const struct usage_row *r = &e->rows[i];
+
+		if (r->changed <= after)
+			continue;
+		msgpack_pack_array(pk, 1 + USAGE_UNITS);
+		msgpack_pack_str_with_body(pk, r->team, strlen(r->team));
+		for (int u = 0; u < USAGE_UNITS; u++)
+			msgpack_pack_uint64(pk, r->v[u]);
+	}
+}
+
+/// Whether a run's counters go to a target: its own to both, the copies that
+/// it holds for others to the collector of its failure domain.
+static bool goes_to(const struct usage_mod *m, const struct usage_entry *e,
+		    const struct usage_target *t)
+{
+	if (e->changed <= t->sent)
+		return false;
+	return strcmp(e->run, m->run) == 0 ||
+	       (t == &m->targets[TARGET_OWN] && !m->collecting);
+}
+
+static void send_copies(struct usage_mod *m, struct usage_target *t)
+{
+	uint64_t after = t->sent;
+	msgpack_sbuffer buf;
+	msgpack_packer pk;
+	size_t n = 0;
+	size_t rows = 0;
+
+	for (size_t i = 0; i < m->book.n_entries && rows < ROWS_MAX; i++) {
+		if (goes_to(m, &m->book.entries[i], t)) {
+			rows += rows_after(&m->book.entries[i], after);
+			n++;
+		}
+	}
+	msgpack_sbuffer_init(&buf);
+	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, 2);
+	msgpack_pack_uint64(&pk, m->book.version);
+	msgpack_pack_array(&pk, n);
+	for (size_t i = 0; i < m->book.n_entries && n > 0; i++) {
+		if (!goes_to(m, &m->book.entries[i], t))
+			continue;
+		pack_entry(&pk, &m->book.entries[i], after);
+		n--;
+	}
+	if (core_peer_send(m->c, t->node, PEER_USAGE_COPY, buf.data,
+			   buf.size) == ERR_OK) {
+		metric_add(M_USAGE_COPIES, 1);
+		t->sent = m->book.version;
+	}
+	msgpack_sbuffer_destroy(&buf);
+}
+
+/// Whether anything that goes to a target is new since it was sent.
+static bool target_due(const struct usage_mod *m, const struct usage_target *t)
+{
+	for (size_t i = 0; i < m->book.n_entries; i++) {
+		if (goes_to(m, &m->book.entries[i], t))
+			return true;
+	}
+	return false;
+}
+
+void usage_mod_copy_tick(struct usage_mod *m, int64_t now)
+{
+	if (now < m->copy_at)
+		return;
+	m->copy_at = now + settings_int(core_settings(m->c), S_USAGE_COPY);
+	choose_targets(m, now);
+	for (int i = 0; i < USAGE_TARGETS; i++) {
+		struct usage_target *t = &m->targets[i];
+
+		if (!*t->node)
+			continue;
+		if (now >= t->full_at) {
+			t->full_at = now + FULL_MS;
+			t->sent = 0;
+		}
+		if (target_due(m, t))
+			send_copies(m, t);
+	}
+}
+
+bool usage_mod_held(const struct usage_mod *m)
+{
+	uint64_t changed = 0;
+
+	for (size_t i = 0; i < m->book.n_entries; i++) {
+		if (strcmp(m->book.entries[i].run, m->run) == 0)
+			changed = m->book.entries[i].changed;
+	}
+	for (int i = 0; i < USAGE_TARGETS; i++) {
+		if (m->targets[i].held >= changed)
+			return true;
+	}
+	return changed == 0;
+}
+
+static bool take_row(struct usage_mod *m, const char *run,
+		     const msgpack_object *o)
+{
+	const msgpack_object *f = o->via.array.ptr;
+	char team[USAGE_NAME_MAX + 1];
+	uint64_t v[USAGE_UNITS];
+
+	if (o->type != MSGPACK_OBJECT_ARRAY ||
+	    o->via.array.size != 1 + USAGE_UNITS ||
+	    f[0].type != MSGPACK_OBJECT_STR ||
+	    f[0].via.str.size > USAGE_NAME_MAX)
+		return false;
+	snprintf(team, sizeof(team), "%.*s", (int)f[0].via.str.size,
+		 f[0].via.str.ptr);
+	for (int u = 0; u < USAGE_UNITS; u++) {
+		if (f[1 + u].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+			return false;
+		v[u] = f[1 + u].via.u64;
+	}
+	return usage_book_raise(&m->book, run, team, v) == ERR_OK;
+}
+
+static bool take_entry(struct usage_mod *m, const msgpack_object *o)
+{
+	const msgpack_object *f = o->via.array.ptr;
+	char run[USAGE_RUN_MAX + 1];
+
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != 2 ||
+	    f[0].type != MSGPACK_OBJECT_STR ||
+	    f[0].via.str.size > USAGE_RUN_MAX ||
+	    f[1].type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	snprintf(run, sizeof(run), "%.*s", (int)f[0].via.str.size,
+		 f[0].via.str.ptr);
+	if (strcmp(run, m->run) == 0)
+		return true; /* no one knows this run better */
+	for (size_t i = 0; i < f[1].via.array.size; i++) {
+		if (!take_row(m, run, &f[1].via.array.ptr[i]))
+			return false;
+	}
+	return true;
+}
+
+static bool take_copies(struct usage_mod *m, const msgpack_object *o,
+			uint64_t *version)
+{
+	const msgpack_object *f = o->via.array.ptr;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != 2 ||
+	    f[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    f[1].type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	*version = f[0].via.u64;
+	for (size_t i = 0; i < f[1].via.array.size; i++) {
+		if (!take_entry(m, &f[1].via.array.ptr[i]))
+			return false;
+	}
+	return true;
+}
+
+static void send_ack(struct usage_mod *m, const char *to, uint64_t version)
+{
+	msgpack_sbuffer buf;
+	msgpack_packer pk;
+
+	msgpack_sbuffer_init(&buf);
+	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
+	msgpack_pack_uint64(&pk, version);
+	core_peer_send(m->c, to, PEER_USAGE_ACK, buf.data, buf.size);
+	msgpack_sbuffer_destroy(&buf);
+}
+
+static void msg_bad(const char *from, size_t len)
+{
+	metric_add(M_USAGE_BAD, 1);
+	log_event(EV_USAGE_MSG_BAD, "from=%s bytes=%zu", from, len);
+}
+
+static void on_copy(struct core *c, void *ctx, const char *from,
+		    const void *buf, size_t len)
+{
+	struct usage_mod *m = ctx;
+	uint64_t version;
+	msgpack_unpacked u;
+	size_t off = 0;
+
+	msgpack_unpacked_init(&u);
+	if (msgpack_unpack_next(&u, buf, len, &off) == MSGPACK_UNPACK_SUCCESS &&
+	    take_copies(m, &u.data, &version))
+		send_ack(m, from, version);
+	else
+		msg_bad(from, len);
+	msgpack_unpacked_destroy(&u);
+}
+
+static void on_ack(struct core *c, void *ctx, const char *from, const void *buf,
+		   size_t len)
+{
+	struct usage_mod *m = ctx;
+	msgpack_unpacked u;
+	size_t off = 0;
+
+	msgpack_unpacked_init(&u);
+	if (msgpack_unpack_next(&u, buf, len, &off) != MSGPACK_UNPACK_SUCCESS ||
+	    u.data.type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+		msg_bad(from, len);
+		msgpack_unpacked_destroy(&u);
+		return;
+	}
+	for (int i = 0; i < USAGE_TARGETS; i++) {
+		struct usage_target *t = &m->targets[i];
+
+		if (strcmp(t->node, from) == 0 && u.data.via.u64 > t->held)
+			t->held = u.data.via.u64;
+	}
+	msgpack_unpacked_destroy(&u);
+}
+
+enum err usage_mod_copy_start(struct usage_mod *m)
+{
+	enum err e = core_peer_on(m->c, PEER_USAGE_COPY, on_copy, m);
+
+	return e ? e : core_peer_on(m->c, PEER_USAGE_ACK, on_ack, m);
+}
