--- /dev/null
+++ b/packages/conf/test/test_conf_race.c
@@ -0,0 +1,206 @@
+// Racing operators over a store with compare-and-swap and lost answers: each
+// accepted edit is in the document once, each refused one never.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+#include <jansson.h>
+
+#include "base/rng.h"
+#include "conf/edit.h"
+
+enum {
+	SEEDS = 2000,
+	OPERATORS = 4,
+	EDITS = 5, ///< of each operator
+	FIELDS = 5,
+	TRIES = 20,
+	LOST_PERCENT = 20,
+};
+
+enum outcome {
+	OUT_PENDING,
+	OUT_ACCEPTED,
+	OUT_REFUSED,
+	OUT_UNKNOWN,
+};
+
+/// Where an operator's daemon is with the present edit.
+struct operator_state {
+	int edit; ///< index of the present edit
+	bool reading; ///< next step reads, otherwise it writes
+	struct conf *next; ///< to be written
+	uint64_t prev_rev; ///< store's revision that was read
+	uint64_t base; ///< revision that the operator looked at
+	int tries;
+};
+
+static const char *const fields[FIELDS] = {
+	"queue.max", "slot.max", "slot.start", "team.weight", "call.deadline",
+};
+
+static struct rng rng;
+static struct conf *stored;
+static uint64_t store_rev;
+static struct operator_state ops[OPERATORS];
+static enum outcome outcomes[OPERATORS][EDITS];
+static int applied[OPERATORS][EDITS];
+static bool no_ids; ///< mutant: each try is a new edit
+
+static bool lost(void)
+{
+	return rng_below(&rng, 100) < LOST_PERCENT;
+}
+
+static json_t *edit_of(int o)
+{
+	struct operator_state *s = &ops[o];
+	char id[32], author[16];
+
+	snprintf(id, sizeof(id), "o%d-%d-%d", o, s->edit,
+		 no_ids ? s->tries : 0);
+	snprintf(author, sizeof(author), "o%d", o);
+	return json_pack("{s:s,s:s,s:I,s:[{s:s,s:s,s:i}]}", "id", id, "author",
+			 author, "base_rev", (json_int_t)s->base, "ops", "op",
+			 "set", "field", fields[(o + s->edit) % FIELDS],
+			 "value", 100 + o);
+}
+
+static void finish(int o, enum outcome out)
+{
+	struct operator_state *s = &ops[o];
+
+	outcomes[o][s->edit++] = out;
+	s->reading = true;
+	s->tries = 0;
+	s->base = stored ? conf_rev(stored) : 0;
+}
+
+static void step_read(int o)
+{
+	struct operator_state *s = &ops[o];
+	struct conf_edit_info info;
+	json_t *edit;
+	enum err e;
+
+	if (++s->tries > TRIES) {
+		finish(o, OUT_UNKNOWN);
+		return;
+	}
+	if (lost())
+		return;
+	edit = edit_of(o);
+	e = conf_edit_apply(stored, edit, &s->next, &info);
+	json_decref(edit);
+	if (e)
+		finish(o, OUT_REFUSED);
+	else if (info.already)
+		finish(o, OUT_ACCEPTED);
+	else
+		s->reading = false;
+	s->prev_rev = store_rev;
+}
+
+static void step_write(int o)
+{
+	struct operator_state *s = &ops[o];
+	struct conf *next = s->next;
+
+	s->next = NULL;
+	s->reading = true;
+	if (s->prev_rev != store_rev || lost()) {
+		conf_free(next); /* conflict, or it never got there */
+		return;
+	}
+	conf_free(stored);
+	stored = next;
+	store_rev++;
+	applied[o][s->edit]++;
+	if (!lost())
+		finish(o, OUT_ACCEPTED);
+}
+
+static bool run_step(void)
+{
+	int o = (int)rng_below(&rng, OPERATORS);
+
+	for (int i = 0; i < OPERATORS; i++, o = (o + 1) % OPERATORS) {
+		if (ops[o].edit == EDITS)
+			continue;
+		if (ops[o].reading)
+			step_read(o);
+		else
+			step_write(o);
+		return true;
+	}
+	return false;
+}
+
+/// Run a seed.
+///
+/// @return outcomes that are not the truth
+static int run_seed(uint64_t seed)
+{
+	int wrong = 0;
+
+	rng.state = seed;
+	stored = NULL;
+	store_rev = 0;
+	memset(ops, 0, sizeof(ops));
+	memset(outcomes, 0, sizeof(outcomes));
+	memset(applied, 0, sizeof(applied));
+	for (int o = 0; o < OPERATORS; o++)
+		ops[o].reading = true;
+	while (run_step()) {
+	}
+	for (int o = 0; o < OPERATORS; o++) {
+		for (int i = 0; i < EDITS; i++) {
+			int want = outcomes[o][i] == OUT_ACCEPTED;
+
+			if (outcomes[o][i] != OUT_UNKNOWN)
+				wrong += applied[o][i] != want;
+			wrong += applied[o][i] > 1;
+		}
+	}
+	wrong += stored && conf_rev(stored) != store_rev;
+	conf_free(stored);
+	return wrong;
+}
+
+static void test_races(void **state)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		int wrong = run_seed(seed);
+
+		if (wrong)
+			print_message("seed %d\n", (int)seed);
+		assert_int_equal(wrong, 0);
+	}
+}
+
+/// Without ids in the document, lost answers lead to false outcomes.
+static void test_without_ids(void **state)
+{
+	int wrong = 0;
+
+	no_ids = true;
+	for (uint64_t seed = 1; seed <= 100; seed++)
+		wrong += run_seed(seed);
+	no_ids = false;
+	print_message("without ids: %d false outcomes\n", wrong);
+	assert_true(wrong > 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_races),
+		cmocka_unit_test(test_without_ids),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
