--- /dev/null
+++ b/packages/conf/test/conf_net_fault.c
@@ -0,0 +1,107 @@
+// Faults of the network.
+#include "conf_net_int.h"
+
+#include <stdarg.h>
+#include <setjmp.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+/// Whether a node has a way to the store, its own or through peers.
+bool connected(const struct net *n, int node)
+{
+	int d = domain_of(node);
+
+	for (int k = 0; n->kv_up && k < NET_DOMAINS; k++) {
+		if (n->kv_link[k] && n->link[d][k] && n->link[k][d])
+			return true;
+	}
+	return false;
+}
+
+/// Cuts (or heals) break the watches that go over the link.
+static void drop_watches(struct net *n)
+{
+	for (int i = 0; i < NET_NODES; i++) {
+		if (!kv_reached(n, i))
+			n->nodes[i].watching = false;
+	}
+}
+
+void heal_all(struct net *n)
+{
+	n->kv_up = true;
+	for (int a = 0; a < NET_DOMAINS; a++) {
+		n->kv_link[a] = true;
+		for (int b = 0; b < NET_DOMAINS; b++)
+			n->link[a][b] = true;
+	}
+}
+
+static void cut_some(struct net *n)
+{
+	int a = (int)rng_below(&n->rng, NET_DOMAINS);
+	int b = (int)rng_below(&n->rng, NET_DOMAINS);
+
+	switch (rng_below(&n->rng, 5)) {
+	case 0: /* two failure domains lose each other */
+		n->link[a][b] = n->link[b][a] = a == b;
+		break;
+	case 1: /* one way only */
+		n->link[a][b] = a == b;
+		break;
+	case 2: /* the store is out of reach of one */
+		n->kv_link[a] = false;
+		break;
+	default: /* a failure domain is cut off from all but maybe the store */
+		for (int d = 0; d < NET_DOMAINS; d++)
+			n->link[a][d] = n->link[d][a] = a == d;
+		n->kv_link[a] = rng_below(&n->rng, 3) == 0;
+		break;
+	}
+}
+
+void run_fault(struct net *n)
+{
+	struct event next = {.at = n->now + 500 +
+				   (int64_t)rng_below(&n->rng, 8000),
+			     .kind = EVENT_FAULT};
+	struct event view = {.at = n->now + DETECT_MS, .kind = EVENT_VIEW};
+	uint64_t dice = rng_below(&n->rng, 4);
+
+	if (n->now >= n->opts.run_ms) {
+		heal_all(n);
+	} else {
+		if (dice == 0)
+			heal_all(n);
+		else if (dice == 1 && n->opts.outages)
+			n->kv_up = !n->kv_up;
+		else if (dice == 2 && n->opts.restarts)
+			node_start(n, (int)rng_below(&n->rng, NET_NODES));
+		else if (n->opts.partitions)
+			cut_some(n);
+		event_push(n, next);
+	}
+	n->changed = n->now;
+	drop_watches(n);
+	event_push(n, view);
+}
+
+/// One long outage of the store, with every node up and every link whole.
+void outage_plan(struct net *n)
+{
+	int64_t begin = 10000;
+
+	if (n->now >= begin && n->now < begin + n->opts.outage_ms && n->kv_up) {
+		n->kv_up = false;
+		n->changed = n->now;
+		drop_watches(n);
+	} else if (n->now >= begin + n->opts.outage_ms && !n->kv_up) {
+		n->kv_up = true;
+		n->changed = n->now;
+	}
+}
+
--- /dev/null
+++ b/packages/conf/test/conf_net_kv.c
@@ -0,0 +1,102 @@
+// The store of the network: reads and watches that may fail or go silent.
+#include "conf_net_int.h"
+
+#include <stdarg.h>
+#include <setjmp.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+int64_t later(struct net *n)
+{
+	return n->now + 1 + (int64_t)rng_below(&n->rng, DELAY_MS);
+}
+
+const char *doc_text(uint64_t rev, char *buf, size_t *len)
+{
+	*len = (size_t)sprintf(buf, "{\"rev\":%llu}", (unsigned long long)rev);
+	return buf;
+}
+
+/// Index of this node, from the context of its operations.
+int index_of(void *ctx)
+{
+	return (int)((struct net_node *)ctx - the_net->nodes);
+}
+
+bool kv_reached(const struct net *n, int node)
+{
+	return n->kv_up && n->kv_link[domain_of(node)];
+}
+
+void kv_answer(struct net *n, int node, int64_t asked, bool unchanged)
+{
+	struct event e = {.at = later(n),
+			  .kind = EVENT_KV,
+			  .node = node,
+			  .run = n->nodes[node].run};
+
+	e.kv.asked_ms = asked;
+	e.kv.unchanged = unchanged;
+	e.kv.kv_rev = n->rev + 1;
+	e.doc = unchanged ? 0 : n->rev;
+	e.kv.err = !unchanged && n->rev == 0 ? ERR_NOT_FOUND : ERR_OK;
+	event_push(n, e);
+}
+
+/// A call that fails: refused at once, timed out, or never answered.
+static void kv_fail(struct net *n, int node, int64_t asked)
+{
+	struct event e = {.at = n->now + 10,
+			  .kind = EVENT_KV,
+			  .node = node,
+			  .run = n->nodes[node].run};
+
+	if (rng_below(&n->rng, 3) == 0)
+		return;
+	if (rng_below(&n->rng, 2) == 0)
+		e.at = n->now + 1000;
+	e.kv.asked_ms = asked;
+	e.kv.err = ERR_KV_UNKNOWN;
+	event_push(n, e);
+}
+
+void net_watch(void *ctx, uint64_t after, int64_t wait_ms)
+{
+	struct net *n = the_net;
+	int i = index_of(ctx);
+	struct event end = {.at = n->now + wait_ms,
+			    .kind = EVENT_WATCH_END,
+			    .node = i,
+			    .run = n->nodes[i].run};
+
+	if (!kv_reached(n, i)) {
+		kv_fail(n, i, n->now);
+		return;
+	}
+	if (n->rev + 1 > after) {
+		kv_answer(n, i, n->now, false);
+		return;
+	}
+	if (rng_below(&n->rng, 100) < LOST_PERCENT)
+		return;
+	n->nodes[i].watching = true;
+	n->nodes[i].watch_asked = n->now;
+	end.kv.asked_ms = n->now;
+	event_push(n, end);
+}
+
+void net_read(void *ctx)
+{
+	struct net *n = the_net;
+	int i = index_of(ctx);
+
+	if (kv_reached(n, i))
+		kv_answer(n, i, n->now, false);
+	else
+		kv_fail(n, i, n->now);
+}
+
