feat(usage): look at the stored counters though nothing changed

Problem: a collector wrote only when its book had changed, so a value that was deleted or restored from a backup stayed wrong on a quiet system.

--- a/packages/conf/test/conf_net.c
+++ b/packages/conf/test/conf_net.c
@@ -12,7 +12,6 @@
 
 struct net *the_net;
 
-
 static void on_send(void *ctx, const char *to, const struct conf_msg *m)
 {
 	struct net *n = the_net;
--- a/packages/conf/test/conf_net_fault.c
+++ b/packages/conf/test/conf_net_fault.c
@@ -104,4 +104,3 @@
 		n->changed = n->now;
 	}
 }
-
--- a/packages/conf/test/conf_net_heap.c
+++ b/packages/conf/test/conf_net_heap.c
@@ -49,4 +49,3 @@
 	n->heap[i] = e;
 	return top;
 }
-
--- a/packages/conf/test/conf_net_kv.c
+++ b/packages/conf/test/conf_net_kv.c
@@ -99,4 +99,3 @@
 	else
 		kv_fail(n, i, n->now);
 }
-
--- a/packages/usage/include/usage/collect.h
+++ b/packages/usage/include/usage/collect.h
@@ -32,6 +32,7 @@
 	uint64_t stored; ///< book version that the store surely holds
 	uint64_t writing; ///< book version in the write that is out
 	int64_t next_ms; ///< when to begin again
+	int64_t verify_ms; ///< when to look at the value though nothing changed
 	int64_t interval_ms; ///< between writes
 	int64_t asked_ms; ///< when the call that is out was made
 	uint64_t call; ///< number of the call that is out; the answer to any
--- a/packages/usage/src/collect.c
+++ b/packages/usage/src/collect.c
@@ -7,6 +7,7 @@
 
 enum {
 	CALL_LOST_MS = 10000, ///< a call without an answer is given up
+	VERIFY_MS = 30000, ///< longest time between looks at the stored value
 };
 
 static void round_end(struct usage_collect *c, int64_t now)
@@ -19,21 +20,34 @@
 {
 	if (c->state != USAGE_COLLECT_IDLE && now - c->asked_ms > CALL_LOST_MS)
 		round_end(c, now);
-	if (!wanted || c->state != USAGE_COLLECT_IDLE || now < c->next_ms ||
-	    c->stored == c->book->version)
+	if (!wanted || c->state != USAGE_COLLECT_IDLE || now < c->next_ms)
 		return;
+	if (c->stored == c->book->version && now < c->verify_ms)
+		return;
+	c->verify_ms = now + VERIFY_MS;
 	c->state = USAGE_COLLECT_READ;
 	c->asked_ms = now;
 	c->call++;
 	c->ops->get(c->ctx);
 }
 
-static void write_book(struct usage_collect *c, int64_t now, uint64_t prev_rev)
+/// Write the book unless the store's value says the same.
+///
+/// @param kv  value that was read
+static void write_book(struct usage_collect *c, int64_t now,
+		       const struct usage_kv *kv)
 {
 	json_t *j = usage_book_json(c->book);
 	char *text = j ? json_dumps(j, JSON_COMPACT) : NULL;
+	uint64_t prev_rev = kv->err ? 0 : kv->rev;
 
 	json_decref(j);
+	if (text && !kv->err && strlen(text) == kv->len &&
+	    memcmp(text, kv->text, kv->len) == 0) {
+		c->stored = c->book->version;
+		free(text);
+		text = NULL;
+	}
 	if (!text) {
 		round_end(c, now);
 		return;
@@ -53,7 +67,7 @@
 	enum err e;
 
 	if (kv->err == ERR_NOT_FOUND) {
-		write_book(c, now, 0);
+		write_book(c, now, kv);
 		return;
 	}
 	if (kv->err) {
@@ -68,7 +82,7 @@
 		round_end(c, now);
 		return;
 	}
-	write_book(c, now, kv->rev);
+	write_book(c, now, kv);
 }
 
 void usage_collect_on_kv(struct usage_collect *c, int64_t now,
