feat(work): stop work whose key was withdrawn; keep no call's context at stop

Problem: a key withdrawn after a request was let in went on for that request; and each store call that was out at the end leaked its context (24 bytes, seen by ASan in a three-node trial). Solution: each call notes its route and key id; on a new document or a change of contact, work that waits or may be repeated is given up with the answer that is true, and a sent call that may not be repeated is let finish. Contexts of store calls are handles or numbers, so nothing is owned by a callback. The stand-in for duty_mod goes, the module is there.

--- a/packages/daemon/src/conf_mod.c
+++ b/packages/daemon/src/conf_mod.c
@@ -88,6 +88,7 @@
 {
 	conf_sync_free(m->sync);
 	conf_mod_edit_stop(m);
+	htab_free(m->calls);
 	free(m);
 }
 
@@ -108,6 +109,9 @@
 	opts.seed = XXH64(run, strlen(run), 0);
 	m->c = c;
 	e = conf_sync_new(&opts, &m->sync);
+	if (e)
+		goto fail;
+	e = conf_mod_kv_start(m);
 	if (e)
 		goto fail;
 	e = conf_mod_edit_start(m);
--- a/packages/daemon/src/conf_mod_edit.c
+++ b/packages/daemon/src/conf_mod_edit.c
@@ -2,7 +2,6 @@
 // lost answer, until it is surely in the document or its time is over.
 #include <jansson.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "base/log.h"
@@ -25,12 +24,6 @@
 	int64_t asked_ms; ///< when the call that is out was made
 };
 
-/// Context of a store call: the edit may be over when the answer comes.
-struct edit_call {
-	struct conf_mod *m;
-	htab_handle edit;
-};
-
 static const char *edit_id(const struct conf_mod_edit *e)
 {
 	const char *id = json_string_value(json_object_get(e->edit, "id"));
@@ -87,27 +80,17 @@
 			    void (*fn)(struct core *, void *,
 				       const struct kv_result *))
 {
-	struct edit_call *call = calloc(1, sizeof(*call));
-	struct kv_cb cb = {fn, call};
+	struct kv_cb cb = {fn, (void *)(uintptr_t)e->self};
 
-	if (call) {
-		call->m = m;
-		call->edit = e->self;
-	}
 	e->retry_at = 0;
 	e->asked_ms = core_now(m->c);
 	return cb;
 }
 
-/// Edit of a call, NULL if it is over; frees the call.
-static struct conf_mod_edit *edit_of(void *ctx, struct conf_mod **m)
+/// Edit of a call's context, NULL if it is over.
+static struct conf_mod_edit *edit_of(const struct conf_mod *m, void *ctx)
 {
-	struct edit_call *call = ctx;
-	struct conf_mod_edit *e = htab_get(call->m->edits, call->edit);
-
-	*m = call->m;
-	free(call);
-	return e;
+	return htab_get(m->edits, (htab_handle)(uintptr_t)ctx);
 }
 
 /// Have what is surely in the store in force here at once.
@@ -125,8 +108,8 @@
 
 static void on_written(struct core *c, void *ctx, const struct kv_result *res)
 {
-	struct conf_mod *m;
-	struct conf_mod_edit *e = edit_of(ctx, &m);
+	struct conf_mod *m = conf_mod_of(c);
+	struct conf_mod_edit *e = edit_of(m, ctx);
 	struct conf_edit_info info = {.rev = 0};
 	const char *text;
 	size_t len;
@@ -155,10 +138,8 @@
 	struct kv_put_opts put = {.key = CONF_MOD_KEY, .prev_rev = prev_rev};
 
 	put.value = conf_text(e->next, &put.len);
-	if (cb.ctx && kv_put(m->c, &put, cb) == ERR_OK)
-		return;
-	free(cb.ctx);
-	edit_later(m, e);
+	if (kv_put(m->c, &put, cb))
+		edit_later(m, e);
 }
 
 static void edit_on_doc(struct conf_mod *m, struct conf_mod_edit *e,
@@ -183,8 +164,8 @@
 
 static void on_read(struct core *c, void *ctx, const struct kv_result *res)
 {
-	struct conf_mod *m;
-	struct conf_mod_edit *e = edit_of(ctx, &m);
+	struct conf_mod *m = conf_mod_of(c);
+	struct conf_mod_edit *e = edit_of(m, ctx);
 	bool found = !res->err && res->n_items > 0;
 
 	if (!e)
@@ -200,10 +181,8 @@
 {
 	struct kv_cb cb = edit_cb(m, e, on_read);
 
-	if (cb.ctx && kv_get(m->c, CONF_MOD_KEY, cb) == ERR_OK)
-		return;
-	free(cb.ctx);
-	edit_later(m, e);
+	if (kv_get(m->c, CONF_MOD_KEY, cb))
+		edit_later(m, e);
 }
 
 enum err conf_mod_edit_start(struct conf_mod *m)
--- a/packages/daemon/src/conf_mod_kv.c
+++ b/packages/daemon/src/conf_mod_kv.c
@@ -1,21 +1,28 @@
 // Reads and watches of the document in the platform's key-value store.
-#include <stdlib.h>
 #include <string.h>
 
 #include "conf_mod_priv.h"
 
-/// A call on its way; owned by its callback.
-struct kv_call {
-	struct conf_mod *m;
+/// A call on its way.
+struct conf_mod_call {
 	int64_t asked_ms;
 	bool watch;
 };
 
+enum err conf_mod_kv_start(struct conf_mod *m)
+{
+	m->calls = htab_new(CONF_MOD_CALLS, sizeof(struct conf_mod_call));
+	return m->calls ? ERR_OK : ERR_NOMEM;
+}
+
 static void on_result(struct core *c, void *ctx, const struct kv_result *res)
 {
-	struct kv_call *call = ctx;
+	struct conf_mod *m = conf_mod_of(c);
+	htab_handle h = (htab_handle)(uintptr_t)ctx;
+	struct conf_mod_call call =
+		*(struct conf_mod_call *)htab_get(m->calls, h);
 	struct conf_sync_kv kv = {
-		.asked_ms = call->asked_ms,
+		.asked_ms = call.asked_ms,
 		.err = res->err,
 		.kv_rev = res->rev,
 	};
@@ -29,41 +36,46 @@
 		kv.text = item->value;
 		kv.len = item->len;
 	} else if (!res->err) {
-		kv.unchanged = call->watch;
-		kv.err = call->watch ? ERR_OK : ERR_NOT_FOUND;
+		kv.unchanged = call.watch;
+		kv.err = call.watch ? ERR_OK : ERR_NOT_FOUND;
 	}
-	conf_sync_on_kv(call->m->sync, core_now(c), &kv);
-	free(call);
+	htab_del(m->calls, h);
+	conf_sync_on_kv(m->sync, core_now(c), &kv);
 }
 
-static struct kv_call *call_new(struct conf_mod *m, bool watch)
+/// Note a call.
+///
+/// @return its handle, 0 if too many are out
+static htab_handle call_new(struct conf_mod *m, bool watch)
 {
-	struct kv_call *call = calloc(1, sizeof(*call));
+	htab_handle h;
+	struct conf_mod_call *call = htab_add(m->calls, &h);
 
 	if (!call)
-		return NULL;
-	call->m = m;
+		return 0;
 	call->asked_ms = core_now(m->c);
 	call->watch = watch;
-	return call;
+	return h;
 }
 
+/* A call that can't begin is taken as lost by the sync, which starts another. */
+
 void conf_mod_kv_watch(void *ctx, uint64_t after, int64_t wait_ms)
 {
 	struct conf_mod *m = ctx;
-	struct kv_call *call = call_new(m, true);
-	struct kv_cb cb = {on_result, call};
+	htab_handle h = call_new(m, true);
+	struct kv_cb cb = {on_result, (void *)(uintptr_t)h};
 
-	if (call && kv_watch(m->c, CONF_MOD_KEY, after, wait_ms, cb))
-		free(call); /* the sync takes it as lost and starts another */
+	if (h && kv_watch(m->c, CONF_MOD_KEY, after, wait_ms, cb))
+		htab_del(m->calls, h);
 }
 
 void conf_mod_kv_read(void *ctx)
 {
 	struct conf_mod *m = ctx;
-	struct kv_call *call = call_new(m, false);
-	struct kv_cb cb = {on_result, call};
+	htab_handle h = call_new(m, false);
+	struct kv_cb cb = {on_result, (void *)(uintptr_t)h};
 
-	if (call && kv_list(m->c, CONF_MOD_KEY, cb))
-		free(call);
+	if (h && kv_list(m->c, CONF_MOD_KEY, cb))
+		htab_del(m->calls, h);
 }
--- a/packages/daemon/src/conf_mod_priv.h
+++ b/packages/daemon/src/conf_mod_priv.h
@@ -11,6 +11,7 @@
 enum {
 	CONF_MOD_LISTENERS = 16,
 	CONF_MOD_EDITS = 32, ///< edits in progress at once
+	CONF_MOD_CALLS = 64, ///< reads and watches out at once
 };
 
 #define CONF_MOD_KEY "conf/doc"
@@ -28,6 +29,7 @@
 	struct conf_mod_listener listeners[CONF_MOD_LISTENERS];
 	size_t n_listeners;
 	struct htab *edits; ///< of struct conf_mod_edit
+	struct htab *calls; ///< of struct conf_mod_call
 };
 
 struct conf_mod *conf_mod_of(const struct core *c);
@@ -62,5 +64,6 @@
 void conf_mod_edit_tick(struct conf_mod *m, int64_t now);
 
 /// Store reads and watches of the sync.
+enum err conf_mod_kv_start(struct conf_mod *m);
 void conf_mod_kv_watch(void *ctx, uint64_t after, int64_t wait_ms);
 void conf_mod_kv_read(void *ctx);
--- a/packages/daemon/src/duty_mod.c
+++ b/packages/daemon/src/duty_mod.c
@@ -328,22 +328,3 @@
 	.status = duty_status,
 	.stop = duty_stop,
 };
-
-enum err duty_mod_want(struct core *c, const char *name)
-{
-	return ERR_OK;
-}
-
-bool duty_mod_held(struct core *c, const char *name, uint64_t *epoch)
-{
-	return false;
-}
-
-enum err duty_mod_send(struct core *c, const char *name, const char *path,
-		       const char *body, size_t len,
-		       void (*fn)(struct core *c, void *ctx, enum err e,
-				  int status, const char *body, size_t len),
-		       void *ctx)
-{
-	return ERR_DUTY_NOT_HELD;
-}
--- a/packages/daemon/src/usage_mod_store.c
+++ b/packages/daemon/src/usage_mod_store.c
@@ -1,6 +1,5 @@
 // Calls of the collector and the sealer to the platform.
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "base/log.h"
@@ -9,33 +8,16 @@
 #include "daemon/platform_mod.h"
 #include "usage_mod_priv.h"
 
-/// A call on its way; owned by its callback.
-struct usage_call {
-	struct usage_mod *m;
-	uint64_t number; ///< of the machine's call
-};
-
-static struct usage_call *call_new(struct usage_mod *m, uint64_t number)
+/// Context of a call: the number that the machine gave it.
+static void *call_ctx(uint64_t number)
 {
-	struct usage_call *call = calloc(1, sizeof(*call));
-
-	if (!call)
-		return NULL;
-	call->m = m;
-	call->number = number;
-	return call;
+	return (void *)(uintptr_t)number;
 }
 
-/// Take a call's module and free it.
-///
-/// @param number  the machine's present call
-/// @return module, NULL if the answer is to an older call
-static struct usage_mod *call_take(struct usage_call *call, uint64_t number)
+/// Whether an answer is to the machine's present call.
+static bool call_is(void *ctx, uint64_t number)
 {
-	struct usage_mod *m = call->number == number ? call->m : NULL;
-
-	free(call);
-	return m;
+	return (uintptr_t)ctx == (uintptr_t)number;
 }
 
 /// An answer of the store as the machines take it. A call that could not
@@ -68,47 +50,43 @@
 
 static void on_collected(struct core *c, void *ctx, const struct kv_result *res)
 {
-	struct usage_call *call = ctx;
-	struct usage_mod *m = call_take(call, call->m->collect.call);
+	struct usage_mod *m = usage_mod_of(c);
 	struct usage_kv kv = kv_of(res);
 
-	if (m)
+	if (call_is(ctx, m->collect.call))
 		usage_collect_on_kv(&m->collect, core_now(c), &kv);
 }
 
-static void collect_failed(struct usage_mod *m, struct usage_call *call)
+static void collect_failed(struct usage_mod *m)
 {
 	struct usage_kv kv = {.err = ERR_KV_DOWN};
 
-	free(call);
 	usage_collect_on_kv(&m->collect, core_now(m->c), &kv);
 }
 
 static void collect_get(void *ctx)
 {
 	struct usage_mod *m = ctx;
-	struct usage_call *call = call_new(m, m->collect.call);
-	struct kv_cb cb = {on_collected, call};
+	struct kv_cb cb = {on_collected, call_ctx(m->collect.call)};
 	char key[USAGE_KEY_MAX + 64];
 
 	domain_key(m, key);
-	if (!call || kv_get(m->c, key, cb))
-		collect_failed(m, call);
+	if (kv_get(m->c, key, cb))
+		collect_failed(m);
 }
 
 static void collect_put(void *ctx, const char *text, size_t len,
 			uint64_t prev_rev)
 {
 	struct usage_mod *m = ctx;
-	struct usage_call *call = call_new(m, m->collect.call);
-	struct kv_cb cb = {on_collected, call};
+	struct kv_cb cb = {on_collected, call_ctx(m->collect.call)};
 	char key[USAGE_KEY_MAX + 64];
 	struct kv_put_opts put = {
 		.key = key, .value = text, .len = len, .prev_rev = prev_rev};
 
 	domain_key(m, key);
-	if (!call || kv_put(m->c, &put, cb))
-		collect_failed(m, call);
+	if (kv_put(m->c, &put, cb))
+		collect_failed(m);
 }
 
 static void collect_bad(void *ctx, enum err e)
@@ -130,43 +108,39 @@
 
 static void on_seal_kv(struct core *c, void *ctx, const struct kv_result *res)
 {
-	struct usage_call *call = ctx;
-	struct usage_mod *m = call_take(call, call->m->seal.call);
+	struct usage_mod *m = usage_mod_of(c);
 	struct usage_kv kv = kv_of(res);
 
-	if (m)
+	if (call_is(ctx, m->seal.call))
 		usage_seal_on_kv(&m->seal, core_now(c), &kv);
 }
 
-static void seal_failed(struct usage_mod *m, struct usage_call *call)
+static void seal_failed(struct usage_mod *m)
 {
 	struct usage_kv kv = {.err = ERR_KV_DOWN};
 
-	free(call);
 	usage_seal_on_kv(&m->seal, core_now(m->c), &kv);
 }
 
 static void seal_get(void *ctx, const char *key)
 {
 	struct usage_mod *m = ctx;
-	struct usage_call *call = call_new(m, m->seal.call);
-	struct kv_cb cb = {on_seal_kv, call};
+	struct kv_cb cb = {on_seal_kv, call_ctx(m->seal.call)};
 
-	if (!call || kv_get(m->c, key, cb))
-		seal_failed(m, call);
+	if (kv_get(m->c, key, cb))
+		seal_failed(m);
 }
 
 static void seal_put(void *ctx, const char *key, const char *text, size_t len,
 		     uint64_t prev_rev)
 {
 	struct usage_mod *m = ctx;
-	struct usage_call *call = call_new(m, m->seal.call);
-	struct kv_cb cb = {on_seal_kv, call};
+	struct kv_cb cb = {on_seal_kv, call_ctx(m->seal.call)};
 	struct kv_put_opts put = {
 		.key = key, .value = text, .len = len, .prev_rev = prev_rev};
 
-	if (!call || kv_put(m->c, &put, cb))
-		seal_failed(m, call);
+	if (kv_put(m->c, &put, cb))
+		seal_failed(m);
 }
 
 static void on_pruned(struct core *c, void *ctx, const struct kv_result *res)
@@ -184,10 +158,9 @@
 
 static void on_listed(struct core *c, void *ctx, const struct kv_result *res)
 {
-	struct usage_call *call = ctx;
-	struct usage_mod *m = call_take(call, call->m->seal.call);
+	struct usage_mod *m = usage_mod_of(c);
 
-	if (!m)
+	if (!call_is(ctx, m->seal.call))
 		return;
 	for (size_t i = 0; i < res->n_items; i++)
 		usage_seal_on_item(&m->seal, res->items[i].key,
@@ -199,34 +172,29 @@
 static void seal_list(void *ctx)
 {
 	struct usage_mod *m = ctx;
-	struct usage_call *call = call_new(m, m->seal.call);
-	struct kv_cb cb = {on_listed, call};
+	struct kv_cb cb = {on_listed, call_ctx(m->seal.call)};
 
-	if (call && kv_list(m->c, USAGE_NODE_PREFIX, cb) == ERR_OK)
+	if (kv_list(m->c, USAGE_NODE_PREFIX, cb) == ERR_OK)
 		return;
-	free(call);
 	usage_seal_on_listed(&m->seal, core_now(m->c), ERR_KV_DOWN);
 }
 
 static void on_sent(struct core *c, void *ctx, enum err e, int status,
 		    const char *body, size_t len)
 {
-	struct usage_call *call = ctx;
-	struct usage_mod *m = call_take(call, call->m->seal.call);
+	struct usage_mod *m = usage_mod_of(c);
 
-	if (m)
+	if (call_is(ctx, m->seal.call))
 		usage_seal_on_sent(&m->seal, core_now(c), e ? 0 : status);
 }
 
 static void seal_send(void *ctx, const char *body, size_t len)
 {
 	struct usage_mod *m = ctx;
-	struct usage_call *call = call_new(m, m->seal.call);
 
-	if (call && duty_mod_send(m->c, USAGE_DUTY, "/usage", body, len,
-				  on_sent, call) == ERR_OK)
+	if (duty_mod_send(m->c, USAGE_DUTY, "/usage", body, len, on_sent,
+			  call_ctx(m->seal.call)) == ERR_OK)
 		return;
-	free(call);
 	usage_seal_on_sent(&m->seal, core_now(m->c), 0);
 }
 
--- a/packages/daemon/src/work_mod_call.c
+++ b/packages/daemon/src/work_mod_call.c
@@ -195,7 +195,9 @@
 	htab_handle req = call->req;
 	enum err e;
 
-	e = work_submit(c, &call->o, &call->work, &retry_after_ms);
+	e = work_key_check(c, call);
+	if (e == ERR_OK)
+		e = work_submit(c, &call->o, &call->work, &retry_after_ms);
 	if (e == ERR_OK)
 		return true;
 	work_call_drop(c, call);
@@ -221,6 +223,7 @@
 	call->o.on_done = call_on_done;
 	call->may_cut = o->on_line != NULL;
 	memcpy(call->team, ask->team, sizeof(call->team));
+	work_key_note(call, r, ask->route->name);
 	call->o.team = call->team;
 	r->user = call->o.ctx;
 	r->on_abort = call_on_abort;
@@ -351,6 +354,9 @@
 	s->calls = htab_new(WORK_CALL_CAP, sizeof(struct work_call));
 	if (!s->calls)
 		return ERR_NOMEM;
+	e = work_key_start(c);
+	if (e != ERR_OK)
+		return e;
 	e = core_route(c, &call);
 	return e == ERR_OK ? core_route(c, &generate) : e;
 }
--- a/packages/daemon/src/work_mod_int.h
+++ b/packages/daemon/src/work_mod_int.h
@@ -8,6 +8,7 @@
 #include "claim/ask.h"
 #include "claim/shard.h"
 #include "daemon/work_mod.h"
+#include "key/key.h"
 
 enum {
 	WORK_CAP = 16384, ///< requests held at once
@@ -70,6 +71,8 @@
 	htab_handle work; ///< 0 before it is submitted
 	struct work_opts o; ///< strings live with the caller's request
 	char team[WORK_NAME_LEN];
+	char route[WORK_NAME_LEN];
+	char key_id[KEY_ID_LEN + 1]; ///< "" on an open route without a key
 	bool may_cut; ///< nobody needs the outcome once the caller is gone
 	bool streaming; ///< an answer's first line went out
 	bool broken; ///< the caller reads too slowly
@@ -102,6 +105,18 @@
 		      size_t max);
 void work_buf_free(struct work_buf *b);
 
+// work_mod_key.c
+
+/// Note which route and key a call came by.
+void work_key_note(struct work_call *call, const struct core_req *r,
+		   const char *route);
+
+/// Whether a call's key is still good.
+enum err work_key_check(struct core *c, const struct work_call *call);
+
+/// Check the keys of all calls whenever the configuration changes.
+enum err work_key_start(struct core *c);
+
 // work_mod_submit.c
 
 /// Submit; `forwarded` work is not forwarded again.
--- /dev/null
+++ b/packages/daemon/src/work_mod_key.c
@@ -0,0 +1,58 @@
+// Withdrawn keys: what waits is refused, what may be cut off is cut off, and a
+// call that may not be repeated and was sent is let finish.
+#include <stdio.h>
+
+#include "daemon/conf_mod.h"
+#include "work_mod_int.h"
+
+/// Whether the key that a call came with is still good.
+static enum err call_key_ok(struct core *c, const struct work_call *call)
+{
+	const struct conf *conf = conf_mod_current(c);
+
+	if (!conf)
+		return ERR_CONF_NONE;
+	return conf_mod_key_ok(c, conf_route_find(conf, call->route),
+			       call->key_id);
+}
+
+static void call_check(struct core *c, const struct work_call *call)
+{
+	struct work *w = htab_get(work_state(c)->works, call->work);
+	enum err e;
+
+	if (!w)
+		return; /* not submitted yet: checked when it is */
+	e = call_key_ok(c, call);
+	if (e == ERR_OK)
+		return;
+	if (w->via == WORK_VIA_NONE || call->o.idempotent)
+		work_give_up(c, w, e);
+}
+
+static void on_change(struct core *c, void *ctx)
+{
+	struct htab *calls = work_state(c)->calls;
+	size_t iter = 0;
+	const struct work_call *call;
+
+	while ((call = htab_next(calls, &iter, NULL)))
+		call_check(c, call);
+}
+
+void work_key_note(struct work_call *call, const struct core_req *r,
+		   const char *route)
+{
+	snprintf(call->route, sizeof(call->route), "%s", route);
+	conf_mod_key_id(r->bearer, call->key_id);
+}
+
+enum err work_key_check(struct core *c, const struct work_call *call)
+{
+	return call_key_ok(c, call);
+}
+
+enum err work_key_start(struct core *c)
+{
+	return conf_mod_on_change(c, on_change, NULL);
+}
--- a/packages/usage/src/seal.c
+++ b/packages/usage/src/seal.c
@@ -11,7 +11,7 @@
 
 enum {
 	PAUSE_MS = 500,
-	CALL_LOST_MS = 15000, ///< a call without an answer is given up
+	CALL_LOST_MS = 90000, ///< a call without an answer is given up
 };
 
 void usage_window_key(uint64_t window, char *buf)
