--- a/test/e2e/test_orders_faults.c
+++ b/test/e2e/test_orders_faults.c
@@ -147,7 +147,7 @@
 		r->rng.state = SEED + (uint64_t)i;
 		r->fault = &faults[(size_t)i %
 				   (sizeof(faults) / sizeof(faults[0]))];
-		r->pair.mode = "gate";
+		r->pair.mode = i < PAIRS_MAX / 2 ? "gate" : "report";
 		r->pair.net_delay_ms = net_delay_ms;
 		assert_true(pair_start(&r->pair, i, url));
 	}
@@ -165,9 +165,10 @@
 	static struct pair_count c;
 
 	pair_counted(&r->pair, &c);
-	printf("%s: %s: seed %d, %d faults, %d epochs, %d orders, %d stale\n",
-	       r->pair.domain, name, SEED, r->rounds, c.epochs, c.orders,
-	       c.stale);
+	printf("%s, %s: %s: seed %d, %d faults, %d epochs, %d orders, "
+	       "%d stale\n",
+	       r->pair.domain, r->pair.mode, name, SEED, r->rounds, c.epochs,
+	       c.orders, c.stale);
 	assert_true(c.epochs >= 2);
 	return c.stale;
 }
--- a/test/fakes/holder/orders.c
+++ b/test/fakes/holder/orders.c
@@ -17,21 +17,32 @@
 	ORDERS_URL_MAX = 320,
 };
 
+enum orders_mode {
+	ORDERS_GATE, ///< orders, through the gate
+	ORDERS_REPORT, ///< usage reports, through the gate
+	ORDERS_NAIVE, ///< orders, lease checked, then sent
+};
+
 struct orders {
 	char duty[ORDERS_NAME_MAX];
-	bool naive;
+	enum orders_mode mode;
 	int open;
 	uint64_t next;
 };
 
-/* The holder knows no other member. */
-const struct member_view *member_mod_all(struct core *c, size_t *n)
+static void orders_fill(struct core *c, struct orders *o);
+
+static size_t orders_report(struct core *c, struct orders *o, uint64_t epoch,
+			    char *buf)
 {
-	*n = 0;
-	return NULL;
-}
+	int n = snprintf(buf, ORDERS_BODY_MAX,
+			 "{\"window\":%llu,\"epoch\":%llu,"
+			 "\"domain\":\"%s\",\"figures\":{}}",
+			 (unsigned long long)(o->next++ % ORDERS_IDS),
+			 (unsigned long long)epoch, core_domain(c));
 
-static void orders_fill(struct core *c, struct orders *o);
+	return (size_t)n;
+}
 
 static size_t orders_body(struct core *c, struct orders *o, uint64_t epoch,
 			  char *buf)
@@ -87,11 +98,14 @@
 static enum err orders_send(struct core *c, struct orders *o, uint64_t epoch)
 {
 	char body[ORDERS_BODY_MAX];
-	size_t len = orders_body(c, o, epoch, body);
+	bool report = o->mode == ORDERS_REPORT;
+	size_t len = report ? orders_report(c, o, epoch, body)
+			    : orders_body(c, o, epoch, body);
 
-	if (o->naive)
+	if (o->mode == ORDERS_NAIVE)
 		return orders_send_naive(c, o, body, len);
-	return duty_mod_send(c, o->duty, "/orders", body, len, on_gate, o);
+	return duty_mod_send(c, o->duty, report ? "/usage" : "/orders", body,
+			     len, on_gate, o);
 }
 
 static void orders_fill(struct core *c, struct orders *o)
@@ -105,26 +119,33 @@
 	}
 }
 
-static enum err orders_start(struct core *c, void **state, bool naive)
+static enum err orders_start(struct core *c, void **state,
+			     enum orders_mode mode)
 {
 	struct orders *o = calloc(1, sizeof(*o));
 
 	if (!o)
 		return ERR_NOMEM;
-	o->naive = naive;
-	snprintf(o->duty, sizeof(o->duty), "fleet/%s", core_domain(c));
+	o->mode = mode;
+	snprintf(o->duty, sizeof(o->duty), "%s/%s",
+		 mode == ORDERS_REPORT ? "usage" : "fleet", core_domain(c));
 	*state = o;
 	return duty_mod_want(c, o->duty);
 }
 
 static enum err gate_start(struct core *c, void **state)
 {
-	return orders_start(c, state, false);
+	return orders_start(c, state, ORDERS_GATE);
+}
+
+static enum err report_start(struct core *c, void **state)
+{
+	return orders_start(c, state, ORDERS_REPORT);
 }
 
 static enum err naive_start(struct core *c, void **state)
 {
-	return orders_start(c, state, true);
+	return orders_start(c, state, ORDERS_NAIVE);
 }
 
 static enum err none_start(struct core *c, void **state)
@@ -150,6 +171,13 @@
 	.stop = orders_stop,
 };
 
+const struct core_mod_ops orders_report_ops = {
+	.name = "orders",
+	.start = report_start,
+	.tick = orders_tick,
+	.stop = orders_stop,
+};
+
 const struct core_mod_ops orders_naive_ops = {
 	.name = "orders",
 	.start = naive_start,
--- a/test/fakes/holder/orders.h
+++ b/test/fakes/holder/orders.h
@@ -1,11 +1,14 @@
-// Module that keeps orders of `fleet/DOMAIN` under way while the duty is held.
+// Modules that keep orders under way while a duty is held.
 #pragma once
 
 #include "core/core.h"
 
-/// Through the gate, as the daemon does.
+/// Orders of `fleet/DOMAIN`, through the gate.
 extern const struct core_mod_ops orders_gate_ops;
 
+/// Usage reports of `usage/DOMAIN`, through the gate.
+extern const struct core_mod_ops orders_report_ops;
+
 /// Check the lease, then send: the way that isn't safe.
 extern const struct core_mod_ops orders_naive_ops;
 
--- a/test/support/pair.c
+++ b/test/support/pair.c
@@ -88,7 +88,8 @@
 	const char *value;
 	int who = -1;
 
-	snprintf(url, sizeof(url), "%s/kv/duty/fleet/%s", p->url, p->domain);
+	snprintf(url, sizeof(url), "%s/kv/duty/%s/%s", p->url,
+		 strcmp(p->mode, "report") == 0 ? "usage" : "fleet", p->domain);
 	j = http_json("GET", url, NULL, NULL, NULL);
 	value = json_string_value(json_object_get(j, "value"));
 	for (int i = 0; value && i < PAIR_NODES; i++) {
--- a/test/support/pair.h
+++ b/test/support/pair.h
@@ -27,7 +27,8 @@
 struct pair {
 	char domain[16];
 	char url[64]; ///< of the platform
-	const char *mode; ///< "gate", or "naive": check the lease, then send
+	const char *mode; ///< "gate": orders; "report": usage reports;
+		///< "naive": orders, the lease checked, then sent
 	int net_delay_ms; ///< setting of both nodes
 	struct pair_node node[PAIR_NODES];
 };
