feat(slot): grant each backend server's slots from one place

*Problem:* Entry VMs that each find a server's limit for themselves sum to more than a cold one bears.

--- /dev/null
+++ b/packages/slot/src/holder.c
@@ -0,0 +1,79 @@
+// A node's slots on one backend server.
+#include "slot/holder.h"
+
+int slot_holder_free(const struct slot_holder *h, int64_t now)
+{
+	if (now >= h->until_ms || h->in_use >= h->slots)
+		return 0;
+	return h->slots - h->in_use;
+}
+
+bool slot_holder_take(struct slot_holder *h, int64_t now)
+{
+	if (slot_holder_free(h, now) == 0)
+		return false;
+	h->in_use++;
+	return true;
+}
+
+void slot_holder_put(struct slot_holder *h, enum slot_outcome o, uint32_t ms)
+{
+	h->in_use--;
+	if (o == SLOT_OK) {
+		h->sample.oks++;
+		h->sample.ok_ms += ms;
+	} else if (o == SLOT_ERROR) {
+		h->sample.errors++;
+	}
+}
+
+static bool holder_due(const struct slot_holder *h, int64_t now, int want)
+{
+	int64_t since = now - h->sent_ms;
+
+	if (h->seq == 0 || since >= SLOT_REFRESH_MS)
+		return true;
+	return want > h->slots && since >= SLOT_HURRY_MS;
+}
+
+bool slot_holder_ask(struct slot_holder *h, int64_t now, uint64_t steward,
+		     int want, uint32_t drain_ms, struct slot_ask *ask)
+{
+	bool idle = want == 0 && h->in_use == 0 && h->slots == 0;
+
+	if (steward == 0 || idle)
+		return false;
+	if (steward != h->steward) {
+		if (h->steward && now - h->sent_ms < SLOT_LIFETIME_MS)
+			return false;
+		h->steward = steward;
+		h->slots = 0;
+	} else if (!holder_due(h, now, want)) {
+		return false;
+	}
+	h->sent_ms = now;
+	h->answered = false;
+	h->told = h->sample;
+	*ask = (struct slot_ask){
+		.seq = ++h->seq,
+		.want = (uint16_t)want,
+		.in_use = (uint16_t)h->in_use,
+		.drain_ms = drain_ms,
+		.known = h->known,
+		.sample = h->sample,
+	};
+	return true;
+}
+
+void slot_holder_permit(struct slot_holder *h, const struct slot_permit *p)
+{
+	if (p->seq != h->seq || h->answered)
+		return;
+	h->answered = true;
+	h->slots = p->slots;
+	h->until_ms = h->sent_ms + SLOT_LIFETIME_MS;
+	h->known = p->limit;
+	h->sample.oks -= h->told.oks;
+	h->sample.errors -= h->told.errors;
+	h->sample.ok_ms -= h->told.ok_ms;
+}
