--- /dev/null
+++ b/packages/admit/test/test_admit.c
@@ -0,0 +1,213 @@
+// Tests of admission: order, bounds, fairness, and a model over random steps.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <cmocka.h>
+
+#include "admit/admit.h"
+#include "base/rng.h"
+
+enum {
+	CAP = 300,
+	SEEDS = 200,
+	STEPS = 2000,
+	TEAMS = 5,
+};
+
+static const struct admit_bounds wide = {CAP, CAP};
+
+static struct admit_result push(struct admit *a, uint64_t team,
+				enum admit_level level, int64_t deadline,
+				uint64_t cost, uint32_t user)
+{
+	struct admit_request r = {
+		.level = level,
+		.team = team,
+		.weight = 100,
+		.cost = cost,
+		.deadline_ms = deadline,
+		.user = user,
+	};
+
+	return admit_push(a, 0, &r, &wide);
+}
+
+static void test_order(void **state)
+{
+	static const uint32_t want[] = {3, 2, 4, 1};
+	struct admit *a = admit_new(CAP);
+	uint32_t user;
+
+	push(a, 1, ADMIT_SHARED, 900, 10, 1);
+	push(a, 1, ADMIT_SHARED, 500, 10, 2);
+	push(a, 1, ADMIT_FIRST, 9000, 1, 3);
+	push(a, 1, ADMIT_SHARED, 600, 10, 4);
+	for (int i = 0; i < 4; i++) {
+		assert_true(admit_pop(a, &user));
+		assert_int_equal(user, want[i]);
+	}
+	assert_false(admit_pop(a, &user));
+	admit_free(a);
+}
+
+/* Served cost counts, not requests: team 1's are ten times as large. */
+static void test_fair_by_cost(void **state)
+{
+	struct admit *a = admit_new(CAP);
+	int served[3] = {0};
+	uint32_t user;
+
+	for (int i = 0; i < 100; i++) {
+		push(a, 1, ADMIT_SHARED, i, 100, 1);
+		push(a, 2, ADMIT_SHARED, i, 10, 2);
+	}
+	for (int i = 0; i < 55; i++) {
+		admit_pop(a, &user);
+		served[user] += user == 1 ? 100 : 10;
+	}
+	assert_in_range(served[1], 400, 600);
+	assert_in_range(served[2], 400, 600);
+	admit_free(a);
+}
+
+static void test_idle_team_saves_nothing(void **state)
+{
+	struct admit *a = admit_new(CAP);
+	int first = 0;
+	uint32_t user;
+
+	for (int i = 0; i < 100; i++)
+		push(a, 1, ADMIT_SHARED, i, 10, 1);
+	for (int i = 0; i < 60; i++)
+		admit_pop(a, &user);
+	for (int i = 0; i < 40; i++)
+		push(a, 2, ADMIT_SHARED, i, 10, 2);
+	for (int i = 0; i < 20; i++) {
+		admit_pop(a, &user);
+		first += user == 2;
+	}
+	assert_in_range(first, 9, 11);
+	admit_free(a);
+}
+
+static void test_bounds(void **state)
+{
+	struct admit *a = admit_new(CAP);
+	struct admit_bounds b = {.total = 10, .team = 8};
+	struct admit_request r = {
+		.level = ADMIT_SHARED, .weight = 1, .cost = 1};
+	struct admit_result res;
+
+	r.team = 1;
+	for (int i = 0; i < 8; i++)
+		assert_int_equal(admit_push(a, 0, &r, &b).err, ERR_OK);
+	res = admit_push(a, 0, &r, &b);
+	assert_int_equal(res.err, ERR_ADMIT_TEAM_FULL);
+	assert_true(res.retry_after_ms > 0);
+	r.team = 2;
+	for (int i = 0; i < 2; i++)
+		assert_int_equal(admit_push(a, 0, &r, &b).err, ERR_OK);
+	/* Full: the team with the most waiting gives one up. */
+	res = admit_push(a, 0, &r, &b);
+	assert_int_equal(res.err, ERR_OK);
+	assert_true(res.evicted);
+	assert_int_equal(admit_count(a), 10);
+	admit_free(a);
+}
+
+static void test_stall(void **state)
+{
+	struct admit *a = admit_new(CAP);
+	struct admit_request r = {.team = 1, .weight = 1, .cost = 1};
+
+	assert_int_equal(admit_push(a, 0, &r, &wide).err, ERR_OK);
+	assert_false(admit_stalled(a, ADMIT_STALL_MS - 1));
+	assert_true(admit_stalled(a, ADMIT_STALL_MS));
+	assert_int_equal(admit_push(a, ADMIT_STALL_MS, &r, &wide).err,
+			 ERR_ADMIT_STALLED);
+	admit_progress(a, ADMIT_STALL_MS, 1);
+	assert_int_equal(admit_push(a, ADMIT_STALL_MS, &r, &wide).err, ERR_OK);
+	admit_free(a);
+}
+
+struct model {
+	bool in;
+	admit_handle h;
+	uint64_t team;
+	int64_t deadline;
+};
+
+/* Whether any request of the team should have come before. */
+static bool model_earlier(const struct model *m, uint32_t n, uint32_t got)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		if (m[i].in && i != got && m[i].team == m[got].team &&
+		    m[i].deadline < m[got].deadline)
+			return true;
+	}
+	return false;
+}
+
+/* Random pushes, pops and cancels: nothing lost, nothing twice, each team's
+ * requests by deadline, stale handles refused. */
+static void test_model(void **state)
+{
+	static struct model m[STEPS];
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct rng rng = {seed};
+		struct admit *a = admit_new(CAP);
+		uint32_t n = 0;
+		size_t in = 0;
+
+		for (int s = 0; s < STEPS; s++) {
+			uint64_t what = rng_below(&rng, 5);
+			uint32_t user = 0;
+
+			if (what < 3 && in < CAP - 1) {
+				m[n] = (struct model){
+					.in = true,
+					.team = 1 + rng_below(&rng, TEAMS),
+					.deadline =
+						(int64_t)rng_below(&rng, 1000),
+				};
+				m[n].h = push(a, m[n].team, ADMIT_SHARED,
+					      m[n].deadline, 1, n)
+						 .h;
+				n++;
+				in++;
+			} else if (what == 3 && n > 0) {
+				user = (uint32_t)rng_below(&rng, n);
+				assert_int_equal(admit_cancel(a, m[user].h),
+						 m[user].in);
+				in -= m[user].in;
+				m[user].in = false;
+			} else if (admit_pop(a, &user)) {
+				assert_true(m[user].in);
+				assert_false(model_earlier(m, n, user));
+				m[user].in = false;
+				in--;
+			}
+			assert_int_equal(admit_count(a), in);
+		}
+		admit_free(a);
+	}
+	printf("seeds 1..%d, %d steps each\n", SEEDS, STEPS);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_order),
+		cmocka_unit_test(test_fair_by_cost),
+		cmocka_unit_test(test_idle_team_saves_nothing),
+		cmocka_unit_test(test_bounds),
+		cmocka_unit_test(test_stall),
+		cmocka_unit_test(test_model),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
