--- a/packages/core/src/req.c
+++ b/packages/core/src/req.c
@@ -166,6 +166,7 @@
 	struct http_req *http = ev->req;
 
 	if (ev->kind == HTTP_REQ) {
+		/* The answer may free the request and, in it, the event. */
 		req_arrived(c, http);
 		return;
 	}
