--- a/packages/admit/include/admit/admit.h
+++ b/packages/admit/include/admit/admit.h
@@ -63,6 +63,12 @@
 			       const struct admit_request *r,
 			       const struct admit_bounds *bounds);
 
+/// The request that runs next.
+///
+/// @param[out] user  the caller's handle
+/// @return false when nothing waits
+bool admit_peek(struct admit *a, uint32_t *user);
+
 /// Take out the request that runs next and charge its team.
 ///
 /// @param[out] user  the caller's handle
--- a/packages/admit/src/admit.c
+++ b/packages/admit/src/admit.c
@@ -228,20 +228,35 @@
 	return best;
 }
 
-bool admit_pop(struct admit *a, uint32_t *user)
+/* Index of the request that runs next, 0 for none. */
+static uint32_t admit_head(struct admit *a)
 {
 	int level = a->waiting[ADMIT_FIRST] ? ADMIT_FIRST : ADMIT_SHARED;
-	struct admit_team *t = admit_next_team(a, level);
-	struct admit_item *it;
+	const struct admit_team *t = admit_next_team(a, level);
 
-	if (!t)
+	return t ? t->roots[level] : 0;
+}
+
+bool admit_peek(struct admit *a, uint32_t *user)
+{
+	uint32_t i = admit_head(a);
+
+	*user = a->items[i].user;
+	return i != 0;
+}
+
+bool admit_pop(struct admit *a, uint32_t *user)
+{
+	uint32_t i = admit_head(a);
+	struct admit_team *t = &a->teams[a->items[i].team];
+
+	if (!i)
 		return false;
-	it = &a->items[t->roots[level]];
-	*user = it->user;
+	*user = a->items[i].user;
 	if (t->served > a->clock)
 		a->clock = t->served;
-	t->served += it->charge;
-	item_take_out(a, t->roots[level]);
+	t->served += a->items[i].charge;
+	item_take_out(a, i);
 	return true;
 }
 
--- a/packages/daemon/src/work_mod_attempt.c
+++ b/packages/daemon/src/work_mod_attempt.c
@@ -9,6 +9,8 @@
 
 enum {
 	HEADER_LEN = 256, ///< bytes of a header line
+	WORK_URL_LEN = 1280, ///< bytes
+	OVERLOADED_STATUS = 503,
 	END_LINE_MAX = 512, ///< bytes; segments are told apart by their type
 };
 
@@ -88,10 +90,19 @@
 	return w->o.kind == VM_ENGINE ? WORK_ENGINE_IDLE_MS : 0;
 }
 
-static enum err attempt_fetch(struct core *c, struct work *w,
-			      const struct fleet_vm *vm)
+static void attempt_begin_span(struct core *c, struct work *w)
 {
-	char url[512];
+	attempt_begin(&w->att);
+	span_begin(&w->span, &w->trace, "attempt");
+	w->ended = false;
+	w->begun_ms = core_now(c);
+	if (w->att.tries > 1)
+		metric_add(M_WORK_RETRIES, 1);
+}
+
+static enum err attempt_send(struct core *c, struct work *w, const char *addr)
+{
+	char url[WORK_URL_LEN];
 	char ctype[HEADER_LEN];
 	char request[HEADER_LEN];
 	const char *headers[] = {request, *w->o.ctype ? ctype : NULL, NULL};
@@ -110,50 +121,49 @@
 		.ctx = (void *)(uintptr_t)w->h,
 	};
 
-	snprintf(url, sizeof(url), "http://%s%s", vm->addr, w->o.path);
+	snprintf(url, sizeof(url), "http://%s%s", addr, w->o.path);
 	snprintf(ctype, sizeof(ctype), "Content-Type: %s", w->o.ctype);
 	snprintf(request, sizeof(request), "Catkin-Request: %s-%llu",
 		 core_incarnation(c), (unsigned long long)w->id);
-	snprintf(w->target, sizeof(w->target), "%s", vm->id);
 	return core_fetch(c, &f, &w->fetch);
 }
 
-static enum err attempt_send(struct core *c, struct work *w)
+enum err work_attempt_fetch(struct core *c, struct work *w,
+			    struct work_server *v)
 {
-	const struct fleet_vm *vm = work_pick_server(c, w);
-	const char *peer;
 	enum err e;
 
-	if (vm) {
-		e = attempt_fetch(c, w, vm);
-		if (e == ERR_OK)
-			w->via = WORK_VIA_FETCH;
+	if (core_now(c) >= w->o.deadline_ms)
+		return ERR_WORK_DEADLINE;
+	attempt_begin_span(c, w);
+	snprintf(w->target, sizeof(w->target), "%s", v->id);
+	e = attempt_send(c, w, v->addr);
+	if (e != ERR_OK) {
+		span_end(&w->span, err_code(e), NULL);
 		return e;
 	}
-	peer = w->forwarded ? NULL : work_pick_peer(c, w);
-	if (!peer)
-		return ERR_ROUTE_NO_SERVER;
-	e = work_peer_open(c, w, peer);
-	if (e == ERR_OK)
-		w->via = WORK_VIA_PEER;
-	return e;
+	w->via = WORK_VIA_FETCH;
+	w->server = v;
+	return ERR_OK;
 }
 
-enum err work_attempt(struct core *c, struct work *w)
+enum err work_attempt_forward(struct core *c, struct work *w)
 {
+	const char *peer = w->forwarded ? NULL : work_pick_peer(c, w);
 	enum err e;
 
+	if (!peer)
+		return ERR_ROUTE_NO_SERVER;
 	if (core_now(c) >= w->o.deadline_ms)
 		return ERR_WORK_DEADLINE;
-	attempt_begin(&w->att);
-	span_begin(&w->span, &w->trace, "attempt");
-	w->ended = false;
-	e = attempt_send(c, w);
-	if (e != ERR_OK)
+	attempt_begin_span(c, w);
+	e = work_peer_open(c, w, peer);
+	if (e != ERR_OK) {
 		span_end(&w->span, err_code(e), NULL);
-	else if (w->att.tries > 1)
-		metric_add(M_WORK_RETRIES, 1);
-	return e;
+		return e;
+	}
+	w->via = WORK_VIA_PEER;
+	return ERR_OK;
 }
 
 static int64_t attempt_retry_ratio(struct core *c, const struct work *w)
@@ -176,15 +186,47 @@
 	span_end(&w->span, err_code(e), detail);
 }
 
+/* Duration, where it tells of load: that of a stream depends on its length. */
+static uint32_t attempt_ms(struct core *c, const struct work *w)
+{
+	if (w->o.kind == VM_ENGINE)
+		return 0;
+	return (uint32_t)(core_now(c) - w->begun_ms);
+}
+
+/* Give the slot back, and let the next request have it. */
+static void attempt_put_slot(struct core *c, struct work *w,
+			     enum slot_outcome o)
+{
+	struct work_server *v = w->server;
+
+	if (!v)
+		return;
+	w->server = NULL;
+	slot_holder_put(&v->holder, o, attempt_ms(c, w));
+	if (o == SLOT_OK)
+		admit_progress(v->pool->queue, core_now(c), w->o.cost);
+}
+
+static enum slot_outcome attempt_slot_outcome(const struct attempt_outcome *out)
+{
+	bool bad = out->err != ERR_OK || out->status == OVERLOADED_STATUS;
+
+	return bad ? SLOT_ERROR : SLOT_OK;
+}
+
 void work_attempt_end(struct core *c, struct work *w,
 		      const struct attempt_outcome *out,
 		      struct work_result *res)
 {
 	struct attempt_budget *b = &work_state(c)->budget;
 	struct attempt_step step;
-	enum err e = ERR_OK;
+	struct work_pool *pool = w->pool;
+	int64_t retry_after_ms = 0;
+	enum err e;
 
 	attempt_span_end(w, out->err);
+	attempt_put_slot(c, w, attempt_slot_outcome(out));
 	w->via = WORK_VIA_NONE;
 	work_buf_free(&w->part);
 	if (out->err == ERR_OK)
@@ -192,7 +234,7 @@
 	step = attempt_end(&w->att, b, core_now(c), out);
 	if (step.again) {
 		memcpy(w->avoid, w->target, sizeof(w->avoid));
-		e = work_attempt(c, w);
+		e = work_place(c, w, &retry_after_ms);
 		if (e == ERR_OK)
 			return;
 		step = attempt_give_up(&w->att, false, e);
@@ -201,6 +243,8 @@
 	res->run = step.run;
 	res->retry_after_ms = step.retry_after_ms;
 	work_finish(c, w, res);
+	if (pool)
+		work_pump(c, pool);
 }
 
 void work_attempt_cancel(struct core *c, struct work *w)
@@ -211,5 +255,6 @@
 		work_peer_cancel(c, w);
 	if (w->via != WORK_VIA_NONE)
 		attempt_span_end(w, ERR_CLOSED);
+	attempt_put_slot(c, w, SLOT_CANCELLED);
 	w->via = WORK_VIA_NONE;
 }
--- a/packages/daemon/src/work_mod_int.h
+++ b/packages/daemon/src/work_mod_int.h
@@ -3,10 +3,13 @@
 
 #include <msgpack.h>
 
+#include "admit/admit.h"
 #include "attempt/attempt.h"
 #include "base/rng.h"
 #include "claim/ask.h"
 #include "claim/shard.h"
+#include "slot/holder.h"
+#include "slot/steward.h"
 #include "daemon/work_mod.h"
 
 enum {
@@ -23,11 +26,13 @@
 	WORK_ENGINE_IDLE_MS = 20000, ///< longest silence inside a stream
 	WORK_CLAIM_SHARDS = 8, ///< of the claim log; part of its format
 	WORK_CLAIM_CAP = 8192, ///< claims asked of this node at once
+	WORK_POOLS = 16, ///< the engines and each service
+	WORK_SERVERS = 512, ///< backend servers of the own failure domain
 	WORK_NO_SERVER_RETRY_MS = 1000, ///< told when no server is known
 };
 
 enum work_via {
-	WORK_VIA_NONE, ///< no attempt is running
+	WORK_VIA_NONE, ///< no attempt is running: queued, or about to end
 	WORK_VIA_FETCH, ///< at a backend server
 	WORK_VIA_PEER, ///< at a node in another failure domain
 };
@@ -50,6 +55,11 @@
 	struct span span; ///< of the attempt that runs
 	enum work_via via;
 	htab_handle fetch; ///< with WORK_VIA_FETCH
+	struct work_server *server; ///< whose slot it holds, NULL for none
+	int64_t begun_ms; ///< of the attempt
+	struct work_pool *pool; ///< that it waits in or was taken from
+	admit_handle queued; ///< 0 when it doesn't wait
+	enum err failed; ///< ends with this at the next tick
 	char target[WORK_NAME_LEN]; ///< server or node of the attempt
 	char avoid[WORK_NAME_LEN]; ///< server that failed before
 	bool forwarded; ///< came from another failure domain: stays in this one
@@ -79,6 +89,39 @@
 	struct claim_request claim;
 };
 
+/// What a backend server reports, shared within the failure domain.
+struct work_load {
+	int running;
+	int queued;
+	int slots; ///< 0 if it was never reported
+	int64_t as_of_ms; ///< clock_now_ms() time that it speaks of
+};
+
+/// A backend server of the own failure domain.
+struct work_server {
+	uint64_t hash; ///< of its id; 0: unused entry
+	char id[WORK_NAME_LEN];
+	char addr[WORK_NAME_LEN];
+	struct work_pool *pool;
+	bool cheap;
+	bool live; ///< listed as live, and its failure domain is in service
+	bool listed; ///< listed at all
+	struct slot_holder holder;
+	struct slot_steward *steward; ///< while this node is its steward
+	struct work_load load;
+	int64_t polled_ms;
+	bool polling;
+};
+
+/// Servers that can stand in for one another, and the queue for them.
+struct work_pool {
+	enum vm_kind kind;
+	char service[WORK_NAME_LEN]; ///< of VM_SERVICE
+	struct admit *queue;
+	int n_live;
+	int64_t active_ms; ///< last request
+};
+
 struct work_claims;
 
 struct work_state {
@@ -89,6 +132,12 @@
 	struct attempt_budget budget;
 	struct rng rng;
 	struct work_claims *claims;
+	struct work_pool pools[WORK_POOLS];
+	size_t n_pools;
+	struct work_server *servers; ///< WORK_SERVERS entries
+	size_t n_servers; ///< entries up to the last used one
+	uint64_t fleet_gen; ///< of the list that `servers` shows
+	uint64_t node_hash; ///< of this process's run
 	uint64_t next_id;
 };
 
@@ -117,10 +166,14 @@
 
 // work_mod_attempt.c
 
-/// Begin an attempt.
+/// Send to a backend server, on a slot that the request holds.
 ///
-/// @return ERR_OK, or why none could begin; nothing left this process
-enum err work_attempt(struct core *c, struct work *w);
+/// @return ERR_OK, or why not; nothing left this process
+enum err work_attempt_fetch(struct core *c, struct work *w,
+			    struct work_server *v);
+
+/// Send to a node of another failure domain.
+enum err work_attempt_forward(struct core *c, struct work *w);
 
 /// Take the end of the running attempt: try again or finish.
 ///
@@ -132,12 +185,50 @@
 /// Stop the running attempt; no end follows.
 void work_attempt_cancel(struct core *c, struct work *w);
 
+// work_mod_pool.c
+
+/// Pool of a kind of servers; made at its first use.
+///
+/// @return pool, NULL when there are too many
+struct work_pool *work_pool_get(struct work_state *s, enum vm_kind kind,
+				const char *service);
+
+/// Queue a request in its pool, or forward it if the own failure domain has no
+/// server for it.
+///
+/// @return ERR_OK, or a refusal
+enum err work_place(struct core *c, struct work *w, int64_t *retry_after_ms);
+
+/// Take a request out of its queue.
+void work_unqueue(struct work *w);
+
+/// Send what waits in a pool while slots are free.
+void work_pump(struct core *c, struct work_pool *p);
+void work_pool_tick(struct core *c, int64_t now);
+void work_pool_stop(struct work_state *s);
+
+// work_mod_server.c
+
+/// Bring the table of servers up to date with the platform's list.
+void work_server_sync(struct core *c);
+struct work_server *work_server_find(struct work_state *s, uint64_t hash);
+
+// work_mod_slot.c: permits for slots, between holders and stewards
+enum err work_slot_start(struct core *c);
+void work_slot_tick(struct core *c, int64_t now);
+
+/// Ask for slots now if it is time to.
+void work_slot_ask(struct core *c);
+
+// work_mod_load.c
+void work_load_tick(struct core *c, int64_t now);
+
 // work_mod_pick.c
 
-/// Live backend server for a request in the own failure domain.
+/// Server with a free slot for a request.
 ///
-/// @return server, NULL if there is none
-const struct fleet_vm *work_pick_server(struct core *c, const struct work *w);
+/// @return server, NULL if there is none now
+struct work_server *work_pick_server(struct core *c, const struct work *w);
 
 /// Node in another failure domain that has a backend server for it.
 ///
--- a/packages/daemon/src/work_mod_pick.c
+++ b/packages/daemon/src/work_mod_pick.c
@@ -22,27 +22,31 @@
 	return vm->kind != VM_SERVICE || strcmp(vm->service, w->o.service) == 0;
 }
 
-const struct fleet_vm *work_pick_server(struct core *c, const struct work *w)
+static bool pick_fits(const struct work_server *v, const struct work *w,
+		      int64_t now)
 {
-	const struct fleet_vm *best = NULL;
-	const char *domain = core_domain(c);
+	if (!v->hash || !v->live || v->pool != w->pool)
+		return false;
+	if (v->cheap && !w->o.may_cut)
+		return false;
+	return slot_holder_free(&v->holder, now) > 0;
+}
+
+struct work_server *work_pick_server(struct core *c, const struct work *w)
+{
+	struct work_state *s = work_state(c);
+	struct work_server *best = NULL;
 	uint64_t seen = 0;
-	size_t n;
-	const struct fleet_vm *vms = fleet_mod_vms(c, &n);
 
-	if (!pick_domain_in(c, domain))
-		return NULL;
-	for (size_t i = 0; i < n; i++) {
-		const struct fleet_vm *vm = &vms[i];
-		bool avoided = strcmp(vm->id, w->avoid) == 0;
+	for (size_t i = 0; i < s->n_servers; i++) {
+		struct work_server *v = &s->servers[i];
+		bool avoided = strcmp(v->id, w->avoid) == 0;
 
-		if (strcmp(vm->domain, domain) != 0 || !pick_serves(vm, w))
-			continue;
-		if (avoided && best)
+		if (!pick_fits(v, w, core_now(c)) || (avoided && best))
 			continue;
 		if (!best || strcmp(best->id, w->avoid) == 0 ||
-		    rng_below(&work_state(c)->rng, seen + 1) == 0)
-			best = vm;
+		    rng_below(&s->rng, seen + 1) == 0)
+			best = v;
 		seen += !avoided;
 	}
 	return best;
--- /dev/null
+++ b/packages/daemon/src/work_mod_server.c
@@ -0,0 +1,107 @@
+// The table of backend servers in the own failure domain.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "conf/conf.h"
+#include "daemon/conf_mod.h"
+#include "work_mod_int.h"
+
+struct work_server *work_server_find(struct work_state *s, uint64_t hash)
+{
+	for (size_t i = 0; i < s->n_servers; i++) {
+		if (s->servers[i].hash == hash)
+			return &s->servers[i];
+	}
+	return NULL;
+}
+
+static struct work_server *server_add(struct work_state *s, uint64_t hash)
+{
+	struct work_server *v = work_server_find(s, 0);
+
+	if (!v) {
+		if (s->n_servers == WORK_SERVERS)
+			return NULL;
+		v = &s->servers[s->n_servers++];
+	}
+	*v = (struct work_server){.hash = hash};
+	return v;
+}
+
+static void server_take(struct work_state *s, const struct fleet_vm *vm)
+{
+	uint64_t hash = XXH64(vm->id, strlen(vm->id), 0);
+	struct work_server *v = work_server_find(s, hash);
+
+	if (!v)
+		v = server_add(s, hash);
+	if (!v)
+		return;
+	snprintf(v->id, sizeof(v->id), "%s", vm->id);
+	snprintf(v->addr, sizeof(v->addr), "%s", vm->addr);
+	v->cheap = vm->cheap;
+	v->listed = true;
+	v->live = vm->state == VM_LIVE;
+	v->pool = work_pool_get(s, vm->kind, vm->service);
+	if (!v->pool)
+		v->live = false;
+}
+
+/* Entries of servers that are gone and hold no slot are used again. */
+static void server_sweep(struct work_state *s)
+{
+	for (size_t i = 0; i < s->n_servers; i++) {
+		struct work_server *v = &s->servers[i];
+
+		if (!v->hash || v->listed || v->holder.in_use > 0 || v->polling)
+			continue;
+		free(v->steward);
+		*v = (struct work_server){0};
+	}
+}
+
+static void server_rebuild(struct core *c, struct work_state *s)
+{
+	size_t n;
+	const struct fleet_vm *vms = fleet_mod_vms(c, &n);
+
+	for (size_t i = 0; i < s->n_servers; i++) {
+		s->servers[i].listed = false;
+		s->servers[i].live = false;
+	}
+	for (size_t i = 0; i < n; i++) {
+		if (vms[i].kind != VM_ENTRY &&
+		    strcmp(vms[i].domain, core_domain(c)) == 0)
+			server_take(s, &vms[i]);
+	}
+	server_sweep(s);
+}
+
+static void server_count(struct core *c, struct work_state *s)
+{
+	const struct conf *conf = conf_mod_current(c);
+	bool in = !conf || conf_domain_in(conf, core_domain(c));
+
+	for (size_t i = 0; i < s->n_pools; i++)
+		s->pools[i].n_live = 0;
+	for (size_t i = 0; i < s->n_servers; i++) {
+		struct work_server *v = &s->servers[i];
+
+		if (v->hash && v->live && in)
+			v->pool->n_live++;
+	}
+}
+
+void work_server_sync(struct core *c)
+{
+	struct work_state *s = work_state(c);
+	uint64_t gen = fleet_mod_gen(c);
+
+	if (gen != s->fleet_gen) {
+		s->fleet_gen = gen;
+		server_rebuild(c, s);
+	}
+	server_count(c, s);
+}
--- /dev/null
+++ b/packages/daemon/src/work_mod_slot.c
@@ -0,0 +1,250 @@
+// Permits for slots: this node asks the stewards of its failure domain, and
+// grants for the servers whose steward it is.
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/log.h"
+#include "conf/conf.h"
+#include "daemon/conf_mod.h"
+#include "daemon/member_mod.h"
+#include "work_mod_slot_msg.h"
+
+enum {
+	SLOT_ACTIVE_MS = 10000, ///< a pool without requests for so long is idle
+	SLOT_SPARE = 1, ///< slots kept ready at each server of an active pool
+	SLOT_DRAIN_MS = 120000, ///< of a request, without a configuration
+};
+
+// --- who is the steward -----------------------------------------------------
+
+/* Rendezvous hash over the nodes of the failure domain that this one hears. */
+static const char *slot_steward(struct core *c, uint64_t server)
+{
+	const char *best = core_draining(c) ? NULL : core_node(c);
+	uint64_t best_score = best ? XXH64(best, strlen(best), server) : 0;
+	size_t n;
+	const struct member_view *all = member_mod_all(c, &n);
+
+	for (size_t i = 0; i < n; i++) {
+		uint64_t score;
+
+		if (all[i].state == MEMBER_DEAD || all[i].draining ||
+		    strcmp(all[i].domain, core_domain(c)) != 0)
+			continue;
+		score = XXH64(all[i].id, strlen(all[i].id), server);
+		if (!best || score > best_score) {
+			best = all[i].id;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
+static int slot_heard(struct core *c)
+{
+	int heard = 1;
+	size_t n;
+	const struct member_view *all = member_mod_all(c, &n);
+
+	for (size_t i = 0; i < n; i++)
+		heard += all[i].state != MEMBER_DEAD &&
+			 strcmp(all[i].domain, core_domain(c)) == 0;
+	return heard;
+}
+
+static int slot_listed(struct core *c)
+{
+	int listed = 0;
+	size_t n;
+	const struct fleet_vm *vms = fleet_mod_vms(c, &n);
+
+	for (size_t i = 0; i < n; i++)
+		listed += vms[i].kind == VM_ENTRY && vms[i].state == VM_LIVE &&
+			  strcmp(vms[i].domain, core_domain(c)) == 0;
+	return listed;
+}
+
+static int64_t slot_conf(struct core *c, enum conf_field f, int64_t none)
+{
+	const struct conf *conf = conf_mod_current(c);
+	struct conf_scope scope = {.domain = core_domain(c)};
+
+	return conf ? conf_int(conf, f, &scope) : none;
+}
+
+static int64_t slot_drain_ms(struct core *c, const struct work_server *v)
+{
+	enum conf_field f = v->pool->kind == VM_ENGINE ? CF_GENERATE_DEADLINE
+						       : CF_CALL_DEADLINE;
+
+	return slot_conf(c, f, SLOT_DRAIN_MS);
+}
+
+static void slot_become_steward(struct core *c, struct work_server *v)
+{
+	struct slot_steward_opts o = {
+		.limit = {.start = (int)slot_conf(c, CF_SLOT_START, 1)},
+		.reports = v->pool->kind == VM_ENGINE,
+		.drain_ms = slot_drain_ms(c, v),
+	};
+
+	v->steward = malloc(sizeof(*v->steward));
+	if (v->steward)
+		slot_steward_init(v->steward, &o, core_now(c));
+}
+
+/* Be the steward, or not, as the hash says; and as such, see what is heard. */
+static void slot_tend(struct core *c, struct work_server *v, int heard,
+		      int listed)
+{
+	const struct conf *conf = conf_mod_current(c);
+	const char *steward = slot_steward(c, v->hash);
+	bool mine = steward && strcmp(steward, core_node(c)) == 0;
+	bool in = !conf || conf_domain_in(conf, core_domain(c));
+
+	if (!mine) {
+		free(v->steward);
+		v->steward = NULL;
+		return;
+	}
+	if (!v->steward)
+		slot_become_steward(c, v);
+	if (!v->steward)
+		return;
+	v->steward->limit.o.max = (int)slot_conf(c, CF_SLOT_MAX, 1);
+	slot_steward_tick(v->steward, core_now(c));
+	slot_steward_quorum(v->steward, core_now(c), heard, listed);
+	slot_steward_close(v->steward, !v->live || !in);
+}
+
+// --- asking -----------------------------------------------------------------
+
+/* Slots that this node could use on a server: what runs, and its part of what
+ * waits, and a spare one while its pool is in use. */
+static int slot_want(struct core *c, const struct work_server *v)
+{
+	const struct work_pool *p = v->pool;
+	size_t waiting = admit_count(p->queue);
+	size_t live = p->n_live > 0 ? (size_t)p->n_live : 1;
+	bool active =
+		core_now(c) - p->active_ms < SLOT_ACTIVE_MS && p->active_ms > 0;
+
+	if (!v->live || !active)
+		return v->holder.in_use;
+	return v->holder.in_use + SLOT_SPARE +
+	       (int)((2 * waiting + live - 1) / live);
+}
+
+static void slot_grant_here(struct core *c, struct work_server *v,
+			    const struct slot_ask *ask)
+{
+	struct slot_permit p;
+
+	if (v->steward && slot_steward_ask(v->steward, core_now(c),
+					   work_state(c)->node_hash, ask, &p))
+		slot_holder_permit(&v->holder, &p);
+}
+
+static void slot_ask_server(struct core *c, struct work_server *v)
+{
+	const char *steward = slot_steward(c, v->hash);
+	uint64_t hash = steward ? XXH64(steward, strlen(steward), 1) : 0;
+	struct slot_ask ask;
+
+	if (!slot_holder_ask(&v->holder, core_now(c), hash, slot_want(c, v),
+			     (uint32_t)slot_drain_ms(c, v) + SLOT_LIFETIME_MS,
+			     &ask))
+		return;
+	if (strcmp(steward, core_node(c)) == 0)
+		slot_grant_here(c, v, &ask);
+	else
+		slot_asks_add(c, steward, v->hash, &ask);
+}
+
+void work_slot_ask(struct core *c)
+{
+	struct work_state *s = work_state(c);
+
+	for (size_t i = 0; i < s->n_servers; i++) {
+		if (s->servers[i].hash && s->servers[i].pool)
+			slot_ask_server(c, &s->servers[i]);
+	}
+	slot_asks_flush(c);
+}
+
+void work_slot_tick(struct core *c, int64_t now)
+{
+	struct work_state *s = work_state(c);
+	int heard = slot_heard(c);
+	int listed = slot_listed(c);
+
+	for (size_t i = 0; i < s->n_servers; i++) {
+		if (s->servers[i].hash && s->servers[i].pool)
+			slot_tend(c, &s->servers[i], heard, listed);
+	}
+	work_slot_ask(c);
+}
+
+// --- messages ---------------------------------------------------------------
+
+static void slot_on_ask(struct core *c, void *ctx, const char *from,
+			const void *buf, size_t len)
+{
+	struct slot_asks m;
+	struct slot_permits out = {.n = 0};
+
+	if (!slot_asks_read(buf, len, &m)) {
+		log_event(EV_WORK_PEER_BAD, "from=%s message=slot-ask", from);
+		return;
+	}
+	for (size_t i = 0; i < m.n; i++) {
+		struct work_server *v =
+			work_server_find(work_state(c), m.items[i].server);
+		struct slot_permit_item *it = &out.items[out.n];
+
+		if (!v || !v->steward || !m.items[i].server ||
+		    !slot_steward_ask(v->steward, core_now(c), m.node,
+				      &m.items[i].ask, &it->permit))
+			continue;
+		it->server = v->hash;
+		it->load = v->load;
+		out.n++;
+	}
+	if (out.n > 0)
+		slot_permits_send(c, from, &out);
+}
+
+static void slot_on_permit(struct core *c, void *ctx, const char *from,
+			   const void *buf, size_t len)
+{
+	struct work_state *s = work_state(c);
+	uint64_t steward = XXH64(from, strlen(from), 1);
+	struct slot_permits m;
+
+	if (!slot_permits_read(c, buf, len, &m)) {
+		log_event(EV_WORK_PEER_BAD, "from=%s message=slot-permit",
+			  from);
+		return;
+	}
+	for (size_t i = 0; i < m.n; i++) {
+		struct work_server *v = work_server_find(s, m.items[i].server);
+
+		if (!v || !m.items[i].server || v->holder.steward != steward)
+			continue;
+		slot_holder_permit(&v->holder, &m.items[i].permit);
+		if (m.items[i].load.as_of_ms > v->load.as_of_ms)
+			v->load = m.items[i].load;
+	}
+	for (size_t i = 0; i < s->n_pools; i++)
+		work_pump(c, &s->pools[i]);
+}
+
+enum err work_slot_start(struct core *c)
+{
+	enum err e = core_peer_on(c, PEER_SLOT_ASK, slot_on_ask, NULL);
+
+	return e == ERR_OK
+		       ? core_peer_on(c, PEER_SLOT_PERMIT, slot_on_permit, NULL)
+		       : e;
+}
--- /dev/null
+++ b/packages/daemon/src/work_mod_slot_msg.c
@@ -0,0 +1,190 @@
+// Messages of permits: many servers in one.
+#include "work_mod_slot_msg.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "core/core.h"
+
+enum {
+	ASK_FIELDS = 10, ///< of an item
+	PERMIT_FIELDS = 8, ///< of an item
+	OUT_STEWARDS = 64, ///< asked in one round
+};
+
+/// Asks on their way to one steward.
+struct slot_out {
+	char steward[WORK_NAME_LEN];
+	struct slot_asks asks;
+};
+
+static struct slot_out outs[OUT_STEWARDS];
+static size_t n_outs;
+
+static void pack_begin(msgpack_packer *pk, msgpack_sbuffer *sb, size_t fields)
+{
+	msgpack_sbuffer_init(sb);
+	msgpack_packer_init(pk, sb, msgpack_sbuffer_write);
+	msgpack_pack_array(pk, fields);
+}
+
+static void pack_ask(msgpack_packer *pk, const struct slot_ask_item *it)
+{
+	msgpack_pack_uint64(pk, it->server);
+	msgpack_pack_uint32(pk, it->ask.seq);
+	msgpack_pack_uint32(pk, it->ask.acked);
+	msgpack_pack_uint16(pk, it->ask.want);
+	msgpack_pack_uint16(pk, it->ask.in_use);
+	msgpack_pack_uint32(pk, it->ask.drain_ms);
+	msgpack_pack_uint16(pk, it->ask.known);
+	msgpack_pack_uint32(pk, it->ask.sample.oks);
+	msgpack_pack_uint32(pk, it->ask.sample.errors);
+	msgpack_pack_uint32(pk, it->ask.sample.ok_ms);
+}
+
+static void asks_send(struct core *c, const struct slot_out *o)
+{
+	msgpack_sbuffer sb;
+	msgpack_packer pk;
+
+	pack_begin(&pk, &sb, 1 + ASK_FIELDS * o->asks.n);
+	msgpack_pack_uint64(&pk, work_state(c)->node_hash);
+	for (size_t i = 0; i < o->asks.n; i++)
+		pack_ask(&pk, &o->asks.items[i]);
+	work_pack_send(c, o->steward, PEER_SLOT_ASK, &sb);
+}
+
+static struct slot_out *out_for(const char *steward)
+{
+	for (size_t i = 0; i < n_outs; i++) {
+		if (strcmp(outs[i].steward, steward) == 0 &&
+		    outs[i].asks.n < SLOT_ITEMS)
+			return &outs[i];
+	}
+	if (n_outs == OUT_STEWARDS)
+		return NULL;
+	snprintf(outs[n_outs].steward, WORK_NAME_LEN, "%s", steward);
+	outs[n_outs].asks.n = 0;
+	return &outs[n_outs++];
+}
+
+void slot_asks_add(struct core *c, const char *steward, uint64_t server,
+		   const struct slot_ask *ask)
+{
+	struct slot_out *o = out_for(steward);
+
+	if (!o) {
+		slot_asks_flush(c);
+		o = out_for(steward);
+	}
+	o->asks.items[o->asks.n++] = (struct slot_ask_item){server, *ask};
+}
+
+void slot_asks_flush(struct core *c)
+{
+	for (size_t i = 0; i < n_outs; i++)
+		asks_send(c, &outs[i]);
+	n_outs = 0;
+}
+
+static size_t read_count(struct work_reader *r, const void *buf, size_t len,
+			 size_t head, size_t fields)
+{
+	size_t off = 0;
+	size_t n;
+
+	*r = (struct work_reader){.bad = true};
+	msgpack_unpacked_init(&r->msg);
+	if (msgpack_unpack_next(&r->msg, buf, len, &off) !=
+		    MSGPACK_UNPACK_SUCCESS ||
+	    off != len || r->msg.data.type != MSGPACK_OBJECT_ARRAY)
+		return 0;
+	n = r->msg.data.via.array.size;
+	if (n < head || (n - head) % fields != 0 ||
+	    (n - head) / fields > SLOT_ITEMS)
+		return 0;
+	r->bad = false;
+	return (n - head) / fields;
+}
+
+static void read_ask(struct work_reader *r, struct slot_ask_item *it)
+{
+	it->server = work_read_u64(r, UINT64_MAX);
+	it->ask.seq = (uint32_t)work_read_u64(r, UINT32_MAX);
+	it->ask.acked = (uint32_t)work_read_u64(r, UINT32_MAX);
+	it->ask.want = (uint16_t)work_read_u64(r, UINT16_MAX);
+	it->ask.in_use = (uint16_t)work_read_u64(r, UINT16_MAX);
+	it->ask.drain_ms = (uint32_t)work_read_u64(r, UINT32_MAX);
+	it->ask.known = (uint16_t)work_read_u64(r, UINT16_MAX);
+	it->ask.sample.oks = (uint32_t)work_read_u64(r, UINT32_MAX);
+	it->ask.sample.errors = (uint32_t)work_read_u64(r, UINT32_MAX);
+	it->ask.sample.ok_ms = (uint32_t)work_read_u64(r, UINT32_MAX);
+}
+
+bool slot_asks_read(const void *buf, size_t len, struct slot_asks *m)
+{
+	struct work_reader r;
+	bool ok;
+
+	m->n = read_count(&r, buf, len, 1, ASK_FIELDS);
+	m->node = work_read_u64(&r, UINT64_MAX);
+	for (size_t i = 0; i < m->n; i++)
+		read_ask(&r, &m->items[i]);
+	ok = !r.bad && m->node != 0;
+	work_read_end(&r);
+	return ok;
+}
+
+static void pack_permit(struct core *c, msgpack_packer *pk,
+			const struct slot_permit_item *it)
+{
+	int64_t age = core_now(c) - it->load.as_of_ms;
+
+	msgpack_pack_uint64(pk, it->server);
+	msgpack_pack_uint32(pk, it->permit.seq);
+	msgpack_pack_uint16(pk, it->permit.slots);
+	msgpack_pack_uint16(pk, it->permit.limit);
+	msgpack_pack_uint16(pk, (uint16_t)it->load.running);
+	msgpack_pack_uint16(pk, (uint16_t)it->load.queued);
+	msgpack_pack_uint16(pk, (uint16_t)it->load.slots);
+	msgpack_pack_uint64(pk, age > 0 ? (uint64_t)age : 0);
+}
+
+void slot_permits_send(struct core *c, const char *node,
+		       const struct slot_permits *m)
+{
+	msgpack_sbuffer sb;
+	msgpack_packer pk;
+
+	pack_begin(&pk, &sb, PERMIT_FIELDS * m->n);
+	for (size_t i = 0; i < m->n; i++)
+		pack_permit(c, &pk, &m->items[i]);
+	work_pack_send(c, node, PEER_SLOT_PERMIT, &sb);
+}
+
+static void read_permit(struct core *c, struct work_reader *r,
+			struct slot_permit_item *it)
+{
+	it->server = work_read_u64(r, UINT64_MAX);
+	it->permit.seq = (uint32_t)work_read_u64(r, UINT32_MAX);
+	it->permit.slots = (uint16_t)work_read_u64(r, UINT16_MAX);
+	it->permit.limit = (uint16_t)work_read_u64(r, UINT16_MAX);
+	it->load.running = (int)work_read_u64(r, UINT16_MAX);
+	it->load.queued = (int)work_read_u64(r, UINT16_MAX);
+	it->load.slots = (int)work_read_u64(r, UINT16_MAX);
+	it->load.as_of_ms = core_now(c) - (int64_t)work_read_u64(r, INT64_MAX);
+}
+
+bool slot_permits_read(struct core *c, const void *buf, size_t len,
+		       struct slot_permits *m)
+{
+	struct work_reader r;
+	bool ok;
+
+	m->n = read_count(&r, buf, len, 0, PERMIT_FIELDS);
+	for (size_t i = 0; i < m->n; i++)
+		read_permit(c, &r, &m->items[i]);
+	ok = !r.bad;
+	work_read_end(&r);
+	return ok;
+}
--- /dev/null
+++ b/packages/daemon/src/work_mod_slot_msg.h
@@ -0,0 +1,43 @@
+// Messages of permits: many servers in one.
+#pragma once
+
+#include "work_mod_msg.h"
+
+enum {
+	SLOT_ITEMS = 128, ///< servers in one message
+};
+
+struct slot_ask_item {
+	uint64_t server; ///< hash
+	struct slot_ask ask;
+};
+
+/// PEER_SLOT_ASK.
+struct slot_asks {
+	uint64_t node; ///< hash of the asking node's run
+	size_t n;
+	struct slot_ask_item items[SLOT_ITEMS];
+};
+
+struct slot_permit_item {
+	uint64_t server; ///< hash
+	struct slot_permit permit;
+	struct work_load load;
+};
+
+/// PEER_SLOT_PERMIT.
+struct slot_permits {
+	size_t n;
+	struct slot_permit_item items[SLOT_ITEMS];
+};
+
+/// Gather an ask for a steward; one message a steward goes out at the flush.
+void slot_asks_add(struct core *c, const char *steward, uint64_t server,
+		   const struct slot_ask *ask);
+void slot_asks_flush(struct core *c);
+bool slot_asks_read(const void *buf, size_t len, struct slot_asks *m);
+
+void slot_permits_send(struct core *c, const char *node,
+		       const struct slot_permits *m);
+bool slot_permits_read(struct core *c, const void *buf, size_t len,
+		       struct slot_permits *m);
--- a/packages/daemon/src/work_mod_submit.c
+++ b/packages/daemon/src/work_mod_submit.c
@@ -1,4 +1,5 @@
 // Takes requests in, holds them, and ends them.
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -43,6 +44,7 @@
 
 static void work_drop(struct work_state *s, struct work *w)
 {
+	assert(!w->queued && !w->server);
 	work_free(w);
 	htab_del(s->works, w->h);
 	metric_set(M_WORK_RUNNING, htab_count(s->works));
@@ -79,12 +81,11 @@
 	struct work *w = work_add(s, opts, forwarded);
 	enum err e;
 
-	*retry_after_ms = ATTEMPT_RETRY_AFTER_MS;
+	*retry_after_ms = WORK_NO_SERVER_RETRY_MS;
 	if (!w)
 		return ERR_ADMIT_FULL;
-	e = work_attempt(c, w);
+	e = work_place(c, w, retry_after_ms);
 	if (e != ERR_OK) {
-		*retry_after_ms = WORK_NO_SERVER_RETRY_MS;
 		work_drop(s, w);
 		return e;
 	}
@@ -108,6 +109,7 @@
 
 	if (!w)
 		return;
+	work_unqueue(w);
 	work_attempt_cancel(c, w);
 	work_drop(s, w);
 }
@@ -143,6 +145,7 @@
 		.server = "",
 	};
 
+	work_unqueue(w);
 	work_attempt_cancel(c, w);
 	work_finish(c, w, &res);
 }
--- a/packages/slot/include/slot/holder.h
+++ b/packages/slot/include/slot/holder.h
@@ -8,6 +8,7 @@
 	uint32_t seq; ///< of the last ask
 	int64_t sent_ms; ///< of the last ask
 	bool answered; ///< the last ask was
+	uint32_t acked; ///< ask of the newest permit
 	int slots; ///< of the newest permit
 	int64_t until_ms; ///< that it holds
 	int in_use;
--- a/packages/slot/include/slot/limit.h
+++ b/packages/slot/include/slot/limit.h
@@ -9,7 +9,9 @@
 struct slot_sample {
 	uint32_t oks; ///< requests answered
 	uint32_t errors; ///< refused, reset, timed out, overloaded
-	uint32_t ok_ms; ///< sum of the answered requests' durations
+	uint32_t
+		ok_ms; ///< sum of the answered requests' durations; 0 if they say
+	///< nothing, as those of streams
 };
 
 /// What the server itself reports, some time late.
@@ -30,8 +32,8 @@
 	int now; ///< slots
 	uint32_t oks; ///< since the last step up
 	int64_t cut_ms; ///< last step down
-	double base_ms; ///< latency unloaded, 0 before the first
-	double recent_ms;
+	double usual_ms; ///< latency over a long time, 0 before the first
+	double recent_ms; ///< over the last few samples
 	int reported; ///< slots that the server reports, 0 if none
 	uint64_t version;
 };
--- a/packages/slot/include/slot/slot_defs.h
+++ b/packages/slot/include/slot/slot_defs.h
@@ -13,6 +13,7 @@
 /// A node asks for slots of one server.
 struct slot_ask {
 	uint32_t seq; ///< grows with each ask
+	uint32_t acked; ///< ask whose permit the node goes by
 	uint16_t want; ///< slots that it could use, those in use included
 	uint16_t in_use;
 	uint32_t drain_ms; ///< longest time that a request of the node takes
--- a/packages/slot/src/holder.c
+++ b/packages/slot/src/holder.c
@@ -56,6 +56,7 @@
 	h->told = h->sample;
 	*ask = (struct slot_ask){
 		.seq = ++h->seq,
+		.acked = h->acked,
 		.want = (uint16_t)want,
 		.in_use = (uint16_t)h->in_use,
 		.drain_ms = drain_ms,
@@ -70,6 +71,7 @@
 	if (p->seq != h->seq || h->answered)
 		return;
 	h->answered = true;
+	h->acked = p->seq;
 	h->slots = p->slots;
 	h->until_ms = h->sent_ms + SLOT_LIFETIME_MS;
 	h->known = p->limit;
--- a/packages/slot/src/limit.c
+++ b/packages/slot/src/limit.c
@@ -3,9 +3,9 @@
 
 #include "slot/slot_defs.h"
 
-static const double LATENCY_WEIGHT = 0.2; ///< of a new sample
-static const double LATENCY_DRIFT = 0.002; ///< of the base, upwards
-static const double LATENCY_HIGH = 2.0; ///< times the base: too much load
+static const double RECENT_WEIGHT = 0.2; ///< of a new sample
+static const double USUAL_WEIGHT = 0.01; ///< of a new sample
+static const double LATENCY_HIGH = 2.0; ///< times the usual: too much load
 
 static int clamp(int v, int low, int high)
 {
@@ -25,15 +25,12 @@
 
 static void limit_latency(struct slot_limit *l, double ms)
 {
-	if (l->base_ms == 0) {
-		l->base_ms = ms;
+	if (l->usual_ms == 0) {
+		l->usual_ms = ms;
 		l->recent_ms = ms;
 	}
-	l->recent_ms += LATENCY_WEIGHT * (ms - l->recent_ms);
-	if (ms < l->base_ms)
-		l->base_ms = ms;
-	else
-		l->base_ms += LATENCY_DRIFT * (ms - l->base_ms);
+	l->recent_ms += RECENT_WEIGHT * (ms - l->recent_ms);
+	l->usual_ms += USUAL_WEIGHT * (ms - l->usual_ms);
 }
 
 static void limit_cut(struct slot_limit *l, int64_t now, int to)
@@ -54,7 +51,7 @@
 		limit_cut(l, now, l->now / 2);
 		return;
 	}
-	if (l->recent_ms > LATENCY_HIGH * l->base_ms && l->now > l->o.start) {
+	if (l->recent_ms > LATENCY_HIGH * l->usual_ms && l->now > l->o.start) {
 		limit_cut(l, now, l->now * 3 / 4);
 		return;
 	}
--- a/packages/slot/src/steward.c
+++ b/packages/slot/src/steward.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 enum {
-	STEWARD_TURN_MS = 2 * SLOT_LIFETIME_MS,
+	STEWARD_TURN_MS = SLOT_REFRESH_MS,
 	STEWARD_JOIN_MS = 2 * SLOT_LIFETIME_MS,
 	STEWARD_PAUSE_MS = 500, ///< shorter than the time to be thought dead
 };
@@ -222,31 +222,33 @@
 	return max_int(slots, 0);
 }
 
-static void grant_set(struct slot_grant *g, int slots, int64_t now)
+/* The new answer may be lost: what the node goes by now may still be used, and
+ * that is the last grant, or any before if it didn't get that. */
+static void grant_set(struct slot_grant *g, int slots, bool got_last,
+		      int64_t now)
 {
-	int64_t until = now + SLOT_LIFETIME_MS;
-
-	/* The answer may be lost: what was granted before may still be used. */
-	if (now >= g->older_until_ms)
+	if (got_last || now >= g->older_until_ms)
 		g->older = 0;
-	if (now < g->until_ms && g->slots >= g->older) {
-		g->older = g->slots;
+	if (now < g->until_ms) {
+		g->older = max_int(g->older, g->slots);
 		g->older_until_ms = g->until_ms;
 	}
 	g->slots = slots;
-	g->until_ms = until;
+	g->until_ms = now + SLOT_LIFETIME_MS;
 }
 
 bool slot_steward_ask(struct slot_steward *s, int64_t now, uint64_t node,
 		      const struct slot_ask *ask, struct slot_permit *permit)
 {
 	struct slot_grant *g;
+	bool got_last;
 
 	/* The ask may have waited while this process was paused. */
 	slot_steward_tick(s, now);
 	g = steward_grant(s, node, now);
 	if (!g || (g->seq != 0 && ask->seq <= g->seq))
 		return false;
+	got_last = g->seq != 0 && ask->acked == g->seq;
 	g->seq = ask->seq;
 	g->in_use_before = g->in_use;
 	g->asked_before_ms = g->asked_ms;
@@ -261,7 +263,7 @@
 		s->limit.now = min_int(ask->known, s->limit.o.max);
 	slot_limit_sample(&s->limit, now, &ask->sample,
 			  slot_steward_charged(s, now));
-	grant_set(g, steward_slots(s, g, now), now);
+	grant_set(g, steward_slots(s, g, now), got_last, now);
 	*permit = (struct slot_permit){
 		.seq = ask->seq,
 		.slots = (uint16_t)g->slots,
--- a/test/e2e/test_work_calls.c
+++ b/test/e2e/test_work_calls.c
@@ -11,15 +11,14 @@
 #include <cmocka.h>
 #include <jansson.h>
 #include <pthread.h>
-#include <sys/wait.h>
 
 #include "base/clock.h"
+#include "support/ctl.h"
 #include "support/http.h"
 #include "support/sys.h"
 
 enum {
 	UP_MS = 30000,
-	CTL_MS = 20000,
 	CALLERS = 8,
 	CALLS = 25, ///< of each caller
 	BODY_LEN = 700000, ///< more than two chunks between daemons
@@ -30,57 +29,6 @@
 static struct sys sys;
 static char key[256];
 
-/* Run catkinctl; its output ends in `out`. */
-static int ctl(char *out, size_t len, const char *const *words)
-{
-	static int runs;
-	const char *argv[20] = {"catkinctl", "--node", sys.nodes[0].admin,
-				"--json"};
-	char name[32];
-	struct proc p;
-	int status = -1;
-	FILE *f;
-	size_t n;
-
-	for (int i = 0; words[i]; i++)
-		argv[4 + i] = words[i];
-	snprintf(name, sizeof(name), "ctl%d", runs++);
-	assert_true(proc_start(&p, name, argv));
-	assert_true(proc_wait(&p, CTL_MS, &status));
-	f = fopen(p.log, "r");
-	n = f ? fread(out, 1, len - 1, f) : 0;
-	out[n] = '\0';
-	if (f)
-		fclose(f);
-	remove(p.log);
-	return WEXITSTATUS(status);
-}
-
-#define CTL(...)                                                               \
-	do {                                                                   \
-		char out_[4096];                                               \
-		const char *const words_[] = {__VA_ARGS__, NULL};              \
-		int rc_ = ctl(out_, sizeof(out_), words_);                     \
-		if (rc_ != 0)                                                  \
-			fail_msg("catkinctl %s: %d %s", words_[0], rc_, out_); \
-	} while (0)
-
-static void grant_key(void)
-{
-	const char *const words[] = {"key", "grant", "depot", NULL};
-	char out[4096];
-	json_t *j;
-
-	if (ctl(out, sizeof(out), words) != 0)
-		fail_msg("key grant: %s", out);
-	j = json_loads(strchr(out, '{') ? strchr(out, '{') : "", 0, NULL);
-	snprintf(key, sizeof(key), "%s",
-		 json_string_value(json_object_get(j, "key")));
-	json_decref(j);
-	if (strncmp(key, "ck_", 3) != 0)
-		fail_msg("no key in: %s", out);
-}
-
 /* One call; the answer's JSON, and status and headers in res. */
 static json_t *call(int node, const char *body, const char *idem,
 		    struct http_res *res)
@@ -124,9 +72,10 @@
 	};
 
 	assert_true(sys_start(&sys, &o));
-	CTL("team", "add", "depot");
-	CTL("route", "add", "desk", "--service", "desk", "--team", "depot");
-	grant_key();
+	CTL(&sys, "team", "add", "depot");
+	CTL(&sys, "route", "add", "desk", "--service", "desk", "--team",
+	    "depot");
+	assert_true(ctl_grant(&sys, "depot", key, sizeof(key)));
 	for (int i = 0; i < sys.n_nodes; i++) {
 		if (!wait_until(call_works, &i, UP_MS))
 			fail_msg("node %d takes no calls", i);
--- /dev/null
+++ b/test/e2e/test_work_slots.c
@@ -0,0 +1,259 @@
+// Cold engines behind several entry VMs: none falls over, leaving ones and
+// failure domains out get no new work, a drain cuts off no request.
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <sys/wait.h>
+
+#include "base/clock.h"
+#include "support/ctl.h"
+#include "support/http.h"
+#include "support/sys.h"
+
+enum {
+	UP_MS = 30000,
+	CALLERS = 12,
+	LOAD_MS = 6000,
+	PAUSE_MS = 20, ///< of a refused caller
+	BOUND_MS = 3000, ///< "after a few seconds"
+	AFTER_MS = 1500, ///< watched past the bound
+};
+
+static struct sys sys;
+static char key[256];
+
+/// Callers that generate until told to stop.
+struct load {
+	pthread_t threads[CALLERS];
+	_Atomic bool stop;
+	_Atomic int whole;
+	_Atomic int cut; ///< answers that began and broke off
+	_Atomic int refused;
+	int nodes; ///< callers use the first so many
+};
+
+static struct load load;
+
+static int generate(int node, struct http_res *res)
+{
+	char url[128];
+	struct http_opts o = {
+		.method = "POST",
+		.url = url,
+		.bearer = key,
+		.body = "{\"prompt\":[1,2,3],\"max_tokens\":60,\"seed\":1}",
+		.timeout_ms = 20000,
+	};
+
+	snprintf(url, sizeof(url), "%s/v1/generate/chat", sys.nodes[node].url);
+	return http_call(&o, res);
+}
+
+static void pause_ms(int ms)
+{
+	struct timespec ts = {ms / 1000, ms % 1000 * 1000000L};
+
+	nanosleep(&ts, NULL);
+}
+
+static void *load_main(void *arg)
+{
+	int node = (int)(intptr_t)arg % load.nodes;
+
+	while (!load.stop) {
+		struct http_res res;
+		int status = generate(node, &res);
+		bool ended = res.body && strstr(res.body, "\"end\"");
+
+		if (status == 200 && ended)
+			load.whole++;
+		else if (status == 200)
+			load.cut++;
+		else
+			load.refused++;
+		http_free(&res);
+		if (status != 200)
+			pause_ms(PAUSE_MS);
+	}
+	return NULL;
+}
+
+static void load_begin(int nodes)
+{
+	load.stop = false;
+	load.whole = 0;
+	load.cut = 0;
+	load.refused = 0;
+	load.nodes = nodes;
+	for (intptr_t i = 0; i < CALLERS; i++)
+		pthread_create(&load.threads[i], NULL, load_main, (void *)i);
+}
+
+static void load_end(void)
+{
+	load.stop = true;
+	for (int i = 0; i < CALLERS; i++)
+		pthread_join(load.threads[i], NULL);
+	print_message("whole %d, cut %d, refused %d\n", load.whole, load.cut,
+		      load.refused);
+}
+
+static int stat_of(int server, const char *name)
+{
+	char url[128];
+	json_t *j;
+	int v;
+
+	snprintf(url, sizeof(url), "%s/fake/stats", sys.servers[server].url);
+	j = http_json("GET", url, NULL, NULL, NULL);
+	v = (int)json_integer_value(json_object_get(j, name));
+	json_decref(j);
+	return v;
+}
+
+static bool generate_works(void *ctx)
+{
+	struct http_res res;
+	int status = generate(*(int *)ctx, &res);
+
+	http_free(&res);
+	return status == 200;
+}
+
+static int start(void **state)
+{
+	static const char *const args[] = {"--slots", "12", "--token-us",
+					   "4000", NULL};
+	struct sys_opts o = {
+		.domains = 2,
+		.nodes_per_domain = 3,
+		.engines_per_domain = 2,
+		.engine_args = args,
+	};
+	int node = 0;
+
+	assert_true(sys_start(&sys, &o));
+	CTL(&sys, "team", "add", "depot");
+	CTL(&sys, "route", "add", "chat", "--engine", "--team", "depot");
+	assert_true(ctl_grant(&sys, "depot", key, sizeof(key)));
+	assert_true(wait_until(generate_works, &node, UP_MS));
+	return 0;
+}
+
+static int stop(void **state)
+{
+	sys_stop(&sys);
+	return 0;
+}
+
+/* Twelve callers at three entry VMs on engines that bear one stream at first;
+ * one entry VM is killed and started again on the way. */
+static void test_cold_start(void **state)
+{
+	load_begin(3);
+	pause_ms(LOAD_MS / 2);
+	proc_kill(&sys.nodes[2].proc);
+	pause_ms(LOAD_MS / 2);
+	assert_true(sys_node_start(&sys, 2));
+	pause_ms(LOAD_MS);
+	load_end();
+	for (int i = 0; i < sys.n_servers; i++) {
+		print_message("%s: capacity %d, peak %d, peak cold %d\n",
+			      sys.servers[i].id, stat_of(i, "capacity"),
+			      stat_of(i, "peak"), stat_of(i, "peak_cold"));
+		assert_int_equal(stat_of(i, "falls"), 0);
+	}
+	assert_true(load.whole > 0);
+	assert_true(stat_of(0, "started") > CALLERS);
+}
+
+/* Starts on a server from the bound after an order on. */
+static int starts_after_bound(int server)
+{
+	int before;
+
+	pause_ms(BOUND_MS);
+	before = stat_of(server, "started");
+	pause_ms(AFTER_MS);
+	return stat_of(server, "started") - before;
+}
+
+static void set_state(int server, const char *vm_state)
+{
+	const struct sys_server *v = &sys.servers[server];
+	char url[128];
+	char body[256];
+	int status;
+
+	snprintf(url, sizeof(url), "%s/fake/vms", sys.platform_url);
+	snprintf(body, sizeof(body),
+		 "{\"id\":\"%s\",\"addr\":\"%s:%d\",\"domain\":\"%s\","
+		 "\"kind\":\"engine\",\"service\":\"\",\"cheap\":false,"
+		 "\"state\":\"%s\"}",
+		 v->id, v->ip, SYS_SERVER_PORT, v->domain, vm_state);
+	json_decref(http_json("POST", url, NULL, body, &status));
+	assert_in_range(status, 200, 299);
+}
+
+static void test_leaving(void **state)
+{
+	int late;
+
+	load_begin(3);
+	set_state(0, "leaving");
+	late = starts_after_bound(0);
+	load_end();
+	set_state(0, "live");
+	assert_int_equal(late, 0);
+	assert_int_equal(load.cut, 0);
+}
+
+static void test_domain_out(void **state)
+{
+	int late;
+	int other = stat_of(2, "started") + stat_of(3, "started");
+
+	load_begin(3);
+	CTL(&sys, "domain", "out", "d1", "--reason", "rack work");
+	late = starts_after_bound(0) + stat_of(1, "running");
+	load_end();
+	CTL(&sys, "domain", "in", "d1");
+	assert_int_equal(late, 0);
+	assert_int_equal(load.cut, 0);
+	/* The callers were served by the other failure domain. */
+	assert_true(stat_of(2, "started") + stat_of(3, "started") > other);
+}
+
+/* SIGTERM while requests run: each gets its whole answer. */
+static void test_drain(void **state)
+{
+	int status = -1;
+
+	load_begin(2);
+	pause_ms(1000);
+	proc_signal(&sys.nodes[1].proc, SIGTERM);
+	assert_true(proc_wait(&sys.nodes[1].proc, 20000, &status));
+	load_end();
+	assert_true(WIFEXITED(status));
+	assert_int_equal(WEXITSTATUS(status), 0);
+	assert_int_equal(load.cut, 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_cold_start),
+		cmocka_unit_test(test_leaving),
+		cmocka_unit_test(test_domain_out),
+		cmocka_unit_test(test_drain),
+	};
+
+	return cmocka_run_group_tests(tests, start, stop);
+}
