--- a/test/e2e/test_work_calls.c
+++ b/test/e2e/test_work_calls.c
@@ -54,6 +54,18 @@
 	return j;
 }
 
+/* Run catkinctl; it must be accepted. */
+static void ctl_words(const char *const *words)
+{
+	char out[4096];
+	int rc = ctl_run(&sys, words, out, sizeof(out));
+
+	if (rc != 0)
+		fail_msg("catkinctl %s: %d %s", words[0], rc, out);
+}
+
+#define CTL(...) ctl_words((const char *const[]){__VA_ARGS__, NULL})
+
 static bool call_works(void *ctx)
 {
 	struct http_res res;
@@ -72,10 +84,9 @@
 	};
 
 	assert_true(sys_start(&sys, &o));
-	CTL(&sys, "team", "add", "depot");
-	CTL(&sys, "route", "add", "desk", "--service", "desk", "--team",
-	    "depot");
-	assert_true(ctl_grant(&sys, "depot", key, sizeof(key)));
+	CTL("team", "add", "depot");
+	CTL("route", "add", "desk", "--service", "desk", "--team", "depot");
+	assert_int_equal(ctl_grant(&sys, "depot", key, sizeof(key)), 0);
 	for (int i = 0; i < sys.n_nodes; i++) {
 		if (!wait_until(call_works, &i, UP_MS))
 			fail_msg("node %d takes no calls", i);
--- a/test/e2e/test_work_slots.c
+++ b/test/e2e/test_work_slots.c
@@ -118,6 +118,18 @@
 	return v;
 }
 
+/* Run catkinctl; it must be accepted. */
+static void ctl_words(const char *const *words)
+{
+	char out[4096];
+	int rc = ctl_run(&sys, words, out, sizeof(out));
+
+	if (rc != 0)
+		fail_msg("catkinctl %s: %d %s", words[0], rc, out);
+}
+
+#define CTL(...) ctl_words((const char *const[]){__VA_ARGS__, NULL})
+
 static bool generate_works(void *ctx)
 {
 	struct http_res res;
@@ -140,9 +152,9 @@
 	int node = 0;
 
 	assert_true(sys_start(&sys, &o));
-	CTL(&sys, "team", "add", "depot");
-	CTL(&sys, "route", "add", "chat", "--engine", "--team", "depot");
-	assert_true(ctl_grant(&sys, "depot", key, sizeof(key)));
+	CTL("team", "add", "depot");
+	CTL("route", "add", "chat", "--engine", "--team", "depot");
+	assert_int_equal(ctl_grant(&sys, "depot", key, sizeof(key)), 0);
 	assert_true(wait_until(generate_works, &node, UP_MS));
 	return 0;
 }
@@ -221,10 +233,10 @@
 	int other = stat_of(2, "started") + stat_of(3, "started");
 
 	load_begin(3);
-	CTL(&sys, "domain", "out", "d1", "--reason", "rack work");
+	CTL("domain", "out", "d1", "--reason", "rack work");
 	late = starts_after_bound(0) + stat_of(1, "running");
 	load_end();
-	CTL(&sys, "domain", "in", "d1");
+	CTL("domain", "in", "d1");
 	assert_int_equal(late, 0);
 	assert_int_equal(load.cut, 0);
 	/* The callers were served by the other failure domain. */
--- a/test/support/ctl.h
+++ b/test/support/ctl.h
@@ -3,28 +3,20 @@
 
 #include <stddef.h>
 
-#include "support/sys.h"
+struct sys;
 
-/// Run a command at the first node with --json.
+/// Run catkinctl with --json against the first node.
 ///
 /// @param words     command and arguments, NULL-terminated
-/// @param[out] out  what it printed on both outputs
+/// @param[out] out  its output, cut to fit
 /// @param len       bytes of out
-/// @return its exit code, -1 if it did not end in time
-int ctl_run(struct sys *s, const char *const *words, char *out, size_t len);
+/// @return exit code, -1 if it did not end in time
+int ctl_run(const struct sys *s, const char *const *words, char *out,
+	    size_t len);
 
-/// Run a command that must be accepted; fails the test otherwise.
-#define CTL(s, ...)                                                            \
-	do {                                                                   \
-		char out_[4096];                                               \
-		const char *const words_[] = {__VA_ARGS__, NULL};              \
-		int rc_ = ctl_run(s, words_, out_, sizeof(out_));              \
-		if (rc_ != 0)                                                  \
-			fail_msg("catkinctl %s: %d %s", words_[0], rc_, out_); \
-	} while (0)
-
-/// Grant a team a key.
+/// Grant a key to a team.
 ///
-/// @param[out] key  text of the key
-/// @return false if none was granted
-bool ctl_grant(struct sys *s, const char *team, char *key, size_t len);
+/// @param[out] key  key
+/// @param len       bytes of key
+/// @return exit code, -1 if no key was printed
+int ctl_grant(const struct sys *s, const char *team, char *key, size_t len);
