--- /dev/null
+++ b/bench/bench_admit.c
@@ -0,0 +1,265 @@
+// Fairness among eight teams under a flood, a retry storm, a slow backend server
+// and a cold prefix cache, and booking latency; against first-in-first-out and
+// round robin by requests. Virtual time.
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "admit/admit.h"
+#include "base/rng.h"
+#include "support/bench.h"
+
+enum {
+	TEAMS = 8,
+	ENGINES = 4,
+	ENGINE_SLOTS = 8,
+	SLOTS = ENGINES * ENGINE_SLOTS,
+	TOKEN_MS = 20,
+	OWN = 24, ///< requests that a team keeps waiting or running
+	FLOOD = 1500, ///< of the large team
+	QUEUE = 4000,
+	TEAM_MAX = 1000,
+	STORM_MAX = 100, ///< of one team, when refusals are met with retries
+	STORM_TRIES = 50, ///< a millisecond
+	RUN_MS = 300000,
+	WARM_MS = 30000, ///< not counted
+	SLOW = 5, ///< times slower
+	COLD = 3, ///< times the expected cost
+	SEED = 11,
+};
+
+enum policy {
+	POLICY_ADMIT,
+	POLICY_FIFO,
+	POLICY_ROBIN,
+	POLICIES
+};
+
+enum scenario {
+	SCENE_FLOOD,
+	SCENE_STORM,
+	SCENE_SLOW,
+	SCENE_COLD,
+	SCENES
+};
+
+static const char *const policy_names[] = {"admit", "fifo", "round_robin"};
+static const char *const scene_names[] = {"flood", "retry_storm", "slow_server",
+					  "cold_cache"};
+
+struct req {
+	int team;
+	uint64_t cost; ///< expected
+	uint64_t truth;
+};
+
+struct ring {
+	uint32_t at[QUEUE];
+	size_t head;
+	size_t n;
+};
+
+struct slot {
+	int64_t ends; ///< 0: free
+	uint32_t req;
+};
+
+struct world {
+	enum policy policy;
+	enum scenario scene;
+	struct rng rng;
+	struct admit *admit;
+	struct ring rings[TEAMS]; ///< FIFO uses the first
+	int turn;
+	struct req reqs[QUEUE + SLOTS + 1];
+	uint32_t free_list[QUEUE + SLOTS + 1];
+	size_t n_free;
+	size_t out[TEAMS]; ///< waiting or running
+	size_t waiting[TEAMS];
+	struct slot slots[SLOTS];
+	uint64_t served[TEAMS];
+	int64_t now;
+};
+
+static bool ring_put(struct ring *r, uint32_t v)
+{
+	if (r->n == QUEUE)
+		return false;
+	r->at[(r->head + r->n++) % QUEUE] = v;
+	return true;
+}
+
+static bool ring_get(struct ring *r, uint32_t *v)
+{
+	if (r->n == 0)
+		return false;
+	*v = r->at[r->head];
+	r->head = (r->head + 1) % QUEUE;
+	r->n--;
+	return true;
+}
+
+static bool push(struct world *w, uint32_t i, size_t team_max)
+{
+	const struct req *r = &w->reqs[i];
+	struct admit_bounds b = {QUEUE, team_max};
+	struct admit_request q = {
+		.level = ADMIT_SHARED,
+		.team = (uint64_t)r->team + 1,
+		.weight = 1,
+		.cost = r->cost,
+		.deadline_ms = w->now + 60000,
+		.user = i,
+	};
+
+	if (w->policy == POLICY_ADMIT)
+		return admit_push(w->admit, w->now, &q, &b).err == ERR_OK;
+	if (w->waiting[r->team] >= team_max)
+		return false;
+	return ring_put(&w->rings[w->policy == POLICY_FIFO ? 0 : r->team], i);
+}
+
+static bool pop(struct world *w, uint32_t *i)
+{
+	if (w->policy == POLICY_ADMIT)
+		return admit_pop(w->admit, i);
+	if (w->policy == POLICY_FIFO)
+		return ring_get(&w->rings[0], i);
+	for (int k = 0; k < TEAMS; k++) {
+		w->turn = (w->turn + 1) % TEAMS;
+		if (ring_get(&w->rings[w->turn], i))
+			return true;
+	}
+	return false;
+}
+
+/* The large team's requests are long; the others differ among each other. */
+static uint64_t draw_cost(struct world *w, int team)
+{
+	uint64_t mean = team == 0 ? 600 : 40 + 30 * (uint64_t)team;
+
+	return mean / 2 + rng_below(&w->rng, mean);
+}
+
+static bool submit(struct world *w, int team, size_t team_max)
+{
+	uint32_t i;
+	struct req *r;
+
+	if (w->n_free == 0)
+		return false;
+	i = w->free_list[w->n_free - 1];
+	r = &w->reqs[i];
+	r->team = team;
+	r->cost = draw_cost(w, team);
+	r->truth = r->cost;
+	if (w->scene == SCENE_COLD && team == TEAMS - 1)
+		r->truth *= COLD;
+	if (!push(w, i, team_max))
+		return false;
+	w->n_free--;
+	w->out[team]++;
+	w->waiting[team]++;
+	return true;
+}
+
+static void callers(struct world *w)
+{
+	bool storm = w->scene == SCENE_STORM;
+	size_t team_max = storm ? STORM_MAX : TEAM_MAX;
+
+	for (int t = 0; t < TEAMS; t++) {
+		size_t want = OWN;
+
+		if (t == 0 && w->scene == SCENE_FLOOD)
+			want = FLOOD;
+		while (w->out[t] < want && submit(w, t, team_max)) {
+		}
+	}
+	for (int k = 0; storm && k < STORM_TRIES; k++)
+		submit(w, 0, team_max);
+}
+
+static void end_runs(struct world *w)
+{
+	for (int i = 0; i < SLOTS; i++) {
+		struct slot *s = &w->slots[i];
+		struct req *r = &w->reqs[s->req];
+
+		if (s->ends == 0 || s->ends > w->now)
+			continue;
+		s->ends = 0;
+		if (w->now > WARM_MS)
+			w->served[r->team] += r->truth;
+		w->out[r->team]--;
+		w->free_list[w->n_free++] = s->req;
+		if (w->policy != POLICY_ADMIT)
+			continue;
+		admit_settle(w->admit, (uint64_t)r->team + 1, 1, r->cost,
+			     r->truth);
+		admit_progress(w->admit, w->now, r->truth);
+	}
+}
+
+static void begin_runs(struct world *w)
+{
+	for (int i = 0; i < SLOTS; i++) {
+		struct slot *s = &w->slots[i];
+		bool slow = w->scene == SCENE_SLOW && i < ENGINE_SLOTS;
+		const struct req *r;
+
+		if (s->ends != 0 || !pop(w, &s->req))
+			continue;
+		r = &w->reqs[s->req];
+		w->waiting[r->team]--;
+		s->ends = w->now +
+			  (int64_t)r->truth * TOKEN_MS * (slow ? SLOW : 1);
+	}
+}
+
+/* Worst-served team's part of its fair share; all teams want more than it. */
+static double run(enum policy p, enum scenario scene)
+{
+	struct world *w = calloc(1, sizeof(*w));
+	uint64_t sum = 0;
+	uint64_t worst = UINT64_MAX;
+
+	w->policy = p;
+	w->scene = scene;
+	w->rng.state = SEED;
+	w->admit = admit_new(QUEUE + 1);
+	for (uint32_t i = 0; i < QUEUE + SLOTS; i++)
+		w->free_list[w->n_free++] = i;
+	for (w->now = 1; w->now < RUN_MS; w->now++) {
+		end_runs(w);
+		callers(w);
+		begin_runs(w);
+	}
+	for (int t = 0; t < TEAMS; t++) {
+		sum += w->served[t];
+		worst = w->served[t] < worst ? w->served[t] : worst;
+	}
+	admit_free(w->admit);
+	free(w);
+	return (double)worst * TEAMS / (double)sum;
+}
+
+int main(void)
+{
+	bool ok = true;
+
+	for (int s = 0; s < SCENES; s++) {
+		char name[64];
+
+		snprintf(name, sizeof(name), "admit_worst_team_%s",
+			 scene_names[s]);
+		ok &= bench_check(name, run(POLICY_ADMIT, (enum scenario)s),
+				  "of_fair_share", BENCH_AT_LEAST, 0.9);
+		for (int p = POLICY_FIFO; p < POLICIES; p++)
+			printf("# %s with %s: %.3f\n", scene_names[s],
+			       policy_names[p],
+			       run((enum policy)p, (enum scenario)s));
+	}
+	return !ok;
+}
--- a/packages/daemon/src/work_mod_attempt.c
+++ b/packages/daemon/src/work_mod_attempt.c
@@ -1,4 +1,5 @@
 // Runs attempts: sends to a backend server or a peer, and takes the outcome.
+#include <jansson.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -19,14 +20,26 @@
 	return htab_get(work_state(c)->works, (htab_handle)(uintptr_t)ctx);
 }
 
+/* The engine's own count of the tokens that it made. */
+static uint64_t attempt_end_tokens(const char *line, size_t len)
+{
+	json_t *end = json_loadb(line, len, 0, NULL);
+	json_int_t n = json_integer_value(json_object_get(end, "n"));
+
+	json_decref(end);
+	return n > 0 ? (uint64_t)n : 0;
+}
+
 static void attempt_line(struct core *c, struct work *w, const char *line,
 			 size_t len)
 {
 	if (len == 0)
 		return;
 	if (len < END_LINE_MAX && memmem(line, len, "\"end\"", 5) &&
-	    !memmem(line, len, "\"segment\"", 9))
+	    !memmem(line, len, "\"segment\"", 9)) {
 		w->ended = true;
+		w->tokens = attempt_end_tokens(line, len);
+	}
 	w->delivered = true;
 	w->o.on_line(c, w->o.ctx, line, len);
 }
@@ -204,8 +217,12 @@
 		return;
 	w->server = NULL;
 	slot_holder_put(&v->holder, o, attempt_ms(c, w));
-	if (o == SLOT_OK)
-		admit_progress(v->pool->queue, core_now(c), w->o.cost);
+	if (o != SLOT_OK)
+		return;
+	if (w->ended)
+		work_pool_settle(c, w, w->tokens);
+	admit_progress(v->pool->queue, core_now(c),
+		       w->ended ? w->tokens : w->o.cost);
 }
 
 static enum slot_outcome attempt_slot_outcome(const struct attempt_outcome *out)
--- a/packages/daemon/src/work_mod_int.h
+++ b/packages/daemon/src/work_mod_int.h
@@ -66,6 +66,7 @@
 	bool forwarded; ///< came from another failure domain: stays in this one
 	bool delivered; ///< a line went to the submitter
 	bool ended; ///< the stream's end line came
+	uint64_t tokens; ///< that the end line tells
 	struct work_buf part; ///< incomplete line, or answer from a peer
 	uint64_t next_line; ///< expected number of a peer's line
 	int64_t probe_ms; ///< last probe of the peer
@@ -222,6 +223,9 @@
 void work_pool_tick(struct core *c, int64_t now);
 void work_pool_stop(struct work_state *s);
 
+/// Correct the team's charge now that the cost is known.
+void work_pool_settle(struct core *c, const struct work *w, uint64_t served);
+
 // work_mod_server.c
 
 /// Bring the table of servers up to date with the platform's list.
--- a/packages/daemon/src/work_mod_pool.c
+++ b/packages/daemon/src/work_mod_pool.c
@@ -115,6 +115,15 @@
 	return work_attempt_forward(c, w);
 }
 
+void work_pool_settle(struct core *c, const struct work *w, uint64_t served)
+{
+	struct admit_request r;
+	struct admit_bounds b;
+
+	pool_request(c, w, &r, &b);
+	admit_settle(w->pool->queue, r.team, r.weight, r.cost, served);
+}
+
 void work_unqueue(struct work *w)
 {
 	if (!w->queued)
