feat(route): choose servers by load and prefix, the same cost at any size

*Problem:* The choice was random among servers with a free slot; prefix caches went unused, and a node knew of others' load nothing.

--- /dev/null
+++ b/bench/bench_route_cost.c
@@ -0,0 +1,157 @@
+// Instructions of a routing choice and of an admission, counted by callgrind;
+// this program runs itself under it.
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "admit/admit.h"
+#include "base/rng.h"
+#include "route/route.h"
+#include "support/bench.h"
+
+enum {
+	ROUNDS = 1000,
+	QUEUED = 10000,
+	TEAMS = 8,
+	FEW = 29, ///< servers
+	MANY = 290,
+	MOST = 4000, ///< instructions
+};
+
+static const double GROWTH_MOST = 1.3;
+
+static void route_rounds(int servers)
+{
+	struct route *r = route_new();
+	struct rng rng = {1};
+
+	for (int i = 0; i < servers; i++) {
+		struct route_load l = {.busy = i % 7, .as_of_ms = 1000};
+
+		route_join(r, i, (uint64_t)i + 1);
+		route_server(r, i, 1 + i % 5, i % 3, false);
+		route_report(r, i, &l);
+	}
+	for (int i = 0; i < ROUNDS; i++) {
+		struct route_ask ask = {
+			.prefix = 1 + rng_below(&rng, 500),
+			.avoid = ROUTE_NONE,
+			.may_cut = true,
+		};
+		int server = route_choose(r, &rng, 2000, &ask);
+
+		route_cached(r, ask.prefix, server, 2000);
+	}
+	route_free(r);
+}
+
+static struct admit_request request(struct rng *rng)
+{
+	return (struct admit_request){
+		.level = ADMIT_SHARED,
+		.team = 1 + rng_below(rng, TEAMS),
+		.weight = 100,
+		.cost = 1 + rng_below(rng, 500),
+		.deadline_ms = (int64_t)rng_below(rng, 100000),
+	};
+}
+
+/* Pushes beyond 10,000 queued, or pops from there; the first one is the worst
+ * for a heap that puts its work off. */
+static void admit_rounds(bool pops, int rounds)
+{
+	struct admit *a = admit_new(QUEUED + ROUNDS + 1);
+	struct admit_bounds b = {QUEUED + ROUNDS, QUEUED + ROUNDS};
+	struct rng rng = {1};
+	uint32_t user;
+
+	for (int i = 0; i < QUEUED; i++) {
+		struct admit_request q = request(&rng);
+
+		admit_push(a, 1, &q, &b);
+	}
+	fflush(stdout);
+	for (int i = 0; i < rounds; i++) {
+		struct admit_request q = request(&rng);
+
+		if (pops)
+			admit_pop(a, &user);
+		else
+			admit_push(a, 1, &q, &b);
+	}
+	admit_free(a);
+}
+
+static int counted(int argc, char **argv)
+{
+	int n = argc > 2 ? (int)strtol(argv[2], NULL, 10) : 0;
+
+	if (strcmp(argv[1], "route") == 0)
+		route_rounds(n);
+	else
+		admit_rounds(strcmp(argv[1], "pop") == 0, n);
+	return 0;
+}
+
+/* Instructions that callgrind collects inside one function. */
+static double collect(const char *fn, const char *args)
+{
+	char self[256];
+	char cmd[768];
+	char line[256];
+	double n = -1;
+	ssize_t len = readlink("/proc/self/exe", self, sizeof(self) - 1);
+	FILE *p;
+
+	if (len <= 0)
+		return n;
+	self[len] = '\0';
+	snprintf(cmd, sizeof(cmd),
+		 "valgrind --tool=callgrind --callgrind-out-file=/dev/null "
+		 "--toggle-collect=%s %s %s 2>&1",
+		 fn, self, args);
+	p = popen(cmd, "r"); // NOLINT(bugprone-command-processor)
+	while (p && fgets(line, sizeof(line), p)) {
+		const char *at = strstr(line, "Collected : ");
+
+		if (at)
+			n = strtod(at + strlen("Collected : "), NULL);
+	}
+	if (p)
+		pclose(p);
+	return n;
+}
+
+static bool check(const char *name, double n)
+{
+	return n > 0 &&
+	       bench_check(name, n, "instructions", BENCH_AT_MOST, MOST);
+}
+
+int main(int argc, char **argv)
+{
+	double few, many, base;
+	bool ok = true;
+
+	if (argc > 1)
+		return counted(argc, argv);
+	few = collect("route_choose", "route 29") / ROUNDS;
+	many = collect("route_choose", "route 290") / ROUNDS;
+	ok &= check("route_choice_29_servers", few);
+	ok &= check("route_choice_290_servers", many);
+	ok &= bench_check("route_choice_growth_29_to_290", many / few, "times",
+			  BENCH_AT_MOST, GROWTH_MOST);
+	base = collect("admit_push", "push 0");
+	ok &= check("admit_push_10000_queued",
+		    (collect("admit_push", "push 1000") - base) / ROUNDS);
+	ok &= check("admit_pop_10000_queued",
+		    collect("admit_pop", "pop 1000") / ROUNDS);
+	ok &= check("admit_first_pop_10000_queued",
+		    collect("admit_pop", "pop 1"));
+	printf("# nothing is allocated: admit_new() and route_new() take all "
+	       "memory; %d and %d servers, %d queued\n",
+	       FEW, MANY, QUEUED);
+	return !ok;
+}
--- a/packages/daemon/src/work_mod_attempt.c
+++ b/packages/daemon/src/work_mod_attempt.c
@@ -217,6 +217,7 @@
 		return;
 	w->server = NULL;
 	slot_holder_put(&v->holder, o, attempt_ms(c, w));
+	work_server_changed(c, v);
 	if (o != SLOT_OK)
 		return;
 	if (w->ended)
--- a/packages/daemon/src/work_mod_call.c
+++ b/packages/daemon/src/work_mod_call.c
@@ -7,6 +7,7 @@
 #include "conf/conf.h"
 #include "daemon/conf_mod.h"
 #include "daemon/usage_mod.h"
+#include "rollout/batch.h"
 #include "work_mod_int.h"
 
 enum {
@@ -271,9 +272,26 @@
 	call_begin(c, &ask, &o);
 }
 
+/* Hash of what an engine caches of the prompt, as for rollouts. */
+static uint64_t generate_prefix(const json_t *prompt)
+{
+	size_t n = json_array_size(prompt);
+	uint32_t *tokens = calloc(n + 1, sizeof(*tokens));
+	uint64_t hash;
+
+	if (!tokens)
+		return 0;
+	for (size_t i = 0; i < n; i++)
+		tokens[i] =
+			(uint32_t)json_integer_value(json_array_get(prompt, i));
+	hash = batch_prefix(tokens, n);
+	free(tokens);
+	return hash;
+}
+
 /* The engine's request: the caller's fields, under this node's id. */
 static char *generate_body(struct core *c, const struct core_req *r,
-			   uint64_t *cost)
+			   uint64_t *cost, uint64_t *prefix)
 {
 	json_t *in = json_loadb(r->body ? r->body : "", r->body_len, 0, NULL);
 	json_t *prompt = json_object_get(in, "prompt");
@@ -295,6 +313,7 @@
 	text = json_dumps(out, JSON_COMPACT);
 	json_decref(out);
 	*cost = (uint64_t)tokens;
+	*prefix = generate_prefix(prompt);
 out:
 	json_decref(in);
 	return text;
@@ -305,11 +324,12 @@
 	struct call_ask ask = {.req = r, .target = CONF_ENGINE};
 	enum err e = call_resolve(c, "/v1/generate/", &ask);
 	uint64_t cost = 0;
+	uint64_t prefix = 0;
 	char *body = NULL;
 	struct work_opts o;
 
 	if (e == ERR_OK) {
-		body = generate_body(c, r, &cost);
+		body = generate_body(c, r, &cost, &prefix);
 		e = body ? ERR_OK : ERR_PARSE;
 	}
 	if (e != ERR_OK) {
@@ -327,6 +347,7 @@
 		.idempotent = true,
 		.deadline_ms = call_deadline(c, &ask),
 		.cost = cost,
+		.prefix = prefix,
 		.may_cut = true,
 		.trace = &r->span.ctx,
 		.on_line = call_on_line,
--- a/packages/daemon/src/work_mod_int.h
+++ b/packages/daemon/src/work_mod_int.h
@@ -8,6 +8,7 @@
 #include "base/rng.h"
 #include "claim/ask.h"
 #include "claim/shard.h"
+#include "route/route.h"
 #include "slot/holder.h"
 #include "slot/steward.h"
 #include "daemon/work_mod.h"
@@ -98,6 +99,7 @@
 	int running;
 	int queued;
 	int slots; ///< 0 if it was never reported
+	uint64_t version; ///< weight version; a new one empties the cache
 	int64_t as_of_ms; ///< clock_now_ms() time that it speaks of
 };
 
@@ -122,6 +124,7 @@
 	enum vm_kind kind;
 	char service[WORK_NAME_LEN]; ///< of VM_SERVICE
 	struct admit *queue;
+	struct route *route; ///< servers by their index in the table
 	int n_live;
 	int64_t active_ms; ///< last request
 };
@@ -232,6 +235,13 @@
 void work_server_sync(struct core *c);
 struct work_server *work_server_find(struct work_state *s, uint64_t hash);
 
+/// Tell the pool's chooser what this node may send to a server now.
+void work_server_changed(struct core *c, struct work_server *v);
+
+/// Take a load report, the server's own or one that came with a permit.
+void work_server_load(struct core *c, struct work_server *v,
+		      const struct work_load *load);
+
 // work_mod_slot.c: permits for slots, between holders and stewards
 enum err work_slot_start(struct core *c);
 void work_slot_tick(struct core *c, int64_t now);
@@ -244,7 +254,7 @@
 
 // work_mod_pick.c
 
-/// Server with a free slot for a request.
+/// Server with a free slot for a request: by load and prefix.
 ///
 /// @return server, NULL if there is none now
 struct work_server *work_pick_server(struct core *c, const struct work *w);
--- a/packages/daemon/src/work_mod_load.c
+++ b/packages/daemon/src/work_mod_load.c
@@ -29,12 +29,15 @@
 		.as_of_ms = core_now(c) - load_int(o, "as_of_ms"),
 	};
 
-	v->load = (struct work_load){
+	struct work_load load = {
 		.running = r.running,
 		.queued = load_int(o, "queued"),
 		.slots = r.slots,
+		.version = r.version,
 		.as_of_ms = r.as_of_ms,
 	};
+
+	work_server_load(c, v, &load);
 	if (v->steward && r.slots > 0)
 		slot_steward_report(v->steward, &r);
 }
--- a/packages/daemon/src/work_mod_pick.c
+++ b/packages/daemon/src/work_mod_pick.c
@@ -1,5 +1,6 @@
 // Chooses where an attempt goes.
 #include <string.h>
+#include <xxhash.h>
 
 #include "conf/conf.h"
 #include "daemon/conf_mod.h"
@@ -22,34 +23,31 @@
 	return vm->kind != VM_SERVICE || strcmp(vm->service, w->o.service) == 0;
 }
 
-static bool pick_fits(const struct work_server *v, const struct work *w,
-		      int64_t now)
-{
-	if (!v->hash || !v->live || v->pool != w->pool)
-		return false;
-	if (v->cheap && !w->o.may_cut)
-		return false;
-	return slot_holder_free(&v->holder, now) > 0;
-}
-
 struct work_server *work_pick_server(struct core *c, const struct work *w)
 {
 	struct work_state *s = work_state(c);
-	struct work_server *best = NULL;
-	uint64_t seen = 0;
+	const struct work_server *avoid = NULL;
+	struct route_ask ask = {
+		.prefix = w->o.prefix,
+		.avoid = ROUTE_NONE,
+		.may_cut = w->o.may_cut,
+	};
+	int i;
 
-	for (size_t i = 0; i < s->n_servers; i++) {
+	if (*w->avoid)
+		avoid = work_server_find(s,
+					 XXH64(w->avoid, strlen(w->avoid), 0));
+	if (avoid)
+		ask.avoid = (int)(avoid - s->servers);
+	while ((i = route_choose(w->pool->route, &s->rng, core_now(c), &ask)) !=
+	       ROUTE_NONE) {
 		struct work_server *v = &s->servers[i];
-		bool avoided = strcmp(v->id, w->avoid) == 0;
 
-		if (!pick_fits(v, w, core_now(c)) || (avoided && best))
-			continue;
-		if (!best || strcmp(best->id, w->avoid) == 0 ||
-		    rng_below(&s->rng, seen + 1) == 0)
-			best = v;
-		seen += !avoided;
+		if (slot_holder_free(&v->holder, core_now(c)) > 0)
+			return v;
+		work_server_changed(c, v); /* its permit ran out meanwhile */
 	}
-	return best;
+	return NULL;
 }
 
 static bool pick_domain_serves(struct core *c, const char *domain,
--- a/packages/daemon/src/work_mod_pool.c
+++ b/packages/daemon/src/work_mod_pool.c
@@ -1,4 +1,5 @@
 // Pools of backend servers and their queues.
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -28,16 +29,22 @@
 	*p = (struct work_pool){.kind = kind};
 	strcpy(p->service, service);
 	p->queue = admit_new(POOL_QUEUE_CAP);
-	if (!p->queue)
+	p->route = route_new();
+	if (!p->queue || !p->route) {
+		admit_free(p->queue);
+		route_free(p->route);
 		return NULL;
+	}
 	s->n_pools++;
 	return p;
 }
 
 void work_pool_stop(struct work_state *s)
 {
-	for (size_t i = 0; i < s->n_pools; i++)
+	for (size_t i = 0; i < s->n_pools; i++) {
 		admit_free(s->pools[i].queue);
+		route_free(s->pools[i].route);
+	}
 	for (size_t i = 0; s->servers && i < s->n_servers; i++)
 		free(s->servers[i].steward);
 	free(s->servers);
@@ -160,12 +167,15 @@
 
 	pool_take(c, w->pool);
 	if (!slot_holder_take(&v->holder, core_now(c)))
-		return;
+		assert(!"picked without a free slot");
 	e = work_attempt_fetch(c, w, v);
-	if (e == ERR_OK)
-		return;
-	slot_holder_put(&v->holder, SLOT_CANCELLED, 0);
-	w->failed = e;
+	if (e != ERR_OK) {
+		slot_holder_put(&v->holder, SLOT_CANCELLED, 0);
+		w->failed = e;
+	}
+	route_cached(v->pool->route, w->o.prefix,
+		     (int)(v - work_state(c)->servers), core_now(c));
+	work_server_changed(c, v);
 }
 
 void work_pump(struct core *c, struct work_pool *p)
--- a/packages/daemon/src/work_mod_server.c
+++ b/packages/daemon/src/work_mod_server.c
@@ -44,7 +44,11 @@
 	v->cheap = vm->cheap;
 	v->listed = true;
 	v->live = vm->state == VM_LIVE;
-	v->pool = work_pool_get(s, vm->kind, vm->service);
+	if (!v->pool) {
+		v->pool = work_pool_get(s, vm->kind, vm->service);
+		if (v->pool)
+			route_join(v->pool->route, (int)(v - s->servers), hash);
+	}
 	if (!v->pool)
 		v->live = false;
 }
@@ -57,6 +61,8 @@
 
 		if (!v->hash || v->listed || v->holder.in_use > 0 || v->polling)
 			continue;
+		if (v->pool)
+			route_leave(v->pool->route, (int)i);
 		free(v->steward);
 		*v = (struct work_server){0};
 	}
@@ -79,10 +85,46 @@
 	server_sweep(s);
 }
 
-static void server_count(struct core *c, struct work_state *s)
+static bool server_domain_in(struct core *c)
 {
 	const struct conf *conf = conf_mod_current(c);
-	bool in = !conf || conf_domain_in(conf, core_domain(c));
+
+	return !conf || conf_domain_in(conf, core_domain(c));
+}
+
+void work_server_changed(struct core *c, struct work_server *v)
+{
+	int index = (int)(v - work_state(c)->servers);
+	bool open = v->live && server_domain_in(c);
+
+	if (v->pool)
+		route_server(v->pool->route, index,
+			     open ? slot_holder_free(&v->holder, core_now(c))
+				  : 0,
+			     v->holder.in_use, v->cheap);
+}
+
+void work_server_load(struct core *c, struct work_server *v,
+		      const struct work_load *load)
+{
+	int index = (int)(v - work_state(c)->servers);
+	struct route_load l = {
+		.busy = load->running + load->queued,
+		.own = v->holder.in_use,
+		.as_of_ms = load->as_of_ms,
+	};
+
+	if (load->as_of_ms <= v->load.as_of_ms)
+		return;
+	if (v->load.as_of_ms > 0 && load->version != v->load.version)
+		route_flushed(v->pool->route, index, core_now(c));
+	v->load = *load;
+	route_report(v->pool->route, index, &l);
+}
+
+static void server_count(struct core *c, struct work_state *s)
+{
+	bool in = server_domain_in(c);
 
 	for (size_t i = 0; i < s->n_pools; i++)
 		s->pools[i].n_live = 0;
--- a/packages/daemon/src/work_mod_slot.c
+++ b/packages/daemon/src/work_mod_slot.c
@@ -144,6 +144,7 @@
 	if (v->steward && slot_steward_ask(v->steward, core_now(c),
 					   work_state(c)->node_hash, ask, &p))
 		slot_holder_permit(&v->holder, &p);
+	work_server_changed(c, v);
 }
 
 static void slot_ask_server(struct core *c, struct work_server *v)
@@ -183,6 +184,9 @@
 		if (s->servers[i].hash && s->servers[i].pool)
 			slot_tend(c, &s->servers[i], heard, listed);
 	}
+	/* Permits run out without a message. */
+	for (size_t i = 0; i < s->n_servers; i++)
+		work_server_changed(c, &s->servers[i]);
 	work_slot_ask(c);
 }
 
@@ -233,8 +237,9 @@
 		if (!v || !m.items[i].server || v->holder.steward != steward)
 			continue;
 		slot_holder_permit(&v->holder, &m.items[i].permit);
-		if (m.items[i].load.as_of_ms > v->load.as_of_ms)
-			v->load = m.items[i].load;
+		work_server_changed(c, v);
+		if (m.items[i].load.slots > 0)
+			work_server_load(c, v, &m.items[i].load);
 	}
 	for (size_t i = 0; i < s->n_pools; i++)
 		work_pump(c, &s->pools[i]);
--- a/packages/daemon/src/work_mod_slot_msg.c
+++ b/packages/daemon/src/work_mod_slot_msg.c
@@ -8,7 +8,7 @@
 
 enum {
 	ASK_FIELDS = 10, ///< of an item
-	PERMIT_FIELDS = 8, ///< of an item
+	PERMIT_FIELDS = 9, ///< of an item
 	OUT_STEWARDS = 64, ///< asked in one round
 };
 
@@ -147,6 +147,7 @@
 	msgpack_pack_uint16(pk, (uint16_t)it->load.running);
 	msgpack_pack_uint16(pk, (uint16_t)it->load.queued);
 	msgpack_pack_uint16(pk, (uint16_t)it->load.slots);
+	msgpack_pack_uint64(pk, it->load.version);
 	msgpack_pack_uint64(pk, age > 0 ? (uint64_t)age : 0);
 }
 
@@ -172,6 +173,7 @@
 	it->load.running = (int)work_read_u64(r, UINT16_MAX);
 	it->load.queued = (int)work_read_u64(r, UINT16_MAX);
 	it->load.slots = (int)work_read_u64(r, UINT16_MAX);
+	it->load.version = work_read_u64(r, UINT64_MAX);
 	it->load.as_of_ms = core_now(c) - (int64_t)work_read_u64(r, INT64_MAX);
 }
 
