fix(work): satisfy the linter in benches and slots

*Problem:* Integer division inside a floating expression, and a steward's name that may be NULL, were reported after the merge.

*Solution:* Indices are computed on their own; a node that sees no steward does not ask.

--- a/bench/bench_admit_booking.c
+++ b/bench/bench_admit_booking.c
@@ -103,6 +103,7 @@
 {
 	struct world *w = calloc(1, sizeof(*w));
 	size_t n_took = 0;
+	size_t at;
 	uint32_t n = 0;
 	double p99;
 
@@ -123,7 +124,8 @@
 		step(w, &n_took);
 	}
 	qsort(took, n_took, sizeof(*took), by_value);
-	p99 = n_took ? (double)took[n_took * 99 / 100] / 1000 : 1e9;
+	at = n_took * 99 / 100;
+	p99 = n_took ? (double)took[at] / 1000 : 1e9;
 	admit_free(w->admit);
 	free(w);
 	return p99;
--- a/bench/bench_route.c
+++ b/bench/bench_route.c
@@ -253,6 +253,7 @@
 {
 	struct world *w = calloc(1, sizeof(*w));
 	struct result res;
+	size_t p50, p99;
 
 	w->policy = p;
 	w->rng.state = SEED;
@@ -265,10 +266,12 @@
 	}
 	for (w->now = 1; w->now < RUN_MS; w->now++)
 		step(w);
+	p50 = (size_t)w->done / 2;
+	p99 = (size_t)w->done * 99 / 100;
 	qsort(took, (size_t)w->done, sizeof(*took), by_value);
 	res = (struct result){
-		.p50 = (double)took[w->done / 2],
-		.p99 = (double)took[w->done * 99 / 100],
+		.p50 = (double)took[p50],
+		.p99 = (double)took[p99],
 		.hits = (double)w->hits / w->starts,
 		.done = w->done,
 	};
--- a/packages/daemon/src/work_mod_slot.c
+++ b/packages/daemon/src/work_mod_slot.c
@@ -150,9 +150,12 @@
 static void slot_ask_server(struct core *c, struct work_server *v)
 {
 	const char *steward = slot_steward(c, v->hash);
-	uint64_t hash = steward ? XXH64(steward, strlen(steward), 1) : 0;
 	struct slot_ask ask;
+	uint64_t hash;
 
+	if (!steward)
+		return;
+	hash = XXH64(steward, strlen(steward), 1);
 	if (!slot_holder_ask(&v->holder, core_now(c), hash, slot_want(c, v),
 			     (uint32_t)slot_drain_ms(c, v) + SLOT_LIFETIME_MS,
 			     &ask))
