--- a/packages/daemon/src/conf_mod.c
+++ b/packages/daemon/src/conf_mod.c
@@ -88,6 +88,7 @@
 {
 	conf_sync_free(m->sync);
 	conf_mod_edit_stop(m);
+	htab_free(m->calls);
 	free(m);
 }
 
@@ -108,6 +109,9 @@
 	opts.seed = XXH64(run, strlen(run), 0);
 	m->c = c;
 	e = conf_sync_new(&opts, &m->sync);
+	if (e)
+		goto fail;
+	e = conf_mod_kv_start(m);
 	if (e)
 		goto fail;
 	e = conf_mod_edit_start(m);
@@ -168,7 +172,7 @@
 		(json_int_t)conf_sync_age(m->sync, core_now(c)), "watcher",
 		(int)conf_sync_watcher(m->sync));
 
-	json_object_set_new(obj, "conf", part);
+	json_object_update_new(obj, part);
 }
 
 static void conf_stop(struct core *c, void *state)
