feat(fleet): stop nothing while past demand isn't known

*Problem:* After a restart the window is empty, so a daemon that takes the duty would stop servers that were needed minutes ago. *Solution:* Stops wait until the window is full (hold_ms after the first step).

--- a/packages/fleet/include/fleet/fleet.h
+++ b/packages/fleet/include/fleet/fleet.h
@@ -38,7 +38,8 @@
 };
 
 /// Change wanted: above zero to start, below to stop. Nothing is stopped while
-/// servers are being started, which may be there to take its place.
+/// servers are being started, which may be there to take its place, and nothing
+/// within hold_ms of the first step, when past demand isn't known.
 struct fleet_plan {
 	int regular;
 	int cheap;
@@ -55,7 +56,8 @@
 	struct fleet_opts opts;
 	struct fleet_level steady;
 	struct fleet_level cuttable;
-	int64_t last_ms; ///< last step, 0 before the first
+	int64_t first_ms; ///< first step, 0 before it
+	int64_t last_ms; ///< last step
 	int64_t bucket_no; ///< of the newest bucket
 	int64_t penalty_until_ms;
 };
--- a/packages/fleet/src/fleet.c
+++ b/packages/fleet/src/fleet.c
@@ -55,9 +55,12 @@
 static void fleet_observe(struct fleet *f, int64_t now_ms,
 			  const struct fleet_input *in)
 {
-	double dt = f->last_ms ? (double)(now_ms - f->last_ms) : 0;
+	double dt = f->first_ms ? (double)(now_ms - f->last_ms) : 0;
 	int bucket;
 
+	if (!f->first_ms)
+		f->first_ms = now_ms;
+
 	fleet_roll(f, now_ms);
 	bucket = (int)(f->bucket_no % FLEET_BUCKETS);
 	level_add(&f->steady, in->steady, dt, bucket);
@@ -96,9 +99,12 @@
 	       now_ms >= f->penalty_until_ms;
 }
 
-static int fleet_change(int change, const struct fleet_input *in)
+static int fleet_change(const struct fleet *f, int change,
+			const struct fleet_input *in)
 {
-	return change < 0 && in->starting > 0 ? 0 : change;
+	bool known = f->last_ms - f->first_ms >= f->opts.hold_ms;
+
+	return change < 0 && (in->starting > 0 || !known) ? 0 : change;
 }
 
 struct fleet_plan fleet_step(struct fleet *f, int64_t now_ms,
@@ -120,8 +126,8 @@
 		regular = want - cheap;
 	}
 	return (struct fleet_plan){
-		.regular = fleet_change(regular - in->regular, in),
-		.cheap = fleet_change(cheap - in->cheap, in),
+		.regular = fleet_change(f, regular - in->regular, in),
+		.cheap = fleet_change(f, cheap - in->cheap, in),
 	};
 }
 
