feat(fleet): order backend servers by duty, and show them to operators

*Problem:* The plan was a package without a daemon behind it. *Solution:* Every node follows the demand that the nodes of its failure domain tell by membership; the holder of fleet/DOMAIN orders through the gate. Starts whose server isn't listed yet count as servers, or the lagging list would make the plan order them again. Nothing is ordered by a list older than 10 s. Others' spare counts as 0 so far.

--- /dev/null
+++ b/packages/daemon/src/fleet_admin.h
@@ -0,0 +1,7 @@
+// GET /admin/servers.
+#pragma once
+
+#include "core/core.h"
+
+/// Register the path.
+enum err fleet_admin_start(struct core *c);
--- a/packages/daemon/src/fleet_mod.c
+++ b/packages/daemon/src/fleet_mod.c
@@ -9,28 +9,37 @@
 #include "base/metric.h"
 #include "core/settings.h"
 #include "daemon/mods.h"
+#include "fleet_admin.h"
 #include "fleet_list.h"
+#include "fleet_plan.h"
 #include "fleet_wire.h"
 
 enum {
 	FLEET_URL_MAX = 320,
 	FLEET_BODY_MAX = 8 << 20, ///< bytes
+	FLEET_STALE_MS = 10000, ///< nothing is ordered by an older list
 };
 
-struct fleet {
+struct fleet_mod {
 	const struct fleet_wire_ops *wire;
 	struct fleet_list list;
+	struct plan plan;
 	int64_t next_ms; ///< next poll
 	int64_t heard_ms; ///< last list taken, 0 for none
 	bool polling; ///< a poll is under way
 	bool failing; ///< the last poll failed
 };
 
-static struct fleet *fleet_of(const struct core *c)
+static struct fleet_mod *fleet_of(const struct core *c)
 {
 	return core_mod_state(c, MOD_FLEET);
 }
 
+struct plan *plan_of(const struct core *c)
+{
+	return &fleet_of(c)->plan;
+}
+
 const struct fleet_vm *fleet_mod_vms(struct core *c, size_t *n)
 {
 	const struct fleet_list *l = &fleet_of(c)->list;
@@ -49,7 +58,7 @@
 	fleet_list_leaving(&fleet_of(c)->list, id, core_now(c));
 }
 
-static enum err fleet_take(struct core *c, struct fleet *f,
+static enum err fleet_take(struct core *c, struct fleet_mod *f,
 			   const struct core_fetch_result *res)
 {
 	struct fleet_vm *vms = NULL;
@@ -72,7 +81,7 @@
 static void fleet_polled(struct core *c, void *ctx,
 			 const struct core_fetch_result *res)
 {
-	struct fleet *f = ctx;
+	struct fleet_mod *f = ctx;
 	enum err e = fleet_take(c, f, res);
 
 	f->polling = false;
@@ -85,7 +94,7 @@
 	metric_set(M_FLEET_VMS, f->list.n);
 }
 
-static void fleet_poll(struct core *c, struct fleet *f)
+static void fleet_poll(struct core *c, struct fleet_mod *f)
 {
 	const struct settings *s = core_settings(c);
 	char url[FLEET_URL_MAX];
@@ -106,19 +115,23 @@
 
 static enum err fleet_start(struct core *c, void **state)
 {
-	struct fleet *f = calloc(1, sizeof(*f));
+	struct fleet_mod *f = calloc(1, sizeof(*f));
 
 	if (!f)
 		return ERR_NOMEM;
 	f->wire = &fleet_wire_json;
+	f->plan.wire = f->wire;
+	f->plan.list = &f->list;
 	*state = f;
-	return ERR_OK;
+	return fleet_admin_start(c);
 }
 
 static void fleet_tick(struct core *c, void *state, int64_t now_ms)
 {
-	struct fleet *f = state;
+	struct fleet_mod *f = state;
 
+	if (f->heard_ms && now_ms - f->heard_ms < FLEET_STALE_MS)
+		plan_tick(c, &f->plan, now_ms);
 	if (f->polling || now_ms < f->next_ms)
 		return;
 	f->next_ms =
@@ -128,7 +141,7 @@
 
 static void fleet_status(struct core *c, void *state, json_t *obj)
 {
-	const struct fleet *f = state;
+	const struct fleet_mod *f = state;
 	json_int_t age = f->heard_ms ? core_now(c) - f->heard_ms : -1;
 
 	json_object_set_new(obj, "vms", json_integer((json_int_t)f->list.n));
@@ -137,7 +150,7 @@
 
 static void fleet_stop(struct core *c, void *state)
 {
-	struct fleet *f = state;
+	struct fleet_mod *f = state;
 
 	fleet_list_free(&f->list);
 	free(f);
--- /dev/null
+++ b/packages/daemon/src/fleet_plan.c
@@ -0,0 +1,185 @@
+// Every node follows the demand; only the holder of the duty orders.
+#include "fleet_plan.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "core/settings.h"
+#include "daemon/duty_mod.h"
+#include "fleet_need.h"
+
+enum {
+	PERCENT = 100,
+};
+
+bool plan_in_group(const struct core *c, const struct plan_group *g,
+		   const struct fleet_vm *vm)
+{
+	return vm->kind == g->kind && strcmp(vm->service, g->service) == 0 &&
+	       strcmp(vm->domain, core_domain(c)) == 0;
+}
+
+static void plan_group_add(struct core *c, struct plan *p, enum vm_kind kind,
+			   const char *service)
+{
+	const struct settings *s = core_settings(c);
+	bool engine = kind == VM_ENGINE;
+	struct plan_group *g = &p->groups[p->n_groups];
+	const struct fleet_opts opts = {
+		.target = (double)settings_int(s, S_FLEET_TARGET) / PERCENT,
+		.lead_ms = settings_int(s, S_FLEET_LEAD),
+		.hold_ms = settings_int(s, S_FLEET_HOLD),
+		.penalty_ms = settings_int(s, S_FLEET_PENALTY),
+		.min = (int)settings_int(s, engine ? S_FLEET_MIN_ENGINES
+						   : S_FLEET_MIN_SERVICES),
+		.max = (int)settings_int(s, engine ? S_FLEET_MAX_ENGINES
+						   : S_FLEET_MAX_SERVICES),
+	};
+
+	if (p->n_groups == PLAN_GROUPS)
+		return;
+	*g = (struct plan_group){.kind = kind};
+	snprintf(g->service, sizeof(g->service), "%s", service);
+	fleet_init(&g->fleet, &opts);
+	p->n_groups++;
+}
+
+/* A group for engines and one for each plain service that has a server. */
+static void plan_find_groups(struct core *c, struct plan *p)
+{
+	if (p->n_groups == 0)
+		plan_group_add(c, p, VM_ENGINE, "");
+	for (size_t i = 0; i < p->list->n; i++) {
+		const struct fleet_vm *vm = &p->list->vms[i];
+		bool known = vm->kind != VM_SERVICE ||
+			     strcmp(vm->domain, core_domain(c)) != 0;
+
+		for (int g = 0; g < p->n_groups; g++)
+			known |= plan_in_group(c, &p->groups[g], vm);
+		if (!known)
+			plan_group_add(c, p, VM_SERVICE, vm->service);
+	}
+}
+
+/* A start is over once its server is listed. */
+static void plan_expire(struct plan *p, int64_t now_ms)
+{
+	for (int i = p->n_pending; i-- > 0;) {
+		const struct plan_pending *e = &p->pending[i];
+		bool listed = e->start && *e->server &&
+			      fleet_list_find(p->list, e->server);
+
+		if (e->answered && (listed || now_ms >= e->until_ms))
+			p->pending[i] = p->pending[--p->n_pending];
+	}
+}
+
+static void plan_count_listed(struct core *c, const struct plan *p,
+			      const struct plan_group *g,
+			      struct fleet_input *in)
+{
+	for (size_t i = 0; i < p->list->n; i++) {
+		const struct fleet_vm *vm = &p->list->vms[i];
+
+		if (vm->state == VM_LEAVING || !plan_in_group(c, g, vm))
+			continue;
+		in->regular += !vm->cheap;
+		in->cheap += vm->cheap;
+		in->starting += vm->state == VM_STARTING;
+	}
+}
+
+static void plan_count_pending(const struct plan *p, int group,
+			       struct fleet_input *in)
+{
+	for (int i = 0; i < p->n_pending; i++) {
+		const struct plan_pending *e = &p->pending[i];
+
+		if (e->group != group || !e->start)
+			continue;
+		in->regular += !e->cheap;
+		in->cheap += e->cheap;
+		in->starting++;
+	}
+}
+
+/* Fewer cheap servers than we left there: the platform took some back. */
+static void plan_watch_cheap(struct core *c, struct plan_group *g, int cheap)
+{
+	int lost = g->cheap_seen - g->cheap_stopped - cheap;
+
+	g->cheap_seen = cheap;
+	g->cheap_stopped = 0;
+	if (lost <= 0)
+		return;
+	log_event(EV_FLEET_CHEAP_LOST, "service=%s servers=%d", g->service,
+		  lost);
+	fleet_cheap_lost(&g->fleet, core_now(c));
+}
+
+/* Demand of a plain service: its share of all, by its number of servers. */
+static void plan_demand(struct core *c, const struct plan *p,
+			const struct plan_group *g, struct fleet_input *in)
+{
+	struct fleet_need need = {.kind = g->kind};
+	double share = 1;
+	int all = 0;
+
+	fleet_need_sum(c, &need);
+	for (size_t i = 0; i < p->list->n; i++) {
+		const struct fleet_vm *vm = &p->list->vms[i];
+
+		all += vm->kind == g->kind && vm->state != VM_LEAVING &&
+		       strcmp(vm->domain, core_domain(c)) == 0;
+	}
+	if (g->kind == VM_SERVICE && all > 0)
+		share = (double)(in->regular + in->cheap) / all;
+	in->steady = need.steady * share;
+	in->cuttable = need.cuttable * share;
+}
+
+static bool plan_waiting(const struct plan *p, int group)
+{
+	for (int i = 0; i < p->n_pending; i++) {
+		if (p->pending[i].group == group && !p->pending[i].answered)
+			return true;
+	}
+	return false;
+}
+
+static void plan_step(struct core *c, struct plan *p, int group)
+{
+	const struct settings *s = core_settings(c);
+	struct plan_group *g = &p->groups[group];
+	struct fleet_input in = {
+		.cheap_price = (double)settings_int(s, S_FLEET_CHEAP) / PERCENT,
+	};
+	struct fleet_plan want;
+
+	plan_count_listed(c, p, g, &in);
+	plan_watch_cheap(c, g, in.cheap);
+	plan_demand(c, p, g, &in);
+	plan_count_pending(p, group, &in);
+	want = fleet_step(&g->fleet, core_now(c), &in);
+	if (plan_waiting(p, group) || !duty_mod_held(c, p->duty, NULL))
+		return;
+	plan_apply(c, p, group, false, want.regular);
+	plan_apply(c, p, group, true, want.cheap);
+}
+
+void plan_tick(struct core *c, struct plan *p, int64_t now_ms)
+{
+	const struct settings *s = core_settings(c);
+
+	if (!settings_int(s, S_FLEET_ORDER) || now_ms < p->next_ms)
+		return;
+	p->next_ms = now_ms + settings_int(s, S_FLEET_STEP);
+	if (!*p->duty)
+		snprintf(p->duty, sizeof(p->duty), "fleet/%s", core_domain(c));
+	duty_mod_want(c, p->duty);
+	plan_find_groups(c, p);
+	plan_expire(p, now_ms);
+	for (int g = 0; g < p->n_groups; g++)
+		plan_step(c, p, g);
+}
--- a/packages/daemon/src/fleet_wire_json.c
+++ b/packages/daemon/src/fleet_wire_json.c
@@ -1,5 +1,6 @@
 // The VM list as JSON.
 #include <jansson.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -31,13 +32,14 @@
 	return -1;
 }
 
+static const char *const kinds[] = {
+	[VM_ENTRY] = "entry",
+	[VM_ENGINE] = "engine",
+	[VM_SERVICE] = "service",
+};
+
 static bool wire_vm(const json_t *obj, struct fleet_vm *vm)
 {
-	static const char *const kinds[] = {
-		[VM_ENTRY] = "entry",
-		[VM_ENGINE] = "engine",
-		[VM_SERVICE] = "service",
-	};
 	static const char *const states[] = {
 		[VM_STARTING] = "starting",
 		[VM_LIVE] = "live",
@@ -89,8 +91,48 @@
 	return e;
 }
 
+static json_t *wire_order(const struct fleet_order *o)
+{
+	json_t *obj = json_pack("{s:s,s:I,s:s,s:s}", "id", o->id, "epoch",
+				(json_int_t)o->epoch, "domain", o->domain, "op",
+				o->start ? "start" : "stop");
+
+	if (!o->start) {
+		json_object_set_new(obj, "server", json_string(o->server));
+		return obj;
+	}
+	json_object_set_new(obj, "kind", json_string(kinds[o->kind]));
+	json_object_set_new(obj, "service", json_string(o->service));
+	json_object_set_new(obj, "cheap", json_boolean(o->cheap));
+	return obj;
+}
+
+static size_t json_order_encode(const struct fleet_order *o, char *buf,
+				size_t len)
+{
+	json_t *obj = wire_order(o);
+	size_t n = json_dumpb(obj, buf, len, JSON_COMPACT);
+
+	json_decref(obj);
+	return n <= len ? n : 0;
+}
+
+static bool json_order_decode(const char *body, size_t len, char *server)
+{
+	json_t *obj = json_loadb(body ? body : "", len, 0, NULL);
+	bool ok = wire_copy(server, sizeof(((struct fleet_vm *)0)->id), obj,
+			    "server") &&
+		  *server;
+
+	json_decref(obj);
+	return ok;
+}
+
 const struct fleet_wire_ops fleet_wire_json = {
 	.name = "json",
 	.vms_path = "/vms",
 	.vms_decode = json_vms_decode,
+	.orders_path = "/orders",
+	.order_encode = json_order_encode,
+	.order_decode = json_order_decode,
 };
