--- a/tools/run.sh
+++ b/tools/run.sh
@@ -51,8 +51,8 @@
 wait_http "$platform/vms"
 seeds=n1@d1@$net.11:8002,n2@d2@$net.12:8002,n3@d3@$net.13:8002
 for i in 1 2 3; do
-	start "engine-$i-a" fake_engine --listen "$net.$((20 + i)):9000" --id "engine-$i-a" --domain "d$i" --platform "$platform" --cold 0 --slots 64 --token-us 500
-	start "engine-$i-b" fake_engine --listen "$net.$((30 + i)):9000" --id "engine-$i-b" --domain "d$i" --platform "$platform" --cold 0 --slots 64 --token-us 500
+	start "engine-$i-a" fake_engine --listen "$net.$((20 + i)):9000" --id "engine-$i-a" --domain "d$i" --platform "$platform" --slots 16 --token-us 500
+	start "engine-$i-b" fake_engine --listen "$net.$((30 + i)):9000" --id "engine-$i-b" --domain "d$i" --platform "$platform" --slots 16 --token-us 500
 	start "desk-$i" fake_service --listen "$net.$((40 + i)):9000" --id "desk-$i" --domain "d$i" --platform "$platform" --service desk
 	cat >"$dir/n$i.ini" <<-EOF
 		[node]
