feat(fleet): follow the work, and let the list catch up after a hand-over

A holder orders only once it has a list that speaks of a time after it took the duty and finished its predecessor's orders (duty_mod_since). Keeping the outcome of each order in the store until its server is listed was weighed: more writes for what the list tells anyway.

--- a/packages/daemon/include/daemon/duty_mod.h
+++ b/packages/daemon/include/daemon/duty_mod.h
@@ -16,6 +16,11 @@
 /// @param[out] epoch  fencing number of the holding
 bool duty_mod_held(struct core *c, const char *name, uint64_t *epoch);
 
+/// Since when a duty is held without a gap, orders of earlier holders finished.
+///
+/// @return clock_now_ms() time, 0 if it isn't held
+int64_t duty_mod_since(struct core *c, const char *name);
+
 /// Send an order through the duty's gate. It is written to the store first
 /// (`order/DOMAIN/ID` for a duty `fleet/DOMAIN`, `order/@NAME/ID` for others),
 /// and sent again under the same id until it is answered, the duty is lost or a
--- a/packages/daemon/include/daemon/fleet_mod.h
+++ b/packages/daemon/include/daemon/fleet_mod.h
@@ -39,15 +39,3 @@
 /// Take a backend server as leaving before the list says so, for instance when
 /// it said so itself.
 void fleet_mod_leaving(struct core *c, const char *id);
-
-/// Work of one kind that a node sees, in servers of its own failure domain.
-struct fleet_need {
-	enum vm_kind kind; ///< VM_ENGINE or VM_SERVICE
-	double steady; ///< running and queued work that must not be cut off
-	double cuttable; ///< running and queued work that may be
-};
-
-/// Tell how much work this node has; call about once a second. The holder of
-/// `fleet/DOMAIN` adds up what the nodes of its failure domain tell, and orders
-/// backend servers by it.
-void fleet_mod_need(struct core *c, const struct fleet_need *need);
--- a/packages/daemon/include/daemon/work_mod.h
+++ b/packages/daemon/include/daemon/work_mod.h
@@ -59,3 +59,10 @@
 
 /// Give up on it; no callback follows. It may have run.
 void work_cancel(struct core *c, htab_handle h);
+
+/// Requests of one kind that run or wait in this failure domain, on this node.
+///
+/// @param[out] steady    those that must not be cut off
+/// @param[out] cuttable  those that may run on a cheap backend server
+void work_mod_count(struct core *c, enum vm_kind kind, int *steady,
+		    int *cuttable);
--- a/packages/daemon/src/duty.h
+++ b/packages/daemon/src/duty.h
@@ -60,6 +60,7 @@
 	struct gate *gate;
 	uint64_t epoch; ///< of the gate
 	int64_t quiet_until_ms; ///< nothing is sent before
+	int64_t ready_ms; ///< start of DUTY_READY
 	int64_t next_list_ms;
 	bool listing; ///< a list is outstanding
 	uint64_t list_epoch; ///< for which epoch it was asked
--- a/packages/daemon/src/duty_mod.c
+++ b/packages/daemon/src/duty_mod.c
@@ -68,6 +68,11 @@
 	return true;
 }
 
+int64_t duty_mod_since(struct core *c, const char *name)
+{
+	return duty_mod_held(c, name, NULL) ? duty_find(c, name)->ready_ms : 0;
+}
+
 enum err duty_mod_send(struct core *c, const char *name, const char *path,
 		       const char *body, size_t len,
 		       void (*fn)(struct core *c, void *ctx, enum err e,
@@ -219,8 +224,10 @@
 		return;
 	duty_orders_collect(c, d);
 	duty_orders_step(c, d);
-	if (d->phase == DUTY_FINISHING && !duty_orders_resuming(d))
+	if (d->phase == DUTY_FINISHING && !duty_orders_resuming(d)) {
 		d->phase = DUTY_READY;
+		d->ready_ms = core_now(c);
+	}
 }
 
 /* Once the last order is answered the duty goes to the next candidate. */
--- a/packages/daemon/src/fleet_list.h
+++ b/packages/daemon/src/fleet_list.h
@@ -20,6 +20,7 @@
 	size_t n;
 	size_t cap;
 	uint64_t gen; ///< grows with each change
+	int64_t as_of_ms; ///< clock_now_ms() time that the list speaks of
 	struct fleet_tomb tombs[FLEET_TOMB_MAX]; ///< VMs that left
 	size_t n_tombs;
 };
--- a/packages/daemon/src/fleet_mod.c
+++ b/packages/daemon/src/fleet_mod.c
@@ -25,6 +25,7 @@
 	struct fleet_list list;
 	struct plan plan;
 	int64_t next_ms; ///< next poll
+	int64_t polled_ms; ///< start of the last poll
 	int64_t heard_ms; ///< last list taken, 0 for none
 	bool polling; ///< a poll is under way
 	bool failing; ///< the last poll failed
@@ -63,15 +64,18 @@
 {
 	struct fleet_vm *vms = NULL;
 	size_t n, bad = 0;
+	int64_t age = 0;
 	enum err e = res->err;
 
 	if (e == ERR_OK && res->status != 200)
 		e = ERR_KV_UNKNOWN;
 	if (e == ERR_OK)
 		e = f->wire->vms_decode(res->body, res->body_len, &vms, &n,
-					&bad);
+					&bad, &age);
 	if (e == ERR_OK)
 		e = fleet_list_merge(&f->list, vms, n, core_now(c));
+	if (e == ERR_OK)
+		f->list.as_of_ms = f->polled_ms - age;
 	if (bad > 0)
 		log_event(EV_FLEET_BAD_ROWS, "rows=%zu", bad);
 	free(vms);
@@ -110,6 +114,7 @@
 
 	snprintf(url, sizeof(url), "%s%s", settings_str(s, S_PLATFORM_URL),
 		 f->wire->vms_path);
+	f->polled_ms = core_now(c);
 	f->polling = core_fetch(c, &opts, NULL) == ERR_OK;
 }
 
--- a/packages/daemon/src/fleet_need.c
+++ b/packages/daemon/src/fleet_need.c
@@ -1,9 +1,10 @@
-// A node's demand as one small integer for each kind, in tenths of a server.
+// A node's work as one small integer for each kind: membership sends changes to
+// the whole failure domain, so the values are coarse.
 #include "fleet_need.h"
 
-#include <math.h>
-
+#include "core/settings.h"
 #include "daemon/member_mod.h"
+#include "daemon/work_mod.h"
 
 enum {
 	NEED_STEPS = 10, ///< in a server
@@ -16,37 +17,51 @@
 	return kind == VM_ENGINE ? MEMBER_USER_1 : MEMBER_USER_2;
 }
 
-static int64_t need_steps(double servers)
+/* Requests in steps, rounded up. */
+static int64_t need_steps(int requests, int64_t per_server)
+{
+	int64_t steps = (requests * NEED_STEPS + per_server - 1) / per_server;
+
+	return steps < NEED_MAX ? steps : NEED_MAX;
+}
+
+static void need_tell(struct core *c, enum vm_kind kind, int64_t per_server)
 {
-	return (int64_t)fmin(NEED_MAX, ceil(fmax(0, servers) * NEED_STEPS));
+	int steady, cuttable;
+
+	work_mod_count(c, kind, &steady, &cuttable);
+	member_mod_set(c, need_key(kind),
+		       need_steps(steady, per_server) << NEED_BITS |
+			       need_steps(cuttable, per_server));
 }
 
-void fleet_mod_need(struct core *c, const struct fleet_need *need)
+void fleet_need_tell(struct core *c)
 {
-	int64_t value = need_steps(need->steady) << NEED_BITS |
-			need_steps(need->cuttable);
+	const struct settings *s = core_settings(c);
 
-	member_mod_set(c, need_key(need->kind), value);
+	need_tell(c, VM_ENGINE, settings_int(s, S_FLEET_ENGINE_REQUESTS));
+	need_tell(c, VM_SERVICE, settings_int(s, S_FLEET_SERVICE_REQUESTS));
 }
 
-static void need_add(struct core *c, const char *node, struct fleet_need *sum)
+static void need_add(struct core *c, const char *node, enum vm_kind kind,
+		     struct fleet_need *sum)
 {
 	int64_t value;
 
-	if (!member_mod_get(c, node, need_key(sum->kind), &value))
+	if (!member_mod_get(c, node, need_key(kind), &value))
 		return;
 	sum->steady += (double)(value >> NEED_BITS) / NEED_STEPS;
 	sum->cuttable += (double)(value & NEED_MAX) / NEED_STEPS;
 }
 
-void fleet_need_sum(struct core *c, struct fleet_need *need)
+struct fleet_need fleet_need_sum(struct core *c, enum vm_kind kind)
 {
+	struct fleet_need sum = {0, 0};
 	size_t n;
 	const struct member_view *m = member_mod_all(c, &n);
 
-	need->steady = 0;
-	need->cuttable = 0;
-	need_add(c, core_node(c), need);
+	need_add(c, core_node(c), kind, &sum);
 	for (size_t i = 0; i < n; i++)
-		need_add(c, m[i].id, need);
+		need_add(c, m[i].id, kind, &sum);
+	return sum;
 }
--- a/packages/daemon/src/fleet_plan.c
+++ b/packages/daemon/src/fleet_plan.c
@@ -122,11 +122,10 @@
 static void plan_demand(struct core *c, const struct plan *p,
 			const struct plan_group *g, struct fleet_input *in)
 {
-	struct fleet_need need = {.kind = g->kind};
+	struct fleet_need need = fleet_need_sum(c, g->kind);
 	double share = 1;
 	int all = 0;
 
-	fleet_need_sum(c, &need);
 	for (size_t i = 0; i < p->list->n; i++) {
 		const struct fleet_vm *vm = &p->list->vms[i];
 
@@ -148,6 +147,14 @@
 	return false;
 }
 
+/* The list must show what earlier holders ordered. */
+static bool plan_may_order(struct core *c, const struct plan *p)
+{
+	int64_t since = duty_mod_since(c, p->duty);
+
+	return since > 0 && p->list->as_of_ms > since;
+}
+
 static void plan_step(struct core *c, struct plan *p, int group)
 {
 	const struct settings *s = core_settings(c);
@@ -162,7 +169,7 @@
 	plan_demand(c, p, g, &in);
 	plan_count_pending(p, group, &in);
 	want = fleet_step(&g->fleet, core_now(c), &in);
-	if (plan_waiting(p, group) || !duty_mod_held(c, p->duty, NULL))
+	if (plan_waiting(p, group) || !plan_may_order(c, p))
 		return;
 	plan_apply(c, p, group, false, want.regular);
 	plan_apply(c, p, group, true, want.cheap);
@@ -178,6 +185,7 @@
 	if (!*p->duty)
 		snprintf(p->duty, sizeof(p->duty), "fleet/%s", core_domain(c));
 	duty_mod_want(c, p->duty);
+	fleet_need_tell(c);
 	plan_find_groups(c, p);
 	plan_expire(p, now_ms);
 	for (int g = 0; g < p->n_groups; g++)
--- a/packages/daemon/src/fleet_wire.h
+++ b/packages/daemon/src/fleet_wire.h
@@ -25,9 +25,11 @@
 	/// @param[out] vms  rows, freed by the caller
 	/// @param[out] n    rows
 	/// @param[out] bad  rows left out
+	/// @param[out] age  milliseconds by which the list lags
 	/// @return ERR_OK, ERR_PARSE, ERR_TOO_LARGE or ERR_NOMEM
 	enum err (*vms_decode)(const char *body, size_t len,
-			       struct fleet_vm **vms, size_t *n, size_t *bad);
+			       struct fleet_vm **vms, size_t *n, size_t *bad,
+			       int64_t *age);
 	const char *orders_path; ///< path for orders at the platform
 	/// Write an order.
 	///
--- a/packages/daemon/src/fleet_wire_json.c
+++ b/packages/daemon/src/fleet_wire_json.c
@@ -7,6 +7,10 @@
 #include "fleet_list.h"
 #include "fleet_wire.h"
 
+enum {
+	WIRE_AGE_MS = 60000, ///< age of a list that doesn't tell it
+};
+
 static bool wire_copy(char *to, size_t size, const json_t *obj,
 		      const char *name)
 {
@@ -82,10 +86,14 @@
 }
 
 static enum err json_vms_decode(const char *body, size_t len,
-				struct fleet_vm **vms, size_t *n, size_t *bad)
+				struct fleet_vm **vms, size_t *n, size_t *bad,
+				int64_t *age)
 {
 	json_t *obj = json_loadb(body, len, 0, NULL);
 	enum err e = wire_rows(json_object_get(obj, "vms"), vms, n, bad);
+	json_t *lag = json_object_get(obj, "age_ms");
+
+	*age = json_is_integer(lag) ? json_integer_value(lag) : WIRE_AGE_MS;
 
 	json_decref(obj);
 	return e;
--- a/packages/daemon/test/test_fleet_list.c
+++ b/packages/daemon/test/test_fleet_list.c
@@ -103,10 +103,11 @@
 	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
 		struct fleet_vm *vms = NULL;
 		size_t n = 0, bad = 0;
+		int64_t age = -1;
 
 		assert_int_equal(fleet_wire_json.vms_decode(
 					 rows[i].body, strlen(rows[i].body),
-					 &vms, &n, &bad),
+					 &vms, &n, &bad, &age),
 				 rows[i].err);
 		assert_int_equal(n, rows[i].n);
 		assert_int_equal(bad, rows[i].bad);
--- a/test/e2e/test_fleet_orders.c
+++ b/test/e2e/test_fleet_orders.c
@@ -81,6 +81,7 @@
 	return starts() >= *(const int *)ctx;
 }
 
+/* Node that holds the duty, -1 for none. */
 static int holder(void)
 {
 	char url[128];
@@ -91,7 +92,7 @@
 	snprintf(url, sizeof(url), "%s/kv/duty/fleet/d1", sys.platform_url);
 	j = http_json("GET", url, NULL, NULL, NULL);
 	value = json_string_value(json_object_get(j, "value"));
-	who = value && strstr(value, sys.nodes[1].id) ? 1 : 0;
+	who = !value ? -1 : strstr(value, sys.nodes[1].id) ? 1 : 0;
 	json_decref(j);
 	return who;
 }
@@ -132,20 +133,33 @@
 	settle(WANTED + 1);
 }
 
+static bool moved(void *ctx)
+{
+	return holder() == !*(const int *)ctx;
+}
+
+/* The successor's list lags: it must not order what is on its way already. */
 static void test_killed_holder(void **state)
 {
+	int orders = WANTED + 2;
 	int who = holder();
 
 	asked = !who;
-	proc_kill(&sys.nodes[who].proc);
 	assert_int_equal(fake("DELETE", "/fake/vms/spare-1", NULL), 200);
-	settle(WANTED + 2);
+	assert_true(wait_until(ordered, &orders, WAIT_MS));
+	proc_kill(&sys.nodes[who].proc);
+	assert_true(wait_until(moved, &who, WAIT_MS));
+	settle(orders);
+	assert_int_equal(fake("DELETE", "/fake/vms/spare-2", NULL), 200);
+	settle(orders + 1);
 }
 
 static int setup(void **state)
 {
+	static const char *const args[] = {"--vm-lag", "2000", NULL};
 	const struct sys_opts opts = {
 		.domains = 1,
+		.platform_args = args,
 		.nodes_per_domain = 2,
 		.settings =
 			"[fleet]\norder = 1\nstep = 100ms\nmin_engines = 3\n"
