--- /dev/null
+++ b/packages/daemon/test/test_duty_intent.c
@@ -0,0 +1,86 @@
+// Intents: what is written is read back under the reader's epoch, and what
+// makes no sense is refused.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "../src/duty_intent.h"
+
+static void test_round_trip(void **state)
+{
+	const char *body = "{\"id\":\"a\",\"epoch\":3}";
+	char *text =
+		duty_intent_encode("/orders", body, strlen(body), 77, true);
+	struct duty_intent in;
+
+	assert_true(duty_intent_decode(text, strlen(text), 9, &in));
+	assert_string_equal(in.path, "/orders");
+	assert_string_equal(in.body, "{\"id\":\"a\",\"epoch\":9}");
+	assert_int_equal(in.wall_ms, 77);
+	assert_true(in.over);
+	duty_intent_free(&in);
+	free(text);
+}
+
+static void test_refused(void **state)
+{
+	static const char *const values[] = {
+		"",
+		"{",
+		"null",
+		"[]",
+		"{\"path\":\"/orders\"}",
+		"{\"path\":1,\"order\":{}}",
+		"{\"path\":\"/orders\",\"order\":[]}",
+	};
+
+	for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++) {
+		struct duty_intent in;
+
+		assert_false(duty_intent_decode(values[i], strlen(values[i]), 1,
+						&in));
+		duty_intent_free(&in);
+	}
+	assert_null(duty_intent_encode("/orders", "[1]", 3, 0, false));
+}
+
+static void test_name(void **state)
+{
+	static const struct {
+		const char *body;
+		const char *name; ///< NULL: refused
+	} rows[] = {
+		{"{\"id\":\"x-1\"}", "x-1"},
+		{"{\"window\":42}", "42"},
+		{"{\"id\":\"\"}", NULL},
+		{"{\"window\":\"42\"}", NULL},
+		{"{}", NULL},
+		{"{\"id\":\"0123456789abcdef\"}", NULL},
+		{"", NULL},
+	};
+
+	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		char buf[12];
+		bool ok = duty_intent_name(rows[i].body, strlen(rows[i].body),
+					   buf, sizeof(buf));
+
+		assert_int_equal(ok, rows[i].name != NULL);
+		if (ok)
+			assert_string_equal(buf, rows[i].name);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_round_trip),
+		cmocka_unit_test(test_refused),
+		cmocka_unit_test(test_name),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
