--- /dev/null
+++ b/test/e2e/test_e2e_usage.c
@@ -0,0 +1,390 @@
+// Usage over real daemons: what is reported is what was answered, over frozen
+// and killed reporters, lost answers, store outages and links cut to the
+// platform; no window has two figures, no report comes from an old epoch.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+#include <jansson.h>
+
+#include "base/clock.h"
+#include "support/ctl.h"
+#include "support/http.h"
+#include "support/link.h"
+#include "support/sys.h"
+
+enum {
+	NODES = 6,
+	CALL_PAUSE_MS = 40, ///< between the calls of one caller
+	COPY_MS = 100, ///< usage.copy_interval as built in
+	LOST_PER_KILL = 2 * COPY_MS / CALL_PAUSE_MS + 2,
+	SETTLE_MS = 30000,
+	FREEZE_MS = 4000, ///< longer than the lease
+};
+
+static struct sys sys;
+static char key[256];
+static atomic_int answered;
+static atomic_bool calling;
+
+static const char settings[] = "[duty]\nttl = 1500ms\nmargin = 400ms\n"
+			       "net_delay = 300ms\n"
+			       "[usage]\ncollect_interval = 300ms\n";
+
+struct caller {
+	pthread_t thread;
+	int node;
+};
+
+static struct caller callers[NODES];
+
+static int call_once(int node)
+{
+	char url[128];
+	struct http_res res;
+	struct http_opts o = {.method = "POST",
+			      .url = url,
+			      .bearer = key,
+			      .body = "{\"call\":\"u\"}",
+			      .timeout_ms = 3000};
+	int status;
+
+	snprintf(url, sizeof(url), "%s/v1/call/desk/book", sys.nodes[node].url);
+	status = http_call(&o, &res);
+	http_free(&res);
+	return status;
+}
+
+static void *caller_run(void *ctx)
+{
+	const struct caller *c = ctx;
+
+	while (atomic_load(&calling)) {
+		if (call_once(c->node) == 200)
+			atomic_fetch_add(&answered, 1);
+		usleep(CALL_PAUSE_MS * 1000);
+	}
+	return NULL;
+}
+
+static void callers_start(void)
+{
+	atomic_store(&calling, true);
+	for (int i = 0; i < NODES; i++) {
+		callers[i].node = i;
+		pthread_create(&callers[i].thread, NULL, caller_run,
+			       &callers[i]);
+	}
+}
+
+static void callers_stop(void)
+{
+	atomic_store(&calling, false);
+	for (int i = 0; i < NODES; i++)
+		pthread_join(callers[i].thread, NULL);
+}
+
+static int desk_runs(void)
+{
+	int runs = 0;
+
+	for (int i = 0; i < sys.n_servers; i++) {
+		char url[128];
+		json_t *j;
+
+		snprintf(url, sizeof(url), "%s/fake/stats", sys.servers[i].url);
+		j = http_json("GET", url, NULL, NULL, NULL);
+		runs += (int)json_integer_value(json_object_get(j, "runs"));
+		json_decref(j);
+	}
+	return runs;
+}
+
+static json_t *platform_log(void)
+{
+	char url[128];
+
+	snprintf(url, sizeof(url), "%s/fake/log", sys.platform_url);
+	return http_json("GET", url, NULL, NULL, NULL);
+}
+
+struct reported {
+	int requests; ///< sum over the accepted windows
+	int windows;
+	int differing; ///< a window that came with other figures
+	int old_epoch; ///< a report of an older epoch after a newer one's
+	int repeats; ///< the same window again, same figures
+};
+
+static int requests_of(const json_t *figures)
+{
+	const char *team;
+	json_t *v;
+	int sum = 0;
+
+	json_object_foreach((json_t *)figures, team, v)
+		sum += (int)json_integer_value(json_object_get(v, "requests"));
+	return sum;
+}
+
+/// Read the platform's log of usage reports.
+static struct reported read_reports(void)
+{
+	struct reported r = {0};
+	json_t *log = platform_log();
+	json_t *seen = json_object();
+	json_int_t epoch = 0;
+	size_t i;
+	json_t *row;
+
+	json_array_foreach(json_object_get(log, "log"), i, row) {
+		json_t *fig = json_object_get(row, "figures");
+		json_int_t e =
+			json_integer_value(json_object_get(row, "epoch"));
+		char window[32];
+		json_t *old;
+
+		if (!fig)
+			continue;
+		r.old_epoch += e < epoch;
+		epoch = e > epoch ? e : epoch;
+		snprintf(window, sizeof(window), "%d",
+			 (int)json_integer_value(
+				 json_object_get(row, "window")));
+		old = json_object_get(seen, window);
+		r.repeats += old && json_equal(old, fig);
+		r.differing += old && !json_equal(old, fig);
+		if (old)
+			continue;
+		json_object_set(seen, window, fig);
+		r.requests += requests_of(fig);
+		r.windows++;
+	}
+	json_decref(seen);
+	json_decref(log);
+	return r;
+}
+
+static bool all_reported(void *ctx)
+{
+	return read_reports().requests >= *(int *)ctx;
+}
+
+static bool is_reporter(int node)
+{
+	char url[128];
+	struct http_opts o = {.method = "GET", .url = url, .timeout_ms = 1000};
+	struct http_res res;
+	json_t *j;
+	bool yes;
+
+	snprintf(url, sizeof(url), "%s/admin/status", sys.nodes[node].admin);
+	http_call(&o, &res);
+	j = json_loadb(res.body, res.len, 0, NULL);
+	yes = json_is_true(
+		json_object_get(json_object_get(j, "usage"), "reporting"));
+	json_decref(j);
+	http_free(&res);
+	return yes;
+}
+
+static bool find_reporter(void *ctx)
+{
+	int *node = ctx;
+
+	for (int i = 0; i < NODES; i++) {
+		if (!is_reporter(i))
+			continue;
+		*node = i;
+		return true;
+	}
+	return false;
+}
+
+static int reporter(void)
+{
+	int node = -1;
+
+	assert_true(wait_until(find_reporter, &node, SETTLE_MS));
+	return node;
+}
+
+static void fault(const char *body)
+{
+	char url[128];
+
+	snprintf(url, sizeof(url), "%s/fake/fault", sys.platform_url);
+	json_decref(http_json(body ? "POST" : "DELETE", url, NULL, body, NULL));
+}
+
+static bool call_works(void *ctx)
+{
+	return call_once(*(int *)ctx) == 200;
+}
+
+static void ctl_ok(const char *const *words)
+{
+	char out[2048];
+
+	if (ctl_run(&sys, words, out, sizeof(out)) != 0)
+		fail_msg("catkinctl %s: %s", words[0], out);
+}
+
+static int setup(void **state)
+{
+	static const char *const team[] = {"team", "add", "depot", NULL};
+	static const char *const route[] = {"route",	 "add",	 "desk",
+					    "--service", "desk", NULL};
+	static const char *const window[] = {"set", "usage.window", "500ms",
+					     NULL};
+	struct sys_opts opts = {
+		.domains = 3,
+		.nodes_per_domain = 2,
+		.services_per_domain = 1,
+		.settings = settings,
+		.platform_links = true,
+	};
+
+	if (!sys_start(&sys, &opts))
+		return -1;
+	ctl_ok(team);
+	ctl_ok(route);
+	ctl_ok(window);
+	assert_int_equal(ctl_grant(&sys, "depot", key, sizeof(key)), 0);
+	for (int i = 0; i < NODES; i++)
+		assert_true(wait_until(call_works, &i, SETTLE_MS));
+	reporter();
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	sys_stop(&sys);
+	return 0;
+}
+
+static void assert_reports_sound(const struct reported *r)
+{
+	print_message("%d windows, %d reported again, %d requests; answered "
+		      "%d, run %d\n",
+		      r->windows, r->repeats, r->requests,
+		      atomic_load(&answered), desk_runs());
+	assert_int_equal(r->differing, 0);
+	assert_int_equal(r->old_epoch, 0);
+}
+
+/// Faults without a killed node: every figure is exact.
+static void test_exact(void **state)
+{
+	int before = read_reports().requests;
+	int want;
+	int node;
+	struct reported r;
+
+	atomic_store(&answered, 0);
+	before = desk_runs();
+	callers_start();
+	fault("{\"path\":\"/usage\",\"mode\":\"drop_reply\",\"count\":2}");
+	fault("{\"path\":\"/kv/usage\",\"method\":\"PUT\",\"mode\":"
+	      "\"drop_reply\",\"count\":3}");
+	sleep(3);
+	node = reporter();
+	print_message("freeze reporter n%d\n", node + 1);
+	proc_signal(&sys.nodes[node].proc, SIGSTOP);
+	usleep(FREEZE_MS * 1000);
+	proc_signal(&sys.nodes[node].proc, SIGCONT);
+	fault("{\"path\":\"/kv\",\"mode\":\"refuse\",\"count\":-1}");
+	sleep(3); /* an outage over several windows */
+	fault(NULL);
+	link_set(sys.nodes[4].link, LINK_CUT);
+	link_set(sys.nodes[5].link, LINK_CUT);
+	sleep(3); /* a failure domain without the platform */
+	link_set(sys.nodes[4].link, LINK_PASS);
+	link_set(sys.nodes[5].link, LINK_PASS);
+	callers_stop();
+	/* answers that a frozen node gave too late for the caller count too */
+	want = desk_runs();
+	assert_true(want - before >= atomic_load(&answered));
+	if (!wait_until(all_reported, &want, SETTLE_MS))
+		print_message("not all was reported in time\n");
+	sleep(2);
+	r = read_reports();
+	assert_reports_sound(&r);
+	assert_int_equal(r.requests, want);
+}
+
+/// Kills of the reporter and of others: what is missing is bounded by what a
+/// node counted after its last copy.
+static void test_kills(void **state)
+{
+	int before = read_reports().requests;
+	int runs = desk_runs();
+	int kills = 0;
+	int want;
+	struct reported r;
+
+	atomic_store(&answered, 0);
+	callers_start();
+	for (int i = 0; i < 4; i++) {
+		int node = i % 2 ? i : reporter();
+
+		usleep(700000);
+		proc_kill(&sys.nodes[node].proc);
+		kills++;
+		usleep(500000);
+		assert_true(sys_node_start(&sys, node));
+		assert_true(wait_until(call_works, &node, SETTLE_MS));
+	}
+	callers_stop();
+	want = before + atomic_load(&answered) - kills * LOST_PER_KILL;
+	assert_true(wait_until(all_reported, &want, SETTLE_MS));
+	sleep(3);
+	r = read_reports();
+	assert_reports_sound(&r);
+	print_message("missing %d of %d after %d kills\n",
+		      before + atomic_load(&answered) - r.requests,
+		      atomic_load(&answered), kills);
+	assert_true(r.requests >= want);
+	assert_true(r.requests - before <= desk_runs() - runs);
+}
+
+/// Bad messages and records: nothing is sealed from a damaged counter.
+static void test_damaged(void **state)
+{
+	char url[128];
+	int status;
+	json_t *j;
+	char body[128];
+	int windows;
+
+	snprintf(url, sizeof(url), "%s/kv/usage/node/d1", sys.platform_url);
+	j = http_json("GET", url, NULL, NULL, &status);
+	snprintf(body, sizeof(body), "{\"value\":\"{\",\"prev_rev\":%d}",
+		 (int)json_integer_value(json_object_get(j, "rev")));
+	json_decref(j);
+	json_decref(http_json("PUT", url, NULL, body, &status));
+	assert_int_equal(status, 200);
+	sleep(2);
+	windows = read_reports().windows;
+	sleep(2);
+	assert_int_equal(read_reports().windows, windows);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_exact),
+		cmocka_unit_test(test_kills),
+		cmocka_unit_test(test_damaged),
+	};
+
+	return cmocka_run_group_tests(tests, setup, teardown);
+}
