feat(usage): send the first copy at once, the next ones spaced

Problem: counters waited for a fixed beat of 100 ms before a peer held them, also on a node with a call a second. Waiting for the copy before the answer is left open.

--- a/packages/daemon/src/usage_mod_copy.c
+++ b/packages/daemon/src/usage_mod_copy.c
@@ -171,9 +171,8 @@
 
 void usage_mod_copy_tick(struct usage_mod *m, int64_t now)
 {
-	if (now < m->copy_at)
-		return;
-	m->copy_at = now + settings_int(core_settings(m->c), S_USAGE_COPY);
+	int64_t interval = settings_int(core_settings(m->c), S_USAGE_COPY);
+
 	choose_targets(m, now);
 	for (int i = 0; i < USAGE_TARGETS; i++) {
 		struct usage_target *t = &m->targets[i];
@@ -184,8 +183,10 @@
 			t->full_at = now + FULL_MS;
 			t->sent = 0;
 		}
-		if (target_due(m, t))
-			send_copies(m, t);
+		if (now - t->sent_ms < interval || !target_due(m, t))
+			continue;
+		t->sent_ms = now;
+		send_copies(m, t);
 	}
 }
 
--- a/packages/daemon/src/usage_mod_priv.h
+++ b/packages/daemon/src/usage_mod_priv.h
@@ -18,6 +18,7 @@
 	char node[64]; ///< "" for none
 	uint64_t sent; ///< book version that was sent
 	uint64_t held; ///< book version that it says to hold
+	int64_t sent_ms; ///< when something was last sent
 	int64_t full_at; ///< when to send everything again
 };
 
@@ -29,7 +30,6 @@
 	struct usage_seal seal;
 	uint64_t epoch; ///< of the duty, 0 while it is not held
 	struct usage_target targets[USAGE_TARGETS];
-	int64_t copy_at; ///< when to send copies next
 	int64_t unheld_since; ///< when a use was counted that no peer holds, 0
 	bool collecting; ///< this node collects for its failure domain
 };
