perf(conf): push around a ring, three watchers, shorter watches

Solution: three watchers a failure domain with waits of 500 ms keep ages under the stale limits; a document goes to the next node of a ring, one copy in and one out, in place of a tree with two children; questions are jittered; watchers are chosen when the view changes and not at each tick.

--- /dev/null
+++ b/bench/bench_conf.c
@@ -0,0 +1,360 @@
+// What the configuration costs: document size and parse time, bytes a node
+// and store calls for keeping it in force, in virtual time.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <jansson.h>
+
+#include "conf/edit.h"
+#include "conf/sync.h"
+#include "support/bench.h"
+
+enum {
+	NODES_MAX = 370,
+	DOMAINS_MAX = 10,
+	CONTACTS = 6, ///< nodes known in each other failure domain
+	TICK_MS = 20,
+	RUN_MS = 20000,
+	QUEUE = 65536,
+	FRAME_BYTES = 70, ///< TCP, IP and ZeroMQ around a message
+	HEAD_BYTES = 22, ///< of a message without a document, at most
+	EDITS_A_DAY = 2000,
+	DAY_S = 86400,
+	BYTES_A_SECOND = 7000, ///< a node may spend on all control
+	PARSES = 20,
+};
+
+struct node {
+	struct conf_sync *sync;
+	char id[16];
+	char domain[16];
+	uint64_t bytes; ///< in and out
+};
+
+struct item {
+	int from;
+	int to;
+	struct conf_msg m; ///< the document is the store's
+};
+
+static struct node nodes[NODES_MAX];
+static int n_nodes;
+static struct item queue[QUEUE];
+static size_t q_head, q_tail;
+static int64_t now;
+static uint64_t store_calls;
+static char *doc;
+static size_t doc_len;
+static uint64_t doc_rev;
+
+/// A document with as many exceptions and keys.
+static struct conf *document(int size)
+{
+	struct conf *c = NULL;
+	struct conf_edit_info info;
+	char id[32];
+
+	for (int i = 0; i <= size; i++) {
+		struct conf *next = NULL;
+		json_t *op[2] = {json_pack("{s:s,s:s}", "op", "team-add",
+					   "team", "depot"),
+				 NULL};
+		json_t *e;
+
+		snprintf(id, sizeof(id), "e%05d", i);
+		if (i > 0) {
+			json_decref(op[0]);
+			op[0] = json_pack(
+				"{s:s,s:s,s:s,s:s,s:i,s:s}", "op", "except",
+				"scope", "team", "name", id, "field",
+				"queue.max", "value", 100, "reason",
+				"agreed with the planners for this season");
+			snprintf(id, sizeof(id), "abcdefg%05d", i);
+			op[1] = json_pack(
+				"{s:s,s:s,s:s,s:s,s:s}", "op", "key-grant",
+				"key", id, "team", "depot", "salt",
+				"00112233445566778899aabbccddeeff", "hash",
+				"00112233445566778899aabbccddeeff"
+				"00112233445566778899aabbccddeeff");
+		}
+		e = json_pack("{s:s,s:s,s:[o,o*]}", "id", id, "author", "bench",
+			      "ops", op[0], op[1]);
+		if (conf_edit_apply(c, e, &next, &info) != ERR_OK)
+			abort();
+		json_decref(e);
+		conf_free(c);
+		c = next;
+	}
+	return c;
+}
+
+static double cpu_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+	return (double)ts.tv_sec * 1000 + (double)ts.tv_nsec / 1e6;
+}
+
+/// Processor time of a parse in milliseconds.
+static double parse_ms(const char *text, size_t len)
+{
+	double begin = cpu_ms();
+
+	for (int i = 0; i < PARSES; i++) {
+		struct conf *c;
+
+		if (conf_parse(text, len, &c) != ERR_OK)
+			abort();
+		conf_free(c);
+	}
+	return (cpu_ms() - begin) / PARSES;
+}
+
+static bool bench_documents(void)
+{
+	static const int sizes[] = {10, 100, 1000};
+	double ms[3];
+	size_t bytes[3];
+	char name[64];
+	bool ok = true;
+
+	for (int i = 0; i < 3; i++) {
+		struct conf *c = document(sizes[i]);
+		const char *text = conf_text(c, &bytes[i]);
+
+		ms[i] = parse_ms(text, bytes[i]);
+		conf_free(c);
+		snprintf(name, sizeof(name), "conf_document_%d_exceptions_keys",
+			 sizes[i]);
+		ok &= bench_check(name, (double)bytes[i], "bytes",
+				  BENCH_AT_MOST, CONF_DOC_MAX);
+		snprintf(name, sizeof(name), "conf_parse_%d", sizes[i]);
+		ok &= bench_check(name, ms[i], "ms", BENCH_AT_MOST, 100);
+	}
+	/* parse time grows no faster than the document, with room for noise */
+	ok &= bench_check("conf_parse_growth_100_to_1000", ms[2] / ms[1],
+			  "times", BENCH_AT_MOST,
+			  3.0 * (double)bytes[2] / (double)bytes[1]);
+	return ok;
+}
+
+static void kv_answer(struct node *n, int64_t asked, bool changed)
+{
+	struct conf_sync_kv kv = {
+		.asked_ms = asked,
+		.unchanged = !changed,
+		.kv_rev = doc_rev + 1,
+	};
+
+	if (changed) {
+		kv.text = doc;
+		kv.len = doc_len;
+	}
+	conf_sync_on_kv(n->sync, now, &kv);
+}
+
+/// Calls to the store are answered on the node's next tick.
+struct pending {
+	bool out;
+	bool watch;
+	uint64_t after;
+	int64_t asked;
+	int64_t until;
+};
+
+static struct pending pending[NODES_MAX];
+
+static void on_watch(void *ctx, uint64_t after, int64_t wait_ms)
+{
+	struct node *n = ctx;
+
+	store_calls++;
+	pending[n - nodes] =
+		(struct pending){true, true, after, now, now + wait_ms};
+}
+
+static void on_read(void *ctx)
+{
+	struct node *n = ctx;
+
+	store_calls++;
+	pending[n - nodes] = (struct pending){true, false, 0, now, now};
+}
+
+static void on_send(void *ctx, const char *to, const struct conf_msg *m)
+{
+	struct node *n = ctx;
+	struct item *it = &queue[q_tail++ % QUEUE];
+	uint64_t bytes = FRAME_BYTES + HEAD_BYTES + m->len;
+
+	it->from = (int)(n - nodes);
+	it->to = (int)strtol(to + 1, NULL, 10);
+	it->m = *m;
+	if (m->text) {
+		it->m.text = doc;
+		it->m.len = doc_len;
+	}
+	n->bytes += bytes;
+	nodes[it->to].bytes += bytes;
+}
+
+static void on_changed(void *ctx)
+{
+}
+
+static void on_bad(void *ctx, const char *from, enum err e)
+{
+	if (e != ERR_CONF_OLDER)
+		abort();
+}
+
+static const struct conf_sync_ops ops = {
+	on_watch, on_read, on_send, on_changed, on_bad,
+};
+
+static void nodes_start(int count, int domains)
+{
+	n_nodes = count;
+	for (int i = 0; i < count; i++) {
+		struct node *n = &nodes[i];
+		struct conf_sync_opts o = {n->id, n->domain, (uint64_t)i, &ops,
+					   n};
+
+		memset(n, 0, sizeof(*n));
+		snprintf(n->id, sizeof(n->id), "n%03d", i);
+		snprintf(n->domain, sizeof(n->domain), "d%d", i % domains);
+		if (conf_sync_new(&o, &n->sync) != ERR_OK)
+			abort();
+	}
+	for (int i = 0; i < count; i++) {
+		struct conf_sync_member m[NODES_MAX];
+		int seen[DOMAINS_MAX] = {0};
+		size_t k = 0;
+
+		memset(m, 0, sizeof(m));
+		for (int j = 0; j < count; j++) {
+			int d = j % domains;
+
+			if (j == i ||
+			    (d != i % domains && seen[d]++ >= CONTACTS))
+				continue;
+			snprintf(m[k].id, sizeof(m[k].id), "n%03d", j);
+			snprintf(m[k].domain, sizeof(m[k].domain), "d%d", d);
+			m[k++].alive = true;
+		}
+		conf_sync_view(nodes[i].sync, m, k);
+	}
+}
+
+static void deliver_all(void)
+{
+	while (q_head != q_tail) {
+		struct item it = queue[q_head++ % QUEUE];
+
+		conf_sync_on_msg(nodes[it.to].sync, now, nodes[it.from].id,
+				 &it.m);
+	}
+}
+
+static void store_tick(int i)
+{
+	struct pending *p = &pending[i];
+	bool changed = !p->watch || doc_rev + 1 > p->after;
+
+	if (!p->out || (!changed && now < p->until))
+		return;
+	p->out = false;
+	kv_answer(&nodes[i], p->asked, changed);
+}
+
+static void run(int64_t ms)
+{
+	for (int64_t end = now + ms; now < end; now += TICK_MS) {
+		for (int i = 0; i < n_nodes; i++) {
+			store_tick(i);
+			conf_sync_tick(nodes[i].sync, now);
+		}
+		deliver_all();
+	}
+}
+
+static uint64_t worst_bytes(void)
+{
+	uint64_t worst = 0;
+
+	for (int i = 0; i < n_nodes; i++) {
+		worst = nodes[i].bytes > worst ? nodes[i].bytes : worst;
+		nodes[i].bytes = 0;
+	}
+	return worst;
+}
+
+static void store_put(struct conf *c)
+{
+	const char *text = conf_text(c, &doc_len);
+
+	free(doc);
+	doc = strdup(text);
+	doc_rev = conf_rev(c);
+}
+
+/// Costs of a fleet: steady bytes a second of the busiest node, bytes of an
+/// edit at the busiest node, store calls a second.
+static bool bench_fleet(int count, int domains, int size)
+{
+	struct conf *c = document(size);
+	struct conf_edit_info info;
+	json_t *e = json_loads("{\"id\":\"last\",\"author\":\"b\",\"ops\":[{"
+			       "\"op\":\"set\",\"field\":\"queue.max\","
+			       "\"value\":5}]}",
+			       0, NULL);
+	struct conf *next;
+	double steady, edit, calls;
+	char name[80];
+	bool ok = true;
+
+	store_put(c);
+	memset(pending, 0, sizeof(pending));
+	nodes_start(count, domains);
+	run(5000);
+	worst_bytes();
+	store_calls = 0;
+	run(RUN_MS);
+	steady = (double)worst_bytes() * 1000 / RUN_MS;
+	calls = (double)store_calls * 1000 / RUN_MS;
+	conf_edit_apply(c, e, &next, &info);
+	store_put(next);
+	run(3000);
+	edit = (double)worst_bytes() - steady * 3;
+	for (int i = 0; i < n_nodes; i++) {
+		ok &= conf_rev(conf_sync_doc(nodes[i].sync)) == doc_rev;
+		conf_sync_free(nodes[i].sync);
+	}
+	snprintf(name, sizeof(name), "conf_steady_%d_nodes", count);
+	ok &= bench_check(name, steady, "bytes/s", BENCH_AT_MOST,
+			  BYTES_A_SECOND / 2.0);
+	snprintf(name, sizeof(name), "conf_with_edits_%d_nodes_%zu_bytes",
+		 count, doc_len);
+	ok &= bench_check(name, steady + edit * EDITS_A_DAY / DAY_S, "bytes/s",
+			  BENCH_AT_MOST, BYTES_A_SECOND);
+	snprintf(name, sizeof(name), "conf_store_calls_%d_nodes", count);
+	ok &= bench_check(name, calls, "calls/s", BENCH_AT_MOST, 200);
+	json_decref(e);
+	conf_free(next);
+	conf_free(c);
+	return ok;
+}
+
+int main(void)
+{
+	bool ok = bench_documents();
+
+	ok &= bench_fleet(9, 3, 20);
+	ok &= bench_fleet(40, 4, 20);
+	ok &= bench_fleet(100, 10, 100);
+	ok &= bench_fleet(370, 10, 100);
+	free(doc);
+	return ok ? 0 : 1;
+}
--- /dev/null
+++ b/bench/bench_usage.c
@@ -0,0 +1,309 @@
+// Late and wrong usage reports over a day of virtual time with store outages,
+// hand-overs of the duty and lost answers; beside it the naive reporter, which
+// works figures out at each try.
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/rng.h"
+#include "support/bench.h"
+#include "usage/seal.h"
+
+enum {
+	DAY_MS = 86400000,
+	TICK_MS = 100,
+	WINDOW_MS = 60000,
+	ON_TIME_MS = 10000, ///< after the end of a window or of an outage
+	HAND_OVER_MS = 900000, ///< between hand-overs, on average
+	GAP_MS = 8000, ///< without a holder at a hand-over
+	OUTAGES = 6,
+	OUTAGE_MS = 600000,
+	LOST_PERCENT = 2, ///< of answers
+	KEYS = 2048,
+	WINDOWS = 2048,
+	TEAMS = 8,
+};
+
+struct value {
+	char key[USAGE_KEY_MAX];
+	char *text;
+	uint64_t rev;
+};
+
+static struct rng rng = {.state = 11};
+static struct value values[KEYS];
+static size_t n_values;
+static uint64_t store_rev;
+static int64_t now;
+static int64_t up_since; ///< end of the last outage
+static struct usage_seal seal;
+static struct usage_book book;
+static char *accepted[WINDOWS];
+static int wrong, late, reports;
+static char *naive_sent; ///< last figures of the naive reporter, unanswered
+static int naive_wrong;
+static uint64_t store_calls;
+
+static bool store_up(void)
+{
+	for (int i = 1; i <= OUTAGES; i++) {
+		int64_t begin = (int64_t)i * DAY_MS / (OUTAGES + 1);
+
+		if (now < begin || now >= begin + OUTAGE_MS)
+			continue;
+		up_since = begin + OUTAGE_MS;
+		return false;
+	}
+	return true;
+}
+
+static bool lost(void)
+{
+	return rng_below(&rng, 100) < LOST_PERCENT;
+}
+
+static struct value *find(const char *key, bool make)
+{
+	for (size_t i = 0; i < n_values; i++) {
+		if (strcmp(values[i].key, key) == 0)
+			return &values[i];
+	}
+	if (!make || n_values == KEYS)
+		return NULL;
+	snprintf(values[n_values].key, USAGE_KEY_MAX, "%s", key);
+	return &values[n_values++];
+}
+
+static void on_get(void *ctx, const char *key)
+{
+	const struct value *v = find(key, false);
+	struct usage_kv kv = {.err = ERR_KV_UNKNOWN};
+
+	store_calls++;
+	if (store_up() && !lost()) {
+		kv.err = v && v->text ? ERR_OK : ERR_NOT_FOUND;
+		kv.text = v ? v->text : NULL;
+		kv.len = kv.text ? strlen(kv.text) : 0;
+		kv.rev = v ? v->rev : 0;
+	}
+	usage_seal_on_kv(&seal, now, &kv);
+}
+
+static void on_put(void *ctx, const char *key, const char *text, size_t len,
+		   uint64_t prev_rev)
+{
+	struct value *v = find(key, true);
+	struct usage_kv kv = {.err = ERR_KV_UNKNOWN};
+
+	store_calls++;
+	if (!v)
+		abort();
+	if (store_up() && v->rev == prev_rev) {
+		free(v->text);
+		v->text = strndup(text, len);
+		v->rev = ++store_rev;
+		kv.err = lost() ? ERR_KV_UNKNOWN : ERR_OK;
+	} else if (store_up()) {
+		kv.err = ERR_KV_CONFLICT;
+	}
+	usage_seal_on_kv(&seal, now, &kv);
+}
+
+static void on_list(void *ctx)
+{
+	bool ok = store_up() && !lost();
+	json_t *j = usage_book_json(&book);
+	char *text = json_dumps(j, JSON_COMPACT);
+
+	store_calls++;
+	if (ok)
+		usage_seal_on_item(&seal, "usage/node/d1", text, strlen(text));
+	free(text);
+	json_decref(j);
+	usage_seal_on_listed(&seal, now, ok ? ERR_OK : ERR_KV_UNKNOWN);
+}
+
+static void on_del(void *ctx, const char *key)
+{
+	struct value *v = find(key, false);
+
+	if (!v)
+		return;
+	free(v->text);
+	*v = values[--n_values];
+}
+
+/// End of the window that a report is of, from its record.
+static int64_t window_due(json_int_t window)
+{
+	char key[USAGE_KEY_MAX];
+	const struct value *v;
+	json_t *rec;
+	int64_t start;
+
+	usage_window_key((uint64_t)window, key);
+	v = find(key, false);
+	rec = v ? json_loads(v->text, 0, NULL) : NULL;
+	start = json_integer_value(json_object_get(rec, "start"));
+	json_decref(rec);
+	return start + WINDOW_MS;
+}
+
+static void count_late(json_int_t window)
+{
+	int64_t due = window_due(window);
+
+	if (due < up_since)
+		due = up_since; /* nothing can be reported in an outage */
+	reports++;
+	late += window > 1 && now > due + ON_TIME_MS;
+}
+
+/// The naive reporter sends what it counts now, again if no answer came.
+static void naive_report(void)
+{
+	json_t *j = usage_book_json(&book);
+	char *text = json_dumps(j, JSON_COMPACT);
+
+	json_decref(j);
+	if (naive_sent && strcmp(naive_sent, text) != 0)
+		naive_wrong++;
+	free(naive_sent);
+	naive_sent = text;
+	if (lost())
+		return; /* it will send this window once more */
+	free(naive_sent);
+	naive_sent = NULL;
+}
+
+static void on_send(void *ctx, const char *body, size_t len)
+{
+	json_t *j = json_loadb(body, len, 0, NULL);
+	json_int_t n = json_integer_value(json_object_get(j, "window"));
+	char *fig = json_dumps(json_object_get(j, "figures"), JSON_SORT_KEYS);
+	bool up = store_up(); /* the platform as a whole */
+
+	json_decref(j);
+	if (up && accepted[n]) {
+		wrong += strcmp(accepted[n], fig) != 0;
+		free(fig);
+	} else if (up) {
+		accepted[n] = fig;
+		count_late(n);
+	} else {
+		free(fig);
+	}
+	naive_report();
+	usage_seal_on_sent(&seal, now, up && !lost() ? 200 : 0);
+}
+
+static void on_bad(void *ctx, const char *key, enum err e)
+{
+	wrong++;
+}
+
+static void on_reported(void *ctx, uint64_t window)
+{
+}
+
+static const struct usage_seal_ops ops = {
+	.get = on_get,
+	.list = on_list,
+	.put = on_put,
+	.del = on_del,
+	.send = on_send,
+	.bad = on_bad,
+	.reported = on_reported,
+};
+
+static void count_something(void)
+{
+	char team[16];
+
+	snprintf(team, sizeof(team), "team%d", (int)rng_below(&rng, TEAMS));
+	usage_book_add(&book, "n1/1", team, USAGE_TOKENS, rng_below(&rng, 999));
+}
+
+static void run_day(void)
+{
+	uint64_t epoch = 1;
+	int64_t gap_until = 0;
+
+	usage_seal_begin(&seal, now, epoch);
+	for (now = 1000000; now < 1000000 + DAY_MS; now += TICK_MS) {
+		count_something();
+		if (rng_below(&rng, HAND_OVER_MS / TICK_MS) == 0) {
+			usage_seal_end(&seal);
+			gap_until = now + GAP_MS;
+		}
+		if (gap_until && now >= gap_until) {
+			usage_seal_begin(&seal, now, ++epoch);
+			gap_until = 0;
+		}
+		usage_seal_tick(&seal, now, now, WINDOW_MS);
+	}
+}
+
+static uint64_t tokens_of(const json_t *figures)
+{
+	const char *team;
+	json_t *v;
+	uint64_t sum = 0;
+
+	json_object_foreach((json_t *)figures, team, v)
+		sum += (uint64_t)json_integer_value(
+			json_object_get(v, "tokens"));
+	return sum;
+}
+
+/// Tokens in reports, and the counts of the last, unsealed window apart.
+static double reported_share(void)
+{
+	uint64_t counted = 0;
+	uint64_t reported = 0;
+
+	for (size_t k = 0; k < book.entries[0].n_rows; k++)
+		counted += book.entries[0].rows[k].v[USAGE_TOKENS];
+	for (int i = 0; i < WINDOWS; i++) {
+		json_t *j =
+			accepted[i] ? json_loads(accepted[i], 0, NULL) : NULL;
+
+		reported += tokens_of(j);
+		json_decref(j);
+	}
+	return (double)reported / (double)counted;
+}
+
+int main(void)
+{
+	bool ok = true;
+
+	seal.ops = &ops;
+	now = 1000000;
+	run_day();
+	/* the last window is closed without faults */
+	for (int64_t end = now + 3 * WINDOW_MS; now < end; now += TICK_MS)
+		usage_seal_tick(&seal, now, now, WINDOW_MS);
+	ok &= bench_check("usage_wrong_reports", wrong, "reports",
+			  BENCH_AT_MOST, 0);
+	ok &= bench_check("usage_reported_share", reported_share(), "of counts",
+			  BENCH_AT_LEAST, 1);
+	ok &= bench_check("usage_late_reports", 100.0 * late / reports,
+			  "percent", BENCH_AT_MOST, 5);
+	ok &= bench_check("usage_windows", reports, "windows", BENCH_AT_LEAST,
+			  1300);
+	ok &= bench_check("usage_naive_wrong_reports", naive_wrong, "reports",
+			  BENCH_AT_LEAST, 1);
+	ok &= bench_check("usage_store_calls_a_window",
+			  (double)store_calls / reports, "calls", BENCH_AT_MOST,
+			  30);
+	usage_seal_end(&seal);
+	usage_book_clear(&book);
+	for (int i = 0; i < WINDOWS; i++)
+		free(accepted[i]);
+	for (size_t i = 0; i < n_values; i++)
+		free(values[i].text);
+	free(naive_sent);
+	return ok ? 0 : 1;
+}
--- a/packages/conf/include/conf/sync.h
+++ b/packages/conf/include/conf/sync.h
@@ -1,7 +1,7 @@
 // Which document a node has in force, how fresh it is, and whom to ask.
 //
 // A few nodes of each failure domain watch the key-value store. The others ask
-// one of them every second; new documents are pushed down a tree. Every
+// one of them every second; new documents are pushed around a ring. Every
 // confirmation counts from the moment its question was asked, so a late answer
 // never makes a document look fresher than it is.
 #pragma once
@@ -9,8 +9,8 @@
 #include "conf/conf.h"
 
 enum {
-	CONF_SYNC_WATCHERS = 2, ///< nodes a failure domain that watch the store
-	CONF_SYNC_WATCH_MS = 800, ///< longest wait of one watch
+	CONF_SYNC_WATCHERS = 3, ///< nodes a failure domain that watch the store
+	CONF_SYNC_WATCH_MS = 500, ///< longest wait of one watch
 	CONF_SYNC_ASK_MS = 1000, ///< interval between questions to a peer
 	CONF_SYNC_RETRY_MS = 300, ///< until a question is taken as lost
 	CONF_SYNC_STALE_WATCHER_MS =
--- a/packages/conf/src/sync.c
+++ b/packages/conf/src/sync.c
@@ -12,6 +12,7 @@
 	WATCH_BACKOFF_MS = 200, ///< after a failed watch
 	WATCH_LOST_MS = 600, ///< a watch this much over its wait is given up
 	READ_MS = 2000, ///< interval between reads of a stale node
+	ASK_JITTER_MS = 200, ///< so that nodes started together don't ask so
 	WATCHES_PER_READ = 5, ///< a plain read now and then instead of a watch
 	DOMAIN_FORGET_MS = 60000, ///< unseen failure domains are forgotten
 };
@@ -30,6 +31,7 @@
 	s->ctx = opts->ctx;
 	s->rng.state = opts->seed;
 	s->fresh_ms = SYNC_NEVER;
+	sync_choose_watchers(s);
 	return ERR_OK;
 }
 
@@ -89,7 +91,7 @@
 ///
 /// @return ERR_OK also when it is not higher
 static enum err take(struct conf_sync *s, const char *text, size_t len,
-		     bool from_kv, uint64_t *rev)
+		     uint64_t *rev)
 {
 	struct conf *next;
 	enum err e = conf_parse(text, len, &next);
@@ -104,7 +106,7 @@
 	conf_free(s->doc);
 	s->doc = next;
 	s->ops->changed(s->ctx);
-	sync_push(s, from_kv);
+	sync_push(s);
 	return ERR_OK;
 }
 
@@ -134,7 +136,7 @@
 	}
 	if (kv->err == ERR_NOT_FOUND)
 		return;
-	e = take(s, kv->text, kv->len, true, &rev);
+	e = take(s, kv->text, kv->len, &rev);
 	if (e)
 		s->ops->bad(s->ctx, "kv", e);
 	else if (rev == conf_rev(s->doc))
@@ -181,8 +183,9 @@
 		d->heard_ms = q->asked_ms;
 	if (m->age_ms >= 0 && s->doc && m->rev <= conf_rev(s->doc))
 		confirm(s, q->asked_ms - m->age_ms);
-	if (s->ask_at < q->asked_ms + CONF_SYNC_ASK_MS)
-		s->ask_at = q->asked_ms + CONF_SYNC_ASK_MS;
+	if (s->ask_at < q->asked_ms + CONF_SYNC_ASK_MS - ASK_JITTER_MS)
+		s->ask_at = q->asked_ms + CONF_SYNC_ASK_MS -
+			    (int64_t)rng_below(&s->rng, ASK_JITTER_MS);
 }
 
 void conf_sync_on_msg(struct conf_sync *s, int64_t now, const char *from,
@@ -194,7 +197,7 @@
 	if (p && m->rev > p->rev)
 		p->rev = m->rev;
 	if (m->text) {
-		enum err e = take(s, m->text, m->len, false, &rev);
+		enum err e = take(s, m->text, m->len, &rev);
 
 		if (e) {
 			s->ops->bad(s->ctx, from, e);
--- a/packages/conf/src/sync_peers.c
+++ b/packages/conf/src/sync_peers.c
@@ -6,10 +6,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-enum {
-	TREE_FANOUT = 2,
-};
-
 static int peer_cmp(const void *a, const void *b)
 {
 	const struct sync_peer *x = a;
@@ -52,6 +48,47 @@
 	d->in_view = true;
 }
 
+static uint64_t watch_rank(const char *id)
+{
+	return XXH64(id, strlen(id), 0);
+}
+
+/// Put a node among the watchers if its rank is low enough.
+static void watcher_offer(struct conf_sync *s, const char *id)
+{
+	size_t at = s->n_watchers;
+
+	while (at > 0 && watch_rank(id) < watch_rank(s->watchers[at - 1]))
+		at--;
+	if (at == CONF_SYNC_WATCHERS)
+		return;
+	if (s->n_watchers < CONF_SYNC_WATCHERS)
+		s->n_watchers++;
+	memmove(&s->watchers[at + 1], &s->watchers[at],
+		(s->n_watchers - 1 - at) * sizeof(s->watchers[0]));
+	s->watchers[at] = id;
+}
+
+void sync_choose_watchers(struct conf_sync *s)
+{
+	s->n_watchers = 0;
+	watcher_offer(s, s->node);
+	for (size_t i = 0; i < s->n_peers; i++) {
+		const struct conf_sync_member *m = &s->peers[i].m;
+
+		if (m->alive && strcmp(m->domain, s->domain) == 0)
+			watcher_offer(s, m->id);
+	}
+	s->watcher = false;
+	for (size_t i = 0; i < s->n_watchers; i++)
+		s->watcher |= s->watchers[i] == s->node;
+}
+
+bool conf_sync_watcher(const struct conf_sync *s)
+{
+	return s->watcher;
+}
+
 void conf_sync_view(struct conf_sync *s, const struct conf_sync_member *m,
 		    size_t n)
 {
@@ -72,34 +109,7 @@
 	free(s->peers);
 	s->peers = peers;
 	s->n_peers = n;
-}
-
-static uint64_t watch_rank(const char *id)
-{
-	return XXH64(id, strlen(id), 0);
-}
-
-bool sync_is_watcher(const struct conf_sync *s, const char *id,
-		     const char *domain)
-{
-	uint64_t rank = watch_rank(id);
-	int before = 0;
-
-	if (strcmp(domain, s->domain) == 0 && watch_rank(s->node) < rank)
-		before++;
-	for (size_t i = 0; i < s->n_peers; i++) {
-		const struct conf_sync_member *m = &s->peers[i].m;
-
-		if (m->alive && strcmp(m->domain, domain) == 0 &&
-		    watch_rank(m->id) < rank)
-			before++;
-	}
-	return before < CONF_SYNC_WATCHERS;
-}
-
-bool conf_sync_watcher(const struct conf_sync *s)
-{
-	return sync_is_watcher(s, s->node, s->domain);
+	sync_choose_watchers(s);
 }
 
 static void push_to(struct conf_sync *s, const char *to)
@@ -114,50 +124,31 @@
 	s->ops->send(s->ctx, to, &m);
 }
 
-/// Alive nodes of the own failure domain with this node, in order of id.
-///
-/// @param[out] self  index of this node
-static size_t tree_order(const struct conf_sync *s, const char **ids,
-			 size_t *self)
+/// Alive node of the own failure domain that follows this one in the ring of
+/// their ids.
+static const char *ring_next(const struct conf_sync *s)
 {
-	bool placed = false;
-	size_t n = 0;
+	const char *first = NULL;
 
 	for (size_t i = 0; i < s->n_peers; i++) {
 		const struct conf_sync_member *m = &s->peers[i].m;
 
 		if (!m->alive || strcmp(m->domain, s->domain) != 0)
 			continue;
-		if (!placed && strcmp(s->node, m->id) < 0) {
-			placed = true;
-			*self = n;
-			ids[n++] = s->node;
-		}
-		ids[n++] = m->id;
-	}
-	if (!placed) {
-		*self = n;
-		ids[n++] = s->node;
+		if (strcmp(m->id, s->node) > 0)
+			return m->id;
+		if (!first)
+			first = m->id;
 	}
-	return n;
+	return first;
 }
 
-void sync_push(struct conf_sync *s, bool from_kv)
+void sync_push(struct conf_sync *s)
 {
-	const char **ids = calloc(s->n_peers + 1, sizeof(*ids));
-	size_t self = 0;
-	size_t n;
+	const char *next = ring_next(s);
 
-	if (!ids)
-		return;
-	n = tree_order(s, ids, &self);
-	if (from_kv && self != 0)
-		push_to(s, ids[0]);
-	for (size_t i = 1; i <= TREE_FANOUT; i++) {
-		if (self * TREE_FANOUT + i < n)
-			push_to(s, ids[self * TREE_FANOUT + i]);
-	}
-	free(ids);
+	if (next)
+		push_to(s, next);
 }
 
 void sync_ask(struct conf_sync *s, int64_t now, const char *to)
@@ -208,18 +199,7 @@
 
 void sync_ask_watcher(struct conf_sync *s, int64_t now)
 {
-	const char *ids[CONF_SYNC_WATCHERS];
-	size_t n = 0;
-
-	for (size_t i = 0; i < s->n_peers && n < CONF_SYNC_WATCHERS; i++) {
-		const struct conf_sync_member *m = &s->peers[i].m;
-
-		if (m->alive && strcmp(m->domain, s->domain) == 0 &&
-		    sync_is_watcher(s, m->id, m->domain))
-			ids[n++] = m->id;
-	}
-	if (n > 0)
-		sync_ask(s, now, ids[s->turn++ % n]);
+	sync_ask(s, now, s->watchers[s->turn++ % s->n_watchers]);
 }
 
 uint64_t conf_sync_member_rev(const struct conf_sync *s, const char *id)
--- a/packages/conf/src/sync_priv.h
+++ b/packages/conf/src/sync_priv.h
@@ -43,6 +43,9 @@
 	int64_t read_at; ///< when to read the store next, while stale
 	int64_t ask_at; ///< when to ask next
 	int64_t spread_at; ///< when to ask every failure domain next
+	const char *watchers[CONF_SYNC_WATCHERS]; ///< ids, of lowest rank first
+	size_t n_watchers;
+	bool watcher; ///< this node is one of them
 	unsigned int turn; ///< rotates through the watchers
 	struct sync_peer *peers; ///< sorted by id
 	size_t n_peers;
@@ -62,14 +65,12 @@
 /// @return NULL if there is none
 struct sync_domain *sync_domain_find(struct conf_sync *s, const char *name);
 
-/// Whether a node is among the watchers of its failure domain, as seen here.
-bool sync_is_watcher(const struct conf_sync *s, const char *id,
-		     const char *domain);
+/// Choose the watchers of the own failure domain by the nodes in view.
+void sync_choose_watchers(struct conf_sync *s);
 
-/// Push the document down the tree of the own failure domain.
-///
-/// @param from_kv  it came from the store, so the tree's root has to be told
-void sync_push(struct conf_sync *s, bool from_kv);
+/// Push the document to the next node of the own failure domain; each node
+/// that takes it passes it on, so the pushes end where it is known.
+void sync_push(struct conf_sync *s);
 
 /// Ask one peer.
 void sync_ask(struct conf_sync *s, int64_t now, const char *to);
@@ -77,5 +78,6 @@
 /// Ask one member of each failure domain.
 void sync_ask_domains(struct conf_sync *s, int64_t now);
 
-/// Ask a watcher of the own failure domain, another one each time.
+/// Ask a watcher of the own failure domain, another one each time; not on a
+/// watcher.
 void sync_ask_watcher(struct conf_sync *s, int64_t now);
