fix(lease): end a released candidate without awaiting its watch

Problem: with the duty usage every node is a candidate, and a candidate that was released on SIGTERM waited for the end of its watch, up to 3 s: lab_node_drained failed, as the node had not ended 2 s after the signal. Ruled out: the usage module's own idle (its counters were held at once). Solution: a watch has no effect on the store, so a released candidate in it has ended. lab_node_drained and test_lease pass.

--- a/packages/lease/src/lease.c
+++ b/packages/lease/src/lease.c
@@ -304,5 +304,8 @@
 
 bool lease_ended(const struct lease *l)
 {
+	/* A candidate's watch has no effect: no need to wait for its end. */
+	if (l->ending && l->state == LEASE_ST_WATCH && !l->store_lease)
+		return true;
 	return l->state == LEASE_ST_ENDED && !l->waiting;
 }
