bench(control): what control costs a whole daemon at three sizes

Problem: the budget of 7 KB/s, 2.1 percent of a core and 128 MB a node was checked for single packages only, not for a daemon with all of them.

Solution: bench_control with 3, 6 and 12 daemons, idle and under 20 calls/s each. What is read from the platform is not in the bytes.

--- /dev/null
+++ b/bench/bench_control.c
@@ -0,0 +1,235 @@
+// What control costs a whole daemon: bytes to its peers, processor time and
+// memory, idle and under steady calls, at three sizes.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "support/bench.h"
+#include "support/ctl.h"
+#include "support/http.h"
+#include "support/load.h"
+#include "support/sys.h"
+
+enum {
+	DOMAINS = 3,
+	SETTLE_S = 2,
+	SPAN_S = 4,
+	CALLS_PER_S = 20, ///< of each caller; one caller a node
+	CALL_MS = 8000,
+	UP_MS = 30000,
+	MAX_BYTES_S = 7000, ///< control traffic of a node
+	MAX_MB = 128,
+};
+
+static const double max_core_percent = 2.1;
+static struct sys sys;
+static char key[256];
+static char call_urls[SYS_MAX_NODES][128];
+
+struct sample {
+	double peer_bytes; ///< sent, mean of the nodes
+	double cpu_s; ///< processor time, mean of the nodes
+	double rss_mb; ///< largest of the nodes
+};
+
+static double metric_of(const char *node_admin, const char *name)
+{
+	char url[96];
+	struct http_opts o = {.method = "GET", .url = url};
+	struct http_res res;
+	const char *at;
+	double v = 0;
+	char line[128];
+
+	snprintf(url, sizeof(url), "%s/metrics", node_admin);
+	snprintf(line, sizeof(line), "\n%s ", name);
+	http_call(&o, &res);
+	at = strstr(res.body, line);
+	if (at)
+		v = strtod(at + strlen(line), NULL);
+	http_free(&res);
+	return v;
+}
+
+/* Processor time of all threads, from fields 14 and 15 of /proc/PID/stat. */
+static double cpu_of(pid_t pid)
+{
+	char path[64];
+	unsigned long user = 0;
+	unsigned long system = 0;
+	FILE *f;
+
+	snprintf(path, sizeof(path), "/proc/%d/stat", (int)pid);
+	f = fopen(path, "r");
+	if (!f)
+		return 0;
+	if (fscanf(f,
+		   "%*d (%*[^)]) %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u "
+		   "%lu %lu",
+		   &user, &system) != 2)
+		user = system = 0;
+	fclose(f);
+	return (double)(user + system) / (double)sysconf(_SC_CLK_TCK);
+}
+
+static double rss_of(pid_t pid)
+{
+	char path[64];
+	char line[256];
+	long kb = 0;
+	FILE *f;
+
+	snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
+	f = fopen(path, "r");
+	while (f && fgets(line, sizeof(line), f)) {
+		if (strncmp(line, "VmRSS:", 6) == 0)
+			kb = strtol(line + 6, NULL, 10);
+	}
+	if (f)
+		fclose(f);
+	return (double)kb / 1024;
+}
+
+static struct sample take(void)
+{
+	struct sample s = {0};
+
+	for (int i = 0; i < sys.n_nodes; i++) {
+		const struct sys_node *n = &sys.nodes[i];
+		double mb = rss_of(n->proc.pid);
+
+		s.peer_bytes +=
+			metric_of(n->admin, "catkinpath_peer_sent_bytes_total");
+		s.cpu_s += cpu_of(n->proc.pid);
+		s.rss_mb = mb > s.rss_mb ? mb : s.rss_mb;
+	}
+	s.peer_bytes /= sys.n_nodes;
+	s.cpu_s /= sys.n_nodes;
+	return s;
+}
+
+static bool node_serves(void *url)
+{
+	struct http_opts o = {
+		.method = "POST",
+		.url = url,
+		.bearer = key,
+		.body = "{\"call\":\"up\"}",
+		.timeout_ms = CALL_MS,
+	};
+	struct http_res res;
+	int status = http_call(&o, &res);
+
+	http_free(&res);
+	return status == 200;
+}
+
+static bool set_up(int nodes_per_domain)
+{
+	const struct sys_opts o = {
+		.domains = DOMAINS,
+		.nodes_per_domain = nodes_per_domain,
+		.services_per_domain = 2,
+		.engines_per_domain = 2,
+	};
+	const char *const route[] = {"route",	  "add",  "desk",
+				     "--service", "desk", NULL};
+	const char *const team[] = {"team", "add", "depot", NULL};
+	char out[4096];
+
+	if (!sys_start(&sys, &o) ||
+	    ctl_run(&sys, route, out, sizeof(out)) != 0 ||
+	    ctl_run(&sys, team, out, sizeof(out)) != 0 ||
+	    ctl_grant(&sys, "depot", key, sizeof(key)) != 0)
+		return false;
+	for (int i = 0; i < sys.n_nodes; i++) {
+		snprintf(call_urls[i], sizeof(call_urls[i]),
+			 "%s/v1/call/desk/book", sys.nodes[i].url);
+		if (!wait_until(node_serves, call_urls[i], UP_MS))
+			return false;
+	}
+	return true;
+}
+
+/* Costs over a span, with the calls answered in it. */
+static struct sample span(struct load *l, struct load_count *n)
+{
+	struct sample a;
+	struct sample b;
+
+	if (l)
+		load_take(l, n);
+	a = take();
+	sleep(SPAN_S);
+	b = take();
+	if (l)
+		load_take(l, n);
+	return (struct sample){
+		.peer_bytes = (b.peer_bytes - a.peer_bytes) / SPAN_S,
+		.cpu_s = (b.cpu_s - a.cpu_s) / SPAN_S,
+		.rss_mb = b.rss_mb,
+	};
+}
+
+static struct load *start_load(void)
+{
+	static const char *urls[SYS_MAX_NODES];
+	struct load_opts o = {
+		.urls = urls,
+		.n_urls = sys.n_nodes,
+		.bearer = key,
+		.calls_per_s = CALLS_PER_S,
+		.timeout_ms = CALL_MS,
+	};
+
+	for (int i = 0; i < sys.n_nodes; i++)
+		urls[i] = call_urls[i];
+	return load_start(&o);
+}
+
+static bool check(const char *what, double v, const char *unit, double bound)
+{
+	char name[64];
+
+	snprintf(name, sizeof(name), "control_%s_%d_nodes", what, sys.n_nodes);
+	return bench_check(name, v, unit, BENCH_AT_MOST, bound);
+}
+
+static bool run(int nodes_per_domain)
+{
+	struct load_count n = {0};
+	struct sample idle;
+	struct sample busy;
+	struct load *l;
+	bool ok;
+
+	if (!set_up(nodes_per_domain))
+		return false;
+	sleep(SETTLE_S);
+	idle = span(NULL, NULL);
+	l = start_load();
+	sleep(SETTLE_S);
+	busy = span(l, &n);
+	load_stop(l);
+	ok = check("idle_bytes", idle.peer_bytes, "bytes/s", MAX_BYTES_S);
+	ok &= check("idle_cpu", idle.cpu_s * 100, "%core", max_core_percent);
+	ok &= check("busy_bytes", busy.peer_bytes, "bytes/s", MAX_BYTES_S);
+	ok &= check("memory", busy.rss_mb, "MB", MAX_MB);
+	printf("# %d nodes: %d calls in %d s; %.2f %% of a core a node under "
+	       "them\n",
+	       sys.n_nodes, n.answered, SPAN_S, busy.cpu_s * 100);
+	return ok && n.answered > 0;
+}
+
+int main(void)
+{
+	static const int sizes[] = {1, 2, 4}; /* nodes a failure domain */
+	bool ok = true;
+
+	for (size_t i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+		ok &= run(sizes[i]);
+		sys_stop(&sys);
+	}
+	return ok ? 0 : 1;
+}
