bench(control): what permits cost by the number of backend servers

Problem: permits are asked for each server in use, so a node's control traffic grows with the servers of its failure domain; nothing measured by how much.

Solution: the same calls at 2, 6 and 12 servers a failure domain of two nodes.

--- a/bench/bench_control.c
+++ b/bench/bench_control.c
@@ -125,20 +125,14 @@
 	return status == 200;
 }
 
-static bool set_up(int nodes_per_domain)
+static bool set_up(const struct sys_opts *o)
 {
-	const struct sys_opts o = {
-		.domains = DOMAINS,
-		.nodes_per_domain = nodes_per_domain,
-		.services_per_domain = 2,
-		.engines_per_domain = 2,
-	};
 	const char *const route[] = {"route",	  "add",  "desk",
 				     "--service", "desk", NULL};
 	const char *const team[] = {"team", "add", "depot", NULL};
 	char out[4096];
 
-	if (!sys_start(&sys, &o) ||
+	if (!sys_start(&sys, o) ||
 	    ctl_run(&sys, route, out, sizeof(out)) != 0 ||
 	    ctl_run(&sys, team, out, sizeof(out)) != 0 ||
 	    ctl_grant(&sys, "depot", key, sizeof(key)) != 0)
@@ -198,13 +192,19 @@
 
 static bool run(int nodes_per_domain)
 {
+	const struct sys_opts o = {
+		.domains = DOMAINS,
+		.nodes_per_domain = nodes_per_domain,
+		.services_per_domain = 2,
+		.engines_per_domain = 2,
+	};
 	struct load_count n = {0};
 	struct sample idle;
 	struct sample busy;
 	struct load *l;
 	bool ok;
 
-	if (!set_up(nodes_per_domain))
+	if (!set_up(&o))
 		return false;
 	sleep(SETTLE_S);
 	idle = span(NULL, NULL);
@@ -222,14 +222,42 @@
 	return ok && n.answered > 0;
 }
 
+/* Bytes that permits cost: more backend servers, the same calls. */
+static bool run_servers(int services)
+{
+	const struct sys_opts o = {
+		.domains = 2,
+		.nodes_per_domain = 2,
+		.services_per_domain = services,
+	};
+	struct load_count n = {0};
+	struct sample busy;
+	struct load *l;
+
+	if (!set_up(&o))
+		return false;
+	l = start_load();
+	sleep(SETTLE_S);
+	busy = span(l, &n);
+	load_stop(l);
+	printf("# %d servers a failure domain: %.0f bytes/s a node\n", services,
+	       busy.peer_bytes);
+	return n.answered > 0;
+}
+
 int main(void)
 {
 	static const int sizes[] = {1, 2, 4}; /* nodes a failure domain */
+	static const int servers[] = {2, 6, 12}; /* a failure domain */
 	bool ok = true;
 
 	for (size_t i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
 		ok &= run(sizes[i]);
 		sys_stop(&sys);
 	}
+	for (size_t i = 0; i < sizeof(servers) / sizeof(servers[0]); i++) {
+		ok &= run_servers(servers[i]);
+		sys_stop(&sys);
+	}
 	return ok ? 0 : 1;
 }
