feat(conf): count failure domains that are known by summary only

Problem: a node knows all members of its own failure domain and six contacts of each other one, so 'in force on N of M' would miss nodes at larger sizes. Not tried with more than six nodes a failure domain.

--- a/packages/daemon/src/conf_mod_admin.c
+++ b/packages/daemon/src/conf_mod_admin.c
@@ -41,29 +41,54 @@
 						 member_note(v)));
 }
 
+static void add_self(struct conf_mod *m, uint64_t rev, json_t *in,
+		     json_t *missing)
+{
+	const struct conf *doc = conf_sync_doc(m->sync);
+
+	if (doc && conf_rev(doc) >= rev)
+		json_array_append_new(in, json_string(core_node(m->c)));
+	else
+		json_array_append_new(missing,
+				      json_pack("{s:s,s:s,s:s}", "node",
+						core_node(m->c), "domain",
+						core_domain(m->c), "state",
+						"alive"));
+}
+
+/// Name a failure domain of which only some nodes are known here, and whose
+/// own summary says that not all of them have the revision.
+static void add_domain(const struct member_domain *d, uint64_t rev,
+		       json_t *missing)
+{
+	if (d->alive <= d->n_contacts ||
+	    (d->heard && d->min[MEMBER_CONF_REV] >= (int64_t)rev))
+		return;
+	json_array_append_new(
+		missing,
+		json_pack("{s:s,s:s,s:s}", "node", "others", "domain", d->name,
+			  "state", d->heard ? "alive" : "cut off or dead"));
+}
+
 static void get_force(struct core *c, struct core_req *r, void *ctx)
 {
 	struct conf_mod *m = ctx;
-	const struct conf *doc = conf_sync_doc(m->sync);
 	const char *text = core_req_query(r, "rev");
 	uint64_t rev = text ? strtoull(text, NULL, 10) : 0;
 	json_t *in = json_array();
 	json_t *missing = json_array();
-	size_t n;
+	size_t n, n_domains;
 	const struct member_view *v = member_mod_all(c, &n);
+	const struct member_domain *d = member_mod_domains(c, &n_domains);
 
 	conf_sync_ask_missing(m->sync, core_now(c), rev);
-	if (doc && conf_rev(doc) >= rev)
-		json_array_append_new(in, json_string(core_node(c)));
-	else
-		json_array_append_new(
-			missing,
-			json_pack("{s:s,s:s,s:s}", "node", core_node(c),
-				  "domain", core_domain(c), "state", "alive"));
+	add_self(m, rev, in, missing);
 	for (size_t i = 0; i < n; i++) {
 		if (!conf_mod_member_gone(m, &v[i]))
 			add_member(m, rev, &v[i], in, missing);
 	}
+	for (size_t i = 1; i < n_domains; i++) /* the first one is the own */
+		add_domain(&d[i], rev, missing);
 	core_reply_json(c, r->h, 200,
 			json_pack("{s:I,s:o,s:o}", "rev", (json_int_t)rev,
 				  "in_force", in, "missing", missing));
