--- a/test/e2e/test_e2e_usage.c
+++ b/test/e2e/test_e2e_usage.c
@@ -284,13 +284,12 @@
 /// Faults without a killed node: every figure is exact.
 static void test_exact(void **state)
 {
-	int before = read_reports().requests;
+	int before = desk_runs();
 	int want;
 	int node;
 	struct reported r;
 
 	atomic_store(&answered, 0);
-	before = desk_runs();
 	callers_start();
 	fault("{\"path\":\"/usage\",\"mode\":\"drop_reply\",\"count\":2}");
 	fault("{\"path\":\"/kv/usage\",\"method\":\"PUT\",\"mode\":"
