fix(conf): let a refused document confirm no contact

Problem: found while reading: a damaged or older document in the store moved the revision to watch after, so the next watch, ending without a change, confirmed the last good document as fresh though the store held something else.

--- a/packages/conf/src/sync.c
+++ b/packages/conf/src/sync.c
@@ -10,6 +10,7 @@
 
 enum {
 	WATCH_BACKOFF_MS = 200, ///< after a failed watch
+	REFUSED_MS = 1000, ///< after a document that was refused
 	WATCH_LOST_MS = 600, ///< a watch this much over its wait is given up
 	READ_MS = 2000, ///< interval between reads of a stale node
 	ASK_JITTER_MS = 200, ///< so that nodes started together don't ask so
@@ -116,33 +117,49 @@
 		s->fresh_ms = at;
 }
 
-void conf_sync_on_kv(struct conf_sync *s, int64_t now,
-		     const struct conf_sync_kv *kv)
+/// Watch after a revision of the store whose content is in force.
+static void seen(struct conf_sync *s, const struct conf_sync_kv *kv)
+{
+	if (kv->kv_rev > s->kv_rev)
+		s->kv_rev = kv->kv_rev;
+	confirm(s, kv->asked_ms);
+}
+
+/// The store's content can't be in force: no contact is confirmed by it, and
+/// the next watch brings it again.
+static void refuse(struct conf_sync *s, int64_t now, enum err e)
+{
+	s->ops->bad(s->ctx, "kv", e);
+	s->watch_at = now + REFUSED_MS;
+}
+
+static void on_kv_doc(struct conf_sync *s, int64_t now,
+		      const struct conf_sync_kv *kv)
 {
 	uint64_t rev = 0;
-	enum err e;
+	enum err e = take(s, kv->text, kv->len, &rev);
 
+	if (e)
+		refuse(s, now, e);
+	else if (rev < conf_rev(s->doc))
+		refuse(s, now, ERR_CONF_OLDER);
+	else
+		seen(s, kv);
+}
+
+void conf_sync_on_kv(struct conf_sync *s, int64_t now,
+		     const struct conf_sync_kv *kv)
+{
 	if (s->watching && kv->asked_ms == s->watch_sent) {
 		s->watching = false;
 		s->watch_at = now + (kv->err ? WATCH_BACKOFF_MS : 0);
 	}
-	if (kv->err && kv->err != ERR_NOT_FOUND)
+	if (kv->err)
 		return;
-	if (kv->kv_rev > s->kv_rev)
-		s->kv_rev = kv->kv_rev;
-	if (kv->unchanged) {
-		confirm(s, kv->asked_ms);
-		return;
-	}
-	if (kv->err == ERR_NOT_FOUND)
-		return;
-	e = take(s, kv->text, kv->len, &rev);
-	if (e)
-		s->ops->bad(s->ctx, "kv", e);
-	else if (rev == conf_rev(s->doc))
-		confirm(s, kv->asked_ms);
+	if (kv->unchanged)
+		seen(s, kv);
 	else
-		s->ops->bad(s->ctx, "kv", ERR_CONF_OLDER);
+		on_kv_doc(s, now, kv);
 }
 
 static void on_ask(struct conf_sync *s, int64_t now, const char *from,
--- a/packages/conf/test/test_conf_sync.c
+++ b/packages/conf/test/test_conf_sync.c
@@ -7,6 +7,7 @@
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <cmocka.h>
 
 #include "conf_net.h"
@@ -108,6 +109,59 @@
 	assert_true(r[NET_SERVE_ON].stale_served > 0);
 }
 
+static uint64_t watched_after;
+static int refusals;
+
+static void note_watch(void *ctx, uint64_t after, int64_t wait_ms)
+{
+	watched_after = after;
+}
+
+static void note_bad(void *ctx, const char *from, enum err e)
+{
+	refusals++;
+}
+
+static void ignore(void *ctx)
+{
+}
+
+static void ignore_send(void *ctx, const char *to, const struct conf_msg *m)
+{
+}
+
+/// Damaged and older documents in the store confirm nothing, and the last
+/// good one stays.
+static void test_refused_document(void **state)
+{
+	static const struct conf_sync_ops ops = {note_watch, ignore,
+						 ignore_send, ignore, note_bad};
+	static const char *const texts[] = {"", "{\"rev\":9,", "[]",
+					    "{\"rev\":4}"};
+	struct conf_sync_opts opts = {"n1", "d1", 1, &ops, NULL};
+	struct conf_sync_kv kv = {
+		.asked_ms = 1000, .text = "{\"rev\":5}", .len = 9, .kv_rev = 7};
+	struct conf_sync *s;
+
+	assert_int_equal(conf_sync_new(&opts, &s), ERR_OK);
+	conf_sync_on_kv(s, 1000, &kv);
+	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
+		kv.asked_ms = 2000;
+		kv.text = texts[i];
+		kv.len = strlen(texts[i]);
+		kv.kv_rev = 8;
+		conf_sync_on_kv(s, 2000, &kv);
+		assert_int_equal(refusals, i + 1);
+	}
+	assert_int_equal(conf_rev(conf_sync_doc(s)), 5);
+	assert_int_equal(conf_sync_age(s, 2000), 1000);
+	conf_sync_tick(s, 2500);
+	assert_int_equal(watched_after, 0); /* not at once again */
+	conf_sync_tick(s, 3100);
+	assert_int_equal(watched_after, 7);
+	conf_sync_free(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -115,6 +169,7 @@
 		cmocka_unit_test(test_calm),
 		cmocka_unit_test(test_long_outage),
 		cmocka_unit_test(test_mutants),
+		cmocka_unit_test(test_refused_document),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
