--- a/packages/member/src/member.c
+++ b/packages/member/src/member.c
@@ -76,6 +76,7 @@
 	r = &m->remotes[m->n_remotes++];
 	memset(r, 0, sizeof(*r));
 	snprintf(r->name, sizeof(r->name), "%s", domain);
+	r->known_ms = m->now_ms;
 	m->dirty = true;
 	return r;
 }
--- a/packages/member/src/remote.h
+++ b/packages/member/src/remote.h
@@ -28,6 +28,8 @@
 	bool watching; ///< this node is one of its watchers
 	int64_t heard_ms; ///< last summary from any of its nodes, 0 for never
 	bool heard; ///< lately, when the views were made
+	bool known; ///< some node hears it
+	int64_t known_ms; ///< end of that, or when it was new
 	struct member_domain last; ///< that summary
 };
 
--- a/packages/member/src/summary.c
+++ b/packages/member/src/summary.c
@@ -109,11 +109,34 @@
 	return lately(m, r->heard_ms);
 }
 
+static bool forgotten(const struct member *m, const struct remote *r)
+{
+	for (int i = 0; i < r->n_cands; i++) {
+		if (r->cands[i].seed)
+			return false;
+	}
+	return !r->known && m->now_ms - r->known_ms >= m->opts.forget_ms;
+}
+
+static void forget(struct member *m, struct remote *r)
+{
+	for (int i = 0; i < r->n_cands; i++) {
+		if (r->cands[i].connected)
+			act_disconnect(m, r->cands[i].id);
+	}
+	*r = m->remotes[--m->n_remotes];
+	m->dirty = true;
+}
+
 void summary_lapse(struct member *m)
 {
-	for (int i = 0; i < m->n_remotes; i++) {
-		if (m->remotes[i].heard != summary_heard(m, &m->remotes[i]))
+	for (int i = m->n_remotes - 1; i >= 0; i--) {
+		struct remote *r = &m->remotes[i];
+
+		if (r->heard != summary_heard(m, r))
 			m->dirty = true;
+		if (forgotten(m, r))
+			forget(m, r);
 	}
 }
 
--- a/packages/member/src/view.c
+++ b/packages/member/src/view.c
@@ -77,6 +77,9 @@
 	}
 	memcpy(out->name, r->name, sizeof(out->name));
 	out->heard = r->heard || w;
+	if (r->known || out->heard)
+		r->known_ms = m->now_ms;
+	r->known = out->heard;
 }
 
 static uint64_t cand_rank(const struct member *m, const struct remote_cand *c)
--- a/packages/member/src/wire_get.c
+++ b/packages/member/src/wire_get.c
@@ -34,8 +34,10 @@
 
 static bool get_bool(const msgpack_object *o, bool *out)
 {
+	if (o->type != MSGPACK_OBJECT_BOOLEAN)
+		return false;
 	*out = o->via.boolean;
-	return o->type == MSGPACK_OBJECT_BOOLEAN;
+	return true;
 }
 
 static bool get_u64(const msgpack_object *o, uint64_t max, uint64_t *out)
--- a/packages/member/test/net.c
+++ b/packages/member/test/net.c
@@ -37,6 +37,13 @@
 	*p = msg;
 }
 
+static void damage(struct net *n, struct net_msg *msg)
+{
+	for (uint64_t k = rng_below(&n->rng, 3); msg->len && k < 3; k++)
+		msg->data[rng_below(&n->rng, msg->len)] =
+			(char)rng_next(&n->rng);
+}
+
 static void net_send(struct net *n, int from, int to,
 		     const struct member_action *a)
 {
@@ -55,6 +62,8 @@
 	msg->type = a->type;
 	msg->len = a->len;
 	memcpy(msg->data, a->buf, a->len);
+	if ((int)rng_below(&n->rng, 1000) < n->damage_permille)
+		damage(n, msg);
 	enqueue(n, msg);
 }
 
@@ -87,7 +96,7 @@
 		.heartbeat_ms = 700,
 		.silence_ms = 2100,
 		.suspect_ms = 1000,
-		.forget_ms = 600000,
+		.forget_ms = NET_FORGET_MS,
 		.seed = rng_next(&n->rng),
 	};
 	int seen[NET_NODES] = {0};
--- a/packages/member/test/net.h
+++ b/packages/member/test/net.h
@@ -7,6 +7,7 @@
 enum {
 	NET_NODES = 400,
 	NET_STEP_MS = 20,
+	NET_FORGET_MS = 90000,
 	NET_OVERHEAD = 110, ///< bytes of frames, TCP and IP headers, one ACK
 };
 
@@ -25,6 +26,7 @@
 	int64_t now_ms;
 	struct rng rng;
 	int loss_permille; ///< of all messages
+	int damage_permille; ///< of all messages: some bytes changed
 	bool cut[NET_NODES][NET_NODES]; ///< from, to: nothing passes
 	bool dead[NET_NODES][NET_NODES]; ///< connection silent until a new one
 	bool linked[NET_NODES][NET_NODES]; ///< a connection exists
--- a/packages/member/test/test_member.c
+++ b/packages/member/test/test_member.c
@@ -331,6 +331,26 @@
 	net_stop(&net);
 }
 
+/// Messages damaged on their way: members are right again soon afterwards.
+static void test_damaged(void **state)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		int group[NET_NODES] = {0};
+		struct split none = {group};
+		int64_t ms;
+
+		start(3, 5, seed);
+		net.damage_permille = 200;
+		net_run(&net, 20000);
+		net.damage_permille = 0;
+		ms = net_until(&net, split_seen, &none, SETTLE_MS);
+		printf("seed %llu: members right %lld ms after the damage\n",
+		       (unsigned long long)seed, (long long)ms);
+		assert_true(ms >= 0);
+		net_stop(&net);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -345,6 +365,7 @@
 		cmocka_unit_test(test_domain_cut_off),
 		cmocka_unit_test(test_values),
 		cmocka_unit_test(test_malformed),
+		cmocka_unit_test(test_damaged),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/packages/upstream/test/server.c
@@ -0,0 +1,166 @@
+// One thread a connection.
+#include "server.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum {
+	REQ_MAX = 4096,
+	BACKLOG = 64,
+};
+
+static atomic_int requests;
+
+static int listen_on(const char *ip, int port)
+{
+	struct sockaddr_in sa = {
+		.sin_family = AF_INET,
+		.sin_port = htons((uint16_t)port),
+	};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int one = 1;
+
+	inet_pton(AF_INET, ip, &sa.sin_addr);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) || listen(fd, BACKLOG))
+		abort();
+	return fd;
+}
+
+/// Read one request without a body.
+static bool read_request(int fd, char *buf)
+{
+	size_t len = 0;
+
+	for (;;) {
+		ssize_t n = recv(fd, buf + len, REQ_MAX - 1 - len, 0);
+
+		if (n <= 0)
+			return false;
+		len += (size_t)n;
+		buf[len] = '\0';
+		if (strstr(buf, "\r\n\r\n"))
+			break;
+	}
+	atomic_fetch_add(&requests, 1);
+	return true;
+}
+
+static void answer(int fd, size_t body, size_t part)
+{
+	char head[128];
+	char *bytes = malloc(part + 1);
+	size_t at = 0;
+
+	snprintf(head, sizeof(head),
+		 "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+		 "Content-Length: %zu\r\n\r\n",
+		 body);
+	send(fd, head, strlen(head), MSG_NOSIGNAL);
+	memset(bytes, 'x', part);
+	while (at < part) {
+		ssize_t n = send(fd, bytes + at, part - at, MSG_NOSIGNAL);
+
+		if (n <= 0)
+			break;
+		at += (size_t)n;
+	}
+	free(bytes);
+}
+
+static bool path_is(const char *req, const char *path)
+{
+	const char *p = strchr(req, ' ');
+
+	return p && strncmp(p + 1, path, strlen(path)) == 0;
+}
+
+/// @return false to end the connection
+static bool serve(int fd, const char *req, int nth)
+{
+	if (path_is(req, "/silent")) {
+		char c;
+
+		while (recv(fd, &c, 1, 0) > 0)
+			;
+		return false;
+	}
+	if (path_is(req, "/half") || path_is(req, "/drip")) {
+		answer(fd, 100, 50);
+		return path_is(req, "/drip");
+	}
+	if (path_is(req, "/die") && nth > 0)
+		return false;
+	answer(fd, path_is(req, "/big") ? SERVER_BIG : 2,
+	       path_is(req, "/big") ? SERVER_BIG : 2);
+	return true;
+}
+
+static void *conn_run(void *arg)
+{
+	int fd = (int)(intptr_t)arg;
+	char req[REQ_MAX];
+
+	for (int nth = 0; read_request(fd, req); nth++) {
+		if (!serve(fd, req, nth))
+			break;
+	}
+	close(fd);
+	return NULL;
+}
+
+static void *accept_run(void *arg)
+{
+	int at = (int)(intptr_t)arg;
+
+	for (;;) {
+		int fd = accept(at, NULL, NULL);
+		pthread_t t;
+
+		if (fd < 0)
+			return NULL;
+		pthread_create(&t, NULL, conn_run, (void *)(intptr_t)fd);
+		pthread_detach(t);
+	}
+}
+
+static void *reset_run(void *arg)
+{
+	int at = (int)(intptr_t)arg;
+	struct linger reset = {1, 0};
+
+	for (;;) {
+		int fd = accept(at, NULL, NULL);
+
+		if (fd < 0)
+			return NULL;
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		close(fd);
+	}
+}
+
+void server_start(const char *ip)
+{
+	intptr_t ok = listen_on(ip, SERVER_PORT);
+	intptr_t reset = listen_on(ip, SERVER_RESET_PORT);
+	pthread_t t;
+
+	pthread_create(&t, NULL, accept_run, (void *)ok);
+	pthread_detach(t);
+	pthread_create(&t, NULL, reset_run, (void *)reset);
+	pthread_detach(t);
+}
+
+int server_requests(void)
+{
+	return atomic_exchange(&requests, 0);
+}
--- /dev/null
+++ b/packages/upstream/test/test_upstream.c
@@ -0,0 +1,277 @@
+// Outgoing requests: what `sent` says under faults, at most one write of a
+// request, streams, limits, cancelling.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+#include <curl/curl.h>
+#include <poll.h>
+
+#include "base/clock.h"
+#include "base/mbox.h"
+#include "server.h"
+#include "support/addr.h"
+#include "upstream/upstream.h"
+
+enum {
+	MAX_CALLS = 16,
+	WAIT_MS = 20000,
+	TIMEOUT_MS = 300,
+};
+
+static const struct upstream_ops *ops = &upstream_curl_ops;
+static struct upstream *up;
+static struct mbox *box;
+static char ip[16];
+
+static struct upstream_event *next_event(int wait_ms)
+{
+	struct pollfd p = {.fd = mbox_fd(box), .events = POLLIN};
+	int64_t end = clock_now_ms() + wait_ms;
+
+	for (;;) {
+		struct upstream_event *ev = mbox_get(box);
+
+		if (ev)
+			return ev;
+		if (clock_now_ms() > end)
+			return NULL;
+		poll(&p, 1, 10);
+		mbox_clear(box);
+	}
+}
+
+static struct upstream_call_opts options(const char *url)
+{
+	return (struct upstream_call_opts){
+		.id = 7,
+		.method = "GET",
+		.url = url,
+		.connect_timeout_ms = 2000,
+		.max_idle_age_ms = 60000,
+		.max_body = 1000000,
+	};
+}
+
+static void url_of(char *url, size_t len, int port, const char *path)
+{
+	snprintf(url, len, "http://%s:%d%s", ip, port, path);
+}
+
+struct outcome {
+	enum err err;
+	bool sent;
+	int status;
+	size_t len; ///< bytes of the body, streamed or whole
+};
+
+static struct outcome run(const struct upstream_call_opts *o)
+{
+	struct upstream_call *call;
+	struct outcome out = {0};
+
+	assert_int_equal(ops->call(up, o, &call), ERR_OK);
+	for (;;) {
+		struct upstream_event *ev = next_event(WAIT_MS);
+		bool done;
+
+		assert_non_null(ev);
+		assert_int_equal(ev->id, o->id);
+		done = ev->kind == UPSTREAM_DONE;
+		if (done) {
+			out.err = ev->result->err;
+			out.sent = ev->result->sent;
+			out.status = ev->result->status;
+			out.len += ev->result->body_len;
+		} else {
+			out.len += ev->len;
+		}
+		ops->event_free(ev);
+		if (done)
+			break;
+	}
+	ops->forget(up, call);
+	return out;
+}
+
+static void test_faults(void **state)
+{
+	static const struct {
+		const char *name;
+		int port;
+		const char *path;
+		int64_t timeout_ms, idle_ms;
+		enum err err;
+		bool sent;
+		int requests; ///< that the server read
+	} cases[] = {
+		{"whole", SERVER_PORT, "/ok", 0, 0, ERR_OK, true, 1},
+		{"nobody listens", SERVER_CLOSED_PORT, "/ok", 0, 0,
+		 ERR_UP_CONNECT, false, 0},
+		{"no answer", SERVER_PORT, "/silent", TIMEOUT_MS, 0,
+		 ERR_TIMEOUT, true, 1},
+		{"no answer, idle", SERVER_PORT, "/silent", 0, TIMEOUT_MS,
+		 ERR_TIMEOUT, true, 1},
+		{"half an answer", SERVER_PORT, "/half", 0, 0, ERR_UP_BROKEN,
+		 true, 1},
+		{"silent within", SERVER_PORT, "/drip", 0, TIMEOUT_MS,
+		 ERR_TIMEOUT, true, 1},
+		{"too large", SERVER_PORT, "/big", 0, 0, ERR_TOO_LARGE, true,
+		 1},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct upstream_call_opts o;
+		struct outcome out;
+		char url[128];
+
+		url_of(url, sizeof(url), cases[i].port, cases[i].path);
+		o = options(url);
+		o.timeout_ms = cases[i].timeout_ms;
+		o.idle_timeout_ms = cases[i].idle_ms;
+		o.fresh = true;
+		server_requests();
+		out = run(&o);
+		if (out.err != cases[i].err || out.sent != cases[i].sent)
+			fail_msg("%s: %s sent %d", cases[i].name,
+				 err_code(out.err), out.sent);
+		assert_int_equal(server_requests(), cases[i].requests);
+	}
+}
+
+/// A reset may come before or after the write: `sent` must not be false when
+/// the kernel took a byte. Whatever it says, no answer came.
+static void test_reset(void **state)
+{
+	char url[128];
+	int sent = 0;
+
+	url_of(url, sizeof(url), SERVER_RESET_PORT, "/ok");
+	for (int i = 0; i < 50; i++) {
+		struct upstream_call_opts o = options(url);
+		struct outcome out = run(&o);
+
+		assert_int_not_equal(out.err, ERR_OK);
+		assert_int_equal(out.err,
+				 out.sent ? ERR_UP_BROKEN : ERR_UP_CONNECT);
+		sent += out.sent;
+	}
+	printf("resets: %d of 50 may have been sent\n", sent);
+}
+
+static int naive_requests(const char *url)
+{
+	CURL *easy = curl_easy_init();
+
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_NOBODY, 0L);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, tmpfile());
+	curl_easy_perform(easy);
+	server_requests();
+	curl_easy_perform(easy);
+	curl_easy_cleanup(easy);
+	return server_requests();
+}
+
+/// A connection that served a request dies under the next one: the request is
+/// written once. libcurl left alone writes it twice.
+static void test_no_second_write(void **state)
+{
+	struct upstream_call_opts o;
+	struct outcome out;
+	char url[128];
+
+	url_of(url, sizeof(url), SERVER_PORT, "/die");
+	o = options(url);
+	o.fresh = true;
+	assert_int_equal(run(&o).err, ERR_OK);
+	o.fresh = false;
+	server_requests();
+	out = run(&o);
+	assert_int_equal(out.err, ERR_UP_BROKEN);
+	assert_true(out.sent);
+	assert_int_equal(server_requests(), 1);
+	assert_int_equal(naive_requests(url), 2);
+}
+
+static void test_stream(void **state)
+{
+	struct upstream_call_opts o;
+	struct outcome out;
+	char url[128];
+
+	url_of(url, sizeof(url), SERVER_PORT, "/big");
+	o = options(url);
+	o.streamed = true;
+	out = run(&o);
+	assert_int_equal(out.err, ERR_OK);
+	assert_int_equal(out.len, SERVER_BIG);
+}
+
+static void test_full_and_cancel(void **state)
+{
+	struct upstream_call *calls[MAX_CALLS], *more;
+	struct upstream_call_opts o;
+	char url[128];
+	int64_t end;
+	enum err e;
+
+	url_of(url, sizeof(url), SERVER_PORT, "/silent");
+	o = options(url);
+	for (int i = 0; i < MAX_CALLS; i++)
+		assert_int_equal(ops->call(up, &o, &calls[i]), ERR_OK);
+	assert_int_equal(ops->call(up, &o, &more), ERR_FULL);
+	for (int i = 0; i < MAX_CALLS; i++)
+		ops->cancel(up, calls[i]);
+	end = clock_now_ms() + WAIT_MS;
+	while ((e = ops->call(up, &o, &more)) == ERR_FULL)
+		assert_true(clock_now_ms() < end);
+	assert_int_equal(e, ERR_OK);
+	ops->cancel(up, more);
+	assert_null(next_event(200));
+}
+
+static void test_bad_url(void **state)
+{
+	struct upstream_call_opts o = options("gopher://x/");
+	struct outcome out = run(&o);
+
+	assert_int_equal(out.err, ERR_INVALID);
+	assert_false(out.sent);
+}
+
+static int start(void **state)
+{
+	struct upstream_opts opts = {.max_calls = MAX_CALLS};
+
+	addr_ip(0, ip);
+	server_start(ip);
+	box = mbox_new(4 * MAX_CALLS);
+	opts.events = box;
+	return ops->start(&opts, &up) == ERR_OK ? 0 : -1;
+}
+
+static int stop(void **state)
+{
+	ops->stop(up);
+	mbox_free(box);
+	return 0;
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_faults),
+		cmocka_unit_test(test_reset),
+		cmocka_unit_test(test_no_second_write),
+		cmocka_unit_test(test_stream),
+		cmocka_unit_test(test_full_and_cancel),
+		cmocka_unit_test(test_bad_url),
+	};
+
+	return cmocka_run_group_tests(tests, start, stop);
+}
