--- a/packages/daemon/src/work_mod_pick.c
+++ b/packages/daemon/src/work_mod_pick.c
@@ -1,5 +1,6 @@
 // Chooses where an attempt goes.
 #include <string.h>
+#include <xxhash.h>
 
 #include "conf/conf.h"
 #include "daemon/conf_mod.h"
@@ -22,30 +23,31 @@
 	return vm->kind != VM_SERVICE || strcmp(vm->service, w->o.service) == 0;
 }
 
-const struct fleet_vm *work_pick_server(struct core *c, const struct work *w)
+struct work_server *work_pick_server(struct core *c, const struct work *w)
 {
-	const struct fleet_vm *best = NULL;
-	const char *domain = core_domain(c);
-	uint64_t seen = 0;
-	size_t n;
-	const struct fleet_vm *vms = fleet_mod_vms(c, &n);
+	struct work_state *s = work_state(c);
+	const struct work_server *avoid = NULL;
+	struct route_ask ask = {
+		.prefix = w->o.prefix,
+		.avoid = ROUTE_NONE,
+		.may_cut = w->o.may_cut,
+	};
+	int i;
 
-	if (!pick_domain_in(c, domain))
-		return NULL;
-	for (size_t i = 0; i < n; i++) {
-		const struct fleet_vm *vm = &vms[i];
-		bool avoided = strcmp(vm->id, w->avoid) == 0;
+	if (*w->avoid)
+		avoid = work_server_find(s,
+					 XXH64(w->avoid, strlen(w->avoid), 0));
+	if (avoid)
+		ask.avoid = (int)(avoid - s->servers);
+	while ((i = route_choose(w->pool->route, &s->rng, core_now(c), &ask)) !=
+	       ROUTE_NONE) {
+		struct work_server *v = &s->servers[i];
 
-		if (strcmp(vm->domain, domain) != 0 || !pick_serves(vm, w))
-			continue;
-		if (avoided && best)
-			continue;
-		if (!best || strcmp(best->id, w->avoid) == 0 ||
-		    rng_below(&work_state(c)->rng, seen + 1) == 0)
-			best = vm;
-		seen += !avoided;
+		if (slot_holder_free(&v->holder, core_now(c)) > 0)
+			return v;
+		work_server_changed(c, v); /* its permit ran out meanwhile */
 	}
-	return best;
+	return NULL;
 }
 
 static bool pick_domain_serves(struct core *c, const char *domain,
