--- a/bench/bench_member.c
+++ b/bench/bench_member.c
@@ -6,6 +6,7 @@
 #include <time.h>
 
 #include "net.h"
+#include "support/bench.h"
 
 enum {
 	SETTLE_MS = 30000,
@@ -39,11 +40,10 @@
 static bool report(const char *name, int members, double value,
 		   const char *unit, double bound)
 {
-	bool pass = value <= bound;
+	char full[64];
 
-	printf("bench member_%s_%d %.2f %s bound %.2f %s\n", name, members,
-	       value, unit, bound, pass ? "pass" : "fail");
-	return pass;
+	snprintf(full, sizeof(full), "member_%s_%d", name, members);
+	return bench_check(full, value, unit, BENCH_AT_MOST, bound);
 }
 
 /// Bytes a second that one node sends and receives.
--- a/packages/daemon/test/test_bad_peer.c
+++ b/packages/daemon/test/test_bad_peer.c
@@ -46,6 +46,8 @@
 
 static void test_raw_bytes(void **state)
 {
+	static const unsigned char greeting[] = {0xff, 0, 0, 0,	   0,
+						 0,    0, 0, 0x01, 0x7f};
 	struct rng rng = {SEED};
 	struct sockaddr_in sa = {
 		.sin_family = AF_INET,
@@ -61,8 +63,8 @@
 		for (size_t k = 0; k < len; k++)
 			buf[k] = (unsigned char)rng_next(&rng);
 		/* Half of them begin like a greeting. */
-		if (len > 10 && rng_below(&rng, 2))
-			memcpy(buf, "\xff\0\0\0\0\0\0\0\x01\x7f", 10);
+		if (len > sizeof(greeting) && rng_below(&rng, 2))
+			memcpy(buf, greeting, sizeof(greeting));
 		assert_int_equal(
 			connect(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
 		send(fd, buf, len, MSG_NOSIGNAL);
--- a/packages/upstream/src/curl_edge.c
+++ b/packages/upstream/src/curl_edge.c
@@ -11,28 +11,13 @@
 #include "base/mbox.h"
 #include "base/metric.h"
 #include "call.h"
+#include "edge.h"
 
 enum {
 	EDGE_EVENTS = 128, ///< descriptors handled a round
 	EDGE_SCAN_MS = 50, ///< interval of the scan for silent calls
 	EDGE_CMDS_A_CALL = 4, ///< ring entries a call; it needs two
 	EDGE_IDLE_CONNS = 1024, ///< connections kept for reuse
-	EDGE_DATA_MAX = 64 * 1024 * 1024, ///< bytes waiting for the receiver
-};
-
-struct upstream {
-	struct upstream_opts opts;
-	struct mbox *cmds; ///< struct call_cmd
-	struct call_cmd quit;
-	pthread_t thread;
-	CURLM *multi;
-	int epoll;
-	int64_t timer_ms; ///< when libcurl wants to be called, -1 for never
-	int64_t scan_ms; ///< next scan
-	struct upstream_call *running; ///< list
-	atomic_uint live; ///< calls not yet freed
-	atomic_uint events; ///< events not yet freed
-	atomic_size_t data; ///< bytes of data in them
 };
 
 void upstream_call_freed(struct upstream *up)
@@ -62,53 +47,6 @@
 	c->running = false;
 }
 
-static void curl_event_free(struct upstream_event *ev)
-{
-	struct upstream_call *c = ev->call;
-
-	if (ev->kind == UPSTREAM_DATA) {
-		atomic_fetch_sub(&c->up->events, 1);
-		atomic_fetch_sub(&c->up->data, ev->len);
-		free(ev);
-	}
-	call_unref(c);
-}
-
-/// Half of the mailbox is kept for the ends of calls, so none is ever lost.
-static bool receiver_behind(const struct upstream *up)
-{
-	return atomic_load(&up->events) >= 2 * up->opts.max_calls ||
-	       atomic_load(&up->data) >= EDGE_DATA_MAX;
-}
-
-bool upstream_post_data(struct upstream_call *c, const char *data, size_t len)
-{
-	struct upstream_event *ev;
-	char *copy;
-
-	if (receiver_behind(c->up))
-		return false;
-	ev = malloc(sizeof(*ev) + len);
-	if (!ev)
-		return false;
-	copy = (char *)(ev + 1);
-	memcpy(copy, data, len);
-	*ev = (struct upstream_event){
-		.kind = UPSTREAM_DATA,
-		.id = c->opts.id,
-		.call = c,
-		.data = copy,
-		.len = len,
-	};
-	call_ref(c);
-	atomic_fetch_add(&c->up->events, 1);
-	atomic_fetch_add(&c->up->data, len);
-	if (mbox_put(c->up->opts.events, ev) == ERR_OK)
-		return true;
-	curl_event_free(ev);
-	return false;
-}
-
 /// Give the list's reference to the last event.
 static void call_done(struct upstream *up, struct upstream_call *c,
 		      CURLcode code)
@@ -227,7 +165,7 @@
 static void scan(struct upstream *up, int64_t now)
 {
 	struct upstream_call *next;
-	bool behind = receiver_behind(up);
+	bool behind = upstream_behind(up);
 
 	for (struct upstream_call *c = up->running; c; c = next) {
 		next = c->next;
@@ -413,6 +351,6 @@
 	.call = curl_call,
 	.cancel = curl_cancel,
 	.forget = curl_forget,
-	.event_free = curl_event_free,
+	.event_free = upstream_event_free,
 	.stop = curl_stop,
 };
--- /dev/null
+++ b/packages/upstream/src/event.c
@@ -0,0 +1,57 @@
+// Pieces of streamed bodies on their way to the receiver.
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/mbox.h"
+#include "edge.h"
+
+enum {
+	EDGE_DATA_MAX = 64 * 1024 * 1024, ///< bytes waiting for the receiver
+};
+
+void upstream_event_free(struct upstream_event *ev)
+{
+	struct upstream_call *c = ev->call;
+
+	if (ev->kind == UPSTREAM_DATA) {
+		atomic_fetch_sub(&c->up->events, 1);
+		atomic_fetch_sub(&c->up->data, ev->len);
+		free(ev);
+	}
+	call_unref(c);
+}
+
+/// Half of the mailbox is kept for the ends of calls, so none is ever lost.
+bool upstream_behind(const struct upstream *up)
+{
+	return atomic_load(&up->events) >= 2 * up->opts.max_calls ||
+	       atomic_load(&up->data) >= EDGE_DATA_MAX;
+}
+
+bool upstream_post_data(struct upstream_call *c, const char *data, size_t len)
+{
+	struct upstream_event *ev;
+	char *copy;
+
+	if (upstream_behind(c->up))
+		return false;
+	ev = malloc(sizeof(*ev) + len);
+	if (!ev)
+		return false;
+	copy = (char *)(ev + 1);
+	memcpy(copy, data, len);
+	*ev = (struct upstream_event){
+		.kind = UPSTREAM_DATA,
+		.id = c->opts.id,
+		.call = c,
+		.data = copy,
+		.len = len,
+	};
+	call_ref(c);
+	atomic_fetch_add(&c->up->events, 1);
+	atomic_fetch_add(&c->up->data, len);
+	if (mbox_put(c->up->opts.events, ev) == ERR_OK)
+		return true;
+	upstream_event_free(ev);
+	return false;
+}
--- a/test/e2e/test_drain.c
+++ b/test/e2e/test_drain.c
@@ -15,12 +15,12 @@
 #include <sys/wait.h>
 
 #include "base/rng.h"
+#include "support/ctl.h"
 #include "support/http.h"
 #include "support/sys.h"
 
 enum {
 	UP_MS = 30000,
-	CTL_MS = 20000,
 	ANSWER_MS = 40000, ///< longest wait for an answer
 	CALLS = 12,
 	STREAMS = 12,
@@ -43,15 +43,10 @@
 
 static void ctl(const char *const *words)
 {
-	const char *argv[16] = {"catkinctl", "--node", sys.nodes[0].admin};
-	struct proc p;
-	int status = -1;
-
-	for (int i = 0; words[i]; i++)
-		argv[3 + i] = words[i];
-	assert_true(proc_start(&p, "ctl", argv));
-	assert_true(proc_wait(&p, CTL_MS, &status));
-	assert_int_equal(status, 0);
+	char out[4096];
+
+	if (ctl_run(&sys, words, out, sizeof(out)) != 0)
+		fail_msg("catkinctl %s: %s", words[0], out);
 }
 
 static int post(const char *base, const char *path, const char *body,
--- a/test/e2e/test_malformed.c
+++ b/test/e2e/test_malformed.c
@@ -21,7 +21,9 @@
 
 #include "base/clock.h"
 #include "base/rng.h"
+#include "support/ctl.h"
 #include "support/http.h"
+#include "support/malform.h"
 #include "support/sys.h"
 
 enum {
@@ -30,11 +32,9 @@
 	GOOD_EVERY = 50,
 	WAIT_BYTES = 16, ///< of so many random ones, one waits for an answer
 	WAIT_CUT = 100, ///< of so many cut requests, one waits
-	MAX_BODY = 65536, ///< as set in the daemon's settings
 	RECEIVE_MS = 1500, ///< as set in the daemon's settings
 	ANSWER_S = 10, ///< longest wait for an answer or a close
 	SLOW_CLIENTS = 40,
-	WIRE_MAX = 200000,
 	REPLY_MAX = 8192,
 	FDS_SLACK = 8,
 };
@@ -44,222 +44,11 @@
 
 static struct sys sys;
 
-struct wire {
-	char buf[WIRE_MAX];
-	size_t len;
-};
-
-__attribute__((format(printf, 2, 3))) static void put(struct wire *w,
-						      const char *fmt, ...)
-{
-	va_list ap;
-	int n;
-
-	va_start(ap, fmt);
-	n = vsnprintf(w->buf + w->len, sizeof(w->buf) - w->len, fmt, ap);
-	va_end(ap);
-	w->len += (size_t)n;
-	assert_true(w->len < sizeof(w->buf));
-}
-
-static void put_random(struct wire *w, struct rng *rng, size_t len)
-{
-	while (len--)
-		w->buf[w->len++] = (char)rng_next(rng);
-}
-
-static void put_fill(struct wire *w, char c, size_t len)
-{
-	memset(w->buf + w->len, c, len);
-	w->len += len;
-}
-
-static void bytes(struct wire *w, struct rng *rng)
-{
-	put_random(w, rng, 1 + rng_below(rng, 500));
-	if (rng_below(rng, 2))
-		put(w, "\r\n\r\n");
-}
-
-static void request_line(struct wire *w, struct rng *rng)
-{
-	static const char *const lines[] = {
-		"GET",
-		"GET /",
-		"GET / HTTP/9.9",
-		"GET / HTTX/1.1",
-		" GET / HTTP/1.1",
-		"GET  /  HTTP/1.1",
-		"get /healthz HTTP/1.1",
-		"GET /\t HTTP/1.1",
-		"GET / HTTP/1.1 more",
-		"",
-		"GET http:// HTTP/1.1",
-		"GET * HTTP/1.1",
-		"/ GET HTTP/1.1",
-	};
-
-	put(w, "%s\r\nHost: x\r\n\r\n",
-	    lines[rng_below(rng, sizeof(lines) / sizeof(lines[0]))]);
-}
-
-static void path(struct wire *w, struct rng *rng)
-{
-	put(w, "GET /v1/call/");
-	switch (rng_below(rng, 5)) {
-	case 0:
-		put_fill(w, 'a', 30000);
-		break;
-	case 1:
-		for (int i = 0; i < 20; i++)
-			w->buf[w->len++] = (char)(1 + rng_below(rng, 31));
-		break;
-	case 2:
-		put(w, "%%zz%%00%%%%../../etc/passwd");
-		break;
-	case 3:
-		for (int i = 0; i < 20; i++)
-			w->buf[w->len++] = (char)(128 + rng_below(rng, 128));
-		break;
-	default:
-		put(w, "desk?a=%%g1&&&=&%%");
-		break;
-	}
-	put(w, " HTTP/1.1\r\nHost: x\r\n\r\n");
-}
-
-static void headers(struct wire *w, struct rng *rng)
-{
-	put(w, "POST /v1/call/desk/x HTTP/1.1\r\n");
-	switch (rng_below(rng, 7)) {
-	case 0:
-		put(w, "no colon here\r\n");
-		break;
-	case 1:
-		put(w, "X-Long: ");
-		put_fill(w, 'b', 40000);
-		put(w, "\r\n");
-		break;
-	case 2:
-		for (int i = 0; i < 300; i++)
-			put(w, "X-%d: %d\r\n", i, i);
-		break;
-	case 3:
-		put(w, "Content-Length: -5\r\n");
-		break;
-	case 4:
-		put(w, "Content-Length: 99999999999999999999999\r\n");
-		break;
-	case 5:
-		put(w, "Content-Length: 5\r\nContent-Length: 7\r\n");
-		break;
-	default:
-		put(w, "X: a");
-		put_random(w, rng, 30);
-		put(w, "\r\n");
-		break;
-	}
-	put(w, "\r\nhello");
-}
-
-static void framing(struct wire *w, struct rng *rng)
-{
-	static const char *const chunks[] = {
-		"zz\r\nhello\r\n",
-		"ffffffffffffffffff\r\nhello\r\n",
-		"-1\r\n",
-		"5\r\nhelloX",
-		"5",
-		"\r\n\r\n",
-		"5;ext=1\r\nhe",
-		"7fffffff\r\nhello",
-	};
-
-	put(w,
-	    "POST /v1/call/desk/x HTTP/1.1\r\nHost: x\r\n"
-	    "Transfer-Encoding: %s\r\n\r\n%s",
-	    rng_below(rng, 4) ? "chunked" : "gzip, odd",
-	    chunks[rng_below(rng, sizeof(chunks) / sizeof(chunks[0]))]);
-}
-
-static void cut_body(struct wire *w, struct rng *rng)
+static uint64_t wait_of(enum malform_kind kind)
 {
-	put(w,
-	    "POST /v1/call/desk/x HTTP/1.1\r\nHost: x\r\n"
-	    "Content-Length: %d\r\n\r\n",
-	    1000);
-	put_fill(w, 'c', rng_below(rng, 1000));
-}
-
-static void large_body(struct wire *w, struct rng *rng)
-{
-	size_t len = MAX_BODY + 1 + rng_below(rng, 100000);
-
-	put(w, "POST /v1/call/desk/x HTTP/1.1\r\nHost: x\r\n");
-	if (rng_below(rng, 2)) {
-		put(w, "Content-Length: %zu\r\n\r\n", len);
-		put_fill(w, 'd', len);
-		return;
-	}
-	put(w, "Transfer-Encoding: chunked\r\n\r\n%zx\r\n", len);
-	put_fill(w, 'd', len);
-	put(w, "\r\n0\r\n\r\n");
-}
-
-static void method(struct wire *w, struct rng *rng)
-{
-	static const char *const methods[] = {
-		"TRACE",  "CONNECT", "FOO",
-		"PATCH",  "DELETE",  "VERYLONGMETHODVERYLONGMETHOD",
-		"G\x01T", "OPTIONS",
-	};
-
-	put(w, "%s /v1/rollouts HTTP/1.1\r\nHost: x\r\n\r\n",
-	    methods[rng_below(rng, sizeof(methods) / sizeof(methods[0]))]);
-}
-
-static void json(struct wire *w, struct rng *rng)
-{
-	static const char *const paths[] = {
-		"/v1/generate/talk", "/v1/rollouts",  "/v1/rollouts/x/pull",
-		"/v1/call/nothing",  "/v1/generate/",
-	};
-	static const char *const bodies[] = {
-		"{",
-		"[[[[[[[[[[",
-		"{\"prompt\":\"x\"}",
-		"\xff\xfe\x00",
-		"null",
-		"{\"prompt\":[1],\"max_tokens\":-1}",
-		"{\"batch\":{}}",
-		"{\"prompt\":[99999999999999999999]}",
-		"\"",
-		"{\"a\":1}x",
-	};
-	const char *body =
-		bodies[rng_below(rng, sizeof(bodies) / sizeof(bodies[0]))];
-
-	put(w,
-	    "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n"
-	    "Content-Length: %zu\r\n\r\n%s",
-	    paths[rng_below(rng, sizeof(paths) / sizeof(paths[0]))],
-	    rng_below(rng, 2) ? "ck_wrong" : "", strlen(body), body);
-}
-
-static void (*const kinds[])(struct wire *w, struct rng *rng) = {
-	bytes,	  request_line, path,	headers, framing,
-	cut_body, large_body,	method, json,
-};
-
-enum {
-	KINDS = sizeof(kinds) / sizeof(kinds[0]),
-};
-
-static uint64_t wait_of(size_t kind)
-{
-	if (kinds[kind] == bytes)
+	if (kind == MALFORM_BYTES)
 		return WAIT_BYTES;
-	return kinds[kind] == framing || kinds[kind] == cut_body ? WAIT_CUT : 1;
+	return kind == MALFORM_FRAMING || kind == MALFORM_CUT ? WAIT_CUT : 1;
 }
 
 static int dial(void)
@@ -294,7 +83,7 @@
 /// up to the time limit.
 ///
 /// @return bytes of the answer, -1 if the connection was not closed
-static int exchange(const struct wire *w, struct rng *rng, uint64_t wait,
+static int exchange(const struct malform *w, struct rng *rng, uint64_t wait,
 		    char *reply)
 {
 	int fd = dial();
@@ -397,7 +186,7 @@
 
 static void test_malformed(void **state)
 {
-	static struct wire w;
+	static struct malform w;
 	struct rng rng = {SEED};
 	struct tally t = {0};
 	int fds = open_fds();
@@ -405,14 +194,14 @@
 	printf("seed %d\n", SEED);
 	for (int i = 0; i < REQUESTS; i++) {
 		char reply[REPLY_MAX];
-		size_t kind = rng_below(&rng, KINDS);
+		enum malform_kind kind =
+			(enum malform_kind)rng_below(&rng, MALFORM_KINDS);
 		int len;
 
-		w.len = 0;
-		kinds[kind](&w, &rng);
+		malform_make(&w, kind, &rng);
 		len = exchange(&w, &rng, wait_of(kind), reply);
 		if (len < 0 || !tally_reply(&t, reply, len))
-			fail_msg("request %d of kind %zu: %.200s", i, kind,
+			fail_msg("request %d of kind %d: %.200s", i, kind,
 				 reply);
 		if (i % GOOD_EVERY == 0)
 			assert_true(good_call(NULL));
@@ -475,16 +264,12 @@
 		.services_per_domain = 1,
 		.settings = settings,
 	};
-	const char *argv[] = {"catkinctl", "--node",	NULL,	"route",  "add",
-			      "desk",	   "--service", "desk", "--open", NULL};
-	struct proc p;
-	int status = -1;
+	static const char *const route[] = {
+		"route", "add", "desk", "--service", "desk", "--open", NULL};
+	char out[4096];
 
 	assert_true(sys_start(&sys, &opts));
-	argv[2] = sys.nodes[0].admin;
-	assert_true(proc_start(&p, "ctl", argv));
-	assert_true(proc_wait(&p, 20000, &status));
-	assert_int_equal(status, 0);
+	assert_int_equal(ctl_run(&sys, route, out, sizeof(out)), 0);
 	assert_true(wait_until(good_call, NULL, 30000));
 	return 0;
 }
