feat(work): send what waits for an engine to a failure domain with room

*Problem:* Other failure domains were used only when the own one had no server; while it was busy, requests waited beside idle engines elsewhere. And the one slot of a cold server went round by the clock, so that a node could miss its turns for seconds.

--- a/packages/daemon/src/work_mod_attempt.c
+++ b/packages/daemon/src/work_mod_attempt.c
@@ -207,6 +207,13 @@
 	return (uint32_t)(core_now(c) - w->begun_ms);
 }
 
+static void attempt_put_spill(struct core *c, struct work *w)
+{
+	if (w->spilled)
+		work_state(c)->n_spilled--;
+	w->spilled = false;
+}
+
 /* Give the slot back, and let the next request have it. */
 static void attempt_put_slot(struct core *c, struct work *w,
 			     enum slot_outcome o)
@@ -245,6 +252,7 @@
 
 	attempt_span_end(w, out->err);
 	attempt_put_slot(c, w, attempt_slot_outcome(out));
+	attempt_put_spill(c, w);
 	w->via = WORK_VIA_NONE;
 	work_buf_free(&w->part);
 	if (out->err == ERR_OK)
@@ -274,5 +282,6 @@
 	if (w->via != WORK_VIA_NONE)
 		attempt_span_end(w, ERR_CLOSED);
 	attempt_put_slot(c, w, SLOT_CANCELLED);
+	attempt_put_spill(c, w);
 	w->via = WORK_VIA_NONE;
 }
--- a/packages/daemon/src/work_mod_int.h
+++ b/packages/daemon/src/work_mod_int.h
@@ -61,6 +61,8 @@
 	int64_t begun_ms; ///< of the attempt
 	struct work_pool *pool; ///< that it waits in or was taken from
 	admit_handle queued; ///< 0 when it doesn't wait
+	int64_t queued_ms; ///< since when it waits
+	bool spilled; ///< sent to another failure domain for want of slots
 	enum err failed; ///< ends with this at the next tick
 	char target[WORK_NAME_LEN]; ///< server or node of the attempt
 	char avoid[WORK_NAME_LEN]; ///< server that failed before
@@ -143,6 +145,7 @@
 	size_t n_pools;
 	struct work_server *servers; ///< WORK_SERVERS entries
 	size_t n_servers; ///< entries up to the last used one
+	int n_spilled; ///< requests that run elsewhere for want of slots
 	uint64_t fleet_gen; ///< of the list that `servers` shows
 	uint64_t node_hash; ///< of this process's run
 	uint64_t next_id;
@@ -221,6 +224,14 @@
 /// Take a request out of its queue.
 void work_unqueue(struct work *w);
 
+/// The request of a pool that runs next; it stays in the queue.
+///
+/// @return request, NULL if none waits
+struct work *work_pool_head(struct core *c, const struct work_pool *p);
+
+/// Take that request out of the queue.
+struct work *work_pool_take(struct core *c, struct work_pool *p);
+
 /// Send what waits in a pool while slots are free.
 void work_pump(struct core *c, struct work_pool *p);
 void work_pool_tick(struct core *c, int64_t now);
@@ -252,6 +263,15 @@
 // work_mod_load.c
 void work_load_tick(struct core *c, int64_t now);
 
+// work_mod_spill.c: requests for engines to failure domains with free slots
+
+/// Tell this node's free slots, and send one waiting request elsewhere if it
+/// waited too long.
+void work_spill_tick(struct core *c, struct work_pool *p);
+
+/// Whether a failure domain has room for another request that spills over.
+bool work_spill_to(struct core *c, const char *domain);
+
 // work_mod_pick.c
 
 /// Server with a free slot for a request: by load and prefix.
--- a/packages/daemon/src/work_mod_pick.c
+++ b/packages/daemon/src/work_mod_pick.c
@@ -81,6 +81,8 @@
 		    !pick_domain_in(c, m->domain) ||
 		    !pick_domain_serves(c, m->domain, w))
 			continue;
+		if (w->spilled && !work_spill_to(c, m->domain))
+			continue;
 		if (rng_below(&work_state(c)->rng, ++seen) == 0)
 			best = m->id;
 	}
--- a/packages/daemon/src/work_mod_pool.c
+++ b/packages/daemon/src/work_mod_pool.c
@@ -100,6 +100,7 @@
 		return res.err;
 	}
 	w->queued = res.h;
+	w->queued_ms = core_now(c);
 	w->pool->active_ms = core_now(c);
 	if (res.evicted)
 		pool_evict(c, res.evicted_user);
@@ -139,8 +140,7 @@
 	w->queued = 0;
 }
 
-/* The request that runs next; it stays in the queue. */
-static struct work *pool_head(struct core *c, const struct work_pool *p)
+struct work *work_pool_head(struct core *c, const struct work_pool *p)
 {
 	uint32_t user;
 
@@ -149,7 +149,7 @@
 	return htab_get(work_state(c)->works, user);
 }
 
-static struct work *pool_take(struct core *c, struct work_pool *p)
+struct work *work_pool_take(struct core *c, struct work_pool *p)
 {
 	uint32_t user;
 	struct work *w;
@@ -165,7 +165,7 @@
 {
 	enum err e;
 
-	pool_take(c, w->pool);
+	work_pool_take(c, w->pool);
 	if (!slot_holder_take(&v->holder, core_now(c)))
 		assert(!"picked without a free slot");
 	e = work_attempt_fetch(c, w, v);
@@ -180,7 +180,7 @@
 
 void work_pump(struct core *c, struct work_pool *p)
 {
-	struct work *w = pool_head(c, p);
+	struct work *w = work_pool_head(c, p);
 
 	while (w) {
 		struct work_server *v = work_pick_server(c, w);
@@ -192,7 +192,7 @@
 		if (!v)
 			return;
 		pool_send(c, w, v);
-		w = pool_head(c, p);
+		w = work_pool_head(c, p);
 	}
 }
 
@@ -201,7 +201,7 @@
 {
 	struct work *w;
 
-	while ((w = pool_take(c, p))) {
+	while ((w = work_pool_take(c, p))) {
 		enum err e = work_attempt_forward(c, w);
 
 		if (e != ERR_OK)
@@ -214,7 +214,7 @@
 {
 	/* Those told may submit anew: only what waits now is shed. */
 	for (size_t n = admit_count(p->queue); n > 0; n--) {
-		struct work *w = pool_take(c, p);
+		struct work *w = work_pool_take(c, p);
 
 		if (w)
 			work_give_up(c, w, ERR_ADMIT_STALLED);
@@ -234,5 +234,6 @@
 			pool_shed(c, p);
 		else
 			work_pump(c, p);
+		work_spill_tick(c, p);
 	}
 }
--- a/packages/slot/include/slot/steward.h
+++ b/packages/slot/include/slot/steward.h
@@ -20,6 +20,7 @@
 	int64_t drain_ms; ///< longest time that a request of it takes
 	int64_t drained_ms; ///< by then its running requests ended
 	int want;
+	int64_t held_ms; ///< its last run of slots began, 0 for never
 	int64_t asked_ms;
 	int64_t asked_before_ms;
 };
--- a/packages/slot/src/steward.c
+++ b/packages/slot/src/steward.c
@@ -185,6 +185,24 @@
 	return g->node && g->want > 0 && now - g->asked_ms < SLOT_LIFETIME_MS;
 }
 
+/* Order in which nodes get what doesn't divide evenly: who holds some keeps it
+ * for a turn, then whose last hold is the longest ago. */
+static int64_t grant_order(const struct slot_grant *g, int64_t now)
+{
+	if (g->slots > 0 && now - g->held_ms < STEWARD_TURN_MS)
+		return INT64_MIN;
+	return g->held_ms;
+}
+
+static bool grant_before(const struct slot_grant *a, const struct slot_grant *b,
+			 int64_t now)
+{
+	int64_t x = grant_order(a, now);
+	int64_t y = grant_order(b, now);
+
+	return x != y ? x < y : a < b;
+}
+
 /* A node's fair part of the slots: all that no one else wants, else an equal
  * part, what doesn't divide going round. */
 static int steward_part(const struct slot_steward *s,
@@ -199,13 +217,12 @@
 
 		if (!grant_wants(o, now))
 			continue;
-		place += o < g;
+		place += o != g && grant_before(o, g, now);
 		asking++;
 		others += o == g ? 0 : o->want;
 	}
 	if (others + g->want <= total || asking <= 1)
 		return total;
-	place = (place + (int)(now / STEWARD_TURN_MS)) % asking;
 	return total / asking + (place < total % asking);
 }
 
@@ -233,6 +250,8 @@
 		g->older = max_int(g->older, g->slots);
 		g->older_until_ms = g->until_ms;
 	}
+	if (slots > 0 && g->slots == 0)
+		g->held_ms = now;
 	g->slots = slots;
 	g->until_ms = now + SLOT_LIFETIME_MS;
 }
--- a/test/e2e/test_work_slots.c
+++ b/test/e2e/test_work_slots.c
@@ -22,6 +22,8 @@
 	CALLERS = 12,
 	LOAD_MS = 6000,
 	PAUSE_MS = 20, ///< of a refused caller
+	TOKENS = 60, ///< of a generation
+	TOKENS_LONG = 500,
 	BOUND_MS = 3000, ///< "after a few seconds"
 	AFTER_MS = 1500, ///< watched past the bound
 };
@@ -36,23 +38,29 @@
 	_Atomic int whole;
 	_Atomic int cut; ///< answers that began and broke off
 	_Atomic int refused;
+	_Atomic int seed; ///< of the next generation: lengths differ
 	int nodes; ///< callers use the first so many
+	int tokens; ///< of a generation
 };
 
 static struct load load;
 
-static int generate(int node, struct http_res *res)
+static int generate(int node, int tokens, struct http_res *res)
 {
 	char url[128];
+	char body[128];
 	struct http_opts o = {
 		.method = "POST",
 		.url = url,
 		.bearer = key,
-		.body = "{\"prompt\":[1,2,3],\"max_tokens\":60,\"seed\":1}",
+		.body = body,
 		.timeout_ms = 20000,
 	};
 
 	snprintf(url, sizeof(url), "%s/v1/generate/chat", sys.nodes[node].url);
+	snprintf(body, sizeof(body),
+		 "{\"prompt\":[1,2,3],\"max_tokens\":%d,\"seed\":%d}", tokens,
+		 load.seed++);
 	return http_call(&o, res);
 }
 
@@ -69,7 +77,7 @@
 
 	while (!load.stop) {
 		struct http_res res;
-		int status = generate(node, &res);
+		int status = generate(node, load.tokens, &res);
 		bool ended = res.body && strstr(res.body, "\"end\"");
 
 		if (status == 200 && ended)
@@ -85,13 +93,14 @@
 	return NULL;
 }
 
-static void load_begin(int nodes)
+static void load_begin(int nodes, int tokens)
 {
 	load.stop = false;
 	load.whole = 0;
 	load.cut = 0;
 	load.refused = 0;
 	load.nodes = nodes;
+	load.tokens = tokens;
 	for (intptr_t i = 0; i < CALLERS; i++)
 		pthread_create(&load.threads[i], NULL, load_main, (void *)i);
 }
@@ -133,7 +142,7 @@
 static bool generate_works(void *ctx)
 {
 	struct http_res res;
-	int status = generate(*(int *)ctx, &res);
+	int status = generate(*(int *)ctx, TOKENS, &res);
 
 	http_free(&res);
 	return status == 200;
@@ -165,11 +174,26 @@
 	return 0;
 }
 
+/* More generations than the engines of one failure domain may run: those of the
+ * other one take some of what waits. */
+static void test_spill(void **state)
+{
+	CTL("set", "slot.max", "1");
+	load_begin(1, TOKENS_LONG);
+	pause_ms(LOAD_MS);
+	load_end();
+	CTL("set", "slot.max", "64");
+	assert_int_equal(load.cut, 0);
+	assert_true(stat_of(2, "started") + stat_of(3, "started") > 0);
+	for (int i = 0; i < sys.n_servers; i++)
+		assert_int_equal(stat_of(i, "falls"), 0);
+}
+
 /* Twelve callers at three entry VMs on engines that bear one stream at first;
  * one entry VM is killed and started again on the way. */
 static void test_cold_start(void **state)
 {
-	load_begin(3);
+	load_begin(3, TOKENS);
 	pause_ms(LOAD_MS / 2);
 	proc_kill(&sys.nodes[2].proc);
 	pause_ms(LOAD_MS / 2);
@@ -218,7 +242,7 @@
 {
 	int late;
 
-	load_begin(3);
+	load_begin(3, TOKENS);
 	set_state(0, "leaving");
 	late = starts_after_bound(0);
 	load_end();
@@ -232,7 +256,7 @@
 	int late;
 	int other = stat_of(2, "started") + stat_of(3, "started");
 
-	load_begin(3);
+	load_begin(3, TOKENS);
 	CTL("domain", "out", "d1", "--reason", "rack work");
 	late = starts_after_bound(0) + stat_of(1, "running");
 	load_end();
@@ -248,7 +272,7 @@
 {
 	int status = -1;
 
-	load_begin(2);
+	load_begin(2, TOKENS);
 	pause_ms(1000);
 	proc_signal(&sys.nodes[1].proc, SIGTERM);
 	assert_true(proc_wait(&sys.nodes[1].proc, 20000, &status));
@@ -261,6 +285,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_spill),
 		cmocka_unit_test(test_cold_start),
 		cmocka_unit_test(test_leaving),
 		cmocka_unit_test(test_domain_out),
