--- a/packages/claim/src/shard.c
+++ b/packages/claim/src/shard.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "segment.h"
+#include "shard_priv.h"
 
 enum {
 	SHARD_RETRY_MS = 100, ///< pause after the store gave no answer
@@ -13,46 +13,6 @@
 	SHARD_BATCH = 64, ///< records in one put
 };
 
-enum review {
-	REVIEW_PUT, ///< the record goes into the next put
-	REVIEW_KEEP, ///< it waits
-	REVIEW_GONE, ///< it was settled
-};
-
-enum shard_out {
-	SHARD_OUT_NONE,
-	SHARD_OUT_LIST,
-	SHARD_OUT_GET,
-	SHARD_OUT_PUT,
-};
-
-struct pending {
-	struct claim_record rec;
-	char *body; ///< owned copy of an answer's body
-	char *ctype; ///< owned copy
-	uint64_t ticket;
-	int64_t asked_ms;
-	bool in_put; ///< part of the put that is out
-};
-
-struct claim_shard {
-	struct claim_shard_opts o;
-	struct segment_chain chain;
-	struct pending pending[CLAIM_PENDING];
-	size_t n; ///< pending records, oldest first
-	enum shard_out out;
-	bool busy; ///< an op calls back into the shard
-	bool loaded;
-	bool behind; ///< the newest segment is to be read
-	int64_t out_ms; ///< when the call that is out began
-	int64_t view_ms; ///< when the view was last known to be the newest
-	int64_t next_ms; ///< no call to the store before
-	int64_t expire_ms;
-	char *put; ///< value that is out
-	size_t put_len;
-	struct claim_stats stats;
-};
-
 struct claim_shard *claim_shard_new(const struct claim_shard_opts *opts)
 {
 	struct claim_shard *s = calloc(1, sizeof(*s));
@@ -65,21 +25,12 @@
 	return s;
 }
 
-static void pending_drop(struct claim_shard *s, size_t i)
-{
-	free(s->pending[i].body);
-	free(s->pending[i].ctype);
-	s->n--;
-	memmove(&s->pending[i], &s->pending[i + 1],
-		(s->n - i) * sizeof(*s->pending));
-}
-
 void claim_shard_free(struct claim_shard *s)
 {
 	if (!s)
 		return;
 	while (s->n > 0)
-		pending_drop(s, s->n - 1);
+		shard_drop(s, s->n - 1);
 	segment_chain_reset(&s->chain);
 	free(s->put);
 	free((char *)s->o.prefix);
@@ -91,83 +42,6 @@
 	return &s->stats;
 }
 
-static void shard_verdict(struct claim_shard *s, size_t i, enum claim_verdict v,
-			  const struct claim_answer *a)
-{
-	uint64_t ticket = s->pending[i].ticket;
-
-	pending_drop(s, i);
-	s->o.ops->verdict(s->o.ctx, ticket, v, a);
-}
-
-/* Settle a claim whose key has an entry. */
-static void shard_settle(struct claim_shard *s, size_t i,
-			 const struct claim_entry *e, struct claim_time t)
-{
-	const struct claim_request *q = &s->pending[i].rec.req;
-
-	if (e->state == CLAIM_STATE_HELD && claim_name_eq(e->req.id, q->id))
-		shard_verdict(s, i, CLAIM_GRANTED, NULL);
-	else if (e->req.body != q->body)
-		shard_verdict(s, i, CLAIM_MISMATCH, NULL);
-	else if (e->state == CLAIM_STATE_DONE)
-		shard_verdict(s, i, CLAIM_DONE, &e->answer);
-	else if (e->req.until_ms > t.wall_ms)
-		shard_verdict(s, i, CLAIM_RUNNING, NULL);
-	else
-		shard_verdict(s, i, CLAIM_LOST, NULL);
-}
-
-/* Whether an entry can still change: then the view must be as new as the
- * question. */
-static bool shard_view_serves(struct claim_shard *s, const struct pending *p,
-			      const struct claim_entry *e)
-{
-	return e->state == CLAIM_STATE_DONE || s->view_ms >= p->asked_ms;
-}
-
-/* An outcome that the log has no more use for. */
-static bool note_settled(const struct claim_entry *e, const struct pending *p)
-{
-	return !e || !claim_name_eq(e->req.id, p->rec.req.id) ||
-	       e->state != CLAIM_STATE_HELD;
-}
-
-static enum review shard_review_note(struct claim_shard *s, size_t i,
-				     const struct claim_entry *e)
-{
-	const struct pending *p = &s->pending[i];
-
-	if (!note_settled(e, p))
-		return REVIEW_PUT;
-	if (s->view_ms < p->asked_ms) {
-		s->behind = true;
-		return REVIEW_KEEP;
-	}
-	pending_drop(s, i);
-	return REVIEW_GONE;
-}
-
-/* Settle what the view settles. */
-static enum review shard_review(struct claim_shard *s, size_t i,
-				struct claim_time t)
-{
-	const struct pending *p = &s->pending[i];
-	const struct claim_entry *e =
-		claim_table_find(&s->chain.table, p->rec.req.key, t.wall_ms);
-
-	if (p->rec.op != CLAIM_OP_CLAIM)
-		return shard_review_note(s, i, e);
-	if (!e)
-		return REVIEW_PUT;
-	if (!shard_view_serves(s, p, e)) {
-		s->behind = true;
-		return REVIEW_KEEP;
-	}
-	shard_settle(s, i, e, t);
-	return REVIEW_GONE;
-}
-
 /* A key has at most one record in a put. */
 static bool batch_has(const struct claim_shard *s, size_t end,
 		      struct claim_name key)
@@ -419,7 +293,7 @@
 		if (p->rec.op == CLAIM_OP_CLAIM)
 			shard_verdict(s, i, CLAIM_GRANTED, NULL);
 		else
-			pending_drop(s, i);
+			shard_drop(s, i);
 	}
 }
 
