--- a/packages/rollout/include/rollout/batch_json.h
+++ b/packages/rollout/include/rollout/batch_json.h
@@ -34,12 +34,11 @@
 
 /// Request for an engine that makes a slot's sample, or goes on with it.
 ///
-/// @param id        id of the generation
-/// @param priority  0 to 9
-/// @param so_far    tokens made before, empty for none
+/// @param id      id of the generation
+/// @param so_far  tokens made before, empty for none
 /// @return text to free(), NULL when out of memory
 char *batch_engine_request(const struct batch *b, size_t slot, const char *id,
-			   int priority, const struct sample *so_far);
+			   const struct sample *so_far);
 
 /// Read one line of an engine's answer into a sample.
 ///
--- /dev/null
+++ b/packages/rollout/include/rollout/pull.h
@@ -0,0 +1,54 @@
+// A trainer's pull, and what it is answered.
+#pragma once
+
+#include <stdbool.h>
+
+#include "rollout/batch.h"
+#include "rollout/sample.h"
+
+/// A list of slot names.
+struct slot_names {
+	char (*v)[BATCH_SLOT_NAME];
+	size_t n;
+};
+
+struct pull {
+	char team[BATCH_NAME];
+	char trainer[BATCH_NAME];
+	char route[BATCH_NAME];
+	char batch[BATCH_NAME];
+	uint64_t session;
+	uint64_t version; ///< trainer's weight version now
+	uint64_t max; ///< samples
+	int64_t wait_ms; ///< until it is answered without samples
+	struct slot_names acks;
+	struct slot_names lost;
+};
+
+struct pull_item {
+	char slot[BATCH_SLOT_NAME];
+	uint64_t seed;
+	struct sample sample;
+};
+
+struct pull_reply {
+	struct pull_item *items;
+	size_t n;
+	struct slot_names expired;
+	uint64_t left; ///< slots not acknowledged
+	bool done; ///< every slot is acknowledged
+};
+
+/// Add a name.
+///
+/// @return ERR_OK, ERR_INVALID for one that is too long, ERR_NOMEM
+enum err slot_names_add(struct slot_names *names, const char *name);
+
+/// Free a list and empty it.
+void slot_names_clear(struct slot_names *names);
+
+/// Free what a pull holds and empty it.
+void pull_clear(struct pull *p);
+
+/// Free what a reply holds and empty it.
+void pull_reply_clear(struct pull_reply *r);
--- /dev/null
+++ b/packages/rollout/include/rollout/record.h
@@ -0,0 +1,34 @@
+// Who owns a trainer's batches: one key of the key-value store for a trainer.
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "rollout/batch.h"
+
+enum {
+	RECORD_KEY = 2 * BATCH_NAME + 16, ///< bytes of a key
+	RECORD_INC = 20, ///< bytes of an incarnation
+};
+
+struct record {
+	uint64_t epoch; ///< grows with every change
+	char owner[BATCH_NAME]; ///< node that hands samples out
+	char owner_inc[RECORD_INC]; ///< its incarnation
+	char backup[BATCH_NAME]; ///< node with a whole copy, "" for none
+};
+
+/// Key of a trainer's record.
+///
+/// @param[out] key  RECORD_KEY bytes
+void record_key(const char *team, const char *trainer, char *key);
+
+/// Record as JSON.
+///
+/// @return text to free(), NULL when out of memory
+char *record_format(const struct record *r);
+
+/// @return ERR_OK or ERR_PARSE
+enum err record_parse(const char *text, size_t len, struct record *r);
+
+bool record_same(const struct record *a, const struct record *b);
--- a/packages/rollout/src/batch_json.c
+++ b/packages/rollout/src/batch_json.c
@@ -7,6 +7,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum {
+	BATCH_PRIORITY = 3, ///< of 0 to 9, below what callers wait for
+};
+
 static bool json_name(const json_t *obj, const char *key, char *buf)
 {
 	const char *s = json_string_value(json_object_get(obj, key));
@@ -199,13 +203,13 @@
 }
 
 char *batch_engine_request(const struct batch *b, size_t slot, const char *id,
-			   int priority, const struct sample *so_far)
+			   const struct sample *so_far)
 {
 	const struct batch_group *g = batch_group_of(b, slot);
 	json_t *obj =
 		json_pack("{s:s,s:o,s:I,s:i,s:I}", "id", id, "prompt",
 			  tokens_json(g->prompt, g->n_prompt), "max_tokens",
-			  (json_int_t)g->max_tokens, "priority", priority,
+			  (json_int_t)g->max_tokens, "priority", BATCH_PRIORITY,
 			  "seed", (json_int_t)batch_slot_seed(b, slot));
 	char *text;
 
--- /dev/null
+++ b/packages/rollout/src/claim.c
@@ -0,0 +1,242 @@
+// Brings the record to name this node and a backup with a whole copy.
+//
+// The copy comes first, then the record: so whoever the record names has
+// everything that was handed out. Until an attempt to change the record is
+// settled, both the old backup and the new one must acknowledge.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "rollout_defs.h"
+
+static bool claim_is_slow(const struct owner *o, const char *node)
+{
+	return o->r->now_ms < o->slow_until_ms && strcmp(o->slow, node) == 0;
+}
+
+/* A new stream would make a node forget the whole copy that it has. */
+static bool claim_is_backup(const struct owner *o, const char *node)
+{
+	return o->backup && !o->backup->dead &&
+	       strcmp(o->backup->node, node) == 0;
+}
+
+/* Rendezvous hash, with nodes of other failure domains first. */
+static uint64_t claim_rank(const struct owner *o,
+			   const struct rollout_member *m)
+{
+	uint64_t h = XXH64(m->id, strlen(m->id), 0);
+
+	h = XXH64(o->home->trainer, strlen(o->home->trainer), h) >> 1;
+	if (strcmp(m->domain, o->r->opts.domain) != 0)
+		h |= 1ull << 63;
+	return h;
+}
+
+static const struct rollout_member *claim_pick(const struct owner *o)
+{
+	const struct rollout_member *best = NULL;
+
+	for (size_t i = 0; i < o->r->n_members; i++) {
+		const struct rollout_member *m = &o->r->members[i];
+
+		if (!m->alive || m->draining || claim_is_slow(o, m->id) ||
+		    claim_is_backup(o, m->id))
+			continue;
+		if (!best || claim_rank(o, m) > claim_rank(o, best))
+			best = m;
+	}
+	return best;
+}
+
+static bool claim_backup_bad(struct owner *o)
+{
+	const struct rollout_member *m;
+
+	if (!o->backup)
+		return true;
+	if (stream_stuck(o->backup, o->r->now_ms, COPY_LIMIT_MS)) {
+		if (!o->backup->dead) {
+			memcpy(o->slow, o->backup->node, sizeof(o->slow));
+			o->slow_until_ms = o->r->now_ms + COPY_PAUSE_MS;
+		}
+		return true;
+	}
+	m = rollout_member(o->r, o->backup->node);
+	return !m || !m->alive || m->draining;
+}
+
+/* A backup in this failure domain gives way to one in another. */
+static bool claim_backup_near(const struct owner *o)
+{
+	const struct rollout_member *now =
+		rollout_member(o->r, o->backup->node);
+	const struct rollout_member *best = claim_pick(o);
+
+	return best && now && strcmp(now->domain, o->r->opts.domain) == 0 &&
+	       strcmp(best->domain, o->r->opts.domain) != 0;
+}
+
+static bool claim_wants_change(struct owner *o)
+{
+	bool wants;
+
+	if (!o->active)
+		return true;
+	wants = claim_backup_bad(o);
+	if (!wants)
+		wants = claim_backup_near(o);
+	if (!wants)
+		o->since_ms = 0;
+	return wants;
+}
+
+static void claim_propose(struct owner *o, const char *backup)
+{
+	struct rollout *r = o->r;
+
+	memset(&o->want, 0, sizeof(o->want));
+	o->want.epoch = o->rec.epoch + 1;
+	memcpy(o->want.owner, r->opts.node, sizeof(o->want.owner));
+	memcpy(o->want.owner_inc, r->opts.inc, sizeof(o->want.owner_inc));
+	snprintf(o->want.backup, sizeof(o->want.backup), "%s", backup);
+	if (*backup)
+		o->next = copy_begin(o, backup, o->want.epoch);
+	o->proposing = !*backup || o->next;
+}
+
+/* Alone only when no other node was there for a while. */
+static void claim_begin(struct owner *o)
+{
+	const struct rollout_member *m = claim_pick(o);
+	bool alone = o->active && !o->backup && !*o->rec.backup;
+
+	if (o->since_ms == 0)
+		o->since_ms = o->r->now_ms;
+	if (m)
+		claim_propose(o, m->id);
+	else if (!alone && !rollout_alive(o->r, o->rec.backup) &&
+		 o->r->now_ms - o->since_ms >= SOLO_AFTER_MS)
+		claim_propose(o, "");
+}
+
+static void claim_withdraw(struct owner *o)
+{
+	stream_free(o->next);
+	o->next = NULL;
+	o->proposing = false;
+}
+
+/* Before the store is asked, a proposal may still be given up. */
+static void claim_check_next(struct owner *o)
+{
+	if (!o->next)
+		return;
+	if (stream_stuck(o->next, o->r->now_ms, COPY_LIMIT_MS) ||
+	    !rollout_alive(o->r, o->next->node)) {
+		memcpy(o->slow, o->next->node, sizeof(o->slow));
+		o->slow_until_ms = o->r->now_ms + COPY_PAUSE_MS;
+		claim_withdraw(o);
+	}
+}
+
+static void claim_put(struct owner *o)
+{
+	if (o->call != 0 || o->r->now_ms < o->retry_ms)
+		return;
+	if (o->put) {
+		o->call = kv_read(o->r, KV_READ_OWNER, o->home->team,
+				  o->home->trainer);
+		return;
+	}
+	if (o->next && !stream_whole(o->next))
+		return;
+	o->call = kv_write(o->r, o);
+	o->put = o->call != 0;
+}
+
+void claim_step(struct owner *o)
+{
+	if (!o->put) {
+		bool wants = claim_wants_change(o);
+
+		if (o->proposing && !wants)
+			claim_withdraw(o);
+		if (o->proposing)
+			claim_check_next(o);
+		if (wants && !o->proposing)
+			claim_begin(o);
+	}
+	if (o->proposing)
+		claim_put(o);
+}
+
+static void claim_adopt(struct owner *o, uint64_t rev)
+{
+	bool was_active = o->active;
+
+	stream_free(o->backup);
+	o->backup = o->next;
+	o->next = NULL;
+	o->rec = o->want;
+	o->rev = rev;
+	o->proposing = false;
+	o->put = false;
+	o->since_ms = 0;
+	place_set(o->r, o->home->team, o->home->trainer, &o->rec, rev);
+	if (!was_active)
+		owner_activate(o);
+}
+
+/* Another node changed the record: it holds all that was handed out. */
+static void claim_lost(struct owner *o, const struct record *rec, uint64_t rev)
+{
+	place_set(o->r, o->home->team, o->home->trainer, rec, rev);
+	o->r->stats.deposed++;
+	owner_drop(o);
+}
+
+static void claim_put_answer(struct owner *o, const struct rollout_kv *res)
+{
+	if (res->err == ERR_OK)
+		claim_adopt(o, res->rev);
+	else if (res->err != ERR_KV_CONFLICT)
+		o->retry_ms = o->r->now_ms + KV_RETRY_MS;
+}
+
+/* Settle an attempt whose outcome is not known. */
+static void claim_read_answer(struct owner *o, const struct rollout_kv *res)
+{
+	struct record rec;
+
+	if (res->err == ERR_NOT_FOUND && o->rev == 0) {
+		o->put = false;
+		return;
+	}
+	if (res->err != ERR_OK ||
+	    record_parse(res->value, res->len, &rec) != ERR_OK) {
+		o->retry_ms = o->r->now_ms + KV_RETRY_MS;
+		return;
+	}
+	if (record_same(&rec, &o->want))
+		claim_adopt(o, res->rev);
+	else if (res->rev != o->rev)
+		claim_lost(o, &rec, res->rev);
+	else
+		o->call = kv_write(o->r, o);
+}
+
+void claim_answer(struct rollout *r, const struct kv_call *call,
+		  const struct rollout_kv *res)
+{
+	struct owner *o = owner_find(r, call->team, call->trainer);
+
+	if (!o || o->call != res->call)
+		return;
+	o->call = 0;
+	if (call->use == KV_PUT_OWNER)
+		claim_put_answer(o, res);
+	else
+		claim_read_answer(o, res);
+}
--- /dev/null
+++ b/packages/rollout/src/copy.c
@@ -0,0 +1,209 @@
+// Copies: streams to the backups of this node's trainers, and the copies that
+// this node holds for others.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "rollout_defs.h"
+
+struct copy_target {
+	struct owner *o;
+};
+
+static void copy_send(void *ctx, const struct stream *s, uint64_t seq,
+		      const struct stream_chunk *chunk)
+{
+	const struct owner *o = ctx;
+	struct msg_op m = {
+		.epoch = s->epoch,
+		.stream = s->id,
+		.seq = seq,
+		.last = chunk->last,
+		.buf = chunk->buf,
+		.len = chunk->len,
+	};
+	size_t len;
+	void *buf;
+
+	memcpy(m.team, o->home->team, sizeof(m.team));
+	memcpy(m.trainer, o->home->trainer, sizeof(m.trainer));
+	buf = msg_op_encode(&m, &len);
+	o->r->stats.copy_bytes += len;
+	rollout_send(o->r, s->node, ROLLOUT_MSG_OP, buf, len);
+}
+
+void copy_pump(struct owner *o)
+{
+	if (o->backup)
+		stream_pump(o->backup, o->r->now_ms, copy_send, o);
+	if (o->next)
+		stream_pump(o->next, o->r->now_ms, copy_send, o);
+}
+
+struct copy_fill {
+	struct stream *s;
+	int64_t now_ms;
+};
+
+static void copy_put(void *ctx, const struct op *op)
+{
+	const struct copy_fill *f = ctx;
+	size_t len;
+	void *buf = op_encode(op, &len);
+
+	if (buf)
+		stream_put(f->s, buf, len, f->now_ms);
+	free(buf);
+}
+
+struct stream *copy_begin(struct owner *o, const char *node, uint64_t epoch)
+{
+	struct rollout *r = o->r;
+	struct stream *s = stream_new(node, ++r->next_stream, epoch, r->now_ms);
+	struct copy_fill f = {s, r->now_ms};
+
+	if (!s)
+		return NULL;
+	home_snapshot(o->home, copy_put, &f);
+	s->whole_at = s->last;
+	return s;
+}
+
+struct replica *copy_find(struct rollout *r, const char *team,
+			  const char *trainer, const char *owner)
+{
+	for (size_t i = 0; i < r->n_replicas; i++) {
+		struct replica *rep = r->replicas[i];
+
+		if (strcmp(rep->team, team) == 0 &&
+		    strcmp(rep->trainer, trainer) == 0 &&
+		    strcmp(rep->owner, owner) == 0)
+			return rep;
+	}
+	return NULL;
+}
+
+void copy_drop(struct rollout *r, struct replica *rep)
+{
+	for (size_t i = 0; i < r->n_replicas; i++) {
+		if (r->replicas[i] == rep)
+			r->replicas[i] = r->replicas[--r->n_replicas];
+	}
+	replica_free(rep);
+}
+
+/* The copy for a chunk; a new stream begins with its first chunk. */
+static struct replica *copy_for(struct rollout *r, const char *from,
+				const struct msg_op *m)
+{
+	struct replica *rep = copy_find(r, m->team, m->trainer, from);
+
+	if (rep && rep->stream == m->stream)
+		return rep;
+	if (m->seq != 1 || (rep && m->epoch < rep->epoch))
+		return NULL;
+	if (!rep) {
+		if (r->n_replicas == ROLLOUT_HOMES)
+			return NULL;
+		rep = replica_new(m->team, m->trainer, from);
+		if (!rep)
+			return NULL;
+		r->replicas[r->n_replicas++] = rep;
+	}
+	replica_begin(rep, m->epoch, m->stream);
+	return rep;
+}
+
+static void copy_answer(struct rollout *r, const char *to,
+			const struct msg_op *m, uint64_t acked,
+			enum copy_status status)
+{
+	struct msg_ack ack = {
+		.stream = m->stream,
+		.acked = acked,
+		.status = status,
+	};
+	size_t len;
+	void *buf;
+
+	memcpy(ack.team, m->team, sizeof(ack.team));
+	memcpy(ack.trainer, m->trainer, sizeof(ack.trainer));
+	buf = msg_ack_encode(&ack, &len);
+	rollout_send(r, to, ROLLOUT_MSG_ACK, buf, len);
+}
+
+static enum err copy_apply(struct rollout *r, const char *from,
+			   const struct msg_op *m)
+{
+	struct replica *rep = copy_for(r, from, m);
+	enum err e = ERR_OK;
+
+	if (rep && !rep->broken && !rep->fenced && m->seq == rep->acked + 1)
+		e = replica_take(rep, m->buf, m->len, m->last);
+	if (!rep || rep->broken)
+		copy_answer(r, from, m, 0, COPY_LOST);
+	else if (rep->fenced)
+		copy_answer(r, from, m, 0, COPY_FENCED);
+	else
+		copy_answer(r, from, m, rep->acked, COPY_OK);
+	return e;
+}
+
+enum err copy_take_op(struct rollout *r, const char *from, const void *buf,
+		      size_t len)
+{
+	struct unpack u;
+	struct msg_op m;
+	enum err e = msg_op_decode(&u, buf, len, &m);
+
+	if (e == ERR_OK)
+		e = copy_apply(r, from, &m);
+	unpack_end(&u);
+	return e;
+}
+
+static void copy_acked(struct stream *s, const char *from,
+		       const struct msg_ack *ack, int64_t now_ms)
+{
+	if (!s || s->id != ack->stream || strcmp(s->node, from) != 0)
+		return;
+	if (ack->status == COPY_OK)
+		stream_ack(s, ack->acked, now_ms);
+	else
+		s->dead = true;
+}
+
+enum err copy_take_ack(struct rollout *r, const char *from, const void *buf,
+		       size_t len)
+{
+	struct msg_ack ack;
+	struct owner *o;
+	enum err e = msg_ack_decode(buf, len, &ack);
+
+	if (e != ERR_OK)
+		return e;
+	o = owner_find(r, ack.team, ack.trainer);
+	if (!o)
+		return ERR_OK;
+	copy_acked(o->backup, from, &ack, r->now_ms);
+	copy_acked(o->next, from, &ack, r->now_ms);
+	claim_step(o);
+	return ERR_OK;
+}
+
+/* A copy that the record does not name any more is of no use. */
+static bool copy_is_old(struct rollout *r, const struct replica *rep)
+{
+	const struct place *p = place_get(r, rep->team, rep->trainer);
+
+	return p && p->known && p->found && p->rev > 0 &&
+	       p->rec.epoch > rep->epoch;
+}
+
+void copy_sweep(struct rollout *r)
+{
+	for (size_t i = r->n_replicas; i-- > 0;) {
+		if (copy_is_old(r, r->replicas[i]))
+			copy_drop(r, r->replicas[i]);
+	}
+}
--- /dev/null
+++ b/packages/rollout/src/home_pull.c
@@ -0,0 +1,231 @@
+// Decides pulls and copies a state; changes nothing.
+#include "rollout/home.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Names that are not slots of the batch are ignored. */
+static enum err home_resolve(const struct home_batch *b,
+			     const struct slot_names *names, struct slots *out)
+{
+	for (size_t i = 0; i < names->n; i++) {
+		size_t slot;
+
+		if (batch_slot_find(b->spec, names->v[i], &slot) != ERR_OK)
+			continue;
+		if (slots_add(out, (uint32_t)slot) != ERR_OK)
+			return ERR_NOMEM;
+	}
+	return ERR_OK;
+}
+
+struct home_pick {
+	const struct home_batch *b;
+	const struct pull *p;
+	struct op *op;
+	size_t tokens;
+	bool *skip; ///< by slot: acknowledged or lost by this pull
+};
+
+static bool home_may_hand(const struct home_pick *k, uint32_t slot)
+{
+	return !k->skip[slot] &&
+	       sample_fresh(&k->b->slots[slot].sample, k->op->version,
+			    k->b->spec->max_staleness);
+}
+
+static enum err home_pick(struct home_pick *k, enum home_slot_state state)
+{
+	size_t left = state == HOME_READY ? k->b->n_ready : k->b->n_handed;
+
+	for (uint32_t i = 0; left > 0 && i < k->b->spec->n_slots; i++) {
+		const struct home_slot *s = &k->b->slots[i];
+
+		if (s->state != state)
+			continue;
+		left--;
+		if (k->op->handed.n >= k->p->max ||
+		    k->tokens >= HOME_PULL_TOKENS)
+			return ERR_OK;
+		if (!home_may_hand(k, i))
+			continue;
+		if (slots_add(&k->op->handed, i) != ERR_OK)
+			return ERR_NOMEM;
+		k->tokens += s->sample.n;
+	}
+	return ERR_OK;
+}
+
+static bool *home_skips(const struct home_batch *b, const struct op *op)
+{
+	bool *skip = calloc(b->spec->n_slots, sizeof(*skip));
+
+	for (size_t i = 0; skip && i < op->acks.n; i++)
+		skip[op->acks.v[i]] = true;
+	for (size_t i = 0; skip && i < op->lost.n; i++)
+		skip[op->lost.v[i]] = true;
+	return skip;
+}
+
+enum err home_plan_pull(struct home *h, const struct pull *p, bool again,
+			struct op *op)
+{
+	struct home_batch *b = home_find(h, p->batch);
+	struct home_pick k = {b, p, op, 0, NULL};
+	enum err e = ERR_OK;
+
+	memset(op, 0, sizeof(*op));
+	if (p->session < h->session)
+		return ERR_SESSION_OLD;
+	op->kind = OP_PULL;
+	op->session = p->session;
+	op->version = p->version > h->version ? p->version : h->version;
+	memcpy(op->batch, p->batch, sizeof(op->batch));
+	if (!b)
+		return ERR_OK;
+	e = home_resolve(b, &p->acks, &op->acks);
+	if (e == ERR_OK)
+		e = home_resolve(b, &p->lost, &op->lost);
+	k.skip = e == ERR_OK ? home_skips(b, op) : NULL;
+	if (!k.skip)
+		return ERR_NOMEM;
+	if (again)
+		e = home_pick(&k, HOME_HANDED);
+	if (e == ERR_OK)
+		e = home_pick(&k, HOME_READY);
+	free(k.skip);
+	return e;
+}
+
+static enum err home_reply_items(const struct home_batch *b,
+				 const struct op *op, struct pull_reply *reply)
+{
+	reply->items = calloc(op->handed.n + 1, sizeof(*reply->items));
+	if (!reply->items)
+		return ERR_NOMEM;
+	for (size_t i = 0; i < op->handed.n; i++) {
+		uint32_t slot = op->handed.v[i];
+		struct pull_item *item = &reply->items[reply->n];
+
+		if (b->slots[slot].state != HOME_HANDED)
+			continue;
+		batch_slot_name(b->spec, slot, item->slot);
+		item->seed = batch_slot_seed(b->spec, slot);
+		if (sample_copy(&item->sample, &b->slots[slot].sample) !=
+		    ERR_OK)
+			return ERR_NOMEM;
+		reply->n++;
+	}
+	return ERR_OK;
+}
+
+static enum err home_reply_expired(const struct home *h,
+				   const struct home_batch *b,
+				   struct pull_reply *reply)
+{
+	size_t left = b->n_handed;
+
+	for (uint32_t i = 0; left > 0 && i < b->spec->n_slots; i++) {
+		char name[BATCH_SLOT_NAME];
+		enum err e;
+
+		if (b->slots[i].state != HOME_HANDED)
+			continue;
+		left--;
+		if (sample_fresh(&b->slots[i].sample, h->version,
+				 b->spec->max_staleness))
+			continue;
+		batch_slot_name(b->spec, i, name);
+		e = slot_names_add(&reply->expired, name);
+		if (e != ERR_OK)
+			return e;
+	}
+	return ERR_OK;
+}
+
+static bool home_was_done(const struct home *h, const char *id)
+{
+	for (size_t i = 0; i < h->n_done; i++) {
+		if (strcmp(h->done[i].id, id) == 0)
+			return true;
+	}
+	return false;
+}
+
+enum err home_reply(struct home *h, const struct op *op,
+		    struct pull_reply *reply)
+{
+	const struct home_batch *b = home_find(h, op->batch);
+	enum err e;
+
+	memset(reply, 0, sizeof(*reply));
+	if (!b) {
+		reply->done = home_was_done(h, op->batch);
+		return reply->done ? ERR_OK : ERR_BATCH_UNKNOWN;
+	}
+	reply->left = b->spec->n_slots - b->n_acked;
+	e = home_reply_items(b, op, reply);
+	if (e == ERR_OK)
+		e = home_reply_expired(h, b, reply);
+	if (e != ERR_OK)
+		pull_reply_clear(reply);
+	return e;
+}
+
+static void home_copy_batch(const struct home_batch *b,
+			    void (*fn)(void *ctx, const struct op *op),
+			    void *ctx)
+{
+	struct op acked = {.kind = OP_ACKED};
+	struct op op = {.kind = OP_BATCH, .spec = b->spec};
+
+	memcpy(op.batch, b->spec->id, sizeof(op.batch));
+	memcpy(acked.batch, b->spec->id, sizeof(acked.batch));
+	fn(ctx, &op);
+	op.kind = OP_SAMPLE;
+	op.spec = NULL;
+	for (uint32_t i = 0; i < b->spec->n_slots; i++) {
+		const struct home_slot *s = &b->slots[i];
+
+		if (s->state == HOME_ACKED)
+			slots_add(&acked.acks, i);
+		if (s->state != HOME_READY && s->state != HOME_HANDED)
+			continue;
+		op.slot = i;
+		op.is_handed = s->state == HOME_HANDED;
+		op.sample = s->sample;
+		fn(ctx, &op);
+	}
+	fn(ctx, &acked);
+	slots_clear(&acked.acks);
+}
+
+void home_snapshot(const struct home *h,
+		   void (*fn)(void *ctx, const struct op *op), void *ctx)
+{
+	struct op op = {.kind = OP_RESET};
+
+	fn(ctx, &op);
+	for (size_t i = 0; i < h->n_batches; i++)
+		home_copy_batch(h->batches[i], fn, ctx);
+	for (size_t i = 0; i < h->n_done; i++) {
+		const struct home_done *d = &h->done[i];
+
+		op = (struct op){
+			.kind = OP_DONE,
+			.hash = d->hash,
+			.step = d->step,
+			.n_slots = d->n_slots,
+		};
+		memcpy(op.batch, d->id, sizeof(op.batch));
+		fn(ctx, &op);
+	}
+	op = (struct op){
+		.kind = OP_META,
+		.session = h->session,
+		.version = h->version,
+		.step = h->floor,
+	};
+	fn(ctx, &op);
+}
--- /dev/null
+++ b/packages/rollout/src/kv.c
@@ -0,0 +1,49 @@
+// Calls of the key-value store; their answers are matched by handle.
+#include <stdio.h>
+#include <string.h>
+
+#include "rollout_defs.h"
+
+static uint32_t kv_call_new(struct rollout *r, enum kv_use use,
+			    const char *team, const char *trainer)
+{
+	htab_handle h;
+	struct kv_call *call = htab_add(r->calls, &h);
+
+	if (!call)
+		return 0;
+	call->use = use;
+	snprintf(call->team, sizeof(call->team), "%s", team);
+	snprintf(call->trainer, sizeof(call->trainer), "%s", trainer);
+	return h;
+}
+
+uint32_t kv_read(struct rollout *r, enum kv_use use, const char *team,
+		 const char *trainer)
+{
+	uint32_t h = kv_call_new(r, use, team, trainer);
+	struct rollout_action *a;
+
+	if (h == 0)
+		return 0;
+	a = rollout_act(r, ROLLOUT_KV_GET);
+	a->call = h;
+	record_key(team, trainer, a->key);
+	return h;
+}
+
+uint32_t kv_write(struct rollout *r, const struct owner *o)
+{
+	const struct home *home = o->home;
+	uint32_t h = kv_call_new(r, KV_PUT_OWNER, home->team, home->trainer);
+	struct rollout_action *a;
+
+	if (h == 0)
+		return 0;
+	a = rollout_act(r, ROLLOUT_KV_PUT);
+	a->call = h;
+	a->prev_rev = o->rev;
+	a->value = record_format(&o->want);
+	record_key(home->team, home->trainer, a->key);
+	return h;
+}
--- /dev/null
+++ b/packages/rollout/src/msg.h
@@ -0,0 +1,81 @@
+// Messages between the rollout modules of daemons.
+#pragma once
+
+#include "pack.h"
+#include "rollout/pull.h"
+#include "rollout/record.h"
+
+/// Answer to a chunk of operations.
+enum copy_status {
+	COPY_OK,
+	COPY_LOST, ///< the copy does not know the stream: begin anew
+	COPY_FENCED, ///< the copy's node takes over
+};
+
+struct msg_op {
+	char team[BATCH_NAME];
+	char trainer[BATCH_NAME];
+	uint64_t epoch;
+	uint64_t stream;
+	uint64_t seq;
+	bool last; ///< ends an operation
+	const void *buf; ///< inside the message
+	size_t len; ///< bytes
+};
+
+struct msg_ack {
+	char team[BATCH_NAME];
+	char trainer[BATCH_NAME];
+	uint64_t stream;
+	uint64_t acked;
+	enum copy_status status;
+};
+
+/// A part of a request or a reply that is passed on.
+struct msg_part {
+	uint64_t id; ///< of the request, at the node that passes it on
+	uint64_t part; ///< from 0
+	uint64_t parts;
+	const void *buf; ///< inside the message
+	size_t len; ///< bytes
+};
+
+struct msg_request {
+	bool take_over; ///< the owner gave up or was lost: the backup serves
+	struct batch *batch; ///< of a POST, else NULL
+	struct pull pull;
+};
+
+struct msg_reply {
+	enum err err;
+	bool not_owner; ///< ask elsewhere
+	bool lost; ///< the record names this node, but it has no state
+	uint64_t slots; ///< of a POST
+	bool known; ///< of a POST: the same batch came before
+	struct pull_reply pull;
+};
+
+/// Who owns a trainer's batches, and the answer.
+struct msg_who {
+	char team[BATCH_NAME];
+	char trainer[BATCH_NAME];
+	struct record record; ///< of the answer
+};
+
+void *msg_op_encode(const struct msg_op *m, size_t *len);
+/// The reader must stay open while buf is used.
+enum err msg_op_decode(struct unpack *u, const void *buf, size_t len,
+		       struct msg_op *m);
+void *msg_ack_encode(const struct msg_ack *m, size_t *len);
+enum err msg_ack_decode(const void *buf, size_t len, struct msg_ack *m);
+void *msg_part_encode(const struct msg_part *m, size_t *len);
+enum err msg_part_decode(struct unpack *u, const void *buf, size_t len,
+			 struct msg_part *m);
+void *msg_request_encode(const struct msg_request *m, size_t *len);
+enum err msg_request_decode(const void *buf, size_t len, struct msg_request *m);
+void msg_request_clear(struct msg_request *m);
+void *msg_reply_encode(const struct msg_reply *m, size_t *len);
+enum err msg_reply_decode(const void *buf, size_t len, struct msg_reply *m);
+void msg_reply_clear(struct msg_reply *m);
+void *msg_who_encode(const struct msg_who *m, size_t *len);
+enum err msg_who_decode(const void *buf, size_t len, struct msg_who *m);
--- /dev/null
+++ b/packages/rollout/src/owner.c
@@ -0,0 +1,169 @@
+// A trainer whose batches this node owns: every change goes to the copies.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "rollout_defs.h"
+
+struct owner *owner_find(struct rollout *r, const char *team,
+			 const char *trainer)
+{
+	for (size_t i = 0; i < r->n_owners; i++) {
+		const struct home *h = r->owners[i]->home;
+
+		if (strcmp(h->team, team) == 0 &&
+		    strcmp(h->trainer, trainer) == 0)
+			return r->owners[i];
+	}
+	return NULL;
+}
+
+static void owner_on_batch(void *ctx, struct home_batch *b)
+{
+	struct owner *o = ctx;
+
+	b->user = o;
+	sched_add(o->r->sched, b, o);
+}
+
+static void owner_on_need(void *ctx, struct home_batch *b, uint32_t slot)
+{
+	const struct owner *o = ctx;
+
+	sched_need(o->r->sched, b, slot);
+}
+
+static void owner_on_version(void *ctx, uint64_t version)
+{
+	const struct owner *o = ctx;
+
+	for (size_t i = 0; i < o->home->n_batches; i++)
+		sched_version(o->r->sched, o->home->batches[i], version);
+}
+
+static void owner_on_acked(void *ctx, struct home_batch *b, uint32_t slot)
+{
+	const struct owner *o = ctx;
+	struct rollout_action *a = rollout_act(o->r, ROLLOUT_USED);
+
+	memcpy(a->team, o->home->team, sizeof(a->team));
+	a->tokens = b->slots[slot].sample.n;
+	o->r->stats.acked++;
+}
+
+static void owner_on_done(void *ctx, struct home_batch *b)
+{
+	const struct owner *o = ctx;
+
+	sched_del(o->r->sched, b);
+}
+
+static const struct home_watch owner_watch = {
+	.on_batch = owner_on_batch,
+	.on_need = owner_on_need,
+	.on_version = owner_on_version,
+	.on_acked = owner_on_acked,
+	.on_done = owner_on_done,
+};
+
+struct owner *owner_new(struct rollout *r, struct home *home,
+			const struct record *rec, uint64_t rev)
+{
+	struct owner *o;
+
+	if (r->n_owners == ROLLOUT_HOMES)
+		return NULL;
+	o = calloc(1, sizeof(*o));
+	if (!o)
+		return NULL;
+	o->r = r;
+	o->home = home;
+	o->rev = rev;
+	if (rec)
+		o->rec = *rec;
+	r->owners[r->n_owners++] = o;
+	return o;
+}
+
+void owner_activate(struct owner *o)
+{
+	o->active = true;
+	o->home->watch = &owner_watch;
+	o->home->watch_ctx = o;
+	for (size_t i = 0; i < o->home->n_batches; i++)
+		owner_on_batch(o, o->home->batches[i]);
+}
+
+/* What their pulls acknowledged may be lost: the trainer must say it again. */
+static void owner_refuse_requests(struct owner *o)
+{
+	struct request *q;
+	size_t iter = 0;
+
+	while ((q = htab_next(o->r->requests, &iter, NULL))) {
+		if (q->owner == o)
+			request_refuse(o->r, q, ERR_BATCH_UNSURE,
+				       ROLLOUT_RETRY_MS);
+	}
+}
+
+void owner_drop(struct owner *o)
+{
+	struct rollout *r = o->r;
+
+	if (o->active && r->sched) {
+		for (size_t i = 0; i < o->home->n_batches; i++)
+			sched_del(r->sched, o->home->batches[i]);
+	}
+	for (size_t i = 0; i < r->n_owners; i++) {
+		if (r->owners[i] == o)
+			r->owners[i] = r->owners[--r->n_owners];
+	}
+	if (r->sched)
+		owner_refuse_requests(o);
+	stream_free(o->backup);
+	stream_free(o->next);
+	home_free(o->home);
+	free(o);
+}
+
+/* A stream that misses an operation is of no use any more. */
+static void owner_copy(struct stream *s, const void *buf, size_t len,
+		       int64_t now_ms)
+{
+	if (s && stream_put(s, buf, len, now_ms) != ERR_OK)
+		s->dead = true;
+}
+
+enum err owner_emit(struct owner *o, struct op *op)
+{
+	size_t len;
+	void *buf = op_encode(op, &len);
+	enum err e = buf ? ERR_OK : ERR_NOMEM;
+
+	if (e == ERR_OK)
+		e = home_apply(o->home, op);
+	if (e == ERR_OK) {
+		owner_copy(o->backup, buf, len, o->r->now_ms);
+		owner_copy(o->next, buf, len, o->r->now_ms);
+	}
+	free(buf);
+	return e;
+}
+
+bool owner_sample(void *ctx, struct home_batch *b, uint32_t slot,
+		  struct sample *sample)
+{
+	struct owner *o = b->user;
+	struct op op = {.kind = OP_SAMPLE, .slot = slot};
+
+	if (!sample_fresh(sample, o->home->version, b->spec->max_staleness))
+		return false;
+	memcpy(op.batch, b->spec->id, sizeof(op.batch));
+	op.sample = *sample;
+	sample_init(sample);
+	owner_emit(o, &op);
+	op_clear(&op);
+	serve_wake(o, b);
+	return true;
+}
--- /dev/null
+++ b/packages/rollout/src/replica.c
@@ -0,0 +1,86 @@
+// Joins chunks to operations and applies them.
+#include "replica.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct replica *replica_new(const char *team, const char *trainer,
+			    const char *owner)
+{
+	struct replica *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		return NULL;
+	snprintf(r->team, sizeof(r->team), "%s", team);
+	snprintf(r->trainer, sizeof(r->trainer), "%s", trainer);
+	snprintf(r->owner, sizeof(r->owner), "%s", owner);
+	return r;
+}
+
+void replica_free(struct replica *r)
+{
+	if (!r)
+		return;
+	home_free(r->home);
+	free(r->part);
+	free(r);
+}
+
+void replica_begin(struct replica *r, uint64_t epoch, uint64_t stream)
+{
+	home_free(r->home);
+	free(r->part);
+	r->part = NULL;
+	r->part_len = 0;
+	r->home = home_new(r->team, r->trainer);
+	r->epoch = epoch;
+	r->stream = stream;
+	r->acked = 0;
+	r->whole = false;
+	r->fenced = false;
+	r->broken = r->home == NULL;
+}
+
+static enum err replica_join(struct replica *r, const void *buf, size_t len)
+{
+	char *part = realloc(r->part, r->part_len + len + 1);
+
+	if (!part)
+		return ERR_NOMEM;
+	memcpy(part + r->part_len, buf, len);
+	r->part = part;
+	r->part_len += len;
+	return ERR_OK;
+}
+
+static enum err replica_apply(struct replica *r)
+{
+	struct op op;
+	enum err e = op_decode(&op, r->part, r->part_len);
+
+	free(r->part);
+	r->part = NULL;
+	r->part_len = 0;
+	if (e != ERR_OK)
+		return e;
+	e = home_apply(r->home, &op);
+	if (e == ERR_OK && op.kind == OP_META)
+		r->whole = true;
+	op_clear(&op);
+	return e;
+}
+
+enum err replica_take(struct replica *r, const void *buf, size_t len, bool last)
+{
+	enum err e = replica_join(r, buf, len);
+
+	if (e == ERR_OK && last)
+		e = replica_apply(r);
+	if (e != ERR_OK) {
+		r->broken = true;
+		return e;
+	}
+	r->acked++;
+	return ERR_OK;
+}
--- /dev/null
+++ b/packages/rollout/src/rollout.c
@@ -0,0 +1,338 @@
+// Events of a node, and the queue of actions.
+#include "rollout_defs.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct rollout_action *rollout_act(struct rollout *r,
+				   enum rollout_action_kind kind)
+{
+	struct rollout_action *a = calloc(1, sizeof(*a));
+
+	if (!a)
+		abort();
+	a->kind = kind;
+	if (r->tail)
+		r->tail->next = a;
+	else
+		r->head = a;
+	r->tail = a;
+	return a;
+}
+
+struct rollout_action *rollout_next(struct rollout *r)
+{
+	struct rollout_action *a = r->head;
+
+	if (!a)
+		return NULL;
+	r->head = a->next;
+	if (!r->head)
+		r->tail = NULL;
+	a->next = NULL;
+	return a;
+}
+
+void rollout_action_free(struct rollout_action *a)
+{
+	if (!a)
+		return;
+	free(a->buf);
+	free(a->value);
+	pull_reply_clear(&a->pull);
+	free(a);
+}
+
+void rollout_send(struct rollout *r, const char *node, enum rollout_msg msg,
+		  void *buf, size_t len)
+{
+	struct rollout_action *a = rollout_act(r, ROLLOUT_SEND);
+
+	snprintf(a->node, sizeof(a->node), "%s", node);
+	a->msg = msg;
+	a->buf = buf;
+	a->len = len;
+}
+
+const struct rollout_member *rollout_member(const struct rollout *r,
+					    const char *id)
+{
+	for (size_t i = 0; i < r->n_members; i++) {
+		if (strcmp(r->members[i].id, id) == 0)
+			return &r->members[i];
+	}
+	return NULL;
+}
+
+bool rollout_alive(const struct rollout *r, const char *id)
+{
+	const struct rollout_member *m = rollout_member(r, id);
+
+	return m && m->alive;
+}
+
+static void rollout_start_run(void *ctx, const struct sched_start *start)
+{
+	struct rollout *r = ctx;
+	const struct batch *spec = start->batch->spec;
+	struct rollout_action *a = rollout_act(r, ROLLOUT_RUN);
+	char slot[BATCH_SLOT_NAME];
+	char id[256];
+
+	batch_slot_name(spec, start->slot, slot);
+	snprintf(id, sizeof(id), "%s/%s/%s/%u", r->opts.inc, spec->id, slot,
+		 start->run);
+	a->run = start->run;
+	a->cost = start->cost;
+	a->prefix = batch_group_of(spec, start->slot)->prefix;
+	memcpy(a->team, spec->team, sizeof(a->team));
+	snprintf(a->avoid, sizeof(a->avoid), "%s", start->avoid);
+	a->value = batch_engine_request(spec, start->slot, id, start->so_far);
+}
+
+static void rollout_cancel_run(void *ctx, htab_handle run)
+{
+	rollout_act(ctx, ROLLOUT_CANCEL)->run = run;
+}
+
+static const struct sched_ops rollout_sched_ops = {
+	.start = rollout_start_run,
+	.cancel = rollout_cancel_run,
+	.finished = owner_sample,
+};
+
+struct rollout *rollout_new(const struct rollout_opts *opts)
+{
+	struct rollout *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		return NULL;
+	r->opts = *opts;
+	r->opts.sched.ops = &rollout_sched_ops;
+	r->opts.sched.ctx = r;
+	r->next_stream = rng_next(&r->opts.rng);
+	r->sched = sched_new(&r->opts.sched);
+	r->requests = htab_new(ROLLOUT_REQUESTS, sizeof(struct request));
+	r->calls = htab_new(ROLLOUT_CALLS, sizeof(struct kv_call));
+	if (r->sched && r->requests && r->calls)
+		return r;
+	rollout_free(r);
+	return NULL;
+}
+
+static void rollout_free_requests(struct rollout *r)
+{
+	struct request *q;
+	size_t iter = 0;
+
+	while (r->requests && (q = htab_next(r->requests, &iter, NULL)))
+		request_del(r, q);
+	htab_free(r->requests);
+	htab_free(r->calls);
+}
+
+void rollout_free(struct rollout *r)
+{
+	struct rollout_action *a;
+
+	if (!r)
+		return;
+	rollout_free_requests(r);
+	sched_free(r->sched);
+	r->sched = NULL;
+	while (r->n_owners > 0)
+		owner_drop(r->owners[0]);
+	while (r->n_replicas > 0)
+		copy_drop(r, r->replicas[0]);
+	for (size_t i = 0; i < r->n_places; i++)
+		free(r->places[i]);
+	for (size_t i = 0; i < r->n_joins; i++)
+		free(r->joins[i].buf);
+	while ((a = rollout_next(r)))
+		rollout_action_free(a);
+	free(r->members);
+	free(r);
+}
+
+static void rollout_settle(struct rollout *r)
+{
+	request_route_all(r);
+	serve_commits(r);
+	for (size_t i = 0; i < r->n_owners; i++)
+		copy_pump(r->owners[i]);
+}
+
+void rollout_post(struct rollout *r, uint64_t caller, struct batch *batch,
+		  int64_t now_ms)
+{
+	struct request *q;
+
+	r->now_ms = now_ms;
+	q = request_new(r, 0);
+	if (!q) {
+		struct rollout_action *a = rollout_act(r, ROLLOUT_REFUSED);
+
+		a->caller = caller;
+		a->err = ERR_FULL;
+		a->retry_after_ms = ROLLOUT_RETRY_MS;
+		batch_free(batch);
+		return;
+	}
+	q->caller = caller;
+	q->batch = batch;
+	request_route(r, q);
+	rollout_settle(r);
+}
+
+void rollout_pull(struct rollout *r, uint64_t caller, struct pull *pull,
+		  int64_t now_ms)
+{
+	struct request *q;
+
+	r->now_ms = now_ms;
+	q = request_new(r, pull->wait_ms);
+	if (!q) {
+		struct rollout_action *a = rollout_act(r, ROLLOUT_REFUSED);
+
+		a->caller = caller;
+		a->err = ERR_FULL;
+		a->retry_after_ms = ROLLOUT_RETRY_MS;
+		pull_clear(pull);
+		return;
+	}
+	q->caller = caller;
+	q->pull = *pull;
+	memset(pull, 0, sizeof(*pull));
+	request_route(r, q);
+	rollout_settle(r);
+}
+
+void rollout_abort(struct rollout *r, uint64_t caller)
+{
+	struct request *q;
+	size_t iter = 0;
+
+	while ((q = htab_next(r->requests, &iter, NULL))) {
+		if (!*q->from && q->caller == caller)
+			request_del(r, q);
+	}
+}
+
+enum err rollout_recv(struct rollout *r, const char *from,
+		      enum rollout_msg type, const void *buf, size_t len,
+		      int64_t now_ms)
+{
+	enum err e = ERR_PARSE;
+
+	r->now_ms = now_ms;
+	switch (type) {
+	case ROLLOUT_MSG_OP:
+		e = copy_take_op(r, from, buf, len);
+		break;
+	case ROLLOUT_MSG_ACK:
+		e = copy_take_ack(r, from, buf, len);
+		break;
+	case ROLLOUT_MSG_REQUEST:
+		e = pass_take_request(r, from, buf, len);
+		break;
+	case ROLLOUT_MSG_REPLY:
+		e = pass_take_reply(r, from, buf, len);
+		break;
+	case ROLLOUT_MSG_WHO:
+		e = place_who(r, from, buf, len);
+		break;
+	case ROLLOUT_MSG_HERE:
+		e = place_here(r, buf, len);
+		break;
+	default:
+		break;
+	}
+	rollout_settle(r);
+	return e;
+}
+
+void rollout_kv_done(struct rollout *r, const struct rollout_kv *res,
+		     int64_t now_ms)
+{
+	const struct kv_call *found = htab_get(r->calls, res->call);
+	struct kv_call call;
+
+	if (!found)
+		return;
+	r->now_ms = now_ms;
+	call = *found;
+	htab_del(r->calls, res->call);
+	if (call.use == KV_READ_PLACE)
+		place_answer(r, &call, res);
+	else
+		claim_answer(r, &call, res);
+	rollout_settle(r);
+}
+
+void rollout_members(struct rollout *r, const struct rollout_member *members,
+		     size_t n)
+{
+	struct rollout_member *copy = calloc(n + 1, sizeof(*copy));
+
+	if (!copy)
+		return;
+	memcpy(copy, members, n * sizeof(*copy));
+	free(r->members);
+	r->members = copy;
+	r->n_members = n;
+}
+
+enum err rollout_tokens(struct rollout *r, htab_handle run, uint64_t version,
+			const uint32_t *tokens, size_t n, int64_t now_ms)
+{
+	return sched_tokens(r->sched, run, version, tokens, n, now_ms);
+}
+
+void rollout_ended(struct rollout *r, htab_handle run, enum sched_end end,
+		   enum sample_finish finish, const char *server,
+		   int64_t retry_after_ms, int64_t now_ms)
+{
+	r->now_ms = now_ms;
+	sched_ended(r->sched, run, end, finish, server, retry_after_ms, now_ms);
+	sched_tick(r->sched, now_ms);
+	rollout_settle(r);
+}
+
+void rollout_tick(struct rollout *r, int64_t now_ms)
+{
+	r->now_ms = now_ms;
+	for (size_t i = r->n_owners; i-- > 0;)
+		claim_step(r->owners[i]);
+	sched_tick(r->sched, now_ms);
+	serve_held(r);
+	request_tick(r);
+	copy_sweep(r);
+	pass_sweep(r);
+	rollout_settle(r);
+}
+
+void rollout_drain(struct rollout *r)
+{
+	r->draining = true;
+}
+
+bool rollout_idle(const struct rollout *r)
+{
+	struct rollout_stats s;
+
+	rollout_stats(r, &s);
+	return htab_count(r->requests) == 0 && s.open_batches == 0;
+}
+
+void rollout_stats(const struct rollout *r, struct rollout_stats *out)
+{
+	*out = r->stats;
+	out->sched = *sched_stats(r->sched);
+	out->running = sched_running(r->sched);
+	out->owned = r->n_owners;
+	out->copies = r->n_replicas;
+	out->open_batches = 0;
+	for (size_t i = 0; i < r->n_owners; i++)
+		out->open_batches += r->owners[i]->home->n_batches;
+}
--- /dev/null
+++ b/packages/rollout/src/rollout_defs.h
@@ -0,0 +1,216 @@
+// Types that the files of a node's decisions share.
+#pragma once
+
+#include "msg.h"
+#include "replica.h"
+#include "rollout/batch_json.h"
+#include "rollout/rollout.h"
+#include "stream.h"
+
+enum {
+	ROLLOUT_HOMES = 256,
+	ROLLOUT_REQUESTS = 512,
+	ROLLOUT_CALLS = 1024, ///< key-value calls under way
+	ROLLOUT_JOINS = 64, ///< requests and replies whose parts still come
+	ROLLOUT_PART = 256 * 1024, ///< bytes of a part
+	ROLLOUT_JOIN_MS = 5000,
+	ROLLOUT_RETRY_MS = 500, ///< told to callers that are refused
+	KV_RETRY_MS = 300,
+	COPY_LIMIT_MS = 1500, ///< without progress: another backup is sought
+	COPY_PAUSE_MS = 3000, ///< before such a node is tried again
+	SOLO_AFTER_MS = 2000, ///< without any other node: goes on alone
+};
+
+/// What is known of a trainer's record.
+struct place {
+	char team[BATCH_NAME];
+	char trainer[BATCH_NAME];
+	bool known;
+	bool found;
+	struct record rec;
+	uint64_t rev; ///< 0: as a peer told it
+	uint64_t lost_epoch; ///< the owner of this epoch has no state
+	uint32_t call; ///< read under way, 0 for none
+	int64_t read_ms; ///< last answer
+	int64_t retry_ms; ///< no read before this time
+};
+
+enum request_state {
+	REQUEST_ROUTE, ///< who serves it is sought
+	REQUEST_SENT, ///< passed on
+	REQUEST_HELD, ///< a pull that waits for samples
+	REQUEST_COMMIT, ///< answered once the copies have it
+};
+
+/// Chunk that a copy must have acknowledged.
+struct commit_need {
+	uint64_t stream; ///< 0 for none
+	uint64_t seq;
+};
+
+struct request {
+	htab_handle h;
+	uint64_t caller; ///< when it came from a caller of this node
+	char from[BATCH_NAME]; ///< when another node passed it on, else ""
+	uint64_t from_id; ///< its id there
+	bool take_over; ///< see struct msg_request
+	struct batch *batch; ///< of a POST, else NULL
+	struct pull pull;
+	enum request_state state;
+	int64_t arrived_ms;
+	int64_t end_ms; ///< refused then
+	int64_t wait_end_ms; ///< of a pull: answered without samples then
+	char sent_to[BATCH_NAME];
+	int tries;
+	int64_t not_before_ms;
+	struct owner *owner; ///< HELD and COMMIT
+	struct commit_need need[2];
+	struct msg_reply reply; ///< COMMIT
+};
+
+/// A trainer whose batches this node owns, or claims.
+struct owner {
+	struct rollout *r;
+	struct home *home;
+	bool active; ///< the record names this node
+	struct record rec; ///< in force; while claiming the one before
+	uint64_t rev; ///< of rec, 0 for none
+	struct stream *backup; ///< copy of rec.backup
+	struct stream *next; ///< copy of want.backup
+	bool proposing; ///< want is being brought about
+	bool put; ///< want was sent to the store and is not settled
+	struct record want;
+	uint32_t call; ///< under way, 0 for none
+	int64_t retry_ms; ///< no call before this time
+	int64_t since_ms; ///< when it was seen to need a change, 0 if not
+	char slow[BATCH_NAME]; ///< node that made no progress
+	int64_t slow_until_ms;
+};
+
+enum kv_use {
+	KV_READ_PLACE,
+	KV_PUT_OWNER,
+	KV_READ_OWNER,
+};
+
+struct kv_call {
+	enum kv_use use;
+	char team[BATCH_NAME];
+	char trainer[BATCH_NAME];
+};
+
+/// Parts of a message that came so far.
+struct join {
+	char from[BATCH_NAME];
+	enum rollout_msg type;
+	uint64_t id;
+	uint64_t next; ///< part
+	char *buf;
+	size_t len; ///< bytes
+	int64_t at_ms;
+};
+
+struct rollout {
+	struct rollout_opts opts;
+	int64_t now_ms;
+	bool draining;
+	struct rollout_action *head;
+	struct rollout_action *tail;
+	struct rollout_member *members;
+	size_t n_members;
+	struct place *places[ROLLOUT_HOMES];
+	size_t n_places;
+	struct owner *owners[ROLLOUT_HOMES];
+	size_t n_owners;
+	struct replica *replicas[ROLLOUT_HOMES];
+	size_t n_replicas;
+	struct htab *requests;
+	struct htab *calls;
+	struct join joins[ROLLOUT_JOINS];
+	size_t n_joins;
+	uint64_t next_stream;
+	struct sched *sched;
+	struct rollout_stats stats;
+};
+
+// rollout.c
+struct rollout_action *rollout_act(struct rollout *r,
+				   enum rollout_action_kind kind);
+void rollout_send(struct rollout *r, const char *node, enum rollout_msg msg,
+		  void *buf, size_t len);
+const struct rollout_member *rollout_member(const struct rollout *r,
+					    const char *id);
+bool rollout_alive(const struct rollout *r, const char *id);
+
+// kv.c
+uint32_t kv_read(struct rollout *r, enum kv_use use, const char *team,
+		 const char *trainer);
+uint32_t kv_write(struct rollout *r, const struct owner *o);
+
+// place.c
+struct place *place_get(struct rollout *r, const char *team,
+			const char *trainer);
+void place_read(struct rollout *r, struct place *p);
+void place_answer(struct rollout *r, const struct kv_call *call,
+		  const struct rollout_kv *res);
+void place_set(struct rollout *r, const char *team, const char *trainer,
+	       const struct record *rec, uint64_t rev);
+void place_forget(struct place *p);
+enum err place_who(struct rollout *r, const char *from, const void *buf,
+		   size_t len);
+enum err place_here(struct rollout *r, const void *buf, size_t len);
+
+// owner.c
+struct owner *owner_find(struct rollout *r, const char *team,
+			 const char *trainer);
+struct owner *owner_new(struct rollout *r, struct home *home,
+			const struct record *rec, uint64_t rev);
+void owner_activate(struct owner *o);
+void owner_drop(struct owner *o);
+enum err owner_emit(struct owner *o, struct op *op);
+bool owner_sample(void *ctx, struct home_batch *b, uint32_t slot,
+		  struct sample *sample);
+
+// serve.c
+void serve_request(struct owner *o, struct request *q);
+void serve_wake(struct owner *o, const struct home_batch *b);
+void serve_commits(struct rollout *r);
+void serve_held(struct rollout *r);
+
+// claim.c
+void claim_step(struct owner *o);
+void claim_answer(struct rollout *r, const struct kv_call *call,
+		  const struct rollout_kv *res);
+
+// copy.c
+void copy_pump(struct owner *o);
+struct stream *copy_begin(struct owner *o, const char *node, uint64_t epoch);
+enum err copy_take_op(struct rollout *r, const char *from, const void *buf,
+		      size_t len);
+enum err copy_take_ack(struct rollout *r, const char *from, const void *buf,
+		       size_t len);
+struct replica *copy_find(struct rollout *r, const char *team,
+			  const char *trainer, const char *owner);
+void copy_drop(struct rollout *r, struct replica *rep);
+void copy_sweep(struct rollout *r);
+
+// route.c
+struct request *request_new(struct rollout *r, int64_t wait_ms);
+void request_del(struct rollout *r, struct request *q);
+void request_refuse(struct rollout *r, struct request *q, enum err e,
+		    int64_t retry_after_ms);
+void request_answer(struct rollout *r, struct request *q);
+void request_route(struct rollout *r, struct request *q);
+void request_tick(struct rollout *r);
+void request_route_all(struct rollout *r);
+
+// pass.c
+void pass_on(struct rollout *r, struct request *q, const char *node,
+	     bool take_over);
+void pass_back(struct rollout *r, const struct request *q,
+	       const struct msg_reply *reply);
+enum err pass_take_request(struct rollout *r, const char *from, const void *buf,
+			   size_t len);
+enum err pass_take_reply(struct rollout *r, const char *from, const void *buf,
+			 size_t len);
+void pass_sweep(struct rollout *r);
--- /dev/null
+++ b/packages/rollout/src/route.c
@@ -0,0 +1,226 @@
+// Finds out who serves a request: this node, the owner, or its backup.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "rollout_defs.h"
+
+enum {
+	ROUTE_TRIES = 6,
+	ROUTE_PAUSE_MS = 100,
+	PLACE_AGE_MS = 200, ///< a record that was not there is read again
+};
+
+struct request *request_new(struct rollout *r, int64_t wait_ms)
+{
+	htab_handle h;
+	struct request *q = htab_add(r->requests, &h);
+
+	if (!q)
+		return NULL;
+	q->h = h;
+	q->arrived_ms = r->now_ms;
+	q->wait_end_ms = r->now_ms + wait_ms;
+	q->end_ms = q->wait_end_ms + r->opts.answer_ms;
+	return q;
+}
+
+void request_del(struct rollout *r, struct request *q)
+{
+	batch_free(q->batch);
+	pull_clear(&q->pull);
+	msg_reply_clear(&q->reply);
+	htab_del(r->requests, q->h);
+}
+
+void request_refuse(struct rollout *r, struct request *q, enum err e,
+		    int64_t retry_after_ms)
+{
+	struct rollout_action *a;
+
+	if (*q->from) {
+		pass_back(r, q, &(struct msg_reply){.err = e});
+	} else {
+		a = rollout_act(r, ROLLOUT_REFUSED);
+		a->caller = q->caller;
+		a->err = e;
+		a->retry_after_ms = retry_after_ms;
+	}
+	request_del(r, q);
+}
+
+void request_answer(struct rollout *r, struct request *q)
+{
+	bool post = q->reply.slots > 0;
+	struct rollout_action *a;
+
+	if (*q->from) {
+		pass_back(r, q, &q->reply);
+		request_del(r, q);
+		return;
+	}
+	a = rollout_act(r, post ? ROLLOUT_TAKEN : ROLLOUT_PULLED);
+	a->caller = q->caller;
+	a->slots = q->reply.slots;
+	a->known = q->reply.known;
+	a->pull = q->reply.pull;
+	memset(&q->reply.pull, 0, sizeof(q->reply.pull));
+	request_del(r, q);
+}
+
+static const char *request_team(const struct request *q)
+{
+	return q->batch ? q->batch->team : q->pull.team;
+}
+
+static const char *request_trainer(const struct request *q)
+{
+	return q->batch ? q->batch->trainer : q->pull.trainer;
+}
+
+/* A trainer without a record: this node claims it for a POST. */
+static void request_first(struct rollout *r, struct request *q, struct place *p)
+{
+	struct home *home;
+	struct owner *o;
+
+	if (r->now_ms - p->read_ms > PLACE_AGE_MS) {
+		place_forget(p);
+		place_read(r, p);
+		return;
+	}
+	if (!q->batch) {
+		request_refuse(r, q, ERR_BATCH_UNKNOWN, 0);
+		return;
+	}
+	home = home_new(p->team, p->trainer);
+	o = home ? owner_new(r, home, NULL, 0) : NULL;
+	if (!o) {
+		home_free(home);
+		request_refuse(r, q, ERR_FULL, ROLLOUT_RETRY_MS);
+		return;
+	}
+	claim_step(o);
+}
+
+static bool request_owner_gone(const struct rollout *r, const struct request *q,
+			       const struct place *p)
+{
+	if (p->lost_epoch == p->rec.epoch || q->take_over)
+		return true;
+	return strcmp(p->rec.owner, r->opts.node) == 0 ||
+	       !rollout_alive(r, p->rec.owner);
+}
+
+/* This node is the backup: go on from the copy. */
+static bool request_take_over(struct rollout *r, struct place *p)
+{
+	struct replica *rep = copy_find(r, p->team, p->trainer, p->rec.owner);
+	struct owner *o;
+
+	if (!rep || !rep->whole || rep->broken || rep->epoch != p->rec.epoch)
+		return false;
+	if (p->rev == 0) {
+		place_forget(p);
+		place_read(r, p);
+		return true;
+	}
+	o = owner_new(r, rep->home, &p->rec, p->rev);
+	if (!o)
+		return false;
+	rep->home = NULL;
+	copy_drop(r, rep);
+	r->stats.takeovers++;
+	claim_step(o);
+	return true;
+}
+
+/* Not served here: say so, or look again a little later. */
+static void request_elsewhere(struct rollout *r, struct request *q,
+			      struct place *p)
+{
+	bool lost = strcmp(p->rec.owner, r->opts.node) == 0;
+
+	if (*q->from && p->read_ms >= q->arrived_ms) {
+		pass_back(r, q,
+			  &(struct msg_reply){.not_owner = true, .lost = lost});
+		request_del(r, q);
+		return;
+	}
+	q->not_before_ms = r->now_ms + ROUTE_PAUSE_MS;
+	place_forget(p);
+	place_read(r, p);
+}
+
+static void request_by_record(struct rollout *r, struct request *q,
+			      struct place *p)
+{
+	bool gone = request_owner_gone(r, q, p);
+	bool here = strcmp(p->rec.backup, r->opts.node) == 0;
+
+	if (gone && here && request_take_over(r, p))
+		return;
+	if (*q->from || (gone && (here || !rollout_alive(r, p->rec.backup)))) {
+		request_elsewhere(r, q, p);
+		return;
+	}
+	if (q->tries++ >= ROUTE_TRIES) {
+		request_refuse(r, q, ERR_BATCH_UNSURE, ROLLOUT_RETRY_MS);
+		return;
+	}
+	pass_on(r, q, gone ? p->rec.backup : p->rec.owner, gone);
+}
+
+void request_route(struct rollout *r, struct request *q)
+{
+	struct owner *o = owner_find(r, request_team(q), request_trainer(q));
+	struct place *p;
+
+	if (q->state != REQUEST_ROUTE || r->now_ms < q->not_before_ms)
+		return;
+	if (o) {
+		if (o->active)
+			serve_request(o, q);
+		return;
+	}
+	p = place_get(r, request_team(q), request_trainer(q));
+	if (!p)
+		request_refuse(r, q, ERR_FULL, ROLLOUT_RETRY_MS);
+	else if (!p->known)
+		place_read(r, p);
+	else if (!p->found)
+		request_first(r, q, p);
+	else
+		request_by_record(r, q, p);
+}
+
+void request_route_all(struct rollout *r)
+{
+	struct request *q;
+	size_t iter = 0;
+
+	while ((q = htab_next(r->requests, &iter, NULL)))
+		request_route(r, q);
+}
+
+static void request_check_sent(struct rollout *r, struct request *q)
+{
+	if (rollout_alive(r, q->sent_to))
+		return;
+	q->state = REQUEST_ROUTE;
+	q->take_over = false;
+}
+
+void request_tick(struct rollout *r)
+{
+	struct request *q;
+	size_t iter = 0;
+
+	while ((q = htab_next(r->requests, &iter, NULL))) {
+		if (r->now_ms >= q->end_ms)
+			request_refuse(r, q, ERR_BATCH_UNSURE,
+				       ROLLOUT_RETRY_MS);
+		else if (q->state == REQUEST_SENT)
+			request_check_sent(r, q);
+	}
+}
--- /dev/null
+++ b/packages/rollout/src/sched.c
@@ -0,0 +1,281 @@
+// Takes batches in and picks what to start: the tenant served least goes first.
+#include "sched_defs.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct sched *sched_new(const struct sched_opts *opts)
+{
+	struct sched *s = calloc(1, sizeof(*s));
+
+	if (!s)
+		return NULL;
+	s->opts = *opts;
+	if (s->opts.max_runs > SCHED_MAX_RUNS)
+		s->opts.max_runs = SCHED_MAX_RUNS;
+	s->runs = htab_new(s->opts.max_runs, sizeof(struct sched_run));
+	if (s->runs)
+		return s;
+	free(s);
+	return NULL;
+}
+
+static void sched_batch_free(struct sched_batch *sb)
+{
+	for (size_t i = 0; sb->slots && i < sb->b->spec->n_slots; i++)
+		sample_clear(&sb->slots[i].partial);
+	free(sb->slots);
+	free(sb->lengths);
+	free(sb->group);
+	slots_clear(&sb->order);
+	slots_clear(&sb->retries);
+	free(sb);
+}
+
+void sched_free(struct sched *s)
+{
+	struct sched_run *run;
+	size_t iter = 0;
+
+	if (!s)
+		return;
+	while ((run = htab_next(s->runs, &iter, NULL)))
+		sample_clear(&run->sample);
+	for (size_t i = 0; i < s->n_batches; i++)
+		sched_batch_free(s->batches[i]);
+	htab_free(s->runs);
+	free(s);
+}
+
+const struct sched_stats *sched_stats(const struct sched *s)
+{
+	return &s->stats;
+}
+
+size_t sched_running(const struct sched *s)
+{
+	return htab_count(s->runs);
+}
+
+struct sched_batch *sched_find(const struct sched *s,
+			       const struct home_batch *b)
+{
+	for (size_t i = 0; i < s->n_batches; i++) {
+		if (s->batches[i]->b == b)
+			return s->batches[i];
+	}
+	return NULL;
+}
+
+struct sched_tenant *sched_tenant_of(struct sched *s, const void *key)
+{
+	for (size_t i = 0; i < s->n_tenants; i++) {
+		if (s->tenants[i].key == key)
+			return &s->tenants[i];
+	}
+	return NULL;
+}
+
+/* A new tenant starts where the one served least is, not at zero. */
+static void sched_tenant_add(struct sched *s, const void *key)
+{
+	struct sched_tenant *t = sched_tenant_of(s, key);
+	double least = 0;
+
+	for (size_t i = 0; i < s->n_tenants; i++) {
+		if (i == 0 || s->tenants[i].served < least)
+			least = s->tenants[i].served;
+	}
+	if (!t) {
+		t = &s->tenants[s->n_tenants++];
+		*t = (struct sched_tenant){key, least, 0};
+	}
+	t->batches++;
+}
+
+static void sched_tenant_del(struct sched *s, const void *key)
+{
+	struct sched_tenant *t = sched_tenant_of(s, key);
+
+	if (--t->batches == 0)
+		*t = s->tenants[--s->n_tenants];
+}
+
+static struct sched_batch *sched_batch_new(struct home_batch *b,
+					   const void *tenant)
+{
+	struct sched_batch *sb = calloc(1, sizeof(*sb));
+	size_t n = b->spec->n_slots;
+
+	if (!sb)
+		return NULL;
+	sb->b = b;
+	sb->tenant = tenant;
+	sb->sorted_at = SIZE_MAX;
+	sb->slots = calloc(n, sizeof(*sb->slots));
+	sb->lengths = calloc(b->spec->n_groups, sizeof(*sb->lengths));
+	sb->group = calloc(n, sizeof(*sb->group));
+	if (sb->slots && sb->lengths && sb->group)
+		return sb;
+	sched_batch_free(sb);
+	return NULL;
+}
+
+static enum err sched_fill(struct sched_batch *sb)
+{
+	const struct batch *spec = sb->b->spec;
+
+	for (uint32_t g = 0; g < spec->n_groups; g++) {
+		for (uint32_t i = 0; i < spec->groups[g].n; i++)
+			sb->group[spec->groups[g].first + i] = g;
+	}
+	for (uint32_t i = (uint32_t)spec->n_slots; i-- > 0;) {
+		if (sb->b->slots[i].state != HOME_EMPTY) {
+			sb->slots[i].state = SCHED_OVER;
+			sb->over++;
+			continue;
+		}
+		if (slots_add(&sb->order, i) != ERR_OK)
+			return ERR_NOMEM;
+		sb->waiting++;
+	}
+	return ERR_OK;
+}
+
+enum err sched_add(struct sched *s, struct home_batch *b, const void *tenant)
+{
+	struct sched_batch *sb;
+
+	if (s->n_batches == SCHED_BATCHES)
+		return ERR_FULL;
+	sb = sched_batch_new(b, tenant);
+	if (!sb || sched_fill(sb) != ERR_OK) {
+		if (sb)
+			sched_batch_free(sb);
+		return ERR_NOMEM;
+	}
+	sched_sort(s, sb);
+	sched_tenant_add(s, tenant);
+	s->batches[s->n_batches++] = sb;
+	return ERR_OK;
+}
+
+void sched_del(struct sched *s, struct home_batch *b)
+{
+	struct sched_batch *sb = sched_find(s, b);
+
+	if (!sb)
+		return;
+	for (uint32_t i = 0; i < b->spec->n_slots; i++)
+		sched_cancel_slot(s, sb, i);
+	for (size_t i = 0; i < s->n_batches; i++) {
+		if (s->batches[i] != sb)
+			continue;
+		memmove(&s->batches[i], &s->batches[i + 1],
+			(s->n_batches - i - 1) * sizeof(*s->batches));
+		s->n_batches--;
+		break;
+	}
+	sched_tenant_del(s, sb->tenant);
+	sched_batch_free(sb);
+}
+
+void sched_wait_again(struct sched *s, struct sched_batch *sb, uint32_t slot,
+		      int64_t not_before_ms)
+{
+	struct sched_slot *sl = &sb->slots[slot];
+
+	if (sl->state == SCHED_RUNNING)
+		sb->running--;
+	if (sl->state == SCHED_OVER)
+		sb->over--;
+	sl->state = SCHED_WAITING;
+	sl->not_before_ms = not_before_ms;
+	sb->waiting++;
+	slots_add(&sb->retries, slot);
+}
+
+void sched_need(struct sched *s, struct home_batch *b, uint32_t slot)
+{
+	struct sched_batch *sb = sched_find(s, b);
+
+	if (!sb || sb->slots[slot].state != SCHED_OVER)
+		return;
+	s->stats.stale++;
+	sample_clear(&sb->slots[slot].partial);
+	sched_wait_again(s, sb, slot, 0);
+}
+
+/* Next slot that may start: retries go first. */
+static bool sched_next(struct sched *s, struct sched_batch *sb, int64_t now_ms,
+		       uint32_t *slot)
+{
+	for (size_t i = 0; i < sb->retries.n; i++) {
+		*slot = sb->retries.v[i];
+		if (sb->slots[*slot].not_before_ms > now_ms)
+			continue;
+		memmove(&sb->retries.v[i], &sb->retries.v[i + 1],
+			(sb->retries.n - i - 1) * sizeof(*sb->retries.v));
+		sb->retries.n--;
+		return true;
+	}
+	if (sb->order.n == 0)
+		return false;
+	sched_sort(s, sb);
+	*slot = sb->order.v[--sb->order.n];
+	return true;
+}
+
+static bool sched_may_start(const struct sched_batch *sb, int64_t now_ms)
+{
+	if (sb->order.n > 0)
+		return true;
+	for (size_t i = 0; i < sb->retries.n; i++) {
+		if (sb->slots[sb->retries.v[i]].not_before_ms <= now_ms)
+			return true;
+	}
+	return false;
+}
+
+static struct sched_batch *sched_pick(struct sched *s, int64_t now_ms)
+{
+	struct sched_batch *best = NULL;
+	double least = 0;
+
+	for (size_t i = 0; i < s->n_batches; i++) {
+		struct sched_batch *sb = s->batches[i];
+		double served = sched_tenant_of(s, sb->tenant)->served;
+
+		if ((best && served >= least) || !sched_may_start(sb, now_ms))
+			continue;
+		best = sb;
+		least = served;
+	}
+	return best;
+}
+
+static bool sched_start_next(struct sched *s, int64_t now_ms)
+{
+	struct sched_batch *sb = sched_pick(s, now_ms);
+	uint32_t slot;
+
+	if (!sb || !sched_next(s, sb, now_ms, &slot))
+		return false;
+	sb->waiting--;
+	sb->running++;
+	sb->slots[slot].state = SCHED_RUNNING;
+	if (sched_start(s, sb, slot, &sb->slots[slot].partial, false, now_ms))
+		return true;
+	sched_wait_again(s, sb, slot, now_ms);
+	return false;
+}
+
+void sched_tick(struct sched *s, int64_t now_ms)
+{
+	sched_watch_runs(s, now_ms);
+	while (now_ms >= s->hold_until_ms && s->queued < s->opts.max_queued &&
+	       htab_count(s->runs) < s->opts.max_runs) {
+		if (!sched_start_next(s, now_ms))
+			return;
+	}
+}
--- /dev/null
+++ b/packages/rollout/src/sched_defs.h
@@ -0,0 +1,109 @@
+// Types that the scheduler's files share.
+#pragma once
+
+#include "rollout/sched.h"
+
+enum {
+	SCHED_BATCHES = 256,
+	SCHED_MAX_RUNS = 32768,
+	SCHED_SERVER = SAMPLE_SERVER,
+};
+
+enum sched_state {
+	SCHED_WAITING, ///< in the order or the list of retries
+	SCHED_RUNNING, ///< one generation or two
+	SCHED_OVER, ///< has its sample
+};
+
+struct sched_slot {
+	enum sched_state state;
+	int runs; ///< generations now
+	int64_t not_before_ms;
+	struct sample partial; ///< tokens to resume after
+	char avoid[SCHED_SERVER];
+};
+
+/// Lengths seen in a group; its samples share a prompt.
+struct sched_length {
+	uint64_t tokens;
+	uint32_t n; ///< samples
+};
+
+struct sched_batch {
+	struct home_batch *b;
+	const void *tenant;
+	struct sched_slot *slots;
+	struct sched_length *lengths; ///< by group
+	uint32_t *group; ///< by slot: index of its group
+	struct slots order; ///< slots that wait, the next one last
+	struct slots retries; ///< slots that wait for the second time
+	size_t waiting;
+	size_t running; ///< slots
+	size_t over; ///< slots
+	size_t sorted_at; ///< slots over when the order was sorted
+	size_t hedges; ///< hedges running
+	double rate; ///< tokens a millisecond, moving mean
+};
+
+struct sched_run {
+	struct sched_batch *sb;
+	uint32_t slot;
+	struct sample sample; ///< resumed tokens and new ones
+	size_t base; ///< resumed tokens
+	int64_t begin_ms;
+	int64_t first_ms; ///< first token, 0 for none
+	int64_t last_ms; ///< newest token
+	bool hedge;
+	char avoid[SCHED_SERVER];
+};
+
+struct sched_tenant {
+	const void *key;
+	double served; ///< tokens, expected ones of what runs included
+	size_t batches;
+};
+
+struct sched {
+	struct sched_opts opts;
+	struct sched_batch *batches[SCHED_BATCHES];
+	size_t n_batches;
+	struct sched_tenant tenants[SCHED_BATCHES];
+	size_t n_tenants;
+	struct htab *runs;
+	size_t queued; ///< runs without a token
+	int64_t hold_until_ms; ///< nothing is started before this time
+	struct sched_stats stats;
+};
+
+/// Tokens expected of a slot.
+uint64_t sched_expect(const struct sched_batch *sb, uint32_t slot);
+
+/// Sort the slots that wait again, if enough was learned meanwhile.
+void sched_sort(struct sched *s, struct sched_batch *sb);
+
+/// Note a finished length.
+void sched_learn(struct sched_batch *sb, uint32_t slot, size_t tokens);
+
+struct sched_tenant *sched_tenant_of(struct sched *s, const void *key);
+
+struct sched_batch *sched_find(const struct sched *s,
+			       const struct home_batch *b);
+
+/// Start a generation of a slot.
+///
+/// @return false when none may be started now
+bool sched_start(struct sched *s, struct sched_batch *sb, uint32_t slot,
+		 const struct sample *so_far, bool hedge, int64_t now_ms);
+
+/// End a generation's bookkeeping and free it.
+void sched_run_del(struct sched *s, htab_handle h);
+
+/// Cancel all generations of a slot.
+void sched_cancel_slot(struct sched *s, struct sched_batch *sb, uint32_t slot);
+
+/// Put a slot back among those that wait.
+void sched_wait_again(struct sched *s, struct sched_batch *sb, uint32_t slot,
+		      int64_t not_before_ms);
+
+/// Hedge and give up slow generations.
+void sched_watch_runs(struct sched *s, int64_t now_ms);
--- /dev/null
+++ b/packages/rollout/src/sched_order.c
@@ -0,0 +1,91 @@
+// The order of the slots that wait.
+#include <stdlib.h>
+#include <string.h>
+
+#include "sched_defs.h"
+
+enum {
+	SORT_SHARE = 16, ///< sorted anew after this part of the slots
+};
+
+uint64_t sched_expect(const struct sched_batch *sb, uint32_t slot)
+{
+	uint32_t group = sb->group[slot];
+	const struct sched_length *l = &sb->lengths[group];
+
+	if (l->n > 0)
+		return l->tokens / l->n;
+	return sb->b->spec->groups[group].expect_tokens;
+}
+
+void sched_learn(struct sched_batch *sb, uint32_t slot, size_t tokens)
+{
+	struct sched_length *l = &sb->lengths[sb->group[slot]];
+
+	l->tokens += tokens;
+	l->n++;
+}
+
+struct sched_key {
+	uint64_t expect;
+	uint32_t index; ///< in the group: first ones show the group's length
+	uint32_t slot;
+};
+
+/* The next slot goes last. */
+static int sched_key_cmp(const void *a, const void *b)
+{
+	const struct sched_key *x = a;
+	const struct sched_key *y = b;
+
+	if (x->expect != y->expect)
+		return x->expect < y->expect ? -1 : 1;
+	if (x->index != y->index)
+		return x->index > y->index ? -1 : 1;
+	return x->slot > y->slot ? -1 : x->slot < y->slot;
+}
+
+static void sched_sort_longest(struct sched_batch *sb)
+{
+	struct sched_key *keys = calloc(sb->order.n + 1, sizeof(*keys));
+
+	if (!keys)
+		return;
+	for (size_t i = 0; i < sb->order.n; i++) {
+		uint32_t slot = sb->order.v[i];
+
+		keys[i].slot = slot;
+		keys[i].expect = sched_expect(sb, slot);
+		keys[i].index =
+			slot - sb->b->spec->groups[sb->group[slot]].first;
+	}
+	qsort(keys, sb->order.n, sizeof(*keys), sched_key_cmp);
+	for (size_t i = 0; i < sb->order.n; i++)
+		sb->order.v[i] = keys[i].slot;
+	free(keys);
+}
+
+static void sched_shuffle(struct sched *s, struct slots *order)
+{
+	for (size_t i = order->n; i > 1; i--) {
+		size_t j = rng_below(&s->opts.rng, i);
+		uint32_t t = order->v[i - 1];
+
+		order->v[i - 1] = order->v[j];
+		order->v[j] = t;
+	}
+}
+
+void sched_sort(struct sched *s, struct sched_batch *sb)
+{
+	size_t step = sb->b->spec->n_slots / SORT_SHARE + 1;
+	bool first = sb->sorted_at == SIZE_MAX;
+
+	if (!first && sb->over < sb->sorted_at + step)
+		return;
+	sb->sorted_at = sb->over;
+	if (s->opts.order == SCHED_LONGEST)
+		sched_sort_longest(sb);
+	else if (first && s->opts.order == SCHED_RANDOM)
+		sched_shuffle(s, &sb->order);
+}
--- /dev/null
+++ b/packages/rollout/src/sched_run.c
@@ -0,0 +1,230 @@
+// One generation from its start to its end.
+#include <stdio.h>
+#include <string.h>
+
+#include "sched_defs.h"
+
+enum {
+	RETRY_MS = 100, ///< pause before a broken generation is resumed
+};
+
+static const double rate_weight = 0.1; ///< of the newest generation
+
+static uint64_t sched_cost(const struct sched_batch *sb, uint32_t slot,
+			   const struct sample *so_far)
+{
+	uint64_t expect = sched_expect(sb, slot);
+
+	return expect > so_far->n ? expect - so_far->n : 1;
+}
+
+bool sched_start(struct sched *s, struct sched_batch *sb, uint32_t slot,
+		 const struct sample *so_far, bool hedge, int64_t now_ms)
+{
+	struct sched_start start = {
+		.batch = sb->b,
+		.slot = slot,
+		.so_far = so_far,
+		.avoid = sb->slots[slot].avoid,
+		.cost = sched_cost(sb, slot, so_far),
+		.hedge = hedge,
+	};
+	struct sched_run *run = htab_add(s->runs, &start.run);
+
+	if (!run)
+		return false;
+	run->sb = sb;
+	run->slot = slot;
+	run->base = so_far->n;
+	run->begin_ms = now_ms;
+	run->hedge = hedge;
+	if (sample_copy(&run->sample, so_far) != ERR_OK) {
+		htab_del(s->runs, start.run);
+		return false;
+	}
+	sb->slots[slot].runs++;
+	sb->hedges += hedge;
+	s->queued++;
+	s->stats.started++;
+	s->stats.hedged += hedge;
+	s->stats.resumed += so_far->n > 0;
+	sched_tenant_of(s, sb->tenant)->served += (double)start.cost;
+	s->opts.ops->start(s->opts.ctx, &start);
+	return true;
+}
+
+/* What was charged at the start gives way to what was made. */
+static void sched_settle(struct sched *s, const struct sched_run *run)
+{
+	struct sample so_far = {.n = run->base};
+	double cost = (double)sched_cost(run->sb, run->slot, &so_far);
+	double made = (double)(run->sample.n - run->base);
+
+	sched_tenant_of(s, run->sb->tenant)->served += made - cost;
+}
+
+void sched_run_del(struct sched *s, htab_handle h)
+{
+	struct sched_run *run = htab_get(s->runs, h);
+
+	sched_settle(s, run);
+	if (run->first_ms == 0)
+		s->queued--;
+	run->sb->slots[run->slot].runs--;
+	run->sb->hedges -= run->hedge;
+	sample_clear(&run->sample);
+	htab_del(s->runs, h);
+}
+
+void sched_cancel_slot(struct sched *s, struct sched_batch *sb, uint32_t slot)
+{
+	struct sched_run *run;
+	htab_handle h;
+	size_t iter = 0;
+
+	while (sb->slots[slot].runs > 0 &&
+	       (run = htab_next(s->runs, &iter, &h))) {
+		if (run->sb != sb || run->slot != slot)
+			continue;
+		s->stats.wasted_tokens += run->sample.n - run->base;
+		s->opts.ops->cancel(s->opts.ctx, h);
+		sched_run_del(s, h);
+	}
+}
+
+enum err sched_tokens(struct sched *s, htab_handle h, uint64_t version,
+		      const uint32_t *tokens, size_t n, int64_t now_ms)
+{
+	struct sched_run *run = htab_get(s->runs, h);
+
+	if (!run)
+		return ERR_STALE_HANDLE;
+	if (run->first_ms == 0) {
+		run->first_ms = now_ms;
+		s->queued--;
+	}
+	run->last_ms = now_ms;
+	return sample_add(&run->sample, version, tokens, n);
+}
+
+static void sched_note_rate(struct sched_run *run, int64_t now_ms)
+{
+	double ms = (double)(now_ms - run->first_ms);
+	double rate;
+
+	if (run->first_ms == 0 || ms <= 0)
+		return;
+	rate = (double)(run->sample.n - run->base) / ms;
+	if (run->sb->rate <= 0)
+		run->sb->rate = rate;
+	else
+		run->sb->rate += rate_weight * (rate - run->sb->rate);
+}
+
+/* A whole sample ends the slot, unless it is too old. */
+static void sched_whole(struct sched *s, htab_handle h, struct sched_run *run,
+			int64_t now_ms)
+{
+	struct sched_batch *sb = run->sb;
+	uint32_t slot = run->slot;
+	struct sample sample = run->sample;
+
+	sched_note_rate(run, now_ms);
+	sched_learn(sb, slot, sample.n);
+	s->stats.hedge_won += run->hedge;
+	run->sample = (struct sample){.n = sample.n};
+	sched_run_del(s, h);
+	sched_cancel_slot(s, sb, slot);
+	sample_clear(&sb->slots[slot].partial);
+	snprintf(sb->slots[slot].avoid, SCHED_SERVER, "%s", sample.server);
+	sb->slots[slot].state = SCHED_OVER;
+	sb->running--;
+	sb->over++;
+	if (s->opts.ops->finished(s->opts.ctx, sb->b, slot, &sample))
+		return;
+	s->stats.stale++;
+	s->stats.wasted_tokens += sample.n;
+	sample_clear(&sample);
+	sched_wait_again(s, sb, slot, now_ms + RETRY_MS);
+}
+
+/* Keep the tokens so far, and wait if no other generation runs. */
+static void sched_broken(struct sched *s, htab_handle h, struct sched_run *run,
+			 int64_t not_before_ms)
+{
+	struct sched_batch *sb = run->sb;
+	uint32_t slot = run->slot;
+	struct sched_slot *sl = &sb->slots[slot];
+
+	if (run->sample.n > sl->partial.n) {
+		struct sample keep = run->sample;
+
+		sample_clear(&sl->partial);
+		sl->partial = keep;
+		run->sample = (struct sample){.n = keep.n};
+	}
+	sched_run_del(s, h);
+	if (sl->runs == 0)
+		sched_wait_again(s, sb, slot, not_before_ms);
+}
+
+void sched_ended(struct sched *s, htab_handle h, enum sched_end end,
+		 enum sample_finish finish, const char *server,
+		 int64_t retry_after_ms, int64_t now_ms)
+{
+	struct sched_run *run = htab_get(s->runs, h);
+
+	if (!run)
+		return;
+	snprintf(run->sample.server, SAMPLE_SERVER, "%s", server);
+	run->sample.finish = finish;
+	if (end == SCHED_WHOLE) {
+		sched_whole(s, h, run, now_ms);
+		return;
+	}
+	if (end == SCHED_REFUSED) {
+		s->hold_until_ms = now_ms + retry_after_ms;
+		sched_broken(s, h, run, now_ms + retry_after_ms);
+		return;
+	}
+	s->stats.broken++;
+	if (*server)
+		snprintf(run->sb->slots[run->slot].avoid, SCHED_SERVER, "%s",
+			 server);
+	sched_broken(s, h, run, now_ms + RETRY_MS);
+}
+
+static void sched_drop_partial(struct sched_batch *sb, uint32_t slot,
+			       uint64_t version)
+{
+	struct sample *p = &sb->slots[slot].partial;
+
+	if (!sample_fresh(p, version, sb->b->spec->max_staleness))
+		sample_clear(p);
+}
+
+void sched_version(struct sched *s, struct home_batch *b, uint64_t version)
+{
+	struct sched_batch *sb = sched_find(s, b);
+	struct sched_run *run;
+	htab_handle h;
+	size_t iter = 0;
+
+	if (!sb)
+		return;
+	for (uint32_t i = 0; i < b->spec->n_slots; i++)
+		sched_drop_partial(sb, i, version);
+	while ((run = htab_next(s->runs, &iter, &h))) {
+		uint32_t slot = run->slot;
+
+		if (run->sb != sb ||
+		    sample_fresh(&run->sample, version, b->spec->max_staleness))
+			continue;
+		s->stats.stale++;
+		s->stats.wasted_tokens += run->sample.n - run->base;
+		s->opts.ops->cancel(s->opts.ctx, h);
+		sched_run_del(s, h);
+		if (sb->slots[slot].runs == 0)
+			sched_wait_again(s, sb, slot, 0);
+	}
+}
