test(rollout): run nodes, store, engines and a trainer in virtual time

Problem: nothing drives the decisions under faults. Solution: a simulation with a table of fault cases.

--- a/packages/daemon/src/rollout_mod.c
+++ b/packages/daemon/src/rollout_mod.c
@@ -18,7 +18,6 @@
 enum {
 	ROLLOUT_BATCHES = 64,
 	ROLLOUT_AHEAD = 64, ///< slots given to the work module at once
-	ROLLOUT_PRIORITY = 3,
 	ROLLOUT_RETRY_MS = 200,
 	ROLLOUT_DEADLINE_MS = 600000,
 	ROLLOUT_WAIT_MAX_MS = 30000,
@@ -138,8 +137,7 @@
 	batch_slot_name(b->spec, s->index, name);
 	snprintf(id, sizeof(id), "%.48s/%.64s/%llu", b->spec->id, name,
 		 (unsigned long long)s->tries++);
-	body = batch_engine_request(b->spec, s->index, id, ROLLOUT_PRIORITY,
-				    &s->sample);
+	body = batch_engine_request(b->spec, s->index, id, &s->sample);
 	if (!body)
 		return ERR_NOMEM;
 	opts.body = body;
--- a/packages/rollout/include/rollout/home.h
+++ b/packages/rollout/include/rollout/home.h
@@ -61,6 +61,7 @@
 	size_t n_batches;
 	struct home_done done[HOME_DONE];
 	size_t n_done;
+	bool keeps_stale; ///< a flaw for tests: see enum rollout_flaw
 	const struct home_watch *watch;
 	void *watch_ctx;
 };
--- a/packages/rollout/include/rollout/rollout.h
+++ b/packages/rollout/include/rollout/rollout.h
@@ -23,6 +23,16 @@
 	ROLLOUT_MSG_COUNT
 };
 
+/// Flaws for tests that show that a proof can fail.
+enum rollout_flaw {
+	ROLLOUT_SOUND,
+	ROLLOUT_ANSWERS_EARLY, ///< hands out before the copies have it
+	ROLLOUT_NO_FENCE, ///< goes on acknowledging to an owner it replaces
+	ROLLOUT_NO_RECORD, ///< takes over without changing the record
+	ROLLOUT_STALE_KEPT, ///< checks staleness when made, not when handed out
+	ROLLOUT_ORDERED_VERSION, ///< names the trainer's version, not the engine's
+};
+
 struct rollout_opts {
 	char node[BATCH_NAME];
 	char domain[BATCH_NAME];
@@ -30,6 +40,7 @@
 	struct rng rng;
 	struct sched_opts sched; ///< but for ops and ctx
 	int64_t answer_ms; ///< longest time to answer, waits of pulls apart
+	enum rollout_flaw flaw; ///< ROLLOUT_SOUND outside tests
 };
 
 /// Another node, as the membership shows it.
--- a/packages/rollout/src/claim.c
+++ b/packages/rollout/src/claim.c
@@ -141,6 +141,23 @@
 	}
 }
 
+static void claim_adopt(struct owner *o, uint64_t rev)
+{
+	bool was_active = o->active;
+
+	stream_free(o->backup);
+	o->backup = o->next;
+	o->next = NULL;
+	o->rec = o->want;
+	o->rev = rev;
+	o->proposing = false;
+	o->put = false;
+	o->since_ms = 0;
+	place_set(o->r, o->home->team, o->home->trainer, &o->rec, rev);
+	if (!was_active)
+		owner_activate(o);
+}
+
 static void claim_put(struct owner *o)
 {
 	if (o->call != 0 || o->r->now_ms < o->retry_ms)
@@ -152,6 +169,10 @@
 	}
 	if (o->next && !stream_whole(o->next))
 		return;
+	if (o->r->opts.flaw == ROLLOUT_NO_RECORD && o->rec.epoch > 0) {
+		claim_adopt(o, o->rev);
+		return;
+	}
 	o->call = kv_write(o->r, o);
 	o->put = o->call != 0;
 }
@@ -172,23 +193,6 @@
 		claim_put(o);
 }
 
-static void claim_adopt(struct owner *o, uint64_t rev)
-{
-	bool was_active = o->active;
-
-	stream_free(o->backup);
-	o->backup = o->next;
-	o->next = NULL;
-	o->rec = o->want;
-	o->rev = rev;
-	o->proposing = false;
-	o->put = false;
-	o->since_ms = 0;
-	place_set(o->r, o->home->team, o->home->trainer, &o->rec, rev);
-	if (!was_active)
-		owner_activate(o);
-}
-
 /* Another node changed the record: it holds all that was handed out. */
 static void claim_lost(struct owner *o, const struct record *rec, uint64_t rev)
 {
--- a/packages/rollout/src/copy.c
+++ b/packages/rollout/src/copy.c
@@ -140,7 +140,9 @@
 
 	if (rep && !rep->broken && !rep->fenced && m->seq == rep->acked + 1)
 		e = replica_take(rep, m->buf, m->len, m->last);
-	if (!rep || rep->broken)
+	if (!rep && r->opts.flaw == ROLLOUT_NO_FENCE)
+		copy_answer(r, from, m, m->seq, COPY_OK);
+	else if (!rep || rep->broken)
 		copy_answer(r, from, m, 0, COPY_LOST);
 	else if (rep->fenced)
 		copy_answer(r, from, m, 0, COPY_FENCED);
--- a/packages/rollout/src/home.c
+++ b/packages/rollout/src/home.c
@@ -133,7 +133,8 @@
 	if (version <= h->version)
 		return;
 	h->version = version;
-	home_drop_stale(h);
+	if (!h->keeps_stale)
+		home_drop_stale(h);
 	if (h->watch && h->watch->on_version)
 		h->watch->on_version(h->watch_ctx, version);
 }
--- a/packages/rollout/src/home_pull.c
+++ b/packages/rollout/src/home_pull.c
@@ -26,12 +26,14 @@
 	struct op *op;
 	size_t tokens;
 	bool *skip; ///< by slot: acknowledged or lost by this pull
+	bool keeps_stale; ///< a flaw for tests
 };
 
 static bool home_may_hand(const struct home_pick *k, uint32_t slot)
 {
-	return !k->skip[slot] &&
-	       sample_fresh(&k->b->slots[slot].sample, k->op->version,
+	if (k->skip[slot] || k->keeps_stale)
+		return !k->skip[slot];
+	return sample_fresh(&k->b->slots[slot].sample, k->op->version,
 			    k->b->spec->max_staleness);
 }
 
@@ -72,7 +74,7 @@
 			struct op *op)
 {
 	struct home_batch *b = home_find(h, p->batch);
-	struct home_pick k = {b, p, op, 0, NULL};
+	struct home_pick k = {b, p, op, 0, NULL, h->keeps_stale};
 	enum err e = ERR_OK;
 
 	memset(op, 0, sizeof(*op));
--- a/packages/rollout/src/owner.c
+++ b/packages/rollout/src/owner.c
@@ -81,6 +81,7 @@
 	o->rev = rev;
 	if (rec)
 		o->rec = *rec;
+	home->keeps_stale = r->opts.flaw == ROLLOUT_STALE_KEPT;
 	r->owners[r->n_owners++] = o;
 	return o;
 }
@@ -151,12 +152,23 @@
 	return e;
 }
 
+/* A flaw for tests: the version that was ordered, whatever made the tokens. */
+static void owner_flaw_version(const struct owner *o, struct sample *s)
+{
+	if (o->r->opts.flaw != ROLLOUT_ORDERED_VERSION || s->n_segments == 0)
+		return;
+	s->segments[0] =
+		(struct sample_segment){o->home->version, (uint32_t)s->n};
+	s->n_segments = 1;
+}
+
 bool owner_sample(void *ctx, struct home_batch *b, uint32_t slot,
 		  struct sample *sample)
 {
 	struct owner *o = b->user;
 	struct op op = {.kind = OP_SAMPLE, .slot = slot};
 
+	owner_flaw_version(o, sample);
 	if (!sample_fresh(sample, o->home->version, b->spec->max_staleness))
 		return false;
 	memcpy(op.batch, b->spec->id, sizeof(op.batch));
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -306,6 +306,8 @@
 		claim_step(r->owners[i]);
 	sched_tick(r->sched, now_ms);
 	serve_held(r);
+	if (r->draining)
+		hand_over(r);
 	request_tick(r);
 	copy_sweep(r);
 	pass_sweep(r);
--- a/packages/rollout/src/rollout_defs.h
+++ b/packages/rollout/src/rollout_defs.h
@@ -65,6 +65,7 @@
 	int64_t not_before_ms;
 	struct owner *owner; ///< HELD and COMMIT
 	struct commit_need need[2];
+	uint64_t max_staleness; ///< of the batch that is pulled
 	struct msg_reply reply; ///< COMMIT
 };
 
@@ -177,6 +178,9 @@
 void serve_commits(struct rollout *r);
 void serve_held(struct rollout *r);
 
+// hand_over.c
+void hand_over(struct rollout *r);
+
 // claim.c
 void claim_step(struct owner *o);
 void claim_answer(struct rollout *r, const struct kv_call *call,
--- a/packages/rollout/src/serve.c
+++ b/packages/rollout/src/serve.c
@@ -29,6 +29,8 @@
 {
 	const struct owner *o = q->owner;
 
+	if (o->r->opts.flaw == ROLLOUT_ANSWERS_EARLY)
+		return true;
 	for (size_t i = 0; i < 2; i++) {
 		if (!serve_stream_has(o->backup, &q->need[i]) ||
 		    !serve_stream_has(o->next, &q->need[i]))
@@ -63,23 +65,17 @@
 	serve_commit(o, q);
 }
 
-/* A pull of a route that the batch is not of sees no batch. */
-static bool serve_route_fits(struct owner *o, const struct pull *p)
-{
-	const struct home_batch *b = home_find(o->home, p->batch);
-
-	return !b || strcmp(b->spec->route, p->route) == 0;
-}
-
-/* Record the pull; an empty answer leaves only at the end of the wait. */
+/* A pull of another route than the batch's sees no batch. Record the pull; an empty answer leaves only at the end of the wait. */
 static void serve_pull(struct owner *o, struct request *q, bool again)
 {
 	struct op op;
+	const struct home_batch *b = home_find(o->home, q->pull.batch);
 	bool over = o->r->now_ms >= q->wait_end_ms || o->r->draining;
 	enum err e = ERR_BATCH_UNKNOWN;
 
 	memset(&op, 0, sizeof(op));
-	if (serve_route_fits(o, &q->pull))
+	q->max_staleness = b ? b->spec->max_staleness : 0;
+	if (!b || strcmp(b->spec->route, q->pull.route) == 0)
 		e = home_plan_pull(o->home, &q->pull, again, &op);
 	if (e == ERR_OK)
 		e = owner_emit(o, &op);
@@ -123,6 +119,25 @@
 	}
 }
 
+/* While the copies were awaited, the trainer's version may have grown. What
+ * is too old by now stays behind: its slot will come as expired. */
+static void serve_drop_stale(struct request *q)
+{
+	struct pull_reply *reply = &q->reply.pull;
+	const struct home *h = q->owner->home;
+	size_t kept = 0;
+
+	for (size_t i = 0; i < reply->n; i++) {
+		if (h->keeps_stale ||
+		    sample_fresh(&reply->items[i].sample, h->version,
+				 q->max_staleness))
+			reply->items[kept++] = reply->items[i];
+		else
+			sample_clear(&reply->items[i].sample);
+	}
+	reply->n = kept;
+}
+
 void serve_commits(struct rollout *r)
 {
 	struct request *q;
@@ -134,8 +149,10 @@
 		if (q->reply.slots == 0 &&
 		    q->pull.session < q->owner->home->session)
 			request_refuse(r, q, ERR_SESSION_OLD, 0);
-		else
+		else {
+			serve_drop_stale(q);
 			request_answer(r, q);
+		}
 	}
 }
 
--- /dev/null
+++ b/packages/rollout/test/sim.c
@@ -0,0 +1,210 @@
+// The event loop of the simulation.
+#include "sim_defs.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static bool sim_before(const struct sim_event *a, const struct sim_event *b)
+{
+	if (a->at_ms != b->at_ms)
+		return a->at_ms < b->at_ms;
+	return a->order < b->order;
+}
+
+static void sim_swap_events(struct sim *s, size_t i, size_t j)
+{
+	struct sim_event *t = s->heap[i];
+
+	s->heap[i] = s->heap[j];
+	s->heap[j] = t;
+}
+
+struct sim_event *sim_add(struct sim *s, int64_t delay_ms,
+			  enum sim_event_kind kind)
+{
+	struct sim_event *ev = calloc(1, sizeof(*ev));
+	size_t i = s->n++;
+
+	if (s->n > SIM_EVENTS)
+		abort();
+	ev->at_ms = s->now_ms + delay_ms;
+	ev->order = s->order++;
+	ev->kind = kind;
+	s->heap[i] = ev;
+	while (i > 0 && sim_before(s->heap[i], s->heap[(i - 1) / 2])) {
+		sim_swap_events(s, i, (i - 1) / 2);
+		i = (i - 1) / 2;
+	}
+	return ev;
+}
+
+static struct sim_event *sim_pop(struct sim *s)
+{
+	struct sim_event *ev = s->heap[0];
+	size_t i = 0;
+
+	s->heap[0] = s->heap[--s->n];
+	for (;;) {
+		size_t least = i;
+
+		for (size_t c = 2 * i + 1; c <= 2 * i + 2 && c < s->n; c++) {
+			if (sim_before(s->heap[c], s->heap[least]))
+				least = c;
+		}
+		if (least == i)
+			return ev;
+		sim_swap_events(s, i, least);
+		i = least;
+	}
+}
+
+bool sim_chance(struct sim *s, int percent)
+{
+	return rng_below(&s->rng, 100) < (uint64_t)percent;
+}
+
+/* Carry out what a node decided. */
+void sim_drain(struct sim *s, int node)
+{
+	struct rollout_action *a;
+
+	while (s->nodes[node].r && (a = rollout_next(s->nodes[node].r))) {
+		switch (a->kind) {
+		case ROLLOUT_SEND:
+			sim_net_send(s, node, a);
+			continue;
+		case ROLLOUT_KV_GET:
+		case ROLLOUT_KV_PUT:
+			sim_kv_call(s, node, a);
+			continue;
+		case ROLLOUT_TAKEN:
+		case ROLLOUT_PULLED:
+		case ROLLOUT_REFUSED:
+			sim_trainer_reply(s, node, a);
+			continue;
+		case ROLLOUT_RUN:
+			sim_run_start(s, node, a);
+			break;
+		case ROLLOUT_CANCEL:
+			sim_run_cancel(s, node, a->run);
+			break;
+		case ROLLOUT_USED:
+			break;
+		}
+		rollout_action_free(a);
+	}
+}
+
+static void sim_tick(struct sim *s, int node)
+{
+	struct sim_node *n = &s->nodes[node];
+
+	sim_add(s, SIM_TICK_MS, SIM_TICK)->node = node;
+	if (!n->r && n->back_ms > 0 && s->now_ms >= n->back_ms)
+		sim_node_start(s, node);
+	if (!n->r)
+		return;
+	sim_members(s, node);
+	rollout_tick(n->r, s->now_ms);
+	sim_drain(s, node);
+}
+
+static void sim_event(struct sim *s, struct sim_event *ev)
+{
+	switch (ev->kind) {
+	case SIM_TICK:
+		sim_tick(s, ev->node);
+		break;
+	case SIM_MSG:
+		sim_net_take(s, ev);
+		break;
+	case SIM_KV_ARRIVE:
+		sim_kv_arrive(s, ev);
+		break;
+	case SIM_KV_ANSWER:
+		sim_kv_answer(s, ev);
+		break;
+	case SIM_RUN:
+		sim_run_step(s, ev);
+		break;
+	case SIM_TRAINER:
+		sim_trainer_step(s, ev->lane);
+		break;
+	case SIM_ANSWER:
+		sim_trainer_answer(s, ev);
+		break;
+	case SIM_FAULT:
+		sim_fault(s);
+		break;
+	case SIM_SWAP:
+		sim_swap(s);
+		break;
+	}
+}
+
+static void sim_event_free(struct sim_event *ev)
+{
+	rollout_action_free(ev->action);
+	free(ev->value);
+	free(ev);
+}
+
+static void sim_begin(struct sim *s)
+{
+	s->target = 1;
+	s->trainer.session = 1;
+	s->trainer.version = 1;
+	for (int i = 0; i < SIM_ENGINES; i++)
+		s->engines[i] = (struct sim_engine){1, 1 + i % 3};
+	for (int i = 0; i < SIM_NODES; i++) {
+		sim_node_start(s, i);
+		sim_add(s, i, SIM_TICK)->node = i;
+	}
+	sim_add(s, 50, SIM_TRAINER)->lane = 0;
+	if (s->opts.faults.two_pulls)
+		sim_add(s, 60, SIM_TRAINER)->lane = 1;
+	sim_add(s, 500, SIM_FAULT);
+	if (s->opts.faults.swaps)
+		sim_add(s, 300, SIM_SWAP);
+}
+
+static void sim_stats(struct sim *s, int node)
+{
+	struct rollout_stats st;
+
+	if (!s->nodes[node].r)
+		return;
+	rollout_stats(s->nodes[node].r, &st);
+	s->res.takeovers += st.takeovers;
+	s->res.deposed += st.deposed;
+	s->res.resumed += st.sched.resumed;
+	s->res.stale_made_anew += st.sched.stale;
+}
+
+struct sim_result sim_run(const struct sim_opts *opts)
+{
+	struct sim *s = calloc(1, sizeof(*s));
+	struct sim_result res;
+
+	s->opts = *opts;
+	s->rng.state = opts->seed;
+	sim_begin(s);
+	while (s->now_ms < SIM_END_MS && !s->res.done) {
+		struct sim_event *ev = sim_pop(s);
+
+		s->now_ms = ev->at_ms;
+		sim_event(s, ev);
+		sim_event_free(ev);
+	}
+	s->res.took_ms = s->now_ms;
+	for (int i = 0; i < SIM_NODES; i++) {
+		sim_stats(s, i);
+		rollout_free(s->nodes[i].r);
+	}
+	while (s->n > 0)
+		sim_event_free(sim_pop(s));
+	res = s->res;
+	free(s);
+	return res;
+}
--- /dev/null
+++ b/packages/rollout/test/sim_defs.h
@@ -0,0 +1,161 @@
+// Types that the files of the simulation share.
+#pragma once
+
+#include "sim.h"
+
+enum {
+	SIM_EVENTS = 65536,
+	SIM_RUNS = 4096,
+	SIM_KEY_REVS = 8,
+};
+
+enum sim_event_kind {
+	SIM_TICK,
+	SIM_MSG,
+	SIM_KV_ARRIVE,
+	SIM_KV_ANSWER,
+	SIM_RUN,
+	SIM_TRAINER,
+	SIM_ANSWER,
+	SIM_FAULT,
+	SIM_SWAP,
+};
+
+struct sim_event {
+	int64_t at_ms;
+	uint64_t order;
+	enum sim_event_kind kind;
+	int node; ///< receiver
+	uint64_t life; ///< of the receiver: events of an earlier life are lost
+	int from;
+	uint64_t from_life;
+	struct rollout_action *action; ///< owned
+	struct rollout_kv kv;
+	char *value; ///< of kv, owned
+	int run;
+	int lane; ///< of the trainer
+	uint64_t call;
+};
+
+struct sim_node {
+	struct rollout *r;
+	uint64_t life;
+	bool draining;
+	int side; ///< of the partition
+	int64_t heard_ms[SIM_NODES]; ///< by node
+	int64_t back_ms; ///< comes back then, 0 if up
+};
+
+struct sim_engine {
+	uint64_t version;
+	int token_ms;
+};
+
+struct sim_run_state {
+	bool used;
+	int node;
+	uint64_t life;
+	htab_handle handle;
+	int engine;
+	uint64_t prompt;
+	uint64_t seed;
+	size_t pos;
+	size_t stop;
+	size_t max;
+	bool hangs;
+	bool refused;
+	int breaks_in; ///< lines until it breaks, -1 for never
+};
+
+/// A slot as the trainer and the checks see it.
+struct sim_slot {
+	bool have; ///< the trainer of this session has it
+	bool ack_ok; ///< a pull that acknowledged it was answered
+	int64_t ack_ok_ms;
+	bool fixed; ///< it was handed out: content is for ever
+	bool lost; ///< declared by the trainer
+	uint64_t content;
+	bool expired;
+};
+
+/// One connection of the trainer.
+struct sim_lane {
+	bool busy;
+	uint64_t call;
+	int64_t begin_ms;
+	uint64_t session;
+	uint64_t version;
+	bool post;
+	bool acks[SIM_SLOTS];
+	bool losts[SIM_SLOTS];
+	int node;
+};
+
+struct sim_trainer {
+	uint64_t session;
+	uint64_t version;
+	int batch; ///< index of the batch in work
+	bool posted;
+	int have;
+	int64_t down_until_ms;
+	struct sim_lane lanes[2];
+	struct sim_slot slots[SIM_SLOTS];
+};
+
+struct sim_kv {
+	bool found;
+	char key[RECORD_KEY];
+	char value[512];
+	uint64_t rev;
+	int side;
+	int64_t down_until_ms;
+};
+
+struct sim {
+	struct sim_opts opts;
+	struct rng rng;
+	int64_t now_ms;
+	uint64_t order;
+	struct sim_event *heap[SIM_EVENTS];
+	size_t n;
+	struct sim_node nodes[SIM_NODES];
+	struct sim_engine engines[SIM_ENGINES];
+	struct sim_run_state runs[SIM_RUNS];
+	struct sim_kv kv;
+	struct sim_trainer trainer;
+	uint64_t next_call;
+	uint64_t target; ///< weight version ordered
+	struct sim_result res;
+};
+
+// sim.c
+struct sim_event *sim_add(struct sim *s, int64_t delay_ms,
+			  enum sim_event_kind kind);
+bool sim_chance(struct sim *s, int percent);
+void sim_drain(struct sim *s, int node);
+
+// sim_net.c
+void sim_net_send(struct sim *s, int from, struct rollout_action *a);
+void sim_net_take(struct sim *s, struct sim_event *ev);
+void sim_kv_call(struct sim *s, int from, struct rollout_action *a);
+void sim_kv_arrive(struct sim *s, struct sim_event *ev);
+void sim_kv_answer(struct sim *s, struct sim_event *ev);
+void sim_members(struct sim *s, int node);
+void sim_fault(struct sim *s);
+void sim_node_start(struct sim *s, int node);
+void sim_node_kill(struct sim *s, int node);
+
+// sim_engine.c
+uint32_t sim_token(uint64_t prompt, uint64_t seed, size_t pos,
+		   uint64_t version);
+uint64_t sim_prompt(int batch, int group);
+size_t sim_stop(uint64_t prompt, uint64_t seed);
+void sim_run_start(struct sim *s, int node, const struct rollout_action *a);
+void sim_run_cancel(struct sim *s, int node, htab_handle handle);
+void sim_run_step(struct sim *s, const struct sim_event *ev);
+void sim_swap(struct sim *s);
+
+// sim_trainer.c
+void sim_trainer_step(struct sim *s, int lane);
+void sim_trainer_answer(struct sim *s, struct sim_event *ev);
+void sim_trainer_reply(struct sim *s, int node, struct rollout_action *a);
--- /dev/null
+++ b/packages/rollout/test/sim_net.c
@@ -0,0 +1,268 @@
+// Network, membership, key-value store and faults of the simulation.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "sim_defs.h"
+
+static const char *const sim_domains[SIM_NODES] = {"d1", "d1", "d2", "d2",
+						   "d3"};
+
+static void sim_name(int node, char *buf, size_t len)
+{
+	snprintf(buf, len, "n%d", node);
+}
+
+void sim_node_start(struct sim *s, int node)
+{
+	struct sim_node *n = &s->nodes[node];
+	struct rollout_opts opts = {
+		.rng = {rng_next(&s->rng)},
+		.answer_ms = 3000,
+		.flaw = s->opts.flaw,
+		.sched =
+			{
+				.order = SCHED_LONGEST,
+				.max_runs = 64,
+				.max_queued = 8,
+				.stall_ms = 3000,
+				.hedge_ms = 600,
+				.hedge_percent = 10,
+			},
+	};
+
+	n->life++;
+	n->back_ms = 0;
+	n->draining = false;
+	for (int i = 0; i < SIM_NODES; i++)
+		n->heard_ms[i] = s->now_ms;
+	sim_name(node, opts.node, sizeof(opts.node));
+	snprintf(opts.domain, sizeof(opts.domain), "%s", sim_domains[node]);
+	snprintf(opts.inc, sizeof(opts.inc), "%d-%llu", node,
+		 (unsigned long long)n->life);
+	n->r = rollout_new(&opts);
+}
+
+void sim_node_kill(struct sim *s, int node)
+{
+	struct sim_node *n = &s->nodes[node];
+
+	rollout_free(n->r);
+	n->r = NULL;
+	n->life++;
+	n->back_ms = s->now_ms + 2500 + (int64_t)rng_below(&s->rng, 3000);
+	s->res.kills++;
+}
+
+static bool sim_reach(const struct sim *s, int a, int b)
+{
+	return s->nodes[a].side == s->nodes[b].side;
+}
+
+void sim_members(struct sim *s, int node)
+{
+	struct rollout_member m[SIM_NODES];
+	struct sim_node *n = &s->nodes[node];
+	size_t k = 0;
+
+	memset(m, 0, sizeof(m));
+	for (int i = 0; i < SIM_NODES; i++) {
+		if (i == node)
+			continue;
+		if (s->nodes[i].r && sim_reach(s, node, i))
+			n->heard_ms[i] = s->now_ms;
+		sim_name(i, m[k].id, sizeof(m[k].id));
+		snprintf(m[k].domain, sizeof(m[k].domain), "%s",
+			 sim_domains[i]);
+		m[k].alive = s->now_ms - n->heard_ms[i] < SIM_DEAD_MS;
+		m[k].draining = s->nodes[i].draining;
+		k++;
+	}
+	rollout_members(n->r, m, k);
+}
+
+void sim_net_send(struct sim *s, int from, struct rollout_action *a)
+{
+	int to = a->node[1] - '0';
+	struct sim_event *ev;
+
+	if (s->opts.faults.msg_loss && sim_chance(s, 5)) {
+		rollout_action_free(a);
+		return;
+	}
+	ev = sim_add(s, 1 + (int64_t)rng_below(&s->rng, 4), SIM_MSG);
+	ev->node = to;
+	ev->life = s->nodes[to].life;
+	ev->from = from;
+	ev->action = a;
+}
+
+void sim_net_take(struct sim *s, struct sim_event *ev)
+{
+	struct sim_node *n = &s->nodes[ev->node];
+	char from[8];
+
+	if (!n->r || n->life != ev->life || !sim_reach(s, ev->node, ev->from))
+		return;
+	sim_name(ev->from, from, sizeof(from));
+	rollout_recv(n->r, from, ev->action->msg, ev->action->buf,
+		     ev->action->len, s->now_ms);
+	sim_drain(s, ev->node);
+}
+
+/* The node gives up after this; the write may still come. */
+enum {
+	KV_GIVE_UP_MS = 1000,
+};
+
+void sim_kv_call(struct sim *s, int from, struct rollout_action *a)
+{
+	bool late = s->opts.faults.kv_lost && sim_chance(s, 15) &&
+		    s->now_ms < SIM_FAULTS_END_MS;
+	int64_t delay = late ? 1200 + (int64_t)rng_below(&s->rng, 2000)
+			     : 1 + (int64_t)rng_below(&s->rng, 5);
+	struct sim_event *ev = sim_add(s, delay, SIM_KV_ARRIVE);
+	struct sim_event *lost = sim_add(s, KV_GIVE_UP_MS, SIM_KV_ANSWER);
+
+	ev->from = from;
+	ev->from_life = s->nodes[from].life;
+	ev->action = a;
+	lost->node = from;
+	lost->life = s->nodes[from].life;
+	lost->kv = (struct rollout_kv){
+		.call = a->call,
+		.err = ERR_KV_UNKNOWN,
+	};
+}
+
+static enum err sim_kv_put(struct sim *s, const struct rollout_action *a)
+{
+	struct sim_kv *kv = &s->kv;
+
+	if ((kv->found ? kv->rev : 0) != a->prev_rev)
+		return ERR_KV_CONFLICT;
+	kv->found = true;
+	kv->rev++;
+	snprintf(kv->key, sizeof(kv->key), "%s", a->key);
+	snprintf(kv->value, sizeof(kv->value), "%s", a->value);
+	return ERR_OK;
+}
+
+void sim_kv_arrive(struct sim *s, struct sim_event *ev)
+{
+	const struct rollout_action *a = ev->action;
+	struct sim_kv *kv = &s->kv;
+	struct sim_event *answer;
+	enum err e = kv->found ? ERR_OK : ERR_NOT_FOUND;
+
+	if (s->now_ms < kv->down_until_ms ||
+	    s->nodes[ev->from].side != kv->side)
+		return;
+	if (a->kind == ROLLOUT_KV_PUT)
+		e = sim_kv_put(s, a);
+	if (s->opts.faults.kv_lost && sim_chance(s, 20) &&
+	    s->now_ms < SIM_FAULTS_END_MS)
+		return;
+	answer = sim_add(s, 1 + (int64_t)rng_below(&s->rng, 5), SIM_KV_ANSWER);
+	answer->node = ev->from;
+	answer->life = ev->from_life;
+	answer->value = strdup(kv->value);
+	answer->kv = (struct rollout_kv){
+		.call = a->call,
+		.err = e,
+		.rev = kv->rev,
+	};
+}
+
+void sim_kv_answer(struct sim *s, struct sim_event *ev)
+{
+	struct sim_node *n = &s->nodes[ev->node];
+
+	if (!n->r || n->life != ev->life)
+		return;
+	ev->kv.value = ev->value ? ev->value : "";
+	ev->kv.len = strlen(ev->kv.value);
+	rollout_kv_done(n->r, &ev->kv, s->now_ms);
+	sim_drain(s, ev->node);
+}
+
+/* Whether the trainer's state survives the loss of a node: the record's
+ * holders but for it are up, in touch, and settled. */
+static bool sim_may_lose(const struct sim *s, int node)
+{
+	struct record rec;
+	int owner;
+	int backup;
+	struct rollout_stats st;
+
+	if (!s->kv.found ||
+	    record_parse(s->kv.value, strlen(s->kv.value), &rec) != ERR_OK)
+		return true;
+	owner = rec.owner[1] - '0';
+	backup = *rec.backup ? rec.backup[1] - '0' : -1;
+	if (node != owner && node != backup)
+		return true;
+	if (backup < 0 || !s->nodes[owner].r || !s->nodes[backup].r)
+		return false;
+	rollout_stats(s->nodes[owner].r, &st);
+	if (st.owned == 0)
+		return false;
+	rollout_stats(s->nodes[backup].r, &st);
+	return st.copies > 0;
+}
+
+static void sim_fault_node(struct sim *s)
+{
+	const struct sim_faults *f = &s->opts.faults;
+	int node = (int)rng_below(&s->rng, SIM_NODES);
+
+	if (!s->nodes[node].r || (!f->last_copy && !sim_may_lose(s, node)))
+		return;
+	if (f->node_drain && sim_chance(s, 50)) {
+		s->nodes[node].draining = true;
+		rollout_drain(s->nodes[node].r);
+	} else if (f->node_kill) {
+		sim_node_kill(s, node);
+	}
+}
+
+static void sim_fault_partition(struct sim *s)
+{
+	bool heal = sim_chance(s, 50);
+
+	for (int i = 0; i < SIM_NODES; i++)
+		s->nodes[i].side = heal ? 0 : sim_chance(s, 40);
+	s->kv.side = heal ? 0 : sim_chance(s, 40);
+}
+
+/* All faults end: whoever is down comes back, everything is in touch. */
+static void sim_faults_end(struct sim *s)
+{
+	for (int i = 0; i < SIM_NODES; i++)
+		s->nodes[i].side = 0;
+	s->kv.side = 0;
+	s->kv.down_until_ms = s->now_ms;
+}
+
+void sim_fault(struct sim *s)
+{
+	const struct sim_faults *f = &s->opts.faults;
+
+	if (s->now_ms >= SIM_FAULTS_END_MS) {
+		sim_faults_end(s);
+		return;
+	}
+	sim_add(s, 400 + (int64_t)rng_below(&s->rng, 1500), SIM_FAULT);
+	if ((f->node_kill || f->node_drain) && sim_chance(s, 50))
+		sim_fault_node(s);
+	if (f->partition && sim_chance(s, 40))
+		sim_fault_partition(s);
+	if (f->kv_outage && sim_chance(s, 25))
+		s->kv.down_until_ms =
+			s->now_ms + (int64_t)rng_below(&s->rng, 6000);
+	if (f->trainer_kill && sim_chance(s, 25)) {
+		s->trainer.down_until_ms =
+			s->now_ms + (int64_t)rng_below(&s->rng, 1500);
+		s->trainer.session++;
+	}
+}
