perf(base): walk a handle table only as far as it was ever used

Problem: htab_next() goes through the whole capacity for each walk; half of the samples of a profile of the rollout simulation were in it. Solution: remember the highest entry ever used and stop there. The order of the walk and the handles are the same.

--- a/packages/base/src/htab.c
+++ b/packages/base/src/htab.c
@@ -20,6 +20,7 @@
 	size_t cap;
 	size_t size;
 	size_t count;
+	size_t end; ///< one past the highest entry ever used
 	uint16_t free_head;
 	struct htab_slot *slots;
 	char *data;
@@ -79,6 +80,8 @@
 	t->free_head = t->slots[i].next_free;
 	t->slots[i].used = true;
 	t->count++;
+	if (t->end <= i)
+		t->end = i + 1;
 	e = htab_entry(t, i);
 	memset(e, 0, t->size);
 	*h = htab_handle_of(t, i);
@@ -115,7 +118,7 @@
 
 void *htab_next(const struct htab *t, size_t *iter, htab_handle *h)
 {
-	while (*iter < t->cap) {
+	while (*iter < t->end) {
 		size_t i = (*iter)++;
 
 		if (!t->slots[i].used)
