--- a/packages/rollout/include/rollout/rollout.h
+++ b/packages/rollout/include/rollout/rollout.h
@@ -163,6 +163,19 @@
 /// Whether no call waits and no batch is open here.
 bool rollout_idle(const struct rollout *r);
 
+enum rollout_role {
+	ROLLOUT_NONE,
+	ROLLOUT_CLAIMS, ///< becoming the owner
+	ROLLOUT_OWNS,
+	ROLLOUT_COPIES, ///< holds a whole copy
+};
+
+/// What a node is for a trainer.
+///
+/// @param epoch  of the record
+enum rollout_role rollout_role(struct rollout *r, const char *team,
+			       const char *trainer, uint64_t epoch);
+
 struct rollout_stats {
 	struct sched_stats sched;
 	uint64_t takeovers; ///< of another node's trainers
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -327,6 +327,24 @@
 	return htab_count(r->requests) == 0 && s.open_batches == 0;
 }
 
+enum rollout_role rollout_role(struct rollout *r, const char *team,
+			       const char *trainer, uint64_t epoch)
+{
+	const struct owner *o = owner_find(r, team, trainer);
+
+	if (o && o->rec.epoch == epoch)
+		return o->active ? ROLLOUT_OWNS : ROLLOUT_CLAIMS;
+	for (size_t i = 0; i < r->n_replicas; i++) {
+		const struct replica *rep = r->replicas[i];
+
+		if (strcmp(rep->team, team) == 0 &&
+		    strcmp(rep->trainer, trainer) == 0 && rep->epoch == epoch &&
+		    rep->whole && !rep->broken)
+			return ROLLOUT_COPIES;
+	}
+	return ROLLOUT_NONE;
+}
+
 void rollout_stats(const struct rollout *r, struct rollout_stats *out)
 {
 	*out = r->stats;
--- a/packages/rollout/test/sim.c
+++ b/packages/rollout/test/sim.c
@@ -105,13 +105,51 @@
 		sim_node_start(s, node);
 	if (!n->r)
 		return;
+	if (n->draining && s->now_ms >= n->drained_ms &&
+	    sim_may_lose(s, node)) {
+		sim_node_kill(s, node);
+		return;
+	}
 	sim_members(s, node);
 	rollout_tick(n->r, s->now_ms);
 	sim_drain(s, node);
 }
 
+bool sim_paused(const struct sim *s, int node)
+{
+	return s->now_ms < s->nodes[node].paused_until_ms;
+}
+
+static bool sim_is_nodes(const struct sim *s, const struct sim_event *ev,
+			 int *node)
+{
+	*node = ev->kind == SIM_RUN ? s->runs[ev->run].node : ev->node;
+	return ev->kind == SIM_TICK || ev->kind == SIM_MSG ||
+	       ev->kind == SIM_KV_ANSWER || ev->kind == SIM_RUN;
+}
+
+/* What comes for a frozen node waits in its sockets. */
+static bool sim_postpone(struct sim *s, struct sim_event *ev)
+{
+	struct sim_event *later;
+	int node;
+
+	if (!sim_is_nodes(s, ev, &node) || !sim_paused(s, node))
+		return false;
+	later = sim_add(s, s->nodes[node].paused_until_ms - s->now_ms,
+			ev->kind);
+	ev->at_ms = later->at_ms;
+	ev->order = later->order;
+	*later = *ev;
+	ev->action = NULL;
+	ev->value = NULL;
+	return true;
+}
+
 static void sim_event(struct sim *s, struct sim_event *ev)
 {
+	if (sim_postpone(s, ev))
+		return;
 	switch (ev->kind) {
 	case SIM_TICK:
 		sim_tick(s, ev->node);
--- a/packages/rollout/test/sim.h
+++ b/packages/rollout/test/sim.h
@@ -22,6 +22,7 @@
 struct sim_faults {
 	bool node_kill; ///< nodes die and come back empty
 	bool node_drain; ///< nodes end and hand over
+	bool node_pause; ///< nodes freeze for a while and go on
 	bool last_copy; ///< also kill a node that holds the only whole copy
 	bool partition; ///< nodes and the store are cut off from each other
 	bool kv_outage;
--- a/packages/rollout/test/sim_defs.h
+++ b/packages/rollout/test/sim_defs.h
@@ -40,7 +40,9 @@
 struct sim_node {
 	struct rollout *r;
 	uint64_t life;
+	int64_t paused_until_ms;
 	bool draining;
+	int64_t drained_ms; ///< ends then
 	int side; ///< of the partition
 	int64_t heard_ms[SIM_NODES]; ///< by node
 	int64_t back_ms; ///< comes back then, 0 if up
@@ -70,6 +72,7 @@
 /// A slot as the trainer and the checks see it.
 struct sim_slot {
 	bool have; ///< the trainer of this session has it
+	bool ack_sent;
 	bool ack_ok; ///< a pull that acknowledged it was answered
 	int64_t ack_ok_ms;
 	bool fixed; ///< it was handed out: content is for ever
@@ -109,6 +112,7 @@
 	uint64_t rev;
 	int side;
 	int64_t down_until_ms;
+	int puts; ///< writes on their way
 };
 
 struct sim {
@@ -129,6 +133,7 @@
 };
 
 // sim.c
+bool sim_paused(const struct sim *s, int node);
 struct sim_event *sim_add(struct sim *s, int64_t delay_ms,
 			  enum sim_event_kind kind);
 bool sim_chance(struct sim *s, int percent);
@@ -142,6 +147,7 @@
 void sim_kv_answer(struct sim *s, struct sim_event *ev);
 void sim_members(struct sim *s, int node);
 void sim_fault(struct sim *s);
+bool sim_may_lose(const struct sim *s, int node);
 void sim_node_start(struct sim *s, int node);
 void sim_node_kill(struct sim *s, int node);
 
--- a/packages/rollout/test/sim_net.c
+++ b/packages/rollout/test/sim_net.c
@@ -5,6 +5,11 @@
 
 #include "sim_defs.h"
 
+enum {
+	KV_GIVE_UP_MS = 1000, ///< then the node asks no more; a write may come
+	DRAIN_MS = 2000,
+};
+
 static const char *const sim_domains[SIM_NODES] = {"d1", "d1", "d2", "d2",
 						   "d3"};
 
@@ -69,7 +74,7 @@
 	for (int i = 0; i < SIM_NODES; i++) {
 		if (i == node)
 			continue;
-		if (s->nodes[i].r && sim_reach(s, node, i))
+		if (s->nodes[i].r && sim_reach(s, node, i) && !sim_paused(s, i))
 			n->heard_ms[i] = s->now_ms;
 		sim_name(i, m[k].id, sizeof(m[k].id));
 		snprintf(m[k].domain, sizeof(m[k].domain), "%s",
@@ -110,11 +115,6 @@
 	sim_drain(s, ev->node);
 }
 
-/* The node gives up after this; the write may still come. */
-enum {
-	KV_GIVE_UP_MS = 1000,
-};
-
 void sim_kv_call(struct sim *s, int from, struct rollout_action *a)
 {
 	bool late = s->opts.faults.kv_lost && sim_chance(s, 15) &&
@@ -127,6 +127,7 @@
 	ev->from = from;
 	ev->from_life = s->nodes[from].life;
 	ev->action = a;
+	s->kv.puts += a->kind == ROLLOUT_KV_PUT;
 	lost->node = from;
 	lost->life = s->nodes[from].life;
 	lost->kv = (struct rollout_kv){
@@ -155,6 +156,7 @@
 	struct sim_event *answer;
 	enum err e = kv->found ? ERR_OK : ERR_NOT_FOUND;
 
+	kv->puts -= a->kind == ROLLOUT_KV_PUT;
 	if (s->now_ms < kv->down_until_ms ||
 	    s->nodes[ev->from].side != kv->side)
 		return;
@@ -186,29 +188,34 @@
 	sim_drain(s, ev->node);
 }
 
-/* Whether the trainer's state survives the loss of a node: the record's
- * holders but for it are up, in touch, and settled. */
-static bool sim_may_lose(const struct sim *s, int node)
+static enum rollout_role sim_role(const struct sim *s, const char *id,
+				  uint64_t epoch)
+{
+	const struct sim_node *n = &s->nodes[id[1] - '0'];
+
+	return n->r ? rollout_role(n->r, "team", "t", epoch) : ROLLOUT_NONE;
+}
+
+/* Whether the trainer's state survives the loss of a node: the other holder
+ * that the record names has a whole copy, and no write is on its way. */
+bool sim_may_lose(const struct sim *s, int node)
 {
 	struct record rec;
-	int owner;
-	int backup;
-	struct rollout_stats st;
+	char id[8];
 
+	sim_name(node, id, sizeof(id));
+	if (s->kv.puts > 0)
+		return false;
 	if (!s->kv.found ||
 	    record_parse(s->kv.value, strlen(s->kv.value), &rec) != ERR_OK)
 		return true;
-	owner = rec.owner[1] - '0';
-	backup = *rec.backup ? rec.backup[1] - '0' : -1;
-	if (node != owner && node != backup)
-		return true;
-	if (backup < 0 || !s->nodes[owner].r || !s->nodes[backup].r)
-		return false;
-	rollout_stats(s->nodes[owner].r, &st);
-	if (st.owned == 0)
-		return false;
-	rollout_stats(s->nodes[backup].r, &st);
-	return st.copies > 0;
+	if (!*rec.backup)
+		return strcmp(rec.owner, id) != 0;
+	if (strcmp(rec.owner, id) == 0)
+		return sim_role(s, rec.backup, rec.epoch) != ROLLOUT_NONE;
+	if (strcmp(rec.backup, id) == 0)
+		return sim_role(s, rec.owner, rec.epoch) == ROLLOUT_OWNS;
+	return true;
 }
 
 static void sim_fault_node(struct sim *s)
@@ -220,6 +227,7 @@
 		return;
 	if (f->node_drain && sim_chance(s, 50)) {
 		s->nodes[node].draining = true;
+		s->nodes[node].drained_ms = s->now_ms + DRAIN_MS;
 		rollout_drain(s->nodes[node].r);
 	} else if (f->node_kill) {
 		sim_node_kill(s, node);
@@ -253,6 +261,9 @@
 		return;
 	}
 	sim_add(s, 400 + (int64_t)rng_below(&s->rng, 1500), SIM_FAULT);
+	if (f->node_pause && sim_chance(s, 40))
+		s->nodes[rng_below(&s->rng, SIM_NODES)].paused_until_ms =
+			s->now_ms + 500 + (int64_t)rng_below(&s->rng, 3500);
 	if ((f->node_kill || f->node_drain) && sim_chance(s, 50))
 		sim_fault_node(s);
 	if (f->partition && sim_chance(s, 40))
--- a/packages/rollout/test/sim_trainer.c
+++ b/packages/rollout/test/sim_trainer.c
@@ -72,8 +72,10 @@
 		sim_slot_name(i, name);
 		l->acks[i] = sl->have && !sl->ack_ok;
 		l->losts[i] = sl->expired && !sl->have && alone;
-		if (l->acks[i])
+		if (l->acks[i]) {
 			slot_names_add(&p->acks, name);
+			sl->ack_sent = true;
+		}
 		if (l->losts[i]) {
 			slot_names_add(&p->lost, name);
 			sl->fixed = false;
@@ -97,9 +99,9 @@
 {
 	struct sim_trainer *t = &s->trainer;
 
-	/* A trainer without a disk has lost what it did not acknowledge. */
+	/* A trainer acknowledges what it has kept; the rest died with it. */
 	for (int i = 0; i < SIM_SLOTS; i++) {
-		if (!t->slots[i].ack_ok)
+		if (!t->slots[i].ack_sent)
 			t->slots[i].have = false;
 		t->slots[i].expired = false;
 	}
@@ -121,9 +123,14 @@
 	l->begin_ms = s->now_ms;
 	l->call = ++s->next_call;
 	l->post = !s->trainer.posted;
+	if (l->post && lane != 0)
+		return;
+	if (sim_paused(s, l->node)) {
+		l->busy = true;
+		memset(l->acks, 0, sizeof(l->acks));
+		return;
+	}
 	if (l->post) {
-		if (lane != 0)
-			return;
 		l->busy = true;
 		rollout_post(s->nodes[l->node].r, l->call, sim_batch(s),
 			     s->now_ms);
@@ -158,8 +165,13 @@
 	uint64_t h =
 		XXH64(sample->tokens, sample->n * sizeof(*sample->tokens), 0);
 
-	return XXH64(sample->segments,
-		     sample->n_segments * sizeof(*sample->segments), h);
+	for (size_t i = 0; i < sample->n_segments; i++) {
+		uint64_t in[2] = {sample->segments[i].version,
+				  sample->segments[i].n};
+
+		h = XXH64(in, sizeof(in), h);
+	}
+	return h;
 }
 
 static void sim_check_tokens(struct sim *s, int slot,
