test(rollout): declare a slot lost only while no other pull is under way

Problem: with two connections the trainer of the simulation hardly ever found both idle, so slots over the bound stayed open ( did not finish). Solution: it waits for the other pull first.

--- a/packages/rollout/test/sim_trainer.c
+++ b/packages/rollout/test/sim_trainer.c
@@ -65,13 +65,11 @@
 	p->wait_ms = PULL_WAIT_MS;
 	for (int i = 0; i < SIM_SLOTS; i++) {
 		struct sim_slot *sl = &s->trainer.slots[i];
-		bool alone =
-			!s->trainer.lanes[0].busy && !s->trainer.lanes[1].busy;
 		char name[BATCH_SLOT_NAME];
 
 		sim_slot_name(i, name);
 		l->acks[i] = sl->have && !sl->ack_ok;
-		l->losts[i] = sl->expired && !sl->have && alone;
+		l->losts[i] = sl->expired && !sl->have;
 		if (l->acks[i]) {
 			slot_names_add(&p->acks, name);
 			sl->ack_sent = true;
@@ -84,6 +82,18 @@
 	}
 }
 
+/* A slot is declared lost only while no other pull is under way. */
+static bool sim_must_wait(const struct sim_trainer *t)
+{
+	if (!t->lanes[0].busy && !t->lanes[1].busy)
+		return false;
+	for (int i = 0; i < SIM_SLOTS; i++) {
+		if (t->slots[i].expired && !t->slots[i].have)
+			return true;
+	}
+	return false;
+}
+
 static int sim_pick_node(struct sim *s)
 {
 	for (int tries = 0; tries < 20; tries++) {
@@ -156,7 +166,7 @@
 	}
 	if (l->busy && s->now_ms - l->begin_ms >= CALL_LIMIT_MS)
 		l->busy = false;
-	if (!l->busy)
+	if (!l->busy && !sim_must_wait(t))
 		sim_call(s, lane);
 }
 
