--- a/packages/rollout/include/rollout/batch.h
+++ b/packages/rollout/include/rollout/batch.h
@@ -8,7 +8,7 @@
 
 enum {
 	BATCH_NAME = 64, ///< bytes of a name, with its NUL
-	BATCH_SLOT_NAME = BATCH_NAME + 12, ///< bytes of "GROUP/I"
+	BATCH_SLOT_NAME = BATCH_NAME + 32, ///< bytes of "GROUP/I@SERIAL"
 	BATCH_MAX_GROUPS = 16384,
 	BATCH_MAX_SLOTS = 65536,
 	BATCH_MAX_TOKENS = 1 << 20, ///< of a sample or a prompt
--- a/packages/rollout/include/rollout/home.h
+++ b/packages/rollout/include/rollout/home.h
@@ -20,6 +20,7 @@
 
 struct home_slot {
 	enum home_slot_state state;
+	uint64_t serial; ///< of the sample, unique in the trainer's batches
 	struct sample sample;
 };
 
@@ -56,6 +57,7 @@
 	char trainer[BATCH_NAME];
 	uint64_t session; ///< newest session seen
 	uint64_t version; ///< newest weight version of the trainer
+	uint64_t serial; ///< newest sample's
 	uint64_t floor; ///< batches of this step or before may be forgotten
 	struct home_batch *batches[HOME_BATCHES]; ///< open ones, owned
 	size_t n_batches;
--- a/packages/rollout/include/rollout/op.h
+++ b/packages/rollout/include/rollout/op.h
@@ -26,6 +26,7 @@
 	uint64_t step; ///< DONE, META: step, floor of steps
 	uint64_t n_slots; ///< DONE
 	uint32_t slot; ///< SAMPLE
+	uint64_t serial; ///< SAMPLE in whole copies, META; else 0
 	bool is_handed; ///< SAMPLE
 	struct sample sample; ///< SAMPLE
 	uint64_t session; ///< PULL, META
--- a/packages/rollout/include/rollout/pull.h
+++ b/packages/rollout/include/rollout/pull.h
@@ -22,7 +22,7 @@
 	uint64_t max; ///< samples
 	int64_t wait_ms; ///< until it is answered without samples
 	struct slot_names acks;
-	struct slot_names lost;
+	struct slot_names lost; ///< as a reply named them in expired
 };
 
 struct pull_item {
@@ -34,7 +34,8 @@
 struct pull_reply {
 	struct pull_item *items;
 	size_t n;
-	struct slot_names expired;
+	struct slot_names
+		expired; ///< "GROUP/I@SERIAL": too old, not acknowledged
 	uint64_t left; ///< slots not acknowledged
 	bool done; ///< every slot is acknowledged
 };
--- a/packages/rollout/src/home.c
+++ b/packages/rollout/src/home.c
@@ -205,6 +205,7 @@
 	s = &b->slots[op->slot];
 	if (s->state != HOME_EMPTY)
 		return ERR_INVALID;
+	s->serial = op->serial ? op->serial : ++h->serial;
 	s->sample = op->sample;
 	sample_init(&op->sample);
 	s->state = op->is_handed ? HOME_HANDED : HOME_READY;
@@ -317,6 +318,7 @@
 	case OP_META:
 		h->session = op->session;
 		h->version = op->version;
+		h->serial = op->serial;
 		h->floor = op->step;
 		return ERR_OK;
 	default:
--- a/packages/rollout/src/home_pull.c
+++ b/packages/rollout/src/home_pull.c
@@ -1,6 +1,7 @@
 // Decides pulls and copies a state; changes nothing.
 #include "rollout/home.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -20,6 +21,30 @@
 	return ERR_OK;
 }
 
+/* Only the very sample that was too old can be lost, not a later one. */
+static enum err home_resolve_lost(const struct home_batch *b,
+				  const struct slot_names *names,
+				  struct slots *out)
+{
+	for (size_t i = 0; i < names->n; i++) {
+		char name[BATCH_SLOT_NAME];
+		char *at;
+		size_t slot;
+
+		memcpy(name, names->v[i], sizeof(name));
+		at = strchr(name, '@');
+		if (!at)
+			continue;
+		*at = '\0';
+		if (batch_slot_find(b->spec, name, &slot) != ERR_OK ||
+		    b->slots[slot].serial != strtoull(at + 1, NULL, 10))
+			continue;
+		if (slots_add(out, (uint32_t)slot) != ERR_OK)
+			return ERR_NOMEM;
+	}
+	return ERR_OK;
+}
+
 struct home_pick {
 	const struct home_batch *b;
 	const struct pull *p;
@@ -88,7 +113,7 @@
 		return ERR_OK;
 	e = home_resolve(b, &p->acks, &op->acks);
 	if (e == ERR_OK)
-		e = home_resolve(b, &p->lost, &op->lost);
+		e = home_resolve_lost(b, &p->lost, &op->lost);
 	k.skip = e == ERR_OK ? home_skips(b, op) : NULL;
 	if (!k.skip)
 		return ERR_NOMEM;
@@ -130,6 +155,7 @@
 
 	for (uint32_t i = 0; left > 0 && i < b->spec->n_slots; i++) {
 		char name[BATCH_SLOT_NAME];
+		size_t len;
 		enum err e;
 
 		if (b->slots[i].state != HOME_HANDED)
@@ -139,6 +165,9 @@
 				 b->spec->max_staleness))
 			continue;
 		batch_slot_name(b->spec, i, name);
+		len = strlen(name);
+		snprintf(name + len, sizeof(name) - len, "@%" PRIu64,
+			 b->slots[i].serial);
 		e = slot_names_add(&reply->expired, name);
 		if (e != ERR_OK)
 			return e;
@@ -196,6 +225,7 @@
 			continue;
 		op.slot = i;
 		op.is_handed = s->state == HOME_HANDED;
+		op.serial = s->serial;
 		op.sample = s->sample;
 		fn(ctx, &op);
 	}
@@ -227,6 +257,7 @@
 		.kind = OP_META,
 		.session = h->session,
 		.version = h->version,
+		.serial = h->serial,
 		.step = h->floor,
 	};
 	fn(ctx, &op);
--- a/packages/rollout/src/op.c
+++ b/packages/rollout/src/op.c
@@ -29,6 +29,7 @@
 	case OP_SAMPLE:
 		pack_u64(&p, op->slot);
 		pack_u64(&p, op->is_handed);
+		pack_u64(&p, op->serial);
 		codec_put_sample(&p, &op->sample);
 		break;
 	case OP_PULL:
@@ -49,6 +50,7 @@
 	case OP_META:
 		pack_u64(&p, op->session);
 		pack_u64(&p, op->version);
+		pack_u64(&p, op->serial);
 		pack_u64(&p, op->step);
 		break;
 	default:
@@ -70,6 +72,7 @@
 {
 	op->slot = (uint32_t)unpack_u64(u);
 	op->is_handed = unpack_u64(u) != 0;
+	op->serial = unpack_u64(u);
 	codec_get_sample(u, &op->sample);
 }
 
@@ -96,6 +99,7 @@
 	case OP_META:
 		op->session = unpack_u64(u);
 		op->version = unpack_u64(u);
+		op->serial = unpack_u64(u);
 		op->step = unpack_u64(u);
 		break;
 	case OP_RESET:
