--- a/packages/rollout/src/pack.c
+++ b/packages/rollout/src/pack.c
@@ -93,7 +93,7 @@
 	const msgpack_object *o = unpack_item(u, MSGPACK_OBJECT_STR);
 
 	dst[0] = '\0';
-	if (!o)
+	if (!o || o->via.str.size == 0)
 		return;
 	if (o->via.str.size >= cap ||
 	    memchr(o->via.str.ptr, '\0', o->via.str.size)) {
@@ -109,7 +109,9 @@
 	const msgpack_object *o = unpack_item(u, MSGPACK_OBJECT_BIN);
 
 	*len = o ? o->via.bin.size : 0;
-	return o ? o->via.bin.ptr : NULL;
+	if (!o)
+		return NULL;
+	return *len > 0 ? o->via.bin.ptr : "";
 }
 
 void unpack_slots(struct unpack *u, struct slots *out)
--- a/packages/rollout/src/pass.c
+++ b/packages/rollout/src/pass.c
@@ -208,14 +208,16 @@
 		msg_reply_clear(&m);
 		return ERR_OK;
 	}
-	if (m.not_owner) {
-		pass_again(r, q, m.lost);
-	} else if (m.err != ERR_OK) {
-		request_refuse(r, q, m.err, 0);
-	} else {
+	if (m.err == ERR_OK && !m.not_owner) {
 		q->reply = m;
 		request_answer(r, q);
+		return ERR_OK;
 	}
+	if (m.not_owner)
+		pass_again(r, q, m.lost);
+	else
+		request_refuse(r, q, m.err, 0);
+	msg_reply_clear(&m);
 	return ERR_OK;
 }
 
--- a/packages/rollout/src/stream.c
+++ b/packages/rollout/src/stream.c
@@ -24,6 +24,8 @@
 	struct stream_chunk *c = s->head;
 
 	s->head = c->next;
+	if (s->unsent == c)
+		s->unsent = c->next;
 	if (!s->head)
 		s->tail = NULL;
 	free(c->buf);
@@ -57,6 +59,8 @@
 	else
 		s->head = c;
 	s->tail = c;
+	if (!s->unsent)
+		s->unsent = c;
 	s->last++;
 	return ERR_OK;
 }
@@ -84,25 +88,23 @@
 			      const struct stream_chunk *chunk),
 		 void *ctx)
 {
-	uint64_t seq = s->acked;
+	struct stream_chunk *c;
 
 	if (s->dead || !s->head)
 		return;
 	if (s->sent > s->acked && now_ms - s->progress_ms >= STREAM_RESEND_MS &&
 	    now_ms - s->resent_ms >= STREAM_RESEND_MS) {
 		s->sent = s->acked;
+		s->unsent = s->head;
 		s->in_flight = 0;
 		s->resent_ms = now_ms;
 	}
-	for (struct stream_chunk *c = s->head; c; c = c->next) {
-		seq++;
-		if (seq <= s->sent)
-			continue;
+	while ((c = s->unsent)) {
 		if (s->in_flight > 0 && s->in_flight + c->len > STREAM_WINDOW)
 			return;
-		s->sent = seq;
+		s->unsent = c->next;
 		s->in_flight += c->len;
-		send(ctx, s, seq, c);
+		send(ctx, s, ++s->sent, c);
 	}
 }
 
--- a/packages/rollout/src/stream.h
+++ b/packages/rollout/src/stream.h
@@ -27,6 +27,7 @@
 	uint64_t epoch; ///< that the copy is for
 	struct stream_chunk *head; ///< oldest one not acknowledged
 	struct stream_chunk *tail;
+	struct stream_chunk *unsent; ///< next one to send, NULL for none
 	uint64_t acked; ///< sequence number, 0 for none
 	uint64_t last; ///< newest sequence number
 	uint64_t sent;
--- /dev/null
+++ b/packages/rollout/test/sim_cases.h
@@ -0,0 +1,48 @@
+// Fault cases of the simulation and how tests run them.
+#pragma once
+
+#include <stddef.h>
+
+#include "sim.h"
+
+#define ALL_FAULTS                                                          \
+	{                                                                   \
+		.node_kill = true, .node_drain = true, .node_pause = true,  \
+		.partition = true, .kv_outage = true, .kv_lost = true,      \
+		.msg_loss = true, .reply_lost = true, .trainer_kill = true, \
+		.two_pulls = true, .engine_break = true, .swaps = true      \
+	}
+
+struct sim_case {
+	const char *name;
+	struct sim_faults faults;
+	int seeds;
+};
+
+/// A flaw, and the check that must see it.
+struct sim_flaw {
+	const char *name;
+	enum rollout_flaw flaw;
+	struct sim_faults faults;
+	size_t check; ///< offset of a member of struct sim_result
+};
+
+#define SIM_CHECK(member) offsetof(struct sim_result, member)
+
+/// Run cases; CATKIN_SEEDS in the environment multiplies their seeds.
+///
+/// @param seed  of the first run
+/// @return runs that broke a check or did not finish
+int sim_cases_run(const struct sim_case *cases, size_t n, uint64_t seed);
+
+/// Run a flaw over SIM_FLAW_SEEDS seeds.
+///
+/// @return seeds in which its check saw it
+int sim_flaw_run(const struct sim_flaw *flaw);
+
+/// Checks that a run broke.
+int sim_broken(const struct sim_result *r);
+
+enum {
+	SIM_FLAW_SEEDS = 80,
+};
--- /dev/null
+++ b/packages/rollout/test/test_rollout_all.c
@@ -0,0 +1,64 @@
+// Seeded runs with all faults at once, and with the last copy lost.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "sim_cases.h"
+
+static const struct sim_case cases[] = {
+	{"all", ALL_FAULTS, 150},
+};
+
+static void test_every_fault_case(void **state)
+{
+	size_t n = sizeof(cases) / sizeof(*cases);
+
+	assert_int_equal(sim_cases_run(cases, n, 4000), 0);
+}
+
+/* With both copies lost, nothing may go on; but nothing may fork either. */
+static void test_last_copy_lost_never_forks(void **state)
+{
+	int stuck = 0;
+
+	for (uint64_t seed = 1; seed <= 40; seed++) {
+		struct sim_opts opts = {
+			.seed = seed,
+			.faults = ALL_FAULTS,
+			.batches = 2,
+		};
+		struct sim_result r;
+
+		opts.faults.last_copy = true;
+		r = sim_run(&opts);
+		assert_int_equal(sim_broken(&r), 0);
+		stuck += !r.done;
+	}
+	print_message("%d of 40 runs lost both copies and refused\n", stuck);
+	assert_true(stuck > 0);
+}
+
+/* The same checks see a naive variant. */
+static void test_flaws_are_seen(void **state)
+{
+	static const struct sim_flaw flaws[] = {
+		{"takes over without the record", ROLLOUT_NO_RECORD, ALL_FAULTS,
+		 SIM_CHECK(changed)},
+	};
+
+	for (size_t i = 0; i < sizeof(flaws) / sizeof(*flaws); i++)
+		assert_true(sim_flaw_run(&flaws[i]) > 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_every_fault_case),
+		cmocka_unit_test(test_last_copy_lost_never_forks),
+		cmocka_unit_test(test_flaws_are_seen),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/rollout/test/test_rollout_once.c
@@ -0,0 +1,53 @@
+// Seeded runs: each sample once, whoever is killed, cut off or frozen.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "sim_cases.h"
+
+static const struct sim_case cases[] = {
+	{"messages lost", {.msg_loss = true, .swaps = true}, 30},
+	{"node killed", {.node_kill = true, .swaps = true}, 50},
+	{"node drained", {.node_drain = true, .swaps = true}, 30},
+	{"node paused", {.node_pause = true, .swaps = true}, 50},
+	{"partition", {.partition = true, .swaps = true}, 50},
+	{"store down", {.kv_outage = true, .node_kill = true}, 50},
+	{"store replies lost", {.kv_lost = true, .node_kill = true}, 50},
+};
+
+static void test_every_fault_case(void **state)
+{
+	size_t n = sizeof(cases) / sizeof(*cases);
+
+	assert_int_equal(sim_cases_run(cases, n, 3000), 0);
+}
+
+/* The same checks see each naive variant. */
+static void test_flaws_are_seen(void **state)
+{
+	static const struct sim_flaw flaws[] = {
+		{"answers before the copies have it",
+		 ROLLOUT_ANSWERS_EARLY,
+		 {.node_kill = true, .reply_lost = true, .swaps = true},
+		 SIM_CHECK(changed)},
+		{"a replaced owner is acknowledged",
+		 ROLLOUT_NO_FENCE,
+		 {.node_pause = true, .two_pulls = true, .swaps = true},
+		 SIM_CHECK(changed)},
+	};
+
+	for (size_t i = 0; i < sizeof(flaws) / sizeof(*flaws); i++)
+		assert_true(sim_flaw_run(&flaws[i]) > 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_every_fault_case),
+		cmocka_unit_test(test_flaws_are_seen),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
