feat(rollout): join the decisions to the daemon

Problem: batches lived on one node and were lost with it; a pull had to come there. Solution: rollout_mod carries out what packages/rollout decides: records by kv_*, copies and passed-on calls by peer messages, generations by work_submit().

--- /dev/null
+++ b/packages/daemon/src/rollout_mod_peer.c
@@ -0,0 +1,70 @@
+// Messages between the rollout modules of daemons, and who is there.
+#include <stdio.h>
+#include <string.h>
+
+#include "daemon/member_mod.h"
+#include "rollout_mod_int.h"
+
+static const enum core_peer_msg rollout_types[ROLLOUT_MSG_COUNT] = {
+	[ROLLOUT_MSG_OP] = PEER_ROLLOUT_OP,
+	[ROLLOUT_MSG_ACK] = PEER_ROLLOUT_ACK,
+	[ROLLOUT_MSG_REQUEST] = PEER_ROLLOUT_REQUEST,
+	[ROLLOUT_MSG_REPLY] = PEER_ROLLOUT_REPLY,
+	[ROLLOUT_MSG_WHO] = PEER_ROLLOUT_WHO,
+	[ROLLOUT_MSG_HERE] = PEER_ROLLOUT_HERE,
+};
+
+/* One context for each type: the handler learns its type from it. */
+static const enum rollout_msg rollout_msgs[ROLLOUT_MSG_COUNT] = {
+	ROLLOUT_MSG_OP,	   ROLLOUT_MSG_ACK, ROLLOUT_MSG_REQUEST,
+	ROLLOUT_MSG_REPLY, ROLLOUT_MSG_WHO, ROLLOUT_MSG_HERE,
+};
+
+void rollout_mod_send(struct core *c, const struct rollout_action *a)
+{
+	core_peer_send(c, a->node, rollout_types[a->msg], a->buf, a->len);
+}
+
+static void rollout_on_message(struct core *c, void *ctx, const char *from,
+			       const void *buf, size_t len)
+{
+	struct rollout_mod *m = rollout_mod_state(c);
+	const enum rollout_msg *type = ctx;
+
+	if (!m || !m->r)
+		return;
+	rollout_recv(m->r, from, *type, buf, len, core_now(c));
+	rollout_mod_act(m);
+}
+
+enum err rollout_mod_peer_start(struct core *c)
+{
+	for (size_t i = 0; i < ROLLOUT_MSG_COUNT; i++) {
+		enum err e =
+			core_peer_on(c, rollout_types[i], rollout_on_message,
+				     (void *)&rollout_msgs[i]);
+
+		if (e != ERR_OK)
+			return e;
+	}
+	return ERR_OK;
+}
+
+void rollout_mod_members(struct rollout_mod *m)
+{
+	struct rollout_member list[ROLLOUT_MEMBERS];
+	size_t n;
+	const struct member_view *all = member_mod_all(m->c, &n);
+
+	if (n > ROLLOUT_MEMBERS)
+		n = ROLLOUT_MEMBERS;
+	memset(list, 0, sizeof(list));
+	for (size_t i = 0; i < n; i++) {
+		snprintf(list[i].id, sizeof(list[i].id), "%s", all[i].id);
+		snprintf(list[i].domain, sizeof(list[i].domain), "%s",
+			 all[i].domain);
+		list[i].alive = all[i].state != MEMBER_DEAD;
+		list[i].draining = all[i].draining;
+	}
+	rollout_members(m->r, list, n);
+}
--- /dev/null
+++ b/packages/daemon/src/rollout_mod_run.c
@@ -0,0 +1,107 @@
+// Generations, as work of class WORK_ROLLOUT.
+#include <string.h>
+
+#include "daemon/work_mod.h"
+#include "rollout/batch_json.h"
+#include "rollout_mod_int.h"
+
+enum {
+	RUN_DEADLINE_MS = 780000, ///< a step is to be whole by then
+	RUN_PAUSE_MS = 100, ///< shortest pause after a refusal
+	RUN_INDEX_MASK = 0xffff, ///< index part of a handle
+};
+
+static struct rollout_run *run_of(struct rollout_mod *m, htab_handle run)
+{
+	return &m->runs[(run & RUN_INDEX_MASK) % ROLLOUT_RUNS];
+}
+
+/* Hand an engine's line over, segment by segment. */
+static enum err run_line(struct rollout_mod *m, struct rollout_run *run,
+			 const char *line, size_t len)
+{
+	struct sample s;
+	enum engine_line_kind kind;
+	enum err e;
+
+	sample_init(&s);
+	e = engine_line(&s, line, len, &kind);
+	if (e == ERR_OK && s.n_segments > 0)
+		e = rollout_tokens(m->r, run->run, s.segments[0].version,
+				   s.tokens, s.n, core_now(m->c));
+	if (e == ERR_OK && kind == ENGINE_END)
+		run->finish = s.finish;
+	sample_clear(&s);
+	return e;
+}
+
+static void run_on_line(struct core *c, void *ctx, const char *line, size_t len)
+{
+	run_line(rollout_mod_state(c), ctx, line, len);
+}
+
+static void run_on_done(struct core *c, void *ctx,
+			const struct work_result *res)
+{
+	struct rollout_mod *m = rollout_mod_state(c);
+	struct rollout_run *run = ctx;
+	htab_handle h = run->run;
+	enum sched_end end = SCHED_BROKEN;
+	int64_t retry = res->retry_after_ms;
+
+	if (res->err == ERR_OK && run->finish != SAMPLE_OPEN)
+		end = SCHED_WHOLE;
+	else if (res->err != ERR_OK && res->run == RUN_NO)
+		end = SCHED_REFUSED;
+	if (retry < RUN_PAUSE_MS)
+		retry = RUN_PAUSE_MS;
+	run->run = 0;
+	rollout_ended(m->r, h, end, run->finish, res->server ? res->server : "",
+		      retry, core_now(c));
+	rollout_mod_act(m);
+}
+
+void rollout_mod_run(struct rollout_mod *m, const struct rollout_action *a)
+{
+	struct rollout_run *run = run_of(m, a->run);
+	int64_t retry = 0;
+	struct work_opts opts = {
+		.cls = WORK_ROLLOUT,
+		.kind = VM_ENGINE,
+		.service = "",
+		.team = a->team,
+		.method = "POST",
+		.path = "/v1/generate",
+		.body = a->value,
+		.body_len = strlen(a->value),
+		.ctype = "application/json",
+		.idempotent = true,
+		.deadline_ms = core_now(m->c) + RUN_DEADLINE_MS,
+		.cost = a->cost,
+		.prefix = a->prefix,
+		.avoid = *a->avoid ? a->avoid : NULL,
+		.may_cut = true,
+		.on_line = run_on_line,
+		.on_done = run_on_done,
+		.ctx = run,
+	};
+
+	*run = (struct rollout_run){.c = m->c, .run = a->run};
+	if (work_submit(m->c, &opts, &run->work, &retry) == ERR_OK)
+		return;
+	run->run = 0;
+	if (retry < RUN_PAUSE_MS)
+		retry = RUN_PAUSE_MS;
+	rollout_ended(m->r, a->run, SCHED_REFUSED, SAMPLE_OPEN, "", retry,
+		      core_now(m->c));
+}
+
+void rollout_mod_cancel(struct rollout_mod *m, const struct rollout_action *a)
+{
+	struct rollout_run *run = run_of(m, a->run);
+
+	if (run->run != a->run)
+		return;
+	work_cancel(m->c, run->work);
+	run->run = 0;
+}
--- a/packages/rollout/include/rollout/batch_json.h
+++ b/packages/rollout/include/rollout/batch_json.h
@@ -9,6 +9,9 @@
 
 struct json_t;
 
+/// A bound that is not set.
+#define BATCH_NO_STALENESS UINT64_MAX
+
 enum engine_line_kind {
 	ENGINE_SEGMENT, ///< tokens were added to the sample
 	ENGINE_END, ///< the sample's finish is set
@@ -17,19 +20,19 @@
 
 /// Read a batch.
 ///
-/// @param text           JSON
-/// @param len            bytes
-/// @param max_staleness  bound of a batch that names none
-/// @param[out] out       batch, without its team
-/// @param[out] why       member at fault, static string
+/// @param text      JSON
+/// @param len       bytes
+/// @param[out] out  batch, without its team; BATCH_NO_STALENESS if it names
+///                  no bound
+/// @param[out] why  member at fault, static string
 /// @return ERR_OK, ERR_PARSE, ERR_BATCH_INVALID or ERR_NOMEM
-enum err batch_parse(const char *text, size_t len, uint64_t max_staleness,
-		     struct batch **out, const char **why);
+enum err batch_parse(const char *text, size_t len, struct batch **out,
+		     const char **why);
 
 /// A sample as it is handed to the trainer.
 ///
 /// @return new reference, NULL when out of memory
-struct json_t *batch_sample_json(const struct batch *b, size_t slot,
+struct json_t *batch_sample_json(const char *slot, uint64_t seed,
 				 const struct sample *s);
 
 /// Request for an engine that makes a slot's sample, or goes on with it.
--- a/packages/rollout/include/rollout/rollout.h
+++ b/packages/rollout/include/rollout/rollout.h
@@ -154,6 +154,11 @@
 		   enum sample_finish finish, const char *server,
 		   int64_t retry_after_ms, int64_t now_ms);
 
+/// Set the share of a batch's slots that may be hedged.
+///
+/// @param percent  0 for none
+void rollout_set_hedges(struct rollout *r, int percent);
+
 /// Time passed.
 void rollout_tick(struct rollout *r, int64_t now_ms);
 
--- a/packages/rollout/include/rollout/sched.h
+++ b/packages/rollout/include/rollout/sched.h
@@ -94,6 +94,11 @@
 		 enum sample_finish finish, const char *server,
 		 int64_t retry_after_ms, int64_t now_ms);
 
+/// Set the share of a batch's slots that may be hedged.
+///
+/// @param percent  0 for none
+void sched_set_hedges(struct sched *s, int percent);
+
 /// Start what may be started; hedge and give up what is slow.
 void sched_tick(struct sched *s, int64_t now_ms);
 
--- a/packages/rollout/src/batch_json.c
+++ b/packages/rollout/src/batch_json.c
@@ -148,8 +148,8 @@
 	return batch_groups_read(json_object_get(obj, "groups"), b);
 }
 
-enum err batch_parse(const char *text, size_t len, uint64_t max_staleness,
-		     struct batch **out, const char **why)
+enum err batch_parse(const char *text, size_t len, struct batch **out,
+		     const char **why)
 {
 	json_t *obj = json_loadb(text, len, JSON_REJECT_DUPLICATES, NULL);
 	struct batch *b;
@@ -162,7 +162,7 @@
 		json_decref(obj);
 		return ERR_NOMEM;
 	}
-	b->max_staleness = max_staleness;
+	b->max_staleness = BATCH_NO_STALENESS;
 	*why = batch_read(obj, b);
 	json_decref(obj);
 	if (*why) {
@@ -182,21 +182,19 @@
 	return list;
 }
 
-struct json_t *batch_sample_json(const struct batch *b, size_t slot,
+struct json_t *batch_sample_json(const char *slot, uint64_t seed,
 				 const struct sample *s)
 {
 	json_t *segments = json_array();
-	char name[BATCH_SLOT_NAME];
 
-	batch_slot_name(b, slot, name);
 	for (size_t i = 0; i < s->n_segments; i++) {
 		json_array_append_new(
 			segments, json_pack("{s:I,s:I}", "version",
 					    (json_int_t)s->segments[i].version,
 					    "n", (json_int_t)s->segments[i].n));
 	}
-	return json_pack("{s:s,s:I,s:o,s:o,s:s,s:s}", "slot", name, "seed",
-			 (json_int_t)batch_slot_seed(b, slot), "tokens",
+	return json_pack("{s:s,s:I,s:o,s:o,s:s,s:s}", "slot", slot, "seed",
+			 (json_int_t)seed, "tokens",
 			 tokens_json(s->tokens, s->n), "segments", segments,
 			 "finish", s->finish == SAMPLE_STOP ? "stop" : "length",
 			 "server", s->server);
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -314,6 +314,11 @@
 	rollout_settle(r);
 }
 
+void rollout_set_hedges(struct rollout *r, int percent)
+{
+	sched_set_hedges(r->sched, percent);
+}
+
 void rollout_drain(struct rollout *r)
 {
 	r->draining = true;
--- a/packages/rollout/src/sched.c
+++ b/packages/rollout/src/sched.c
@@ -47,6 +47,11 @@
 	free(s);
 }
 
+void sched_set_hedges(struct sched *s, int percent)
+{
+	s->opts.hedge_percent = percent;
+}
+
 const struct sched_stats *sched_stats(const struct sched *s)
 {
 	return &s->stats;
@@ -160,6 +165,18 @@
 	return ERR_OK;
 }
 
+/* The others keep their order: earlier batches of a tenant go first. */
+static void sched_forget(struct sched *s, const struct sched_batch *sb)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < s->n_batches; i++) {
+		if (s->batches[i] != sb)
+			s->batches[kept++] = s->batches[i];
+	}
+	s->n_batches = kept;
+}
+
 void sched_del(struct sched *s, struct home_batch *b)
 {
 	struct sched_batch *sb = sched_find(s, b);
@@ -168,14 +185,7 @@
 		return;
 	for (uint32_t i = 0; i < b->spec->n_slots; i++)
 		sched_cancel_slot(s, sb, i);
-	for (size_t i = 0; i < s->n_batches; i++) {
-		if (s->batches[i] != sb)
-			continue;
-		memmove(&s->batches[i], &s->batches[i + 1],
-			(s->n_batches - i - 1) * sizeof(*s->batches));
-		s->n_batches--;
-		break;
-	}
+	sched_forget(s, sb);
 	sched_tenant_del(s, sb->tenant);
 	sched_batch_free(sb);
 }
--- a/packages/rollout/test/sim_cases.c
+++ b/packages/rollout/test/sim_cases.c
@@ -28,6 +28,7 @@
 			.seed = seed + (uint64_t)k,
 			.faults = c->faults,
 			.batches = 2,
+			.limit_ms = SIM_END_MS,
 		};
 		struct sim_result r = sim_run(&opts);
 
@@ -72,6 +73,7 @@
 			.flaw = f->flaw,
 			.faults = f->faults,
 			.batches = 2,
+			.limit_ms = SIM_SHORT_MS,
 		};
 		struct sim_result r = sim_run(&opts);
 
--- a/packages/rollout/test/test_rollout_all.c
+++ b/packages/rollout/test/test_rollout_all.c
@@ -28,6 +28,7 @@
 			.seed = seed,
 			.faults = ALL_FAULTS,
 			.batches = 2,
+			.limit_ms = SIM_SHORT_MS,
 		};
 		struct sim_result r;
 
