--- a/test/fakes/trainer/trainer.c
+++ b/test/fakes/trainer/trainer.c
@@ -25,6 +25,44 @@
 		prompt[i] = (uint32_t)rng_below(&r, TRAINER_VOCABULARY);
 }
 
+int trainer_slot(const struct trainer *t, const char *name)
+{
+	int group;
+	int i;
+	char rest;
+
+	if (!name || sscanf(name, "g%d/%d%c", &group, &i, &rest) != 2)
+		return -1;
+	if (group < 0 || group >= t->opts.groups || i < 0 || i >= t->opts.n)
+		return -1;
+	return group * t->opts.n + i;
+}
+
+/* Samples that an earlier session printed are kept: it acknowledged no other. */
+static void trainer_read_kept(struct trainer *t)
+{
+	FILE *f = fopen(t->opts.kept, "r");
+	char line[65536];
+
+	while (f && fgets(line, sizeof(line), f)) {
+		json_t *obj = json_loads(line, 0, NULL);
+		const char *name =
+			json_string_value(json_object_get(obj, "sample"));
+		const char *content =
+			json_string_value(json_object_get(obj, "content"));
+		int i = trainer_slot(t, name);
+
+		if (i >= 0 && content && !t->slots[i].have) {
+			t->slots[i].have = true;
+			t->slots[i].content = strtoull(content, NULL, 16);
+			t->have++;
+		}
+		json_decref(obj);
+	}
+	if (f)
+		fclose(f);
+}
+
 void trainer_fault(struct trainer *t, const char *slot, const char *what)
 {
 	t->faults++;
@@ -141,6 +179,8 @@
 
 	t->version = t->opts.version;
 	t->slots = calloc((size_t)slots, sizeof(*t->slots));
+	if (*t->opts.kept)
+		trainer_read_kept(t);
 	ok = trainer_send(t, end) && trainer_pull_all(t, end) &&
 	     t->faults == 0 && t->have == slots;
 	printf("{\"batch\":\"%s\",\"ok\":%s,\"samples\":%d,\"slots\":%d,"
--- a/test/fakes/trainer/trainer.h
+++ b/test/fakes/trainer/trainer.h
@@ -29,6 +29,7 @@
 	int bump_every; ///< samples after which the version grows, 0 for never
 	int limit_ms; ///< gives up after this
 	uint64_t seed;
+	const char *kept; ///< output of an earlier session, "" for none
 };
 
 struct trainer_slot {
@@ -36,6 +37,7 @@
 	bool ack_sent; ///< in the pull that is under way
 	bool acked; ///< a pull that carried the acknowledgement was answered
 	uint64_t content; ///< hash of tokens and segments
+	char expired[96]; ///< to be named when it is lost, "" for none
 };
 
 struct trainer {
@@ -60,5 +62,10 @@
 /// @param[out] prompt  TRAINER_PROMPT tokens
 void trainer_prompt(const struct trainer *t, int group, uint32_t *prompt);
 
+/// Slot of a name.
+///
+/// @return index, -1 for none
+int trainer_slot(const struct trainer *t, const char *name);
+
 /// Report a broken promise as a JSON line.
 void trainer_fault(struct trainer *t, const char *slot, const char *what);
