--- /dev/null
+++ b/bench/bench_rollout.c
@@ -0,0 +1,368 @@
+// Step time of a trainer in virtual time: stragglers, order, fair shares; and
+// what an open batch costs. Times are seconds of virtual time.
+#include <malloc.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/rng.h"
+#include "rollout/home.h"
+#include "rollout/op.h"
+#include "rollout/sched.h"
+#include "support/bench.h"
+
+// One trainer's twelfth of the letter's sizes: 2,900 servers that generate
+// 1.7 million tokens a second, 8,192 samples a step, whole within 13 minutes.
+enum {
+	SERVERS = 2900 / 12,
+	SERVER_RATE = 1700000 / 2900, ///< tokens a second
+	STREAM_RATE = 100, ///< most of one stream, tokens a second
+	STREAMS = 16, ///< at once on a server
+	GROUPS = 1024,
+	PER_GROUP = 8,
+	UNIT = 16, ///< tokens that are counted as one
+	LONGEST = 24576 / UNIT,
+	STEP_LIMIT_S = 13 * 60,
+	SLOW_PERCENT = 3, ///< servers at a fifth of the speed
+	SLOW_DIVISOR = 5,
+	HANG_PERCENT = 1, ///< servers whose streams stop in the middle
+	END_S = 3600,
+	TRAINERS = 3,
+};
+
+struct model_run {
+	htab_handle handle; ///< 0 when free
+	int server;
+	double made; ///< units, the resumed ones included
+	size_t told; ///< units told to the scheduler
+	size_t length;
+};
+
+struct model {
+	struct sched *sched;
+	struct home *homes[TRAINERS];
+	struct rng rng;
+	struct model_run runs[SERVERS * STREAMS + 1024];
+	int load[SERVERS];
+	bool slow[SERVERS];
+	bool hangs[SERVERS];
+	int64_t now_ms;
+};
+
+static size_t model_length(const struct batch *spec, uint32_t slot)
+{
+	const struct batch_group *g = batch_group_of(spec, slot);
+	struct rng group = {g->prefix};
+	struct rng own = {batch_slot_seed(spec, slot)};
+	double mean = 60.0 / (0.05 + rng_unit(&group));
+	size_t n = (size_t)(mean * (0.5 + rng_unit(&own)));
+
+	return n < LONGEST ? n + 1 : LONGEST;
+}
+
+static int model_pick(struct model *m, const char *avoid)
+{
+	int not = *avoid ? atoi(avoid + 1) : -1;
+	int best = -1;
+
+	for (int i = 0; i < SERVERS; i++) {
+		int s = (int)((i + (int)(m->rng.state % SERVERS)) % SERVERS);
+
+		if (s != not &&(best < 0 || m->load[s] < m->load[best]))
+			best = s;
+	}
+	rng_next(&m->rng);
+	return best;
+}
+
+static void model_start(void *ctx, const struct sched_start *start)
+{
+	struct model *m = ctx;
+	struct model_run *run = m->runs;
+
+	while (run->handle)
+		run++;
+	*run = (struct model_run){
+		.handle = start->run,
+		.server = model_pick(m, start->avoid),
+		.made = (double)start->so_far->n,
+		.told = start->so_far->n,
+		.length = model_length(start->batch->spec, start->slot),
+	};
+	m->load[run->server]++;
+}
+
+static void model_free_run(struct model *m, struct model_run *run)
+{
+	m->load[run->server]--;
+	run->handle = 0;
+}
+
+static void model_cancel(void *ctx, htab_handle handle)
+{
+	struct model *m = ctx;
+	size_t n = sizeof(m->runs) / sizeof(*m->runs);
+
+	for (size_t i = 0; i < n; i++) {
+		if (m->runs[i].handle == handle)
+			model_free_run(m, &m->runs[i]);
+	}
+}
+
+static bool model_finished(void *ctx, struct home_batch *b, uint32_t slot,
+			   struct sample *sample)
+{
+	struct op op = {.kind = OP_SAMPLE, .slot = slot};
+
+	memcpy(op.batch, b->spec->id, sizeof(op.batch));
+	op.sample = *sample;
+	home_apply(b->user, &op);
+	op_clear(&op);
+	return true;
+}
+
+static const struct sched_ops model_ops = {
+	.start = model_start,
+	.cancel = model_cancel,
+	.finished = model_finished,
+};
+
+static struct batch *model_batch(int trainer, int groups)
+{
+	struct batch *b = calloc(1, sizeof(*b));
+
+	snprintf(b->id, sizeof(b->id), "b%d", trainer);
+	b->n_groups = (size_t)groups;
+	b->groups = calloc((size_t)groups, sizeof(*b->groups));
+	for (int i = 0; i < groups; i++) {
+		struct batch_group *g = &b->groups[i];
+
+		snprintf(g->name, sizeof(g->name), "g%d", i);
+		g->prompt = calloc(2, sizeof(*g->prompt));
+		g->prompt[0] = (uint32_t)(trainer * GROUPS + i);
+		g->n_prompt = 1;
+		g->prefix = batch_prefix(g->prompt, 1);
+		g->n = PER_GROUP;
+		g->first = (uint32_t)b->n_slots;
+		g->max_tokens = LONGEST;
+		g->expect_tokens = LONGEST;
+		b->n_slots += g->n;
+	}
+	return b;
+}
+
+static struct home_batch *model_home_batch(struct home **home, int trainer,
+					   int groups)
+{
+	struct op op = {.kind = OP_BATCH, .spec = model_batch(trainer, groups)};
+
+	*home = home_new("team", "t");
+	home_apply(*home, &op);
+	op_clear(&op);
+	(*home)->batches[0]->user = *home;
+	return (*home)->batches[0];
+}
+
+static double model_rate(const struct model *m, const struct model_run *run)
+{
+	int n = m->load[run->server];
+	double rate = (double)SERVER_RATE / n;
+
+	if (rate > STREAM_RATE)
+		rate = STREAM_RATE;
+	if (m->slow[run->server])
+		rate /= SLOW_DIVISOR;
+	return rate / UNIT;
+}
+
+/* One second of a generation. */
+static void model_advance(struct model *m, struct model_run *run)
+{
+	static uint32_t tokens[LONGEST + 1];
+	bool stuck =
+		m->hangs[run->server] && run->made > (double)run->length / 2;
+	size_t made;
+
+	if (!stuck)
+		run->made += model_rate(m, run);
+	made = run->made < (double)run->length ? (size_t)run->made
+					       : run->length;
+	if (made > run->told) {
+		sched_tokens(m->sched, run->handle, 1, tokens, made - run->told,
+			     m->now_ms);
+		run->told = made;
+	}
+	if (made >= run->length) {
+		htab_handle h = run->handle;
+		char server[16];
+
+		snprintf(server, sizeof(server), "s%d", run->server);
+		model_free_run(m, run);
+		sched_ended(m->sched, h, SCHED_WHOLE, SAMPLE_STOP, server, 0,
+			    m->now_ms);
+	}
+}
+
+static struct model *model_new(enum sched_order order, int hedge_percent)
+{
+	struct model *m = calloc(1, sizeof(*m));
+
+	m->rng.state = 7;
+	m->sched = sched_new(&(struct sched_opts){
+		.ops = &model_ops,
+		.ctx = m,
+		.order = order,
+		.rng = {11},
+		.max_runs = SERVERS * STREAMS,
+		.max_queued = SERVERS * STREAMS,
+		.stall_ms = 120000,
+		.hedge_ms = 5000,
+		.hedge_percent = hedge_percent,
+	});
+	for (int i = 0; i < SERVERS; i++) {
+		m->slow[i] = rng_below(&m->rng, 100) < SLOW_PERCENT;
+		m->hangs[i] = rng_below(&m->rng, 100) < HANG_PERCENT;
+	}
+	return m;
+}
+
+static void model_end(struct model *m)
+{
+	sched_free(m->sched);
+	for (int i = 0; i < TRAINERS; i++)
+		home_free(m->homes[i]);
+	free(m);
+}
+
+static void model_second(struct model *m)
+{
+	size_t n = sizeof(m->runs) / sizeof(*m->runs);
+
+	m->now_ms += 1000;
+	sched_tick(m->sched, m->now_ms);
+	for (size_t i = 0; i < n; i++) {
+		if (m->runs[i].handle)
+			model_advance(m, &m->runs[i]);
+	}
+}
+
+/* Seconds until a step of 8,192 samples is whole; *ideal with no tail. */
+static double step_time(enum sched_order order, int hedge_percent,
+			double *ideal)
+{
+	struct model *m = model_new(order, hedge_percent);
+	struct home_batch *b = model_home_batch(&m->homes[0], 0, GROUPS);
+	double units = 0;
+	double s;
+
+	sched_add(m->sched, b, b);
+	while (b->n_ready < b->spec->n_slots && m->now_ms < END_S * 1000)
+		model_second(m);
+	for (uint32_t i = 0; i < b->spec->n_slots; i++)
+		units += (double)model_length(b->spec, i);
+	*ideal = units * UNIT / ((double)SERVER_RATE * SERVERS);
+	s = (double)m->now_ms / 1000;
+	model_end(m);
+	return s;
+}
+
+/* Tokens of the worst-served of three trainers against an equal share. */
+static double worst_share(void)
+{
+	struct model *m = model_new(SCHED_LONGEST, 2);
+	double made[TRAINERS] = {0};
+	double total = 0;
+	double least = 0;
+
+	for (int i = 0; i < TRAINERS; i++) {
+		struct home_batch *b = model_home_batch(
+			&m->homes[i], i, i == 0 ? GROUPS : GROUPS / 2);
+
+		sched_add(m->sched, b, b);
+	}
+	while (m->now_ms < 100 * 1000)
+		model_second(m);
+	for (int i = 0; i < TRAINERS; i++) {
+		const struct home_batch *b = m->homes[i]->batches[0];
+
+		for (uint32_t s = 0; s < b->spec->n_slots; s++)
+			made[i] += (double)b->slots[s].sample.n;
+		total += made[i];
+	}
+	least = made[0];
+	for (int i = 1; i < TRAINERS; i++)
+		least = made[i] < least ? made[i] : least;
+	model_end(m);
+	return least / (total / TRAINERS);
+}
+
+/* Bytes of an open batch for each slot, samples apart. */
+static double slot_bytes(int groups)
+{
+	struct model *m = model_new(SCHED_LONGEST, 2);
+	size_t before = mallinfo2().uordblks;
+	struct home_batch *b = model_home_batch(&m->homes[0], 0, groups);
+	double bytes;
+
+	sched_add(m->sched, b, b);
+	bytes = (double)(mallinfo2().uordblks - before) /
+		(double)b->spec->n_slots;
+	model_end(m);
+	return bytes;
+}
+
+/* Bytes of the copy of a sample, for each of its tokens. */
+static double copy_bytes(size_t n)
+{
+	struct op op = {.kind = OP_SAMPLE, .batch = "batch"};
+	uint32_t *tokens = calloc(n, sizeof(*tokens));
+	size_t len;
+	void *buf;
+
+	sample_add(&op.sample, 1, tokens, n);
+	buf = op_encode(&op, &len);
+	free(buf);
+	free(tokens);
+	op_clear(&op);
+	return (double)len / (double)n;
+}
+
+static bool bench_slots(int groups)
+{
+	char name[64];
+
+	snprintf(name, sizeof(name), "rollout_slot_bytes_%d",
+		 groups * PER_GROUP);
+	return bench_check(name, slot_bytes(groups), "bytes", BENCH_AT_MOST,
+			   128.0 * 1024 * 1024 / BATCH_MAX_SLOTS);
+}
+
+int main(void)
+{
+	double ideal;
+	double best = step_time(SCHED_LONGEST, 2, &ideal);
+	double no_hedge = step_time(SCHED_LONGEST, 0, &ideal);
+	double random = step_time(SCHED_RANDOM, 2, &ideal);
+	bool ok = true;
+
+	printf("step: %.0f s, no hedge %.0f s, random order %.0f s, without a "
+	       "tail %.0f s\n",
+	       best, no_hedge, random, ideal);
+	ok &= bench_check("rollout_step", best, "s", BENCH_AT_MOST,
+			  STEP_LIMIT_S);
+	ok &= bench_check("rollout_step_vs_no_hedge", best / no_hedge, "ratio",
+			  BENCH_AT_MOST, 1);
+	ok &= bench_check("rollout_step_vs_random_order", best / random,
+			  "ratio", BENCH_AT_MOST, 1);
+	ok &= bench_check("rollout_idle_vs_no_hedge",
+			  (best - ideal) / (no_hedge - ideal), "ratio",
+			  BENCH_AT_MOST, 1);
+	ok &= bench_check("rollout_worst_trainer_share", worst_share(), "ratio",
+			  BENCH_AT_LEAST, 0.9);
+	for (int groups = 64; groups <= GROUPS; groups *= 4)
+		ok &= bench_slots(groups);
+	ok &= bench_check("rollout_copy_bytes_per_token", copy_bytes(1024),
+			  "bytes", BENCH_AT_MOST, 8);
+	return ok ? 0 : 1;
+}
