fix(rollout): count use once the copy has the acknowledgement

Problem: an owner counted acknowledged samples at once; if it was replaced before its backup had them, the trainer acknowledged again and they were counted twice. Solution: counted when the copies confirm.

--- a/packages/daemon/src/rollout_mod.c
+++ b/packages/daemon/src/rollout_mod.c
@@ -26,7 +26,7 @@
 
 static void rollout_mod_used(struct core *c, const struct rollout_action *a)
 {
-	usage_mod_add(c, a->team, USAGE_SAMPLES, 1);
+	usage_mod_add(c, a->team, USAGE_SAMPLES, a->samples);
 	usage_mod_add(c, a->team, USAGE_TOKENS, a->tokens);
 }
 
--- a/packages/rollout/include/rollout/rollout.h
+++ b/packages/rollout/include/rollout/rollout.h
@@ -84,6 +84,7 @@
 	char avoid[SAMPLE_SERVER]; ///< RUN
 	uint64_t cost; ///< RUN: expected tokens
 	uint64_t prefix; ///< RUN: hash of the prompt's prefix
+	uint64_t samples; ///< USED
 	uint64_t tokens; ///< USED
 	struct rollout_action *next;
 };
--- a/packages/rollout/src/owner.c
+++ b/packages/rollout/src/owner.c
@@ -43,11 +43,10 @@
 
 static void owner_on_acked(void *ctx, struct home_batch *b, uint32_t slot)
 {
-	const struct owner *o = ctx;
-	struct rollout_action *a = rollout_act(o->r, ROLLOUT_USED);
+	struct owner *o = ctx;
 
-	memcpy(a->team, o->home->team, sizeof(a->team));
-	a->tokens = b->slots[slot].sample.n;
+	o->used_samples++;
+	o->used_tokens += b->slots[slot].sample.n;
 	o->r->stats.acked++;
 }
 
@@ -148,10 +147,27 @@
 		owner_copy(o->backup, buf, len, o->r->now_ms);
 		owner_copy(o->next, buf, len, o->r->now_ms);
 	}
+	if (o->used_samples > 0)
+		serve_set_need(o, o->used_need);
 	free(buf);
 	return e;
 }
 
+/* Counted once the copies have it: the next owner would count it again. */
+void owner_count_used(struct owner *o)
+{
+	struct rollout_action *a;
+
+	if (o->used_samples == 0 || !serve_copied(o, o->used_need))
+		return;
+	a = rollout_act(o->r, ROLLOUT_USED);
+	memcpy(a->team, o->home->team, sizeof(a->team));
+	a->samples = o->used_samples;
+	a->tokens = o->used_tokens;
+	o->used_samples = 0;
+	o->used_tokens = 0;
+}
+
 /* A flaw for tests: the version that was ordered, whatever made the tokens. */
 static void owner_flaw_version(const struct owner *o, struct sample *s)
 {
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -159,8 +159,10 @@
 {
 	request_route_all(r);
 	serve_commits(r);
-	for (size_t i = 0; i < r->n_owners; i++)
+	for (size_t i = 0; i < r->n_owners; i++) {
+		owner_count_used(r->owners[i]);
 		copy_pump(r->owners[i]);
+	}
 }
 
 void rollout_post(struct rollout *r, uint64_t caller, struct batch *batch,
--- a/packages/rollout/src/rollout_defs.h
+++ b/packages/rollout/src/rollout_defs.h
@@ -84,6 +84,9 @@
 	uint32_t call; ///< under way, 0 for none
 	int64_t retry_ms; ///< no call before this time
 	int64_t since_ms; ///< when it was seen to need a change, 0 if not
+	uint64_t used_samples; ///< acknowledged, not counted yet
+	uint64_t used_tokens;
+	struct commit_need used_need[2]; ///< counted once the copies have it
 	char slow[BATCH_NAME]; ///< node that made no progress
 	int64_t slow_until_ms;
 };
@@ -169,6 +172,7 @@
 void owner_activate(struct owner *o);
 void owner_drop(struct owner *o);
 enum err owner_emit(struct owner *o, struct op *op);
+void owner_count_used(struct owner *o);
 bool owner_sample(void *ctx, struct home_batch *b, uint32_t slot,
 		  struct sample *sample);
 
@@ -176,6 +180,8 @@
 void serve_request(struct owner *o, struct request *q);
 void serve_wake(struct owner *o, const struct home_batch *b);
 void serve_commits(struct rollout *r);
+bool serve_copied(const struct owner *o, const struct commit_need *need);
+void serve_set_need(const struct owner *o, struct commit_need *need);
 void serve_held(struct rollout *r);
 
 // hand_over.c
--- a/packages/rollout/src/serve.c
+++ b/packages/rollout/src/serve.c
@@ -11,12 +11,17 @@
 		*need = (struct commit_need){s->id, s->last};
 }
 
+void serve_set_need(const struct owner *o, struct commit_need *need)
+{
+	serve_need(&need[0], o->backup);
+	serve_need(&need[1], o->next);
+}
+
 static void serve_commit(struct owner *o, struct request *q)
 {
 	q->state = REQUEST_COMMIT;
 	q->owner = o;
-	serve_need(&q->need[0], o->backup);
-	serve_need(&q->need[1], o->next);
+	serve_set_need(o, q->need);
 }
 
 static bool serve_stream_has(const struct stream *s,
@@ -25,20 +30,22 @@
 	return !s || s->id != need->stream || s->acked >= need->seq;
 }
 
-static bool serve_committed(const struct request *q)
+bool serve_copied(const struct owner *o, const struct commit_need *need)
 {
-	const struct owner *o = q->owner;
-
-	if (o->r->opts.flaw == ROLLOUT_ANSWERS_EARLY)
-		return true;
 	for (size_t i = 0; i < 2; i++) {
-		if (!serve_stream_has(o->backup, &q->need[i]) ||
-		    !serve_stream_has(o->next, &q->need[i]))
+		if (!serve_stream_has(o->backup, &need[i]) ||
+		    !serve_stream_has(o->next, &need[i]))
 			return false;
 	}
 	return true;
 }
 
+static bool serve_committed(const struct request *q)
+{
+	return q->owner->r->opts.flaw == ROLLOUT_ANSWERS_EARLY ||
+	       serve_copied(q->owner, q->need);
+}
+
 static void serve_post(struct owner *o, struct request *q)
 {
 	struct op op = {.kind = OP_BATCH};
