feat(weights): plan a weight version within the store's rate limit

Problem: the store gives out so many loads a second; 2,900 servers are to have a version within 10 s. Solution: a pure plan for each failure domain: an engine that has the version passes it on to three others, the store fills in within its rate, late and failed orders are given anew from another source.

--- /dev/null
+++ b/packages/weights/src/weights.c
@@ -0,0 +1,234 @@
+// Sources first come first served; an engine that failed is ordered again from
+// another source.
+#include "weights/weights.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct weights_engine {
+	char id[WEIGHTS_ID];
+	uint64_t version; ///< as reported
+	bool loading;
+	int64_t ordered_ms;
+	int source; ///< index of the engine it loads from, -1 for the store
+	int serving; ///< engines that load from it
+	int tries;
+};
+
+struct weights {
+	struct weights_opts opts;
+	struct weights_engine engines[WEIGHTS_ENGINES];
+	size_t n;
+	uint64_t target;
+	double store_left; ///< loads that the store may give now
+	int64_t store_ms; ///< when that was so
+	size_t loading;
+	size_t next_source; ///< where the search for a source goes on
+	uint64_t orders;
+	uint64_t from_store;
+	uint64_t again;
+};
+
+struct weights *weights_new(const struct weights_opts *opts)
+{
+	struct weights *w = calloc(1, sizeof(*w));
+
+	if (w)
+		w->opts = *opts;
+	return w;
+}
+
+void weights_free(struct weights *w)
+{
+	free(w);
+}
+
+static int weights_find(const struct weights *w, const char *engine)
+{
+	for (size_t i = 0; i < w->n; i++) {
+		if (strcmp(w->engines[i].id, engine) == 0)
+			return (int)i;
+	}
+	return -1;
+}
+
+static void weights_stop_loading(struct weights *w, struct weights_engine *e)
+{
+	if (!e->loading)
+		return;
+	e->loading = false;
+	w->loading--;
+	if (e->source >= 0)
+		w->engines[e->source].serving--;
+}
+
+void weights_target(struct weights *w, uint64_t version, int64_t now_ms)
+{
+	for (size_t i = 0; i < w->n; i++) {
+		weights_stop_loading(w, &w->engines[i]);
+		w->engines[i].tries = 0;
+	}
+	w->target = version;
+	w->store_left = 1;
+	w->store_ms = now_ms;
+	w->orders = 0;
+	w->from_store = 0;
+	w->again = 0;
+}
+
+enum err weights_report(struct weights *w, const char *engine, uint64_t version,
+			int64_t now_ms)
+{
+	int i = weights_find(w, engine);
+	struct weights_engine *e;
+
+	if (i < 0) {
+		if (w->n == WEIGHTS_ENGINES)
+			return ERR_FULL;
+		e = &w->engines[w->n++];
+		memset(e, 0, sizeof(*e));
+		snprintf(e->id, sizeof(e->id), "%s", engine);
+	} else {
+		e = &w->engines[i];
+	}
+	e->version = version;
+	if (version == w->target)
+		weights_stop_loading(w, e);
+	return ERR_OK;
+}
+
+/* The last engine takes the place of one that is gone. */
+void weights_gone(struct weights *w, const char *engine)
+{
+	int i = weights_find(w, engine);
+	int last = (int)w->n - 1;
+
+	if (i < 0)
+		return;
+	weights_stop_loading(w, &w->engines[i]);
+	for (size_t k = 0; k < w->n; k++) {
+		struct weights_engine *e = &w->engines[k];
+
+		if (e->loading && e->source == i)
+			weights_stop_loading(w, e);
+		else if (e->loading && e->source == last)
+			e->source = i;
+	}
+	w->engines[i] = w->engines[last];
+	w->n--;
+}
+
+static void weights_refill(struct weights *w, int64_t now_ms)
+{
+	w->store_left +=
+		w->opts.store_rate * (double)(now_ms - w->store_ms) / 1000.0;
+	w->store_ms = now_ms;
+	if (w->store_left > w->opts.store_rate + 1)
+		w->store_left = w->opts.store_rate + 1;
+}
+
+static void weights_drop_late(struct weights *w, int64_t now_ms)
+{
+	for (size_t i = 0; i < w->n; i++) {
+		struct weights_engine *e = &w->engines[i];
+
+		if (e->loading && now_ms - e->ordered_ms >= w->opts.late_ms)
+			weights_stop_loading(w, e);
+	}
+}
+
+static bool weights_may_load(const struct weights *w)
+{
+	size_t limit = w->n * (size_t)w->opts.max_loading_percent / 100;
+
+	return w->loading < (limit > 0 ? limit : 1);
+}
+
+/* Engines tried least go first: one that keeps failing holds up nobody. */
+static struct weights_engine *weights_behind(struct weights *w)
+{
+	struct weights_engine *best = NULL;
+
+	for (size_t i = 0; i < w->n; i++) {
+		struct weights_engine *e = &w->engines[i];
+
+		if (e->loading || e->version == w->target)
+			continue;
+		if (!best || e->tries < best->tries)
+			best = e;
+	}
+	return best;
+}
+
+/* An engine that has the version and a free place, -1 for none. */
+static int weights_source(struct weights *w)
+{
+	for (size_t k = 0; k < w->n; k++) {
+		size_t i = (w->next_source + k) % w->n;
+		const struct weights_engine *e = &w->engines[i];
+
+		if (e->version == w->target && e->serving < w->opts.fan_out) {
+			w->next_source = i + 1;
+			return (int)i;
+		}
+	}
+	return -1;
+}
+
+static void weights_give(struct weights *w, struct weights_engine *e,
+			 int source, int64_t now_ms,
+			 struct weights_order *order)
+{
+	memset(order, 0, sizeof(*order));
+	memcpy(order->engine, e->id, sizeof(order->engine));
+	order->version = w->target;
+	if (source >= 0) {
+		memcpy(order->source, w->engines[source].id,
+		       sizeof(order->source));
+		w->engines[source].serving++;
+	} else {
+		w->store_left -= 1;
+		w->from_store++;
+	}
+	e->loading = true;
+	e->source = source;
+	e->ordered_ms = now_ms;
+	w->again += e->tries > 0;
+	e->tries++;
+	w->loading++;
+	w->orders++;
+}
+
+bool weights_next(struct weights *w, int64_t now_ms,
+		  struct weights_order *order)
+{
+	struct weights_engine *e;
+	int source;
+
+	if (w->target == 0 || w->n == 0)
+		return false;
+	weights_refill(w, now_ms);
+	weights_drop_late(w, now_ms);
+	e = weights_behind(w);
+	if (!e || !weights_may_load(w))
+		return false;
+	source = weights_source(w);
+	if (source < 0 && w->store_left < 1)
+		return false;
+	weights_give(w, e, source, now_ms, order);
+	return true;
+}
+
+void weights_progress(const struct weights *w, struct weights_progress *out)
+{
+	memset(out, 0, sizeof(*out));
+	out->version = w->target;
+	out->engines = w->n;
+	out->loading = w->loading;
+	out->orders = w->orders;
+	out->from_store = w->from_store;
+	out->again = w->again;
+	for (size_t i = 0; i < w->n; i++)
+		out->have += w->engines[i].version == w->target;
+}
