feat(weights): order a version to the engines of a failure domain

Problem: the plan was not wired. Solution: POST /admin/weights writes the key weights/target; the holder of the duty weights/DOMAIN reads it, looks at the load reports of its engines and orders by the plan, with its epoch; GET /admin/weights shows how far it is. A new holding begins with a new plan. End to end with three daemons, six engines, one failed and one late swap: all engines have the version, none saw an older epoch. Partial: the orders go by ordinary connections after a check of the duty, not through the duty's gate; engines that ignore the epoch are not safe against a holder that was frozen in between.

--- a/packages/daemon/src/rollout_mod.c
+++ b/packages/daemon/src/rollout_mod.c
@@ -11,6 +11,7 @@
 #include "daemon/mods.h"
 #include "daemon/usage_mod.h"
 #include "rollout_mod_int.h"
+#include "rollout_mod_weights.h"
 
 enum {
 	ROLLOUT_STALL_MS = 10000,
@@ -101,6 +102,7 @@
 	if (!m)
 		return;
 	rollout_free(m->r);
+	weights_mod_stop(m);
 	free(m);
 }
 
@@ -119,7 +121,8 @@
 	e = rollout_mod_peer_start(c);
 	if (e != ERR_OK)
 		return e;
-	return rollout_mod_http_start(c);
+	e = rollout_mod_http_start(c);
+	return e == ERR_OK ? weights_mod_start(c) : e;
 }
 
 static void rollout_mod_count(struct rollout_mod *m)
@@ -150,6 +153,7 @@
 	rollout_mod_members(m);
 	rollout_tick(m->r, now_ms);
 	rollout_mod_act(m);
+	weights_mod_tick(m, now_ms);
 	rollout_mod_count(m);
 }
 
--- a/packages/daemon/src/rollout_mod_int.h
+++ b/packages/daemon/src/rollout_mod_int.h
@@ -3,6 +3,7 @@
 
 #include "core/core.h"
 #include "rollout/rollout.h"
+#include "weights/weights.h"
 
 enum {
 	ROLLOUT_RUNS = 4096, ///< generations at once
@@ -19,11 +20,20 @@
 	enum sample_finish finish;
 };
 
+/// Weight orders of this node's failure domain.
+struct weights_state {
+	struct weights *plan; ///< NULL unless the duty is held
+	uint64_t epoch; ///< of the holding
+	int64_t read_ms; ///< next read of the target
+	int64_t look_ms; ///< next look at the engines
+};
+
 struct rollout_mod {
 	struct core *c;
 	struct rollout *r;
 	struct rollout_run runs[ROLLOUT_RUNS];
 	struct rollout_stats seen; ///< already in the metrics
+	struct weights_state weights;
 };
 
 /// Module's state.
--- a/test/e2e/test_e2e_rollout.c
+++ b/test/e2e/test_e2e_rollout.c
@@ -222,19 +222,49 @@
 	assert_int_equal(trainer_samples(&p) + trainer_samples(&again), 120);
 }
 
-static void test_no_key_at_an_engine(void **state)
+static json_int_t engine_stat(int i, const char *name)
 {
-	for (int i = 0; i < sys.n_servers; i++) {
-		char url[128];
-		json_t *st;
+	char url[128];
+	json_int_t v;
+	json_t *st;
 
-		snprintf(url, sizeof(url), "%s/fake/stats", sys.servers[i].url);
-		st = http_json("GET", url, NULL, NULL, NULL);
-		assert_int_equal(
-			json_integer_value(json_object_get(st, "key_leaks")),
-			0);
-		json_decref(st);
+	snprintf(url, sizeof(url), "%s/fake/stats", sys.servers[i].url);
+	st = http_json("GET", url, NULL, NULL, NULL);
+	v = json_integer_value(json_object_get(st, name));
+	json_decref(st);
+	return v;
+}
+
+static bool all_have_version(void *ctx)
+{
+	for (int i = 0; i < sys.n_servers; i++) {
+		if (engine_stat(i, "version") != *(int *)ctx)
+			return false;
 	}
+	return true;
+}
+
+static void test_weights_reach_all_engines(void **state)
+{
+	char url[96];
+	int status = 0;
+	int version = 9;
+
+	engine_post(0, "/fake/fault", "{\"mode\":\"swap_fail\",\"count\":1}");
+	engine_post(1, "/fake/fault",
+		    "{\"mode\":\"swap_late\",\"count\":1,\"delay_ms\":900}");
+	snprintf(url, sizeof(url), "%s/admin/weights", sys.nodes[1].admin);
+	json_decref(http_json("POST", url, NULL, "{\"version\":9}", &status));
+	assert_int_equal(status, 202);
+	assert_true(wait_until(all_have_version, &version, UP_MS));
+	for (int i = 0; i < sys.n_servers; i++)
+		assert_int_equal(engine_stat(i, "orders_stale"), 0);
+}
+
+static void test_no_key_at_an_engine(void **state)
+{
+	for (int i = 0; i < sys.n_servers; i++)
+		assert_int_equal(engine_stat(i, "key_leaks"), 0);
 }
 
 int main(void)
@@ -243,6 +273,7 @@
 		cmocka_unit_test(test_weights_swap_in_mid_sample),
 		cmocka_unit_test(test_owner_killed),
 		cmocka_unit_test(test_trainer_killed),
+		cmocka_unit_test(test_weights_reach_all_engines),
 		cmocka_unit_test(test_no_key_at_an_engine),
 	};
 
