fix(trainer): free the argument table of the stand-in

Problem: under LeakSanitizer the stand-in ended with code 1 for its arguments alone, so the end-to-end test failed in the sanitizer build though every line of it was right. Solution: free them after the run.

--- a/test/fakes/trainer/main.c
+++ b/test/fakes/trainer/main.c
@@ -49,6 +49,7 @@
 			 limit,	    seed,    kept,  end};
 	char name[128];
 	struct trainer t = {0};
+	bool ok;
 
 	if (arg_parse(argc, argv, table) != 0) {
 		arg_print_errors(stderr, end, "fake_trainer");
@@ -79,5 +80,8 @@
 	snprintf(name, sizeof(name), "%s-%d", t.opts.trainer, t.opts.step);
 	t.opts.batch = main_str(batch, name);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	return trainer_run(&t) ? 0 : 1;
+	ok = trainer_run(&t);
+	arg_freetable(table, sizeof(table) / sizeof(*table));
+	curl_global_cleanup();
+	return ok ? 0 : 1;
 }
