--- a/packages/rollout/include/rollout/rollout.h
+++ b/packages/rollout/include/rollout/rollout.h
@@ -163,10 +163,12 @@
 /// Time passed.
 void rollout_tick(struct rollout *r, int64_t now_ms);
 
-/// Hand everything over to the backups.
+/// Answer waiting pulls at once: the node ends soon. What it owns stays here
+/// until it is gone; then the backups take over.
 void rollout_drain(struct rollout *r);
 
-/// Whether no call waits and no batch is open here.
+/// Whether the node may end: no call waits, and a backup has a whole copy of
+/// each open batch.
 bool rollout_idle(const struct rollout *r);
 
 enum rollout_role {
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -308,8 +308,6 @@
 		claim_step(r->owners[i]);
 	sched_tick(r->sched, now_ms);
 	serve_held(r);
-	if (r->draining)
-		hand_over(r);
 	request_tick(r);
 	copy_sweep(r);
 	pass_sweep(r);
@@ -326,12 +324,22 @@
 	r->draining = true;
 }
 
-bool rollout_idle(const struct rollout *r)
+/* Whether the backup can go on once this node is gone. */
+static bool rollout_copied(const struct owner *o)
 {
-	struct rollout_stats s;
+	if (o->home->n_batches == 0)
+		return true;
+	return o->active && !o->proposing && o->backup && !o->backup->head &&
+	       stream_whole(o->backup) && rollout_alive(o->r, o->backup->node);
+}
 
-	rollout_stats(r, &s);
-	return htab_count(r->requests) == 0 && s.open_batches == 0;
+bool rollout_idle(const struct rollout *r)
+{
+	for (size_t i = 0; i < r->n_owners; i++) {
+		if (!rollout_copied(r->owners[i]))
+			return false;
+	}
+	return htab_count(r->requests) == 0;
 }
 
 enum rollout_role rollout_role(struct rollout *r, const char *team,
--- a/packages/rollout/src/rollout_defs.h
+++ b/packages/rollout/src/rollout_defs.h
@@ -184,9 +184,6 @@
 void serve_set_need(const struct owner *o, struct commit_need *need);
 void serve_held(struct rollout *r);
 
-// hand_over.c
-void hand_over(struct rollout *r);
-
 // claim.c
 void claim_step(struct owner *o);
 void claim_answer(struct rollout *r, const struct kv_call *call,
