--- a/packages/daemon/src/rollout_mod_int.h
+++ b/packages/daemon/src/rollout_mod_int.h
@@ -14,7 +14,6 @@
 
 /// A generation at the work module.
 struct rollout_run {
-	struct core *c;
 	htab_handle run; ///< of the decisions, 0 when free
 	htab_handle work;
 	enum sample_finish finish;
--- a/packages/daemon/src/rollout_mod_run.c
+++ b/packages/daemon/src/rollout_mod_run.c
@@ -86,7 +86,7 @@
 		.ctx = run,
 	};
 
-	*run = (struct rollout_run){.c = m->c, .run = a->run};
+	*run = (struct rollout_run){.run = a->run};
 	if (work_submit(m->c, &opts, &run->work, &retry) == ERR_OK)
 		return;
 	run->run = 0;
--- a/packages/rollout/src/copy.c
+++ b/packages/rollout/src/copy.c
@@ -6,10 +6,6 @@
 
 #include "rollout_defs.h"
 
-struct copy_target {
-	struct owner *o;
-};
-
 static void copy_send(void *ctx, const struct stream *s, uint64_t seq,
 		      const struct stream_chunk *chunk)
 {
