fix(rollout): check what a message claims before it is unpacked

Problem: the msgpack library allocates for the count that an array claims; one broken byte made it ask for 256 GB (a seeded mutant under AddressSanitizer). Solution: one pass over the flat message first: one array, as long as it says, of numbers, strings and bytes that fit.

--- a/packages/daemon/src/rollout_mod.c
+++ b/packages/daemon/src/rollout_mod.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "base/log.h"
 #include "base/metric.h"
 #include "conf/conf.h"
 #include "daemon/conf_mod.h"
@@ -136,6 +137,12 @@
 	metric_add(M_ROLLOUT_HEDGES, s.sched.hedged - seen->sched.hedged);
 	metric_add(M_ROLLOUT_STALE, s.sched.stale - seen->sched.stale);
 	metric_add(M_ROLLOUT_TAKEOVERS, s.takeovers - seen->takeovers);
+	if (s.takeovers > seen->takeovers)
+		log_event(EV_ROLLOUT_TAKEOVER, "trainers=%llu",
+			  (unsigned long long)(s.takeovers - seen->takeovers));
+	if (s.deposed > seen->deposed)
+		log_event(EV_ROLLOUT_DEPOSED, "trainers=%llu",
+			  (unsigned long long)(s.deposed - seen->deposed));
 	metric_set(M_ROLLOUT_OPEN, s.open_batches);
 	metric_set(M_ROLLOUT_RUNNING, s.running);
 	m->seen = s;
--- a/packages/daemon/src/rollout_mod_peer.c
+++ b/packages/daemon/src/rollout_mod_peer.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/log.h"
 #include "daemon/member_mod.h"
 #include "rollout_mod_int.h"
 
@@ -30,10 +31,14 @@
 {
 	struct rollout_mod *m = rollout_mod_state(c);
 	const enum rollout_msg *type = ctx;
+	enum err e;
 
 	if (!m || !m->r)
 		return;
-	rollout_recv(m->r, from, *type, buf, len, core_now(c));
+	e = rollout_recv(m->r, from, *type, buf, len, core_now(c));
+	if (e != ERR_OK)
+		log_event(EV_ROLLOUT_BAD_MESSAGE, "from=%s type=%d error=%s",
+			  from, (int)*type, err_code(e));
 	rollout_mod_act(m);
 }
 
--- a/packages/rollout/src/pack.c
+++ b/packages/rollout/src/pack.c
@@ -53,13 +53,72 @@
 	return msgpack_sbuffer_release(&out);
 }
 
+static uint64_t unpack_big_endian(const uint8_t *p, size_t n)
+{
+	uint64_t v = 0;
+
+	while (n-- > 0)
+		v = v << 8 | *p++;
+	return v;
+}
+
+/* Bytes of an item that is a number, a string or bytes; 0 for any other. */
+static uint64_t unpack_item_len(const uint8_t *p, size_t len)
+{
+	size_t head = 1;
+
+	if (*p < 0x80)
+		return 1;
+	if ((*p & 0xe0) == 0xa0)
+		return 1 + (uint64_t)(*p & 0x1f);
+	if (*p >= 0xcc && *p <= 0xcf)
+		return 1 + ((uint64_t)1 << (*p - 0xcc));
+	if (*p >= 0xc4 && *p <= 0xc6)
+		head += (size_t)1 << (*p - 0xc4);
+	else if (*p >= 0xd9 && *p <= 0xdb)
+		head += (size_t)1 << (*p - 0xd9);
+	if (head == 1 || head > len)
+		return 0;
+	return head + unpack_big_endian(p + 1, head - 1);
+}
+
+/* The library allocates what a message claims to hold, so the claims are
+ * checked first: one array, as long as it says, of plain items. */
+static bool unpack_is_flat(const uint8_t *p, size_t len)
+{
+	size_t head = 1;
+	uint64_t n;
+
+	if (len == 0)
+		return false;
+	if (*p == 0xdc || *p == 0xdd)
+		head += *p == 0xdc ? 2 : 4;
+	else if ((*p & 0xf0) != 0x90)
+		return false;
+	if (head > len)
+		return false;
+	n = head > 1 ? unpack_big_endian(p + 1, head - 1) : *p & 0x0f;
+	p += head;
+	len -= head;
+	for (; n > 0 && len > 0; n--) {
+		uint64_t item = unpack_item_len(p, len);
+
+		if (item == 0 || item > len)
+			return false;
+		p += item;
+		len -= item;
+	}
+	return n == 0 && len == 0;
+}
+
 void unpack_init(struct unpack *u, const void *buf, size_t len)
 {
 	size_t off = 0;
 
 	msgpack_unpacked_init(&u->un);
 	u->next = 0;
-	u->bad = msgpack_unpack_next(&u->un, buf, len, &off) !=
+	u->bad = !unpack_is_flat(buf, len) ||
+		 msgpack_unpack_next(&u->un, buf, len, &off) !=
 			 MSGPACK_UNPACK_SUCCESS ||
 		 u->un.data.type != MSGPACK_OBJECT_ARRAY || off != len;
 }
