--- a/packages/rollout/test/test_rollout_bad_input.c
+++ b/packages/rollout/test/test_rollout_bad_input.c
@@ -80,7 +80,10 @@
 	struct rng rng = {5};
 	int refused = 0;
 
-	assert_true(n > 0);
+	if (n == 0) {
+		fail_msg("no message was recorded");
+		return;
+	}
 	for (int i = 0; i < MUTANTS; i++) {
 		const struct message *o = &m[rng_below(&rng, n)];
 		size_t len = 1 + rng_below(&rng, o->len);
