--- a/packages/rollout/src/batch_json.c
+++ b/packages/rollout/src/batch_json.c
@@ -7,6 +7,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum {
+	BATCH_PRIORITY = 3, ///< of 0 to 9, below what callers wait for
+};
+
 static bool json_name(const json_t *obj, const char *key, char *buf)
 {
 	const char *s = json_string_value(json_object_get(obj, key));
@@ -144,8 +148,8 @@
 	return batch_groups_read(json_object_get(obj, "groups"), b);
 }
 
-enum err batch_parse(const char *text, size_t len, uint64_t max_staleness,
-		     struct batch **out, const char **why)
+enum err batch_parse(const char *text, size_t len, struct batch **out,
+		     const char **why)
 {
 	json_t *obj = json_loadb(text, len, JSON_REJECT_DUPLICATES, NULL);
 	struct batch *b;
@@ -158,7 +162,7 @@
 		json_decref(obj);
 		return ERR_NOMEM;
 	}
-	b->max_staleness = max_staleness;
+	b->max_staleness = BATCH_NO_STALENESS;
 	*why = batch_read(obj, b);
 	json_decref(obj);
 	if (*why) {
@@ -178,34 +182,32 @@
 	return list;
 }
 
-struct json_t *batch_sample_json(const struct batch *b, size_t slot,
+struct json_t *batch_sample_json(const char *slot, uint64_t seed,
 				 const struct sample *s)
 {
 	json_t *segments = json_array();
-	char name[BATCH_SLOT_NAME];
 
-	batch_slot_name(b, slot, name);
 	for (size_t i = 0; i < s->n_segments; i++) {
 		json_array_append_new(
 			segments, json_pack("{s:I,s:I}", "version",
 					    (json_int_t)s->segments[i].version,
 					    "n", (json_int_t)s->segments[i].n));
 	}
-	return json_pack("{s:s,s:I,s:o,s:o,s:s,s:s}", "slot", name, "seed",
-			 (json_int_t)batch_slot_seed(b, slot), "tokens",
+	return json_pack("{s:s,s:I,s:o,s:o,s:s,s:s}", "slot", slot, "seed",
+			 (json_int_t)seed, "tokens",
 			 tokens_json(s->tokens, s->n), "segments", segments,
 			 "finish", s->finish == SAMPLE_STOP ? "stop" : "length",
 			 "server", s->server);
 }
 
 char *batch_engine_request(const struct batch *b, size_t slot, const char *id,
-			   int priority, const struct sample *so_far)
+			   const struct sample *so_far)
 {
 	const struct batch_group *g = batch_group_of(b, slot);
 	json_t *obj =
 		json_pack("{s:s,s:o,s:I,s:i,s:I}", "id", id, "prompt",
 			  tokens_json(g->prompt, g->n_prompt), "max_tokens",
-			  (json_int_t)g->max_tokens, "priority", priority,
+			  (json_int_t)g->max_tokens, "priority", BATCH_PRIORITY,
 			  "seed", (json_int_t)batch_slot_seed(b, slot));
 	char *text;
 
