feat(work): be ready only once the own servers can be granted

Ruled out: granting at once, which test_slot_faults shows to pass the limit.

Solution: module work is ready once its own stewards grant, for good, after 15 s in any case; /admin/status shows it for each server. test_ready failed 2 of 2 before (no steward granted, or none was known yet) and passes 2 of 2 after.

--- a/packages/daemon/src/work_mod.c
+++ b/packages/daemon/src/work_mod.c
@@ -7,6 +7,11 @@
 #include "daemon/mods.h"
 #include "work_mod_int.h"
 
+enum {
+	WORK_READY_MIN_MS = 1500, ///< until members and servers are known
+	WORK_READY_MAX_MS = 15000, ///< then ready whatever the servers do
+};
+
 static enum err work_new(struct core *c, struct work_state **out)
 {
 	struct work_state *s = calloc(1, sizeof(*s));
@@ -17,6 +22,7 @@
 	s->servers = calloc(WORK_SERVERS, sizeof(*s->servers));
 	s->node_hash = strtoull(core_incarnation(c), NULL, 16) | 1;
 	s->rng.state = s->node_hash;
+	s->started_ms = core_now(c);
 	attempt_budget_init(&s->budget, WORK_RETRY_CAP);
 	*out = s;
 	return s->works && s->servers ? ERR_OK : ERR_NOMEM;
@@ -54,11 +60,47 @@
 	}
 }
 
+static bool work_grants(const struct work_server *v, int64_t now)
+{
+	return v->steward && slot_steward_grants(v->steward, now);
+}
+
+/* Whether a server that this node is the steward of can't be granted yet. */
+static bool work_waits_to_grant(const struct work_state *s, int64_t now)
+{
+	for (size_t i = 0; i < s->n_servers; i++) {
+		const struct work_server *v = &s->servers[i];
+
+		if (v->live && v->steward && !work_grants(v, now))
+			return true;
+	}
+	return false;
+}
+
+/* A fresh node is ready once it would not only queue what it gets. Later waits,
+ * as stewards change, don't matter: other nodes would wait as well. */
+static void work_ready_tick(struct work_state *s, int64_t now)
+{
+	int64_t up = now - s->started_ms;
+
+	if (s->ready || up < WORK_READY_MIN_MS)
+		return;
+	s->ready = up >= WORK_READY_MAX_MS || !work_waits_to_grant(s, now);
+}
+
+static bool work_ready(struct core *c, void *state)
+{
+	const struct work_state *s = state;
+
+	return s->ready;
+}
+
 static void work_tick(struct core *c, void *state, int64_t now_ms)
 {
 	work_server_sync(c);
 	work_expire(c, state, now_ms);
 	work_slot_tick(c, now_ms);
+	work_ready_tick(state, now_ms);
 	work_load_tick(c, now_ms);
 	work_pool_tick(c, now_ms);
 	work_peer_tick(c, now_ms);
@@ -92,7 +134,7 @@
 	return all;
 }
 
-static json_t *work_status_servers(const struct work_state *s)
+static json_t *work_status_servers(const struct work_state *s, int64_t now)
 {
 	json_t *all = json_array();
 
@@ -104,11 +146,12 @@
 		if (!v->hash)
 			continue;
 		json_array_append_new(
-			all, json_pack("{s:s, s:b, s:i, s:i, s:i, s:b}",
-				       "server", v->id, "live", v->live,
-				       "in_use", v->holder.in_use, "slots",
-				       v->holder.slots, "limit", limit,
-				       "steward", v->steward != NULL));
+			all,
+			json_pack("{s:s, s:b, s:i, s:i, s:i, s:b, s:b}",
+				  "server", v->id, "live", v->live, "in_use",
+				  v->holder.in_use, "slots", v->holder.slots,
+				  "limit", limit, "steward", v->steward != NULL,
+				  "grants", work_grants(v, now)));
 	}
 	return all;
 }
@@ -122,7 +165,8 @@
 	json_object_set_new(obj, "for_other_domains",
 			    json_integer((json_int_t)htab_count(s->ins)));
 	json_object_set_new(obj, "pools", work_status_pools(s));
-	json_object_set_new(obj, "servers", work_status_servers(s));
+	json_object_set_new(obj, "servers",
+			    work_status_servers(s, core_now(c)));
 }
 
 static void work_stop(struct core *c, void *state)
@@ -146,6 +190,7 @@
 	.start = work_start,
 	.tick = work_tick,
 	.idle = work_idle,
+	.ready = work_ready,
 	.status = work_status,
 	.stop = work_stop,
 };
--- a/packages/daemon/src/work_mod_int.h
+++ b/packages/daemon/src/work_mod_int.h
@@ -147,6 +147,8 @@
 	size_t n_servers; ///< entries up to the last used one
 	int n_spilled; ///< requests that run elsewhere for want of slots
 	uint64_t fleet_gen; ///< of the list that `servers` shows
+	int64_t started_ms;
+	bool ready; ///< was ready once
 	uint64_t node_hash; ///< of this process's run
 	uint64_t next_id;
 };
--- a/packages/slot/include/slot/steward.h
+++ b/packages/slot/include/slot/steward.h
@@ -56,6 +56,9 @@
 /// another steward may have granted: it begins anew.
 void slot_steward_tick(struct slot_steward *s, int64_t now);
 
+/// Whether the time after slot_steward_init() in which it grants nothing is over.
+bool slot_steward_grants(const struct slot_steward *s, int64_t now);
+
 /// Grant or not (a leaving server, a failure domain out).
 void slot_steward_close(struct slot_steward *s, bool closed);
 
--- a/packages/slot/src/steward.c
+++ b/packages/slot/src/steward.c
@@ -63,6 +63,13 @@
 	s->seen_ms = now;
 }
 
+bool slot_steward_grants(const struct slot_steward *s, int64_t now)
+{
+	if (now < s->since_ms + SLOT_LIFETIME_MS)
+		return false;
+	return s->settled || !s->o.reports;
+}
+
 void slot_steward_close(struct slot_steward *s, bool closed)
 {
 	s->closed = closed;
