fix(rollout): stop generating for a team without a key

Problem: after the last key of a team was withdrawn, its batches went on generating; only pulls and new batches were refused. Cause: generations are submitted by team, and nothing looked at keys after the batch was taken.

Solution: each generation is checked when it starts, and all of them at a change of the document, by conf_mod_team_ok(): the team may use the route and has a key.

--- a/packages/conf/include/conf/conf.h
+++ b/packages/conf/include/conf/conf.h
@@ -102,6 +102,9 @@
 /// @return key, NULL if there is none
 const struct conf_key *conf_key_find(const struct conf *c, const char *id);
 
+/// Whether a team has a key that is not withdrawn.
+bool conf_team_has_key(const struct conf *c, const char *team);
+
 /// The document's text.
 ///
 /// @param[out] len  bytes
--- a/packages/conf/src/read.c
+++ b/packages/conf/src/read.c
@@ -91,6 +91,17 @@
 	return bsearch(id, c->keys, c->n_keys, sizeof(*c->keys), key_row_cmp);
 }
 
+bool conf_team_has_key(const struct conf *c, const char *team)
+{
+	for (size_t i = 0; i < c->n_keys; i++) {
+		const struct conf_key *k = &c->keys[i];
+
+		if (!k->withdrawn && strcmp(k->team, team) == 0)
+			return true;
+	}
+	return false;
+}
+
 bool conf_domain_in(const struct conf *c, const char *domain)
 {
 	const struct doc_domain *d = bsearch(domain, c->domains, c->n_domains,
--- a/packages/daemon/include/daemon/conf_mod.h
+++ b/packages/daemon/include/daemon/conf_mod.h
@@ -36,6 +36,16 @@
 enum err conf_mod_key_ok(struct core *c, const struct conf_route *route,
 			 const char *id);
 
+/// Check whether a team's work that was let in, such as a batch, may go on: the
+/// team may use the route and has a key that is not withdrawn.
+///
+/// @param route  route of the current document, NULL if it was removed
+/// @param team   team's name, "" on an open route without a key
+/// @return ERR_OK, ERR_NOT_FOUND, ERR_KEY_WITHDRAWN, ERR_KEY_TEAM,
+///         ERR_CONF_CUT_OFF or ERR_CONF_NONE
+enum err conf_mod_team_ok(struct core *c, const struct conf_route *route,
+			  const char *team);
+
 /// Call fn on every new document, after it came into force, and when keyed
 /// work begins or ends to be refused because the node is cut off.
 enum err conf_mod_on_change(struct core *c,
--- a/packages/daemon/src/conf_mod_auth.c
+++ b/packages/daemon/src/conf_mod_auth.c
@@ -84,6 +84,24 @@
 	key_id(bearer, id);
 }
 
+enum err conf_mod_team_ok(struct core *c, const struct conf_route *route,
+			  const char *team)
+{
+	const struct conf *doc = conf_mod_current(c);
+
+	if (!doc)
+		return ERR_CONF_NONE;
+	if (!route)
+		return ERR_NOT_FOUND;
+	if (!*team)
+		return route->open ? ERR_OK : ERR_KEY_MISSING;
+	if (!conf_team_find(doc, team) || !team_allowed(route, team))
+		return ERR_KEY_TEAM;
+	if (!conf_team_has_key(doc, team))
+		return ERR_KEY_WITHDRAWN;
+	return contact_ok(c, route);
+}
+
 enum err conf_mod_key_ok(struct core *c, const struct conf_route *route,
 			 const char *id)
 {
--- a/packages/daemon/src/rollout_mod.c
+++ b/packages/daemon/src/rollout_mod.c
@@ -120,6 +120,9 @@
 	if (!m->r)
 		return ERR_NOMEM;
 	e = rollout_mod_peer_start(c);
+	if (e != ERR_OK)
+		return e;
+	e = rollout_mod_run_start(c);
 	if (e != ERR_OK)
 		return e;
 	e = rollout_mod_http_start(c);
--- a/packages/daemon/src/rollout_mod_int.h
+++ b/packages/daemon/src/rollout_mod_int.h
@@ -16,6 +16,8 @@
 struct rollout_run {
 	htab_handle run; ///< of the decisions, 0 when free
 	htab_handle work;
+	char team[BATCH_NAME];
+	char route[BATCH_NAME];
 	enum sample_finish finish;
 };
 
@@ -49,6 +51,7 @@
 
 // rollout_mod_run.c
 void rollout_mod_run(struct rollout_mod *m, const struct rollout_action *a);
+enum err rollout_mod_run_start(struct core *c);
 void rollout_mod_cancel(struct rollout_mod *m, const struct rollout_action *a);
 
 // rollout_mod_kv.c
--- a/packages/daemon/src/rollout_mod_run.c
+++ b/packages/daemon/src/rollout_mod_run.c
@@ -1,6 +1,8 @@
 // Generations, as work of class WORK_ROLLOUT.
 #include <string.h>
 
+#include "conf/conf.h"
+#include "daemon/conf_mod.h"
 #include "daemon/work_mod.h"
 #include "rollout/batch_json.h"
 #include "rollout_mod_int.h"
@@ -8,6 +10,8 @@
 enum {
 	RUN_DEADLINE_MS = 780000, ///< a step is to be whole by then
 	RUN_PAUSE_MS = 100, ///< shortest pause after a refusal
+	RUN_KEY_PAUSE_MS =
+		1000, ///< until a team without a key is looked at anew
 	RUN_INDEX_MASK = 0xffff, ///< index part of a handle
 };
 
@@ -61,6 +65,44 @@
 	rollout_mod_act(m);
 }
 
+static enum err run_allowed(struct core *c, const char *route, const char *team)
+{
+	const struct conf *conf = conf_mod_current(c);
+
+	if (!conf)
+		return ERR_CONF_NONE;
+	return conf_mod_team_ok(c, conf_route_find(conf, route), team);
+}
+
+static void run_refuse(struct rollout_mod *m, htab_handle run, int64_t retry)
+{
+	rollout_ended(m->r, run, SCHED_REFUSED, SAMPLE_OPEN, "", retry,
+		      core_now(m->c));
+}
+
+/* A new document: what runs for a team without a key is cancelled. */
+static void run_on_change(struct core *c, void *ctx)
+{
+	struct rollout_mod *m = rollout_mod_state(c);
+
+	for (size_t i = 0; i < ROLLOUT_RUNS; i++) {
+		struct rollout_run *run = &m->runs[i];
+		htab_handle h = run->run;
+
+		if (h == 0 || run_allowed(c, run->route, run->team) == ERR_OK)
+			continue;
+		work_cancel(c, run->work);
+		run->run = 0;
+		run_refuse(m, h, RUN_KEY_PAUSE_MS);
+	}
+	rollout_mod_act(m);
+}
+
+enum err rollout_mod_run_start(struct core *c)
+{
+	return conf_mod_on_change(c, run_on_change, NULL);
+}
+
 void rollout_mod_run(struct rollout_mod *m, const struct rollout_action *a)
 {
 	struct rollout_run *run = run_of(m, a->run);
@@ -86,14 +128,19 @@
 		.ctx = run,
 	};
 
+	if (run_allowed(m->c, a->route, a->team) != ERR_OK) {
+		run_refuse(m, a->run, RUN_KEY_PAUSE_MS);
+		return;
+	}
 	*run = (struct rollout_run){.run = a->run};
+	memcpy(run->team, a->team, sizeof(run->team));
+	memcpy(run->route, a->route, sizeof(run->route));
 	if (work_submit(m->c, &opts, &run->work, &retry) == ERR_OK)
 		return;
 	run->run = 0;
 	if (retry < RUN_PAUSE_MS)
 		retry = RUN_PAUSE_MS;
-	rollout_ended(m->r, a->run, SCHED_REFUSED, SAMPLE_OPEN, "", retry,
-		      core_now(m->c));
+	run_refuse(m, a->run, retry);
 }
 
 void rollout_mod_cancel(struct rollout_mod *m, const struct rollout_action *a)
--- a/packages/rollout/include/rollout/rollout.h
+++ b/packages/rollout/include/rollout/rollout.h
@@ -81,6 +81,7 @@
 	int64_t retry_after_ms; ///< REFUSED
 	htab_handle run; ///< RUN, CANCEL
 	char team[BATCH_NAME]; ///< RUN, USED
+	char route[BATCH_NAME]; ///< RUN
 	char avoid[SAMPLE_SERVER]; ///< RUN
 	uint64_t cost; ///< RUN: expected tokens
 	uint64_t prefix; ///< RUN: hash of the prompt's prefix
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -87,6 +87,7 @@
 	a->cost = start->cost;
 	a->prefix = batch_group_of(spec, start->slot)->prefix;
 	memcpy(a->team, spec->team, sizeof(a->team));
+	memcpy(a->route, spec->route, sizeof(a->route));
 	snprintf(a->avoid, sizeof(a->avoid), "%s", start->avoid);
 	a->value = batch_engine_request(spec, start->slot, id, start->so_far);
 }
