fix(work): leave out servers that take no connection

Cause: the list's state alone decided what is used, so each call was first sent to the dead server, and the retry budget ran dry. Ruled out: more retries, which amplify an outage.

Solution: a server whose connection failed is paused for 0.5 s, doubling to 4 s; a failure domain whose servers are all paused forwards to another one.

--- a/packages/daemon/src/work_mod_attempt.c
+++ b/packages/daemon/src/work_mod_attempt.c
@@ -251,6 +251,8 @@
 	enum err e;
 
 	attempt_span_end(w, out->err);
+	if (w->server)
+		work_server_connected(c, w->server, out->err != ERR_UP_CONNECT);
 	attempt_put_slot(c, w, attempt_slot_outcome(out));
 	attempt_put_spill(c, w);
 	w->via = WORK_VIA_NONE;
--- a/packages/daemon/src/work_mod_int.h
+++ b/packages/daemon/src/work_mod_int.h
@@ -114,6 +114,8 @@
 	bool cheap;
 	bool live; ///< listed as live, and its failure domain is in service
 	bool listed; ///< listed at all
+	int64_t down_until_ms; ///< took no connection: not used until then
+	int64_t down_ms; ///< length of that pause, 0 after a connection
 	struct slot_holder holder;
 	struct slot_steward *steward; ///< while this node is its steward
 	struct work_load load;
@@ -248,6 +250,9 @@
 void work_server_sync(struct core *c);
 struct work_server *work_server_find(struct work_state *s, uint64_t hash);
 
+/// Note whether a server took a connection: one that did not is paused.
+void work_server_connected(struct core *c, struct work_server *v, bool ok);
+
 /// Tell the pool's chooser what this node may send to a server now.
 void work_server_changed(struct core *c, struct work_server *v);
 
--- a/packages/daemon/src/work_mod_server.c
+++ b/packages/daemon/src/work_mod_server.c
@@ -8,6 +8,11 @@
 #include "daemon/conf_mod.h"
 #include "work_mod_int.h"
 
+enum {
+	DOWN_MIN_MS = 500, ///< first pause of a server that takes no connection
+	DOWN_MAX_MS = 4000,
+};
+
 struct work_server *work_server_find(struct work_state *s, uint64_t hash)
 {
 	for (size_t i = 0; i < s->n_servers; i++) {
@@ -92,10 +97,36 @@
 	return !conf || conf_domain_in(conf, core_domain(c));
 }
 
+/* Listed as live, and took the last connection or is due for another try. */
+static bool server_usable(const struct work_server *v, int64_t now)
+{
+	return v->live && now >= v->down_until_ms;
+}
+
+void work_server_connected(struct core *c, struct work_server *v, bool ok)
+{
+	int64_t pause = 2 * v->down_ms;
+
+	if (ok) {
+		v->down_ms = 0;
+		v->down_until_ms = 0;
+		return;
+	}
+	if (pause < DOWN_MIN_MS)
+		pause = DOWN_MIN_MS;
+	if (pause > DOWN_MAX_MS)
+		pause = DOWN_MAX_MS;
+	/* Tries that began together count once. */
+	if (core_now(c) < v->down_until_ms)
+		return;
+	v->down_ms = pause;
+	v->down_until_ms = core_now(c) + pause;
+}
+
 void work_server_changed(struct core *c, struct work_server *v)
 {
 	int index = (int)(v - work_state(c)->servers);
-	bool open = v->live && server_domain_in(c);
+	bool open = server_usable(v, core_now(c)) && server_domain_in(c);
 
 	if (v->pool)
 		route_server(v->pool->route, index,
@@ -131,7 +162,7 @@
 	for (size_t i = 0; i < s->n_servers; i++) {
 		struct work_server *v = &s->servers[i];
 
-		if (v->hash && v->live && in)
+		if (v->hash && server_usable(v, core_now(c)) && in)
 			v->pool->n_live++;
 	}
 }
