refactor(support): one desk system for the lab, the benches and the tests

Problem: the lab and two benches each set up the same booking desk, callers and waits, and five tests ran catkinctl by functions of their own.

Solution: support/desk.h starts and loads that system, ctl_ok() runs catkinctl and says what failed.

--- a/bench/bench_control.c
+++ b/bench/bench_control.c
@@ -6,26 +6,21 @@
 #include <unistd.h>
 
 #include "support/bench.h"
-#include "support/ctl.h"
+#include "support/desk.h"
 #include "support/http.h"
-#include "support/load.h"
-#include "support/sys.h"
 
 enum {
 	DOMAINS = 3,
 	SETTLE_S = 2,
 	SPAN_S = 4,
 	CALLS_PER_S = 20, ///< of each caller; one caller a node
-	CALL_MS = 8000,
-	UP_MS = 30000,
 	MAX_BYTES_S = 7000, ///< control traffic of a node
 	MAX_MB = 128,
 };
 
 static const double max_core_percent = 2.1;
 static struct sys sys;
-static char key[256];
-static char call_urls[SYS_MAX_NODES][128];
+static struct desk desk;
 
 struct sample {
 	double peer_bytes; ///< sent, mean of the nodes
@@ -109,43 +104,6 @@
 	return s;
 }
 
-static bool node_serves(void *url)
-{
-	struct http_opts o = {
-		.method = "POST",
-		.url = url,
-		.bearer = key,
-		.body = "{\"call\":\"up\"}",
-		.timeout_ms = CALL_MS,
-	};
-	struct http_res res;
-	int status = http_call(&o, &res);
-
-	http_free(&res);
-	return status == 200;
-}
-
-static bool set_up(const struct sys_opts *o)
-{
-	const char *const route[] = {"route",	  "add",  "desk",
-				     "--service", "desk", NULL};
-	const char *const team[] = {"team", "add", "depot", NULL};
-	char out[4096];
-
-	if (!sys_start(&sys, o) ||
-	    ctl_run(&sys, route, out, sizeof(out)) != 0 ||
-	    ctl_run(&sys, team, out, sizeof(out)) != 0 ||
-	    ctl_grant(&sys, "depot", key, sizeof(key)) != 0)
-		return false;
-	for (int i = 0; i < sys.n_nodes; i++) {
-		snprintf(call_urls[i], sizeof(call_urls[i]),
-			 "%s/v1/call/desk/book", sys.nodes[i].url);
-		if (!wait_until(node_serves, call_urls[i], UP_MS))
-			return false;
-	}
-	return true;
-}
-
 /* Costs over a span, with the calls answered in it. */
 static struct sample span(struct load *l, struct load_count *n)
 {
@@ -166,22 +124,6 @@
 	};
 }
 
-static struct load *start_load(void)
-{
-	static const char *urls[SYS_MAX_NODES];
-	struct load_opts o = {
-		.urls = urls,
-		.n_urls = sys.n_nodes,
-		.bearer = key,
-		.calls_per_s = CALLS_PER_S,
-		.timeout_ms = CALL_MS,
-	};
-
-	for (int i = 0; i < sys.n_nodes; i++)
-		urls[i] = call_urls[i];
-	return load_start(&o);
-}
-
 static bool check(const char *what, double v, const char *unit, double bound)
 {
 	char name[64];
@@ -204,11 +146,11 @@
 	struct load *l;
 	bool ok;
 
-	if (!set_up(&o))
+	if (!desk_start(&sys, &o, &desk))
 		return false;
 	sleep(SETTLE_S);
 	idle = span(NULL, NULL);
-	l = start_load();
+	l = desk_load(&sys, &desk, "", CALLS_PER_S);
 	sleep(SETTLE_S);
 	busy = span(l, &n);
 	load_stop(l);
@@ -234,9 +176,9 @@
 	struct sample busy;
 	struct load *l;
 
-	if (!set_up(&o))
+	if (!desk_start(&sys, &o, &desk))
 		return false;
-	l = start_load();
+	l = desk_load(&sys, &desk, "", CALLS_PER_S);
 	sleep(SETTLE_S);
 	busy = span(l, &n);
 	load_stop(l);
--- a/bench/bench_domain.c
+++ b/bench/bench_domain.c
@@ -9,52 +9,22 @@
 #include "base/clock.h"
 #include "support/bench.h"
 #include "support/ctl.h"
+#include "support/desk.h"
 #include "support/http.h"
-#include "support/load.h"
-#include "support/sys.h"
 
 enum {
 	DOMAINS = 3,
 	NODES_PER_DOMAIN = 2,
-	VICTIM = 2, ///< failure domain that leaves
 	CALLS_PER_S = 20, ///< of each caller
 	STEADY_S = 3,
 	OUT_S = 4,
 	LOST_S = 6,
 	GRACE_S = 3, ///< after this a domain taken out gets no new work
-	UP_MS = 30000,
-	CALL_MS = 10000,
 };
 
 static struct sys sys;
-static char key[256];
-static char call_urls[SYS_MAX_NODES][128];
-
-static bool ctl(const char *const *words)
-{
-	char out[4096];
-	int rc = ctl_run(&sys, words, out, sizeof(out));
-
-	if (rc != 0)
-		fprintf(stderr, "catkinctl %s: %d %s\n", words[0], rc, out);
-	return rc == 0;
-}
-
-static bool node_serves(void *ctx)
-{
-	struct http_opts o = {
-		.method = "POST",
-		.url = ctx,
-		.bearer = key,
-		.body = "{\"call\":\"up\"}",
-		.timeout_ms = CALL_MS,
-	};
-	struct http_res res;
-	int status = http_call(&o, &res);
-
-	http_free(&res);
-	return status == 200;
-}
+static struct desk desk;
+static const char victim[] = "d2"; ///< failure domain that leaves
 
 static bool set_up(void)
 {
@@ -63,29 +33,13 @@
 		.nodes_per_domain = NODES_PER_DOMAIN,
 		.services_per_domain = 2,
 	};
-	const char *const route[] = {"route",	  "add",  "desk",
-				     "--service", "desk", NULL};
-	const char *const team[] = {"team", "add", "depot", NULL};
 
-	if (!sys_start(&sys, &o) || !ctl(route) || !ctl(team))
-		return false;
-	if (ctl_grant(&sys, "depot", key, sizeof(key)) != 0)
-		return false;
-	for (int i = 0; i < sys.n_nodes; i++) {
-		snprintf(call_urls[i], sizeof(call_urls[i]),
-			 "%s/v1/call/desk/book", sys.nodes[i].url);
-		if (!wait_until(node_serves, call_urls[i], UP_MS))
-			return false;
-	}
-	return true;
+	return desk_start(&sys, &o, &desk);
 }
 
 static bool is_victim(const char *domain)
 {
-	char name[16];
-
-	snprintf(name, sizeof(name), "d%d", VICTIM);
-	return strcmp(domain, name) == 0;
+	return strcmp(domain, victim) == 0;
 }
 
 /* Runs of the victim's services so far. */
@@ -107,23 +61,6 @@
 	return sum;
 }
 
-static struct load *start_load(bool with_victim)
-{
-	static const char *urls[SYS_MAX_NODES];
-	struct load_opts o = {
-		.urls = urls,
-		.bearer = key,
-		.calls_per_s = CALLS_PER_S,
-		.timeout_ms = CALL_MS,
-	};
-
-	for (int i = 0; i < sys.n_nodes; i++) {
-		if (with_victim || !is_victim(sys.nodes[i].domain))
-			urls[o.n_urls++] = call_urls[i];
-	}
-	return load_start(&o);
-}
-
 static double share(const struct load_count *n)
 {
 	return n->sent ? (double)n->answered / n->sent : 0;
@@ -139,14 +76,11 @@
 
 static bool taken_out(struct load *l, const struct load_count *steady)
 {
-	const char *const out[] = {"domain",   "out",	      "d2",
-				   "--reason", "maintenance", NULL};
-	const char *const in[] = {"domain", "in", "d2", NULL};
 	struct load_count n;
 	long before;
 	bool ok;
 
-	if (!ctl(out))
+	if (!CTL_OK(&sys, "domain", "out", victim, "--reason", "maintenance"))
 		return false;
 	sleep(GRACE_S);
 	before = victim_runs();
@@ -160,7 +94,7 @@
 			  BENCH_AT_LEAST, share(steady) * 0.99);
 	ok &= bench_check("domain_out_unknown", n.unknown, "calls",
 			  BENCH_AT_MOST, 0);
-	return ctl(in) && ok;
+	return CTL_OK(&sys, "domain", "in", victim) && ok;
 }
 
 static void kill_victim(void)
@@ -192,7 +126,7 @@
 /* The other failure domains' callers notice nothing when it dies at once. */
 static bool lost_at_once(const struct load_count *steady)
 {
-	struct load *l = start_load(false);
+	struct load *l = desk_load(&sys, &desk, victim, CALLS_PER_S);
 	struct load_count n;
 	int64_t start;
 	bool ok;
@@ -206,7 +140,7 @@
 	start = clock_now_ms();
 	ok &= start_victim();
 	for (int i = 0; i < sys.n_nodes; i++)
-		ok &= wait_until(node_serves, call_urls[i], UP_MS);
+		ok &= desk_wait(&desk, i);
 	printf("back: every node of it serves after %lld ms\n",
 	       (long long)(clock_now_ms() - start));
 	load_take(l, &n);
@@ -225,7 +159,7 @@
 
 	if (!set_up())
 		return false;
-	l = start_load(true);
+	l = desk_load(&sys, &desk, "", CALLS_PER_S);
 	sleep(STEADY_S);
 	load_take(l, &steady);
 	say("steady", &steady);
--- a/test/e2e/test_drain.c
+++ b/test/e2e/test_drain.c
@@ -41,14 +41,6 @@
 	int curl;
 };
 
-static void ctl(const char *const *words)
-{
-	char out[4096];
-
-	if (ctl_run(&sys, words, out, sizeof(out)) != 0)
-		fail_msg("catkinctl %s: %s", words[0], out);
-}
-
 static int post(const char *base, const char *path, const char *body,
 		struct http_res *res)
 {
@@ -268,11 +260,10 @@
 	};
 
 	assert_true(sys_start(&sys, &opts));
-	ctl((const char *const[]){"route", "add", "desk", "--service", "desk",
-				  "--open", NULL});
-	ctl((const char *const[]){"route", "add", "talk", "--engine", "--open",
-				  NULL});
-	ctl((const char *const[]){"set", "slot.start", "64", NULL});
+	assert_true(CTL_OK(&sys, "route", "add", "desk", "--service", "desk",
+			   "--open"));
+	assert_true(CTL_OK(&sys, "route", "add", "talk", "--engine", "--open"));
+	assert_true(CTL_OK(&sys, "set", "slot.start", "64"));
 	assert_true(wait_until(desk_up, NULL, UP_MS));
 	assert_true(wait_until(talk_up, NULL, UP_MS));
 	return 0;
--- a/test/e2e/test_e2e_usage.c
+++ b/test/e2e/test_e2e_usage.c
@@ -230,14 +230,6 @@
 	return call_once(*(int *)ctx) == 200;
 }
 
-static void ctl_ok(const char *const *words)
-{
-	char out[2048];
-
-	if (ctl_run(&sys, words, out, sizeof(out)) != 0)
-		fail_msg("catkinctl %s: %s", words[0], out);
-}
-
 static int setup(void **state)
 {
 	static const char *const team[] = {"team", "add", "depot", NULL};
@@ -255,9 +247,9 @@
 
 	if (!sys_start(&sys, &opts))
 		return -1;
-	ctl_ok(team);
-	ctl_ok(route);
-	ctl_ok(window);
+	assert_true(ctl_ok(&sys, team));
+	assert_true(ctl_ok(&sys, route));
+	assert_true(ctl_ok(&sys, window));
 	assert_int_equal(ctl_grant(&sys, "depot", key, sizeof(key)), 0);
 	for (int i = 0; i < NODES; i++)
 		assert_true(wait_until(call_works, &i, SETTLE_MS));
--- a/test/e2e/test_rollout_key.c
+++ b/test/e2e/test_rollout_key.c
@@ -45,14 +45,6 @@
 	return started() > 0;
 }
 
-static void ctl(const char *const *words)
-{
-	char out[4096];
-
-	if (ctl_run(&sys, words, out, sizeof(out)) != 0)
-		fail_msg("catkinctl %s: %s", words[0], out);
-}
-
 static bool batch_taken(void *ctx)
 {
 	char url[96];
@@ -78,10 +70,9 @@
 static void withdraw(void)
 {
 	char id[64];
-	const char *const words[] = {"key", "withdraw", id, NULL};
 
 	snprintf(id, sizeof(id), "%.*s", (int)strcspn(key + 3, "_"), key + 3);
-	ctl(words);
+	assert_true(CTL_OK(&sys, "key", "withdraw", id));
 }
 
 static void test_withdrawn(void **state)
@@ -118,13 +109,10 @@
 		.nodes_per_domain = 2,
 		.engines_per_domain = 2,
 	};
-	const char *const team[] = {"team", "add", "depot", NULL};
-	const char *const route[] = {"route", "add", "policy", "--engine",
-				     NULL};
 
 	assert_true(sys_start(&sys, &o));
-	ctl(team);
-	ctl(route);
+	assert_true(CTL_OK(&sys, "team", "add", "depot"));
+	assert_true(CTL_OK(&sys, "route", "add", "policy", "--engine"));
 	assert_int_equal(ctl_grant(&sys, "depot", key, sizeof(key)), 0);
 	return 0;
 }
--- a/test/e2e/test_work_calls.c
+++ b/test/e2e/test_work_calls.c
@@ -54,17 +54,7 @@
 	return j;
 }
 
-/* Run catkinctl; it must be accepted. */
-static void ctl_words(const char *const *words)
-{
-	char out[4096];
-	int rc = ctl_run(&sys, words, out, sizeof(out));
-
-	if (rc != 0)
-		fail_msg("catkinctl %s: %d %s", words[0], rc, out);
-}
-
-#define CTL(...) ctl_words((const char *const[]){__VA_ARGS__, NULL})
+#define CTL(...) assert_true(CTL_OK(&sys, __VA_ARGS__))
 
 static bool call_works(void *ctx)
 {
--- a/test/e2e/test_work_slots.c
+++ b/test/e2e/test_work_slots.c
@@ -127,17 +127,7 @@
 	return v;
 }
 
-/* Run catkinctl; it must be accepted. */
-static void ctl_words(const char *const *words)
-{
-	char out[4096];
-	int rc = ctl_run(&sys, words, out, sizeof(out));
-
-	if (rc != 0)
-		fail_msg("catkinctl %s: %d %s", words[0], rc, out);
-}
-
-#define CTL(...) ctl_words((const char *const[]){__VA_ARGS__, NULL})
+#define CTL(...) assert_true(CTL_OK(&sys, __VA_ARGS__))
 
 static bool generate_works(void *ctx)
 {
--- a/test/lab/act.c
+++ b/test/lab/act.c
@@ -2,7 +2,6 @@
 #include "act.h"
 
 #include <signal.h>
-#include <stdio.h>
 #include <string.h>
 
 #include "support/ctl.h"
@@ -100,16 +99,6 @@
 	return any;
 }
 
-static bool act_ctl(struct sys *s, const char *const *words)
-{
-	char out[4096];
-	int rc = ctl_run(s, words, out, sizeof(out));
-
-	if (rc != 0)
-		fprintf(stderr, "catkinctl %s: %d %s\n", words[0], rc, out);
-	return rc == 0;
-}
-
 static bool act_row(struct sys *s, const struct act_row *r, const char *scope,
 		    const char *name)
 {
@@ -128,7 +117,7 @@
 bool act(struct sys *s, const char *const *words)
 {
 	if (strcmp(words[0], "ctl") == 0)
-		return words[1] && act_ctl(s, words + 1);
+		return words[1] && ctl_ok(s, words + 1);
 	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
 		if (strcmp(words[0], rows[i].verb) == 0)
 			return words[1] && words[2] &&
--- a/test/lab/main.c
+++ b/test/lab/main.c
@@ -8,49 +8,16 @@
 #include "act.h"
 #include "base/clock.h"
 #include "plan.h"
-#include "support/ctl.h"
-#include "support/http.h"
-#include "support/load.h"
+#include "support/desk.h"
 
 enum {
-	UP_MS = 30000,
-	CALL_MS = 8000,
 	STEP_MS = 10,
 	SECOND_MS = 1000,
 };
 
 static struct sys sys;
 static struct plan plan;
-static char key[256];
-static char call_urls[SYS_MAX_NODES][128];
-
-static bool lab_serves(void *url)
-{
-	struct http_opts o = {
-		.method = "POST",
-		.url = url,
-		.bearer = key,
-		.body = "{\"call\":\"up\"}",
-		.timeout_ms = CALL_MS,
-	};
-	struct http_res res;
-	int status = http_call(&o, &res);
-
-	http_free(&res);
-	return status == 200;
-}
-
-static bool lab_configure(void)
-{
-	const char *const route[] = {"route",	  "add",  "desk",
-				     "--service", "desk", NULL};
-	const char *const team[] = {"team", "add", "depot", NULL};
-	char out[4096];
-
-	return ctl_run(&sys, route, out, sizeof(out)) == 0 &&
-	       ctl_run(&sys, team, out, sizeof(out)) == 0 &&
-	       ctl_grant(&sys, "depot", key, sizeof(key)) == 0;
-}
+static struct desk desk;
 
 static bool lab_start(void)
 {
@@ -62,31 +29,7 @@
 		.platform_links = true,
 	};
 
-	if (!sys_start(&sys, &o) || !lab_configure())
-		return false;
-	for (int i = 0; i < sys.n_nodes; i++) {
-		snprintf(call_urls[i], sizeof(call_urls[i]),
-			 "%s/v1/call/desk/book", sys.nodes[i].url);
-		if (!wait_until(lab_serves, call_urls[i], UP_MS))
-			return false;
-	}
-	return true;
-}
-
-static struct load *lab_load(void)
-{
-	static const char *urls[SYS_MAX_NODES];
-	struct load_opts o = {
-		.urls = urls,
-		.n_urls = sys.n_nodes,
-		.bearer = key,
-		.calls_per_s = plan.calls_per_s,
-		.timeout_ms = CALL_MS,
-	};
-
-	for (int i = 0; i < sys.n_nodes; i++)
-		urls[i] = call_urls[i];
-	return load_start(&o);
+	return desk_start(&sys, &o, &desk);
 }
 
 static void lab_line(int second, struct load *l, struct load_count *sum)
@@ -163,7 +106,7 @@
 	}
 	ok = lab_start();
 	if (ok) {
-		l = lab_load();
+		l = desk_load(&sys, &desk, "", plan.calls_per_s);
 		ok = l && lab_run(l, &sum);
 		load_stop(l);
 		ok = lab_verdict(&sum) && ok;
--- a/test/support/ctl.c
+++ b/test/support/ctl.c
@@ -50,6 +50,16 @@
 	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+bool ctl_ok(const struct sys *s, const char *const *words)
+{
+	char out[CTL_OUT];
+	int rc = ctl_run(s, words, out, sizeof(out));
+
+	if (rc != 0)
+		fprintf(stderr, "catkinctl %s: %d %s\n", words[0], rc, out);
+	return rc == 0;
+}
+
 int ctl_grant(const struct sys *s, const char *team, char *key, size_t len)
 {
 	const char *const words[] = {"key", "grant", team, NULL};
--- a/test/support/ctl.h
+++ b/test/support/ctl.h
@@ -1,6 +1,7 @@
 // Runs catkinctl against a local system.
 #pragma once
 
+#include <stdbool.h>
 #include <stddef.h>
 
 struct sys;
@@ -14,6 +15,13 @@
 int ctl_run(const struct sys *s, const char *const *words, char *out,
 	    size_t len);
 
+/// Run catkinctl and print its output on standard error if it fails.
+///
+/// @return whether it was accepted
+bool ctl_ok(const struct sys *s, const char *const *words);
+
+#define CTL_OK(sys, ...) ctl_ok(sys, (const char *const[]){__VA_ARGS__, NULL})
+
 /// Grant a key to a team.
 ///
 /// @param[out] key  key
--- a/test/support/load.c
+++ b/test/support/load.c
@@ -12,7 +12,6 @@
 #include "support/http.h"
 
 enum {
-	LOAD_CALLERS = 64,
 	US_PER_S = 1000000,
 	BODY_LEN = 96,
 };
@@ -25,6 +24,7 @@
 
 struct load {
 	struct load_opts opts;
+	const char *urls[LOAD_CALLERS];
 	struct load_caller callers[LOAD_CALLERS];
 	atomic_bool stop;
 	pthread_mutex_t lock; ///< guards what follows
@@ -132,6 +132,8 @@
 		return NULL;
 	}
 	l->opts = *opts;
+	memcpy(l->urls, opts->urls, (size_t)opts->n_urls * sizeof(*l->urls));
+	l->opts.urls = l->urls;
 	pthread_mutex_init(&l->lock, NULL);
 	for (int i = 0; i < opts->n_urls; i++) {
 		l->callers[i].load = l;
--- a/test/support/load.h
+++ b/test/support/load.h
@@ -9,11 +9,12 @@
 
 enum {
 	LOAD_LATENCIES = 65536, ///< most latencies kept
+	LOAD_CALLERS = 64,
 };
 
 struct load_opts {
 	const char *const *urls; ///< one caller for each URL
-	int n_urls; ///< at most 64
+	int n_urls; ///< at most LOAD_CALLERS
 	const char *bearer; ///< key or NULL
 	int calls_per_s; ///< of each caller
 	int timeout_ms; ///< of a call
@@ -34,7 +35,7 @@
 
 /// Start the callers.
 ///
-/// @param opts  options; copied, but for the strings
+/// @param opts  options; copied, and the list of URLs, but for the strings
 /// @return load, NULL on failure
 struct load *load_start(const struct load_opts *opts);
 
