build(proofs): run each test once, however many points it proves

Problem: make proofs ran every point's tests one after the other, and the slots' test four times. Solution: one ctest run over the union, then a verdict a point from its log; a test that is missing from the log fails its points.

--- a/tools/proofs.sh
+++ b/tools/proofs.sh
@@ -1,20 +1,22 @@
 #!/usr/bin/env bash
-# Run the proof of each promise: docs/PROOFS.md says what each one runs.
+# Run the tests that prove the promises, each once, and print a line a point:
+# docs/PROOFS.md says what each one runs.
 set -u
 cd "$(dirname "$0")/.."
 build=$1
+log=$build/proofs.log
+rows=$(grep -E '^[0-9]+\|' tools/proofs.txt)
+tests=$(cut -d'|' -f2 <<<"$rows" | tr ',' '\n' | grep -vx none | sort -u)
+ctest --test-dir "$build" -j "${JOBS:-8}" --no-tests=error \
+	-R "^($(paste -sd'|' <<<"$tests"))\$" >"$log" 2>&1
 bad=0
-while IFS='|' read -r n tests _; do
-	n=$(tr -d ' ' <<<"$n")
-	tests=$(tr -d ' ' <<<"$tests")
-	case "$n" in '' | '#'*) continue ;; esac
-	if [ "$tests" = none ]; then
-		echo "proof $n none"
-	elif ctest --test-dir "$build" -R "^($(tr ',' '|' <<<"$tests"))\$" --no-tests=error >"$build/proof.log" 2>&1; then
-		echo "proof $n pass"
-	else
-		echo "proof $n fail"
-		bad=1
-	fi
-done <tools/proofs.txt
+while IFS='|' read -r n list _; do
+	verdict=pass
+	for t in ${list//,/ }; do
+		[ "$t" = none ] && verdict=none && continue
+		grep -qE "Test +#[0-9]+: $t \.+ +Passed" "$log" || verdict=fail
+	done
+	[ "$verdict" = fail ] && bad=1
+	echo "proof $n $verdict"
+done <<<"$rows"
 exit $bad
