test(cheap): make the batch outlast the notice by more

Problem: the batch of 1,200 samples ended 1.5 s after the engines were gone. Solution: 1,800 samples; the check that it still runs at the loss stays.

--- a/test/e2e/test_cheap_lost.c
+++ b/test/e2e/test_cheap_lost.c
@@ -102,7 +102,7 @@
 			      "--step",
 			      "1",
 			      "--groups",
-			      "200",
+			      "300",
 			      "--n",
 			      "6",
 			      "--max-tokens",
