--- a/packages/rollout/include/rollout/sched.h
+++ b/packages/rollout/include/rollout/sched.h
@@ -66,9 +66,9 @@
 
 /// Take a batch in; its empty slots are generated.
 ///
-/// @param tenant   batches of one tenant share the tenant's part
+/// @param trainer   batches of one trainer share the trainer's part
 /// @return ERR_OK or ERR_NOMEM
-enum err sched_add(struct sched *s, struct home_batch *b, const void *tenant);
+enum err sched_add(struct sched *s, struct home_batch *b, const void *trainer);
 
 /// Forget a batch; its generations are cancelled.
 void sched_del(struct sched *s, struct home_batch *b);
--- a/packages/rollout/src/sched.c
+++ b/packages/rollout/src/sched.c
@@ -1,4 +1,4 @@
-// Takes batches in and picks what to start: the tenant served least goes first.
+// Takes batches in and picks what to start: the trainer served least goes first.
 #include "sched_defs.h"
 
 #include <stdlib.h>
@@ -72,42 +72,42 @@
 	return NULL;
 }
 
-struct sched_tenant *sched_tenant_of(struct sched *s, const void *key)
+struct sched_trainer *sched_trainer_of(struct sched *s, const void *key)
 {
-	for (size_t i = 0; i < s->n_tenants; i++) {
-		if (s->tenants[i].key == key)
-			return &s->tenants[i];
+	for (size_t i = 0; i < s->n_trainers; i++) {
+		if (s->trainers[i].key == key)
+			return &s->trainers[i];
 	}
 	return NULL;
 }
 
-/* A new tenant starts where the one served least is, not at zero. */
-static void sched_tenant_add(struct sched *s, const void *key)
+/* A new trainer starts where the one served least is, not at zero. */
+static void sched_trainer_add(struct sched *s, const void *key)
 {
-	struct sched_tenant *t = sched_tenant_of(s, key);
+	struct sched_trainer *t = sched_trainer_of(s, key);
 	double least = 0;
 
-	for (size_t i = 0; i < s->n_tenants; i++) {
-		if (i == 0 || s->tenants[i].served < least)
-			least = s->tenants[i].served;
+	for (size_t i = 0; i < s->n_trainers; i++) {
+		if (i == 0 || s->trainers[i].served < least)
+			least = s->trainers[i].served;
 	}
 	if (!t) {
-		t = &s->tenants[s->n_tenants++];
-		*t = (struct sched_tenant){key, least, 0};
+		t = &s->trainers[s->n_trainers++];
+		*t = (struct sched_trainer){key, least, 0};
 	}
 	t->batches++;
 }
 
-static void sched_tenant_del(struct sched *s, const void *key)
+static void sched_trainer_del(struct sched *s, const void *key)
 {
-	struct sched_tenant *t = sched_tenant_of(s, key);
+	struct sched_trainer *t = sched_trainer_of(s, key);
 
 	if (--t->batches == 0)
-		*t = s->tenants[--s->n_tenants];
+		*t = s->trainers[--s->n_trainers];
 }
 
 static struct sched_batch *sched_batch_new(struct home_batch *b,
-					   const void *tenant)
+					   const void *trainer)
 {
 	struct sched_batch *sb = calloc(1, sizeof(*sb));
 	size_t n = b->spec->n_slots;
@@ -115,7 +115,7 @@
 	if (!sb)
 		return NULL;
 	sb->b = b;
-	sb->tenant = tenant;
+	sb->trainer = trainer;
 	sb->sorted_at = SIZE_MAX;
 	sb->slots = calloc(n, sizeof(*sb->slots));
 	sb->lengths = calloc(b->spec->n_groups, sizeof(*sb->lengths));
@@ -147,25 +147,25 @@
 	return ERR_OK;
 }
 
-enum err sched_add(struct sched *s, struct home_batch *b, const void *tenant)
+enum err sched_add(struct sched *s, struct home_batch *b, const void *trainer)
 {
 	struct sched_batch *sb;
 
 	if (s->n_batches == SCHED_BATCHES)
 		return ERR_FULL;
-	sb = sched_batch_new(b, tenant);
+	sb = sched_batch_new(b, trainer);
 	if (!sb || sched_fill(sb) != ERR_OK) {
 		if (sb)
 			sched_batch_free(sb);
 		return ERR_NOMEM;
 	}
 	sched_sort(s, sb);
-	sched_tenant_add(s, tenant);
+	sched_trainer_add(s, trainer);
 	s->batches[s->n_batches++] = sb;
 	return ERR_OK;
 }
 
-/* The others keep their order: earlier batches of a tenant go first. */
+/* The others keep their order: earlier batches of a trainer go first. */
 static void sched_forget(struct sched *s, const struct sched_batch *sb)
 {
 	size_t kept = 0;
@@ -186,7 +186,7 @@
 	for (uint32_t i = 0; i < b->spec->n_slots; i++)
 		sched_cancel_slot(s, sb, i);
 	sched_forget(s, sb);
-	sched_tenant_del(s, sb->tenant);
+	sched_trainer_del(s, sb->trainer);
 	sched_batch_free(sb);
 }
 
@@ -254,7 +254,7 @@
 
 	for (size_t i = 0; i < s->n_batches; i++) {
 		struct sched_batch *sb = s->batches[i];
-		double served = sched_tenant_of(s, sb->tenant)->served;
+		double served = sched_trainer_of(s, sb->trainer)->served;
 
 		if ((best && served >= least) || !sched_may_start(sb, now_ms))
 			continue;
--- a/packages/rollout/src/sched_defs.h
+++ b/packages/rollout/src/sched_defs.h
@@ -31,7 +31,7 @@
 
 struct sched_batch {
 	struct home_batch *b;
-	const void *tenant;
+	const void *trainer;
 	struct sched_slot *slots;
 	struct sched_length *lengths; ///< by group
 	uint32_t *group; ///< by slot: index of its group
@@ -57,7 +57,7 @@
 	char avoid[SCHED_SERVER];
 };
 
-struct sched_tenant {
+struct sched_trainer {
 	const void *key;
 	double served; ///< tokens, expected ones of what runs included
 	size_t batches;
@@ -67,8 +67,8 @@
 	struct sched_opts opts;
 	struct sched_batch *batches[SCHED_BATCHES];
 	size_t n_batches;
-	struct sched_tenant tenants[SCHED_BATCHES];
-	size_t n_tenants;
+	struct sched_trainer trainers[SCHED_BATCHES];
+	size_t n_trainers;
 	struct htab *runs;
 	size_t queued; ///< runs without a token
 	int64_t hold_until_ms; ///< nothing is started before this time
@@ -84,7 +84,7 @@
 /// Note a finished length.
 void sched_learn(struct sched_batch *sb, uint32_t slot, size_t tokens);
 
-struct sched_tenant *sched_tenant_of(struct sched *s, const void *key);
+struct sched_trainer *sched_trainer_of(struct sched *s, const void *key);
 
 struct sched_batch *sched_find(const struct sched *s,
 			       const struct home_batch *b);
--- a/packages/rollout/src/sched_run.c
+++ b/packages/rollout/src/sched_run.c
@@ -48,7 +48,7 @@
 	s->stats.started++;
 	s->stats.hedged += hedge;
 	s->stats.resumed += so_far->n > 0;
-	sched_tenant_of(s, sb->tenant)->served += (double)start.cost;
+	sched_trainer_of(s, sb->trainer)->served += (double)start.cost;
 	s->opts.ops->start(s->opts.ctx, &start);
 	return true;
 }
@@ -60,7 +60,7 @@
 	double cost = (double)sched_cost(run->sb, run->slot, &so_far);
 	double made = (double)(run->sample.n - run->base);
 
-	sched_tenant_of(s, run->sb->tenant)->served += made - cost;
+	sched_trainer_of(s, run->sb->trainer)->served += made - cost;
 }
 
 void sched_run_del(struct sched *s, htab_handle h)
