--- a/test/e2e/test_e2e_keys.c
+++ b/test/e2e/test_e2e_keys.c
@@ -20,6 +20,7 @@
 #include "support/http.h"
 #include "support/link.h"
 #include "support/sys.h"
+#include "test_e2e_keys/keyring.h"
 
 enum {
 	STOP_MS = 3000, ///< a withdrawn key stops within this where connected
@@ -27,13 +28,10 @@
 	SLACK_MS = 1500, ///< of the machine and the test's own polling
 	UP_MS = 30000,
 	ROUNDS = 15, ///< keys withdrawn for the distribution
-	KEYS_MAX = 64,
 };
 
 static struct sys sys;
-static struct key_record records[KEYS_MAX];
-static char texts[KEYS_MAX][KEY_TEXT_LEN + 1];
-static int n_keys;
+static struct keyring ring;
 static int next_id;
 static char trace_dir[256];
 
@@ -60,21 +58,21 @@
 /// @return its index
 static int grant(int node, const char *team)
 {
-	struct key_record *r = &records[n_keys];
+	struct key_record *r = &ring.records[ring.n];
 
-	assert_int_equal(key_make(r, texts[n_keys]), ERR_OK);
+	assert_int_equal(key_make(r, ring.texts[ring.n]), ERR_OK);
 	assert_int_equal(
 		edit(node, json_pack("{s:s,s:s,s:s,s:s,s:s}", "op", "key-grant",
 				     "key", r->id, "team", team, "salt",
 				     r->salt, "hash", r->hash)),
 		200);
-	return n_keys++;
+	return ring.n++;
 }
 
 static int withdraw(int node, int key)
 {
 	return edit(node, json_pack("{s:s,s:s}", "op", "key-withdraw", "key",
-				    records[key].id));
+				    ring.records[key].id));
 }
 
 /// Call a route of the desk.
@@ -169,7 +167,7 @@
 			   0, NULL));
 	grant(0, "a");
 	for (int i = 0; i < sys.n_nodes; i++)
-		assert_answers(i, "desk", texts[0], 200, UP_MS);
+		assert_answers(i, "desk", ring.texts[0], 200, UP_MS);
 	return 0;
 }
 
@@ -186,10 +184,10 @@
 	char forged[KEY_TEXT_LEN + 1];
 	char code[64];
 
-	assert_answers(1, "kept", texts[b], 200, UP_MS);
-	snprintf(forged, sizeof(forged), "%s", texts[0]);
+	assert_answers(1, "kept", ring.texts[b], 200, UP_MS);
+	snprintf(forged, sizeof(forged), "%s", ring.texts[0]);
 	forged[KEY_TEXT_LEN - 3] ^= 1;
-	assert_int_equal(call(1, "desk", texts[0], NULL), 200);
+	assert_int_equal(call(1, "desk", ring.texts[0], NULL), 200);
 	assert_int_equal(call(1, "public", NULL, NULL), 200);
 	assert_int_equal(call(1, "desk", NULL, code), 401);
 	assert_string_equal(code, "key-missing");
@@ -197,7 +195,7 @@
 	assert_string_equal(code, "key-unknown");
 	assert_int_equal(call(1, "desk", forged, code), 401);
 	assert_string_equal(code, "key-unknown");
-	assert_int_equal(call(1, "desk", texts[b], code), 403);
+	assert_int_equal(call(1, "desk", ring.texts[b], code), 403);
 	assert_string_equal(code, "key-team");
 	assert_int_equal(call(1, "public", forged, code), 401);
 }
@@ -246,11 +244,11 @@
 	int by = (i + 1) % sys.n_nodes;
 	int key = grant(by, "a");
 	struct curl_slist *list;
-	CURL *h = kept_open(at, texts[key], &list);
+	CURL *h = kept_open(at, ring.texts[key], &list);
 	int64_t begin;
 	int ms;
 
-	assert_answers(at, "desk", texts[key], 200, UP_MS);
+	assert_answers(at, "desk", ring.texts[key], 200, UP_MS);
 	assert_int_equal(call_kept(h), 200);
 	assert_int_equal(withdraw(by, key), 200);
 	begin = clock_now_ms();
@@ -303,7 +301,7 @@
 static void test_running_stream(void **state)
 {
 	int key = grant(0, "a");
-	struct stream s = {.key = texts[key]};
+	struct stream s = {.key = ring.texts[key]};
 	int64_t begin;
 
 	pthread_create(&s.thread, NULL, run_stream, &s);
@@ -346,16 +344,16 @@
 static void test_running_call(void **state)
 {
 	int key = grant(0, "a");
-	struct stream s = {.key = texts[key]};
+	struct stream s = {.key = ring.texts[key]};
 
-	assert_answers(0, "desk", texts[key], 200, UP_MS);
+	assert_answers(0, "desk", ring.texts[key], 200, UP_MS);
 	slow_desks();
 	pthread_create(&s.thread, NULL, run_slow_call, &s);
 	usleep(500000);
 	assert_int_equal(withdraw(1, key), 200);
 	pthread_join(s.thread, NULL);
 	assert_int_equal(s.res.status, 200);
-	assert_answers(0, "desk", texts[key], 401, STOP_MS);
+	assert_answers(0, "desk", ring.texts[key], 401, STOP_MS);
 }
 
 /// An outage of the store alone refuses nobody.
@@ -376,7 +374,8 @@
 	end = clock_now_ms() + 3 * GRACE_MS;
 	while (clock_now_ms() < end) {
 		for (int i = 0; i < sys.n_nodes; i++)
-			assert_int_equal(call(i, "desk", texts[0], NULL), 200);
+			assert_int_equal(call(i, "desk", ring.texts[0], NULL),
+					 200);
 		usleep(100000);
 	}
 	json_decref(http_json("DELETE", url, NULL, NULL, NULL));
@@ -391,7 +390,7 @@
 	int64_t last_ok = 0;
 	char code[64];
 
-	assert_answers(2, "desk", texts[key], 200, UP_MS);
+	assert_answers(2, "desk", ring.texts[key], 200, UP_MS);
 	proc_signal(&sys.nodes[2].proc, SIGSTOP);
 	assert_int_equal(withdraw(0, key), 200);
 	withdrawn = clock_now_ms();
@@ -400,7 +399,7 @@
 	proc_signal(&sys.nodes[1].proc, SIGSTOP);
 	proc_signal(&sys.nodes[2].proc, SIGCONT);
 	while (clock_now_ms() - withdrawn < 2 * GRACE_MS + SLACK_MS) {
-		if (call(2, "desk", texts[key], code) == 200)
+		if (call(2, "desk", ring.texts[key], code) == 200)
 			last_ok = clock_now_ms();
 		usleep(20000);
 	}
@@ -412,53 +411,12 @@
 	assert_int_equal(call(2, "public", NULL, NULL), 200);
 	/* the naive way, to serve on, is what the excepted route does: there
 	 * the withdrawn key still works */
-	assert_int_equal(call(2, "kept", texts[key], NULL), 200);
+	assert_int_equal(call(2, "kept", ring.texts[key], NULL), 200);
 	link_set(sys.nodes[2].link, LINK_PASS);
 	proc_signal(&sys.nodes[0].proc, SIGCONT);
 	proc_signal(&sys.nodes[1].proc, SIGCONT);
-	assert_answers(2, "desk", texts[key], 401, UP_MS);
-	assert_answers(2, "desk", texts[0], 200, UP_MS);
-}
-
-/// Whether a text holds a secret, salt or hash of any key.
-static bool holds_secret(const char *text)
-{
-	for (int i = 0; i < n_keys; i++) {
-		const char *secret = texts[i] + KEY_TEXT_LEN - KEY_SECRET_LEN;
-
-		if (strstr(text, secret) || strstr(text, records[i].hash) ||
-		    strstr(text, records[i].salt))
-			return true;
-	}
-	return false;
-}
-
-static void assert_file_clean(const char *path)
-{
-	FILE *f = fopen(path, "r");
-	char line[8192];
-	size_t lines = 0;
-
-	assert_non_null(f);
-	while (fgets(line, sizeof(line), f)) {
-		lines++;
-		if (holds_secret(line))
-			fail_msg("%s: %s", path, line);
-	}
-	fclose(f);
-	print_message("%s: %zu lines clean\n", path, lines);
-}
-
-static void assert_url_clean(const char *base, const char *path)
-{
-	char url[192];
-	struct http_opts o = {.method = "GET", .url = url};
-	struct http_res res;
-
-	snprintf(url, sizeof(url), "%s%s", base, path);
-	assert_int_equal(http_call(&o, &res), 200);
-	assert_false(holds_secret(res.body));
-	http_free(&res);
+	assert_answers(2, "desk", ring.texts[key], 401, UP_MS);
+	assert_answers(2, "desk", ring.texts[0], 200, UP_MS);
 }
 
 static void assert_server_clean(const struct sys_server *v)
@@ -484,16 +442,17 @@
 	static const char *const pages[] = {"/metrics", "/admin/status",
 					    "/admin/conf", "/admin/usage"};
 
-	assert_true(holds_secret(texts[0])); /* the search itself works */
-	assert_true(holds_secret(records[1].hash));
+	assert_true(keyring_in_text(
+		&ring, ring.texts[0])); /* the search itself works */
+	assert_true(keyring_in_text(&ring, ring.records[1].hash));
 	for (int i = 0; i < sys.n_nodes; i++) {
-		assert_file_clean(sys.nodes[i].proc.log);
+		keyring_assert_file(&ring, sys.nodes[i].proc.log);
 		for (size_t k = 0; k < sizeof(pages) / sizeof(pages[0]); k++)
-			assert_url_clean(sys.nodes[i].admin, pages[k]);
+			keyring_assert_url(&ring, sys.nodes[i].admin, pages[k]);
 	}
-	assert_file_clean(trace_dir);
+	keyring_assert_file(&ring, trace_dir);
 	for (int i = 0; i < sys.n_servers; i++) {
-		assert_file_clean(sys.servers[i].proc.log);
+		keyring_assert_file(&ring, sys.servers[i].proc.log);
 		assert_server_clean(&sys.servers[i]);
 	}
 }
