test(key): a waiting request is refused once its key is withdrawn

Solution: test_key_queued holds the only slot for 20 s and withdraws the key of the call behind it: 401 and 'not run' while the slot is held.

--- /dev/null
+++ b/test/e2e/test_key_queued.c
@@ -0,0 +1,154 @@
+// A request that waits for a slot is refused as soon as its key is withdrawn.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+#include <jansson.h>
+
+#include "support/ctl.h"
+#include "support/desk.h"
+#include "support/http.h"
+#include "support/sys.h"
+
+enum {
+	SLOW_MS = 20000, ///< of the call that holds the only slot
+	WAIT_MS = 30000,
+};
+
+struct caller {
+	const char *key;
+	pthread_t thread;
+	struct http_res res;
+};
+
+static struct sys sys;
+static struct desk desk;
+static char other[DESK_KEY]; ///< second key of the team
+
+static void *call(void *arg)
+{
+	struct caller *me = arg;
+	struct http_opts o = {
+		.method = "POST",
+		.url = desk.urls[0],
+		.bearer = me->key,
+		.body = "{\"call\":\"queued\"}",
+		.timeout_ms = WAIT_MS,
+	};
+
+	http_call(&o, &me->res);
+	return NULL;
+}
+
+static int waiting(void)
+{
+	char url[96];
+	json_t *status;
+	json_t *pools;
+	json_t *p;
+	size_t i;
+	int n = 0;
+
+	snprintf(url, sizeof(url), "%s/admin/status", sys.nodes[0].admin);
+	status = http_json("GET", url, NULL, NULL, NULL);
+	pools = json_object_get(json_object_get(status, "work"), "pools");
+	json_array_foreach(pools, i, p)
+		n += (int)json_integer_value(json_object_get(p, "waiting"));
+	json_decref(status);
+	return n;
+}
+
+static bool one_waits(void *ctx)
+{
+	return waiting() == 1;
+}
+
+static bool server_busy(void *ctx)
+{
+	char url[96];
+	json_t *status;
+	json_t *servers;
+	int in_use;
+
+	snprintf(url, sizeof(url), "%s/admin/status", sys.nodes[0].admin);
+	status = http_json("GET", url, NULL, NULL, NULL);
+	servers = json_object_get(json_object_get(status, "work"), "servers");
+	in_use = (int)json_integer_value(
+		json_object_get(json_array_get(servers, 0), "in_use"));
+	json_decref(status);
+	return in_use == 1;
+}
+
+static void slow_desk(void)
+{
+	char url[96];
+	char body[96];
+	int status;
+
+	snprintf(url, sizeof(url), "%s/fake/fault", sys.servers[0].url);
+	snprintf(body, sizeof(body),
+		 "{\"mode\":\"slow\",\"count\":1,\"delay_ms\":%d}", SLOW_MS);
+	json_decref(http_json("POST", url, NULL, body, &status));
+	assert_int_equal(status, 200);
+}
+
+static void test_queued(void **state)
+{
+	struct caller first = {.key = desk.key};
+	struct caller second = {.key = other};
+	char id[64];
+
+	slow_desk();
+	pthread_create(&first.thread, NULL, call, &first);
+	assert_true(wait_until(server_busy, NULL, WAIT_MS));
+	pthread_create(&second.thread, NULL, call, &second);
+	assert_true(wait_until(one_waits, NULL, WAIT_MS));
+	snprintf(id, sizeof(id), "%.*s", (int)strcspn(other + 3, "_"),
+		 other + 3);
+	assert_true(CTL_OK(&sys, "key", "withdraw", id));
+	pthread_join(second.thread, NULL);
+	/* Refused for its key, and not since the slot was free or the pool
+	 * stalled. */
+	assert_int_equal(second.res.status, 401);
+	assert_non_null(strstr(second.res.body, "\"key-withdrawn\""));
+	assert_string_equal(second.res.run, "no");
+	assert_true(server_busy(NULL));
+	http_free(&second.res);
+	/* The first call ends with the desk; its outcome is not asked here. */
+	proc_kill(&sys.servers[0].proc);
+	pthread_join(first.thread, NULL);
+	http_free(&first.res);
+}
+
+static int start(void **state)
+{
+	const struct sys_opts o = {
+		.domains = 1,
+		.nodes_per_domain = 1,
+		.services_per_domain = 1,
+	};
+
+	assert_true(desk_start(&sys, &o, &desk));
+	assert_true(CTL_OK(&sys, "set", "slot.max", "1"));
+	assert_int_equal(ctl_grant(&sys, "depot", other, sizeof(other)), 0);
+	return 0;
+}
+
+static int stop(void **state)
+{
+	sys_stop(&sys);
+	return 0;
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_queued),
+	};
+
+	return cmocka_run_group_tests(tests, start, stop);
+}
