build(make): install what is missing before tests and benches too

Problem: README says that make test works from an empty machine, but only make run installed the packages. Solution: test, bench and proofs depend on deps, which does nothing once they are there.

--- a/Makefile
+++ b/Makefile
@@ -25,13 +25,13 @@
 run: deps build
 	@tools/run.sh
 
-test: build-san
+test: deps build-san
 	@tools/test.sh build/san
 
-bench: build
+bench: deps build
 	@tools/bench.sh build/release
 
-proofs: build-san
+proofs: deps build-san
 	@tools/proofs.sh build/san
 
 lint:
