--- a/packages/core/include/core/core.h
+++ b/packages/core/include/core/core.h
@@ -15,6 +15,8 @@
 struct http_ops;
 struct upstream_ops;
 struct peer_ops;
+struct http_pair;
+struct wire_ops;
 
 struct core_opts {
 	struct settings *settings; ///< outlives the core; changed by a reload
@@ -22,7 +24,9 @@
 	const struct http_ops *http; ///< NULL for the usual one
 	const struct upstream_ops *upstream; ///< NULL for the usual one
 	const struct peer_ops *peer; ///< NULL for the usual one
-	const struct core_mod_ops *const *mods; ///< MOD_COUNT entries
+	/// MOD_COUNT entries; NULL for those that this system does without.
+	const struct core_mod_ops *const *mods;
+	const struct wire_ops *wire; ///< outside platform's wire, or NULL
 };
 
 /// Create the loop and its edges; opens the listeners.
@@ -76,6 +80,12 @@
 /// @return what its start() stored, NULL before that
 void *core_mod_state(const struct core *c, enum core_mod m);
 
+/// Wire of the outside platform, NULL for the project's own.
+const struct wire_ops *core_wire(const struct core *c);
+
+/// Whether every module of this node can take work.
+bool core_ready(const struct core *c);
+
 /// True from SIGTERM on.
 bool core_draining(const struct core *c);
 
@@ -98,6 +108,11 @@
 /// Authorization is never among them: see core_req.bearer.
 const char *core_req_header(const struct core_req *r, const char *name);
 
+/// All header fields of a request but Authorization.
+///
+/// @param[out] n  count
+const struct http_pair *core_req_headers(const struct core_req *r, size_t *n);
+
 /// Value of a query parameter; NULL if absent.
 const char *core_req_query(const struct core_req *r, const char *name);
 
--- a/packages/core/include/core/core_defs.h
+++ b/packages/core/include/core/core_defs.h
@@ -47,6 +47,8 @@
 	void *ctx;
 };
 
+struct upstream_head;
+
 /// Outcome of an outgoing request.
 struct core_fetch_result {
 	enum err
@@ -56,6 +58,7 @@
 	const char *body; ///< whole body, NULL when it was streamed
 	size_t body_len; ///< bytes
 	const char *ctype; ///< Content-Type, "" if none
+	const struct upstream_head *head; ///< with want_head, else empty
 	int64_t total_us; ///< microseconds from start to end
 };
 
@@ -71,6 +74,11 @@
 	size_t max_body; ///< bytes; 0 for the setting's value
 	bool fresh; ///< use a new connection
 	const struct trace_ctx *trace; ///< sent as traceparent if not NULL
+	bool want_head; ///< keep the answer's header fields
+	/// Status and header fields, before any byte of a streamed body; only
+	/// with want_head and on_data, and not for an answer without a body.
+	void (*on_head)(struct core *c, void *ctx, int status,
+			const struct upstream_head *head);
 	/// Streamed body; NULL to have it whole in on_done.
 	void (*on_data)(struct core *c, void *ctx, const char *data,
 			size_t len);
@@ -90,6 +98,12 @@
 	MOD_USAGE,
 	MOD_WORK,
 	MOD_ROLLOUT,
+	MOD_SITE,
+	MOD_LEAD,
+	MOD_TALLY,
+	MOD_JOB,
+	MOD_ORDER,
+	MOD_FRONT,
 	MOD_COUNT
 };
 
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -46,6 +46,11 @@
 	return c->mod_states[m];
 }
 
+const struct wire_ops *core_wire(const struct core *c)
+{
+	return c->opts.wire;
+}
+
 bool core_draining(const struct core *c)
 {
 	return c->phase != CORE_SERVING;
@@ -107,11 +112,26 @@
 	return c->opts.peer->start(&opts, &c->peer);
 }
 
+static enum err absent_start(struct core *c, void **state)
+{
+	return ERR_OK;
+}
+
+/* Stands in the place of a module that this system does without. */
+static const struct core_mod_ops absent = {
+	.name = "absent",
+	.start = absent_start,
+};
+
 static enum err start_mods(struct core *c)
 {
 	for (int i = 0; i < MOD_COUNT; i++) {
-		const struct core_mod_ops *m = c->opts.mods[i];
-		enum err e = m->start(c, &c->mod_states[i]);
+		const struct core_mod_ops *m =
+			c->opts.mods[i] ? c->opts.mods[i] : &absent;
+		enum err e;
+
+		c->mods[i] = m;
+		e = m->start(c, &c->mod_states[i]);
 
 		if (e != ERR_OK) {
 			log_event(EV_FATAL, "module=%s error=%s", m->name,
@@ -160,7 +180,7 @@
 {
 	enum err e = start_edge("upstream", start_upstream(c));
 
-	if (e == ERR_OK)
+	if (e == ERR_OK && *settings_str(c->opts.settings, S_PEER_LISTEN))
 		e = start_edge("peer", start_peer(c));
 	if (e == ERR_OK)
 		e = core_status_routes(c);
@@ -210,8 +230,8 @@
 	while (c->n_started > 0) {
 		int i = --c->n_started;
 
-		if (c->opts.mods[i]->stop)
-			c->opts.mods[i]->stop(c, c->mod_states[i]);
+		if (c->mods[i]->stop)
+			c->mods[i]->stop(c, c->mod_states[i]);
 		c->mod_states[i] = NULL;
 	}
 }
--- a/packages/core/src/core.h
+++ b/packages/core/src/core.h
@@ -38,6 +38,8 @@
 
 struct fetch_entry {
 	struct upstream_call *call;
+	void (*on_head)(struct core *c, void *ctx, int status,
+			const struct upstream_head *head);
 	void (*on_data)(struct core *c, void *ctx, const char *data,
 			size_t len);
 	void (*on_done)(struct core *c, void *ctx,
@@ -83,6 +85,7 @@
 	struct core_peer *peers;
 	size_t n_peers;
 	size_t peers_cap;
+	const struct core_mod_ops *mods[MOD_COUNT]; ///< none is NULL
 	void *mod_states[MOD_COUNT];
 	int n_started; ///< modules that started
 };
--- a/packages/core/src/fetch.c
+++ b/packages/core/src/fetch.c
@@ -5,7 +5,7 @@
 #include "core.h"
 
 enum {
-	FETCH_HEADERS = 32, ///< most headers of an outgoing request
+	FETCH_HEADERS = 96, ///< most headers of an outgoing request
 };
 
 /// Headers of the call with the span's traceparent added.
@@ -61,6 +61,7 @@
 				    : (size_t)settings_int(s, S_UP_MAX_BODY),
 		.fresh = o->fresh,
 		.streamed = o->on_data != NULL,
+		.want_head = o->want_head,
 	};
 }
 
@@ -80,6 +81,7 @@
 		htab_del(c->fetches, id);
 		return ERR_CLOSED;
 	}
+	f->on_head = opts->on_head;
 	f->on_data = opts->on_data;
 	f->on_done = opts->on_done;
 	f->ctx = opts->ctx;
@@ -121,6 +123,7 @@
 		.body = r->body,
 		.body_len = r->body_len,
 		.ctype = r->ctype,
+		.head = &r->head,
 		.total_us = r->total_us,
 	};
 	char detail[64];
@@ -135,10 +138,12 @@
 
 void core_fetch_end_all(struct core *c)
 {
+	static const struct upstream_head no_head;
 	static const struct core_fetch_result res = {
 		.err = ERR_CLOSED,
 		.sent = true,
 		.ctype = "",
+		.head = &no_head,
 	};
 	struct fetch_entry *f;
 	htab_handle h;
@@ -159,7 +164,9 @@
 
 	if (f && f->call != ev->call)
 		f = NULL;
-	if (f && ev->kind == UPSTREAM_DATA && f->on_data)
+	if (f && ev->kind == UPSTREAM_HEAD && f->on_head)
+		f->on_head(c, f->ctx, ev->status, ev->head);
+	else if (f && ev->kind == UPSTREAM_DATA && f->on_data)
 		f->on_data(c, f->ctx, ev->data, ev->len);
 	else if (f && ev->kind == UPSTREAM_DONE)
 		fetch_done(c, f, ev);
--- a/packages/core/src/loop.c
+++ b/packages/core/src/loop.c
@@ -95,8 +95,8 @@
 	static const int64_t poll_ms = LOOP_POLL_TICKS * CORE_TICK_MS;
 
 	for (int i = 0; i < c->n_started; i++) {
-		if (c->opts.mods[i]->tick)
-			c->opts.mods[i]->tick(c, c->mod_states[i], c->now_ms);
+		if (c->mods[i]->tick)
+			c->mods[i]->tick(c, c->mod_states[i], c->now_ms);
 	}
 	if (c->now_ms / poll_ms != (c->now_ms - CORE_TICK_MS) / poll_ms)
 		c->opts.http->poll(c->http, c->now_ms);
@@ -171,16 +171,16 @@
 	log_event(EV_DRAIN, "requests=%u", c->opts.http->open(c->http));
 	c->opts.http->drain(c->http);
 	for (int i = 0; i < c->n_started; i++) {
-		if (c->opts.mods[i]->drain)
-			c->opts.mods[i]->drain(c, c->mod_states[i]);
+		if (c->mods[i]->drain)
+			c->mods[i]->drain(c, c->mod_states[i]);
 	}
 }
 
 static bool all_idle(struct core *c)
 {
 	for (int i = 0; i < c->n_started; i++) {
-		if (c->opts.mods[i]->idle &&
-		    !c->opts.mods[i]->idle(c, c->mod_states[i]))
+		if (c->mods[i]->idle &&
+		    !c->mods[i]->idle(c, c->mod_states[i]))
 			return false;
 	}
 	return c->opts.http->open(c->http) == 0;
--- a/packages/core/src/req.c
+++ b/packages/core/src/req.c
@@ -31,6 +31,14 @@
 	return http_req_header(((const struct req_entry *)r)->http, name);
 }
 
+const struct http_pair *core_req_headers(const struct core_req *r, size_t *n)
+{
+	const struct http_req *http = ((const struct req_entry *)r)->http;
+
+	*n = http->n_headers;
+	return http->headers;
+}
+
 const char *core_req_query(const struct core_req *r, const char *name)
 {
 	return http_req_query(((const struct req_entry *)r)->http, name);
@@ -210,6 +218,17 @@
 	free(text);
 }
 
+/* Whole seconds as HTTP has it; an outside platform's callers read fractions. */
+static void retry_after_text(const struct core *c, int64_t ms, char *buf,
+			     size_t len)
+{
+	if (core_wire(c))
+		snprintf(buf, len, "%.2f", (double)ms / MS_PER_S);
+	else
+		snprintf(buf, len, "%lld",
+			 (long long)((ms + MS_PER_S - 1) / MS_PER_S));
+}
+
 void core_reply_err(struct core *c, htab_handle h, enum err e,
 		    enum run_state run, int64_t retry_after_ms,
 		    const char *detail)
@@ -224,9 +243,7 @@
 	r->outcome = err_code(e);
 	core_reply_header(c, h, "Catkin-Run", run_state_name(run));
 	if (retry_after_ms > 0) {
-		snprintf(seconds, sizeof(seconds), "%lld",
-			 (long long)((retry_after_ms + MS_PER_S - 1) /
-				     MS_PER_S));
+		retry_after_text(c, retry_after_ms, seconds, sizeof(seconds));
 		core_reply_header(c, h, "Retry-After", seconds);
 	}
 	text = http_err_body(e, run, retry_after_ms, detail);
--- a/packages/core/src/status.c
+++ b/packages/core/src/status.c
@@ -13,6 +13,19 @@
 	core_reply(c, r->h, 200, "text/plain", "ok\n", 3);
 }
 
+bool core_ready(const struct core *c)
+{
+	if (core_draining(c))
+		return false;
+	for (int i = 0; i < c->n_started; i++) {
+		const struct core_mod_ops *m = c->mods[i];
+
+		if (m->ready && !m->ready((struct core *)c, c->mod_states[i]))
+			return false;
+	}
+	return true;
+}
+
 static void on_ready(struct core *c, struct core_req *r, void *ctx)
 {
 	json_t *obj = json_object();
@@ -21,7 +34,7 @@
 	if (core_draining(c))
 		json_array_append_new(waiting, json_string("draining"));
 	for (int i = 0; i < c->n_started; i++) {
-		const struct core_mod_ops *m = c->opts.mods[i];
+		const struct core_mod_ops *m = c->mods[i];
 
 		if (m->ready && !m->ready(c, c->mod_states[i]))
 			json_array_append_new(waiting, json_string(m->name));
@@ -57,7 +70,7 @@
 		(json_int_t)htab_count(c->fetches));
 
 	for (int i = 0; i < c->n_started; i++) {
-		const struct core_mod_ops *m = c->opts.mods[i];
+		const struct core_mod_ops *m = c->mods[i];
 		json_t *part;
 
 		if (!m->status)
@@ -81,7 +94,12 @@
 	};
 
 	for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
-		enum err e = core_route_draining(c, &routes[i]);
+		enum err e;
+
+		/* Behind an adapter every path of that listener is the callers'. */
+		if (c->opts.wire && routes[i].listener == CORE_PUBLIC)
+			continue;
+		e = core_route_draining(c, &routes[i]);
 
 		if (e != ERR_OK)
 			return e;
--- /dev/null
+++ b/packages/daemon/include/daemon/job_mod.h
@@ -0,0 +1,24 @@
+// Batches that are kept in the platform's store: taken by any node, run by one,
+// read at every node.
+#pragma once
+
+#include "core/core.h"
+#include "wire/front.h"
+
+/// Take a batch and answer its request.
+///
+/// @param req   request to be answered
+/// @param id    batch's id
+/// @param host  of its route
+/// @param team  its team
+void job_mod_submit(struct core *c, struct core_req *req, const char *id,
+		    const char *host, const char *team);
+
+/// Answer a read of results, of an item's body, or the end of a batch.
+///
+/// @param call     what is asked
+/// @param wait_ms  longest time that a read of results may wait
+/// @param team     team of the caller's key
+void job_mod_call(struct core *c, struct core_req *req,
+		  const struct front_call *call, int64_t wait_ms,
+		  const char *team);
--- /dev/null
+++ b/packages/daemon/include/daemon/lead_mod.h
@@ -0,0 +1,19 @@
+// Who leads, and which nodes are alive, by leases in the platform's store.
+//
+// One node at a time leads: it gives orders, reports usage and takes over what
+// lost nodes left. Any node that is alive holds a liveness key that names its
+// process's run.
+#pragma once
+
+#include "core/core.h"
+
+/// Whether this node leads now.
+///
+/// @param[out] epoch  fencing number, may be NULL
+bool lead_mod_held(struct core *c, uint64_t *epoch);
+
+/// Whether this node's liveness key surely stands in the store.
+bool lead_mod_alive(struct core *c);
+
+/// Give the liveness key up before its time: others take over this node's work.
+void lead_mod_leave(struct core *c);
--- a/packages/daemon/include/daemon/mods.h
+++ b/packages/daemon/include/daemon/mods.h
@@ -12,5 +12,17 @@
 extern const struct core_mod_ops work_mod_ops;
 extern const struct core_mod_ops rollout_mod_ops;
 
-/// All modules, in the order of enum core_mod.
+extern const struct core_mod_ops site_mod_ops;
+extern const struct core_mod_ops lead_mod_ops;
+extern const struct core_mod_ops tally_mod_ops;
+extern const struct core_mod_ops job_mod_ops;
+extern const struct core_mod_ops order_mod_ops;
+extern const struct core_mod_ops front_mod_ops;
+
+/// Modules of a system that agrees through the platform's store alone: its
+/// platform, callers and servers speak what an adapter translates.
+extern const struct core_mod_ops *const daemon_site_mods[MOD_COUNT];
+
+/// Modules of a system that speaks the project's own protocols, in the order of
+/// enum core_mod.
 extern const struct core_mod_ops *const daemon_mods[MOD_COUNT];
--- a/packages/daemon/include/daemon/platform_mod.h
+++ b/packages/daemon/include/daemon/platform_mod.h
@@ -2,26 +2,7 @@
 #pragma once
 
 #include "core/core.h"
-
-struct kv_item {
-	const char *key;
-	const char *value; ///< NUL-terminated as well
-	size_t len; ///< bytes
-	uint64_t rev; ///< revision of the last change
-};
-
-struct kv_result {
-	enum err err; ///< ERR_OK; ERR_KV_CONFLICT; ERR_NOT_FOUND; ERR_KV_LEASE;
-		///< ERR_KV_UNKNOWN: the call may have taken effect;
-		///< ERR_KV_DOWN: it surely did not
-	uint64_t rev; ///< store's revision, or that of the key after a put
-	const struct kv_item *items;
-	size_t n_items;
-	const char *const *deleted; ///< keys that a watch saw go
-	size_t n_deleted;
-	uint64_t lease; ///< of kv_lease_grant()
-	int64_t ttl_ms; ///< of grant and renew, counted from core_now() at the call
-};
+#include "wire/store.h"
 
 struct kv_put_opts {
 	const char *key;
@@ -39,6 +20,10 @@
 
 enum err kv_get(struct core *c, const char *key, struct kv_cb cb);
 enum err kv_list(struct core *c, const char *prefix, struct kv_cb cb);
+
+/// List the keys of a prefix after one of them, when a list left some out.
+enum err kv_list_from(struct core *c, const char *prefix, const char *from,
+		      struct kv_cb cb);
 enum err kv_put(struct core *c, const struct kv_put_opts *opts,
 		struct kv_cb cb);
 enum err kv_del(struct core *c, const char *key, uint64_t prev_rev,
@@ -60,3 +45,8 @@
 ///
 /// @return clock_now_ms() time, 0 for never
 int64_t kv_last_contact(struct core *c);
+
+/// Since when the store answers without a failed call in between.
+///
+/// @return clock_now_ms() time, 0 while it does not answer
+int64_t kv_back_since(struct core *c);
--- /dev/null
+++ b/packages/daemon/include/daemon/site_mod.h
@@ -0,0 +1,42 @@
+// What operators, trainers and backend servers publish in the platform's store,
+// as this node knows it.
+#pragma once
+
+#include "core/core.h"
+#include "site/conf.h"
+#include "site/server.h"
+
+/// Configuration in force; valid until the next event.
+///
+/// @return configuration, NULL before the first
+const struct site_conf *site_mod_conf(struct core *c);
+
+/// Whether keys may be trusted: the configuration was confirmed lately.
+bool site_mod_fresh(struct core *c);
+
+/// Milliseconds since the configuration was confirmed.
+int64_t site_mod_age(struct core *c);
+
+/// Servers known; entries stay until their handles are stale.
+struct site_servers *site_mod_servers(struct core *c);
+
+/// Newest weight version that a trainer named.
+///
+/// @return version, 0 if none was named
+uint64_t site_mod_weights(struct core *c, const char *model);
+
+/// Check a caller's key.
+///
+/// @param route      route, NULL for calls that are bound to a team alone
+/// @param bearer     key, may be NULL
+/// @param[out] team  name, "" on an open route without a key
+/// @return ERR_OK, ERR_CONF_NONE, ERR_CONF_CUT_OFF, ERR_KEY_MISSING or
+///         ERR_KEY_UNKNOWN
+enum err site_mod_auth(struct core *c, const struct site_route *route,
+		       const char *bearer, char team[SITE_NAME]);
+
+/// Models that some trainer named a version of.
+///
+/// @param i  index from 0
+/// @return model, NULL past the end
+const char *site_mod_model(struct core *c, int i);
--- /dev/null
+++ b/packages/daemon/src/front/front_mod.c
@@ -0,0 +1,158 @@
+// Takes callers' requests: finds the route, checks the key, passes them on.
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "base/rng.h"
+#include "daemon/job_mod.h"
+#include "daemon/mods.h"
+#include "front/front.h"
+
+enum {
+	FORWARDS = 4096, ///< requests on their way at once
+	REFUSED_RETRY_AFTER_MS = 1000, ///< a node without fresh settings
+};
+
+struct front *front_of(const struct core *c)
+{
+	return core_mod_state(c, MOD_FRONT);
+}
+
+static void refuse(struct core *c, struct core_req *req, const char *id,
+		   enum err e)
+{
+	int64_t again = err_http(e) == 503 ? REFUSED_RETRY_AFTER_MS : 0;
+
+	log_event(EV_FRONT_REFUSED,
+		  "request=%s method=%s path=%.80s error=%s run=no conf=%llu "
+		  "conf_age_ms=%lld",
+		  id ? id : "-", req->method, req->path, err_code(e),
+		  site_mod_conf(c)
+			  ? (unsigned long long)site_mod_conf(c)->version
+			  : 0ULL,
+		  (long long)site_mod_age(c));
+	core_reply_err(c, req->h, e, RUN_NO, again, NULL);
+}
+
+static void on_own_call(struct core *c, struct core_req *req,
+			const struct front_call *call,
+			const struct front_fields *fields)
+{
+	char team[SITE_NAME];
+	enum err e = site_mod_auth(c, NULL, req->bearer, team);
+
+	if (e == ERR_OK)
+		job_mod_call(c, req, call, fields->wait_ms, team);
+	else
+		refuse(c, req, fields->id, e);
+}
+
+static void on_routed(struct core *c, struct core_req *req,
+		      const struct front_fields *fields)
+{
+	const struct site_conf *conf = site_mod_conf(c);
+	const struct site_route *route =
+		conf ? site_conf_route(conf, fields->host, req->path) : NULL;
+	char team[SITE_NAME];
+	enum err e = ERR_CONF_NONE;
+
+	/* An old configuration may lack a route that was added since. */
+	if (conf && !route)
+		e = site_mod_fresh(c) ? ERR_HTTP_ROUTE : ERR_CONF_CUT_OFF;
+	else if (route)
+		e = site_mod_auth(c, route, req->bearer, team);
+	if (e != ERR_OK)
+		refuse(c, req, fields->id, e);
+	else if (route->kind == SITE_BATCH && fields->id)
+		job_mod_submit(c, req, fields->id, fields->host, team);
+	else
+		forward_begin(c, req, route, fields, team);
+}
+
+static void on_request(struct core *c, struct core_req *req, void *ctx)
+{
+	struct front *f = front_of(c);
+	const struct http_pair *headers;
+	struct front_fields fields;
+	struct front_call call;
+	enum err e;
+	size_t n;
+
+	headers = core_req_headers(req, &n);
+	f->wire->front->fields(headers, n, &req->arena, &fields);
+	e = f->wire->front->call(req->method, req->path, req->query, &call);
+	if (e != ERR_OK)
+		refuse(c, req, fields.id, e);
+	else if (call.kind == FRONT_FORWARD)
+		on_routed(c, req, &fields);
+	else
+		on_own_call(c, req, &call, &fields);
+}
+
+static void on_ready(struct core *c, struct core_req *req, void *ctx)
+{
+	bool ready = core_ready(c);
+
+	core_reply(c, req->h, ready ? 200 : 503, "text/plain",
+		   ready ? "ready\n" : "not ready\n", ready ? 6 : 10);
+}
+
+static enum err front_routes(struct core *c, const struct front *f)
+{
+	const struct core_route_opts all = {
+		.listener = CORE_PUBLIC,
+		.prefix = "/",
+		.fn = on_request,
+	};
+	const struct core_route_opts ready = {
+		.listener = CORE_ADMIN,
+		.method = "GET",
+		.prefix = f->wire->front->ready_path,
+		.fn = on_ready,
+	};
+	enum err e = core_route_draining(c, &all);
+
+	return e == ERR_OK ? core_route_draining(c, &ready) : e;
+}
+
+static enum err front_start(struct core *c, void **state)
+{
+	struct front *f = calloc(1, sizeof(*f));
+
+	if (!f)
+		return ERR_NOMEM;
+	f->wire = core_wire(c);
+	f->forwards = htab_new(FORWARDS, sizeof(struct forward));
+	randombytes_buf(&f->rng.state, sizeof(f->rng.state));
+	*state = f;
+	return f->forwards ? front_routes(c, f) : ERR_NOMEM;
+}
+
+static void front_tick(struct core *c, void *state, int64_t now_ms)
+{
+	forwards_step(c);
+}
+
+static bool front_idle(struct core *c, void *state)
+{
+	struct front *f = state;
+
+	return htab_count(f->forwards) == 0;
+}
+
+static void front_stop(struct core *c, void *state)
+{
+	struct front *f = state;
+
+	htab_free(f->forwards);
+	free(f);
+}
+
+const struct core_mod_ops front_mod_ops = {
+	.name = "front",
+	.start = front_start,
+	.tick = front_tick,
+	.idle = front_idle,
+	.stop = front_stop,
+};
--- /dev/null
+++ b/packages/daemon/src/job/end.c
@@ -0,0 +1,184 @@
+// Ends a batch: the owner key says so before the trainer is answered.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "job/job.h"
+#include "store_keys.h"
+
+enum {
+	END_MAX_MS = 3000, ///< then the trainer is told to ask again
+	END_RETRY_AFTER_MS = 500,
+};
+
+struct job_end {
+	htab_handle self;
+	htab_handle req;
+	char id[JOB_ID];
+	char team[JOB_ID];
+	bool busy; ///< a call is outstanding
+	bool write; ///< the owner key was read and is to be written
+	struct job_owner owner;
+	uint64_t rev; ///< of the owner key
+	int64_t next_ms;
+	int64_t until_ms;
+};
+
+static struct job_end *end_of(const struct core *c, void *ctx)
+{
+	struct job_end **slot =
+		htab_get(jobs_of(c)->ends, (htab_handle)(uintptr_t)ctx);
+
+	return slot ? *slot : NULL;
+}
+
+static void end_free(struct jobs *jobs, struct job_end *e)
+{
+	htab_del(jobs->ends, e->self);
+	free(e);
+}
+
+void job_ends_free(struct jobs *jobs)
+{
+	struct job_end **slot;
+	size_t iter = 0;
+
+	while ((slot = htab_next(jobs->ends, &iter, NULL)))
+		end_free(jobs, *slot);
+	htab_free(jobs->ends);
+}
+
+static void end_refuse(struct core *c, struct job_end *e, enum err err)
+{
+	core_reply_err(c, e->req, err, err_run(err),
+		       err == ERR_BATCH_UNKNOWN ? 0 : END_RETRY_AFTER_MS, NULL);
+	end_free(jobs_of(c), e);
+}
+
+/* The end stands in the store. */
+static void end_done(struct core *c, struct job_end *e, uint64_t rev)
+{
+	struct job *j = job_find(c, e->id);
+
+	log_event(EV_JOB_ENDED, "batch=%s team=%s node=%s rev=%llu", e->id,
+		  e->team, e->owner.node, (unsigned long long)rev);
+	if (j && rev > j->owner_rev) {
+		j->owner = e->owner;
+		j->owner_rev = rev;
+	}
+	if (j && j->running)
+		job_recall(c, j);
+	core_reply(c, e->req, 200, "application/json", "{}", 2);
+	end_free(jobs_of(c), e);
+}
+
+static void end_call(struct core *c, struct job_end *e);
+
+static void on_read(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct job_end *e = end_of(c, ctx);
+
+	if (!e)
+		return;
+	e->busy = false;
+	e->next_ms = core_now(c) + JOB_RETRY_MS;
+	if (res->err == ERR_NOT_FOUND) {
+		end_refuse(c, e, ERR_BATCH_UNKNOWN);
+		return;
+	}
+	if (res->err != ERR_OK)
+		return;
+	if (job_owner_parse(&res->items[0], &e->owner) != ERR_OK) {
+		log_event(EV_JOB_BAD, "key=%s", res->items[0].key);
+		end_refuse(c, e, ERR_KV_DOWN);
+		return;
+	}
+	e->rev = res->items[0].rev;
+	if (strcmp(e->owner.team, e->team) != 0) {
+		end_refuse(c, e, ERR_BATCH_UNKNOWN);
+	} else if (e->owner.ended) {
+		end_done(c, e, e->rev);
+	} else {
+		e->write = true;
+		e->next_ms = 0;
+		end_call(c, e);
+	}
+}
+
+static void on_written(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct job_end *e = end_of(c, ctx);
+
+	if (!e)
+		return;
+	e->busy = false;
+	e->write = false;
+	if (res->err == ERR_OK) {
+		end_done(c, e, res->rev);
+		return;
+	}
+	e->next_ms = core_now(c) +
+		     (res->err == ERR_KV_CONFLICT ? 0 : JOB_RETRY_MS);
+	end_call(c, e);
+}
+
+static void end_call(struct core *c, struct job_end *e)
+{
+	const struct kv_cb read = {on_read, (void *)(uintptr_t)e->self};
+	const struct kv_cb written = {on_written, (void *)(uintptr_t)e->self};
+	char key[STORE_KEY];
+	enum err err;
+
+	if (e->busy || core_now(c) < e->next_ms)
+		return;
+	snprintf(key, sizeof(key), KEY_RUN "%s", e->id);
+	e->owner.ended = e->write;
+	err = e->write ? job_owner_put(c, e->id, &e->owner, e->rev, written)
+		       : kv_get(c, key, read);
+	e->busy = err == ERR_OK;
+	if (!e->busy)
+		e->next_ms = core_now(c) + JOB_RETRY_MS;
+}
+
+void job_ends_step(struct core *c)
+{
+	struct job_end **slot;
+	size_t iter = 0;
+
+	while ((slot = htab_next(jobs_of(c)->ends, &iter, NULL))) {
+		if (core_now(c) >= (*slot)->until_ms)
+			end_refuse(c, *slot, ERR_TIMEOUT);
+		else
+			end_call(c, *slot);
+	}
+}
+
+void job_end_begin(struct core *c, struct core_req *req, const char *id,
+		   const char *team)
+{
+	struct job_end *e = calloc(1, sizeof(*e));
+	htab_handle h;
+	struct job_end **slot = e ? htab_add(jobs_of(c)->ends, &h) : NULL;
+
+	if (!slot) {
+		free(e);
+		core_reply_err(c, req->h, ERR_FULL, RUN_NO, END_RETRY_AFTER_MS,
+			       NULL);
+		return;
+	}
+	*slot = e;
+	e->self = h;
+	e->req = req->h;
+	e->until_ms = core_now(c) + END_MAX_MS;
+	snprintf(e->id, sizeof(e->id), "%s", id);
+	snprintf(e->team, sizeof(e->team), "%s", team);
+	end_call(c, e);
+}
+
+bool job_calls_idle(const struct core *c)
+{
+	const struct jobs *jobs = jobs_of(c);
+
+	return htab_count(jobs->submits) == 0 && htab_count(jobs->ends) == 0;
+}
--- /dev/null
+++ b/packages/daemon/src/job/job.h
@@ -0,0 +1,182 @@
+// Inside of the job module: a record a batch that this node knows.
+#pragma once
+
+#include "core/core.h"
+#include "daemon/job_mod.h"
+#include "daemon/platform_mod.h"
+#include "job/job_list.h"
+#include "job/job_run.h"
+#include "sse/sse.h"
+#include "wire/wire.h"
+
+enum {
+	JOB_MAX = 1024, ///< batches known at once
+	JOB_KNOWN_IDLE_MS = 30000, ///< a batch that nobody asks for is forgotten
+	JOB_RETRY_MS = 150, ///< least wait after a failed store call
+};
+
+/// Who runs a batch, as its key in the store says.
+struct job_owner {
+	char node[JOB_ID];
+	char run[JOB_ID]; ///< incarnation of the node's process
+	char team[JOB_ID];
+	bool ended; ///< its trainer ended it
+	bool over; ///< every item has a position
+	uint64_t total; ///< items
+	int64_t at_ms; ///< wall clock of its submission
+};
+
+/// An item at a server.
+struct job_at_server {
+	htab_handle job;
+	int item;
+	htab_handle fetch; ///< 0: the item is at no server
+	htab_handle server;
+	int64_t sent_ms;
+	uint64_t version; ///< weights of the last event
+	bool headed; ///< the answer's head came
+	bool refused; ///< the answer is no stream of events
+	bool not_run;
+	bool spoilt; ///< an event could not be used: end the run
+	struct sse sse;
+};
+
+/// A batch.
+struct job {
+	htab_handle self;
+	char id[JOB_ID];
+	struct job_list list;
+	bool known; ///< owner was read
+	struct job_owner owner;
+	uint64_t owner_rev;
+	int64_t used_ms; ///< last time that someone asked for it
+	/* Only while this node runs it. */
+	bool running;
+	struct job_spec *spec;
+	struct job_run *run;
+	struct job_at_server *at; ///< an entry an item
+	bool watching; ///< the owner key is watched
+	int64_t watch_next_ms;
+	char *record; ///< value on its way to the store
+	bool writing; ///< a call for the record is outstanding
+	bool reading; ///< the record's key is read to settle an outcome
+	int64_t write_next_ms;
+	bool closing; ///< the owner key is to say that all is over
+};
+
+/// A caller that waits for results.
+struct job_reader {
+	htab_handle self;
+	htab_handle req;
+	htab_handle job;
+	uint64_t after;
+	int64_t until_ms; ///< answered then, with whatever there is
+	char team[JOB_ID];
+	bool listed; ///< its first call was made
+	bool watching; ///< a call is outstanding
+};
+
+struct jobs {
+	const struct wire_ops *wire;
+	struct htab *jobs; ///< struct job
+	struct htab *readers; ///< struct job_reader
+	struct htab *submits; ///< struct job_submit
+	struct htab *ends; ///< struct job_end
+	int64_t reconcile_ms; ///< next look for batches of lost nodes
+	struct job_take *take; ///< look in progress
+	bool draining;
+	struct job_result *scratch; ///< for flushes
+	size_t scratch_cap;
+};
+
+struct jobs *jobs_of(const struct core *c);
+
+/// Known batch by id.
+///
+/// @return batch, NULL if not known here
+struct job *job_find(const struct core *c, const char *id);
+
+/// Batch by id, made if it is not known yet.
+///
+/// @return batch, NULL when the table is full
+struct job *job_get(struct core *c, const char *id);
+
+/// Forget a batch and end what this node runs of it.
+void job_drop(struct core *c, struct job *j);
+
+/// Read an owner key.
+///
+/// @return ERR_OK or ERR_PARSE
+enum err job_owner_parse(const struct kv_item *item, struct job_owner *out);
+
+/// Value of an owner key.
+///
+/// @return text, free with free(); NULL when out of memory
+char *job_owner_text(const struct job_owner *o);
+
+/// Whether the owner is this run of this node.
+bool job_owner_me(const struct core *c, const struct job_owner *o);
+
+/// Write the owner key of a batch.
+enum err job_owner_put(struct core *c, const char *id,
+		       const struct job_owner *o, uint64_t prev_rev,
+		       struct kv_cb cb);
+
+/// Value of a batch's key: what is known of its submission, then the body.
+///
+/// @return text, free with free(); NULL when out of memory
+char *job_batch_text(const struct job_spec *spec, const char *body, size_t len,
+		     size_t *text_len);
+
+/// Read a batch's key.
+enum err job_batch_parse(const struct jobs *jobs, const char *id,
+			 const char *value, size_t len, struct job_spec **out);
+
+/// Begin to run a batch that this node owns by its key.
+///
+/// @param spec  taken over
+/// @param list  results that have positions, NULL for none
+enum err job_start(struct core *c, struct job *j, struct job_spec *spec);
+
+/// Stop running a batch; the store keeps what was written.
+void job_stop(struct core *c, struct job *j, const char *why);
+
+/// Move a batch that this node runs on: send items, write results.
+void job_step(struct core *c, struct job *j);
+
+/// Write what is ready, and settle the last write.
+void job_write_step(struct core *c, struct job *j);
+
+/// Send items to servers.
+void job_send_step(struct core *c, struct job *j);
+
+/// End every run of the batch at servers.
+void job_recall(struct core *c, struct job *j);
+
+/// Watch the owner key.
+void job_watch_step(struct core *c, struct job *j);
+
+/// Answer readers whose results came or whose time is up.
+void job_readers_step(struct core *c);
+
+/// Answer the readers of a batch after its list grew.
+void job_readers_wake(struct core *c, struct job *j);
+
+/// Take over what lost nodes left, if this node leads.
+void job_take_step(struct core *c);
+
+/// Move submissions and ends on whose store calls have to be made again.
+void job_submits_step(struct core *c);
+void job_ends_step(struct core *c);
+
+/// Begin to end a batch.
+void job_end_begin(struct core *c, struct core_req *req, const char *id,
+		   const char *team);
+
+/// Requests in progress, for the drain.
+bool job_calls_idle(const struct core *c);
+
+/// Free the state of requests in progress.
+void job_submits_free(struct jobs *jobs);
+void job_ends_free(struct jobs *jobs);
+void job_take_free(struct jobs *jobs);
--- /dev/null
+++ b/packages/daemon/src/job/job_mod.c
@@ -0,0 +1,174 @@
+// Table of batches, and the module's part in the loop.
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "daemon/lead_mod.h"
+#include "daemon/mods.h"
+#include "job/job.h"
+
+enum {
+	READERS = 8192, ///< callers that wait for results
+	SUBMITS = 256, ///< batches being taken
+	ENDS = 512, ///< batches being ended
+};
+
+struct jobs *jobs_of(const struct core *c)
+{
+	return core_mod_state(c, MOD_JOB);
+}
+
+struct job *job_find(const struct core *c, const char *id)
+{
+	struct jobs *jobs = jobs_of(c);
+	struct job *j;
+	size_t iter = 0;
+
+	while ((j = htab_next(jobs->jobs, &iter, NULL))) {
+		if (strcmp(j->id, id) == 0)
+			return j;
+	}
+	return NULL;
+}
+
+struct job *job_get(struct core *c, const char *id)
+{
+	struct jobs *jobs = jobs_of(c);
+	struct job *j = job_find(c, id);
+	htab_handle h;
+
+	if (!j)
+		j = htab_add(jobs->jobs, &h);
+	else
+		h = j->self;
+	if (!j)
+		return NULL;
+	if (!j->id[0]) {
+		j->self = h;
+		strncpy(j->id, id, sizeof(j->id) - 1);
+		job_list_init(&j->list);
+	}
+	j->used_ms = core_now(c);
+	return j;
+}
+
+void job_drop(struct core *c, struct job *j)
+{
+	if (j->running)
+		job_stop(c, j, "dropped");
+	job_list_free(&j->list);
+	htab_del(jobs_of(c)->jobs, j->self);
+}
+
+static void forget_idle(struct core *c, struct jobs *jobs)
+{
+	struct job *j;
+	size_t iter = 0;
+
+	while ((j = htab_next(jobs->jobs, &iter, NULL))) {
+		if (!j->running && !j->writing && !j->watching &&
+		    core_now(c) - j->used_ms > JOB_KNOWN_IDLE_MS)
+			job_drop(c, j);
+	}
+}
+
+void job_step(struct core *c, struct job *j)
+{
+	job_write_step(c, j);
+	job_send_step(c, j);
+	job_watch_step(c, j);
+}
+
+static void jobs_tick(struct core *c, void *state, int64_t now_ms)
+{
+	struct jobs *jobs = state;
+	struct job *j;
+	size_t iter = 0;
+
+	while ((j = htab_next(jobs->jobs, &iter, NULL))) {
+		if (j->running)
+			job_step(c, j);
+	}
+	job_submits_step(c);
+	job_ends_step(c);
+	job_readers_step(c);
+	job_take_step(c);
+	forget_idle(c, jobs);
+}
+
+/* Others go on with this node's batches once its liveness key is gone. */
+static void jobs_drain(struct core *c, void *state)
+{
+	struct jobs *jobs = state;
+	struct job *j;
+	size_t iter = 0;
+
+	jobs->draining = true;
+	while ((j = htab_next(jobs->jobs, &iter, NULL))) {
+		if (j->running)
+			job_stop(c, j, "draining");
+	}
+	lead_mod_leave(c);
+}
+
+static bool jobs_idle(struct core *c, void *state)
+{
+	struct jobs *jobs = state;
+	struct job *j;
+	size_t iter = 0;
+
+	while ((j = htab_next(jobs->jobs, &iter, NULL))) {
+		if (j->writing)
+			return false;
+	}
+	return job_calls_idle(c);
+}
+
+static void jobs_stop(struct core *c, void *state)
+{
+	struct jobs *jobs = state;
+	struct job *j;
+	size_t iter = 0;
+
+	while ((j = htab_next(jobs->jobs, &iter, NULL)))
+		job_drop(c, j);
+	job_submits_free(jobs);
+	job_ends_free(jobs);
+	job_take_free(jobs);
+	htab_free(jobs->jobs);
+	htab_free(jobs->readers);
+	free(jobs->scratch);
+	free(jobs);
+}
+
+static enum err jobs_start(struct core *c, void **state)
+{
+	struct jobs *jobs = calloc(1, sizeof(*jobs));
+
+	if (!jobs)
+		return ERR_NOMEM;
+	jobs->wire = core_wire(c);
+	jobs->jobs = htab_new(JOB_MAX, sizeof(struct job));
+	jobs->readers = htab_new(READERS, sizeof(struct job_reader));
+	jobs->submits = htab_new(SUBMITS, sizeof(void *));
+	jobs->ends = htab_new(ENDS, sizeof(void *));
+	*state = jobs;
+	return jobs->jobs && jobs->readers && jobs->submits && jobs->ends
+		       ? ERR_OK
+		       : ERR_NOMEM;
+}
+
+static bool jobs_ready(struct core *c, void *state)
+{
+	return lead_mod_alive(c);
+}
+
+const struct core_mod_ops job_mod_ops = {
+	.name = "job",
+	.start = jobs_start,
+	.tick = jobs_tick,
+	.drain = jobs_drain,
+	.idle = jobs_idle,
+	.ready = jobs_ready,
+	.stop = jobs_stop,
+};
--- /dev/null
+++ b/packages/daemon/src/job/read.c
@@ -0,0 +1,332 @@
+// Answers reads of a batch's results and of its items' bodies, at any node.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "job/job.h"
+#include "store_keys.h"
+
+enum {
+	PAGE_MAX = 900000, ///< bytes of texts in a page, below a caller's limit
+	/// A read that the store does not settle in this time is refused; its
+	/// caller asks again.
+	READ_MAX_MS = 2500,
+	READ_RETRY_AFTER_MS = 500,
+};
+
+static struct job_reader *reader_of(const struct core *c, void *ctx)
+{
+	return htab_get(jobs_of(c)->readers, (htab_handle)(uintptr_t)ctx);
+}
+
+static void reader_free(struct core *c, struct job_reader *r)
+{
+	htab_del(jobs_of(c)->readers, r->self);
+}
+
+static void reader_refuse(struct core *c, struct job_reader *r, enum err e)
+{
+	htab_handle req = r->req;
+
+	reader_free(c, r);
+	core_reply_err(c, req, e, err_run(e),
+		       e == ERR_BATCH_UNKNOWN ? 0 : READ_RETRY_AFTER_MS, NULL);
+}
+
+static void reader_answer(struct core *c, struct job_reader *r,
+			  const struct job *j)
+{
+	struct job_page page = job_list_page(&j->list, r->after, PAGE_MAX);
+	htab_handle req = r->req;
+	char *text;
+
+	page.total = j->owner.total;
+	text = jobs_of(c)->wire->front->results(&page);
+	reader_free(c, r);
+	if (text)
+		core_reply(c, req, 200, "application/json", text, strlen(text));
+	else
+		core_reply_err(c, req, ERR_NOMEM, RUN_NO, READ_RETRY_AFTER_MS,
+			       NULL);
+	free(text);
+}
+
+/* Whether the list of a batch that this node runs is all there is to see. */
+static bool has_news(const struct job *j, const struct job_reader *r)
+{
+	return j->list.n > r->after || j->list.n >= j->owner.total;
+}
+
+void job_readers_wake(struct core *c, struct job *j)
+{
+	struct job_reader *r;
+	size_t iter = 0;
+
+	while ((r = htab_next(jobs_of(c)->readers, &iter, NULL))) {
+		if (r->job == j->self && j->known && has_news(j, r) &&
+		    !r->watching)
+			reader_answer(c, r, j);
+	}
+}
+
+void job_readers_step(struct core *c)
+{
+	struct job_reader *r;
+	size_t iter = 0;
+
+	while ((r = htab_next(jobs_of(c)->readers, &iter, NULL))) {
+		struct job *j = htab_get(jobs_of(c)->jobs, r->job);
+
+		if (!j)
+			reader_refuse(c, r, ERR_KV_DOWN);
+		else if (!r->watching && core_now(c) >= r->until_ms)
+			reader_answer(c, r, j);
+	}
+}
+
+/* Records come in the order of their numbers, which their keys end in. */
+static enum err take_records(struct job *j, const struct kv_result *res)
+{
+	enum err e = ERR_OK;
+
+	for (size_t i = 0; i < res->n_items && e == ERR_OK; i++) {
+		const char *slash = strrchr(res->items[i].key, '/');
+
+		e = job_list_add(&j->list, strtoull(slash + 1, NULL, 10),
+				 res->items[i].value, res->items[i].len);
+	}
+	if (e != ERR_OK)
+		log_event(EV_JOB_BAD, "batch=%s record=%llu error=%s", j->id,
+			  (unsigned long long)j->list.records, err_code(e));
+	if (e == ERR_OK && !res->more && res->rev > j->list.rev)
+		j->list.rev = res->rev;
+	return e;
+}
+
+static void read_records(struct core *c, struct job_reader *r, struct job *j);
+
+static void on_records(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct job_reader *r = reader_of(c, ctx);
+	struct job *j = r ? htab_get(jobs_of(c)->jobs, r->job) : NULL;
+	enum err e = res->err;
+
+	if (!r)
+		return;
+	r->watching = false;
+	if (e == ERR_OK && j)
+		e = take_records(j, res);
+	if (e != ERR_OK || !j)
+		reader_refuse(c, r, e == ERR_OK ? ERR_FULL : ERR_KV_DOWN);
+	else if (res->more)
+		read_records(c, r, j);
+	else if (has_news(j, r) || core_now(c) >= r->until_ms)
+		reader_answer(c, r, j);
+	else
+		read_records(c, r, j);
+}
+
+/* List what this node lacks; with the list at hand, wait for more. */
+static void read_records(struct core *c, struct job_reader *r, struct job *j)
+{
+	const struct kv_cb cb = {on_records, (void *)(uintptr_t)r->self};
+	int64_t wait_ms = r->until_ms - core_now(c);
+	char prefix[STORE_KEY];
+	char from[STORE_KEY];
+	enum err e;
+
+	snprintf(prefix, sizeof(prefix), KEY_RECORD "%s/", j->id);
+	snprintf(from, sizeof(from), KEY_RECORD "%s/%08llu", j->id,
+		 (unsigned long long)j->list.records - 1);
+	if (r->listed && wait_ms > 0)
+		e = kv_watch(c, prefix, j->list.rev, wait_ms, cb);
+	else
+		e = kv_list_from(c, prefix, j->list.records ? from : NULL, cb);
+	r->listed = true;
+	r->watching = e == ERR_OK;
+	if (!r->watching)
+		reader_refuse(c, r, ERR_KV_DOWN);
+}
+
+static void reader_go(struct core *c, struct job_reader *r, struct job *j)
+{
+	if (strcmp(j->owner.team, r->team) != 0) {
+		reader_refuse(c, r, ERR_BATCH_UNKNOWN);
+		return;
+	}
+	/* Nobody else writes while this node runs the batch, and what this node
+	 * has not seen in the store has no position. */
+	if (j->running) {
+		if (has_news(j, r) || core_now(c) >= r->until_ms)
+			reader_answer(c, r, j);
+		return;
+	}
+	read_records(c, r, j);
+}
+
+static void on_owner(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct job_reader *r = reader_of(c, ctx);
+	struct job *j = r ? htab_get(jobs_of(c)->jobs, r->job) : NULL;
+	struct job_owner owner;
+
+	if (!r)
+		return;
+	r->watching = false;
+	if (res->err == ERR_NOT_FOUND) {
+		reader_refuse(c, r, ERR_BATCH_UNKNOWN);
+	} else if (res->err != ERR_OK || !j) {
+		reader_refuse(c, r, ERR_KV_DOWN);
+	} else if (job_owner_parse(&res->items[0], &owner) != ERR_OK) {
+		log_event(EV_JOB_BAD, "key=%s", res->items[0].key);
+		reader_refuse(c, r, ERR_KV_DOWN);
+	} else {
+		if (!j->running && res->items[0].rev > j->owner_rev) {
+			j->owner = owner;
+			j->owner_rev = res->items[0].rev;
+		}
+		j->known = true;
+		reader_go(c, r, j);
+	}
+}
+
+static void read_owner(struct core *c, struct job_reader *r,
+		       const struct job *j)
+{
+	char key[STORE_KEY];
+	const struct kv_cb cb = {on_owner, (void *)(uintptr_t)r->self};
+
+	snprintf(key, sizeof(key), KEY_RUN "%s", j->id);
+	r->watching = kv_get(c, key, cb) == ERR_OK;
+	if (!r->watching)
+		reader_refuse(c, r, ERR_KV_DOWN);
+}
+
+static void reader_gone(struct core *c, struct core_req *req, void *user)
+{
+	struct job_reader *r = reader_of(c, user);
+
+	if (r)
+		reader_free(c, r);
+}
+
+static void read_results(struct core *c, struct core_req *req,
+			 const struct front_call *call, int64_t wait_ms,
+			 const char *team)
+{
+	struct job *j = job_get(c, call->job);
+	htab_handle h;
+	struct job_reader *r = j ? htab_add(jobs_of(c)->readers, &h) : NULL;
+
+	if (!r) {
+		core_reply_err(c, req->h, ERR_FULL, RUN_NO, READ_RETRY_AFTER_MS,
+			       NULL);
+		return;
+	}
+	*r = (struct job_reader){
+		.self = h,
+		.req = req->h,
+		.job = j->self,
+		.after = call->after,
+		.until_ms = core_now(c) + wait_ms,
+	};
+	snprintf(r->team, sizeof(r->team), "%s", team);
+	req->on_abort = reader_gone;
+	req->user = (void *)(uintptr_t)h;
+	if (j->known)
+		reader_go(c, r, j);
+	else
+		read_owner(c, r, j);
+}
+
+/* Answer with the body of one item. */
+static void body_answer(struct core *c, htab_handle req,
+			const struct job_spec *spec, const char *item)
+{
+	for (size_t i = 0; i < spec->n_items; i++) {
+		const struct job_item *it = &spec->items[i];
+
+		if (strcmp(it->id, item) != 0)
+			continue;
+		core_reply(c, req, 200, "application/octet-stream", it->body,
+			   it->body_len);
+		return;
+	}
+	core_reply_err(c, req, ERR_BATCH_UNKNOWN, RUN_NO, 0, NULL);
+}
+
+struct body_read {
+	htab_handle req;
+	struct front_call call;
+	char team[JOB_ID];
+};
+
+static void on_batch(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct body_read *b = ctx;
+	struct job_spec *spec = NULL;
+	enum err e = res->err;
+
+	if (e == ERR_OK)
+		e = job_batch_parse(jobs_of(c), b->call.job,
+				    res->items[0].value, res->items[0].len,
+				    &spec);
+	if (e == ERR_NOT_FOUND ||
+	    (e == ERR_OK && strcmp(spec->team, b->team) != 0))
+		core_reply_err(c, b->req, ERR_BATCH_UNKNOWN, RUN_NO, 0, NULL);
+	else if (e != ERR_OK)
+		core_reply_err(c, b->req, ERR_KV_DOWN, RUN_NO,
+			       READ_RETRY_AFTER_MS, NULL);
+	else
+		body_answer(c, b->req, spec, b->call.item);
+	job_spec_free(spec);
+	free(b);
+}
+
+static void read_body(struct core *c, struct core_req *req,
+		      const struct front_call *call, const char *team)
+{
+	struct job *j = job_find(c, call->job);
+	struct body_read *b;
+	char key[STORE_KEY];
+
+	if (j && j->running && strcmp(j->spec->team, team) == 0) {
+		body_answer(c, req->h, j->spec, call->item);
+		return;
+	}
+	b = calloc(1, sizeof(*b));
+	snprintf(key, sizeof(key), KEY_BATCH "%s", call->job);
+	if (b) {
+		b->req = req->h;
+		b->call = *call;
+		snprintf(b->team, sizeof(b->team), "%s", team);
+	}
+	if (!b || kv_get(c, key, (struct kv_cb){on_batch, b}) != ERR_OK) {
+		free(b);
+		core_reply_err(c, req->h, ERR_FULL, RUN_NO, READ_RETRY_AFTER_MS,
+			       NULL);
+	}
+}
+
+void job_mod_call(struct core *c, struct core_req *req,
+		  const struct front_call *call, int64_t wait_ms,
+		  const char *team)
+{
+	switch (call->kind) {
+	case FRONT_RESULTS:
+		read_results(c, req, call,
+			     wait_ms < READ_MAX_MS ? wait_ms : READ_MAX_MS,
+			     team);
+		break;
+	case FRONT_BODY:
+		read_body(c, req, call, team);
+		break;
+	case FRONT_END:
+		job_end_begin(c, req, call->job, team);
+		break;
+	case FRONT_FORWARD:
+		core_reply_err(c, req->h, ERR_INTERNAL, RUN_NO, 0, NULL);
+		break;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/job/run.c
@@ -0,0 +1,375 @@
+// Runs a batch: sends its items to servers and takes their events.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/metric.h"
+#include "daemon/lead_mod.h"
+#include "daemon/site_mod.h"
+#include "job/job.h"
+
+enum {
+	/// Longest wait for the first event: an engine queues a few requests,
+	/// each of which may take seconds.
+	RUN_FIRST_MS = 3000,
+	/// Longest silence between two events; they come some 40 ms apart.
+	RUN_SILENCE_MS = 1000,
+	RUN_CONNECT_MS = 500, ///< to connect to an engine
+	/// Nodes that send to one cold server at once: its rate is shared.
+	COLD_SENDERS = 4,
+	/// Runs of an item that a server failed, after which it is given up,
+	/// for a route that does not say.
+	RUN_MAX_FAILURES = 3,
+};
+
+static const struct site_route *route_of(struct core *c, const struct job *j)
+{
+	const struct site_conf *conf = site_mod_conf(c);
+
+	return conf ? site_conf_route(conf, j->spec->host, j->spec->path)
+		    : NULL;
+}
+
+static struct job_run_opts run_opts(struct core *c, const struct job *j,
+				    const struct job_spec *spec)
+{
+	const struct site_conf *conf = site_mod_conf(c);
+	const struct site_route *route =
+		conf ? site_conf_route(conf, spec->host, spec->path) : NULL;
+	int64_t give_up = route ? route->give_up_ms : INT32_MAX;
+
+	return (struct job_run_opts){
+		.max_failures = route && route->max_servers
+					? route->max_servers
+					: RUN_MAX_FAILURES,
+		.one_version = route && route->one_version,
+		.give_up_ms =
+			core_now(c) + spec->at_ms + give_up - clock_wall_ms(),
+	};
+}
+
+static bool scratch_room(struct jobs *jobs, size_t n)
+{
+	struct job_result *p;
+
+	if (n <= jobs->scratch_cap)
+		return true;
+	p = realloc(jobs->scratch, n * sizeof(*p));
+	if (!p)
+		return false;
+	jobs->scratch = p;
+	jobs->scratch_cap = n;
+	return true;
+}
+
+enum err job_start(struct core *c, struct job *j, struct job_spec *spec)
+{
+	const struct job_run_opts opts = run_opts(c, j, spec);
+
+	if (!scratch_room(jobs_of(c), spec->n_items))
+		return ERR_NOMEM;
+	j->run = job_run_new(spec, &opts);
+	j->at = calloc(spec->n_items + 1, sizeof(*j->at));
+	if (!j->run || !j->at) {
+		job_run_free(j->run);
+		free(j->at);
+		j->run = NULL;
+		j->at = NULL;
+		return ERR_NOMEM;
+	}
+	job_run_listed(j->run, &j->list);
+	j->spec = spec;
+	j->running = true;
+	j->closing = false;
+	j->watch_next_ms = 0;
+	return ERR_OK;
+}
+
+/* Note at the server how the run went, and free its place. */
+static void leave_server(struct core *c, struct job_at_server *at, bool ok)
+{
+	struct site_server *s =
+		site_servers_get(site_mod_servers(c), at->server);
+
+	if (s)
+		site_server_end(s, core_now(c), ok);
+	sse_free(&at->sse);
+	at->fetch = 0;
+}
+
+void job_recall(struct core *c, struct job *j)
+{
+	for (size_t i = 0; i < j->spec->n_items; i++) {
+		if (!j->at[i].fetch)
+			continue;
+		core_fetch_cancel(c, j->at[i].fetch);
+		leave_server(c, &j->at[i], true);
+		job_run_ended(j->run, (int)i, core_now(c), JOB_RUN_BROKEN);
+	}
+}
+
+void job_stop(struct core *c, struct job *j, const char *why)
+{
+	log_event(EV_JOB_LEFT, "batch=%s why=%s listed=%zu items=%zu at=%zu",
+		  j->id, why, j->list.n, j->spec->n_items,
+		  job_run_count(j->run, JOB_SENT));
+	job_recall(c, j);
+	job_run_free(j->run);
+	free(j->at);
+	free(j->record);
+	job_spec_free(j->spec);
+	j->run = NULL;
+	j->at = NULL;
+	j->record = NULL;
+	j->spec = NULL;
+	j->running = false;
+}
+
+/* A callback's item: batch and index travel as the context. */
+static void *ctx_of(htab_handle job, int item)
+{
+	return (void *)(uintptr_t)((uint64_t)job << 32 | (uint32_t)item);
+}
+
+static struct job_at_server *at_of(struct core *c, void *ctx, struct job **job)
+{
+	uint64_t v = (uint64_t)(uintptr_t)ctx;
+	struct job *j = htab_get(jobs_of(c)->jobs, (htab_handle)(v >> 32));
+	uint32_t item = (uint32_t)v;
+
+	if (!j || !j->running || item >= j->spec->n_items)
+		return NULL;
+	*job = j;
+	return &j->at[item];
+}
+
+struct event_ctx {
+	struct job *j;
+	struct job_at_server *at;
+};
+
+static bool on_event(void *ctx, const struct sse_event *ev)
+{
+	struct event_ctx *e = ctx;
+	enum err err;
+
+	if (ev->extra)
+		e->at->version = ev->extra;
+	err = job_run_event(e->j->run, e->at->item, ev->id, e->at->version,
+			    ev->data, ev->len);
+	if (err == ERR_OK)
+		return true;
+	log_event(EV_JOB_ITEM,
+		  "batch=%s item=%s event=%llu version=%llu error=%s",
+		  e->j->id, e->j->spec->items[e->at->item].id,
+		  (unsigned long long)ev->id,
+		  (unsigned long long)e->at->version, err_code(err));
+	e->at->spoilt = true;
+	return false;
+}
+
+static void take_head(struct core *c, struct job *j, struct job_at_server *at,
+		      int status, const struct upstream_head *head)
+{
+	const char *id = j->spec->items[at->item].id;
+	struct engine_head h;
+
+	at->headed = true;
+	jobs_of(c)->wire->engine->head(status, head, &h);
+	at->not_run = h.not_run || h.other_server;
+	at->refused = status != 200;
+	/* Bytes that belong to another request are nobody's answer. */
+	at->spoilt |= h.id && strcmp(h.id, id) != 0;
+	at->version = h.version;
+}
+
+static void on_head(struct core *c, void *ctx, int status,
+		    const struct upstream_head *head)
+{
+	struct job *j;
+	struct job_at_server *at = at_of(c, ctx, &j);
+
+	if (at)
+		take_head(c, j, at, status, head);
+}
+
+/* End a run that can't go on at its server. */
+static void cut(struct core *c, struct job *j, struct job_at_server *at)
+{
+	core_fetch_cancel(c, at->fetch);
+	leave_server(c, at, false);
+	job_run_ended(j->run, at->item, core_now(c), JOB_RUN_BROKEN);
+}
+
+static void on_data(struct core *c, void *ctx, const char *data, size_t len)
+{
+	struct job *j;
+	struct job_at_server *at = at_of(c, ctx, &j);
+	struct event_ctx e = {j, at};
+
+	if (!at || at->refused)
+		return;
+	at->sse.opts.ctx = &e;
+	if (!at->spoilt && sse_feed(&at->sse, data, len) != ERR_OK)
+		at->spoilt = true;
+	if (at->spoilt)
+		cut(c, j, at);
+}
+
+static enum job_outcome outcome_of(const struct job_at_server *at,
+				   const struct core_fetch_result *res,
+				   const struct job_text *text)
+{
+	if (at->not_run || (res->err != ERR_OK && !res->sent))
+		return JOB_RUN_NOT_RUN;
+	if (res->status == 422)
+		return JOB_RUN_IMPOSSIBLE;
+	if (res->err == ERR_OK && res->status == 500)
+		return JOB_RUN_FAILED;
+	if (res->err == ERR_OK && res->status == 200 && sse_clean(&at->sse) &&
+	    text->last_event)
+		return JOB_RUN_WHOLE;
+	return JOB_RUN_BROKEN;
+}
+
+static void log_end(struct core *c, const struct job *j,
+		    const struct job_at_server *at,
+		    const struct core_fetch_result *res, enum job_outcome how)
+{
+	static const char *const names[] = {
+		[JOB_RUN_WHOLE] = "whole",
+		[JOB_RUN_BROKEN] = "broken",
+		[JOB_RUN_FAILED] = "failed",
+		[JOB_RUN_IMPOSSIBLE] = "impossible",
+		[JOB_RUN_NOT_RUN] = "not-run",
+	};
+	const struct site_server *s =
+		site_servers_get(site_mod_servers(c), at->server);
+
+	if (how == JOB_RUN_WHOLE)
+		return;
+	log_event(EV_JOB_ITEM,
+		  "batch=%s item=%s server=%s outcome=%s http=%d error=%s "
+		  "events=%llu ms=%lld",
+		  j->id, j->spec->items[at->item].id, s ? s->entry.id : "gone",
+		  names[how], res->status, err_code(res->err),
+		  (unsigned long long)job_run_text(j->run, at->item)->last_event,
+		  (long long)(core_now(c) - at->sent_ms));
+}
+
+static void on_done(struct core *c, void *ctx,
+		    const struct core_fetch_result *res)
+{
+	struct job *j;
+	struct job_at_server *at = at_of(c, ctx, &j);
+	enum job_outcome how;
+	bool server_ok;
+
+	if (!at)
+		return;
+	if (!at->headed && res->status)
+		take_head(c, j, at, res->status, res->head);
+	how = at->spoilt ? JOB_RUN_BROKEN
+			 : outcome_of(at, res, job_run_text(j->run, at->item));
+	log_end(c, j, at, res, how);
+	server_ok = how == JOB_RUN_WHOLE || how == JOB_RUN_IMPOSSIBLE;
+	leave_server(c, at, server_ok);
+	job_run_ended(j->run, at->item, core_now(c), how);
+	job_step(c, j);
+}
+
+static bool send_item(struct core *c, struct job *j, int item,
+		      struct site_server *s)
+{
+	const struct job_item *it = &j->spec->items[item];
+	struct job_at_server *at = &j->at[item];
+	const struct engine_run run = {
+		.spec = j->spec,
+		.item = it,
+		.server = s->entry.id,
+		.resume_after = job_run_text(j->run, item)->last_event,
+	};
+	const struct sse_opts sse = {
+		.extra_field = jobs_of(c)->wire->engine->version_field,
+		.on_event = on_event,
+	};
+	struct core_fetch_opts opts = {
+		.method = "POST",
+		.body = it->body,
+		.body_len = it->body_len,
+		.connect_timeout_ms = RUN_CONNECT_MS,
+		.idle_timeout_ms =
+			run.resume_after ? RUN_SILENCE_MS : RUN_FIRST_MS,
+		.want_head = true,
+		.on_head = on_head,
+		.on_data = on_data,
+		.on_done = on_done,
+		.ctx = ctx_of(j->self, item),
+	};
+	struct arena a;
+	char url[1024];
+	enum err e;
+
+	arena_init(&a, 0);
+	snprintf(url, sizeof(url), "http://%s%s", s->entry.addr, it->path);
+	opts.url = url;
+	opts.headers = jobs_of(c)->wire->engine->run(&run, &a);
+	*at = (struct job_at_server){
+		.job = j->self,
+		.item = item,
+		.server = s->self,
+		.sent_ms = core_now(c),
+	};
+	e = opts.headers ? core_fetch(c, &opts, &at->fetch) : ERR_NOMEM;
+	arena_free(&a);
+	if (e != ERR_OK) {
+		at->fetch = 0;
+		return false;
+	}
+	sse_init(&at->sse, &sse);
+	site_server_begin(s, core_now(c));
+	job_run_sent(j->run, item);
+	return true;
+}
+
+/* Service that the batch's route names now; batches go to one service. */
+static const char *service_of(struct core *c, struct job *j)
+{
+	const struct site_route *route = route_of(c, j);
+
+	return route && route->n_targets ? route->targets[0].service : NULL;
+}
+
+void job_send_step(struct core *c, struct job *j)
+{
+	const struct site_conf *conf = site_mod_conf(c);
+	const struct site_service *svc;
+	struct site_ask ask = {
+		.domain = core_domain(c),
+		.only_free = true,
+	};
+	int item;
+
+	if (!j->running || j->owner.ended || jobs_of(c)->draining || !conf ||
+	    !lead_mod_alive(c))
+		return;
+	ask.service = service_of(c, j);
+	if (!ask.service) {
+		job_run_give_up(j->run);
+		job_run_next(j->run, core_now(c));
+		return;
+	}
+	svc = site_conf_service(conf, ask.service);
+	ask.cold_rate = svc ? svc->cold_rate / COLD_SENDERS : 0;
+	ask.model = j->spec->model;
+	ask.min_version = j->spec->min_version;
+	while ((item = job_run_next(j->run, core_now(c))) >= 0) {
+		struct site_server *s = site_servers_choose(
+			site_mod_servers(c), core_now(c), &ask);
+
+		if (!s || !send_item(c, j, item, s))
+			return;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/job/take.c
@@ -0,0 +1,310 @@
+// The leader goes on with the batches of nodes that were lost or that left.
+//
+// Every round it lists the liveness keys and the owner keys. A batch whose owner
+// is not alive in two rounds gets the leader as its owner, is loaded and run.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "daemon/lead_mod.h"
+#include "job/job.h"
+#include "store_keys.h"
+
+enum {
+	TAKE_ROUND_MS = 500, ///< between two rounds
+	/// After the store was away, nodes that live need this long to renew
+	/// their liveness keys.
+	TAKE_SETTLE_MS = 1500,
+	TAKE_NODES = 1024, ///< live nodes of a round
+	TAKE_BATCHES = 1024, ///< lost batches of a round
+	TAKE_AT_ONCE = 8, ///< batches being loaded
+};
+
+struct live_node {
+	char node[JOB_ID];
+	char run[JOB_ID];
+};
+
+/// A batch without a living owner.
+struct lost {
+	char id[JOB_ID];
+	struct job_owner owner;
+	uint64_t rev;
+};
+
+struct job_take {
+	struct live_node nodes[TAKE_NODES];
+	size_t n_nodes;
+	struct lost lost[TAKE_BATCHES];
+	size_t n_lost;
+	char suspects[TAKE_BATCHES][JOB_ID]; ///< lost in the round before
+	size_t n_suspects;
+	char from[256]; ///< last key of the list's page
+	bool busy; ///< a round is in progress
+	int loading; ///< batches being taken over
+};
+
+/// A batch on its way to this node.
+struct loading {
+	char id[JOB_ID];
+	struct job_owner owner;
+	uint64_t rev;
+	struct job_spec *spec;
+};
+
+void job_take_free(struct jobs *jobs)
+{
+	free(jobs->take);
+	jobs->take = NULL;
+}
+
+static void round_over(struct core *c)
+{
+	struct jobs *jobs = jobs_of(c);
+
+	jobs->take->busy = false;
+	jobs->reconcile_ms = core_now(c) + TAKE_ROUND_MS;
+}
+
+static void loading_over(struct core *c, struct loading *l, const char *why)
+{
+	if (why)
+		log_event(EV_JOB_REFUSED, "batch=%s takeover=%s", l->id, why);
+	if (jobs_of(c)->take)
+		jobs_of(c)->take->loading--;
+	job_spec_free(l->spec);
+	free(l);
+}
+
+/* Number of the last record, from its key. */
+static void take_listed(struct job *j, const struct kv_result *res)
+{
+	for (size_t i = 0; i < res->n_items; i++) {
+		const char *slash = strrchr(res->items[i].key, '/');
+
+		if (job_list_add(&j->list, strtoull(slash + 1, NULL, 10),
+				 res->items[i].value,
+				 res->items[i].len) != ERR_OK)
+			log_event(EV_JOB_BAD, "key=%s", res->items[i].key);
+	}
+	if (res->rev > j->list.rev)
+		j->list.rev = res->rev;
+}
+
+static void run_loaded(struct core *c, struct loading *l, struct job *j)
+{
+	j->known = true;
+	j->owner = l->owner;
+	j->owner_rev = l->rev;
+	log_event(EV_JOB_TAKEOVER, "batch=%s listed=%zu items=%zu", j->id,
+		  j->list.n, l->spec->n_items);
+	if (job_start(c, j, l->spec) == ERR_OK)
+		l->spec = NULL;
+	loading_over(c, l, NULL);
+	if (j->running)
+		job_step(c, j);
+}
+
+static void load_records(struct core *c, struct loading *l, struct job *j);
+
+static void on_records(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct loading *l = ctx;
+	struct job *j = job_get(c, l->id);
+
+	if (!j || j->running || res->err != ERR_OK) {
+		loading_over(c, l, res->err == ERR_OK ? "busy"
+						      : err_code(res->err));
+		return;
+	}
+	take_listed(j, res);
+	if (res->more)
+		load_records(c, l, j);
+	else
+		run_loaded(c, l, j);
+}
+
+static void load_records(struct core *c, struct loading *l, struct job *j)
+{
+	char prefix[STORE_KEY];
+	char from[STORE_KEY];
+
+	snprintf(prefix, sizeof(prefix), KEY_RECORD "%s/", l->id);
+	snprintf(from, sizeof(from), KEY_RECORD "%s/%08llu", l->id,
+		 (unsigned long long)j->list.records - 1);
+	if (kv_list_from(c, prefix, j->list.records ? from : NULL,
+			 (struct kv_cb){on_records, l}) != ERR_OK)
+		loading_over(c, l, "full");
+}
+
+static void on_owned(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct loading *l = ctx;
+	struct job *j = job_get(c, l->id);
+
+	/* After a lost answer the next round finds this node as the owner, or
+	 * the batch still without one. */
+	if (res->err != ERR_OK || !j) {
+		loading_over(c, l, err_code(res->err));
+		return;
+	}
+	l->rev = res->rev;
+	load_records(c, l, j);
+}
+
+static void on_batch(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct loading *l = ctx;
+	enum err e = res->err;
+
+	if (e == ERR_OK)
+		e = job_batch_parse(jobs_of(c), l->id, res->items[0].value,
+				    res->items[0].len, &l->spec);
+	if (e == ERR_OK)
+		e = job_owner_put(c, l->id, &l->owner, l->rev,
+				  (struct kv_cb){on_owned, l});
+	if (e != ERR_OK)
+		loading_over(c, l, err_code(e));
+}
+
+static void take_one(struct core *c, const struct lost *lost)
+{
+	struct job_take *t = jobs_of(c)->take;
+	struct loading *l = calloc(1, sizeof(*l));
+	char key[STORE_KEY];
+
+	if (!l)
+		return;
+	strcpy(l->id, lost->id);
+	l->owner = lost->owner;
+	l->rev = lost->rev;
+	snprintf(l->owner.node, sizeof(l->owner.node), "%s", core_node(c));
+	snprintf(l->owner.run, sizeof(l->owner.run), "%s", core_incarnation(c));
+	t->loading++;
+	snprintf(key, sizeof(key), KEY_BATCH "%s", l->id);
+	if (kv_get(c, key, (struct kv_cb){on_batch, l}) != ERR_OK)
+		loading_over(c, l, "full");
+}
+
+static bool suspected(const struct job_take *t, const char *id)
+{
+	for (size_t i = 0; i < t->n_suspects; i++) {
+		if (strcmp(t->suspects[i], id) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void take_lost(struct core *c, struct job_take *t)
+{
+	for (size_t i = 0; i < t->n_lost; i++) {
+		if (t->loading < TAKE_AT_ONCE && suspected(t, t->lost[i].id))
+			take_one(c, &t->lost[i]);
+	}
+	t->n_suspects = t->n_lost;
+	for (size_t i = 0; i < t->n_lost; i++)
+		strcpy(t->suspects[i], t->lost[i].id);
+}
+
+static bool alive(const struct job_take *t, const struct job_owner *o)
+{
+	for (size_t i = 0; i < t->n_nodes; i++) {
+		if (strcmp(t->nodes[i].node, o->node) == 0 &&
+		    strcmp(t->nodes[i].run, o->run) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void look_at(struct core *c, struct job_take *t,
+		    const struct kv_item *item)
+{
+	const char *id = item->key + sizeof(KEY_RUN) - 1;
+	struct job_owner owner;
+	struct job *j = job_find(c, id);
+	struct lost *l;
+
+	if (job_owner_parse(item, &owner) != ERR_OK) {
+		log_event(EV_JOB_BAD, "key=%s", item->key);
+		return;
+	}
+	if (owner.ended || owner.over || (j && j->running) ||
+	    t->n_lost == TAKE_BATCHES)
+		return;
+	/* This node's own, from a takeover whose answer was lost: again. */
+	if (alive(t, &owner) && !job_owner_me(c, &owner))
+		return;
+	l = &t->lost[t->n_lost++];
+	snprintf(l->id, sizeof(l->id), "%s", id);
+	l->owner = owner;
+	l->rev = item->rev;
+}
+
+static void on_owners(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct job_take *t = jobs_of(c)->take;
+
+	if (res->err != ERR_OK) {
+		round_over(c);
+		return;
+	}
+	for (size_t i = 0; i < res->n_items; i++)
+		look_at(c, t, &res->items[i]);
+	if (res->more && res->n_items) {
+		snprintf(t->from, sizeof(t->from), "%s",
+			 res->items[res->n_items - 1].key);
+		if (kv_list_from(c, KEY_RUN, t->from,
+				 (struct kv_cb){on_owners, NULL}) == ERR_OK)
+			return;
+	} else if (lead_mod_held(c, NULL)) {
+		take_lost(c, t);
+	}
+	round_over(c);
+}
+
+static void on_nodes(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct job_take *t = jobs_of(c)->take;
+	bool ok = res->err == ERR_OK && !res->more;
+
+	t->n_nodes = 0;
+	t->n_lost = 0;
+	for (size_t i = 0; ok && i < res->n_items && i < TAKE_NODES; i++) {
+		struct live_node *n = &t->nodes[t->n_nodes++];
+
+		snprintf(n->node, sizeof(n->node), "%s",
+			 res->items[i].key + sizeof(KEY_LIVE) - 1);
+		snprintf(n->run, sizeof(n->run), "%s", res->items[i].value);
+	}
+	if (!ok || kv_list(c, KEY_RUN, (struct kv_cb){on_owners, NULL}) !=
+			   ERR_OK)
+		round_over(c);
+}
+
+static bool store_settled(struct core *c)
+{
+	int64_t back = kv_back_since(c);
+
+	return back && core_now(c) - back >= TAKE_SETTLE_MS;
+}
+
+void job_take_step(struct core *c)
+{
+	struct jobs *jobs = jobs_of(c);
+
+	if ((jobs->take && jobs->take->busy) || jobs->draining ||
+	    core_now(c) < jobs->reconcile_ms)
+		return;
+	if (!lead_mod_held(c, NULL) || !lead_mod_alive(c) || !store_settled(c))
+		return;
+	if (!jobs->take)
+		jobs->take = calloc(1, sizeof(*jobs->take));
+	if (!jobs->take)
+		return;
+	jobs->take->busy =
+		kv_list(c, KEY_LIVE, (struct kv_cb){on_nodes, NULL}) == ERR_OK;
+	if (!jobs->take->busy)
+		jobs->reconcile_ms = core_now(c) + TAKE_ROUND_MS;
+}
--- /dev/null
+++ b/packages/daemon/src/job/write.c
@@ -0,0 +1,175 @@
+// Writes results to the store. A record is created under the next number, so of
+// two nodes that both believe they run a batch only one gets a number, and the
+// other one finds out.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "job/job.h"
+#include "store_keys.h"
+
+static struct job *job_of(const struct core *c, void *ctx)
+{
+	return htab_get(jobs_of(c)->jobs, (htab_handle)(uintptr_t)ctx);
+}
+
+static void *ctx_of(const struct job *j)
+{
+	return (void *)(uintptr_t)j->self;
+}
+
+static void record_key(const struct job *j, char *key, size_t len)
+{
+	snprintf(key, len, KEY_RECORD "%s/%08llu", j->id,
+		 (unsigned long long)j->list.records);
+}
+
+/* The record has its number: its results have their positions. */
+static void record_stands(struct core *c, struct job *j, const char *value,
+			  size_t len, uint64_t rev)
+{
+	size_t before = j->list.n;
+	enum err e = job_list_add(&j->list, j->list.records, value, len);
+
+	if (rev > j->list.rev)
+		j->list.rev = rev;
+	log_event(e == ERR_OK ? EV_JOB_LISTED : EV_JOB_BAD,
+		  "batch=%s from=%zu to=%zu total=%llu record=%llu error=%s",
+		  j->id, before, j->list.n, (unsigned long long)j->owner.total,
+		  (unsigned long long)j->list.records, err_code(e));
+	if (j->running)
+		job_run_listed(j->run, &j->list);
+	job_readers_wake(c, j);
+}
+
+static void record_clear(struct job *j)
+{
+	free(j->record);
+	j->record = NULL;
+	if (j->running)
+		job_run_unwritten(j->run);
+}
+
+/* What stands under the number: mine after a lost answer, or another node's. */
+static void on_read(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct job *j = job_of(c, ctx);
+
+	if (!j)
+		return;
+	j->writing = false;
+	j->write_next_ms = core_now(c) + JOB_RETRY_MS;
+	if (res->err == ERR_NOT_FOUND) {
+		j->reading = false;
+		j->write_next_ms = 0;
+		return;
+	}
+	if (res->err != ERR_OK)
+		return;
+	j->reading = false;
+	j->write_next_ms = 0;
+	record_stands(c, j, res->items[0].value, res->items[0].len,
+		      res->items[0].rev);
+	record_clear(j);
+	if (!job_record_by(res->items[0].value, res->items[0].len,
+			   core_incarnation(c)))
+		j->watch_next_ms = 0;
+}
+
+static void on_written(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct job *j = job_of(c, ctx);
+
+	if (!j)
+		return;
+	j->writing = false;
+	if (res->err == ERR_OK && j->record) {
+		record_stands(c, j, j->record, strlen(j->record), res->rev);
+		record_clear(j);
+	} else if (res->err != ERR_OK) {
+		j->reading = res->err == ERR_KV_CONFLICT ||
+			     res->err == ERR_KV_UNKNOWN;
+		j->write_next_ms =
+			core_now(c) +
+			(res->err == ERR_KV_CONFLICT ? 0 : JOB_RETRY_MS);
+	}
+	if (j->running)
+		job_step(c, j);
+}
+
+static bool record_make(struct core *c, struct job *j)
+{
+	struct jobs *jobs = jobs_of(c);
+	size_t n = job_run_flush(j->run, core_now(c),
+				 j->owner.ended || jobs->draining,
+				 jobs->scratch);
+
+	if (!n)
+		return false;
+	j->record = job_record(core_incarnation(c), jobs->scratch, n);
+	if (!j->record)
+		job_run_unwritten(j->run);
+	return j->record != NULL;
+}
+
+static void record_send(struct core *c, struct job *j)
+{
+	char key[STORE_KEY];
+	const struct kv_put_opts put = {
+		.key = key,
+		.value = j->record,
+		.len = strlen(j->record),
+	};
+
+	record_key(j, key, sizeof(key));
+	if (j->reading)
+		j->writing =
+			kv_get(c, key, (struct kv_cb){on_read, ctx_of(j)}) ==
+			ERR_OK;
+	else
+		j->writing = kv_put(c, &put,
+				    (struct kv_cb){on_written, ctx_of(j)}) ==
+			     ERR_OK;
+	if (!j->writing)
+		j->write_next_ms = core_now(c) + JOB_RETRY_MS;
+}
+
+static void on_closed(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct job *j = job_of(c, ctx);
+
+	if (!j)
+		return;
+	j->writing = false;
+	/* On a conflict its trainer ended the batch, or it has a new owner: the
+	 * watch tells. What is over is over without this key as well. */
+	if (j->running && (res->err == ERR_OK || res->err == ERR_KV_CONFLICT))
+		job_stop(c, j, "over");
+	else
+		j->write_next_ms = core_now(c) + JOB_RETRY_MS;
+}
+
+static void close_batch(struct core *c, struct job *j)
+{
+	struct job_owner owner = j->owner;
+
+	owner.over = true;
+	j->writing = job_owner_put(c, j->id, &owner, j->owner_rev,
+				   (struct kv_cb){on_closed, ctx_of(j)}) ==
+		     ERR_OK;
+	if (!j->writing)
+		j->write_next_ms = core_now(c) + JOB_RETRY_MS;
+}
+
+void job_write_step(struct core *c, struct job *j)
+{
+	if (!j->running || j->writing || core_now(c) < j->write_next_ms)
+		return;
+	if (j->record || record_make(c, j))
+		record_send(c, j);
+	else if (job_run_over(j->run))
+		close_batch(c, j);
+	else if (j->owner.ended)
+		job_stop(c, j, "ended");
+}
--- /dev/null
+++ b/packages/daemon/src/lead/live.c
@@ -0,0 +1,164 @@
+// Keeps a liveness key under a lease.
+#include "lead/live.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "store_keys.h"
+
+enum {
+	/// Time to live of the key: a lost node's batches go on elsewhere after
+	/// this time and one round of the leader's, within the 5 s for which an
+	/// item may be at no server.
+	LIVE_TTL_MS = 2400,
+	LIVE_RENEW_MS = 700, ///< three renewals fit into the time to live
+	LIVE_RETRY_MS = 150,
+};
+
+bool live_held(const struct live *l, int64_t now)
+{
+	return l->step == LIVE_RENEW && now < l->until_ms;
+}
+
+void live_leave(struct live *l)
+{
+	if (l->step != LIVE_LEFT)
+		l->step = l->lease ? LIVE_LEAVE : LIVE_LEFT;
+	l->next_ms = 0;
+}
+
+static void live_again(struct live *l, enum live_step step, int64_t at_ms)
+{
+	if (l->step != LIVE_LEAVE && l->step != LIVE_LEFT)
+		l->step = step;
+	l->next_ms = at_ms;
+}
+
+static void on_grant(struct core *c, struct live *l,
+		     const struct kv_result *res)
+{
+	if (res->err != ERR_OK) {
+		live_again(l, LIVE_GRANT, core_now(c) + LIVE_RETRY_MS);
+		return;
+	}
+	l->lease = res->lease;
+	l->until_ms = l->called_ms + LIVE_TTL_MS;
+	live_again(l, LIVE_READ, core_now(c));
+}
+
+static void on_read(struct core *c, struct live *l, const struct kv_result *res)
+{
+	l->rev = res->n_items ? res->items[0].rev : 0;
+	if (res->err == ERR_OK || res->err == ERR_NOT_FOUND)
+		live_again(l, LIVE_PUT, core_now(c));
+	else
+		live_again(l, LIVE_READ, core_now(c) + LIVE_RETRY_MS);
+}
+
+static void on_put(struct core *c, struct live *l, const struct kv_result *res)
+{
+	switch (res->err) {
+	case ERR_OK:
+		live_again(l, LIVE_RENEW, l->called_ms + LIVE_RENEW_MS);
+		log_event(EV_LIVE_TAKEN, "run=%s rev=%llu", core_incarnation(c),
+			  (unsigned long long)res->rev);
+		break;
+	case ERR_KV_LEASE:
+	case ERR_NOT_FOUND:
+		live_again(l, LIVE_GRANT, core_now(c) + LIVE_RETRY_MS);
+		break;
+	case ERR_KV_CONFLICT:
+		live_again(l, LIVE_READ, core_now(c));
+		break;
+	default:
+		live_again(l, LIVE_READ, core_now(c) + LIVE_RETRY_MS);
+		break;
+	}
+}
+
+static void on_renew(struct core *c, struct live *l,
+		     const struct kv_result *res)
+{
+	if (res->err == ERR_OK) {
+		l->until_ms = l->called_ms + LIVE_TTL_MS;
+		live_again(l, LIVE_RENEW, l->called_ms + LIVE_RENEW_MS);
+	} else if (res->err == ERR_NOT_FOUND || res->err == ERR_KV_LEASE) {
+		live_again(l, LIVE_GRANT, core_now(c));
+	} else {
+		live_again(l, LIVE_RENEW, core_now(c) + LIVE_RETRY_MS);
+	}
+}
+
+static void on_leave(struct core *c, struct live *l,
+		     const struct kv_result *res)
+{
+	l->lease = 0;
+	l->step = LIVE_LEFT;
+}
+
+static void on_answer(struct core *c, void *ctx, const struct kv_result *res)
+{
+	static void (*const handlers[])(struct core * c, struct live * l,
+					const struct kv_result *res) = {
+		[LIVE_GRANT] = on_grant, [LIVE_READ] = on_read,
+		[LIVE_PUT] = on_put,	 [LIVE_RENEW] = on_renew,
+		[LIVE_LEAVE] = on_leave,
+	};
+	struct live *l = ctx;
+	enum live_step step = l->step;
+
+	l->busy = false;
+	if (step != LIVE_LEFT)
+		handlers[step](c, l, res);
+}
+
+static enum err live_put(struct core *c, const struct live *l, struct kv_cb cb)
+{
+	char key[STORE_KEY];
+	const struct kv_put_opts put = {
+		.key = key,
+		.value = core_incarnation(c),
+		.len = strlen(core_incarnation(c)),
+		.prev_rev = l->rev,
+		.lease = l->lease,
+	};
+
+	snprintf(key, sizeof(key), KEY_LIVE "%s", core_node(c));
+	return kv_put(c, &put, cb);
+}
+
+static enum err live_call(struct core *c, struct live *l)
+{
+	const struct kv_cb cb = {on_answer, l};
+	char key[STORE_KEY];
+
+	snprintf(key, sizeof(key), KEY_LIVE "%s", core_node(c));
+	switch (l->step) {
+	case LIVE_GRANT:
+		return kv_lease_grant(c, LIVE_TTL_MS, cb);
+	case LIVE_READ:
+		return kv_get(c, key, cb);
+	case LIVE_PUT:
+		return live_put(c, l, cb);
+	case LIVE_RENEW:
+		return kv_lease_renew(c, l->lease, cb);
+	case LIVE_LEAVE:
+		return kv_lease_revoke(c, l->lease, cb);
+	case LIVE_LEFT:
+		break;
+	}
+	return ERR_CLOSED;
+}
+
+void live_step(struct core *c, struct live *l)
+{
+	int64_t now = core_now(c);
+
+	if (l->busy || l->step == LIVE_LEFT || now < l->next_ms)
+		return;
+	l->called_ms = now;
+	l->busy = live_call(c, l) == ERR_OK;
+	if (!l->busy)
+		l->next_ms = now + LIVE_RETRY_MS;
+}
--- a/packages/daemon/src/mods.c
+++ b/packages/daemon/src/mods.c
@@ -1,4 +1,4 @@
-// The table of the daemon's modules.
+// The tables of the daemon's modules.
 #include "daemon/mods.h"
 
 const struct core_mod_ops *const daemon_mods[MOD_COUNT] = {
@@ -7,3 +7,10 @@
 	[MOD_DUTY] = &duty_mod_ops,	    [MOD_USAGE] = &usage_mod_ops,
 	[MOD_WORK] = &work_mod_ops,	    [MOD_ROLLOUT] = &rollout_mod_ops,
 };
+
+const struct core_mod_ops *const daemon_site_mods[MOD_COUNT] = {
+	[MOD_PLATFORM] = &platform_mod_ops, [MOD_SITE] = &site_mod_ops,
+	[MOD_LEAD] = &lead_mod_ops,	    [MOD_TALLY] = &tally_mod_ops,
+	[MOD_JOB] = &job_mod_ops,	    [MOD_ORDER] = &order_mod_ops,
+	[MOD_FRONT] = &front_mod_ops,
+};
--- /dev/null
+++ b/packages/daemon/src/order/order_mod.c
@@ -0,0 +1,166 @@
+// The leader orders servers to load the weight versions that trainers name.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "core/settings.h"
+#include "daemon/lead_mod.h"
+#include "daemon/mods.h"
+#include "daemon/site_mod.h"
+#include "rollplan/rollplan.h"
+#include "wire/wire.h"
+
+enum {
+	/// Servers that load at once: beyond two each load takes longer.
+	ORDER_AT_ONCE = 2,
+	/// A load takes about a second and shows in the server's entry a
+	/// heartbeat later; after this time the order counts as lost.
+	ORDER_LATE_MS = 4000,
+	ORDER_TIMEOUT_MS = 500, ///< of the call
+};
+
+struct orders {
+	struct rollplan plan;
+	uint64_t epoch; ///< of the holding for which the plan was made
+};
+
+/* An order on its way. */
+struct order_call {
+	struct orders *o;
+	htab_handle server;
+	char id[SITE_NAME];
+	char model[SITE_NAME];
+	uint64_t version;
+	uint64_t epoch;
+};
+
+static void on_ordered(struct core *c, void *ctx,
+		       const struct core_fetch_result *res)
+{
+	struct order_call *call = ctx;
+	bool taken = res->err == ERR_OK && res->status >= 200 &&
+		     res->status < 300;
+
+	log_event(taken ? EV_ORDER_SENT : EV_ORDER_FAILED,
+		  "server=%s model=%s version=%llu epoch=%llu error=%s http=%d",
+		  call->id, call->model, (unsigned long long)call->version,
+		  (unsigned long long)call->epoch, err_code(res->err),
+		  res->status);
+	if (!taken && call->o->epoch == call->epoch)
+		rollplan_failed(&call->o->plan, call->server, core_now(c));
+	free(call);
+}
+
+/* Whether some route of the service wants samples of one version only. */
+static bool one_version(const struct site_conf *conf, const char *service)
+{
+	for (size_t i = 0; i < conf->n_routes; i++) {
+		const struct site_route *r = &conf->routes[i];
+
+		for (int k = 0; r->one_version && k < r->n_targets; k++) {
+			if (strcmp(r->targets[k].service, service) == 0)
+				return true;
+		}
+	}
+	return false;
+}
+
+static void order_send(struct core *c, struct orders *o,
+		       const struct rollplan_order *ord, bool keep_runs)
+{
+	const struct engine_wire_ops *wire = core_wire(c)->engine;
+	const struct site_server *s =
+		site_servers_get(site_mod_servers(c), ord->server);
+	struct order_call *call = calloc(1, sizeof(*call));
+	const struct engine_order eo = {
+		.model = ord->model,
+		.version = ord->version,
+		.keep_runs = keep_runs,
+		.holder = core_node(c),
+		.epoch = o->epoch,
+		.server = s->entry.id,
+	};
+	struct core_fetch_opts opts = {
+		.method = "POST",
+		.timeout_ms = ORDER_TIMEOUT_MS,
+		.connect_timeout_ms = ORDER_TIMEOUT_MS,
+		.on_done = on_ordered,
+		.ctx = call,
+	};
+	struct arena a;
+	char url[256];
+
+	if (!call)
+		return;
+	arena_init(&a, 0);
+	call->o = o;
+	call->server = ord->server;
+	call->version = ord->version;
+	call->epoch = o->epoch;
+	strcpy(call->id, s->entry.id);
+	strcpy(call->model, ord->model);
+	snprintf(url, sizeof(url), "http://%s%s", s->entry.addr,
+		 wire->order_path);
+	opts.url = url;
+	opts.headers = wire->order(&eo, &a, &opts.body);
+	opts.body_len = opts.body ? strlen(opts.body) : 0;
+	if (!opts.headers || core_fetch(c, &opts, NULL) != ERR_OK)
+		free(call);
+	arena_free(&a);
+}
+
+static void take_targets(struct core *c, struct orders *o)
+{
+	const char *model;
+
+	for (int i = 0; (model = site_mod_model(c, i)); i++)
+		rollplan_target(&o->plan, model, site_mod_weights(c, model));
+}
+
+static void order_tick(struct core *c, void *state, int64_t now_ms)
+{
+	static const struct rollplan_opts opts = {
+		.at_once = ORDER_AT_ONCE,
+		.late_ms = ORDER_LATE_MS,
+	};
+	struct orders *o = state;
+	const struct site_conf *conf = site_mod_conf(c);
+	struct rollplan_order ord;
+	uint64_t epoch;
+
+	if (!conf || !lead_mod_held(c, &epoch) || !site_mod_fresh(c))
+		return;
+	if (o->epoch != epoch) {
+		rollplan_init(&o->plan, &opts);
+		o->epoch = epoch;
+	}
+	take_targets(c, o);
+	for (size_t i = 0; i < conf->n_services; i++) {
+		const struct site_service *svc = &conf->services[i];
+
+		if (!svc->memory_tokens)
+			continue;
+		while (rollplan_next(&o->plan, site_mod_servers(c), svc->name,
+				     now_ms, &ord))
+			order_send(c, o, &ord, !one_version(conf, svc->name));
+	}
+}
+
+static enum err order_start(struct core *c, void **state)
+{
+	*state = calloc(1, sizeof(struct orders));
+	return *state ? ERR_OK : ERR_NOMEM;
+}
+
+static void order_stop(struct core *c, void *state)
+{
+	free(state);
+}
+
+const struct core_mod_ops order_mod_ops = {
+	.name = "order",
+	.start = order_start,
+	.tick = order_tick,
+	.stop = order_stop,
+};
--- a/packages/daemon/src/platform_mod.c
+++ b/packages/daemon/src/platform_mod.c
@@ -3,10 +3,12 @@
 
 #include <stdlib.h>
 
+#include "base/log.h"
 #include "base/metric.h"
 #include "core/settings.h"
 #include "daemon/mods.h"
 #include "platform_wire.h"
+#include "wire/wire.h"
 
 enum {
 	PLATFORM_CALLS = 1024, ///< calls at once
@@ -17,6 +19,7 @@
 	const struct kv_wire_ops *wire;
 	struct htab *calls;
 	int64_t contact_ms; ///< see kv_last_contact()
+	int64_t back_ms; ///< see kv_back_since()
 	bool fresh; ///< the last call failed: don't trust old connections
 };
 
@@ -38,7 +41,7 @@
 
 	if (!p)
 		return ERR_NOMEM;
-	p->wire = &kv_wire_json;
+	p->wire = core_wire(c) ? core_wire(c)->store : &kv_wire_json;
 	p->calls = htab_new(PLATFORM_CALLS, sizeof(struct platform_call *));
 	if (!p->calls) {
 		free(p);
@@ -82,17 +85,33 @@
 }
 
 static void platform_note(struct platform *p, const struct platform_call *pc,
-			  const struct kv_result *res)
+			  const struct kv_result *res, int64_t now)
 {
 	int64_t heard = platform_heard(pc, res);
 
 	p->fresh = res->err == ERR_KV_UNKNOWN || res->err == ERR_KV_DOWN;
-	if (p->fresh)
+	if (p->fresh) {
 		metric_add(M_KV_FAILED, 1);
-	else if (heard > p->contact_ms)
+		if (p->back_ms)
+			log_event(EV_KV_LOST, "error=%s call=%d",
+				  err_code(res->err), (int)pc->call.op);
+		p->back_ms = 0;
+		return;
+	}
+	if (!p->back_ms) {
+		log_event(EV_KV_FOUND, "silent_ms=%lld",
+			  p->contact_ms ? (long long)(now - p->contact_ms) : 0);
+		p->back_ms = now;
+	}
+	if (heard > p->contact_ms)
 		p->contact_ms = heard;
 }
 
+int64_t kv_back_since(struct core *c)
+{
+	return platform_of(c)->back_ms;
+}
+
 static void platform_done(struct core *c, void *ctx,
 			  const struct core_fetch_result *fetch)
 {
@@ -108,7 +127,7 @@
 	if (fetch->err == ERR_OK)
 		p->wire->decode(&pc->call, fetch->status, fetch->body,
 				fetch->body_len, &pc->arena, &res);
-	platform_note(p, pc, &res);
+	platform_note(p, pc, &res, core_now(c));
 	pc->cb.fn(c, pc->cb.ctx, &res);
 	platform_call_free(pc);
 }
@@ -168,6 +187,7 @@
 	metric_add(M_KV_CALLS, 1);
 	/* The caller's key and value are gone after this. */
 	pc->call.key = NULL;
+	pc->call.from = NULL;
 	pc->call.value = NULL;
 	return ERR_OK;
 
@@ -192,6 +212,15 @@
 	return platform_begin(c, &call, cb);
 }
 
+enum err kv_list_from(struct core *c, const char *prefix, const char *from,
+		      struct kv_cb cb)
+{
+	const struct kv_call call = {
+		.op = KV_LIST, .key = prefix, .from = from};
+
+	return platform_begin(c, &call, cb);
+}
+
 enum err kv_put(struct core *c, const struct kv_put_opts *opts, struct kv_cb cb)
 {
 	const struct kv_call call = {
--- a/packages/daemon/src/platform_wire_json.c
+++ b/packages/daemon/src/platform_wire_json.c
@@ -1,48 +1,26 @@
 // The store's calls as HTTP requests with JSON bodies.
+#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/url.h"
 #include "platform_wire.h"
 
 enum {
 	WIRE_NUM_MAX = 24, ///< digits of a number in a URL
-	WIRE_ESCAPE = 3, ///< bytes of an escaped byte
 };
 
-static bool wire_plain(char ch)
-{
-	return (ch >= 'a' && ch <= 'z') || (ch >= 'A' && ch <= 'Z') ||
-	       (ch >= '0' && ch <= '9') || strchr("/-._~", ch);
-}
-
-/* Append a string with what a URL can't hold escaped. */
-static char *wire_escape(char *to, const char *from)
-{
-	for (; *from; from++) {
-		if (wire_plain(*from))
-			*to++ = *from;
-		else
-			to += sprintf(to, "%%%02X", (unsigned char)*from);
-	}
-	*to = '\0';
-	return to;
-}
-
 /* base + path + escaped key + tail, in the arena. */
 static char *wire_url(struct arena *a, const char *base, const char *path,
 		      const char *key, const char *tail)
 {
-	size_t len = strlen(base) + strlen(path) + WIRE_ESCAPE * strlen(key) +
-		     strlen(tail) + 1;
-	char *url = arena_alloc(a, len);
-	char *p;
+	const char *name = url_escape(a, key);
+	size_t len = strlen(base) + strlen(path) + strlen(tail) + 1;
+	char *url = name ? arena_alloc(a, len + strlen(name)) : NULL;
 
-	if (!url)
-		return NULL;
-	p = stpcpy(stpcpy(url, base), path);
-	p = wire_escape(p, key);
-	strcpy(p, tail);
+	if (url)
+		strcpy(stpcpy(stpcpy(stpcpy(url, base), path), name), tail);
 	return url;
 }
 
--- /dev/null
+++ b/packages/daemon/src/site/feed.c
@@ -0,0 +1,106 @@
+// List and watch of a prefix.
+#include "site/feed.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum {
+	FEED_RETRY_MS = 200, ///< after a failed call
+};
+
+void feed_init(struct feed *f, const struct feed_opts *opts)
+{
+	memset(f, 0, sizeof(*f));
+	f->opts = *opts;
+}
+
+static void feed_failed(struct core *c, struct feed *f, enum err e)
+{
+	if (e == ERR_KV_HISTORY)
+		f->listed = false;
+	f->from[0] = '\0';
+	f->next_ms = core_now(c) + FEED_RETRY_MS;
+}
+
+static void feed_items(struct core *c, struct feed *f,
+		       const struct kv_result *res)
+{
+	for (size_t i = 0; i < res->n_items; i++)
+		f->opts.ops->item(c, f->opts.ctx, &res->items[i]);
+	for (size_t i = 0; i < res->n_deleted; i++)
+		f->opts.ops->gone(c, f->opts.ctx, res->deleted[i]);
+}
+
+static void on_list(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct feed *f = ctx;
+
+	f->busy = false;
+	if (res->err != ERR_OK) {
+		feed_failed(c, f, res->err);
+		return;
+	}
+	if (!f->from[0]) {
+		f->list_rev = res->rev;
+		f->list_ms = f->start_ms;
+		f->opts.ops->begin(c, f->opts.ctx);
+	}
+	feed_items(c, f, res);
+	if (res->more && res->n_items) {
+		snprintf(f->from, sizeof(f->from), "%s",
+			 res->items[res->n_items - 1].key);
+		return;
+	}
+	f->from[0] = '\0';
+	f->rev = f->list_rev;
+	f->listed = true;
+	f->opts.ops->listed(c, f->opts.ctx);
+	f->opts.ops->confirmed(c, f->opts.ctx, f->list_ms);
+}
+
+/* An answer without changes was true when the wait ended. */
+static int64_t watch_as_of(const struct feed *f, const struct kv_result *res)
+{
+	bool quiet = !res->n_items && !res->n_deleted;
+
+	return quiet ? f->start_ms + f->opts.wait_ms : f->start_ms;
+}
+
+static void on_watch(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct feed *f = ctx;
+	int64_t now = core_now(c);
+	int64_t as_of;
+
+	f->busy = false;
+	if (res->err != ERR_OK) {
+		feed_failed(c, f, res->err);
+		return;
+	}
+	feed_items(c, f, res);
+	if (res->rev > f->rev)
+		f->rev = res->rev;
+	as_of = watch_as_of(f, res);
+	f->opts.ops->confirmed(c, f->opts.ctx, as_of < now ? as_of : now);
+	f->next_ms = f->start_ms + f->opts.pause_ms;
+	feed_step(c, f);
+}
+
+void feed_step(struct core *c, struct feed *f)
+{
+	int64_t now = core_now(c);
+	enum err e;
+
+	if (f->busy || now < f->next_ms)
+		return;
+	f->start_ms = now;
+	if (f->listed)
+		e = kv_watch(c, f->opts.prefix, f->rev, f->opts.wait_ms,
+			     (struct kv_cb){on_watch, f});
+	else
+		e = kv_list_from(c, f->opts.prefix, f->from[0] ? f->from : NULL,
+				 (struct kv_cb){on_list, f});
+	f->busy = e == ERR_OK;
+	if (!f->busy)
+		f->next_ms = now + FEED_RETRY_MS;
+}
--- /dev/null
+++ b/packages/daemon/src/site/feed.h
@@ -0,0 +1,42 @@
+// Keeps up with all keys of a prefix: lists them, then watches for changes, and
+// lists anew when the store has forgotten the changes in between.
+#pragma once
+
+#include "daemon/platform_mod.h"
+
+struct feed_ops {
+	/// All items are about to come.
+	void (*begin)(struct core *c, void *ctx);
+	void (*item)(struct core *c, void *ctx, const struct kv_item *item);
+	void (*gone)(struct core *c, void *ctx, const char *key);
+	/// Every item that stands has come.
+	void (*listed)(struct core *c, void *ctx);
+	/// The state was confirmed as of a time.
+	void (*confirmed)(struct core *c, void *ctx, int64_t as_of_ms);
+};
+
+struct feed_opts {
+	const char *prefix;
+	int64_t wait_ms; ///< longest wait of a watch
+	int64_t pause_ms; ///< least time between two watches
+	const struct feed_ops *ops;
+	void *ctx;
+};
+
+struct feed {
+	struct feed_opts opts;
+	bool listed; ///< the list was read and rev is known
+	bool busy; ///< a call is outstanding
+	uint64_t rev; ///< changes after it are to come
+	uint64_t list_rev; ///< store's revision at the start of the list
+	int64_t start_ms; ///< of the call
+	int64_t list_ms; ///< start of the list
+	int64_t next_ms; ///< earliest next call
+	char from[256]; ///< last key of the list's page, "" at its start
+};
+
+/// @param opts  prefix and ops outlive the feed
+void feed_init(struct feed *f, const struct feed_opts *opts);
+
+/// Make the next call if it is due; call from the tick.
+void feed_step(struct core *c, struct feed *f);
--- /dev/null
+++ b/packages/daemon/src/site/site_mod.c
@@ -0,0 +1,390 @@
+// Follows the operators' and the servers' keys in the platform's store.
+#include "daemon/site_mod.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "core/settings.h"
+#include "daemon/mods.h"
+#include "site/feed.h"
+#include "wire/wire.h"
+
+enum {
+	SITE_WEIGHTS = 64, ///< models whose versions are followed
+	/// Longest wait of a watch on the servers' entries: silence of its
+	/// connection is noticed a platform timeout later.
+	SERVERS_WAIT_MS = 5000,
+	/// Least time between two watches on the entries: they change in bursts,
+	/// and a leaving server may be used for some seconds still.
+	SERVERS_PAUSE_MS = 400,
+	RETIRE_RETRY_MS = 500,
+};
+
+struct site {
+	const struct publish_wire_ops *wire;
+	struct site_conf *conf;
+	struct site_servers *servers;
+	struct publish_weights weights[SITE_WEIGHTS];
+	int n_weights;
+	struct feed operators;
+	struct feed entries;
+	int64_t confirmed_ms; ///< configuration, 0 for never
+	bool stale_logged;
+	bool retire; ///< this VM is to be emptied
+	bool retire_busy;
+	int64_t retire_next_ms;
+};
+
+static struct site *site_of(const struct core *c)
+{
+	return core_mod_state(c, MOD_SITE);
+}
+
+const struct site_conf *site_mod_conf(struct core *c)
+{
+	return site_of(c)->conf;
+}
+
+struct site_servers *site_mod_servers(struct core *c)
+{
+	return site_of(c)->servers;
+}
+
+int64_t site_mod_age(struct core *c)
+{
+	const struct site *s = site_of(c);
+
+	return s->confirmed_ms ? core_now(c) - s->confirmed_ms : INT64_MAX;
+}
+
+bool site_mod_fresh(struct core *c)
+{
+	return site_of(c)->conf &&
+	       site_mod_age(c) <=
+		       settings_int(core_settings(c), S_CONF_MAX_AGE);
+}
+
+uint64_t site_mod_weights(struct core *c, const char *model)
+{
+	const struct site *s = site_of(c);
+
+	for (int i = 0; i < s->n_weights; i++) {
+		if (strcmp(s->weights[i].model, model) == 0)
+			return s->weights[i].version;
+	}
+	return 0;
+}
+
+const char *site_mod_model(struct core *c, int i)
+{
+	const struct site *s = site_of(c);
+
+	return i < s->n_weights ? s->weights[i].model : NULL;
+}
+
+enum err site_mod_auth(struct core *c, const struct site_route *route,
+		       const char *bearer, char team[SITE_NAME])
+{
+	const struct site *s = site_of(c);
+	const char *name;
+
+	team[0] = '\0';
+	if (!s->conf)
+		return ERR_CONF_NONE;
+	if (!s->conf->has_teams)
+		return ERR_OK;
+	name = site_conf_team(s->conf, bearer);
+	if (name)
+		snprintf(team, SITE_NAME, "%s", name);
+	if (route && route->open)
+		return ERR_OK;
+	if (!site_mod_fresh(c))
+		return ERR_CONF_CUT_OFF;
+	if (!bearer)
+		return ERR_KEY_MISSING;
+	return name ? ERR_OK : ERR_KEY_UNKNOWN;
+}
+
+static void take_conf(struct site *s, const struct kv_item *item)
+{
+	struct site_conf *conf = NULL;
+	enum err e = s->wire->conf(item->value, item->len, &conf);
+
+	if (e != ERR_OK) {
+		log_event(EV_SITE_CONF_BAD, "error=%s rev=%llu bytes=%zu",
+			  err_code(e), (unsigned long long)item->rev,
+			  item->len);
+		return;
+	}
+	if (s->conf && conf->version <= s->conf->version) {
+		site_conf_free(conf);
+		return;
+	}
+	site_conf_free(s->conf);
+	s->conf = conf;
+	log_event(EV_SITE_CONF,
+		  "version=%llu rev=%llu routes=%zu services=%zu teams=%zu",
+		  (unsigned long long)conf->version,
+		  (unsigned long long)item->rev, conf->n_routes,
+		  conf->n_services, conf->n_teams);
+}
+
+static void take_weights(struct site *s, const struct kv_item *item)
+{
+	struct publish_weights w;
+	int i = 0;
+
+	if (s->wire->weights(item->value, item->len, &w) != ERR_OK) {
+		log_event(EV_SITE_CONF_BAD, "error=parse key=%s", item->key);
+		return;
+	}
+	while (i < s->n_weights && strcmp(s->weights[i].model, w.model) != 0)
+		i++;
+	if (i == SITE_WEIGHTS ||
+	    (i < s->n_weights && s->weights[i].version >= w.version))
+		return;
+	s->weights[i] = w;
+	if (i == s->n_weights)
+		s->n_weights++;
+	log_event(EV_SITE_WEIGHTS, "model=%s version=%llu", w.model,
+		  (unsigned long long)w.version);
+}
+
+static void operator_begin(struct core *c, void *ctx)
+{
+	struct site *s = ctx;
+
+	site_servers_domains_in(s->servers);
+}
+
+static void operator_item(struct core *c, void *ctx, const struct kv_item *item)
+{
+	struct site *s = ctx;
+	char name[SITE_NAME];
+
+	switch (s->wire->kind(item->key, name)) {
+	case PUBLISH_CONF:
+		take_conf(s, item);
+		break;
+	case PUBLISH_DOMAIN_OUT:
+		site_servers_domain_out(s->servers, name, true);
+		log_event(EV_SITE_DOMAIN, "domain=%s out=1", name);
+		break;
+	case PUBLISH_WEIGHTS:
+		take_weights(s, item);
+		break;
+	case PUBLISH_RETIRE:
+		s->retire |= strcmp(name, core_node(c)) == 0;
+		break;
+	case PUBLISH_OTHER:
+		break;
+	}
+}
+
+static void operator_gone(struct core *c, void *ctx, const char *key)
+{
+	struct site *s = ctx;
+	char name[SITE_NAME];
+
+	if (s->wire->kind(key, name) != PUBLISH_DOMAIN_OUT)
+		return;
+	site_servers_domain_out(s->servers, name, false);
+	log_event(EV_SITE_DOMAIN, "domain=%s out=0", name);
+}
+
+static void operator_listed(struct core *c, void *ctx)
+{
+}
+
+static void operator_confirmed(struct core *c, void *ctx, int64_t as_of_ms)
+{
+	struct site *s = ctx;
+
+	if (as_of_ms > s->confirmed_ms)
+		s->confirmed_ms = as_of_ms;
+}
+
+static const struct feed_ops operator_ops = {
+	.begin = operator_begin,
+	.item = operator_item,
+	.gone = operator_gone,
+	.listed = operator_listed,
+	.confirmed = operator_confirmed,
+};
+
+static void entries_begin(struct core *c, void *ctx)
+{
+	struct site *s = ctx;
+
+	site_servers_begin_list(s->servers);
+}
+
+static void entries_item(struct core *c, void *ctx, const struct kv_item *item)
+{
+	struct site *s = ctx;
+	struct site_server_entry e;
+	enum err err =
+		s->wire->server(item->key, item->value, item->len, &e);
+
+	if (err != ERR_OK) {
+		log_event(EV_SITE_SERVER_BAD, "key=%s error=%s", item->key,
+			  err_code(err));
+		return;
+	}
+	err = site_servers_put(s->servers, item->rev, core_now(c), &e);
+	log_event(EV_SITE_SERVER,
+		  "id=%s service=%s addr=%s domain=%s leaving=%d cold_ms=%lld "
+		  "error=%s",
+		  e.id, e.service, e.addr, e.domain, e.leaving,
+		  (long long)e.cold_left_ms, err_code(err));
+}
+
+/* Entries lapse while the store is away, though their servers live. */
+static bool outage(struct core *c)
+{
+	int64_t back = kv_back_since(c);
+
+	return !back || core_now(c) - back < SERVERS_WAIT_MS;
+}
+
+static void entries_gone(struct core *c, void *ctx, const char *key)
+{
+	struct site *s = ctx;
+	const char *id = key + strlen(s->wire->server_prefix);
+
+	log_event(EV_SITE_SERVER, "id=%s gone=1 outage=%d", id, outage(c));
+	site_servers_gone(s->servers, id, core_now(c), outage(c));
+}
+
+static void entries_listed(struct core *c, void *ctx)
+{
+	struct site *s = ctx;
+
+	site_servers_end_list(s->servers, core_now(c), outage(c));
+}
+
+static void entries_confirmed(struct core *c, void *ctx, int64_t as_of_ms)
+{
+}
+
+static const struct feed_ops entries_ops = {
+	.begin = entries_begin,
+	.item = entries_item,
+	.gone = entries_gone,
+	.listed = entries_listed,
+	.confirmed = entries_confirmed,
+};
+
+static void start_feeds(struct core *c, struct site *s)
+{
+	const struct feed_opts operators = {
+		.prefix = s->wire->operator_prefix,
+		.wait_ms = settings_int(core_settings(c), S_CONF_REFRESH),
+		.ops = &operator_ops,
+		.ctx = s,
+	};
+	const struct feed_opts entries = {
+		.prefix = s->wire->server_prefix,
+		.wait_ms = SERVERS_WAIT_MS,
+		.pause_ms = SERVERS_PAUSE_MS,
+		.ops = &entries_ops,
+		.ctx = s,
+	};
+
+	feed_init(&s->operators, &operators);
+	feed_init(&s->entries, &entries);
+}
+
+static enum err site_start(struct core *c, void **state)
+{
+	struct site *s = calloc(1, sizeof(*s));
+
+	if (!s)
+		return ERR_NOMEM;
+	s->wire = core_wire(c)->publish;
+	s->servers = site_servers_new();
+	if (!s->servers) {
+		free(s);
+		return ERR_NOMEM;
+	}
+	start_feeds(c, s);
+	*state = s;
+	return ERR_OK;
+}
+
+static void retire_done(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct site *s = ctx;
+
+	s->retire_busy = false;
+	if (res->err == ERR_OK || res->err == ERR_KV_CONFLICT) {
+		s->retire = false;
+		log_event(EV_SITE_RETIRED, "node=%s", core_node(c));
+	}
+}
+
+/* This node keeps no data of its own: it is empty at once. */
+static void retire_step(struct core *c, struct site *s)
+{
+	struct kv_put_opts put = {0};
+	char key[256];
+
+	if (!s->retire || s->retire_busy || core_now(c) < s->retire_next_ms)
+		return;
+	s->wire->retired(core_node(c), key, sizeof(key), &put.value);
+	put.key = key;
+	put.len = strlen(put.value);
+	s->retire_next_ms = core_now(c) + RETIRE_RETRY_MS;
+	s->retire_busy =
+		kv_put(c, &put, (struct kv_cb){retire_done, s}) == ERR_OK;
+}
+
+static void note_freshness(struct core *c, struct site *s)
+{
+	bool stale = s->conf && !site_mod_fresh(c);
+
+	if (stale == s->stale_logged)
+		return;
+	s->stale_logged = stale;
+	log_event(stale ? EV_SITE_STALE : EV_SITE_FRESH, "age_ms=%lld",
+		  (long long)site_mod_age(c));
+}
+
+static void site_tick(struct core *c, void *state, int64_t now_ms)
+{
+	struct site *s = state;
+
+	feed_step(c, &s->operators);
+	feed_step(c, &s->entries);
+	site_servers_expire(s->servers, now_ms, kv_back_since(c));
+	retire_step(c, s);
+	note_freshness(c, s);
+}
+
+static bool site_ready(struct core *c, void *state)
+{
+	struct site *s = state;
+	size_t iter = 0;
+
+	return site_mod_fresh(c) && s->entries.listed &&
+	       site_servers_next(s->servers, &iter);
+}
+
+static void site_stop(struct core *c, void *state)
+{
+	struct site *s = state;
+
+	site_conf_free(s->conf);
+	site_servers_free(s->servers);
+	free(s);
+}
+
+const struct core_mod_ops site_mod_ops = {
+	.name = "site",
+	.start = site_start,
+	.tick = site_tick,
+	.ready = site_ready,
+	.stop = site_stop,
+};
--- /dev/null
+++ b/packages/daemon/src/tally/report.c
@@ -0,0 +1,266 @@
+// The leader sums a window, fixes the figures in the store and reports them.
+//
+// A window's figures are fixed by creating one key: whoever reports the window,
+// now or after a lost answer, reports what that key holds.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "core/settings.h"
+#include "daemon/lead_mod.h"
+#include "store_keys.h"
+#include "tally/tally.h"
+#include "wire/wire.h"
+
+enum {
+	REPORT_RETRY_MS = 400,
+	REPORT_TIMEOUT_MS = 1500, ///< of the call to the platform
+	REPORT_TEAMS = 512, ///< most teams of a report
+	/// Windows that a new leader looks back: as many as end within the time
+	/// in which a report is still of use.
+	REPORT_BACK = 3,
+};
+
+static struct tally_report *report_of(const struct core *c)
+{
+	struct tally *t = core_mod_state(c, MOD_TALLY);
+
+	return &t->report;
+}
+
+static void report_to(struct core *c, struct tally_report *r,
+		      enum report_step step, int64_t wait_ms)
+{
+	r->busy = false;
+	r->step = step;
+	r->next_ms = core_now(c) + wait_ms;
+}
+
+static void report_done(struct core *c, struct tally_report *r)
+{
+	r->window++;
+	report_to(c, r, REPORT_IDLE, 0);
+}
+
+static void sum_item(struct tally_report *r, const struct kv_item *item)
+{
+	json_t *obj = json_loadb(item->value, item->len, 0, NULL);
+	const char *team;
+	json_t *n;
+
+	if (!obj)
+		log_event(EV_TALLY_FAILED, "key=%s error=parse", item->key);
+	json_object_foreach (obj, team, n) {
+		json_int_t sum =
+			json_integer_value(json_object_get(r->sum, team));
+
+		json_object_set_new(r->sum, team,
+				    json_integer(sum + json_integer_value(n)));
+	}
+	json_decref(obj);
+}
+
+static void on_listed(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct tally_report *r = report_of(c);
+
+	if (res->err != ERR_OK) {
+		r->from[0] = '\0';
+		report_to(c, r, REPORT_LIST, REPORT_RETRY_MS);
+		return;
+	}
+	if (!r->from[0])
+		json_object_clear(r->sum);
+	for (size_t i = 0; i < res->n_items; i++)
+		sum_item(r, &res->items[i]);
+	if (res->more && res->n_items) {
+		snprintf(r->from, sizeof(r->from), "%s",
+			 res->items[res->n_items - 1].key);
+		report_to(c, r, REPORT_LIST, 0);
+		return;
+	}
+	r->from[0] = '\0';
+	report_to(c, r, REPORT_SEAL, 0);
+}
+
+static void on_sealed(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct tally_report *r = report_of(c);
+
+	if (res->err == ERR_OK)
+		report_to(c, r, REPORT_SEND, 0);
+	else if (res->err == ERR_KV_CONFLICT || res->err == ERR_KV_UNKNOWN)
+		report_to(c, r, REPORT_READ, 0);
+	else
+		report_to(c, r, REPORT_SEAL, REPORT_RETRY_MS);
+}
+
+static void on_read(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct tally_report *r = report_of(c);
+
+	if (res->err == ERR_NOT_FOUND) {
+		report_to(c, r, REPORT_SEAL, 0);
+	} else if (res->err != ERR_OK) {
+		report_to(c, r, REPORT_READ, REPORT_RETRY_MS);
+	} else {
+		json_decref(r->sum);
+		r->sum = json_loadb(res->items[0].value, res->items[0].len, 0,
+				    NULL);
+		if (!r->sum)
+			r->sum = json_object();
+		report_to(c, r, REPORT_SEND, 0);
+	}
+}
+
+static void on_sent(struct core *c, void *ctx,
+		    const struct core_fetch_result *res)
+{
+	struct tally_report *r = report_of(c);
+	bool ok = res->err == ERR_OK && res->status >= 200 && res->status < 300;
+
+	log_event(ok ? EV_TALLY_REPORTED : EV_TALLY_FAILED,
+		  "window=%lld epoch=%llu teams=%zu error=%s http=%d",
+		  (long long)r->window, (unsigned long long)r->epoch,
+		  json_object_size(r->sum), err_code(res->err), res->status);
+	if (ok)
+		report_done(c, r);
+	else
+		report_to(c, r, REPORT_SEND, REPORT_RETRY_MS);
+}
+
+static size_t report_counts(const struct tally_report *r,
+			    struct duty_count *counts)
+{
+	const char *team;
+	json_t *n;
+	size_t k = 0;
+
+	json_object_foreach (r->sum, team, n) {
+		if (k == REPORT_TEAMS)
+			break;
+		counts[k++] = (struct duty_count){
+			.team = team,
+			.requests = (uint64_t)json_integer_value(n),
+		};
+	}
+	return k;
+}
+
+/* Checked just before the bytes leave: a leader that was paused between the
+ * check and the call sends within moments of its wake-up or not at all. */
+static enum err report_send(struct core *c, struct tally_report *r)
+{
+	const struct settings *s = core_settings(c);
+	const struct duty_wire_ops *wire = core_wire(c)->duty;
+	const char *base = settings_str(s, S_PLATFORM_DUTY_URL);
+	struct duty_count counts[REPORT_TEAMS];
+	struct duty_report rep = {
+		.holder = core_node(c),
+		.epoch = r->epoch,
+		.window = r->window,
+		.counts = counts,
+		.n = report_counts(r, counts),
+	};
+	struct core_fetch_opts opts = {
+		.method = "POST",
+		.timeout_ms = REPORT_TIMEOUT_MS,
+		.fresh = true,
+		.on_done = on_sent,
+	};
+	struct arena a;
+	char url[512];
+	enum err e;
+
+	arena_init(&a, 0);
+	snprintf(url, sizeof(url), "%s%s",
+		 *base ? base : settings_str(s, S_PLATFORM_URL),
+		 wire->report_path);
+	opts.url = url;
+	opts.headers = wire->report(&rep, &a, &opts.body);
+	opts.body_len = opts.body ? strlen(opts.body) : 0;
+	e = opts.headers ? core_fetch(c, &opts, NULL) : ERR_NOMEM;
+	arena_free(&a);
+	return e;
+}
+
+static enum err report_seal(struct core *c, struct tally_report *r)
+{
+	char *text = json_dumps(r->sum, JSON_COMPACT | JSON_SORT_KEYS);
+	char key[STORE_KEY];
+	const struct kv_put_opts put = {
+		.key = key,
+		.value = text,
+		.len = text ? strlen(text) : 0,
+	};
+	enum err e = ERR_NOMEM;
+
+	snprintf(key, sizeof(key), KEY_SEALED "%lld", (long long)r->window);
+	if (text)
+		e = kv_put(c, &put, (struct kv_cb){on_sealed, NULL});
+	free(text);
+	return e;
+}
+
+static enum err report_call(struct core *c, struct tally_report *r)
+{
+	char key[STORE_KEY];
+
+	switch (r->step) {
+	case REPORT_LIST:
+		snprintf(key, sizeof(key), KEY_TALLY "%lld/",
+			 (long long)r->window);
+		return kv_list_from(c, key, r->from[0] ? r->from : NULL,
+				    (struct kv_cb){on_listed, NULL});
+	case REPORT_SEAL:
+		return report_seal(c, r);
+	case REPORT_READ:
+		snprintf(key, sizeof(key), KEY_SEALED "%lld",
+			 (long long)r->window);
+		return kv_get(c, key, (struct kv_cb){on_read, NULL});
+	case REPORT_SEND:
+		return report_send(c, r);
+	case REPORT_IDLE:
+		break;
+	}
+	return ERR_CLOSED;
+}
+
+/* Begin the next window once it is settled. */
+static void report_begin(struct core *c, struct tally *t, uint64_t epoch,
+			 int64_t wall_ms)
+{
+	struct tally_report *r = &t->report;
+	int64_t settled = (wall_ms - t->settle_ms) / t->window_ms - 1;
+
+	if (!r->sum)
+		r->sum = json_object();
+	if (r->epoch != epoch || r->window < settled - REPORT_BACK)
+		r->window = settled - REPORT_BACK + 1;
+	r->epoch = epoch;
+	if (r->window <= settled)
+		r->step = REPORT_LIST;
+}
+
+void tally_report_step(struct core *c, struct tally *t, int64_t wall_ms)
+{
+	struct tally_report *r = &t->report;
+	uint64_t epoch;
+
+	if (r->busy)
+		return;
+	if (!lead_mod_held(c, &epoch)) {
+		r->step = REPORT_IDLE;
+		return;
+	}
+	if (r->step != REPORT_IDLE && r->epoch != epoch)
+		r->step = REPORT_IDLE;
+	if (r->step == REPORT_IDLE)
+		report_begin(c, t, epoch, wall_ms);
+	if (r->step == REPORT_IDLE || core_now(c) < r->next_ms)
+		return;
+	r->busy = report_call(c, r) == ERR_OK;
+	if (!r->busy)
+		r->next_ms = core_now(c) + REPORT_RETRY_MS;
+}
--- /dev/null
+++ b/packages/daemon/src/tally/tally_mod.c
@@ -0,0 +1,175 @@
+// Counts use by team and window, and writes this node's counts to the store.
+#include "tally/tally.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "core/settings.h"
+#include "daemon/mods.h"
+#include "daemon/tally_mod.h"
+#include "store_keys.h"
+
+enum {
+	/// After a window's end: answers that are on their way still count.
+	TALLY_WRITE_DELAY_MS = 400,
+	TALLY_RETRY_MS = 300,
+};
+
+static struct tally *tally_of(const struct core *c)
+{
+	return core_mod_state(c, MOD_TALLY);
+}
+
+/* Counts of a window, made at its first request; the oldest gives way. */
+static struct tally_window *window_of(struct tally *t, int64_t number)
+{
+	struct tally_window *free_one = NULL;
+
+	for (int i = 0; i < TALLY_WINDOWS; i++) {
+		struct tally_window *w = &t->windows[i];
+
+		if (w->counts && w->number == number)
+			return w;
+		if (!free_one || !w->counts ||
+		    (free_one->counts && w->number < free_one->number))
+			free_one = w;
+	}
+	json_decref(free_one->counts);
+	*free_one = (struct tally_window){
+		.number = number,
+		.counts = json_object(),
+	};
+	return free_one;
+}
+
+void tally_mod_add(struct core *c, const char *team, int64_t wall_ms)
+{
+	struct tally *t = tally_of(c);
+	struct tally_window *w = window_of(t, wall_ms / t->window_ms);
+	json_int_t n;
+
+	if (!*team || !w->counts)
+		return;
+	n = json_integer_value(json_object_get(w->counts, team));
+	json_object_set_new(w->counts, team, json_integer(n + 1));
+	w->dirty = true;
+}
+
+static void on_written(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct tally_window *w = ctx;
+
+	w->busy = false;
+	w->next_ms = core_now(c) + TALLY_RETRY_MS;
+	if (res->err == ERR_OK) {
+		w->rev = res->rev;
+		return;
+	}
+	w->dirty = true;
+	/* An earlier write whose answer was lost may have made the key. */
+	w->read = res->err == ERR_KV_CONFLICT;
+}
+
+static void on_read(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct tally_window *w = ctx;
+
+	w->busy = false;
+	w->next_ms = core_now(c) + TALLY_RETRY_MS;
+	if (res->err != ERR_OK && res->err != ERR_NOT_FOUND)
+		return;
+	w->rev = res->n_items ? res->items[0].rev : 0;
+	w->read = false;
+	w->next_ms = 0;
+}
+
+static void write_window(struct core *c, struct tally_window *w)
+{
+	char *text = json_dumps(w->counts, JSON_COMPACT);
+	char key[STORE_KEY];
+	const struct kv_put_opts put = {
+		.key = key,
+		.value = text,
+		.len = text ? strlen(text) : 0,
+		.prev_rev = w->rev,
+	};
+
+	snprintf(key, sizeof(key), KEY_TALLY "%lld/%s.%s",
+		 (long long)w->number, core_node(c), core_incarnation(c));
+	if (w->read) {
+		w->busy = kv_get(c, key, (struct kv_cb){on_read, w}) == ERR_OK;
+	} else if (text) {
+		w->busy = kv_put(c, &put, (struct kv_cb){on_written, w}) ==
+			  ERR_OK;
+		w->dirty = !w->busy;
+	}
+	free(text);
+}
+
+static void write_due(struct core *c, struct tally *t, int64_t wall_ms)
+{
+	for (int i = 0; i < TALLY_WINDOWS; i++) {
+		struct tally_window *w = &t->windows[i];
+		int64_t end_ms = (w->number + 1) * t->window_ms;
+
+		if (w->counts && w->dirty && !w->busy &&
+		    (core_draining(c) ||
+		     wall_ms >= end_ms + TALLY_WRITE_DELAY_MS) &&
+		    core_now(c) >= w->next_ms)
+			write_window(c, w);
+	}
+}
+
+static void tally_tick(struct core *c, void *state, int64_t now_ms)
+{
+	struct tally *t = state;
+	int64_t wall_ms = clock_wall_ms();
+
+	write_due(c, t, wall_ms);
+	tally_report_step(c, t, wall_ms);
+}
+
+static enum err tally_start(struct core *c, void **state)
+{
+	struct tally *t = calloc(1, sizeof(*t));
+
+	if (!t)
+		return ERR_NOMEM;
+	t->window_ms = settings_int(core_settings(c), S_TALLY_WINDOW);
+	t->settle_ms = settings_int(core_settings(c), S_TALLY_SETTLE);
+	*state = t;
+	return ERR_OK;
+}
+
+static bool tally_idle(struct core *c, void *state)
+{
+	const struct tally *t = state;
+
+	for (int i = 0; i < TALLY_WINDOWS; i++) {
+		if (t->windows[i].dirty || t->windows[i].busy)
+			return false;
+	}
+	return true;
+}
+
+static void tally_stop(struct core *c, void *state)
+{
+	struct tally *t = state;
+
+	for (int i = 0; i < TALLY_WINDOWS; i++)
+		json_decref(t->windows[i].counts);
+	json_decref(t->report.sum);
+	free(t);
+}
+
+const struct core_mod_ops tally_mod_ops = {
+	.name = "tally",
+	.start = tally_start,
+	.tick = tally_tick,
+	.idle = tally_idle,
+	.stop = tally_stop,
+};
--- a/packages/http/src/mhd_answer.c
+++ b/packages/http/src/mhd_answer.c
@@ -7,7 +7,7 @@
 #include "mhd_req.h"
 
 enum {
-	ANSWER_HEADERS = 16, ///< most headers that the reader may add
+	ANSWER_HEADERS = 64, ///< most headers that the reader may add
 	STREAM_BLOCK = 16384, ///< bytes handed to the server at once
 	STREAM_BUF_MIN = 1024, ///< bytes
 };
--- /dev/null
+++ b/packages/job/include/job/job_defs.h
@@ -0,0 +1,76 @@
+// Types of batches that are kept in the platform's store.
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/arena.h"
+
+enum {
+	JOB_ID = 128, ///< bytes of an id with its NUL
+	JOB_VERSIONS = 16, ///< weight versions of one sample
+};
+
+struct job_header {
+	const char *name;
+	const char *value;
+};
+
+/// One generation of a batch.
+struct job_item {
+	const char *id;
+	const char *path; ///< at the engine
+	const char *group; ///< items of a group share their prompt
+	const struct job_header *headers;
+	size_t n_headers;
+	const char *body;
+	size_t body_len; ///< bytes
+	int64_t tokens; ///< prompt and longest output
+	int64_t length_hint; ///< the caller's guess of the output, 0 for none
+};
+
+/// A batch as its trainer handed it in.
+struct job_spec {
+	struct arena arena; ///< owns all of it but id, host and team
+	int64_t step;
+	const char *model;
+	uint64_t min_version; ///< oldest weights that may generate
+	int target_groups; ///< complete groups that the trainer waits for
+	struct job_item *items;
+	size_t n_items;
+	/* Filled in by the node that takes or loads the batch. */
+	char id[JOB_ID];
+	char host[JOB_ID]; ///< of its route
+	char path[JOB_ID]; ///< at which it was handed in
+	char team[JOB_ID];
+	int64_t at_ms; ///< wall clock of its submission
+};
+
+enum job_state {
+	JOB_COMPLETED,
+	JOB_ABANDONED, ///< given up; has no text
+};
+
+/// What became of an item, at a position of its batch for good.
+struct job_result {
+	const char *id;
+	enum job_state state;
+	const char *text;
+	size_t text_len; ///< bytes
+	uint64_t versions[JOB_VERSIONS]; ///< weights that made it, in order
+	int n_versions;
+};
+
+/// A page of results for a reader.
+struct job_page {
+	uint64_t total; ///< items of the batch
+	uint64_t next; ///< position after the page
+	const struct job_result *results;
+	size_t n;
+};
+
+/// Free a batch.
+///
+/// @param s  batch or NULL
+void job_spec_free(struct job_spec *s);
--- /dev/null
+++ b/packages/job/include/job/job_run.h
@@ -0,0 +1,100 @@
+// Decisions of the node that runs a batch: which item to start next, what an
+// item's outcome means, which results to write now. Pure: no I/O, no clock.
+#pragma once
+
+#include "base/err.h"
+#include "job/job_defs.h"
+#include "job/job_list.h"
+
+struct job_run;
+
+enum job_step {
+	JOB_WAITING, ///< to be sent
+	JOB_SENT, ///< at a server
+	JOB_READY, ///< over; its result is not written yet
+	JOB_WRITING, ///< its result is in a record on its way to the store
+	JOB_LISTED, ///< its result has a position
+};
+
+struct job_run_opts {
+	int max_failures; ///< failed runs after which an item is given up
+	bool one_version; ///< a sample may have one weight version only
+	int64_t give_up_ms; ///< clock_now_ms() time from which items are given up
+};
+
+/// Text of an item as far as it was generated.
+struct job_text {
+	char *buf;
+	size_t len; ///< bytes
+	size_t cap; ///< bytes
+	uint64_t last_event; ///< id of the last whole event, 0 for none
+	uint64_t versions[JOB_VERSIONS];
+	int n_versions;
+};
+
+/// How a run of an item ended.
+enum job_outcome {
+	JOB_RUN_WHOLE, ///< the stream ended as complete
+	JOB_RUN_BROKEN, ///< it broke off; what came is kept
+	JOB_RUN_FAILED, ///< the server failed it: counts against max_failures
+	JOB_RUN_IMPOSSIBLE, ///< it can never be done
+	JOB_RUN_NOT_RUN, ///< refused without running
+};
+
+/// Begin to run a batch.
+///
+/// @param spec  owned by the caller, outlives the run
+/// @return run, NULL when out of memory
+struct job_run *job_run_new(const struct job_spec *spec,
+			    const struct job_run_opts *opts);
+void job_run_free(struct job_run *r);
+
+/// Take over what the store holds: items that have a position are over.
+void job_run_listed(struct job_run *r, const struct job_list *list);
+
+/// Next item to send.
+///
+/// Load pattern: a batch larger than its servers with heavy-tailed lengths.
+/// The longest by the caller's hint go first, since the last one to start
+/// decides when the batch is whole.
+///
+/// @return index of the item, -1 for none
+int job_run_next(struct job_run *r, int64_t now);
+
+/// An item was sent.
+void job_run_sent(struct job_run *r, int item);
+
+/// Text held of an item.
+const struct job_text *job_run_text(const struct job_run *r, int item);
+
+/// One whole event came.
+///
+/// @param version  weights that made it, 0 if not known
+/// @return ERR_OK; ERR_INVALID for one out of order or made by weights that the
+///         batch does not allow: the run must be ended as JOB_RUN_BROKEN
+enum err job_run_event(struct job_run *r, int item, uint64_t id,
+		       uint64_t version, const char *data, size_t len);
+
+/// An item's run ended.
+void job_run_ended(struct job_run *r, int item, int64_t now,
+		   enum job_outcome how);
+
+/// The batch's route is gone: give up what is not over yet.
+void job_run_give_up(struct job_run *r);
+
+/// Results to write now. A trainer can use whole groups only, so a record is
+/// due when a group is whole, and at the latest after some time.
+///
+/// @param[out] out  array of as many entries as the batch has items
+/// @return count, 0 when nothing is due; those are JOB_WRITING now
+size_t job_run_flush(struct job_run *r, int64_t now, bool all,
+		     struct job_result *out);
+
+/// The record of the last job_run_flush() was not written: it is due again.
+void job_run_unwritten(struct job_run *r);
+
+/// Whether every item has a position.
+bool job_run_over(const struct job_run *r);
+
+/// Items in a step.
+size_t job_run_count(const struct job_run *r, enum job_step step);
--- /dev/null
+++ b/packages/job/src/job_list.c
@@ -0,0 +1,167 @@
+// Records of results: JSON texts in the store, a list in memory.
+#include "job/job_list.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	LIST_MIN = 32, ///< results of a list at first
+};
+
+void job_list_init(struct job_list *l)
+{
+	memset(l, 0, sizeof(*l));
+	arena_init(&l->arena, 0);
+}
+
+void job_list_free(struct job_list *l)
+{
+	arena_free(&l->arena);
+	free(l->results);
+	memset(l, 0, sizeof(*l));
+}
+
+int64_t job_list_find(const struct job_list *l, const char *id)
+{
+	for (size_t i = 0; i < l->n; i++) {
+		if (strcmp(l->results[i].id, id) == 0)
+			return (int64_t)i;
+	}
+	return -1;
+}
+
+static bool list_room(struct job_list *l)
+{
+	size_t cap = l->cap ? 2 * l->cap : LIST_MIN;
+	struct job_result *p;
+
+	if (l->n < l->cap)
+		return true;
+	p = realloc(l->results, cap * sizeof(*p));
+	if (!p)
+		return false;
+	l->results = p;
+	l->cap = cap;
+	return true;
+}
+
+static bool take_versions(const json_t *arr, struct job_result *r)
+{
+	size_t n = json_array_size(arr);
+
+	if (!json_is_array(arr) || n > JOB_VERSIONS)
+		return false;
+	for (size_t i = 0; i < n; i++)
+		r->versions[i] = (uint64_t)json_integer_value(
+			json_array_get(arr, i));
+	r->n_versions = (int)n;
+	return true;
+}
+
+static enum err take_result(struct job_list *l, const json_t *obj)
+{
+	const json_t *text = json_object_get(obj, "text");
+	const char *id = json_string_value(json_object_get(obj, "id"));
+	struct job_result r = {
+		.state = json_is_true(json_object_get(obj, "abandoned"))
+				 ? JOB_ABANDONED
+				 : JOB_COMPLETED,
+		.text_len = json_string_length(text),
+	};
+
+	if (!id || !json_is_string(text) ||
+	    !take_versions(json_object_get(obj, "versions"), &r))
+		return ERR_PARSE;
+	if (job_list_find(l, id) >= 0)
+		return ERR_OK;
+	r.id = arena_strdup(&l->arena, id);
+	r.text = arena_strndup(&l->arena, json_string_value(text), r.text_len);
+	if (!r.id || !r.text || !list_room(l))
+		return ERR_NOMEM;
+	l->results[l->n++] = r;
+	return ERR_OK;
+}
+
+enum err job_list_add(struct job_list *l, uint64_t number, const char *value,
+		      size_t len)
+{
+	json_t *obj;
+	const json_t *arr;
+	enum err e = ERR_OK;
+
+	if (number < l->records)
+		return ERR_OK;
+	if (number > l->records)
+		return ERR_NOT_FOUND;
+	obj = json_loadb(value, len, JSON_ALLOW_NUL, NULL);
+	arr = json_object_get(obj, "results");
+	if (!json_is_array(arr))
+		e = ERR_PARSE;
+	for (size_t i = 0; e == ERR_OK && i < json_array_size(arr); i++)
+		e = take_result(l, json_array_get(arr, i));
+	if (e == ERR_OK)
+		l->records++;
+	json_decref(obj);
+	return e;
+}
+
+struct job_page job_list_page(const struct job_list *l, uint64_t after,
+			      size_t max_bytes)
+{
+	struct job_page page = {.next = after};
+	size_t bytes = 0;
+
+	if (after >= l->n)
+		return page;
+	page.results = l->results + after;
+	for (size_t i = after; i < l->n; i++) {
+		bytes += l->results[i].text_len;
+		if (page.n && bytes > max_bytes)
+			break;
+		page.n++;
+	}
+	page.next = after + page.n;
+	return page;
+}
+
+static json_t *result_json(const struct job_result *r)
+{
+	json_t *versions = json_array();
+
+	for (int i = 0; i < r->n_versions; i++)
+		json_array_append_new(versions,
+				      json_integer((json_int_t)r->versions[i]));
+	return json_pack("{s:s,s:b,s:s#,s:o}", "id", r->id, "abandoned",
+			 r->state == JOB_ABANDONED, "text",
+			 r->text ? r->text : "", (int)r->text_len, "versions",
+			 versions);
+}
+
+char *job_record(const char *writer, const struct job_result *results, size_t n)
+{
+	json_t *arr = json_array();
+	json_t *obj;
+	char *text;
+
+	for (size_t i = 0; i < n; i++) {
+		if (json_array_append_new(arr, result_json(&results[i])) < 0) {
+			json_decref(arr);
+			return NULL;
+		}
+	}
+	obj = json_pack("{s:s,s:o}", "writer", writer, "results", arr);
+	text = obj ? json_dumps(obj, JSON_COMPACT) : NULL;
+	json_decref(obj);
+	return text;
+}
+
+bool job_record_by(const char *value, size_t len, const char *writer)
+{
+	json_t *obj = json_loadb(value, len, JSON_ALLOW_NUL, NULL);
+	const char *by = json_string_value(json_object_get(obj, "writer"));
+	bool mine = by && strcmp(by, writer) == 0;
+
+	json_decref(obj);
+	return mine;
+}
--- /dev/null
+++ b/packages/rollplan/src/rollplan.c
@@ -0,0 +1,274 @@
+// Shares of the servers, and the orders that bring each share up to date.
+#include "rollplan/rollplan.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	SHARE_MAX = 1024, ///< servers of a service that a plan looks at
+	FAILED_AGAIN_MS = 300, ///< after a refusal, before the next order
+};
+
+void rollplan_init(struct rollplan *p, const struct rollplan_opts *opts)
+{
+	memset(p, 0, sizeof(*p));
+	p->opts = *opts;
+}
+
+void rollplan_target(struct rollplan *p, const char *model, uint64_t version)
+{
+	struct rollplan_model *m;
+
+	for (int i = 0; i < p->n_models; i++) {
+		if (strcmp(p->models[i].name, model) == 0) {
+			p->models[i].version = version;
+			return;
+		}
+	}
+	if (p->n_models == ROLLPLAN_MODELS)
+		return;
+	m = &p->models[p->n_models++];
+	strncpy(m->name, model, SITE_NAME - 1);
+	m->version = version;
+}
+
+/* A server and what the plan thinks of it. */
+struct row {
+	const struct site_server *s;
+	int owner; ///< model that counts on it, -1 for none
+};
+
+static int row_compare(const void *a, const void *b)
+{
+	const struct row *x = a;
+	const struct row *y = b;
+
+	return strcmp(x->s->entry.id, y->s->entry.id);
+}
+
+/* Usable servers of a service, by id, so that every plan sees one order. */
+static int rows_of(const struct site_servers *t, const char *service,
+		   struct row *rows)
+{
+	struct site_server *s;
+	size_t iter = 0;
+	int n = 0;
+
+	while ((s = site_servers_next(t, &iter)) && n < SHARE_MAX) {
+		if (strcmp(s->entry.service, service) != 0 ||
+		    !site_server_usable(t, s) || s->lapsed_ms)
+			continue;
+		rows[n++] = (struct row){s, -1};
+	}
+	qsort(rows, (size_t)n, sizeof(*rows), row_compare);
+	return n;
+}
+
+/* Index of the model whose named version a server is nearest to; servers that
+ * have the first version of everything belong to nobody. */
+static int owner_of(const struct rollplan *p, const struct site_server *s)
+{
+	uint64_t best = 1;
+	int owner = -1;
+
+	for (int m = 0; m < p->n_models; m++) {
+		uint64_t v = site_server_version(s, p->models[m].name);
+
+		if (v > best) {
+			best = v;
+			owner = m;
+		}
+	}
+	return owner;
+}
+
+static int count_owned(const struct row *rows, int n, int model)
+{
+	int k = 0;
+
+	for (int i = 0; i < n; i++)
+		k += rows[i].owner == model;
+	return k;
+}
+
+/* Servers of the domain that a model already has: fewer is better. */
+static int owned_in_domain(const struct row *rows, int n, int model,
+			   const char *domain)
+{
+	int k = 0;
+
+	for (int i = 0; i < n; i++)
+		k += rows[i].owner == model &&
+		     strcmp(rows[i].s->entry.domain, domain) == 0;
+	return k;
+}
+
+static int pick_free(const struct row *rows, int n, int model)
+{
+	int best = -1;
+	int best_in = 0;
+
+	for (int i = 0; i < n; i++) {
+		int in;
+
+		if (rows[i].owner >= 0)
+			continue;
+		in = owned_in_domain(rows, n, model, rows[i].s->entry.domain);
+		if (best < 0 || in < best_in) {
+			best = i;
+			best_in = in;
+		}
+	}
+	return best;
+}
+
+/* Take back from a model what it has beyond its share. */
+static void release_excess(struct row *rows, int n, int model, int share)
+{
+	int k = count_owned(rows, n, model);
+
+	for (int i = n - 1; i >= 0 && k > share; i--) {
+		if (rows[i].owner != model)
+			continue;
+		rows[i].owner = -1;
+		k--;
+	}
+}
+
+static int assign(const struct rollplan *p, const struct site_servers *t,
+		  const char *service, struct row *rows)
+{
+	int n = rows_of(t, service, rows);
+	int models = p->n_models;
+
+	for (int i = 0; i < n; i++)
+		rows[i].owner = owner_of(p, rows[i].s);
+	for (int m = 0; m < models; m++)
+		release_excess(rows, n, m, (n + models - 1) / models);
+	for (bool more = true; more && models;) {
+		more = false;
+		for (int m = 0; m < models; m++) {
+			int share = n / models + (m < n % models);
+			int at = count_owned(rows, n, m) < share
+					 ? pick_free(rows, n, m)
+					 : -1;
+
+			if (at < 0)
+				continue;
+			rows[at].owner = m;
+			more = true;
+		}
+	}
+	return n;
+}
+
+static int model_index(const struct rollplan *p, const char *model)
+{
+	for (int m = 0; m < p->n_models; m++) {
+		if (strcmp(p->models[m].name, model) == 0)
+			return m;
+	}
+	return -1;
+}
+
+int rollplan_share(const struct rollplan *p, const struct site_servers *t,
+		   const char *service, const char *model, htab_handle *out,
+		   int cap)
+{
+	struct row rows[SHARE_MAX];
+	int n = assign(p, t, service, rows);
+	int want = model_index(p, model);
+	int k = 0;
+
+	for (int i = 0; i < n && k < cap; i++) {
+		if (want >= 0 && rows[i].owner == want)
+			out[k++] = rows[i].s->self;
+	}
+	return k;
+}
+
+static void drop_pending(struct rollplan *p, int i)
+{
+	p->pending[i] = p->pending[--p->n_pending];
+}
+
+/* Forget orders that show in the servers' entries, are late, or void. */
+static void settle(struct rollplan *p, const struct site_servers *t,
+		   int64_t now)
+{
+	for (int i = p->n_pending - 1; i >= 0; i--) {
+		const struct rollplan_pending *o = &p->pending[i];
+		const struct site_server *s = site_servers_get(t, o->server);
+
+		if (!s || now - o->at_ms >= p->opts.late_ms ||
+		    site_server_version(s, o->model) >= o->version)
+			drop_pending(p, i);
+	}
+}
+
+static bool is_pending(const struct rollplan *p, htab_handle server)
+{
+	for (int i = 0; i < p->n_pending; i++) {
+		if (p->pending[i].server == server)
+			return true;
+	}
+	return false;
+}
+
+void rollplan_failed(struct rollplan *p, htab_handle server, int64_t now)
+{
+	for (int i = 0; i < p->n_pending; i++) {
+		if (p->pending[i].server == server)
+			p->pending[i].at_ms =
+				now - p->opts.late_ms + FAILED_AGAIN_MS;
+	}
+}
+
+/* How many versions a server is behind for the model that counts on it. */
+static uint64_t behind(const struct rollplan *p, const struct row *r)
+{
+	uint64_t want, have;
+
+	if (r->owner < 0 || is_pending(p, r->s->self))
+		return 0;
+	want = p->models[r->owner].version;
+	have = site_server_version(r->s, p->models[r->owner].name);
+	return have && want > have ? want - have : 0;
+}
+
+bool rollplan_next(struct rollplan *p, const struct site_servers *t,
+		   const char *service, int64_t now, struct rollplan_order *out)
+{
+	struct row rows[SHARE_MAX];
+	uint64_t most = 0;
+	int best = -1;
+	int n;
+
+	settle(p, t, now);
+	if (p->n_pending >= p->opts.at_once || p->n_pending == ROLLPLAN_PENDING)
+		return false;
+	n = assign(p, t, service, rows);
+	for (int i = 0; i < n; i++) {
+		uint64_t b = behind(p, &rows[i]);
+
+		if (b > most) {
+			most = b;
+			best = i;
+		}
+	}
+	if (best < 0)
+		return false;
+	*out = (struct rollplan_order){
+		.server = rows[best].s->self,
+		.model = p->models[rows[best].owner].name,
+		.version = p->models[rows[best].owner].version,
+	};
+	p->pending[p->n_pending] = (struct rollplan_pending){
+		.server = out->server,
+		.version = out->version,
+		.at_ms = now,
+	};
+	strncpy(p->pending[p->n_pending].model, out->model, SITE_NAME - 1);
+	p->n_pending++;
+	return true;
+}
--- /dev/null
+++ b/packages/site/src/conf.c
@@ -0,0 +1,83 @@
+// Look-ups in a configuration.
+#include "site/conf.h"
+
+#include <assert.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+void site_conf_free(struct site_conf *conf)
+{
+	if (!conf)
+		return;
+	arena_free(&conf->arena);
+	free(conf);
+}
+
+void site_key_hash(const char *key, uint8_t hash[SITE_KEY_HASH])
+{
+	crypto_generichash(hash, SITE_KEY_HASH, (const unsigned char *)key,
+			   strlen(key), NULL, 0);
+}
+
+static int key_compare(const void *a, const void *b)
+{
+	const struct site_key *x = a;
+	const struct site_key *y = b;
+
+	return memcmp(x->hash, y->hash, SITE_KEY_HASH);
+}
+
+void site_conf_seal(struct site_conf *conf)
+{
+	if (conf->n_keys)
+		qsort(conf->keys, conf->n_keys, sizeof(*conf->keys),
+		      key_compare);
+}
+
+const struct site_route *site_conf_route(const struct site_conf *conf,
+					 const char *host, const char *path)
+{
+	const struct site_route *best = NULL;
+	size_t best_len = 0;
+
+	for (size_t i = 0; i < conf->n_routes; i++) {
+		const struct site_route *r = &conf->routes[i];
+		size_t len = strlen(r->prefix);
+
+		if (best && len <= best_len)
+			continue;
+		if (strcmp(r->host, host) != 0 ||
+		    strncmp(path, r->prefix, len) != 0)
+			continue;
+		best = r;
+		best_len = len;
+	}
+	return best;
+}
+
+const struct site_service *site_conf_service(const struct site_conf *conf,
+					     const char *name)
+{
+	for (size_t i = 0; i < conf->n_services; i++) {
+		if (strcmp(conf->services[i].name, name) == 0)
+			return &conf->services[i];
+	}
+	return NULL;
+}
+
+const char *site_conf_team(const struct site_conf *conf, const char *bearer)
+{
+	struct site_key ask = {.team = -1};
+	const struct site_key *found;
+
+	if (!bearer || !conf->n_keys)
+		return NULL;
+	site_key_hash(bearer, ask.hash);
+	found = bsearch(&ask, conf->keys, conf->n_keys, sizeof(ask),
+			key_compare);
+	if (!found)
+		return NULL;
+	assert((size_t)found->team < conf->n_teams);
+	return conf->teams[found->team];
+}
--- /dev/null
+++ b/packages/site/src/server.c
@@ -0,0 +1,291 @@
+// Table of backend servers, and the choice among them.
+#include "site/server.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	DOMAINS_OUT = 64, ///< failure domains out at once
+	/// A server that is alive announces itself again within this time after
+	/// an outage of the store.
+	LAPSE_MS = 2200,
+	AVOID_MS = 300, ///< after the first failure; doubles with each further one
+	AVOID_DOUBLINGS = 3,
+	COLD_BURST = 2, ///< requests that a cold server may get at once
+};
+
+/* Weights of the choice, in shares of a server's slots. */
+static const double OTHER_DOMAIN = 0.25; ///< bytes between domains cost
+static const double TROUBLED = 8.0; ///< more than any load
+
+struct site_servers {
+	struct htab *tab;
+	uint32_t round; ///< of the list that is being read
+	char out[DOMAINS_OUT][SITE_NAME];
+	int n_out;
+};
+
+struct site_servers *site_servers_new(void)
+{
+	struct site_servers *t = calloc(1, sizeof(*t));
+
+	if (!t)
+		return NULL;
+	t->tab = htab_new(SITE_SERVERS, sizeof(struct site_server));
+	if (t->tab)
+		return t;
+	free(t);
+	return NULL;
+}
+
+void site_servers_free(struct site_servers *t)
+{
+	if (!t)
+		return;
+	htab_free(t->tab);
+	free(t);
+}
+
+struct site_server *site_servers_get(const struct site_servers *t,
+				     htab_handle h)
+{
+	return htab_get(t->tab, h);
+}
+
+struct site_server *site_servers_next(const struct site_servers *t,
+				      size_t *iter)
+{
+	return htab_next(t->tab, iter, NULL);
+}
+
+static struct site_server *find(const struct site_servers *t, const char *id)
+{
+	struct site_server *s;
+	size_t iter = 0;
+
+	while ((s = site_servers_next(t, &iter))) {
+		if (strcmp(s->entry.id, id) == 0)
+			return s;
+	}
+	return NULL;
+}
+
+static struct site_server *add(struct site_servers *t)
+{
+	htab_handle h;
+	struct site_server *s = htab_add(t->tab, &h);
+
+	if (s)
+		s->self = h;
+	return s;
+}
+
+enum err site_servers_put(struct site_servers *t, uint64_t rev, int64_t now,
+			  const struct site_server_entry *e)
+{
+	struct site_server *s = find(t, e->id);
+
+	if (s)
+		s->round = t->round;
+	if (s && rev < s->rev)
+		return ERR_OK;
+	if (s && s->entry.started_ms != e->started_ms) {
+		htab_del(t->tab, s->self);
+		s = NULL;
+	}
+	if (!s)
+		s = add(t);
+	if (!s)
+		return ERR_FULL;
+	s->entry = *e;
+	s->rev = rev;
+	s->round = t->round;
+	s->lapsed_ms = 0;
+	s->cold_until_ms = e->cold_left_ms > 0 ? now + e->cold_left_ms : 0;
+	return ERR_OK;
+}
+
+void site_servers_gone(struct site_servers *t, const char *id, int64_t now,
+		       bool outage)
+{
+	struct site_server *s = find(t, id);
+
+	if (!s)
+		return;
+	if (!outage)
+		htab_del(t->tab, s->self);
+	else if (!s->lapsed_ms)
+		s->lapsed_ms = now;
+}
+
+void site_servers_begin_list(struct site_servers *t)
+{
+	t->round++;
+}
+
+void site_servers_end_list(struct site_servers *t, int64_t now, bool outage)
+{
+	struct site_server *s;
+	size_t iter = 0;
+
+	while ((s = site_servers_next(t, &iter))) {
+		if (s->round != t->round)
+			site_servers_gone(t, s->entry.id, now, outage);
+	}
+}
+
+void site_servers_expire(struct site_servers *t, int64_t now,
+			 int64_t store_back_ms)
+{
+	struct site_server *s;
+	size_t iter = 0;
+
+	if (!store_back_ms || now - store_back_ms < LAPSE_MS)
+		return;
+	while ((s = site_servers_next(t, &iter))) {
+		if (s->lapsed_ms && now - s->lapsed_ms >= LAPSE_MS)
+			htab_del(t->tab, s->self);
+	}
+}
+
+static int domain_at(const struct site_servers *t, const char *domain)
+{
+	for (int i = 0; i < t->n_out; i++) {
+		if (strcmp(t->out[i], domain) == 0)
+			return i;
+	}
+	return -1;
+}
+
+void site_servers_domain_out(struct site_servers *t, const char *domain,
+			     bool out)
+{
+	int at = domain_at(t, domain);
+
+	if (out && at < 0 && t->n_out < DOMAINS_OUT) {
+		strncpy(t->out[t->n_out], domain, SITE_NAME - 1);
+		t->n_out++;
+	} else if (!out && at >= 0) {
+		t->n_out--;
+		memmove(t->out[at], t->out[t->n_out], SITE_NAME);
+		memset(t->out[t->n_out], 0, SITE_NAME);
+	}
+}
+
+void site_servers_domains_in(struct site_servers *t)
+{
+	memset(t->out, 0, sizeof(t->out));
+	t->n_out = 0;
+}
+
+bool site_server_usable(const struct site_servers *t,
+			const struct site_server *s)
+{
+	return !s->entry.leaving && domain_at(t, s->entry.domain) < 0;
+}
+
+uint64_t site_server_version(const struct site_server *s, const char *model)
+{
+	for (int i = 0; i < s->entry.n_models; i++) {
+		if (strcmp(s->entry.models[i].name, model) == 0)
+			return s->entry.models[i].version;
+	}
+	return 0;
+}
+
+static bool tried(const struct site_ask *ask, htab_handle h)
+{
+	for (int i = 0; i < ask->n_not; i++) {
+		if (ask->not [i] == h)
+			return true;
+	}
+	return false;
+}
+
+/* Requests that a cold server may get now; it bears a rate, not a number. */
+static double cold_credit(const struct site_server *s, int64_t now, double rate)
+{
+	double credit = s->cold_credit +
+			(double)(now - s->cold_credit_ms) * rate / 1000.0;
+
+	return credit > COLD_BURST ? COLD_BURST : credit;
+}
+
+static bool fits(const struct site_servers *t, const struct site_server *s,
+		 int64_t now, const struct site_ask *ask)
+{
+	if (strcmp(s->entry.service, ask->service) != 0 ||
+	    !site_server_usable(t, s) || tried(ask, s->self))
+		return false;
+	if (ask->model) {
+		uint64_t v = site_server_version(s, ask->model);
+
+		if (!v || v < ask->min_version)
+			return false;
+	}
+	if (ask->only_free &&
+	    (s->running >= s->entry.slots || now < s->avoid_until_ms))
+		return false;
+	return s->cold_until_ms <= now || ask->cold_rate <= 0 ||
+	       cold_credit(s, now, ask->cold_rate) >= 1;
+}
+
+static double load_of(const struct site_server *s, int64_t now,
+		      const struct site_ask *ask)
+{
+	int slots = s->entry.slots > 0 ? s->entry.slots : 1;
+	double load = (double)s->running / slots;
+
+	if (strcmp(s->entry.domain, ask->domain) != 0)
+		load += OTHER_DOMAIN;
+	if (now < s->avoid_until_ms)
+		load += TROUBLED;
+	return load;
+}
+
+struct site_server *site_servers_choose(struct site_servers *t, int64_t now,
+					const struct site_ask *ask)
+{
+	struct site_server *best = NULL;
+	struct site_server *s;
+	double best_load = 0;
+	size_t iter = 0;
+
+	while ((s = site_servers_next(t, &iter))) {
+		double load;
+
+		if (!fits(t, s, now, ask))
+			continue;
+		load = load_of(s, now, ask);
+		if (best && load >= best_load)
+			continue;
+		best = s;
+		best_load = load;
+	}
+	if (best && best->cold_until_ms > now && ask->cold_rate > 0) {
+		best->cold_credit = cold_credit(best, now, ask->cold_rate) - 1;
+		best->cold_credit_ms = now;
+	}
+	return best;
+}
+
+void site_server_begin(struct site_server *s, int64_t now)
+{
+	s->running++;
+}
+
+void site_server_end(struct site_server *s, int64_t now, bool ok)
+{
+	int shift;
+
+	if (s->running > 0)
+		s->running--;
+	if (ok) {
+		s->failures = 0;
+		s->avoid_until_ms = 0;
+		return;
+	}
+	shift = s->failures < AVOID_DOUBLINGS ? s->failures : AVOID_DOUBLINGS;
+	s->avoid_until_ms = now + ((int64_t)AVOID_MS << shift);
+	s->failures++;
+}
--- a/packages/upstream/include/upstream/upstream.h
+++ b/packages/upstream/include/upstream/upstream.h
@@ -11,6 +11,10 @@
 struct upstream;
 struct upstream_call;
 
+enum {
+	UPSTREAM_HEADERS = 48, ///< header fields kept of an answer
+};
+
 struct upstream_opts {
 	struct mbox *events; ///< gets struct upstream_event; room for 4 a call
 	unsigned int max_calls; ///< a power of two
@@ -31,6 +35,14 @@
 	size_t max_body; ///< bytes
 	bool fresh; ///< use a new connection
 	bool streamed; ///< UPSTREAM_DATA events instead of a whole body
+	bool want_head; ///< UPSTREAM_HEAD before the body, head in the result
+};
+
+/// Header fields of an answer, as the server sent them.
+struct upstream_head {
+	char *names[UPSTREAM_HEADERS];
+	char *values[UPSTREAM_HEADERS]; ///< without blanks around them
+	size_t n;
 };
 
 struct upstream_result {
@@ -40,10 +52,12 @@
 	char *body; ///< whole body, NULL when it was streamed or is empty
 	size_t body_len; ///< bytes
 	char ctype[128]; ///< Content-Type, "" if none
+	struct upstream_head head; ///< with want_head
 	int64_t total_us; ///< microseconds from start to end
 };
 
 enum upstream_event_kind {
+	UPSTREAM_HEAD, ///< status and header fields; at most once a call
 	UPSTREAM_DATA,
 	UPSTREAM_DONE, ///< the last one of a call
 };
@@ -52,6 +66,8 @@
 	enum upstream_event_kind kind;
 	uint32_t id;
 	struct upstream_call *call; ///< referenced by the event
+	int status; ///< with UPSTREAM_HEAD
+	const struct upstream_head *head; ///< with UPSTREAM_HEAD
 	const struct upstream_result *result; ///< with UPSTREAM_DONE
 	const char *data; ///< with UPSTREAM_DATA
 	size_t len; ///< bytes of data
--- a/packages/upstream/src/call.h
+++ b/packages/upstream/src/call.h
@@ -32,6 +32,8 @@
 	bool running;
 	bool paused; ///< reading waits until the receiver catches up
 	bool too_large;
+	bool head_posted; ///< UPSTREAM_HEAD went to the receiver
+	bool head_full; ///< more header fields than UPSTREAM_HEADERS
 	bool idle; ///< ended by the idle timeout
 	int attempts; ///< times that the request was about to be written
 	int64_t start_us;
@@ -67,5 +69,10 @@
 /// @return false when it is behind: the bytes must come again
 bool upstream_post_data(struct upstream_call *c, const char *data, size_t len);
 
+/// Tell the receiver the status and the header fields.
+///
+/// @return false when it is behind: the bytes of the body must come again
+bool upstream_post_head(struct upstream_call *c);
+
 /// Tell that a call was freed.
 void upstream_call_freed(struct upstream *up);
--- a/packages/upstream/src/event.c
+++ b/packages/upstream/src/event.c
@@ -13,7 +13,7 @@
 {
 	struct upstream_call *c = ev->call;
 
-	if (ev->kind == UPSTREAM_DATA) {
+	if (ev->kind != UPSTREAM_DONE) {
 		atomic_fetch_sub(&c->up->events, 1);
 		atomic_fetch_sub(&c->up->data, ev->len);
 		free(ev);
@@ -28,6 +28,30 @@
 	       atomic_load(&up->data) >= EDGE_DATA_MAX;
 }
 
+bool upstream_post_head(struct upstream_call *c)
+{
+	struct upstream_event *ev;
+
+	if (upstream_behind(c->up))
+		return false;
+	ev = malloc(sizeof(*ev));
+	if (!ev)
+		return false;
+	*ev = (struct upstream_event){
+		.kind = UPSTREAM_HEAD,
+		.id = c->opts.id,
+		.call = c,
+		.status = c->result.status,
+		.head = &c->result.head,
+	};
+	call_ref(c);
+	atomic_fetch_add(&c->up->events, 1);
+	if (mbox_put(c->up->opts.events, ev) == ERR_OK)
+		return true;
+	upstream_event_free(ev);
+	return false;
+}
+
 bool upstream_post_data(struct upstream_call *c, const char *data, size_t len)
 {
 	struct upstream_event *ev;
--- a/packages/upstream/src/transfer.c
+++ b/packages/upstream/src/transfer.c
@@ -1,15 +1,21 @@
 // The libcurl transfer of a call: options in, body and progress out.
 #include "call.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include "base/clock.h"
 
 enum {
 	MS_PER_S = 1000,
 	BODY_MIN = 1024, ///< bytes of a body buffer at first
+	/// Sent bytes that stay unacknowledged for this long end a connection;
+	/// several times a round trip between failure domains.
+	UPSTREAM_UNACKED_MS = 2000,
 };
 
 static bool body_append(struct upstream_call *c, const char *data, size_t len)
@@ -34,6 +40,20 @@
 	return true;
 }
 
+/// The head goes out with the first byte of the body, so that a receiver that
+/// is behind stops the body at once.
+static bool head_ready(struct upstream_call *c)
+{
+	long status = 0;
+
+	if (!c->opts.want_head || c->head_posted)
+		return true;
+	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
+	c->result.status = (int)status;
+	c->head_posted = upstream_post_head(c);
+	return c->head_posted;
+}
+
 static size_t on_body(char *data, size_t size, size_t n, void *ctx)
 {
 	struct upstream_call *c = ctx;
@@ -41,7 +61,7 @@
 
 	c->heard_ms = clock_now_ms();
 	if (c->opts.streamed) {
-		if (upstream_post_data(c, data, len))
+		if (head_ready(c) && upstream_post_data(c, data, len))
 			return len;
 		c->paused = true;
 		return CURL_WRITEFUNC_PAUSE;
@@ -53,12 +73,56 @@
 	return body_append(c, data, len) ? len : 0;
 }
 
+/// Keep one "Name: value" line; a status line begins a new answer, such as the
+/// final one after an interim one.
+static void head_take(struct upstream_call *c, const char *line, size_t len)
+{
+	struct upstream_head *h = &c->result.head;
+	const char *colon = memchr(line, ':', len);
+	const char *end = line + len;
+	const char *value;
+
+	if (len > 5 && strncmp(line, "HTTP/", 5) == 0) {
+		h->n = 0;
+		return;
+	}
+	if (!colon || colon == line)
+		return;
+	if (h->n == UPSTREAM_HEADERS) {
+		c->head_full = true;
+		return;
+	}
+	value = colon + 1;
+	while (value < end && (*value == ' ' || *value == '\t'))
+		value++;
+	while (end > value && strchr(" \t\r\n", end[-1]))
+		end--;
+	h->names[h->n] =
+		arena_strndup(&c->arena, line, (size_t)(colon - line));
+	h->values[h->n] = arena_strndup(&c->arena, value, (size_t)(end - value));
+	if (h->names[h->n] && h->values[h->n])
+		h->n++;
+}
+
 static size_t on_header(char *data, size_t size, size_t n, void *ctx)
 {
 	struct upstream_call *c = ctx;
 
 	c->heard_ms = clock_now_ms();
-	return size * n;
+	if (c->opts.want_head)
+		head_take(c, data, size * n);
+	/* An answer that can't be passed on whole must not be passed on. */
+	return c->head_full ? 0 : size * n;
+}
+
+/// A connection that turned silent for good ends instead of waiting for the
+/// kernel's retransmissions, which take minutes.
+static int on_socket_made(void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
+	unsigned int ms = UPSTREAM_UNACKED_MS;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+	return CURL_SOCKOPT_OK;
 }
 
 /// libcurl writes a request again by itself when a connection that it used
@@ -135,6 +199,7 @@
 	curl_easy_setopt(c->easy, CURLOPT_HTTP_VERSION,
 			 (long)CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(c->easy, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(c->easy, CURLOPT_PATH_AS_IS, 1L);
 }
 
 static void setup_callbacks(struct upstream_call *c)
@@ -146,6 +211,7 @@
 	curl_easy_setopt(c->easy, CURLOPT_HEADERDATA, c);
 	curl_easy_setopt(c->easy, CURLOPT_PREREQFUNCTION, on_request);
 	curl_easy_setopt(c->easy, CURLOPT_PREREQDATA, c);
+	curl_easy_setopt(c->easy, CURLOPT_SOCKOPTFUNCTION, on_socket_made);
 }
 
 bool call_setup(struct upstream_call *c)
--- /dev/null
+++ b/packages/wire/include/wire/duty.h
@@ -0,0 +1,29 @@
+// Table for the calls to the platform that one node at a time makes.
+#pragma once
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/arena.h"
+
+/// Use of one team in a window.
+struct duty_count {
+	const char *team;
+	uint64_t requests; ///< that backend servers began
+};
+
+struct duty_report {
+	const char *holder; ///< node that makes the call
+	uint64_t epoch; ///< fencing number
+	int64_t window; ///< number of the window since 1970
+	const struct duty_count *counts;
+	size_t n;
+};
+
+struct duty_wire_ops {
+	const char *report_path;
+	/// @param[out] body  in the arena
+	/// @return header lines, NULL when out of memory
+	const char **(*report)(const struct duty_report *r, struct arena *a,
+			       const char **body);
+};
--- /dev/null
+++ b/packages/wire/include/wire/wire.h
@@ -0,0 +1,18 @@
+// All tables of one outside platform. An adapter implements them; nothing else
+// in the project knows that platform's names.
+#pragma once
+
+#include "wire/duty.h"
+#include "wire/engine.h"
+#include "wire/front.h"
+#include "wire/publish.h"
+#include "wire/store.h"
+
+struct wire_ops {
+	const char *name; ///< value of the setting that chooses it
+	const struct kv_wire_ops *store;
+	const struct publish_wire_ops *publish;
+	const struct front_wire_ops *front;
+	const struct engine_wire_ops *engine;
+	const struct duty_wire_ops *duty;
+};
--- a/programs/catkinpathd/main.c
+++ b/programs/catkinpathd/main.c
@@ -9,6 +9,7 @@
 #include "core/core.h"
 #include "core/settings.h"
 #include "daemon/mods.h"
+#include "platform/platform.h"
 
 enum {
 	EXIT_USAGE = 2, ///< bad command line
@@ -97,12 +98,22 @@
 	signal(SIGHUP, SIG_IGN);
 }
 
+/* Tables and modules for the protocols that the settings name. */
+static bool choose_wire(const char *name, struct core_opts *opts)
+{
+	opts->mods = daemon_mods;
+	if (strcmp(name, "native") == 0)
+		return true;
+	opts->mods = daemon_site_mods;
+	opts->wire = &platform_wire;
+	return strcmp(name, platform_wire.name) == 0;
+}
+
 static int run(struct settings *s, const char *path)
 {
 	struct core_opts opts = {
 		.settings = s,
 		.settings_path = path,
-		.mods = daemon_mods,
 	};
 	const char *spans = settings_str(s, S_TRACE_FILE);
 
@@ -112,6 +123,11 @@
 		log_event(EV_FATAL, "trace_file=%s", spans);
 		return EXIT_START;
 	}
+	if (!choose_wire(settings_str(s, S_PLATFORM_WIRE), &opts)) {
+		log_event(EV_FATAL, "wire=%s",
+			  settings_str(s, S_PLATFORM_WIRE));
+		return EXIT_START;
+	}
 	signal(SIGPIPE, SIG_IGN);
 	if (core_new(&opts, &running) != ERR_OK) {
 		trace_close();
