feat(log): JSON lines on standard output; a restarted node resumes its batches

Problem: logs were syslog lines on standard error, written without regard to the reader. After a kill of all processes a batch waited for its old owner's key to lapse, though the process that held it was surely gone. Two loads at once is a fifth of 11 servers but a twentieth of 45.

A node that starts takes over what its earlier process ran. Loads at once: a fifth of the service's servers, two at least.

--- a/packages/base/include/base/log.h
+++ b/packages/base/include/base/log.h
@@ -1,4 +1,8 @@
-// Numbered log events as syslog-style lines on standard error.
+// Numbered log events as JSON lines on standard output.
+//
+// A line is written with one system call and only if the reader has room for it,
+// so a reader that is behind costs lines and never time. Each event has a budget
+// of lines a second; what was left out is counted in a line of its own.
 #pragma once
 
 #include <stdbool.h>
@@ -26,7 +30,9 @@
 /// Write one event. Values must not hold keys or hashes of keys.
 ///
 /// @param ev   event from the table
-/// @param fmt  printf format of `key=value` fields
+/// @param fmt  printf format of `key=value` fields, separated by blanks; a value
+///             with blanks stands in double quotes, and goes to the end of the
+///             line if it is the last field
 void log_event(enum log_event ev, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
 
--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -1,17 +1,26 @@
-// Formats a log event into one line and writes it with one system call.
+// Formats a log event into one JSON line and writes it if there is room.
 #include "base/log.h"
 
+#include <ctype.h>
+#include <jansson.h>
+#include <poll.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdatomic.h>
 #include <stddef.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
 #include <unistd.h>
 
 enum {
-	LOG_LINE_MAX = 2048, ///< bytes
-	LOG_FACILITY = LOG_DAEMON,
+	LOG_TEXT_MAX = 1536, ///< bytes of the fields
+	/// Bytes of a line: a pipe takes as many in one piece, or has no room.
+	LOG_LINE_MAX = 4096,
+	/// Lines of one event in a second, errors apart: the busiest event of a
+	/// node at the capacity page's load stays below it.
+	LOG_LINES_PER_S = 100,
 };
 
 struct event_row {
@@ -26,13 +35,27 @@
 #undef EVENT
 };
 
+enum {
+	LOG_ROWS = sizeof(rows) / sizeof(rows[0]),
+};
+
+/* Lines of each event in the second that is counted. */
+struct budget {
+	time_t second;
+	int used[LOG_ROWS];
+	unsigned int left_out; ///< lines over the budget
+	unsigned int lost; ///< lines that the reader had no room for
+};
+
 static const char *log_program = "catkinpath";
 static char log_node[64] = "-";
 static atomic_int log_level = LOG_INFO;
+static pthread_mutex_t log_lock = PTHREAD_MUTEX_INITIALIZER;
+static struct budget budget;
 
 static const struct event_row *event_find(enum log_event ev)
 {
-	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+	for (size_t i = 0; i < LOG_ROWS; i++) {
 		if (rows[i].num == ev)
 			return &rows[i];
 	}
@@ -46,7 +69,7 @@
 	snprintf(log_node, sizeof(log_node), "%s", node);
 }
 
-bool log_set_level(const char *name)
+static const char *level_name(int level)
 {
 	static const char *const names[] = {
 		[LOG_ERR] = "err",	 [LOG_WARNING] = "warning",
@@ -54,8 +77,13 @@
 		[LOG_DEBUG] = "debug",
 	};
 
+	return level >= LOG_ERR && level <= LOG_DEBUG ? names[level] : "err";
+}
+
+bool log_set_level(const char *name)
+{
 	for (int i = LOG_ERR; i <= LOG_DEBUG; i++) {
-		if (strcmp(names[i], name) == 0) {
+		if (strcmp(level_name(i), name) == 0) {
 			log_level = i;
 			return true;
 		}
@@ -70,46 +98,151 @@
 	return r ? r->name : "unknown";
 }
 
-static size_t log_head(char *buf, size_t len, const struct event_row *r)
+static json_t *line_head(const struct event_row *r)
 {
 	struct timespec ts;
 	struct tm tm;
-	char stamp[32];
-	int n;
+	char date[32];
+	char stamp[48];
 
 	clock_gettime(CLOCK_REALTIME, &ts);
 	gmtime_r(&ts.tv_sec, &tm);
-	strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &tm);
-	n = snprintf(buf, len, "<%d>%s.%03ldZ %s %s[%d]: E%04d %s ",
-		     LOG_FACILITY | r->level, stamp, ts.tv_nsec / 1000000,
-		     log_node, log_program, (int)getpid(), (int)r->num,
-		     r->name);
-	return n < 0 ? 0 : (size_t)n;
+	strftime(date, sizeof(date), "%Y-%m-%dT%H:%M:%S", &tm);
+	snprintf(stamp, sizeof(stamp), "%s.%03ldZ", date, ts.tv_nsec / 1000000);
+	return json_pack("{s:s,s:s,s:i,s:s,s:s,s:s}", "time", stamp, "level",
+			 level_name(r->level), "num", (int)r->num, "event",
+			 r->name, "node", log_node, "program", log_program);
+}
+
+/* End of a value: a blank before the next `key=`, or a closing quote. */
+static size_t value_len(const char *s)
+{
+	size_t n = 0;
+
+	while (s[n]) {
+		if (s[n] == ' ') {
+			size_t k = n + 1;
+
+			while (isalnum((unsigned char)s[k]) || s[k] == '_')
+				k++;
+			if (k > n + 1 && s[k] == '=')
+				break;
+		}
+		n++;
+	}
+	return n;
+}
+
+static json_t *value_of(const char *s, size_t len)
+{
+	char text[24];
+	char *end;
+	long long n;
+
+	if (len > 1 && s[0] == '"' && s[len - 1] == '"')
+		return json_stringn(s + 1, len - 2);
+	if (len == 0 || len >= sizeof(text))
+		return json_stringn(s, len);
+	memcpy(text, s, len);
+	text[len] = '\0';
+	n = strtoll(text, &end, 10);
+	/* An id of digits with leading zeros is no number. */
+	if (*end || (text[0] == '0' && len > 1))
+		return json_stringn(s, len);
+	return json_integer(n);
+}
+
+/* Fields of `key=value` text; what has no key goes to "text". */
+static void line_fields(json_t *obj, const char *s)
+{
+	while (*s) {
+		const char *eq = strchr(s, '=');
+		size_t len;
+		json_t *value;
+
+		if (!eq) {
+			json_object_set_new(obj, "text", json_string(s));
+			return;
+		}
+		len = value_len(eq + 1);
+		value = value_of(eq + 1, len);
+		if (!value)
+			value = json_string("(not UTF-8)");
+		json_object_setn_new(obj, s, (size_t)(eq - s), value);
+		s = eq + 1 + len;
+		s += strspn(s, " ");
+	}
+}
+
+/* Whether the reader takes a whole line now. */
+static bool reader_has_room(void)
+{
+	struct pollfd p = {.fd = STDOUT_FILENO, .events = POLLOUT};
+
+	return poll(&p, 1, 0) == 1 && (p.revents & POLLOUT);
+}
+
+static void write_line(json_t *obj)
+{
+	char line[LOG_LINE_MAX];
+	size_t len = json_dumpb(obj, line, sizeof(line) - 1,
+				JSON_COMPACT | JSON_PRESERVE_ORDER);
+
+	if (len == 0 || len > sizeof(line) - 1 || !reader_has_room()) {
+		budget.lost++;
+		return;
+	}
+	line[len++] = '\n';
+	if (write(STDOUT_FILENO, line, len) < 0)
+		budget.lost++;
+}
+
+/* A new second: say what the one before left out. */
+static void budget_turn(time_t second)
+{
+	struct budget was = budget;
+	json_t *obj;
+
+	budget = (struct budget){.second = second};
+	if (!was.left_out && !was.lost)
+		return;
+	obj = line_head(event_find(EV_LOG_LEFT_OUT));
+	json_object_set_new(obj, "over_budget", json_integer(was.left_out));
+	json_object_set_new(obj, "no_room", json_integer(was.lost));
+	write_line(obj);
+	json_decref(obj);
+}
+
+static bool budget_take(const struct event_row *r)
+{
+	time_t second = time(NULL);
+
+	if (second != budget.second)
+		budget_turn(second);
+	if (r->level <= LOG_ERR || budget.used[r - rows]++ < LOG_LINES_PER_S)
+		return true;
+	budget.left_out++;
+	return false;
 }
 
 void log_event(enum log_event ev, const char *fmt, ...)
 {
 	const struct event_row *r = event_find(ev);
-	char line[LOG_LINE_MAX];
-	size_t len;
+	char text[LOG_TEXT_MAX];
+	json_t *obj;
 	va_list ap;
-	int n;
 
 	if (!r || r->level > log_level)
 		return;
-	len = log_head(line, sizeof(line), r);
-	va_start(ap, fmt);
-	n = vsnprintf(line + len, sizeof(line) - len - 1, fmt, ap);
-	va_end(ap);
-	if (n > 0)
-		len += (size_t)n;
-	if (len > sizeof(line) - 2)
-		len = sizeof(line) - 2;
-	for (size_t i = 0; i < len; i++) {
-		if ((unsigned char)line[i] < ' ')
-			line[i] = ' ';
+	pthread_mutex_lock(&log_lock);
+	if (budget_take(r)) {
+		va_start(ap, fmt);
+		vsnprintf(text, sizeof(text), fmt, ap);
+		va_end(ap);
+		obj = line_head(r);
+		line_fields(obj, text);
+		write_line(obj);
+		json_decref(obj);
 	}
-	line[len++] = '\n';
-	if (write(STDERR_FILENO, line, len) < 0)
-		return;
+	pthread_mutex_unlock(&log_lock);
 }
--- a/packages/daemon/src/front/forward.c
+++ b/packages/daemon/src/front/forward.c
@@ -76,6 +76,12 @@
 					  res->head->values[i]);
 	}
 	metric_add(M_WORK_ANSWERED, 1);
+	log_event(EV_FRONT_ANSWERED,
+		  "request=%s route=%s team=%s http=%d bytes=%zu servers=%d "
+		  "last_ms=%lld left_ms=%lld",
+		  f->id, f->route, f->team, res->status, res->body_len,
+		  f->n_tried, (long long)(core_now(c) - f->sent_ms),
+		  (long long)(f->until_ms - core_now(c)));
 	core_reply(c, f->req, res->status, NULL, res->body, res->body_len);
 	forward_free(c, f);
 }
--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -33,6 +33,7 @@
 	htab_handle fetch; ///< 0: the item is at no server
 	htab_handle server;
 	int64_t sent_ms;
+	int64_t first_ms; ///< of its first event, 0 before
 	uint64_t version; ///< weights of the last event
 	bool headed; ///< the answer's head came
 	bool refused; ///< the answer is no stream of events
@@ -84,6 +85,7 @@
 	struct htab *ends; ///< struct job_end
 	int64_t reconcile_ms; ///< next look for batches of lost nodes
 	struct job_take *take; ///< look in progress
+	bool own_looked; ///< batches of this node's earlier process were sought
 	bool draining;
 	struct job_result *scratch; ///< for flushes
 	size_t scratch_cap;
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -148,6 +148,7 @@
 struct event_ctx {
 	struct job *j;
 	struct job_at_server *at;
+	int64_t now_ms;
 };
 
 static bool on_event(void *ctx, const struct sse_event *ev)
@@ -155,6 +156,8 @@
 	struct event_ctx *e = ctx;
 	enum err err;
 
+	if (!e->at->first_ms)
+		e->at->first_ms = e->now_ms;
 	if (ev->extra)
 		e->at->version = ev->extra;
 	err = job_run_event(e->j->run, e->at->item, ev->id, e->at->version,
@@ -207,7 +210,7 @@
 {
 	struct job *j;
 	struct job_at_server *at = at_of(c, ctx, &j);
-	struct event_ctx e = {j, at};
+	struct event_ctx e = {j, at, core_now(c)};
 
 	if (!at || at->refused)
 		return;
@@ -248,14 +251,14 @@
 	const struct site_server *s =
 		site_servers_get(site_mod_servers(c), at->server);
 
-	if (how == JOB_RUN_WHOLE)
-		return;
 	log_event(EV_JOB_ITEM,
 		  "batch=%s item=%s server=%s outcome=%s http=%d error=%s "
-		  "events=%llu ms=%lld",
+		  "events=%llu version=%llu first_ms=%lld ms=%lld",
 		  j->id, j->spec->items[at->item].id, s ? s->entry.id : "gone",
 		  names[how], res->status, err_code(res->err),
 		  (unsigned long long)job_run_text(j->run, at->item)->last_event,
+		  (unsigned long long)at->version,
+		  at->first_ms ? (long long)(at->first_ms - at->sent_ms) : -1LL,
 		  (long long)(core_now(c) - at->sent_ms));
 }
 
--- a/packages/daemon/src/job/take.c
+++ b/packages/daemon/src/job/take.c
@@ -2,6 +2,9 @@
 //
 // Every round it lists the liveness keys and the owner keys. A batch whose owner
 // is not alive in two rounds gets the leader as its owner, is loaded and run.
+//
+// A node that starts looks for what its own earlier process ran: that process is
+// surely gone, so nothing has to lapse first.
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -43,6 +46,7 @@
 	size_t n_suspects;
 	char from[256]; ///< last key of the list's page
 	bool busy; ///< a round is in progress
+	bool own; ///< the round looks for this node's earlier batches only
 	int loading; ///< batches being taken over
 };
 
@@ -200,7 +204,9 @@
 static void take_lost(struct core *c, struct job_take *t)
 {
 	for (size_t i = 0; i < t->n_lost; i++) {
-		if (t->loading < TAKE_AT_ONCE && suspected(t, t->lost[i].id))
+		bool sure = t->own || suspected(t, t->lost[i].id);
+
+		if (t->loading < TAKE_AT_ONCE && sure)
 			take_one(c, &t->lost[i]);
 	}
 	t->n_suspects = t->n_lost;
@@ -218,6 +224,17 @@
 	return false;
 }
 
+/* Whether a batch of that owner is this node's to take over. */
+static bool lost_to(struct core *c, const struct job_take *t,
+		    const struct job_owner *o)
+{
+	if (t->own)
+		return strcmp(o->node, core_node(c)) == 0 &&
+		       !job_owner_me(c, o);
+	/* This node's own, from a takeover whose answer was lost: again. */
+	return !alive(t, o) || job_owner_me(c, o);
+}
+
 static void look_at(struct core *c, struct job_take *t,
 		    const struct kv_item *item)
 {
@@ -231,10 +248,7 @@
 		return;
 	}
 	if (owner.ended || owner.over || (j && j->running) ||
-	    t->n_lost == TAKE_BATCHES)
-		return;
-	/* This node's own, from a takeover whose answer was lost: again. */
-	if (alive(t, &owner) && !job_owner_me(c, &owner))
+	    t->n_lost == TAKE_BATCHES || !lost_to(c, t, &owner))
 		return;
 	l = &t->lost[t->n_lost++];
 	snprintf(l->id, sizeof(l->id), "%s", id);
@@ -258,8 +272,9 @@
 		if (kv_list_from(c, KEY_RUN, t->from,
 				 (struct kv_cb){on_owners, NULL}) == ERR_OK)
 			return;
-	} else if (lead_mod_held(c, NULL)) {
+	} else if (t->own || lead_mod_held(c, NULL)) {
 		take_lost(c, t);
+		jobs_of(c)->own_looked = true;
 	}
 	round_over(c);
 }
@@ -290,21 +305,40 @@
 	return back && core_now(c) - back >= TAKE_SETTLE_MS;
 }
 
-void job_take_step(struct core *c)
+static void round_begin(struct core *c, bool own)
 {
 	struct jobs *jobs = jobs_of(c);
+	struct job_take *t;
+	enum err e;
 
-	if ((jobs->take && jobs->take->busy) || jobs->draining ||
-	    core_now(c) < jobs->reconcile_ms)
-		return;
-	if (!lead_mod_held(c, NULL) || !lead_mod_alive(c) || !store_settled(c))
-		return;
 	if (!jobs->take)
 		jobs->take = calloc(1, sizeof(*jobs->take));
-	if (!jobs->take)
+	t = jobs->take;
+	if (!t)
 		return;
-	jobs->take->busy =
-		kv_list(c, KEY_LIVE, (struct kv_cb){on_nodes, NULL}) == ERR_OK;
-	if (!jobs->take->busy)
+	t->own = own;
+	t->n_lost = 0;
+	t->from[0] = '\0';
+	if (own)
+		e = kv_list(c, KEY_RUN, (struct kv_cb){on_owners, NULL});
+	else
+		e = kv_list(c, KEY_LIVE, (struct kv_cb){on_nodes, NULL});
+	t->busy = e == ERR_OK;
+	if (!t->busy)
 		jobs->reconcile_ms = core_now(c) + TAKE_ROUND_MS;
 }
+
+void job_take_step(struct core *c)
+{
+	struct jobs *jobs = jobs_of(c);
+
+	if ((jobs->take && jobs->take->busy) || jobs->draining ||
+	    core_now(c) < jobs->reconcile_ms || !lead_mod_alive(c))
+		return;
+	if (!jobs->own_looked)
+		round_begin(c, true);
+	else if (lead_mod_held(c, NULL) && store_settled(c))
+		round_begin(c, false);
+	else if (jobs->take && jobs->take->loading == 0)
+		job_take_free(jobs);
+}
--- a/packages/daemon/src/order/order_mod.c
+++ b/packages/daemon/src/order/order_mod.c
@@ -12,8 +12,10 @@
 #include "wire/wire.h"
 
 enum {
-	/// Servers that load at once: beyond two each load takes longer.
-	ORDER_AT_ONCE = 2,
+	/// One in so many servers of a service loads at once, and two at least:
+	/// beyond that each load takes longer, and the rest has to do the work.
+	ORDER_SHARE = 5,
+	ORDER_LEAST = 2,
 	/// A load takes about a second and shows in the server's entry a
 	/// heartbeat later; after this time the order counts as lost.
 	ORDER_LATE_MS = 4000,
@@ -118,10 +120,23 @@
 		rollplan_target(&o->plan, model, site_mod_weights(c, model));
 }
 
+static int at_once(struct core *c, const char *service)
+{
+	const struct site_servers *t = site_mod_servers(c);
+	struct site_server *s;
+	size_t iter = 0;
+	int n = 0;
+
+	while ((s = site_servers_next(t, &iter)))
+		n += strcmp(s->entry.service, service) == 0 &&
+		     site_server_usable(t, s);
+	return n / ORDER_SHARE > ORDER_LEAST ? n / ORDER_SHARE : ORDER_LEAST;
+}
+
 static void order_tick(struct core *c, void *state, int64_t now_ms)
 {
 	static const struct rollplan_opts opts = {
-		.at_once = ORDER_AT_ONCE,
+		.at_once = ORDER_LEAST,
 		.late_ms = ORDER_LATE_MS,
 	};
 	struct orders *o = state;
@@ -141,6 +156,7 @@
 
 		if (!svc->memory_tokens)
 			continue;
+		o->plan.opts.at_once = at_once(c, svc->name);
 		while (rollplan_next(&o->plan, site_mod_servers(c), svc->name,
 				     now_ms, &ord))
 			order_send(c, o, &ord, !one_version(conf, svc->name));
