feat(site): relays pass the store's keys on inside a failure domain

Solution: nodes with a disk relay three prefixes; followers ask one of their failure domain what changed after the revisions they have, and count the answer's age from when they asked. packages/relay decides. A silence under a second is no outage (base/contact.h), and what lapsed is dropped 2.2 s after the store's return, whenever it lapsed.

--- /dev/null
+++ b/packages/base/src/contact.c
@@ -0,0 +1,24 @@
+// Keeps track of answers.
+#include "base/contact.h"
+
+bool contact_good(struct contact *c, int64_t now, int64_t heard_ms)
+{
+	bool away = !c->back_ms;
+	bool blip = c->was_back_ms && now - c->answered_ms < CONTACT_BLIP_MS;
+
+	if (away)
+		c->back_ms = blip ? c->was_back_ms : now;
+	c->answered_ms = now;
+	if (heard_ms > c->heard_ms)
+		c->heard_ms = heard_ms;
+	return away;
+}
+
+bool contact_bad(struct contact *c)
+{
+	if (!c->back_ms)
+		return false;
+	c->was_back_ms = c->back_ms;
+	c->back_ms = 0;
+	return true;
+}
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -180,7 +180,7 @@
 {
 	enum err e = start_edge("upstream", start_upstream(c));
 
-	if (e == ERR_OK && *settings_str(c->opts.settings, S_PEER_LISTEN))
+	if (e == ERR_OK)
 		e = start_edge("peer", start_peer(c));
 	if (e == ERR_OK)
 		e = core_status_routes(c);
--- a/packages/daemon/src/job/take.c
+++ b/packages/daemon/src/job/take.c
@@ -13,6 +13,7 @@
 #include "base/log.h"
 #include "daemon/lead_mod.h"
 #include "job/job.h"
+#include "lead/live_value.h"
 #include "store_keys.h"
 
 enum {
@@ -25,11 +26,6 @@
 	TAKE_AT_ONCE = 8, ///< batches being loaded
 };
 
-struct live_node {
-	char node[JOB_ID];
-	char run[JOB_ID];
-};
-
 /// A batch without a living owner.
 struct lost {
 	char id[JOB_ID];
@@ -38,7 +34,7 @@
 };
 
 struct job_take {
-	struct live_node nodes[TAKE_NODES];
+	struct live_value nodes[TAKE_NODES];
 	size_t n_nodes;
 	struct lost lost[TAKE_BATCHES];
 	size_t n_lost;
@@ -287,11 +283,12 @@
 	t->n_nodes = 0;
 	t->n_lost = 0;
 	for (size_t i = 0; ok && i < res->n_items && i < TAKE_NODES; i++) {
-		struct live_node *n = &t->nodes[t->n_nodes++];
+		struct live_value *n = &t->nodes[t->n_nodes];
 
-		snprintf(n->node, sizeof(n->node), "%s",
-			 res->items[i].key + sizeof(KEY_LIVE) - 1);
-		snprintf(n->run, sizeof(n->run), "%s", res->items[i].value);
+		if (live_value_parse(&res->items[i], n) == ERR_OK)
+			t->n_nodes++;
+		else
+			log_event(EV_JOB_BAD, "key=%s", res->items[i].key);
 	}
 	if (!ok || kv_list(c, KEY_RUN, (struct kv_cb){on_owners, NULL}) !=
 			   ERR_OK)
--- a/packages/daemon/src/lead/live.c
+++ b/packages/daemon/src/lead/live.c
@@ -2,9 +2,9 @@
 #include "lead/live.h"
 
 #include <stdio.h>
-#include <string.h>
 
 #include "base/log.h"
+#include "lead/live_value.h"
 #include "store_keys.h"
 
 enum {
@@ -116,10 +116,11 @@
 static enum err live_put(struct core *c, const struct live *l, struct kv_cb cb)
 {
 	char key[STORE_KEY];
+	char value[LIVE_VALUE];
 	const struct kv_put_opts put = {
 		.key = key,
-		.value = core_incarnation(c),
-		.len = strlen(core_incarnation(c)),
+		.value = value,
+		.len = live_value_make(c, value, sizeof(value)),
 		.prev_rev = l->rev,
 		.lease = l->lease,
 	};
--- a/packages/daemon/src/platform_mod.c
+++ b/packages/daemon/src/platform_mod.c
@@ -2,7 +2,9 @@
 #include "daemon/platform_mod.h"
 
 #include <stdlib.h>
+#include <string.h>
 
+#include "base/contact.h"
 #include "base/log.h"
 #include "base/metric.h"
 #include "core/settings.h"
@@ -13,13 +15,15 @@
 enum {
 	PLATFORM_CALLS = 1024, ///< calls at once
 	PLATFORM_BODY_MAX = 64 << 20, ///< bytes of a list
+	PLATFORM_COUNT_MS = 10000, ///< between two lines about calls by kind
 };
 
 struct platform {
 	const struct kv_wire_ops *wire;
 	struct htab *calls;
-	int64_t contact_ms; ///< see kv_last_contact()
-	int64_t back_ms; ///< see kv_back_since()
+	struct contact contact; ///< with the store
+	uint64_t counts[KV_OPS]; ///< calls by kind since the last line about them
+	int64_t counted_ms; ///< time of that line
 	bool fresh; ///< the last call failed: don't trust old connections
 };
 
@@ -42,6 +46,7 @@
 	if (!p)
 		return ERR_NOMEM;
 	p->wire = core_wire(c) ? core_wire(c)->store : &kv_wire_json;
+	p->counted_ms = core_now(c);
 	p->calls = htab_new(PLATFORM_CALLS, sizeof(struct platform_call *));
 	if (!p->calls) {
 		free(p);
@@ -71,7 +76,7 @@
 
 int64_t kv_last_contact(struct core *c)
 {
-	return platform_of(c)->contact_ms;
+	return platform_of(c)->contact.heard_ms;
 }
 
 /* Latest time at which the store surely was there to answer. */
@@ -88,28 +93,24 @@
 			  const struct kv_result *res, int64_t now)
 {
 	int64_t heard = platform_heard(pc, res);
+	int64_t silent;
 
 	p->fresh = res->err == ERR_KV_UNKNOWN || res->err == ERR_KV_DOWN;
 	if (p->fresh) {
 		metric_add(M_KV_FAILED, 1);
-		if (p->back_ms)
+		if (contact_bad(&p->contact))
 			log_event(EV_KV_LOST, "error=%s call=%d",
 				  err_code(res->err), (int)pc->call.op);
-		p->back_ms = 0;
 		return;
 	}
-	if (!p->back_ms) {
-		log_event(EV_KV_FOUND, "silent_ms=%lld",
-			  p->contact_ms ? (long long)(now - p->contact_ms) : 0);
-		p->back_ms = now;
-	}
-	if (heard > p->contact_ms)
-		p->contact_ms = heard;
+	silent = p->contact.answered_ms ? now - p->contact.answered_ms : 0;
+	if (contact_good(&p->contact, now, heard))
+		log_event(EV_KV_FOUND, "silent_ms=%lld", (long long)silent);
 }
 
 int64_t kv_back_since(struct core *c)
 {
-	return platform_of(c)->back_ms;
+	return platform_of(c)->contact.back_ms;
 }
 
 static void platform_done(struct core *c, void *ctx,
@@ -162,6 +163,13 @@
 	return core_fetch(c, &opts, NULL);
 }
 
+static const enum metric op_metrics[KV_OPS] = {
+	[KV_GET] = M_KV_GET,	 [KV_LIST] = M_KV_LIST,
+	[KV_PUT] = M_KV_PUT,	 [KV_DEL] = M_KV_DEL,
+	[KV_WATCH] = M_KV_WATCH, [KV_GRANT] = M_KV_GRANT,
+	[KV_RENEW] = M_KV_RENEW, [KV_REVOKE] = M_KV_REVOKE,
+};
+
 static enum err platform_begin(struct core *c, const struct kv_call *call,
 			       struct kv_cb cb)
 {
@@ -185,6 +193,8 @@
 	if (e != ERR_OK)
 		goto err_fetch;
 	metric_add(M_KV_CALLS, 1);
+	metric_add(op_metrics[call->op], 1);
+	p->counts[call->op]++;
 	/* The caller's key and value are gone after this. */
 	pc->call.key = NULL;
 	pc->call.from = NULL;
@@ -273,8 +283,30 @@
 	return platform_begin(c, &call, cb);
 }
 
+static void platform_tick(struct core *c, void *state, int64_t now_ms)
+{
+	struct platform *p = state;
+	uint64_t *n = p->counts;
+
+	if (now_ms - p->counted_ms < PLATFORM_COUNT_MS)
+		return;
+	log_event(EV_KV_CALLS,
+		  "ms=%lld get=%llu list=%llu put=%llu del=%llu watch=%llu "
+		  "grant=%llu renew=%llu revoke=%llu",
+		  (long long)(now_ms - p->counted_ms),
+		  (unsigned long long)n[KV_GET], (unsigned long long)n[KV_LIST],
+		  (unsigned long long)n[KV_PUT], (unsigned long long)n[KV_DEL],
+		  (unsigned long long)n[KV_WATCH],
+		  (unsigned long long)n[KV_GRANT],
+		  (unsigned long long)n[KV_RENEW],
+		  (unsigned long long)n[KV_REVOKE]);
+	memset(n, 0, sizeof(p->counts));
+	p->counted_ms = now_ms;
+}
+
 const struct core_mod_ops platform_mod_ops = {
 	.name = "platform",
 	.start = platform_start,
+	.tick = platform_tick,
 	.stop = platform_stop,
 };
--- a/packages/daemon/src/site/feed.c
+++ b/packages/daemon/src/site/feed.c
@@ -22,13 +22,50 @@
 	f->next_ms = core_now(c) + FEED_RETRY_MS;
 }
 
+static void feed_item(struct core *c, struct feed *f,
+		      const struct kv_item *item)
+{
+	if (f->opts.keep)
+		relay_copy_put(&f->copy, item->key, item->value, item->len,
+			       item->rev);
+	f->opts.ops->item(c, f->opts.ctx, item);
+}
+
 static void feed_items(struct core *c, struct feed *f,
-		       const struct kv_result *res)
+		       const struct kv_item *items, size_t n_items,
+		       const char *const *deleted, size_t n_deleted,
+		       uint64_t rev)
+{
+	for (size_t i = 0; i < n_items; i++)
+		feed_item(c, f, &items[i]);
+	for (size_t i = 0; i < n_deleted; i++) {
+		if (f->opts.keep)
+			relay_copy_del(&f->copy, deleted[i], rev);
+		f->opts.ops->gone(c, f->opts.ctx, deleted[i]);
+	}
+}
+
+static void feed_begin(struct core *c, struct feed *f)
+{
+	if (f->opts.keep)
+		relay_copy_begin_list(&f->copy);
+	f->opts.ops->begin(c, f->opts.ctx);
+}
+
+static void feed_listed(struct core *c, struct feed *f, uint64_t rev)
+{
+	f->rev = rev;
+	f->listed = true;
+	if (f->opts.keep)
+		relay_copy_end_list(&f->copy, rev);
+	f->opts.ops->listed(c, f->opts.ctx);
+}
+
+static void feed_confirmed(struct core *c, struct feed *f, int64_t as_of_ms)
 {
-	for (size_t i = 0; i < res->n_items; i++)
-		f->opts.ops->item(c, f->opts.ctx, &res->items[i]);
-	for (size_t i = 0; i < res->n_deleted; i++)
-		f->opts.ops->gone(c, f->opts.ctx, res->deleted[i]);
+	if (as_of_ms > f->confirmed_ms)
+		f->confirmed_ms = as_of_ms;
+	f->opts.ops->confirmed(c, f->opts.ctx, as_of_ms);
 }
 
 static void on_list(struct core *c, void *ctx, const struct kv_result *res)
@@ -43,19 +80,17 @@
 	if (!f->from[0]) {
 		f->list_rev = res->rev;
 		f->list_ms = f->start_ms;
-		f->opts.ops->begin(c, f->opts.ctx);
+		feed_begin(c, f);
 	}
-	feed_items(c, f, res);
+	feed_items(c, f, res->items, res->n_items, NULL, 0, res->rev);
 	if (res->more && res->n_items) {
 		snprintf(f->from, sizeof(f->from), "%s",
 			 res->items[res->n_items - 1].key);
 		return;
 	}
 	f->from[0] = '\0';
-	f->rev = f->list_rev;
-	f->listed = true;
-	f->opts.ops->listed(c, f->opts.ctx);
-	f->opts.ops->confirmed(c, f->opts.ctx, f->list_ms);
+	feed_listed(c, f, f->list_rev);
+	feed_confirmed(c, f, f->list_ms);
 }
 
 /* An answer without changes was true when the wait ended. */
@@ -77,21 +112,43 @@
 		feed_failed(c, f, res->err);
 		return;
 	}
-	feed_items(c, f, res);
+	feed_items(c, f, res->items, res->n_items, res->deleted,
+		   res->n_deleted, res->rev);
 	if (res->rev > f->rev)
 		f->rev = res->rev;
+	if (f->opts.keep && f->rev > f->copy.rev)
+		f->copy.rev = f->rev;
 	as_of = watch_as_of(f, res);
-	f->opts.ops->confirmed(c, f->opts.ctx, as_of < now ? as_of : now);
+	feed_confirmed(c, f, as_of < now ? as_of : now);
 	f->next_ms = f->start_ms + f->opts.pause_ms;
 	feed_step(c, f);
 }
 
+void feed_free(struct feed *f)
+{
+	relay_copy_free(&f->copy);
+}
+
+void feed_take(struct core *c, struct feed *f, const struct feed_news *news)
+{
+	f->from[0] = '\0';
+	if (news->full)
+		feed_begin(c, f);
+	feed_items(c, f, news->items, news->n_items, news->deleted,
+		   news->n_deleted, news->rev);
+	if (news->full)
+		feed_listed(c, f, news->rev);
+	else if (news->rev > f->rev)
+		f->rev = news->rev;
+	feed_confirmed(c, f, news->as_of_ms);
+}
+
 void feed_step(struct core *c, struct feed *f)
 {
 	int64_t now = core_now(c);
 	enum err e;
 
-	if (f->busy || now < f->next_ms)
+	if (f->busy || f->quiet || now < f->next_ms)
 		return;
 	f->start_ms = now;
 	if (f->listed)
--- a/packages/daemon/src/site/feed.h
+++ b/packages/daemon/src/site/feed.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "daemon/platform_mod.h"
+#include "relay/copy.h"
 
 struct feed_ops {
 	/// All items are about to come.
@@ -19,6 +20,7 @@
 	const char *prefix;
 	int64_t wait_ms; ///< longest wait of a watch
 	int64_t pause_ms; ///< least time between two watches
+	bool keep; ///< keep a copy of the items, for followers
 	const struct feed_ops *ops;
 	void *ctx;
 };
@@ -27,16 +29,34 @@
 	struct feed_opts opts;
 	bool listed; ///< the list was read and rev is known
 	bool busy; ///< a call is outstanding
+	bool quiet; ///< a relay is followed: no call is begun
 	uint64_t rev; ///< changes after it are to come
 	uint64_t list_rev; ///< store's revision at the start of the list
 	int64_t start_ms; ///< of the call
 	int64_t list_ms; ///< start of the list
 	int64_t next_ms; ///< earliest next call
 	char from[256]; ///< last key of the list's page, "" at its start
+	int64_t confirmed_ms; ///< what is known was true then, 0 for never
+	struct relay_copy copy; ///< with opts.keep
 };
 
 /// @param opts  prefix and ops outlive the feed
 void feed_init(struct feed *f, const struct feed_opts *opts);
 
+void feed_free(struct feed *f);
+
 /// Make the next call if it is due; call from the tick.
 void feed_step(struct core *c, struct feed *f);
+
+/// What a relay says of the prefix.
+struct feed_news {
+	bool full; ///< all items: those that are absent are gone
+	uint64_t rev;
+	int64_t as_of_ms; ///< clock_now_ms() time at which it was true
+	const struct kv_item *items;
+	size_t n_items;
+	const char *const *deleted;
+	size_t n_deleted;
+};
+
+void feed_take(struct core *c, struct feed *f, const struct feed_news *news);
--- /dev/null
+++ b/packages/daemon/src/site/relay.c
@@ -0,0 +1,220 @@
+// Questions and answers of relays and their followers.
+#include "site/relay.h"
+
+#include <msgpack.h>
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/log.h"
+#include "base/metric.h"
+#include "core/settings.h"
+#include "site/relay_msg.h"
+
+enum {
+	RELAY_HOLD_MS = 400, ///< longest wait of a question without news
+	/// A follower makes its own calls after this long without an answer.
+	RELAY_SILENT_MS = 1200,
+	/// Oldest knowledge of a relay that is of use: with the wait and a lost
+	/// answer it stays below the age at which keys are refused.
+	RELAY_AGE_MS = 2200,
+};
+
+static void on_ask(struct core *c, void *ctx, const char *from, const void *buf,
+		   size_t len);
+static void on_news(struct core *c, void *ctx, const char *from,
+		    const void *buf, size_t len);
+
+enum err relay_init(struct core *c, struct relay *r, struct feed *const *feeds)
+{
+	enum err e;
+
+	memset(r, 0, sizeof(*r));
+	for (int i = 0; i < RELAY_FEEDS; i++)
+		r->feeds[i] = feeds[i];
+	r->serves = settings_int(core_settings(c), S_LEAD_CANDIDATE) == 1;
+	r->follow.salt = XXH64(core_node(c), strlen(core_node(c)), 0);
+	e = core_peer_on(c, PEER_RELAY_ASK, on_ask, r);
+	return e == ERR_OK ? core_peer_on(c, PEER_RELAY_NEWS, on_news, r) : e;
+}
+
+void relay_node(struct core *c, struct relay *r, const char *node,
+		const char *addr, bool near)
+{
+	if (!r->serves)
+		follow_add(&r->follow, node, addr, near);
+}
+
+void relay_node_gone(struct core *c, struct relay *r, const char *node)
+{
+	follow_del(&r->follow, node);
+	core_peer_del(c, node);
+}
+
+bool relay_following(const struct core *c, const struct relay *r)
+{
+	return !r->serves && r->good_ms &&
+	       core_now(c) - r->good_ms < RELAY_SILENT_MS;
+}
+
+static void send_news(struct core *c, struct relay *r,
+		      const struct relay_ask *ask)
+{
+	msgpack_sbuffer buf;
+	enum err e;
+
+	msgpack_sbuffer_init(&buf);
+	relay_news_pack(c, &buf, r, ask);
+	e = core_peer_send(c, ask->node, PEER_RELAY_NEWS, buf.data, buf.size);
+	if (e != ERR_OK)
+		log_event(EV_RELAY_UNSENT, "to=%s bytes=%zu error=%s",
+			  ask->node, buf.size, err_code(e));
+	msgpack_sbuffer_destroy(&buf);
+}
+
+static bool has_news(const struct relay *r, const struct relay_ask *ask)
+{
+	for (int i = 0; i < RELAY_FEEDS; i++) {
+		const struct feed *f = r->feeds[i];
+
+		if (f->listed && (ask->revs[i] == 0 ||
+				  relay_copy_news(&f->copy, ask->revs[i])))
+			return true;
+	}
+	return false;
+}
+
+static void answer_due(struct core *c, struct relay *r)
+{
+	for (int i = r->n_asks - 1; i >= 0; i--) {
+		struct relay_ask ask = r->asks[i];
+
+		if (core_now(c) < ask.until_ms && !has_news(r, &ask))
+			continue;
+		r->asks[i] = r->asks[--r->n_asks];
+		send_news(c, r, &ask);
+	}
+}
+
+/* A follower has one question open: a newer one takes its place. */
+static struct relay_ask *ask_slot(struct relay *r, const char *node)
+{
+	for (int i = 0; i < r->n_asks; i++) {
+		if (strcmp(r->asks[i].node, node) == 0)
+			return &r->asks[i];
+	}
+	return r->n_asks < RELAY_ASKS ? &r->asks[r->n_asks++] : NULL;
+}
+
+static void on_ask(struct core *c, void *ctx, const char *from, const void *buf,
+		   size_t len)
+{
+	struct relay *r = ctx;
+	struct relay_question q;
+	struct relay_ask *ask;
+
+	if (relay_ask_read(buf, len, &q) != ERR_OK) {
+		metric_add(M_PEER_MALFORMED, 1);
+		return;
+	}
+	if (!r->serves || core_peer_add(c, from, q.addr) != ERR_OK)
+		return;
+	ask = ask_slot(r, from);
+	if (!ask)
+		return;
+	snprintf(ask->node, sizeof(ask->node), "%s", from);
+	ask->seq = q.seq;
+	memcpy(ask->revs, q.revs, sizeof(ask->revs));
+	ask->until_ms = core_now(c) + RELAY_HOLD_MS;
+	answer_due(c, r);
+}
+
+/* The first prefix is the configuration, whose age decides over keys. */
+static bool usable(const struct relay_part *parts)
+{
+	for (int i = 0; i < RELAY_FEEDS; i++) {
+		if (!parts[i].known)
+			return false;
+	}
+	return parts[0].age_ms <= RELAY_AGE_MS;
+}
+
+static void take_parts(struct core *c, struct relay *r,
+		       struct relay_part *parts, int64_t asked_ms)
+{
+	for (int i = 0; i < RELAY_FEEDS; i++) {
+		parts[i].news.as_of_ms = asked_ms - parts[i].age_ms;
+		feed_take(c, r->feeds[i], &parts[i].news);
+	}
+	r->good_ms = core_now(c);
+}
+
+static void on_news(struct core *c, void *ctx, const char *from,
+		    const void *buf, size_t len)
+{
+	struct relay *r = ctx;
+	struct relay_part parts[RELAY_FEEDS];
+	struct arena a;
+	uint64_t seq = 0;
+	int64_t asked_ms;
+
+	arena_init(&a, 0);
+	if (relay_news_read(buf, len, &a, &seq, parts) != ERR_OK)
+		metric_add(M_PEER_MALFORMED, 1);
+	else if (follow_answered(&r->follow, seq, &asked_ms)) {
+		if (usable(parts))
+			take_parts(c, r, parts, asked_ms);
+		else
+			follow_failed(&r->follow, core_now(c));
+	}
+	arena_free(&a);
+	relay_step(c, r);
+}
+
+static void ask_relay(struct core *c, struct relay *r,
+		      const struct follow_relay *to)
+{
+	struct relay_question q = {.seq = r->follow.seq + 1};
+	msgpack_sbuffer buf;
+	enum err e;
+
+	snprintf(q.addr, sizeof(q.addr), "%s",
+		 settings_str(core_settings(c), S_PEER_LISTEN));
+	for (int i = 0; i < RELAY_FEEDS; i++)
+		q.revs[i] = r->feeds[i]->listed ? r->feeds[i]->rev : 0;
+	msgpack_sbuffer_init(&buf);
+	relay_ask_pack(&buf, &q);
+	e = core_peer_add(c, to->node, to->addr);
+	if (e == ERR_OK)
+		e = core_peer_send(c, to->node, PEER_RELAY_ASK, buf.data,
+				   buf.size);
+	msgpack_sbuffer_destroy(&buf);
+	if (e == ERR_OK)
+		follow_asked(&r->follow, core_now(c));
+	else
+		follow_failed(&r->follow, core_now(c));
+}
+
+static void follow_step(struct core *c, struct relay *r)
+{
+	const struct follow_relay *to;
+	bool was = relay_following(c, r);
+
+	if (follow_late(&r->follow, core_now(c))) {
+		log_event(EV_RELAY_LOST, "relay=%s following=%d",
+			  r->follow.current, was);
+		core_peer_reset(c, r->follow.current);
+		follow_failed(&r->follow, core_now(c));
+	}
+	to = follow_next(&r->follow, core_now(c));
+	if (to)
+		ask_relay(c, r, to);
+}
+
+void relay_step(struct core *c, struct relay *r)
+{
+	if (r->serves)
+		answer_due(c, r);
+	else
+		follow_step(c, r);
+}
--- /dev/null
+++ b/packages/daemon/src/site/relay.h
@@ -0,0 +1,47 @@
+// Passes on what relays know of the store's keys, so that a failure domain costs
+// the store the calls of its relays alone.
+//
+// A follower asks its relay what changed after the revisions that it has; the
+// relay answers at once if something did, else after a short wait, and says how
+// old its knowledge is. The follower counts that age from when it asked.
+#pragma once
+
+#include "core/core.h"
+#include "relay/follow.h"
+#include "site/feed.h"
+
+enum {
+	RELAY_FEEDS = 3, ///< prefixes that are passed on
+	RELAY_ASKS = 512, ///< followers of one relay
+};
+
+/// A follower's open question.
+struct relay_ask {
+	char node[FOLLOW_NODE];
+	uint64_t seq;
+	uint64_t revs[RELAY_FEEDS]; ///< that it has, 0 for nothing
+	int64_t until_ms; ///< answered then at the latest
+};
+
+struct relay {
+	struct feed *feeds[RELAY_FEEDS];
+	struct follow follow;
+	bool serves; ///< this node is a relay
+	struct relay_ask asks[RELAY_ASKS];
+	int n_asks;
+	int64_t good_ms; ///< last usable answer
+};
+
+/// Register the messages. The feeds outlive the relay.
+enum err relay_init(struct core *c, struct relay *r, struct feed *const *feeds);
+
+/// Ask, and answer questions that are due.
+void relay_step(struct core *c, struct relay *r);
+
+/// Whether a relay keeps this node up to date: no own calls are needed.
+bool relay_following(const struct core *c, const struct relay *r);
+
+/// Nodes came or went.
+void relay_node(struct core *c, struct relay *r, const char *node,
+		const char *addr, bool near);
+void relay_node_gone(struct core *c, struct relay *r, const char *node);
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -8,14 +8,20 @@
 #include "base/log.h"
 #include "core/settings.h"
 #include "daemon/mods.h"
+#include "lead/live_value.h"
 #include "site/feed.h"
+#include "site/relay.h"
+#include "store_keys.h"
 #include "wire/wire.h"
 
 enum {
 	SITE_WEIGHTS = 64, ///< models whose versions are followed
-	/// Longest wait of a watch on the servers' entries: silence of its
+	/// Longest wait of a watch on entries and nodes: silence of its
 	/// connection is noticed a platform timeout later.
 	SERVERS_WAIT_MS = 5000,
+	/// Longest wait of a relay's watch on the configuration: its followers
+	/// add the time of a question to the age of what it knows.
+	RELAY_REFRESH_MS = 700,
 	/// Least time between two watches on the entries: they change in bursts,
 	/// and a leaving server may be used for some seconds still.
 	SERVERS_PAUSE_MS = 400,
@@ -30,6 +36,8 @@
 	int n_weights;
 	struct feed operators;
 	struct feed entries;
+	struct feed nodes;
+	struct relay relay;
 	int64_t confirmed_ms; ///< configuration, 0 for never
 	bool stale_logged;
 	bool retire; ///< this VM is to be emptied
@@ -246,7 +254,7 @@
 {
 	int64_t back = kv_back_since(c);
 
-	return !back || core_now(c) - back < SERVERS_WAIT_MS;
+	return !back || core_now(c) - back < SITE_LAPSE_MS;
 }
 
 static void entries_gone(struct core *c, void *ctx, const char *key)
@@ -277,11 +285,47 @@
 	.confirmed = entries_confirmed,
 };
 
-static void start_feeds(struct core *c, struct site *s)
+static void nodes_item(struct core *c, void *ctx, const struct kv_item *item)
 {
+	struct site *s = ctx;
+	struct live_value v;
+
+	if (live_value_parse(item, &v) != ERR_OK)
+		log_event(EV_SITE_SERVER_BAD, "key=%s error=parse", item->key);
+	else if (v.relay && strcmp(v.node, core_node(c)) != 0)
+		relay_node(c, &s->relay, v.node, v.peer,
+			   strcmp(v.domain, core_domain(c)) == 0);
+}
+
+static void nodes_gone(struct core *c, void *ctx, const char *key)
+{
+	struct site *s = ctx;
+
+	relay_node_gone(c, &s->relay, key + sizeof(KEY_LIVE) - 1);
+}
+
+static void nothing(struct core *c, void *ctx)
+{
+}
+
+static const struct feed_ops nodes_ops = {
+	.begin = nothing,
+	.item = nodes_item,
+	.gone = nodes_gone,
+	.listed = nothing,
+	.confirmed = entries_confirmed,
+};
+
+static enum err start_feeds(struct core *c, struct site *s)
+{
+	struct feed *const feeds[] = {&s->operators, &s->entries, &s->nodes};
+	bool relays = settings_int(core_settings(c), S_LEAD_CANDIDATE) == 1;
 	const struct feed_opts operators = {
 		.prefix = s->wire->operator_prefix,
-		.wait_ms = settings_int(core_settings(c), S_CONF_REFRESH),
+		.wait_ms = relays ? RELAY_REFRESH_MS
+				  : settings_int(core_settings(c),
+						 S_CONF_REFRESH),
+		.keep = relays,
 		.ops = &operator_ops,
 		.ctx = s,
 	};
@@ -289,12 +333,23 @@
 		.prefix = s->wire->server_prefix,
 		.wait_ms = SERVERS_WAIT_MS,
 		.pause_ms = SERVERS_PAUSE_MS,
+		.keep = relays,
 		.ops = &entries_ops,
 		.ctx = s,
 	};
+	const struct feed_opts nodes = {
+		.prefix = KEY_LIVE,
+		.wait_ms = SERVERS_WAIT_MS,
+		.pause_ms = SERVERS_PAUSE_MS,
+		.keep = relays,
+		.ops = &nodes_ops,
+		.ctx = s,
+	};
 
 	feed_init(&s->operators, &operators);
 	feed_init(&s->entries, &entries);
+	feed_init(&s->nodes, &nodes);
+	return relay_init(c, &s->relay, feeds);
 }
 
 static enum err site_start(struct core *c, void **state)
@@ -309,9 +364,8 @@
 		free(s);
 		return ERR_NOMEM;
 	}
-	start_feeds(c, s);
 	*state = s;
-	return ERR_OK;
+	return start_feeds(c, s);
 }
 
 static void retire_done(struct core *c, void *ctx, const struct kv_result *res)
@@ -352,12 +406,22 @@
 		  (long long)site_mod_age(c));
 }
 
+static void feeds_step(struct core *c, struct site *s)
+{
+	struct feed *const feeds[] = {&s->operators, &s->entries, &s->nodes};
+
+	for (int i = 0; i < RELAY_FEEDS; i++) {
+		feeds[i]->quiet = relay_following(c, &s->relay);
+		feed_step(c, feeds[i]);
+	}
+}
+
 static void site_tick(struct core *c, void *state, int64_t now_ms)
 {
 	struct site *s = state;
 
-	feed_step(c, &s->operators);
-	feed_step(c, &s->entries);
+	relay_step(c, &s->relay);
+	feeds_step(c, s);
 	site_servers_expire(s->servers, now_ms, kv_back_since(c));
 	retire_step(c, s);
 	note_freshness(c, s);
@@ -376,6 +440,9 @@
 {
 	struct site *s = state;
 
+	feed_free(&s->operators);
+	feed_free(&s->entries);
+	feed_free(&s->nodes);
 	site_conf_free(s->conf);
 	site_servers_free(s->servers);
 	free(s);
--- a/packages/site/include/site/server.h
+++ b/packages/site/include/site/server.h
@@ -13,6 +13,9 @@
 enum {
 	SITE_SERVERS = 4096, ///< most servers known at once
 	SITE_MODELS = 8, ///< models of a server
+	/// A server that is alive announces itself again within this time after
+	/// an outage of the store.
+	SITE_LAPSE_MS = 2200,
 };
 
 struct site_model {
--- a/packages/site/src/server.c
+++ b/packages/site/src/server.c
@@ -6,9 +6,6 @@
 
 enum {
 	DOMAINS_OUT = 64, ///< failure domains out at once
-	/// A server that is alive announces itself again within this time after
-	/// an outage of the store.
-	LAPSE_MS = 2200,
 	AVOID_MS = 300, ///< after the first failure; doubles with each further one
 	AVOID_DOUBLINGS = 3,
 	COLD_BURST = 2, ///< requests that a cold server may get at once
@@ -140,10 +137,10 @@
 	struct site_server *s;
 	size_t iter = 0;
 
-	if (!store_back_ms || now - store_back_ms < LAPSE_MS)
+	if (!store_back_ms || now - store_back_ms < SITE_LAPSE_MS)
 		return;
 	while ((s = site_servers_next(t, &iter))) {
-		if (s->lapsed_ms && now - s->lapsed_ms >= LAPSE_MS)
+		if (s->lapsed_ms)
 			htab_del(t->tab, s->self);
 	}
 }
--- a/packages/wire/include/wire/store.h
+++ b/packages/wire/include/wire/store.h
@@ -38,6 +38,7 @@
 	KV_GRANT,
 	KV_RENEW,
 	KV_REVOKE,
+	KV_OPS,
 };
 
 /// One call, in the terms of daemon/platform_mod.h.
