--- /dev/null
+++ b/packages/base/test/test_contact.c
@@ -0,0 +1,49 @@
+// Contact with an outside system: a lost call is no outage.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "base/contact.h"
+
+static void test_blip(void **state)
+{
+	struct contact c = {0};
+
+	assert_true(contact_good(&c, 100, 90));
+	assert_int_equal(c.back_ms, 100);
+	contact_good(&c, 5000, 4990);
+	assert_true(contact_bad(&c));
+	assert_false(contact_bad(&c));
+	assert_int_equal(c.back_ms, 0);
+	/* The next call is answered: it was there all the while. */
+	assert_true(contact_good(&c, 5300, 5290));
+	assert_int_equal(c.back_ms, 100);
+}
+
+static void test_outage(void **state)
+{
+	struct contact c = {0};
+
+	contact_good(&c, 100, 90);
+	contact_bad(&c);
+	contact_good(&c, 100 + CONTACT_BLIP_MS, 1090);
+	assert_int_equal(c.back_ms, 100 + CONTACT_BLIP_MS);
+	/* An answer that says less than is known changes nothing. */
+	contact_good(&c, 2000, 50);
+	assert_int_equal(c.heard_ms, 1090);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_blip),
+		cmocka_unit_test(test_outage),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/job/test/test_job.c
@@ -0,0 +1,294 @@
+// A batch's results: positions that never change, whole texts, true versions.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include <stdio.h>
+
+#include "base/rng.h"
+#include "job/job_list.h"
+#include "job/job_run.h"
+
+enum {
+	ITEMS = 6,
+	GROUP = 2,
+};
+
+static struct job_spec *spec_new(void)
+{
+	struct job_spec *s = calloc(1, sizeof(*s));
+
+	arena_init(&s->arena, 0);
+	s->items = arena_alloc(&s->arena, ITEMS * sizeof(*s->items));
+	s->n_items = ITEMS;
+	s->min_version = 3;
+	for (int i = 0; i < ITEMS; i++) {
+		char text[16];
+
+		snprintf(text, sizeof(text), "i%d", i);
+		s->items[i].id = arena_strdup(&s->arena, text);
+		snprintf(text, sizeof(text), "g%d", i / GROUP);
+		s->items[i].group = arena_strdup(&s->arena, text);
+		s->items[i].length_hint = i + 1;
+	}
+	return s;
+}
+
+static struct job_run *run_new(const struct job_spec *s, bool one_version)
+{
+	const struct job_run_opts opts = {
+		.max_failures = 2,
+		.one_version = one_version,
+		.give_up_ms = 10000,
+	};
+
+	return job_run_new(s, &opts);
+}
+
+static void finish(struct job_run *r, int item, int64_t now)
+{
+	uint64_t next = job_run_text(r, item)->last_event + 1;
+
+	assert_int_equal(job_run_event(r, item, next, 3, "x", 1), ERR_OK);
+	job_run_ended(r, item, now, JOB_RUN_WHOLE);
+}
+
+static void test_longest_first(void **state)
+{
+	struct job_spec *s = spec_new();
+	struct job_run *r = run_new(s, false);
+
+	for (int i = ITEMS - 1; i >= 0; i--) {
+		assert_int_equal(job_run_next(r, 0), i);
+		job_run_sent(r, i);
+	}
+	assert_int_equal(job_run_next(r, 0), -1);
+	job_run_free(r);
+	job_spec_free(s);
+}
+
+static void test_resume_keeps_order(void **state)
+{
+	struct job_spec *s = spec_new();
+	struct job_run *r = run_new(s, false);
+	const struct job_text *t = job_run_text(r, 5);
+
+	job_run_sent(r, job_run_next(r, 0));
+	assert_int_equal(job_run_event(r, 5, 1, 3, "a", 1), ERR_OK);
+	/* Missing, repeated, from weights that are too old. */
+	assert_int_equal(job_run_event(r, 5, 3, 3, "c", 1), ERR_INVALID);
+	assert_int_equal(job_run_event(r, 5, 1, 3, "a", 1), ERR_INVALID);
+	assert_int_equal(job_run_event(r, 5, 2, 2, "b", 1), ERR_INVALID);
+	assert_int_equal(job_run_event(r, 5, 2, 0, "b", 1), ERR_INVALID);
+	job_run_ended(r, 5, 10, JOB_RUN_BROKEN);
+	assert_int_equal(t->last_event, 1);
+	/* Events of the old run that come late are not taken. */
+	assert_int_equal(job_run_event(r, 5, 2, 3, "b", 1), ERR_INVALID);
+	assert_int_not_equal(job_run_next(r, 10), 5);
+	assert_int_equal(job_run_next(r, 100), 5);
+	job_run_sent(r, 5);
+	assert_int_equal(job_run_event(r, 5, 2, 4, "b", 1), ERR_OK);
+	assert_int_equal(t->len, 3);
+	assert_memory_equal(t->buf, "a\nb", 3);
+	assert_int_equal(t->n_versions, 2);
+	assert_int_equal(t->versions[1], 4);
+	job_run_free(r);
+	job_spec_free(s);
+}
+
+static void test_one_version(void **state)
+{
+	struct job_spec *s = spec_new();
+	struct job_run *r = run_new(s, true);
+
+	job_run_sent(r, 0);
+	assert_int_equal(job_run_event(r, 0, 1, 3, "a", 1), ERR_OK);
+	assert_int_equal(job_run_event(r, 0, 2, 4, "b", 1), ERR_INVALID);
+	job_run_ended(r, 0, 0, JOB_RUN_BROKEN);
+	/* It starts anew, under whatever version. */
+	assert_int_equal(job_run_text(r, 0)->last_event, 0);
+	job_run_sent(r, 0);
+	assert_int_equal(job_run_event(r, 0, 1, 4, "a", 1), ERR_OK);
+	assert_int_equal(job_run_text(r, 0)->n_versions, 1);
+	job_run_free(r);
+	job_spec_free(s);
+}
+
+/* Records are due with a whole group, at the latest after a second. */
+static void test_flush_whole_groups(void **state)
+{
+	struct job_result out[ITEMS];
+	struct job_spec *s = spec_new();
+	struct job_run *r = run_new(s, false);
+
+	for (int i = 0; i < ITEMS; i++)
+		job_run_sent(r, i);
+	finish(r, 0, 0);
+	assert_int_equal(job_run_flush(r, 10, false, out), 0);
+	finish(r, 2, 20);
+	finish(r, 1, 30);
+	/* Group 0 is whole; item 2 goes along. */
+	assert_int_equal(job_run_flush(r, 30, false, out), 3);
+	finish(r, 3, 40);
+	/* One record at a time. */
+	assert_int_equal(job_run_flush(r, 2000, false, out), 0);
+	job_run_unwritten(r);
+	assert_int_equal(job_run_flush(r, 2000, false, out), 4);
+	job_run_free(r);
+	job_spec_free(s);
+}
+
+static void test_given_up_only_when_due(void **state)
+{
+	struct job_result out[ITEMS];
+	struct job_spec *s = spec_new();
+	struct job_run *r = run_new(s, false);
+
+	job_run_sent(r, 0);
+	job_run_ended(r, 0, 0, JOB_RUN_FAILED);
+	job_run_sent(r, 0);
+	job_run_ended(r, 0, 50, JOB_RUN_NOT_RUN);
+	job_run_sent(r, 0);
+	job_run_ended(r, 0, 100, JOB_RUN_FAILED);
+	job_run_sent(r, 1);
+	job_run_ended(r, 1, 100, JOB_RUN_IMPOSSIBLE);
+	assert_int_equal(job_run_flush(r, 100, true, out), 2);
+	assert_int_equal(out[0].state, JOB_ABANDONED);
+	assert_int_equal(out[1].state, JOB_ABANDONED);
+	assert_int_equal(job_run_next(r, 10000), -1);
+	job_run_unwritten(r);
+	assert_int_equal(job_run_flush(r, 10000, true, out), ITEMS);
+	job_run_free(r);
+	job_spec_free(s);
+}
+
+static struct job_result result(const char *id, const char *text)
+{
+	return (struct job_result){
+		.id = id,
+		.text = text,
+		.text_len = strlen(text),
+		.versions = {6, 7},
+		.n_versions = 2,
+	};
+}
+
+static void test_records(void **state)
+{
+	struct job_result a[] = {result("x", "one\ntwo"), result("y", "")};
+	struct job_result b[] = {result("y", "other"), result("z", "three")};
+	char *ra = job_record("w1", a, 2);
+	char *rb = job_record("w2", b, 2);
+	struct job_list l;
+	struct job_page p;
+
+	job_list_init(&l);
+	assert_int_equal(job_list_add(&l, 1, rb, strlen(rb)), ERR_NOT_FOUND);
+	assert_int_equal(job_list_add(&l, 0, "junk", 4), ERR_PARSE);
+	assert_int_equal(job_list_add(&l, 0, ra, strlen(ra)), ERR_OK);
+	assert_int_equal(job_list_add(&l, 0, rb, strlen(rb)), ERR_OK);
+	assert_int_equal(l.n, 2);
+	assert_int_equal(job_list_add(&l, 1, rb, strlen(rb)), ERR_OK);
+	/* An item that has a position keeps it. */
+	assert_int_equal(l.n, 3);
+	assert_string_equal(l.results[1].text, "");
+	assert_int_equal(job_list_find(&l, "z"), 2);
+	p = job_list_page(&l, 1, 1);
+	assert_int_equal(p.n, 1);
+	assert_int_equal(p.next, 2);
+	p = job_list_page(&l, 0, 1000);
+	assert_int_equal(p.n, 3);
+	assert_int_equal(p.results[0].versions[1], 7);
+	p = job_list_page(&l, 9, 1000);
+	assert_int_equal(p.n, 0);
+	assert_int_equal(p.next, 9);
+	assert_true(job_record_by(ra, strlen(ra), "w1"));
+	assert_false(job_record_by(ra, strlen(ra), "w2"));
+	job_list_free(&l);
+	free(ra);
+	free(rb);
+}
+
+/* Two nodes run one batch at once and create records under one counter, as the
+ * store allows: whatever the order, an item has one position and one text. */
+static void test_two_writers(void **state)
+{
+	for (uint64_t seed = 1; seed <= 300; seed++) {
+		struct rng rng = {seed};
+		struct job_spec *s = spec_new();
+		struct job_run *run[2] = {run_new(s, false), run_new(s, false)};
+		struct job_list list[2], truth;
+		char *records[64];
+		size_t n = 0;
+		int guard = 0;
+
+		job_list_init(&list[0]);
+		job_list_init(&list[1]);
+		job_list_init(&truth);
+		while (truth.n < ITEMS && guard++ < 1000) {
+			int w = (int)rng_below(&rng, 2);
+			int item = job_run_next(run[w], guard * 100);
+			struct job_result out[ITEMS];
+			size_t k;
+
+			if (item >= 0) {
+				job_run_sent(run[w], item);
+				finish(run[w], item, guard * 100);
+			}
+			k = rng_below(&rng, 2)
+				    ? job_run_flush(run[w], guard * 100, true,
+						    out)
+				    : 0;
+			if (!k)
+				continue;
+			if (list[w].records == n) {
+				records[n++] =
+					job_record(w ? "b" : "a", out, k);
+				job_list_add(&truth, n - 1, records[n - 1],
+					     strlen(records[n - 1]));
+			}
+			/* Created, or another's: either way it is read back. */
+			job_list_add(&list[w], list[w].records,
+				     records[list[w].records],
+				     strlen(records[list[w].records]));
+			job_run_listed(run[w], &list[w]);
+			job_run_unwritten(run[w]);
+		}
+		if (truth.n != ITEMS)
+			fail_msg("seed %llu", (unsigned long long)seed);
+		for (size_t i = 0; i < truth.n; i++)
+			assert_int_equal(
+				job_list_find(&truth, truth.results[i].id), i);
+		for (int w = 0; w < 2; w++) {
+			for (size_t i = 0; i < list[w].n; i++)
+				assert_string_equal(list[w].results[i].id,
+						    truth.results[i].id);
+			job_list_free(&list[w]);
+			job_run_free(run[w]);
+		}
+		job_list_free(&truth);
+		for (size_t i = 0; i < n; i++)
+			free(records[i]);
+		job_spec_free(s);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_longest_first),
+		cmocka_unit_test(test_resume_keeps_order),
+		cmocka_unit_test(test_one_version),
+		cmocka_unit_test(test_flush_whole_groups),
+		cmocka_unit_test(test_given_up_only_when_due),
+		cmocka_unit_test(test_records),
+		cmocka_unit_test(test_two_writers),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/relay/test/test_relay.c
@@ -0,0 +1,175 @@
+// Relays: followers end up with what the store holds, and leave a bad relay.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include <stdio.h>
+
+#include "base/rng.h"
+#include "relay/copy.h"
+#include "relay/follow.h"
+
+/* What a follower holds, told by a relay's copy. */
+static void tell(const struct relay_copy *from, struct relay_copy *to)
+{
+	bool all = relay_copy_needs_all(from, to->rev);
+
+	if (all)
+		relay_copy_begin_list(to);
+	for (size_t i = 0; i < from->n; i++) {
+		const struct relay_item *it = &from->items[i];
+
+		if (!all && it->rev <= to->rev)
+			continue;
+		if (it->value)
+			relay_copy_put(to, it->key, it->value, it->len,
+				       it->rev);
+		else
+			relay_copy_del(to, it->key, it->rev);
+	}
+	if (all)
+		relay_copy_end_list(to, from->rev);
+	to->rev = from->rev;
+}
+
+static size_t live(const struct relay_copy *c)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < c->n; i++)
+		n += c->items[i].value != NULL;
+	return n;
+}
+
+static void assert_same(const struct relay_copy *a, const struct relay_copy *b,
+			uint64_t seed)
+{
+	if (live(a) != live(b))
+		fail_msg("seed %llu: %zu and %zu keys",
+			 (unsigned long long)seed, live(a), live(b));
+	for (size_t i = 0; i < a->n; i++) {
+		bool found = !a->items[i].value;
+
+		for (size_t k = 0; k < b->n; k++)
+			found |=
+				b->items[k].value &&
+				strcmp(a->items[i].key, b->items[k].key) == 0 &&
+				strcmp(a->items[i].value, b->items[k].value) ==
+					0;
+		if (!found)
+			fail_msg("seed %llu: %s", (unsigned long long)seed,
+				 a->items[i].key);
+	}
+}
+
+/* Any order of changes and questions, more deletions than are kept. */
+static void test_followers_agree(void **state)
+{
+	for (uint64_t seed = 1; seed <= 60; seed++) {
+		struct rng rng = {seed};
+		struct relay_copy relay = {0};
+		struct relay_copy follower = {0};
+
+		for (uint64_t rev = 1; rev <= 2000; rev++) {
+			char key[16], value[16];
+
+			snprintf(key, sizeof(key), "k%d",
+				 (int)rng_below(&rng, 600));
+			snprintf(value, sizeof(value), "v%d", (int)rev);
+			if (rng_below(&rng, 2))
+				relay_copy_put(&relay, key, value,
+					       strlen(value), rev);
+			else
+				relay_copy_del(&relay, key, rev);
+			relay.rev = rev;
+			if (rng_below(&rng, seed % 7 == 0 ? 900 : 20) == 0)
+				tell(&relay, &follower);
+		}
+		tell(&relay, &follower);
+		assert_same(&relay, &follower, seed);
+		relay_copy_free(&relay);
+		relay_copy_free(&follower);
+	}
+}
+
+static void test_list_deletes(void **state)
+{
+	struct relay_copy c = {0};
+
+	relay_copy_put(&c, "a", "1", 1, 5);
+	relay_copy_put(&c, "b", "1", 1, 6);
+	relay_copy_begin_list(&c);
+	relay_copy_put(&c, "b", "1", 1, 6);
+	relay_copy_end_list(&c, 9);
+	assert_int_equal(live(&c), 1);
+	assert_true(relay_copy_news(&c, 8));
+	assert_false(relay_copy_news(&c, 9));
+	relay_copy_free(&c);
+}
+
+static void test_follow(void **state)
+{
+	struct follow f = {.salt = 7};
+	int64_t asked;
+
+	assert_null(follow_next(&f, 0));
+	follow_add(&f, "far", "1:1", false);
+	follow_add(&f, "near", "2:1", true);
+	assert_string_equal(follow_next(&f, 0)->node, "near");
+	follow_asked(&f, 10);
+	assert_null(follow_next(&f, 10));
+	/* An answer to an older question. */
+	assert_false(follow_answered(&f, f.seq - 1, &asked));
+	assert_false(follow_late(&f, 300));
+	assert_true(follow_late(&f, 1000));
+	follow_failed(&f, 1000);
+	assert_false(follow_answered(&f, f.seq, &asked));
+	assert_string_equal(follow_next(&f, 1000)->node, "far");
+	follow_asked(&f, 1000);
+	assert_true(follow_answered(&f, f.seq, &asked));
+	assert_int_equal(asked, 1000);
+	/* The near one gets another chance. */
+	assert_string_equal(follow_next(&f, 5000)->node, "near");
+	follow_del(&f, "near");
+	assert_string_equal(follow_next(&f, 5000)->node, "far");
+	follow_failed(&f, 5000);
+	assert_false(follow_possible(&f, 5001));
+	assert_null(follow_next(&f, 5001));
+}
+
+/* Load pattern: many followers, several relays near: each gets its share. */
+static void test_followers_spread(void **state)
+{
+	int n[4] = {0};
+
+	for (uint64_t i = 0; i < 400; i++) {
+		struct follow f = {.salt = i * 0x9e3779b97f4a7c15u + 1};
+
+		for (int k = 0; k < 4; k++) {
+			char node[8];
+
+			snprintf(node, sizeof(node), "r%d", k);
+			follow_add(&f, node, "1:1", true);
+		}
+		n[follow_next(&f, 0)->node[1] - '0']++;
+	}
+	for (int k = 0; k < 4; k++)
+		assert_in_range(n[k], 60, 140);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_followers_agree),
+		cmocka_unit_test(test_list_deletes),
+		cmocka_unit_test(test_follow),
+		cmocka_unit_test(test_followers_spread),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/rollplan/test/test_rollplan.c
@@ -0,0 +1,181 @@
+// Weight loads: each model gets its share, a few servers at a time, no version is
+// left out, and no more loads than shares.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include <stdio.h>
+
+#include "rollplan/rollplan.h"
+
+enum {
+	SERVERS = 11,
+	MODELS = 3,
+	LOAD_MS = 900,
+	STEP_MS = 4000,
+	/* 11 loads of 0.9 s in each 4 s. */
+	AT_ONCE = 3,
+};
+
+struct load {
+	htab_handle server;
+	int model;
+	uint64_t version;
+	int64_t done_ms; ///< 0 for none
+};
+
+static void put(struct site_servers *t, uint64_t rev, int i,
+		const uint64_t *versions)
+{
+	struct site_server_entry e = {.slots = 12, .n_models = MODELS};
+
+	snprintf(e.id, sizeof(e.id), "s%02d", i);
+	snprintf(e.domain, sizeof(e.domain), "d%d", i % 3);
+	strcpy(e.service, "svc");
+	for (int m = 0; m < MODELS; m++) {
+		snprintf(e.models[m].name, SITE_NAME, "m%d", m);
+		e.models[m].version = versions[m];
+	}
+	site_servers_put(t, rev, 0, &e);
+}
+
+/* Version that a model's trainer has named. */
+static uint64_t named(int model, int64_t now)
+{
+	return 2 + (uint64_t)((now + model * 700) / STEP_MS);
+}
+
+/* A step may use the version named last or the one before: half of a model's
+ * share can serve it at any time. */
+static void assert_enough(const struct rollplan *p,
+			  const struct site_servers *t, int64_t now)
+{
+	htab_handle out[SERVERS];
+
+	for (int m = 0; m < MODELS; m++) {
+		char name[8];
+		int good = 0;
+		int n;
+
+		snprintf(name, sizeof(name), "m%d", m);
+		n = rollplan_share(p, t, "svc", name, out, SERVERS);
+		for (int k = 0; k < n; k++)
+			good += site_server_version(site_servers_get(t, out[k]),
+						    name) +
+					1 >=
+				named(m, now);
+		assert_true(2 * good >= n);
+	}
+}
+
+/* Ten versions of each model, named every four seconds in turn. */
+static void test_shares(void **state)
+{
+	const struct rollplan_opts opts = {.at_once = AT_ONCE, .late_ms = 4000};
+	struct site_servers *t = site_servers_new();
+	uint64_t have[SERVERS][MODELS];
+	struct load loads[SERVERS] = {0};
+	htab_handle out[SERVERS];
+	struct rollplan p;
+	uint64_t rev = 1;
+	int orders = 0;
+
+	rollplan_init(&p, &opts);
+	for (int i = 0; i < SERVERS; i++) {
+		for (int m = 0; m < MODELS; m++)
+			have[i][m] = 1;
+		put(t, rev++, i, have[i]);
+	}
+	for (int64_t now = 0; now < 10 * STEP_MS; now += 20) {
+		struct rollplan_order o;
+		int loading = 0;
+
+		for (int m = 0; m < MODELS; m++) {
+			char name[8];
+
+			snprintf(name, sizeof(name), "m%d", m);
+			rollplan_target(
+				&p, name,
+				2 + (uint64_t)((now + m * 700) / STEP_MS));
+		}
+		for (int i = 0; i < SERVERS; i++) {
+			if (!loads[i].done_ms || now < loads[i].done_ms)
+				continue;
+			have[i][loads[i].model] = loads[i].version;
+			put(t, rev++, i, have[i]);
+			loads[i].done_ms = 0;
+		}
+		while (rollplan_next(&p, t, "svc", now, &o)) {
+			const struct site_server *s =
+				site_servers_get(t, o.server);
+			int i = atoi(s->entry.id + 1);
+
+			orders++;
+			assert_int_equal(loads[i].done_ms, 0);
+			loads[i] = (struct load){o.server, o.model[1] - '0',
+						 o.version, now + LOAD_MS};
+		}
+		for (int i = 0; i < SERVERS; i++)
+			loading += loads[i].done_ms != 0;
+		assert_in_range(loading, 0, AT_ONCE);
+		if (now >= 2 * STEP_MS)
+			assert_enough(&p, t, now);
+	}
+	for (int m = 0; m < MODELS; m++) {
+		char name[8];
+		int n;
+
+		snprintf(name, sizeof(name), "m%d", m);
+		n = rollplan_share(&p, t, "svc", name, out, SERVERS);
+		assert_in_range(n, 3, 4);
+		for (int k = 0; k < n; k++)
+			assert_in_range(
+				site_server_version(site_servers_get(t, out[k]),
+						    name),
+				named(m, 10 * STEP_MS) - 1,
+				named(m, 10 * STEP_MS));
+	}
+	/* As many loads as the shares need: 11 servers, 10 versions each. */
+	assert_in_range(orders, 80, SERVERS * 11);
+	site_servers_free(t);
+}
+
+/* A lost server's part goes to another one. */
+static void test_lost_server(void **state)
+{
+	const struct rollplan_opts opts = {.at_once = 2, .late_ms = 4000};
+	static const uint64_t first[MODELS] = {1, 1, 1};
+	static const uint64_t second[MODELS] = {2, 1, 1};
+	struct site_servers *t = site_servers_new();
+	struct rollplan_order o;
+	struct rollplan p;
+
+	rollplan_init(&p, &opts);
+	rollplan_target(&p, "m0", 2);
+	put(t, 1, 0, second);
+	put(t, 2, 1, first);
+	site_servers_gone(t, "s00", 0, false);
+	assert_true(rollplan_next(&p, t, "svc", 0, &o));
+	assert_string_equal(site_servers_get(t, o.server)->entry.id, "s01");
+	/* No second order while the first may be on its way. */
+	assert_false(rollplan_next(&p, t, "svc", 100, &o));
+	rollplan_failed(&p, o.server, 200);
+	assert_false(rollplan_next(&p, t, "svc", 250, &o));
+	assert_true(rollplan_next(&p, t, "svc", 600, &o));
+	site_servers_free(t);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_shares),
+		cmocka_unit_test(test_lost_server),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
