feat(job): a home for each team's batches; connections before they are needed

Solution: nodes with a disk are homes, one a team by rendezvous hash. Other nodes ask the home to take, read or end a batch and do it themselves when it does not answer; the store's conditional writes decide in either case. Nodes connect to relays and homes as soon as they know them: the first message of a new ZeroMQ connection is dropped (36 lost questions at a start).

--- a/packages/core/src/core.h
+++ b/packages/core/src/core.h
@@ -13,7 +13,7 @@
 
 enum {
 	CORE_ROUTES = 64,
-	CORE_PEER_TYPES = 128,
+	CORE_PEER_TYPES = 160,
 	CORE_CALLS = 16384, ///< outgoing requests at once
 	CORE_CALL_EVENTS = 4, ///< mailbox entries a call
 	CORE_PEER_EVENTS = 16384,
--- a/packages/daemon/include/daemon/site_mod.h
+++ b/packages/daemon/include/daemon/site_mod.h
@@ -35,6 +35,27 @@
 enum err site_mod_auth(struct core *c, const struct site_route *route,
 		       const char *bearer, char team[SITE_NAME]);
 
+/// A node that may be the home of batches.
+struct site_node {
+	char node[SITE_NAME];
+	char peer[SITE_ADDR]; ///< "IP:port" for messages between daemons
+};
+
+/// Live nodes that may be homes, this one included if it may.
+///
+/// @param[out] n  count
+const struct site_node *site_mod_homes(struct core *c, size_t *n);
+
+/// Number that changes when nodes come or go.
+uint64_t site_mod_nodes_gen(struct core *c);
+
+/// Whether the nodes were listed; only at nodes that may lead.
+bool site_mod_nodes_known(struct core *c);
+
+/// Whether a process's run holds its node's liveness key; only at nodes that may
+/// lead.
+bool site_mod_alive(struct core *c, const char *node, const char *run);
+
 /// Models that some trainer named a version of.
 ///
 /// @param i  index from 0
--- a/packages/daemon/src/job/end.c
+++ b/packages/daemon/src/job/end.c
@@ -14,7 +14,7 @@
 
 struct job_end {
 	htab_handle self;
-	htab_handle req;
+	struct job_caller caller;
 	char id[JOB_ID];
 	char team[JOB_ID];
 	bool busy; ///< a call is outstanding
@@ -51,8 +51,8 @@
 
 static void end_refuse(struct core *c, struct job_end *e, enum err err)
 {
-	core_reply_err(c, e->req, err, err_run(err),
-		       err == ERR_BATCH_UNKNOWN ? 0 : END_RETRY_AFTER_MS, NULL);
+	job_caller_refuse(c, &e->caller, err, err_run(err),
+			  err == ERR_BATCH_UNKNOWN ? 0 : END_RETRY_AFTER_MS);
 	end_free(jobs_of(c), e);
 }
 
@@ -69,7 +69,7 @@
 	}
 	if (j && j->running)
 		job_recall(c, j);
-	core_reply(c, e->req, 200, "application/json", "{}", 2);
+	job_caller_answer(c, &e->caller, 200, "application/json", "{}", 2);
 	end_free(jobs_of(c), e);
 }
 
@@ -154,8 +154,20 @@
 	}
 }
 
-void job_end_begin(struct core *c, struct core_req *req, const char *id,
-		   const char *team)
+/* What this node knows of the owner key saves reading it: a write under an old
+ * revision fails and the key is read then. */
+static void end_from_known(struct job_end *e, const struct job *j)
+{
+	if (!j || !j->known || !j->owner_rev ||
+	    strcmp(j->owner.team, e->team) != 0)
+		return;
+	e->owner = j->owner;
+	e->rev = j->owner_rev;
+	e->write = !j->owner.ended;
+}
+
+void job_end_begin(struct core *c, const struct job_caller *to,
+		   const struct home_ask *ask)
 {
 	struct job_end *e = calloc(1, sizeof(*e));
 	htab_handle h;
@@ -163,16 +175,16 @@
 
 	if (!slot) {
 		free(e);
-		core_reply_err(c, req->h, ERR_FULL, RUN_NO, END_RETRY_AFTER_MS,
-			       NULL);
+		job_caller_refuse(c, to, ERR_FULL, RUN_NO, END_RETRY_AFTER_MS);
 		return;
 	}
 	*slot = e;
 	e->self = h;
-	e->req = req->h;
+	e->caller = *to;
 	e->until_ms = core_now(c) + END_MAX_MS;
-	snprintf(e->id, sizeof(e->id), "%s", id);
-	snprintf(e->team, sizeof(e->team), "%s", team);
+	snprintf(e->id, sizeof(e->id), "%s", ask->job);
+	snprintf(e->team, sizeof(e->team), "%s", ask->team);
+	end_from_known(e, job_find(c, ask->job));
 	end_call(c, e);
 }
 
--- /dev/null
+++ b/packages/daemon/src/job/home_msg.h
@@ -0,0 +1,19 @@
+// Messages between a home and the nodes that ask it, in msgpack.
+#pragma once
+
+#include <msgpack.h>
+
+#include "base/arena.h"
+#include "job/home.h"
+
+void job_home_ask_pack(msgpack_sbuffer *buf, const struct home_ask *ask);
+
+/// @param a  owns what ask points to
+/// @return ERR_OK, ERR_PARSE or ERR_NOMEM
+enum err job_home_ask_read(const void *data, size_t len, struct arena *a,
+		       struct home_ask *ask);
+
+void job_home_reply_pack(msgpack_sbuffer *buf, const struct home_reply *reply);
+
+enum err job_home_reply_read(const void *data, size_t len, struct arena *a,
+			 struct home_reply *reply);
--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -4,6 +4,8 @@
 #include "core/core.h"
 #include "daemon/job_mod.h"
 #include "daemon/platform_mod.h"
+#include "job/caller.h"
+#include "job/home.h"
 #include "job/job_list.h"
 #include "job/job_run.h"
 #include "sse/sse.h"
@@ -12,6 +14,7 @@
 enum {
 	JOB_MAX = 1024, ///< batches known at once
 	JOB_KNOWN_IDLE_MS = 30000, ///< a batch that nobody asks for is forgotten
+	JOB_WAIT_MS = 2500, ///< longest wait of a read of results
 	JOB_RETRY_MS = 150, ///< least wait after a failed store call
 };
 
@@ -68,7 +71,7 @@
 /// A caller that waits for results.
 struct job_reader {
 	htab_handle self;
-	htab_handle req;
+	struct job_caller caller;
 	htab_handle job;
 	uint64_t after;
 	int64_t until_ms; ///< answered then, with whatever there is
@@ -87,6 +90,7 @@
 	struct job_take *take; ///< look in progress
 	bool own_looked; ///< batches of this node's earlier process were sought
 	bool draining;
+	struct homes *homes; ///< questions to homes
 	struct job_result *scratch; ///< for flushes
 	size_t scratch_cap;
 };
@@ -171,9 +175,21 @@
 void job_submits_step(struct core *c);
 void job_ends_step(struct core *c);
 
-/// Begin to end a batch.
-void job_end_begin(struct core *c, struct core_req *req, const char *id,
-		   const char *team);
+/// Do at this node what a caller asks.
+///
+/// @param maybe  another node may have taken the batch
+void job_local(struct core *c, const struct job_caller *to,
+	       const struct home_ask *ask, bool maybe);
+
+/// Parts of job_local().
+void job_submit_begin(struct core *c, const struct job_caller *to,
+		      const struct home_ask *ask, bool maybe);
+void job_read_results(struct core *c, const struct job_caller *to,
+		      const struct home_ask *ask);
+void job_read_body(struct core *c, const struct job_caller *to,
+		   const struct home_ask *ask);
+void job_end_begin(struct core *c, const struct job_caller *to,
+		   const struct home_ask *ask);
 
 /// Requests in progress, for the drain.
 bool job_calls_idle(const struct core *c);
--- a/packages/daemon/src/job/job_mod.c
+++ b/packages/daemon/src/job/job_mod.c
@@ -93,6 +93,7 @@
 	job_ends_step(c);
 	job_readers_step(c);
 	job_take_step(c);
+	job_home_step(c);
 	forget_idle(c, jobs);
 }
 
@@ -135,6 +136,7 @@
 	job_submits_free(jobs);
 	job_ends_free(jobs);
 	job_take_free(jobs);
+	job_home_free(c);
 	htab_free(jobs->jobs);
 	htab_free(jobs->readers);
 	free(jobs->scratch);
@@ -153,9 +155,79 @@
 	jobs->submits = htab_new(SUBMITS, sizeof(void *));
 	jobs->ends = htab_new(ENDS, sizeof(void *));
 	*state = jobs;
-	return jobs->jobs && jobs->readers && jobs->submits && jobs->ends
-		       ? ERR_OK
-		       : ERR_NOMEM;
+	if (!jobs->jobs || !jobs->readers || !jobs->submits || !jobs->ends)
+		return ERR_NOMEM;
+	return job_home_start(c);
+}
+
+void job_local(struct core *c, const struct job_caller *to,
+	       const struct home_ask *ask, bool maybe)
+{
+	switch (ask->kind) {
+	case HOME_SUBMIT:
+		job_submit_begin(c, to, ask, maybe);
+		break;
+	case HOME_RESULTS:
+		job_read_results(c, to, ask);
+		break;
+	case HOME_BODY:
+		job_read_body(c, to, ask);
+		break;
+	case HOME_END:
+		job_end_begin(c, to, ask);
+		break;
+	}
+}
+
+void job_mod_submit(struct core *c, struct core_req *req, const char *id,
+		    const char *host, const char *team)
+{
+	const struct home_ask ask = {
+		.kind = HOME_SUBMIT,
+		.job = id,
+		.team = arena_strdup(&req->arena, team),
+		.host = host,
+		.path = req->path,
+		.body = req->body,
+		.len = req->body_len,
+	};
+
+	if (!job_home_try(c, req, &ask))
+		job_local(c, &(struct job_caller){.req = req->h}, &ask, false);
+}
+
+static enum home_kind kind_of(enum front_kind kind)
+{
+	switch (kind) {
+	case FRONT_RESULTS:
+		return HOME_RESULTS;
+	case FRONT_BODY:
+		return HOME_BODY;
+	default:
+		return HOME_END;
+	}
+}
+
+void job_mod_call(struct core *c, struct core_req *req,
+		  const struct front_call *call, int64_t wait_ms,
+		  const char *team)
+{
+	const struct home_ask ask = {
+		.kind = kind_of(call->kind),
+		.job = arena_strdup(&req->arena, call->job),
+		.item = arena_strdup(&req->arena, call->item),
+		.team = arena_strdup(&req->arena, team),
+		.after = call->after,
+		.wait_ms = call->kind != FRONT_RESULTS ? 0
+			   : wait_ms < JOB_WAIT_MS     ? wait_ms
+						       : JOB_WAIT_MS,
+	};
+
+	if (!ask.job || !ask.item || !ask.team)
+		core_reply_err(c, req->h, ERR_NOMEM, RUN_NO, JOB_RETRY_MS,
+			       NULL);
+	else if (!job_home_try(c, req, &ask))
+		job_local(c, &(struct job_caller){.req = req->h}, &ask, false);
 }
 
 static bool jobs_ready(struct core *c, void *state)
--- a/packages/daemon/src/job/read.c
+++ b/packages/daemon/src/job/read.c
@@ -9,9 +9,6 @@
 
 enum {
 	PAGE_MAX = 900000, ///< bytes of texts in a page, below a caller's limit
-	/// A read that the store does not settle in this time is refused; its
-	/// caller asks again.
-	READ_MAX_MS = 2500,
 	READ_RETRY_AFTER_MS = 500,
 };
 
@@ -27,28 +24,29 @@
 
 static void reader_refuse(struct core *c, struct job_reader *r, enum err e)
 {
-	htab_handle req = r->req;
+	struct job_caller to = r->caller;
 
 	reader_free(c, r);
-	core_reply_err(c, req, e, err_run(e),
-		       e == ERR_BATCH_UNKNOWN ? 0 : READ_RETRY_AFTER_MS, NULL);
+	job_caller_refuse(c, &to, e, err_run(e),
+			  e == ERR_BATCH_UNKNOWN ? 0 : READ_RETRY_AFTER_MS);
 }
 
 static void reader_answer(struct core *c, struct job_reader *r,
 			  const struct job *j)
 {
 	struct job_page page = job_list_page(&j->list, r->after, PAGE_MAX);
-	htab_handle req = r->req;
+	struct job_caller to = r->caller;
 	char *text;
 
 	page.total = j->owner.total;
 	text = jobs_of(c)->wire->front->results(&page);
 	reader_free(c, r);
 	if (text)
-		core_reply(c, req, 200, "application/json", text, strlen(text));
+		job_caller_answer(c, &to, 200, "application/json", text,
+				  strlen(text));
 	else
-		core_reply_err(c, req, ERR_NOMEM, RUN_NO, READ_RETRY_AFTER_MS,
-			       NULL);
+		job_caller_refuse(c, &to, ERR_NOMEM, RUN_NO,
+				  READ_RETRY_AFTER_MS);
 	free(text);
 }
 
@@ -115,6 +113,12 @@
 	if (!r)
 		return;
 	r->watching = false;
+	if (e == ERR_KV_HISTORY && j) {
+		r->listed = false;
+		j->list.rev = 0;
+		read_records(c, r, j);
+		return;
+	}
 	if (e == ERR_OK && j)
 		e = take_records(j, res);
 	if (e != ERR_OK || !j)
@@ -127,7 +131,8 @@
 		read_records(c, r, j);
 }
 
-/* List what this node lacks; with the list at hand, wait for more. */
+/* Wait for what was written after the list that this node has; read the list if
+ * it has none, or if the reader doesn't wait. */
 static void read_records(struct core *c, struct job_reader *r, struct job *j)
 {
 	const struct kv_cb cb = {on_records, (void *)(uintptr_t)r->self};
@@ -139,7 +144,7 @@
 	snprintf(prefix, sizeof(prefix), KEY_RECORD "%s/", j->id);
 	snprintf(from, sizeof(from), KEY_RECORD "%s/%08llu", j->id,
 		 (unsigned long long)j->list.records - 1);
-	if (r->listed && wait_ms > 0)
+	if ((r->listed || j->list.rev) && wait_ms > 0)
 		e = kv_watch(c, prefix, j->list.rev, wait_ms, cb);
 	else
 		e = kv_list_from(c, prefix, j->list.records ? from : NULL, cb);
@@ -156,8 +161,9 @@
 		return;
 	}
 	/* Nobody else writes while this node runs the batch, and what this node
-	 * has not seen in the store has no position. */
-	if (j->running) {
+	 * has not seen in the store has no position. Nothing follows a batch
+	 * whose items are all listed. */
+	if (j->running || j->list.n >= j->owner.total) {
 		if (has_news(j, r) || core_now(c) >= r->until_ms)
 			reader_answer(c, r, j);
 		return;
@@ -211,29 +217,30 @@
 		reader_free(c, r);
 }
 
-static void read_results(struct core *c, struct core_req *req,
-			 const struct front_call *call, int64_t wait_ms,
-			 const char *team)
+void job_read_results(struct core *c, const struct job_caller *to,
+		      const struct home_ask *ask)
 {
-	struct job *j = job_get(c, call->job);
+	struct job *j = job_get(c, ask->job);
+	struct core_req *req = core_req_get(c, to->req);
 	htab_handle h;
 	struct job_reader *r = j ? htab_add(jobs_of(c)->readers, &h) : NULL;
 
 	if (!r) {
-		core_reply_err(c, req->h, ERR_FULL, RUN_NO, READ_RETRY_AFTER_MS,
-			       NULL);
+		job_caller_refuse(c, to, ERR_FULL, RUN_NO, READ_RETRY_AFTER_MS);
 		return;
 	}
 	*r = (struct job_reader){
 		.self = h,
-		.req = req->h,
+		.caller = *to,
 		.job = j->self,
-		.after = call->after,
-		.until_ms = core_now(c) + wait_ms,
+		.after = ask->after,
+		.until_ms = core_now(c) + ask->wait_ms,
 	};
-	snprintf(r->team, sizeof(r->team), "%s", team);
-	req->on_abort = reader_gone;
-	req->user = (void *)(uintptr_t)h;
+	snprintf(r->team, sizeof(r->team), "%s", ask->team);
+	if (req) {
+		req->on_abort = reader_gone;
+		req->user = (void *)(uintptr_t)h;
+	}
 	if (j->known)
 		reader_go(c, r, j);
 	else
@@ -241,7 +248,7 @@
 }
 
 /* Answer with the body of one item. */
-static void body_answer(struct core *c, htab_handle req,
+static void body_answer(struct core *c, const struct job_caller *to,
 			const struct job_spec *spec, const char *item)
 {
 	for (size_t i = 0; i < spec->n_items; i++) {
@@ -249,16 +256,17 @@
 
 		if (strcmp(it->id, item) != 0)
 			continue;
-		core_reply(c, req, 200, "application/octet-stream", it->body,
-			   it->body_len);
+		job_caller_answer(c, to, 200, "application/octet-stream",
+				  it->body, it->body_len);
 		return;
 	}
-	core_reply_err(c, req, ERR_BATCH_UNKNOWN, RUN_NO, 0, NULL);
+	job_caller_refuse(c, to, ERR_BATCH_UNKNOWN, RUN_NO, 0);
 }
 
 struct body_read {
-	htab_handle req;
-	struct front_call call;
+	struct job_caller caller;
+	char job[JOB_ID];
+	char item[JOB_ID];
 	char team[JOB_ID];
 };
 
@@ -269,64 +277,41 @@
 	enum err e = res->err;
 
 	if (e == ERR_OK)
-		e = job_batch_parse(jobs_of(c), b->call.job,
-				    res->items[0].value, res->items[0].len,
-				    &spec);
+		e = job_batch_parse(jobs_of(c), b->job, res->items[0].value,
+				    res->items[0].len, &spec);
 	if (e == ERR_NOT_FOUND ||
 	    (e == ERR_OK && strcmp(spec->team, b->team) != 0))
-		core_reply_err(c, b->req, ERR_BATCH_UNKNOWN, RUN_NO, 0, NULL);
+		job_caller_refuse(c, &b->caller, ERR_BATCH_UNKNOWN, RUN_NO, 0);
 	else if (e != ERR_OK)
-		core_reply_err(c, b->req, ERR_KV_DOWN, RUN_NO,
-			       READ_RETRY_AFTER_MS, NULL);
+		job_caller_refuse(c, &b->caller, ERR_KV_DOWN, RUN_NO,
+				  READ_RETRY_AFTER_MS);
 	else
-		body_answer(c, b->req, spec, b->call.item);
+		body_answer(c, &b->caller, spec, b->item);
 	job_spec_free(spec);
 	free(b);
 }
 
-static void read_body(struct core *c, struct core_req *req,
-		      const struct front_call *call, const char *team)
+void job_read_body(struct core *c, const struct job_caller *to,
+		   const struct home_ask *ask)
 {
-	struct job *j = job_find(c, call->job);
+	struct job *j = job_find(c, ask->job);
 	struct body_read *b;
 	char key[STORE_KEY];
 
-	if (j && j->running && strcmp(j->spec->team, team) == 0) {
-		body_answer(c, req->h, j->spec, call->item);
+	if (j && j->running && strcmp(j->spec->team, ask->team) == 0) {
+		body_answer(c, to, j->spec, ask->item);
 		return;
 	}
 	b = calloc(1, sizeof(*b));
-	snprintf(key, sizeof(key), KEY_BATCH "%s", call->job);
+	snprintf(key, sizeof(key), KEY_BATCH "%s", ask->job);
 	if (b) {
-		b->req = req->h;
-		b->call = *call;
-		snprintf(b->team, sizeof(b->team), "%s", team);
+		b->caller = *to;
+		snprintf(b->job, sizeof(b->job), "%s", ask->job);
+		snprintf(b->item, sizeof(b->item), "%s", ask->item);
+		snprintf(b->team, sizeof(b->team), "%s", ask->team);
 	}
 	if (!b || kv_get(c, key, (struct kv_cb){on_batch, b}) != ERR_OK) {
 		free(b);
-		core_reply_err(c, req->h, ERR_FULL, RUN_NO, READ_RETRY_AFTER_MS,
-			       NULL);
-	}
-}
-
-void job_mod_call(struct core *c, struct core_req *req,
-		  const struct front_call *call, int64_t wait_ms,
-		  const char *team)
-{
-	switch (call->kind) {
-	case FRONT_RESULTS:
-		read_results(c, req, call,
-			     wait_ms < READ_MAX_MS ? wait_ms : READ_MAX_MS,
-			     team);
-		break;
-	case FRONT_BODY:
-		read_body(c, req, call, team);
-		break;
-	case FRONT_END:
-		job_end_begin(c, req, call->job, team);
-		break;
-	case FRONT_FORWARD:
-		core_reply_err(c, req->h, ERR_INTERNAL, RUN_NO, 0, NULL);
-		break;
+		job_caller_refuse(c, to, ERR_FULL, RUN_NO, READ_RETRY_AFTER_MS);
 	}
 }
--- a/packages/daemon/src/job/submit.c
+++ b/packages/daemon/src/job/submit.c
@@ -28,7 +28,7 @@
 
 struct job_submit {
 	htab_handle self;
-	htab_handle req;
+	struct job_caller caller;
 	enum submit_step step;
 	bool busy; ///< a call is outstanding
 	bool owner_unknown; ///< a write of the owner key may have taken effect
@@ -74,13 +74,13 @@
 		e = ERR_TIMEOUT;
 	log_event(EV_JOB_REFUSED, "batch=%s error=%s run=%s", s->spec->id,
 		  err_code(e), run_state_name(run));
-	core_reply_err(c, s->req, e, run, SUBMIT_RETRY_AFTER_MS, NULL);
+	job_caller_refuse(c, &s->caller, e, run, SUBMIT_RETRY_AFTER_MS);
 	submit_free(jobs_of(c), s);
 }
 
-static void accepted(struct core *c, htab_handle req)
+static void accepted(struct core *c, const struct job_caller *to)
 {
-	core_reply(c, req, 202, "application/json", "{}", 2);
+	job_caller_answer(c, to, 202, "application/json", "{}", 2);
 }
 
 /* The batch is taken, by this node if the key says so. */
@@ -103,7 +103,7 @@
 		if (job_start(c, j, s->spec) == ERR_OK)
 			s->spec = NULL;
 	}
-	accepted(c, s->req);
+	accepted(c, &s->caller);
 	submit_free(jobs, s);
 	if (j && j->running)
 		job_step(c, j);
@@ -242,8 +242,9 @@
 	}
 }
 
-static void submit_begin(struct core *c, struct core_req *req,
-			 struct job_spec *spec)
+static void submit_go(struct core *c, const struct job_caller *to,
+		      const struct home_ask *ask, struct job_spec *spec,
+		      bool maybe)
 {
 	struct jobs *jobs = jobs_of(c);
 	struct job_submit *s = calloc(1, sizeof(*s));
@@ -254,55 +255,66 @@
 	if (!slot) {
 		free(s);
 		job_spec_free(spec);
-		core_reply_err(c, req->h, ERR_FULL, RUN_NO,
-			       SUBMIT_RETRY_AFTER_MS, NULL);
+		job_caller_refuse(c, to, ERR_FULL, maybe ? RUN_MAYBE : RUN_NO,
+				  SUBMIT_RETRY_AFTER_MS);
 		return;
 	}
 	*slot = s;
 	s->self = h;
-	s->req = req->h;
+	s->caller = *to;
 	s->spec = spec;
+	s->owner_unknown = maybe;
 	s->until_ms = core_now(c) + SUBMIT_MAX_MS;
 	s->owner.total = spec->n_items;
 	s->owner.at_ms = spec->at_ms;
 	snprintf(s->owner.node, sizeof(s->owner.node), "%s", core_node(c));
 	snprintf(s->owner.run, sizeof(s->owner.run), "%s", core_incarnation(c));
 	snprintf(s->owner.team, sizeof(s->owner.team), "%s", spec->team);
-	s->text = job_batch_text(spec, req->body, req->body_len, &s->text_len);
+	s->text = job_batch_text(spec, ask->body, ask->len, &s->text_len);
 	if (s->text)
 		submit_call(c, s);
 	else
 		submit_refuse(c, s, ERR_NOMEM);
 }
 
-void job_mod_submit(struct core *c, struct core_req *req, const char *id,
-		    const char *host, const char *team)
+/* Refuse before anything of the batch is in the store through this node. */
+static bool refuse_early(struct core *c, const struct job_caller *to,
+			 bool maybe)
 {
-	struct jobs *jobs = jobs_of(c);
-	struct job *j = job_find(c, id);
+	bool draining = jobs_of(c)->draining;
+	enum err e = draining ? ERR_HTTP_DRAINING : ERR_KV_DOWN;
+
+	if (!draining && lead_mod_alive(c))
+		return false;
+	if (maybe)
+		e = ERR_TIMEOUT;
+	job_caller_refuse(c, to, e, maybe ? RUN_MAYBE : RUN_NO,
+			  SUBMIT_RETRY_AFTER_MS);
+	return true;
+}
+
+void job_submit_begin(struct core *c, const struct job_caller *to,
+		      const struct home_ask *ask, bool maybe)
+{
+	struct job *j = job_find(c, ask->job);
 	struct job_spec *spec = NULL;
 	enum err e;
 
 	if (j && j->running) {
-		accepted(c, req->h);
+		accepted(c, to);
 		return;
 	}
-	if (jobs->draining || !lead_mod_alive(c)) {
-		/* Nothing of it is in the store through this node. */
-		core_reply_err(c, req->h,
-			       jobs->draining ? ERR_HTTP_DRAINING : ERR_KV_DOWN,
-			       RUN_NO, SUBMIT_RETRY_AFTER_MS, NULL);
+	if (refuse_early(c, to, maybe))
 		return;
-	}
-	e = jobs->wire->front->batch(req->body, req->body_len, &spec);
+	e = jobs_of(c)->wire->front->batch(ask->body, ask->len, &spec);
 	if (e != ERR_OK) {
-		core_reply_err(c, req->h, e, RUN_NO, 0, NULL);
+		job_caller_refuse(c, to, e, RUN_NO, 0);
 		return;
 	}
-	snprintf(spec->id, sizeof(spec->id), "%s", id);
-	snprintf(spec->host, sizeof(spec->host), "%s", host);
-	snprintf(spec->path, sizeof(spec->path), "%s", req->path);
-	snprintf(spec->team, sizeof(spec->team), "%s", team);
+	snprintf(spec->id, sizeof(spec->id), "%s", ask->job);
+	snprintf(spec->host, sizeof(spec->host), "%s", ask->host);
+	snprintf(spec->path, sizeof(spec->path), "%s", ask->path);
+	snprintf(spec->team, sizeof(spec->team), "%s", ask->team);
 	spec->at_ms = clock_wall_ms();
-	submit_begin(c, req, spec);
+	submit_go(c, to, ask, spec, maybe);
 }
--- a/packages/daemon/src/job/take.c
+++ b/packages/daemon/src/job/take.c
@@ -1,7 +1,8 @@
 // The leader goes on with the batches of nodes that were lost or that left.
 //
-// Every round it lists the liveness keys and the owner keys. A batch whose owner
-// is not alive in two rounds gets the leader as its owner, is loaded and run.
+// A round lists the owner keys: when nodes came or went, when a leader begins, and
+// now and then. A batch whose owner is not alive in two rounds gets the leader as
+// its owner, is loaded and run.
 //
 // A node that starts looks for what its own earlier process ran: that process is
 // surely gone, so nothing has to lapse first.
@@ -12,16 +13,16 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "daemon/lead_mod.h"
+#include "daemon/site_mod.h"
 #include "job/job.h"
-#include "lead/live_value.h"
 #include "store_keys.h"
 
 enum {
-	TAKE_ROUND_MS = 500, ///< between two rounds
+	TAKE_ROUND_MS = 500, ///< between two rounds while something is lost
+	TAKE_IDLE_MS = 5000, ///< between two rounds without a reason
 	/// After the store was away, nodes that live need this long to renew
 	/// their liveness keys.
 	TAKE_SETTLE_MS = 1500,
-	TAKE_NODES = 1024, ///< live nodes of a round
 	TAKE_BATCHES = 1024, ///< lost batches of a round
 	TAKE_AT_ONCE = 8, ///< batches being loaded
 };
@@ -34,8 +35,6 @@
 };
 
 struct job_take {
-	struct live_value nodes[TAKE_NODES];
-	size_t n_nodes;
 	struct lost lost[TAKE_BATCHES];
 	size_t n_lost;
 	char suspects[TAKE_BATCHES][JOB_ID]; ///< lost in the round before
@@ -44,6 +43,8 @@
 	bool busy; ///< a round is in progress
 	bool own; ///< the round looks for this node's earlier batches only
 	int loading; ///< batches being taken over
+	uint64_t nodes_gen; ///< of the last round
+	uint64_t epoch; ///< of the leader in the last round
 };
 
 /// A batch on its way to this node.
@@ -65,7 +66,8 @@
 	struct jobs *jobs = jobs_of(c);
 
 	jobs->take->busy = false;
-	jobs->reconcile_ms = core_now(c) + TAKE_ROUND_MS;
+	jobs->reconcile_ms = core_now(c) + (jobs->take->n_lost ? TAKE_ROUND_MS
+							       : TAKE_IDLE_MS);
 }
 
 static void loading_over(struct core *c, struct loading *l, const char *why)
@@ -210,16 +212,6 @@
 		strcpy(t->suspects[i], t->lost[i].id);
 }
 
-static bool alive(const struct job_take *t, const struct job_owner *o)
-{
-	for (size_t i = 0; i < t->n_nodes; i++) {
-		if (strcmp(t->nodes[i].node, o->node) == 0 &&
-		    strcmp(t->nodes[i].run, o->run) == 0)
-			return true;
-	}
-	return false;
-}
-
 /* Whether a batch of that owner is this node's to take over. */
 static bool lost_to(struct core *c, const struct job_take *t,
 		    const struct job_owner *o)
@@ -228,7 +220,7 @@
 		return strcmp(o->node, core_node(c)) == 0 &&
 		       !job_owner_me(c, o);
 	/* This node's own, from a takeover whose answer was lost: again. */
-	return !alive(t, o) || job_owner_me(c, o);
+	return !site_mod_alive(c, o->node, o->run) || job_owner_me(c, o);
 }
 
 static void look_at(struct core *c, struct job_take *t,
@@ -257,7 +249,8 @@
 	struct job_take *t = jobs_of(c)->take;
 
 	if (res->err != ERR_OK) {
-		round_over(c);
+		t->busy = false;
+		jobs_of(c)->reconcile_ms = core_now(c) + TAKE_ROUND_MS;
 		return;
 	}
 	for (size_t i = 0; i < res->n_items; i++)
@@ -275,26 +268,6 @@
 	round_over(c);
 }
 
-static void on_nodes(struct core *c, void *ctx, const struct kv_result *res)
-{
-	struct job_take *t = jobs_of(c)->take;
-	bool ok = res->err == ERR_OK && !res->more;
-
-	t->n_nodes = 0;
-	t->n_lost = 0;
-	for (size_t i = 0; ok && i < res->n_items && i < TAKE_NODES; i++) {
-		struct live_value *n = &t->nodes[t->n_nodes];
-
-		if (live_value_parse(&res->items[i], n) == ERR_OK)
-			t->n_nodes++;
-		else
-			log_event(EV_JOB_BAD, "key=%s", res->items[i].key);
-	}
-	if (!ok || kv_list(c, KEY_RUN, (struct kv_cb){on_owners, NULL}) !=
-			   ERR_OK)
-		round_over(c);
-}
-
 static bool store_settled(struct core *c)
 {
 	int64_t back = kv_back_since(c);
@@ -306,7 +279,6 @@
 {
 	struct jobs *jobs = jobs_of(c);
 	struct job_take *t;
-	enum err e;
 
 	if (!jobs->take)
 		jobs->take = calloc(1, sizeof(*jobs->take));
@@ -316,25 +288,36 @@
 	t->own = own;
 	t->n_lost = 0;
 	t->from[0] = '\0';
-	if (own)
-		e = kv_list(c, KEY_RUN, (struct kv_cb){on_owners, NULL});
-	else
-		e = kv_list(c, KEY_LIVE, (struct kv_cb){on_nodes, NULL});
-	t->busy = e == ERR_OK;
+	t->nodes_gen = site_mod_nodes_gen(c);
+	lead_mod_held(c, &t->epoch);
+	t->busy = kv_list(c, KEY_RUN, (struct kv_cb){on_owners, NULL}) ==
+		  ERR_OK;
 	if (!t->busy)
 		jobs->reconcile_ms = core_now(c) + TAKE_ROUND_MS;
 }
 
+/* Whether there is a reason not to wait for the next round. */
+static bool round_urgent(struct core *c, const struct job_take *t)
+{
+	uint64_t epoch = 0;
+
+	lead_mod_held(c, &epoch);
+	return !t || t->nodes_gen != site_mod_nodes_gen(c) || t->epoch != epoch;
+}
+
 void job_take_step(struct core *c)
 {
 	struct jobs *jobs = jobs_of(c);
 
 	if ((jobs->take && jobs->take->busy) || jobs->draining ||
-	    core_now(c) < jobs->reconcile_ms || !lead_mod_alive(c))
+	    !lead_mod_alive(c))
+		return;
+	if (core_now(c) < jobs->reconcile_ms && !round_urgent(c, jobs->take))
 		return;
 	if (!jobs->own_looked)
 		round_begin(c, true);
-	else if (lead_mod_held(c, NULL) && store_settled(c))
+	else if (lead_mod_held(c, NULL) && store_settled(c) &&
+		 site_mod_nodes_known(c))
 		round_begin(c, false);
 	else if (jobs->take && jobs->take->loading == 0)
 		job_take_free(jobs);
--- a/packages/daemon/src/site/relay.c
+++ b/packages/daemon/src/site/relay.c
@@ -18,6 +18,8 @@
 	/// Oldest knowledge of a relay that is of use: with the wait and a lost
 	/// answer it stays below the age at which keys are refused.
 	RELAY_AGE_MS = 2200,
+	RELAY_CONNECT_MS = 100, ///< some round trips
+	RELAY_FORGET_MS = 20000, ///< a follower that asks no more
 };
 
 static void on_ask(struct core *c, void *ctx, const char *from, const void *buf,
@@ -42,13 +44,12 @@
 		const char *addr, bool near)
 {
 	if (!r->serves)
-		follow_add(&r->follow, node, addr, near);
+		follow_add(&r->follow, core_now(c), node, addr, near);
 }
 
 void relay_node_gone(struct core *c, struct relay *r, const char *node)
 {
 	follow_del(&r->follow, node);
-	core_peer_del(c, node);
 }
 
 bool relay_following(const struct core *c, const struct relay *r)
@@ -87,23 +88,33 @@
 static void answer_due(struct core *c, struct relay *r)
 {
 	for (int i = r->n_asks - 1; i >= 0; i--) {
-		struct relay_ask ask = r->asks[i];
-
-		if (core_now(c) < ask.until_ms && !has_news(r, &ask))
-			continue;
-		r->asks[i] = r->asks[--r->n_asks];
-		send_news(c, r, &ask);
+		struct relay_ask *ask = &r->asks[i];
+
+		if (core_now(c) - ask->asked_ms >= RELAY_FORGET_MS) {
+			core_peer_del(c, ask->node);
+			*ask = r->asks[--r->n_asks];
+		} else if (ask->open && core_now(c) >= ask->not_before_ms &&
+			   (core_now(c) >= ask->until_ms ||
+			    has_news(r, ask))) {
+			ask->open = false;
+			send_news(c, r, ask);
+		}
 	}
 }
 
-/* A follower has one question open: a newer one takes its place. */
-static struct relay_ask *ask_slot(struct relay *r, const char *node)
+/* A follower has one question open: a newer one takes its place. The first
+ * answer waits until the connection for it came about. */
+static struct relay_ask *ask_slot(struct core *c, struct relay *r,
+				  const char *node)
 {
 	for (int i = 0; i < r->n_asks; i++) {
 		if (strcmp(r->asks[i].node, node) == 0)
 			return &r->asks[i];
 	}
-	return r->n_asks < RELAY_ASKS ? &r->asks[r->n_asks++] : NULL;
+	if (r->n_asks == RELAY_ASKS)
+		return NULL;
+	r->asks[r->n_asks].not_before_ms = core_now(c) + RELAY_CONNECT_MS;
+	return &r->asks[r->n_asks++];
 }
 
 static void on_ask(struct core *c, void *ctx, const char *from, const void *buf,
@@ -119,10 +130,12 @@
 	}
 	if (!r->serves || core_peer_add(c, from, q.addr) != ERR_OK)
 		return;
-	ask = ask_slot(r, from);
+	ask = ask_slot(c, r, from);
 	if (!ask)
 		return;
 	snprintf(ask->node, sizeof(ask->node), "%s", from);
+	ask->open = true;
+	ask->asked_ms = core_now(c);
 	ask->seq = q.seq;
 	memcpy(ask->revs, q.revs, sizeof(ask->revs));
 	ask->until_ms = core_now(c) + RELAY_HOLD_MS;
@@ -204,7 +217,7 @@
 		log_event(EV_RELAY_LOST, "relay=%s following=%d",
 			  r->follow.current, was);
 		core_peer_reset(c, r->follow.current);
-		follow_failed(&r->follow, core_now(c));
+		follow_lost(&r->follow, core_now(c));
 	}
 	to = follow_next(&r->follow, core_now(c));
 	if (to)
--- a/packages/daemon/src/site/relay.h
+++ b/packages/daemon/src/site/relay.h
@@ -15,9 +15,12 @@
 	RELAY_ASKS = 512, ///< followers of one relay
 };
 
-/// A follower's open question.
+/// A follower and its last question.
 struct relay_ask {
 	char node[FOLLOW_NODE];
+	bool open; ///< to be answered
+	int64_t asked_ms;
+	int64_t not_before_ms; ///< first answer
 	uint64_t seq;
 	uint64_t revs[RELAY_FEEDS]; ///< that it has, 0 for nothing
 	int64_t until_ms; ///< answered then at the latest
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -16,15 +16,16 @@
 
 enum {
 	SITE_WEIGHTS = 64, ///< models whose versions are followed
+	SITE_HOMES = 64, ///< nodes that may be homes of batches
 	/// Longest wait of a watch on entries and nodes: silence of its
 	/// connection is noticed a platform timeout later.
 	SERVERS_WAIT_MS = 5000,
 	/// Longest wait of a relay's watch on the configuration: its followers
 	/// add the time of a question to the age of what it knows.
-	RELAY_REFRESH_MS = 700,
+	RELAY_REFRESH_MS = 1000,
 	/// Least time between two watches on the entries: they change in bursts,
 	/// and a leaving server may be used for some seconds still.
-	SERVERS_PAUSE_MS = 400,
+	SERVERS_PAUSE_MS = 800,
 	RETIRE_RETRY_MS = 500,
 };
 
@@ -37,6 +38,9 @@
 	struct feed operators;
 	struct feed entries;
 	struct feed nodes;
+	uint64_t nodes_gen; ///< changes with the nodes
+	struct site_node homes[SITE_HOMES];
+	size_t n_homes;
 	struct relay relay;
 	int64_t confirmed_ms; ///< configuration, 0 for never
 	bool stale_logged;
@@ -115,6 +119,69 @@
 	return name ? ERR_OK : ERR_KEY_UNKNOWN;
 }
 
+const struct site_node *site_mod_homes(struct core *c, size_t *n)
+{
+	*n = site_of(c)->n_homes;
+	return site_of(c)->homes;
+}
+
+static struct site_node *home_find(struct site *s, const char *node)
+{
+	for (size_t i = 0; i < s->n_homes; i++) {
+		if (strcmp(s->homes[i].node, node) == 0)
+			return &s->homes[i];
+	}
+	return NULL;
+}
+
+static void home_put(struct site *s, const struct live_value *v)
+{
+	struct site_node *h = home_find(s, v->node);
+
+	if (!h && s->n_homes < SITE_HOMES)
+		h = &s->homes[s->n_homes++];
+	if (!h)
+		return;
+	snprintf(h->node, sizeof(h->node), "%s", v->node);
+	snprintf(h->peer, sizeof(h->peer), "%s", v->peer);
+}
+
+static void home_del(struct site *s, const char *node)
+{
+	struct site_node *h = home_find(s, node);
+
+	if (h)
+		*h = s->homes[--s->n_homes];
+}
+
+uint64_t site_mod_nodes_gen(struct core *c)
+{
+	return site_of(c)->nodes_gen;
+}
+
+bool site_mod_nodes_known(struct core *c)
+{
+	return site_of(c)->nodes.listed;
+}
+
+bool site_mod_alive(struct core *c, const char *node, const char *run)
+{
+	const struct relay_copy *copy = &site_of(c)->nodes.copy;
+
+	for (size_t i = 0; i < copy->n; i++) {
+		const struct relay_item *it = &copy->items[i];
+		const struct kv_item item = {
+			.key = it->key, .value = it->value, .len = it->len};
+		struct live_value v;
+
+		if (it->value &&
+		    strcmp(it->key + sizeof(KEY_LIVE) - 1, node) == 0 &&
+		    live_value_parse(&item, &v) == ERR_OK)
+			return strcmp(v.run, run) == 0;
+	}
+	return false;
+}
+
 static void take_conf(struct site *s, const struct kv_item *item)
 {
 	struct site_conf *conf = NULL;
@@ -285,14 +352,31 @@
 	.confirmed = entries_confirmed,
 };
 
+static void nodes_begin(struct core *c, void *ctx)
+{
+	struct site *s = ctx;
+
+	s->nodes_gen++;
+	s->n_homes = 0;
+}
+
 static void nodes_item(struct core *c, void *ctx, const struct kv_item *item)
 {
 	struct site *s = ctx;
 	struct live_value v;
 
-	if (live_value_parse(item, &v) != ERR_OK)
+	s->nodes_gen++;
+	if (live_value_parse(item, &v) != ERR_OK) {
 		log_event(EV_SITE_SERVER_BAD, "key=%s error=parse", item->key);
-	else if (v.relay && strcmp(v.node, core_node(c)) != 0)
+		return;
+	}
+	/* Connections are there before they are needed. */
+	if (strcmp(v.node, core_node(c)) != 0 && (v.relay || s->relay.serves))
+		core_peer_add(c, v.node, v.peer);
+	if (!v.relay)
+		return;
+	home_put(s, &v);
+	if (strcmp(v.node, core_node(c)) != 0)
 		relay_node(c, &s->relay, v.node, v.peer,
 			   strcmp(v.domain, core_domain(c)) == 0);
 }
@@ -301,6 +385,8 @@
 {
 	struct site *s = ctx;
 
+	s->nodes_gen++;
+	home_del(s, key + sizeof(KEY_LIVE) - 1);
 	relay_node_gone(c, &s->relay, key + sizeof(KEY_LIVE) - 1);
 }
 
@@ -309,7 +395,7 @@
 }
 
 static const struct feed_ops nodes_ops = {
-	.begin = nothing,
+	.begin = nodes_begin,
 	.item = nodes_item,
 	.gone = nodes_gone,
 	.listed = nothing,
@@ -340,7 +426,6 @@
 	const struct feed_opts nodes = {
 		.prefix = KEY_LIVE,
 		.wait_ms = SERVERS_WAIT_MS,
-		.pause_ms = SERVERS_PAUSE_MS,
 		.keep = relays,
 		.ops = &nodes_ops,
 		.ctx = s,
--- a/packages/relay/include/relay/follow.h
+++ b/packages/relay/include/relay/follow.h
@@ -28,11 +28,12 @@
 	char current[FOLLOW_NODE]; ///< "" for none
 	uint64_t seq; ///< of the last question
 	int64_t asked_ms; ///< of the open question, 0 for none
+	int strikes; ///< questions of the current relay without an answer
 };
 
-/// A relay is there.
-void follow_add(struct follow *f, const char *node, const char *addr,
-		bool near);
+/// A relay is there; it is asked once a connection had time to come about.
+void follow_add(struct follow *f, int64_t now, const char *node,
+		const char *addr, bool near);
 
 /// A relay is gone.
 void follow_del(struct follow *f, const char *node);
@@ -51,7 +52,11 @@
 /// @return false for an answer to an older question: nothing may be taken
 bool follow_answered(struct follow *f, uint64_t seq, int64_t *asked_ms);
 
-/// The current relay does not answer, or does not know enough.
+/// The open question got no answer: it is asked once more, since the first one
+/// of a new connection may be lost, then the relay is left alone.
+void follow_lost(struct follow *f, int64_t now);
+
+/// The current relay does not know enough.
 void follow_failed(struct follow *f, int64_t now);
 
 /// Whether the open question is overdue.
--- a/packages/relay/src/follow.c
+++ b/packages/relay/src/follow.c
@@ -7,7 +7,9 @@
 
 enum {
 	/// A relay holds a question for a part of this; the rest is the flight.
-	FOLLOW_LATE_MS = 700,
+	FOLLOW_LATE_MS = 600,
+	FOLLOW_CONNECT_MS = 150, ///< some round trips between failure domains
+	FOLLOW_STRIKES = 2, ///< lost questions after which a relay is left
 	FOLLOW_AVOID_MS = 2500, ///< a relay that failed, before it is asked again
 };
 
@@ -20,7 +22,8 @@
 	return NULL;
 }
 
-void follow_add(struct follow *f, const char *node, const char *addr, bool near)
+void follow_add(struct follow *f, int64_t now, const char *node,
+		const char *addr, bool near)
 {
 	struct follow_relay *r = find(f, node);
 
@@ -32,7 +35,7 @@
 	if (!r)
 		return;
 	if (strcmp(r->addr, addr) != 0)
-		r->avoid_until_ms = 0;
+		r->avoid_until_ms = now + FOLLOW_CONNECT_MS;
 	strncpy(r->addr, addr, FOLLOW_NODE - 1);
 	r->near = near;
 }
@@ -40,6 +43,7 @@
 static void leave(struct follow *f)
 {
 	f->current[0] = '\0';
+	f->strikes = 0;
 	f->asked_ms = 0;
 }
 
@@ -72,10 +76,23 @@
 	return score(f, a) > score(f, b);
 }
 
+/* The current relay is kept while it is being connected to anew. */
+static bool reconnecting(const struct follow *f, const struct follow_relay *r,
+			 int64_t now)
+{
+	return f->strikes && strcmp(r->node, f->current) == 0 &&
+	       now < r->avoid_until_ms;
+}
+
 static struct follow_relay *best(struct follow *f, int64_t now)
 {
 	struct follow_relay *b = NULL;
 
+	for (int i = 0; i < f->n; i++) {
+		if (reconnecting(f, &f->relays[i], now))
+			return NULL;
+	}
+
 	for (int i = 0; i < f->n; i++) {
 		struct follow_relay *r = &f->relays[i];
 
@@ -92,9 +109,11 @@
 	if (f->asked_ms)
 		return NULL;
 	r = best(f, now);
-	f->current[0] = '\0';
-	if (r)
-		strcpy(f->current, r->node);
+	if (!r)
+		return NULL;
+	if (strcmp(f->current, r->node) != 0)
+		f->strikes = 0;
+	strcpy(f->current, r->node);
 	return r;
 }
 
@@ -110,9 +129,21 @@
 		return false;
 	*asked_ms = f->asked_ms;
 	f->asked_ms = 0;
+	f->strikes = 0;
 	return true;
 }
 
+void follow_lost(struct follow *f, int64_t now)
+{
+	struct follow_relay *r = find(f, f->current);
+
+	f->asked_ms = 0;
+	if (++f->strikes >= FOLLOW_STRIKES || !r)
+		follow_failed(f, now);
+	else
+		r->avoid_until_ms = now + FOLLOW_CONNECT_MS;
+}
+
 void follow_failed(struct follow *f, int64_t now)
 {
 	struct follow_relay *r = find(f, f->current);
