feat(platform): store calls by way of a neighbour for a node that is cut off

Cause: a node without the store had no other way to it, though its peers did.

Solution: a call that failed directly, and was surely not done or may be done twice, goes to a neighbour of the own failure domain, and later ones go there at once while a direct look each second fails. A neighbour makes it only if its own way works. A result is as old as its question, so leases and the age of keys stay safe.

--- a/packages/daemon/include/daemon/platform_mod.h
+++ b/packages/daemon/include/daemon/platform_mod.h
@@ -39,6 +39,12 @@
 enum err kv_lease_renew(struct core *c, uint64_t lease, struct kv_cb cb);
 enum err kv_lease_revoke(struct core *c, uint64_t lease, struct kv_cb cb);
 
+/// Make a call without the way by a peer; for calls on behalf of peers.
+///
+/// @return ERR_OK, or why the call was not begun: ERR_KV_DOWN when this node
+///         has no contact of its own
+enum err kv_direct(struct core *c, const struct kv_call *call, struct kv_cb cb);
+
 /// Latest time from which the store was surely heard: the start of a call that
 /// it answered, or the end of the wait of a watch that ended with no items. An
 /// answer that lay unread while the process was paused doesn't count as new.
--- a/packages/daemon/include/daemon/site_mod.h
+++ b/packages/daemon/include/daemon/site_mod.h
@@ -35,12 +35,18 @@
 enum err site_mod_auth(struct core *c, const struct site_route *route,
 		       const char *bearer, char team[SITE_NAME]);
 
-/// A node that may be the home of batches.
+/// A live node.
 struct site_node {
 	char node[SITE_NAME];
 	char peer[SITE_ADDR]; ///< "IP:port" for messages between daemons
 };
 
+/// Other live nodes that may be asked for help: first some of the own failure
+/// domain, then those that may be homes.
+///
+/// @param[out] n  count
+const struct site_node *site_mod_neighbours(struct core *c, size_t *n);
+
 /// Live nodes that may be homes, this one included if it may.
 ///
 /// @param[out] n  count
--- a/packages/daemon/src/job/home.c
+++ b/packages/daemon/src/job/home.c
@@ -14,6 +14,7 @@
 #include "daemon/site_mod.h"
 #include "job/home_msg.h"
 #include "job/job.h"
+#include "relay/avoid.h"
 
 enum {
 	HOME_ASKS = 4096, ///< open questions
@@ -21,7 +22,6 @@
 	/// trainer expects a batch to be taken in some hundred milliseconds.
 	HOME_LATE_MS = 450,
 	HOME_AVOID_MS = 2500, ///< a home that did not answer is left alone
-	HOME_AVOIDED = 32, ///< homes left alone at once
 	HOME_BODY_MAX = 900000, ///< bytes of a batch that fit into a message
 };
 
@@ -34,15 +34,9 @@
 	int64_t until_ms;
 };
 
-struct avoided {
-	char node[SITE_NAME];
-	int64_t until_ms;
-};
-
 struct homes {
 	struct htab *open; ///< struct home_open
-	struct avoided avoided[HOME_AVOIDED];
-	int n_avoided;
+	struct avoid avoid;
 };
 
 static struct homes *homes_of(const struct core *c)
@@ -50,31 +44,9 @@
 	return jobs_of(c)->homes;
 }
 
-static bool is_avoided(struct core *c, const char *node)
+static void avoid_home(struct core *c, const char *node)
 {
-	const struct homes *h = homes_of(c);
-
-	for (int i = 0; i < h->n_avoided; i++) {
-		if (strcmp(h->avoided[i].node, node) == 0 &&
-		    core_now(c) < h->avoided[i].until_ms)
-			return true;
-	}
-	return false;
-}
-
-static void avoid(struct core *c, const char *node)
-{
-	struct homes *h = homes_of(c);
-	int at = 0;
-
-	while (at < h->n_avoided && strcmp(h->avoided[at].node, node) != 0)
-		at++;
-	if (at == HOME_AVOIDED)
-		at = 0;
-	if (at == h->n_avoided)
-		h->n_avoided++;
-	snprintf(h->avoided[at].node, SITE_NAME, "%s", node);
-	h->avoided[at].until_ms = core_now(c) + HOME_AVOID_MS;
+	avoid_add(&homes_of(c)->avoid, node, core_now(c) + HOME_AVOID_MS);
 	log_event(EV_JOB_HOME_LOST, "home=%s avoid_ms=%d", node, HOME_AVOID_MS);
 }
 
@@ -90,7 +62,7 @@
 		uint64_t score = XXH64(nodes[i].node, strlen(nodes[i].node),
 				       XXH64(team, strlen(team), 0));
 
-		if (is_avoided(c, nodes[i].node))
+		if (avoid_has(&homes_of(c)->avoid, nodes[i].node, core_now(c)))
 			continue;
 		if (!best || score > best_score) {
 			best = &nodes[i];
@@ -166,7 +138,7 @@
 {
 	struct home_open was = *o;
 
-	avoid(c, was.home);
+	avoid_home(c, was.home);
 	core_peer_reset(c, was.home);
 	htab_del(homes_of(c)->open, was.self);
 	fall_back(c, &was, true);
@@ -202,7 +174,7 @@
 	was = *o;
 	htab_del(homes_of(c)->open, was.self);
 	if (!is_final(reply)) {
-		avoid(c, was.home);
+		avoid_home(c, was.home);
 		fall_back(c, &was, reply->run != RUN_NO);
 	} else if (reply->err == ERR_OK) {
 		core_reply(c, was.req, reply->status, reply->ctype, reply->body,
--- a/packages/daemon/src/platform_mod.c
+++ b/packages/daemon/src/platform_mod.c
@@ -10,18 +10,27 @@
 #include "core/settings.h"
 #include "daemon/mods.h"
 #include "platform_wire.h"
+#include "proxy.h"
+#include "store_keys.h"
 #include "wire/wire.h"
 
 enum {
 	PLATFORM_CALLS = 1024, ///< calls at once
 	PLATFORM_BODY_MAX = 64 << 20, ///< bytes of a list
 	PLATFORM_COUNT_MS = 10000, ///< between two lines about calls by kind
+	/// While calls go through a peer, between two direct ones that look
+	/// whether the store can be reached again.
+	PLATFORM_PROBE_MS = 1000,
 };
 
 struct platform {
 	const struct kv_wire_ops *wire;
 	struct htab *calls;
-	struct contact contact; ///< with the store
+	struct contact contact; ///< with the store, directly or through a peer
+	struct contact direct; ///< with the store, directly
+	struct proxy *proxy; ///< NULL where nodes don't know each other
+	bool by_peer; ///< calls go through a peer
+	int64_t probe_ms; ///< next look whether the store answers directly
 	uint64_t counts[KV_OPS]; ///< calls by kind since the last line about them
 	int64_t counted_ms; ///< time of that line
 	bool fresh; ///< the last call failed: don't trust old connections
@@ -32,6 +41,7 @@
 	struct kv_cb cb;
 	struct arena arena;
 	int64_t start_ms;
+	bool direct_only; ///< never through a peer
 };
 
 static struct platform *platform_of(const struct core *c)
@@ -39,6 +49,9 @@
 	return core_mod_state(c, MOD_PLATFORM);
 }
 
+static void proxy_done(struct core *c, htab_handle call,
+		       const struct kv_result *res);
+
 static enum err platform_start(struct core *c, void **state)
 {
 	struct platform *p = calloc(1, sizeof(*p));
@@ -53,7 +66,7 @@
 		return ERR_NOMEM;
 	}
 	*state = p;
-	return ERR_OK;
+	return core_wire(c) ? proxy_start(c, &p->proxy, proxy_done) : ERR_OK;
 }
 
 static void platform_call_free(struct platform_call *pc)
@@ -71,6 +84,7 @@
 	while ((pc = htab_next(p->calls, &iter, NULL)))
 		platform_call_free(*pc);
 	htab_free(p->calls);
+	proxy_free(p->proxy);
 	free(p);
 }
 
@@ -89,14 +103,18 @@
 	return pc->start_ms;
 }
 
+static bool is_failure(const struct kv_result *res)
+{
+	return res->err == ERR_KV_UNKNOWN || res->err == ERR_KV_DOWN;
+}
+
 static void platform_note(struct platform *p, const struct platform_call *pc,
 			  const struct kv_result *res, int64_t now)
 {
 	int64_t heard = platform_heard(pc, res);
 	int64_t silent;
 
-	p->fresh = res->err == ERR_KV_UNKNOWN || res->err == ERR_KV_DOWN;
-	if (p->fresh) {
+	if (is_failure(res)) {
 		metric_add(M_KV_FAILED, 1);
 		if (contact_bad(&p->contact))
 			log_event(EV_KV_LOST, "error=%s call=%d",
@@ -105,7 +123,27 @@
 	}
 	silent = p->contact.answered_ms ? now - p->contact.answered_ms : 0;
 	if (contact_good(&p->contact, now, heard))
-		log_event(EV_KV_FOUND, "silent_ms=%lld", (long long)silent);
+		log_event(EV_KV_FOUND, "silent_ms=%lld by_peer=%d",
+			  (long long)silent, p->by_peer);
+}
+
+/* What a direct call showed of the way to the store. */
+static void direct_note(struct platform *p, const struct platform_call *pc,
+			const struct kv_result *res, int64_t now)
+{
+	bool failed = is_failure(res);
+
+	p->fresh = failed;
+	if (failed)
+		contact_bad(&p->direct);
+	else
+		contact_good(&p->direct, now, platform_heard(pc, res));
+	if (p->proxy && p->by_peer != failed) {
+		p->by_peer = failed;
+		p->probe_ms = now + PLATFORM_PROBE_MS;
+		log_event(EV_KV_PROXY, "by_peer=%d error=%s", failed,
+			  err_code(res->err));
+	}
 }
 
 int64_t kv_back_since(struct core *c)
@@ -113,6 +151,41 @@
 	return platform_of(c)->contact.back_ms;
 }
 
+static void platform_finish(struct core *c, htab_handle h,
+			    struct platform_call *pc,
+			    const struct kv_result *res)
+{
+	struct platform *p = platform_of(c);
+
+	htab_del(p->calls, h);
+	if (!pc->direct_only)
+		platform_note(p, pc, res, core_now(c));
+	pc->cb.fn(c, pc->cb.ctx, res);
+	platform_call_free(pc);
+}
+
+static void proxy_done(struct core *c, htab_handle call,
+		       const struct kv_result *res)
+{
+	struct platform_call **slot = htab_get(platform_of(c)->calls, call);
+
+	if (slot)
+		platform_finish(c, call, *slot, res);
+}
+
+/* Whether a call that failed directly may be made once more by a peer: it was
+ * surely not done, or doing it twice does no harm. */
+static bool may_repeat(const struct platform_call *pc,
+		       const struct kv_result *res)
+{
+	bool write = pc->call.op == KV_PUT || pc->call.op == KV_DEL ||
+		     pc->call.op == KV_GRANT;
+
+	return !pc->direct_only &&
+	       (res->err == ERR_KV_DOWN ||
+		(res->err == ERR_KV_UNKNOWN && !write));
+}
+
 static void platform_done(struct core *c, void *ctx,
 			  const struct core_fetch_result *fetch)
 {
@@ -124,13 +197,14 @@
 		.err = fetch->sent ? ERR_KV_UNKNOWN : ERR_KV_DOWN,
 	};
 
-	htab_del(p->calls, h);
 	if (fetch->err == ERR_OK)
 		p->wire->decode(&pc->call, fetch->status, fetch->body,
 				fetch->body_len, &pc->arena, &res);
-	platform_note(p, pc, &res, core_now(c));
-	pc->cb.fn(c, pc->cb.ctx, &res);
-	platform_call_free(pc);
+	direct_note(p, pc, &res, core_now(c));
+	if (p->proxy && fetch->err != ERR_CLOSED && may_repeat(pc, &res) &&
+	    proxy_call(c, p->proxy, h, &pc->call))
+		return;
+	platform_finish(c, h, pc, &res);
 }
 
 static enum err platform_fetch(struct core *c, struct platform_call *pc,
@@ -170,8 +244,23 @@
 	[KV_RENEW] = M_KV_RENEW, [KV_REVOKE] = M_KV_REVOKE,
 };
 
-static enum err platform_begin(struct core *c, const struct kv_call *call,
-			       struct kv_cb cb)
+/* The caller's texts are gone when a call has to be made once more. */
+static bool keep_texts(struct platform_call *pc, const struct kv_call *call)
+{
+	pc->call = *call;
+	if (call->key)
+		pc->call.key = arena_strdup(&pc->arena, call->key);
+	if (call->from)
+		pc->call.from = arena_strdup(&pc->arena, call->from);
+	if (call->value)
+		pc->call.value =
+			arena_strndup(&pc->arena, call->value, call->len);
+	return !pc->call.key == !call->key && !pc->call.from == !call->from &&
+	       !pc->call.value == !call->value;
+}
+
+static enum err call_begin(struct core *c, const struct kv_call *call,
+			   struct kv_cb cb, bool direct_only)
 {
 	struct platform *p = platform_of(c);
 	struct platform_call *pc = calloc(1, sizeof(*pc));
@@ -185,20 +274,19 @@
 	if (!slot)
 		goto err_slot;
 	*slot = pc;
-	pc->call = *call;
 	pc->cb = cb;
 	pc->start_ms = core_now(c);
+	pc->direct_only = direct_only;
 	arena_init(&pc->arena, 0);
-	e = platform_fetch(c, pc, h);
+	e = keep_texts(pc, call) ? ERR_OK : ERR_NOMEM;
+	if (e == ERR_OK && (direct_only || !p->by_peer ||
+			    !proxy_call(c, p->proxy, h, &pc->call)))
+		e = platform_fetch(c, pc, h);
 	if (e != ERR_OK)
 		goto err_fetch;
 	metric_add(M_KV_CALLS, 1);
 	metric_add(op_metrics[call->op], 1);
 	p->counts[call->op]++;
-	/* The caller's key and value are gone after this. */
-	pc->call.key = NULL;
-	pc->call.from = NULL;
-	pc->call.value = NULL;
 	return ERR_OK;
 
 err_fetch:
@@ -208,6 +296,19 @@
 	return e;
 }
 
+static enum err platform_begin(struct core *c, const struct kv_call *call,
+			       struct kv_cb cb)
+{
+	return call_begin(c, call, cb, false);
+}
+
+enum err kv_direct(struct core *c, const struct kv_call *call, struct kv_cb cb)
+{
+	if (!platform_of(c)->direct.back_ms)
+		return ERR_KV_DOWN;
+	return call_begin(c, call, cb, true);
+}
+
 enum err kv_get(struct core *c, const char *key, struct kv_cb cb)
 {
 	const struct kv_call call = {.op = KV_GET, .key = key};
@@ -283,11 +384,30 @@
 	return platform_begin(c, &call, cb);
 }
 
+static void probed(struct core *c, void *ctx, const struct kv_result *res)
+{
+	/* direct_note() took what it showed. */
+}
+
+static void probe_step(struct core *c, struct platform *p, int64_t now_ms)
+{
+	const struct kv_call call = {.op = KV_GET, .key = KEY_LEADER};
+
+	if (!p->by_peer || now_ms < p->probe_ms)
+		return;
+	p->probe_ms = now_ms + PLATFORM_PROBE_MS;
+	call_begin(c, &call, (struct kv_cb){probed, NULL}, true);
+}
+
 static void platform_tick(struct core *c, void *state, int64_t now_ms)
 {
 	struct platform *p = state;
 	uint64_t *n = p->counts;
 
+	if (p->proxy) {
+		proxy_step(c, p->proxy);
+		probe_step(c, p, now_ms);
+	}
 	if (now_ms - p->counted_ms < PLATFORM_COUNT_MS)
 		return;
 	log_event(EV_KV_CALLS,
--- /dev/null
+++ b/packages/daemon/src/proxy_msg.h
@@ -0,0 +1,27 @@
+// Messages of store calls by way of a peer, in msgpack.
+#pragma once
+
+#include <msgpack.h>
+
+#include "base/arena.h"
+#include "base/htab.h"
+#include "wire/store.h"
+
+struct proxy_ask {
+	uint64_t seq;
+	const char *addr; ///< where the asker takes messages
+	struct kv_call call;
+};
+
+void proxy_ask_pack(msgpack_sbuffer *buf, const struct proxy_ask *ask);
+
+/// @param a  owns what ask points to
+/// @return ERR_OK, ERR_PARSE or ERR_NOMEM
+enum err proxy_ask_read(const void *data, size_t len, struct arena *a,
+			struct proxy_ask *ask);
+
+void proxy_reply_pack(msgpack_sbuffer *buf, uint64_t seq,
+		      const struct kv_result *res);
+
+enum err proxy_reply_read(const void *data, size_t len, struct arena *a,
+			  uint64_t *seq, struct kv_result *res);
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -41,6 +41,8 @@
 	uint64_t nodes_gen; ///< changes with the nodes
 	struct site_node homes[SITE_HOMES];
 	size_t n_homes;
+	struct site_node neighbours[SITE_HOMES];
+	size_t n_neighbours;
 	struct relay relay;
 	int64_t confirmed_ms; ///< configuration, 0 for never
 	bool stale_logged;
@@ -125,33 +127,48 @@
 	return site_of(c)->homes;
 }
 
-static struct site_node *home_find(struct site *s, const char *node)
+const struct site_node *site_mod_neighbours(struct core *c, size_t *n)
 {
-	for (size_t i = 0; i < s->n_homes; i++) {
-		if (strcmp(s->homes[i].node, node) == 0)
-			return &s->homes[i];
+	*n = site_of(c)->n_neighbours;
+	return site_of(c)->neighbours;
+}
+
+static struct site_node *node_find(struct site_node *list, size_t n,
+				   const char *node)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (strcmp(list[i].node, node) == 0)
+			return &list[i];
 	}
 	return NULL;
 }
 
-static void home_put(struct site *s, const struct live_value *v)
+/* Put a node into a list, at its front or its end. */
+static void node_put(struct site_node *list, size_t *n,
+		     const struct live_value *v, bool front)
 {
-	struct site_node *h = home_find(s, v->node);
+	struct site_node *h = node_find(list, *n, v->node);
 
-	if (!h && s->n_homes < SITE_HOMES)
-		h = &s->homes[s->n_homes++];
-	if (!h)
+	if (!h && *n == SITE_HOMES)
 		return;
+	if (!h) {
+		h = front ? list : &list[*n];
+		if (front)
+			memmove(list + 1, list, *n * sizeof(*list));
+		(*n)++;
+	}
 	snprintf(h->node, sizeof(h->node), "%s", v->node);
 	snprintf(h->peer, sizeof(h->peer), "%s", v->peer);
 }
 
-static void home_del(struct site *s, const char *node)
+static void node_del(struct site_node *list, size_t *n, const char *node)
 {
-	struct site_node *h = home_find(s, node);
+	struct site_node *h = node_find(list, *n, node);
 
-	if (h)
-		*h = s->homes[--s->n_homes];
+	if (!h)
+		return;
+	(*n)--;
+	memmove(h, h + 1, (size_t)(list + *n - h) * sizeof(*h));
 }
 
 uint64_t site_mod_nodes_gen(struct core *c)
@@ -352,12 +369,32 @@
 	.confirmed = entries_confirmed,
 };
 
+static void node_known(struct core *c, struct site *s,
+		       const struct live_value *v)
+{
+	bool self = strcmp(v->node, core_node(c)) == 0;
+	bool near = strcmp(v->domain, core_domain(c)) == 0;
+
+	/* Connections are there before they are needed. */
+	if (!self && (v->relay || near || s->relay.serves))
+		core_peer_add(c, v->node, v->peer);
+	if (!self && (near || v->relay))
+		node_put(s->neighbours, &s->n_neighbours, v,
+			 near && !v->relay);
+	if (!v->relay)
+		return;
+	node_put(s->homes, &s->n_homes, v, false);
+	if (!self)
+		relay_node(c, &s->relay, v->node, v->peer, near);
+}
+
 static void nodes_begin(struct core *c, void *ctx)
 {
 	struct site *s = ctx;
 
 	s->nodes_gen++;
 	s->n_homes = 0;
+	s->n_neighbours = 0;
 }
 
 static void nodes_item(struct core *c, void *ctx, const struct kv_item *item)
@@ -370,15 +407,7 @@
 		log_event(EV_SITE_SERVER_BAD, "key=%s error=parse", item->key);
 		return;
 	}
-	/* Connections are there before they are needed. */
-	if (strcmp(v.node, core_node(c)) != 0 && (v.relay || s->relay.serves))
-		core_peer_add(c, v.node, v.peer);
-	if (!v.relay)
-		return;
-	home_put(s, &v);
-	if (strcmp(v.node, core_node(c)) != 0)
-		relay_node(c, &s->relay, v.node, v.peer,
-			   strcmp(v.domain, core_domain(c)) == 0);
+	node_known(c, s, &v);
 }
 
 static void nodes_gone(struct core *c, void *ctx, const char *key)
@@ -386,7 +415,8 @@
 	struct site *s = ctx;
 
 	s->nodes_gen++;
-	home_del(s, key + sizeof(KEY_LIVE) - 1);
+	node_del(s->homes, &s->n_homes, key + sizeof(KEY_LIVE) - 1);
+	node_del(s->neighbours, &s->n_neighbours, key + sizeof(KEY_LIVE) - 1);
 	relay_node_gone(c, &s->relay, key + sizeof(KEY_LIVE) - 1);
 }
 
--- /dev/null
+++ b/packages/relay/include/relay/avoid.h
@@ -0,0 +1,23 @@
+// Nodes that did not answer lately and are left alone for a while. Pure.
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum {
+	AVOID_NODES = 32, ///< remembered at once; the oldest gives way
+	AVOID_NODE = 64, ///< bytes of a node id with its NUL
+};
+
+struct avoid {
+	struct {
+		char node[AVOID_NODE];
+		int64_t until_ms;
+	} list[AVOID_NODES];
+	int n;
+};
+
+/// Leave a node alone until a time.
+void avoid_add(struct avoid *a, const char *node, int64_t until_ms);
+
+bool avoid_has(const struct avoid *a, const char *node, int64_t now);
