fix(rollplan): loads go on without waiting for the entries

Cause: orders left one each 0.8 s, the pause between two watches on the entries, since a load counted as in progress until its entry showed it; and servers two versions behind were served in the order of their ids, so one model had none left. Ruled out: slow servers (first events came in 60 ms).

Solution: a load counts for a second; servers that no step may use come first, of the model that has the fewest usable ones. test_rollplan replays both.

--- a/packages/daemon/src/order/order_mod.c
+++ b/packages/daemon/src/order/order_mod.c
@@ -19,6 +19,7 @@
 	/// A load takes about a second and shows in the server's entry a
 	/// heartbeat later; after this time the order counts as lost.
 	ORDER_LATE_MS = 4000,
+	ORDER_LOAD_MS = 1000, ///< longest usual load
 	ORDER_TIMEOUT_MS = 500, ///< of the call
 };
 
@@ -137,6 +138,7 @@
 {
 	static const struct rollplan_opts opts = {
 		.at_once = ORDER_LEAST,
+		.load_ms = ORDER_LOAD_MS,
 		.late_ms = ORDER_LATE_MS,
 	};
 	struct orders *o = state;
--- a/packages/rollplan/include/rollplan/rollplan.h
+++ b/packages/rollplan/include/rollplan/rollplan.h
@@ -3,7 +3,8 @@
 //
 // Load pattern: every trainer names a version every few seconds, and a load
 // keeps a server from new work for about a second. Each model therefore has its
-// share of the servers, and only those are ordered, a few at a time.
+// share of the servers, and only those are ordered, a few at a time: first those
+// that can't serve a step any more, of the model that has the fewest that can.
 #pragma once
 
 #include <stdbool.h>
@@ -19,6 +20,7 @@
 
 struct rollplan_opts {
 	int at_once; ///< loads in progress, over all models
+	int64_t load_ms; ///< after an order: its load is over, seen or not
 	int64_t late_ms; ///< after an order: it counts as lost
 };
 
--- a/packages/rollplan/src/rollplan.c
+++ b/packages/rollplan/src/rollplan.c
@@ -236,25 +236,63 @@
 	return have && want > have ? want - have : 0;
 }
 
+/* Loads that are surely still in progress. */
+static int loading(const struct rollplan *p, int64_t now)
+{
+	int n = 0;
+
+	for (int i = 0; i < p->n_pending; i++)
+		n += now - p->pending[i].at_ms < p->opts.load_ms;
+	return n;
+}
+
+/* Servers of a model that a step may use: a version behind at most. */
+static int count_fresh(const struct rollplan *p, const struct row *rows, int n,
+		       int model)
+{
+	const struct rollplan_model *m = &p->models[model];
+	int k = 0;
+
+	for (int i = 0; i < n; i++)
+		k += rows[i].owner == model &&
+		     site_server_version(rows[i].s, m->name) + 1 >= m->version;
+	return k;
+}
+
+/* Whether a row is more urgent than another one. */
+static bool more_urgent(const struct rollplan *p, const struct row *rows, int n,
+			const struct row *a, const struct row *b)
+{
+	uint64_t x = behind(p, a);
+	uint64_t y = behind(p, b);
+	bool stale = x > 1;
+
+	if (stale != (y > 1))
+		return stale;
+	if (stale && a->owner != b->owner)
+		return count_fresh(p, rows, n, a->owner) <
+		       count_fresh(p, rows, n, b->owner);
+	return x > y;
+}
+
 bool rollplan_next(struct rollplan *p, const struct site_servers *t,
 		   const char *service, int64_t now, struct rollplan_order *out)
 {
 	struct row rows[SHARE_MAX];
-	uint64_t most = 0;
 	int best = -1;
 	int n;
 
 	settle(p, t, now);
-	if (p->n_pending >= p->opts.at_once || p->n_pending == ROLLPLAN_PENDING)
+	if (loading(p, now) >= p->opts.at_once ||
+	    p->n_pending == ROLLPLAN_PENDING)
 		return false;
 	n = assign(p, t, service, rows);
 	for (int i = 0; i < n; i++) {
-		uint64_t b = behind(p, &rows[i]);
-
-		if (b > most) {
-			most = b;
+		if (!behind(p, &rows[i]))
+			continue;
+		if (best < 0 ||
+		    more_urgent(p, rows, n, &rows[i], &rows[best]))
 			best = i;
-		}
 	}
 	if (best < 0)
 		return false;
--- a/packages/rollplan/test/test_rollplan.c
+++ b/packages/rollplan/test/test_rollplan.c
@@ -76,7 +76,8 @@
 /* Ten versions of each model, named every four seconds in turn. */
 static void test_shares(void **state)
 {
-	const struct rollplan_opts opts = {.at_once = AT_ONCE, .late_ms = 4000};
+	const struct rollplan_opts opts = {
+		.at_once = AT_ONCE, .load_ms = LOAD_MS, .late_ms = 4000};
 	struct site_servers *t = site_servers_new();
 	uint64_t have[SERVERS][MODELS];
 	struct load loads[SERVERS] = {0};
@@ -148,7 +149,8 @@
 /* A lost server's part goes to another one. */
 static void test_lost_server(void **state)
 {
-	const struct rollplan_opts opts = {.at_once = 2, .late_ms = 4000};
+	const struct rollplan_opts opts = {
+		.at_once = 2, .load_ms = LOAD_MS, .late_ms = 4000};
 	static const uint64_t first[MODELS] = {1, 1, 1};
 	static const uint64_t second[MODELS] = {2, 1, 1};
 	struct site_servers *t = site_servers_new();
@@ -170,11 +172,41 @@
 	site_servers_free(t);
 }
 
+/* Load pattern of a day: entries show a load up to 800 ms after it ended, and
+ * one model has no server left that its next step may use. Loads go on without
+ * waiting for the entries, and that model comes first. */
+static void test_starved_model_first(void **state)
+{
+	const struct rollplan_opts opts = {
+		.at_once = 2, .load_ms = LOAD_MS, .late_ms = 4000};
+	static const uint64_t versions[4][MODELS] = {
+		{4, 1, 1}, {6, 1, 1}, {1, 4, 1}, {1, 4, 1}};
+	struct site_servers *t = site_servers_new();
+	struct rollplan_order o;
+	struct rollplan p;
+
+	rollplan_init(&p, &opts);
+	rollplan_target(&p, "m0", 6);
+	rollplan_target(&p, "m1", 6);
+	for (int i = 0; i < 4; i++)
+		put(t, (uint64_t)i + 1, i, versions[i]);
+	assert_true(rollplan_next(&p, t, "svc", 0, &o));
+	assert_string_equal(o.model, "m1");
+	assert_true(rollplan_next(&p, t, "svc", 0, &o));
+	assert_string_equal(o.model, "m1");
+	assert_false(rollplan_next(&p, t, "svc", LOAD_MS - 1, &o));
+	/* Nothing is seen of the first loads yet. */
+	assert_true(rollplan_next(&p, t, "svc", LOAD_MS, &o));
+	assert_string_equal(o.model, "m0");
+	site_servers_free(t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_shares),
 		cmocka_unit_test(test_lost_server),
+		cmocka_unit_test(test_starved_model_first),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
