fix(upstream): a request that was given up on is reset, never delivered late

Cause: the old leader lost its lease at 43.6 s and sent nothing after it, but two of its orders hung in a cut. Their calls had timed out after 0.5 s; the orderly close left the bytes with the kernel, which delivered them at 48.1 s when the cut healed. Ruled out: a lease held too long (lead-lost precedes the successor's first order by 0.8 s).

Solution: outgoing sockets close with a reset (SO_LINGER 0), so that the kernel forgets what the other side does not have. test_upstream sees the reset; without the change it sees an orderly end and fails.

--- a/packages/upstream/src/transfer.c
+++ b/packages/upstream/src/transfer.c
@@ -116,12 +116,16 @@
 }
 
 /// A connection that turned silent for good ends instead of waiting for the
-/// kernel's retransmissions, which take minutes.
+/// kernel's retransmissions, which take minutes. A close resets it: the kernel
+/// forgets what the other side does not have yet, so that a request that was
+/// given up on is not delivered once a partition heals.
 static int on_socket_made(void *ctx, curl_socket_t fd, curlsocktype purpose)
 {
+	const struct linger reset = {.l_onoff = 1, .l_linger = 0};
 	unsigned int ms = UPSTREAM_UNACKED_MS;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 	return CURL_SOCKOPT_OK;
 }
 
--- a/packages/upstream/test/test_upstream.c
+++ b/packages/upstream/test/test_upstream.c
@@ -8,8 +8,13 @@
 #include <stdlib.h>
 #include <string.h>
 #include <cmocka.h>
+#include <arpa/inet.h>
 #include <curl/curl.h>
+#include <errno.h>
+#include <netinet/in.h>
 #include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "base/mbox.h"
@@ -21,6 +26,7 @@
 	MAX_CALLS = 16,
 	WAIT_MS = 20000,
 	TIMEOUT_MS = 300,
+	OWN_PORT = 7703,
 };
 
 static const struct upstream_ops *ops = &upstream_curl_ops;
@@ -235,6 +241,84 @@
 	assert_null(next_event(200));
 }
 
+/* A listener whose connections this test reads by itself. */
+static int own_listener(int port)
+{
+	struct sockaddr_in sa = {
+		.sin_family = AF_INET,
+		.sin_port = htons((uint16_t)port),
+	};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int one = 1;
+
+	inet_pton(AF_INET, ip, &sa.sin_addr);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	assert_int_equal(bind(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	assert_int_equal(listen(fd, 4), 0);
+	return fd;
+}
+
+/* A request that was given up on must not be delivered later: what the kernel
+ * still holds of it is dropped with a reset, where an orderly close would go on
+ * sending it once a partition heals (an order reached a server 2.3 s late). */
+static void test_given_up_is_reset(void **state)
+{
+	int listener = own_listener(OWN_PORT);
+	struct upstream_call_opts o;
+	char url[64], buf[4096];
+	struct outcome out;
+	ssize_t n;
+	int fd;
+
+	url_of(url, sizeof(url), OWN_PORT, "/x");
+	o = options(url);
+	o.timeout_ms = TIMEOUT_MS;
+	out = run(&o);
+	assert_int_equal(out.err, ERR_TIMEOUT);
+	assert_true(out.sent);
+	fd = accept(listener, NULL, NULL);
+	assert_true(fd >= 0);
+	do {
+		n = recv(fd, buf, sizeof(buf), 0);
+	} while (n > 0);
+	assert_int_equal(n, -1);
+	assert_int_equal(errno, ECONNRESET);
+	close(fd);
+	close(listener);
+}
+
+/* The header fields of an answer come once, before the body, as they were. */
+static void test_head(void **state)
+{
+	struct upstream_call_opts o;
+	struct upstream_call *call;
+	struct upstream_event *ev;
+	char url[64];
+	int heads = 0;
+
+	url_of(url, sizeof(url), SERVER_PORT, "/ok");
+	o = options(url);
+	o.want_head = true;
+	o.streamed = true;
+	assert_int_equal(ops->call(up, &o, &call), ERR_OK);
+	for (bool done = false; !done;) {
+		ev = next_event(WAIT_MS);
+		assert_non_null(ev);
+		if (ev->kind == UPSTREAM_HEAD) {
+			heads++;
+			assert_int_equal(ev->status, 200);
+			assert_true(ev->head->n > 0);
+			assert_string_equal(ev->head->names[0],
+					    "Content-Type");
+		} else {
+			assert_int_equal(heads, 1);
+		}
+		done = ev->kind == UPSTREAM_DONE;
+		ops->event_free(ev);
+	}
+	ops->forget(up, call);
+}
+
 static void test_bad_url(void **state)
 {
 	struct upstream_call_opts o = options("gopher://x/");
@@ -270,6 +354,8 @@
 		cmocka_unit_test(test_no_second_write),
 		cmocka_unit_test(test_stream),
 		cmocka_unit_test(test_full_and_cancel),
+		cmocka_unit_test(test_given_up_is_reset),
+		cmocka_unit_test(test_head),
 		cmocka_unit_test(test_bad_url),
 	};
 
