test(hosted): whole daemons on a stand-in of the users' platform

Solution: test/hosted holds a stand-in in the test's own process (store, engines that stream and load weights, a booking service) and test_hosted, five daemons on it: bookings, a dark server, batches read at every node, homes killed while a batch runs, weight versions, a withdrawn key, usage, a silent store, SIGTERM.

It found one fault: an attempt at a dark server took the whole of a booking's time, since the server was counted before its share was worked out. The second server gets its half now.

--- a/packages/daemon/src/front/forward.c
+++ b/packages/daemon/src/front/forward.c
@@ -158,14 +158,15 @@
 	forward_send(c, f);
 }
 
-/* Time for one attempt: what may be repeated leaves some for the next one. */
+/* Time for the attempt that was just counted: what may be repeated leaves some
+ * for the next one. */
 static int64_t try_ms(struct core *c, const struct forward *f)
 {
 	int64_t left = f->until_ms - core_now(c);
 	int64_t half = left / 2 > FORWARD_TRY_MIN_MS ? left / 2
 						     : FORWARD_TRY_MIN_MS;
 	bool repeat = f->kind == SITE_IDEMPOTENT &&
-		      f->n_tried + 1 < f->max_servers;
+		      f->n_tried < f->max_servers;
 
 	return repeat && half < left ? half : left;
 }
--- /dev/null
+++ b/test/hosted/hosted.c
@@ -0,0 +1,117 @@
+// Starts and ends the stand-in; publishes what operators and servers publish.
+#include "hosted.h"
+
+#include <microhttpd.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "support/addr.h"
+
+void hosted_publish(struct hosted *h, struct hosted_server *s)
+{
+	char key[64];
+	json_t *entry = json_pack(
+		"{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i}", "service",
+		s->engine ? "engines" : "desk", "addr", s->addr, "zone",
+		s->index % 2 ? "d2" : "d1", "version", "v1", "slots",
+		HOSTED_SLOTS, "state", s->leaving ? "draining" : "ready",
+		"cold_left_ms", 0, "born", 1000 + s->index);
+
+	if (s->engine)
+		json_object_set_new(entry, "models",
+				    json_pack("[{s:s,s:I}]", "name", "m",
+					      "version",
+					      (json_int_t)s->version));
+	snprintf(key, sizeof(key), "servers/%s", s->id);
+	hosted_put(h, key, entry);
+}
+
+void hosted_withdraw(struct hosted *h, struct hosted_server *s)
+{
+	char key[64];
+	uint64_t rev;
+
+	snprintf(key, sizeof(key), "servers/%s", s->id);
+	pthread_mutex_lock(&h->lock);
+	kv_del(&h->kv, key, 0, &rev);
+	pthread_cond_broadcast(&h->changed);
+	pthread_mutex_unlock(&h->lock);
+}
+
+void hosted_conf(struct hosted *h, const char *const *keys)
+{
+	json_t *list = json_array();
+	json_t *conf;
+
+	for (; *keys; keys++)
+		json_array_append_new(list, json_string(*keys));
+	h->conf_version += 3;
+	conf = json_pack(
+		"{s:I,s:[{s:s,s:s,s:s,s:s,s:s,s:i,s:i},"
+		"{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i}],s:[{s:s,s:{s:i}},{s:s}],"
+		"s:[{s:s,s:o}]}",
+		"version", (json_int_t)h->conf_version, "routes", "name",
+		"book", "host", "h1", "prefix", "/book/", "kind", "idempotent",
+		"service", "desk", "timeout_ms", 2000, "max_attempts", 2,
+		"name", "learn", "host", "h1", "prefix", "/learn/", "kind",
+		"rollout", "service", "engines", "max_queue_s", 40,
+		"run_deadline_ms", 7500, "max_attempts", 3, "services", "name",
+		"engines", "engine", "kv_capacity", 10000, "name", "desk",
+		"tenants", "name", "t1", "api_keys", list);
+	hosted_put(h, "op/config", conf);
+}
+
+void hosted_name_version(struct hosted *h, uint64_t version)
+{
+	hosted_put(h, "op/version/m",
+		   json_pack("{s:s,s:I}", "model", "m", "version",
+			     (json_int_t)version));
+}
+
+int hosted_runs(struct hosted *h, const char *id)
+{
+	int n = 0;
+
+	pthread_mutex_lock(&h->lock);
+	for (int i = 0; i < h->n_runs; i++)
+		n += strcmp(h->runs[i].id, id) == 0;
+	pthread_mutex_unlock(&h->lock);
+	return n;
+}
+
+bool hosted_start(struct hosted *h)
+{
+	static const char *const keys[] = {"k1", "k2", NULL};
+
+	memset(h, 0, sizeof(*h));
+	pthread_mutex_init(&h->lock, NULL);
+	pthread_cond_init(&h->changed, NULL);
+	addr_ip(0, h->ip);
+	h->reports = json_object();
+	h->event_ms = 15;
+	if (sodium_init() < 0 || !hosted_store_start(h))
+		return false;
+	for (int i = 0; i < HOSTED_SERVERS; i++) {
+		if (!hosted_server_start(h, i))
+			return false;
+		hosted_publish(h, &h->servers[i]);
+	}
+	hosted_conf(h, keys);
+	return true;
+}
+
+void hosted_stop(struct hosted *h)
+{
+	pthread_mutex_lock(&h->lock);
+	h->stopping = true;
+	pthread_cond_broadcast(&h->changed);
+	pthread_mutex_unlock(&h->lock);
+	if (h->store)
+		MHD_stop_daemon(h->store);
+	for (int i = 0; i < HOSTED_SERVERS; i++) {
+		if (h->servers[i].http)
+			MHD_stop_daemon(h->servers[i].http);
+	}
+	json_decref(h->reports);
+}
--- /dev/null
+++ b/test/hosted/hosted.h
@@ -0,0 +1,91 @@
+// Stand-in of the users' platform, in the test's own process: the store, engines
+// and a booking service, each at its own port, a thread a connection.
+#pragma once
+
+#include <jansson.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "kv.h"
+
+struct MHD_Daemon;
+
+enum {
+	HOSTED_ENGINES = 4,
+	HOSTED_DESKS = 2,
+	HOSTED_SERVERS = HOSTED_ENGINES + HOSTED_DESKS,
+	HOSTED_STORE_PORT = 7900,
+	HOSTED_SERVER_PORT = 7910, ///< of the first server
+	HOSTED_SLOTS = 6, ///< of an engine
+	HOSTED_RUNS = 4096, ///< runs that are remembered
+};
+
+/// A run that a server began.
+struct hosted_run {
+	char id[64];
+	char team[64];
+	int server;
+	int64_t at_ms;
+};
+
+struct hosted_server {
+	struct hosted *h;
+	int index;
+	char id[32];
+	char addr[64];
+	bool engine;
+	bool leaving;
+	bool dark; ///< takes connections and does not answer
+	int running;
+	uint64_t version; ///< of the model "m"
+	uint64_t last_epoch; ///< of an order
+	int stale_orders; ///< with a lower epoch than one before
+	struct MHD_Daemon *http;
+};
+
+struct hosted {
+	pthread_mutex_t lock;
+	pthread_cond_t changed;
+	char ip[16];
+	struct kv kv;
+	struct hosted_server servers[HOSTED_SERVERS];
+	struct hosted_run runs[HOSTED_RUNS];
+	int n_runs;
+	json_t *reports; ///< window to counts
+	int clashes; ///< windows that were reported with different counts
+	uint64_t conf_version;
+	int event_ms; ///< between two events of a stream
+	int down; ///< the store: 0 up, 1 refuses, 2 is silent
+	bool stopping;
+	struct MHD_Daemon *store;
+};
+
+/// Start it and publish servers and the first configuration.
+bool hosted_start(struct hosted *h);
+void hosted_stop(struct hosted *h);
+
+/// Publish a configuration whose team "t1" holds these keys.
+///
+/// @param keys  NULL-terminated
+void hosted_conf(struct hosted *h, const char *const *keys);
+
+/// Name a version of the model "m".
+void hosted_name_version(struct hosted *h, uint64_t version);
+
+/// Publish a server's entry as it is now.
+void hosted_publish(struct hosted *h, struct hosted_server *s);
+
+/// Withdraw a server's entry.
+void hosted_withdraw(struct hosted *h, struct hosted_server *s);
+
+/// Events of an item, and its text when versions do not matter.
+int hosted_events(const char *item);
+
+/// Runs of an id.
+int hosted_runs(struct hosted *h, const char *id);
+
+/* Parts. */
+bool hosted_store_start(struct hosted *h);
+bool hosted_server_start(struct hosted *h, int index);
+void hosted_put(struct hosted *h, const char *key, json_t *value);
--- /dev/null
+++ b/test/hosted/nodes.c
@@ -0,0 +1,239 @@
+// Settings files, processes and calls.
+#include "nodes.h"
+
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <unistd.h>
+
+#include "support/addr.h"
+
+enum {
+	READY_MS = 15000,
+	CALL_MS = 6000,
+};
+
+static bool is_entry(int i)
+{
+	return i < NODES_ENTRY;
+}
+
+static bool write_settings(const struct nodes *ns, int i)
+{
+	const struct node *n = &ns->list[i];
+	FILE *f = fopen(n->conf, "we");
+
+	if (!f)
+		return false;
+	fprintf(f,
+		"[node]\nid = %s\ndomain = d%d\ndrain_notice = 300ms\n"
+		"[http]\nlisten = %s:%d\nadmin = %s:%d\n"
+		"[peer]\nlisten = %s:%d\n"
+		"[platform]\nwire = hosted\nurl = http://%s:%d\n"
+		"timeout = 800ms\n"
+		"[lead]\ncandidate = %d\n[tally]\nwindow = 1s\nsettle = 900ms\n",
+		n->id, i % 2 + 1, n->ip, NODE_FRONT_PORT, n->ip,
+		NODE_READY_PORT, n->ip, NODE_PEER_PORT, ns->h->ip,
+		HOSTED_STORE_PORT, !is_entry(i));
+	return fclose(f) == 0;
+}
+
+bool node_start(struct nodes *ns, int i)
+{
+	struct node *n = &ns->list[i];
+	const char *const argv[] = {"catkinpathd", "--config", n->conf, NULL};
+
+	return proc_start(&n->proc, n->id, argv);
+}
+
+static bool ask_ready(void *ctx)
+{
+	const struct node *n = ctx;
+	char url[128];
+	CURL *e = curl_easy_init();
+	FILE *sink = fopen("/dev/null", "we");
+	long status = 0;
+
+	snprintf(url, sizeof(url), "http://%s:%d/catkinpath/readyz", n->ip,
+		 NODE_READY_PORT);
+	curl_easy_setopt(e, CURLOPT_URL, url);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, sink);
+	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, 500L);
+	curl_easy_perform(e);
+	curl_easy_getinfo(e, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_cleanup(e);
+	fclose(sink);
+	return status == 200;
+}
+
+bool node_ready(struct nodes *ns, int i, int timeout_ms)
+{
+	return wait_until(ask_ready, &ns->list[i], timeout_ms);
+}
+
+bool nodes_start(struct nodes *ns, struct hosted *h)
+{
+	const char *dir = getenv("TMPDIR");
+
+	memset(ns, 0, sizeof(*ns));
+	ns->h = h;
+	for (int i = 0; i < NODES; i++) {
+		struct node *n = &ns->list[i];
+
+		snprintf(n->id, sizeof(n->id), "n%d", i);
+		addr_ip(i + 1, n->ip);
+		snprintf(n->conf, sizeof(n->conf), "%s/catkin-%d-%s.ini",
+			 dir ? dir : "/tmp", (int)getpid(), n->id);
+		if (!write_settings(ns, i) || !node_start(ns, i))
+			return false;
+	}
+	for (int i = 0; i < NODES; i++) {
+		if (!node_ready(ns, i, READY_MS))
+			return false;
+	}
+	return true;
+}
+
+void nodes_stop(struct nodes *ns)
+{
+	for (int i = 0; i < NODES; i++) {
+		proc_kill(&ns->list[i].proc);
+		unlink(ns->list[i].conf);
+	}
+}
+
+static size_t on_body(char *data, size_t size, size_t n, void *ctx)
+{
+	struct answer *a = ctx;
+	char *p = realloc(a->body, a->len + size * n + 1);
+
+	if (!p)
+		return 0;
+	memcpy(p + a->len, data, size * n);
+	a->body = p;
+	a->len += size * n;
+	a->body[a->len] = '\0';
+	return size * n;
+}
+
+static void take_field(const char *line, size_t len, const char *name,
+		       char *out, size_t max)
+{
+	size_t k = strlen(name);
+	size_t n;
+
+	if (len <= k || strncasecmp(line, name, k) != 0)
+		return;
+	line += k;
+	line += strspn(line, " ");
+	n = strcspn(line, "\r\n");
+	snprintf(out, max, "%.*s", (int)n, line);
+}
+
+static size_t on_header(char *line, size_t size, size_t n, void *ctx)
+{
+	struct answer *a = ctx;
+	size_t len = size * n;
+
+	take_field(line, len, "X-Catkinpath-Server-Seal:", a->seal,
+		   sizeof(a->seal));
+	take_field(line, len, "X-Own:", a->own, sizeof(a->own));
+	take_field(line, len, "Retry-After:", a->retry_after,
+		   sizeof(a->retry_after));
+	return len;
+}
+
+static struct curl_slist *add_field(struct curl_slist *l, const char *name,
+				    const char *value)
+{
+	char line[512];
+
+	if (!value)
+		return l;
+	snprintf(line, sizeof(line), "%s: %s", name, value);
+	return curl_slist_append(l, line);
+}
+
+void node_call(struct nodes *ns, int i, const char *method, const char *path,
+	       const char *key, const char *id, const char *body,
+	       struct answer *out)
+{
+	struct curl_slist *l = NULL;
+	CURL *e = curl_easy_init();
+	char url[512], auth[128];
+	long status = 0;
+
+	memset(out, 0, sizeof(*out));
+	snprintf(url, sizeof(url), "http://%s:%d%s", ns->list[i].ip,
+		 NODE_FRONT_PORT, path);
+	snprintf(auth, sizeof(auth), "Bearer %s", key ? key : "");
+	l = add_field(l, "Host", "h1");
+	l = add_field(l, "Authorization", key ? auth : NULL);
+	l = add_field(l, "X-Catkinpath-Request-Id", id);
+	l = add_field(l, "X-Catkinpath-Deadline-Ms", "3000");
+	l = add_field(l, "X-Catkinpath-Wait-Ms", "300");
+	l = curl_slist_append(l, "Expect:");
+	curl_easy_setopt(e, CURLOPT_URL, url);
+	curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, method);
+	if (body)
+		curl_easy_setopt(e, CURLOPT_POSTFIELDS, body);
+	curl_easy_setopt(e, CURLOPT_HTTPHEADER, l);
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, out);
+	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(e, CURLOPT_HEADERDATA, out);
+	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)CALL_MS);
+	curl_easy_perform(e);
+	curl_easy_getinfo(e, CURLINFO_RESPONSE_CODE, &status);
+	out->status = (int)status;
+	curl_slist_free_all(l);
+	curl_easy_cleanup(e);
+}
+
+void answer_free(struct answer *a)
+{
+	free(a->body);
+	memset(a, 0, sizeof(*a));
+}
+
+char *batch_body(const char *id, int items, int min_version)
+{
+	json_t *arr = json_array();
+	json_t *obj;
+	char *text;
+
+	for (int i = 0; i < items; i++) {
+		char item[64], path[64], group[64];
+
+		snprintf(item, sizeof(item), "%s.%d", id, i);
+		snprintf(path, sizeof(path), "/learn/%d", i);
+		snprintf(group, sizeof(group), "g%d", i / 2);
+		json_array_append_new(
+			arr, json_pack("{s:s,s:s,s:s,s:{s:s},s:s,s:i}", "id",
+				       item, "path", path, "group", group,
+				       "headers", "X-Catkinpath-Model", "m",
+				       "body", "AAEC", "token_count", 10));
+	}
+	obj = json_pack("{s:i,s:s,s:i,s:i,s:o}", "step", 0, "model", "m",
+			"min_version", min_version, "target_groups", items / 2,
+			"items", arr);
+	text = json_dumps(obj, JSON_COMPACT);
+	json_decref(obj);
+	return text;
+}
+
+json_t *read_results(struct nodes *ns, int i, const char *id, int after)
+{
+	struct answer a;
+	char path[128];
+	json_t *obj;
+
+	snprintf(path, sizeof(path), "/catkinpath/lots/%s?after=%d", id, after);
+	node_call(ns, i, "GET", path, "k1", NULL, NULL, &a);
+	obj = a.status == 200 ? json_loadb(a.body, a.len, 0, NULL) : NULL;
+	answer_free(&a);
+	return obj;
+}
--- /dev/null
+++ b/test/hosted/nodes.h
@@ -0,0 +1,60 @@
+// Daemons that run on the stand-in, and callers' requests to them.
+#pragma once
+
+#include <jansson.h>
+#include <stdbool.h>
+
+#include "hosted.h"
+#include "support/proc.h"
+
+enum {
+	NODES = 5, ///< three that take callers, two that may lead
+	NODES_ENTRY = 3,
+	NODE_FRONT_PORT = 7950,
+	NODE_READY_PORT = 7951,
+	NODE_PEER_PORT = 7952,
+};
+
+struct node {
+	struct proc proc;
+	char id[32];
+	char ip[16];
+	char conf[256]; ///< settings file
+};
+
+struct nodes {
+	struct hosted *h;
+	struct node list[NODES];
+};
+
+/// Start all and wait until they are ready.
+bool nodes_start(struct nodes *ns, struct hosted *h);
+bool node_start(struct nodes *ns, int i);
+bool node_ready(struct nodes *ns, int i, int timeout_ms);
+void nodes_stop(struct nodes *ns);
+
+/// An answer.
+struct answer {
+	int status; ///< 0 if none came
+	char seal[64];
+	char own[64]; ///< X-Own
+	char retry_after[32];
+	char *body; ///< owned
+	size_t len; ///< bytes
+};
+
+/// Make a call at a node with the key and host of the stand-in's team.
+///
+/// @param id  X-Catkinpath-Request-Id, NULL for none
+void node_call(struct nodes *ns, int i, const char *method, const char *path,
+	       const char *key, const char *id, const char *body,
+	       struct answer *out);
+void answer_free(struct answer *a);
+
+/// Body of a batch of items "ID.0", "ID.1", ... in groups of two.
+char *batch_body(const char *id, int items, int min_version);
+
+/// Read results from a position.
+///
+/// @return JSON object, NULL unless the answer is 200
+json_t *read_results(struct nodes *ns, int i, const char *id, int after);
--- /dev/null
+++ b/test/hosted/server.c
@@ -0,0 +1,245 @@
+// Engines that stream events and take orders, and servers of a booking service.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/clock.h"
+#include "body.h"
+#include "hosted.h"
+
+enum {
+	LOAD_MS = 120, ///< of a weight version
+};
+
+static void pause_ms(int ms)
+{
+	struct timespec ts = {0, ms * 1000000L};
+
+	nanosleep(&ts, NULL);
+}
+
+int hosted_events(const char *item)
+{
+	unsigned int sum = 7;
+
+	for (; *item; item++)
+		sum = sum * 31 + (unsigned char)*item;
+	return 3 + (int)(sum % 12);
+}
+
+static const char *field(struct MHD_Connection *conn, const char *name)
+{
+	const char *v =
+		MHD_lookup_connection_value(conn, MHD_HEADER_KIND, name);
+
+	return v ? v : "";
+}
+
+/* Note that a run begins. */
+static void note_run(struct hosted_server *s, const char *id, const char *team)
+{
+	struct hosted *h = s->h;
+	struct hosted_run *r;
+
+	if (h->n_runs == HOSTED_RUNS)
+		abort();
+	r = &h->runs[h->n_runs++];
+	snprintf(r->id, sizeof(r->id), "%s", id);
+	snprintf(r->team, sizeof(r->team), "%s", team);
+	r->server = s->index;
+	r->at_ms = clock_now_ms();
+}
+
+/// A stream on its way.
+struct stream {
+	struct hosted_server *s;
+	char id[64];
+	int next; ///< event
+	int last;
+	uint64_t said; ///< version named last
+};
+
+static ssize_t stream_read(void *ctx, uint64_t pos, char *buf, size_t max)
+{
+	struct stream *st = ctx;
+	struct hosted *h = st->s->h;
+	char version[64] = "";
+	int event = st->next;
+	uint64_t v;
+
+	if (st->next > st->last)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	pause_ms(h->event_ms);
+	pthread_mutex_lock(&h->lock);
+	v = st->s->version;
+	if (h->stopping || st->s->dark) {
+		pthread_mutex_unlock(&h->lock);
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	}
+	pthread_mutex_unlock(&h->lock);
+	if (v != st->said)
+		snprintf(version, sizeof(version),
+			 "x-catkinpath-weight-versions: %llu\n",
+			 (unsigned long long)v);
+	st->said = v;
+	st->next++;
+	return snprintf(buf, max, "%sid: %d\ndata: %s.%d.%llu\n\n", version,
+			event, st->id, event, (unsigned long long)v);
+}
+
+static void stream_free(void *ctx)
+{
+	struct stream *st = ctx;
+
+	pthread_mutex_lock(&st->s->h->lock);
+	st->s->running--;
+	pthread_mutex_unlock(&st->s->h->lock);
+	free(st);
+}
+
+static enum MHD_Result send_stream(struct hosted_server *s,
+				   struct MHD_Connection *conn, const char *id)
+{
+	struct stream *st = calloc(1, sizeof(*st));
+	struct MHD_Response *res;
+	char version[32];
+	enum MHD_Result ok;
+
+	st->s = s;
+	snprintf(st->id, sizeof(st->id), "%s", id);
+	st->next = 1 + atoi(field(conn, "Last-Event-Id"));
+	st->last = hosted_events(id);
+	pthread_mutex_lock(&s->h->lock);
+	st->said = s->version;
+	pthread_mutex_unlock(&s->h->lock);
+	res = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, 4096,
+						stream_read, st, stream_free);
+	snprintf(version, sizeof(version), "%llu",
+		 (unsigned long long)st->said);
+	MHD_add_response_header(res, "Content-Type", "text/event-stream");
+	MHD_add_response_header(res, "X-Catkinpath-Request-Id", id);
+	MHD_add_response_header(res, "X-Catkinpath-Weight-Versions", version);
+	ok = MHD_queue_response(conn, 200, res);
+	MHD_destroy_response(res);
+	return ok;
+}
+
+/* Take a place; false when the server is full. */
+static bool take_place(struct hosted_server *s, const char *id,
+		       const char *team)
+{
+	bool ok;
+
+	pthread_mutex_lock(&s->h->lock);
+	ok = s->running < HOSTED_SLOTS;
+	if (ok) {
+		s->running++;
+		note_run(s, id, team);
+	}
+	pthread_mutex_unlock(&s->h->lock);
+	return ok;
+}
+
+static enum MHD_Result run_item(struct hosted_server *s,
+				struct MHD_Connection *conn, const char *id)
+{
+	static const char *const not_run[] = {"X-Catkinpath-Not-Run", "1",
+					      NULL};
+
+	if (!take_place(s, id, field(conn, "X-Catkinpath-Tenant")))
+		return body_answer(conn, 503, "", not_run);
+	return send_stream(s, conn, id);
+}
+
+static enum MHD_Result book(struct hosted_server *s,
+			    struct MHD_Connection *conn, const char *id,
+			    const struct body *b)
+{
+	const char *const headers[] = {"X-Catkinpath-Request-Id",
+				       id,
+				       "X-Catkinpath-Server-Seal",
+				       "seal",
+				       "X-Own",
+				       "kept",
+				       NULL};
+
+	pthread_mutex_lock(&s->h->lock);
+	note_run(s, id, field(conn, "X-Catkinpath-Tenant"));
+	pthread_mutex_unlock(&s->h->lock);
+	return body_answer(conn, 200, b->data ? b->data : "", headers);
+}
+
+static enum MHD_Result order(struct hosted_server *s,
+			     struct MHD_Connection *conn, const char *text)
+{
+	json_t *obj = json_loads(text ? text : "", 0, NULL);
+	uint64_t epoch =
+		(uint64_t)json_integer_value(json_object_get(obj, "fence"));
+	uint64_t version =
+		(uint64_t)json_integer_value(json_object_get(obj, "version"));
+
+	pthread_mutex_lock(&s->h->lock);
+	s->stale_orders += epoch < s->last_epoch;
+	s->last_epoch = epoch;
+	pthread_mutex_unlock(&s->h->lock);
+	json_decref(obj);
+	pause_ms(LOAD_MS);
+	pthread_mutex_lock(&s->h->lock);
+	s->version = version;
+	pthread_mutex_unlock(&s->h->lock);
+	hosted_publish(s->h, s);
+	return body_answer(conn, 202, "", NULL);
+}
+
+static bool is_dark(struct hosted_server *s)
+{
+	bool dark;
+
+	pthread_mutex_lock(&s->h->lock);
+	dark = s->dark && !s->h->stopping;
+	pthread_mutex_unlock(&s->h->lock);
+	return dark;
+}
+
+static enum MHD_Result on_call(void *ctx, struct MHD_Connection *conn,
+			       const char *url, const char *method,
+			       const char *version, const char *data,
+			       size_t *len, void **state)
+{
+	struct hosted_server *s = ctx;
+	const char *expect = field(conn, "X-Catkinpath-Expect-Instance");
+	const char *id = field(conn, "X-Catkinpath-Request-Id");
+	struct body *b;
+
+	if (!body_take(state, data, len, &b))
+		return MHD_NO;
+	if (!b)
+		return MHD_YES;
+	/* Nothing that came while it was dark is ever run. */
+	if (is_dark(s)) {
+		while (is_dark(s))
+			pause_ms(20);
+		return MHD_NO;
+	}
+	if (*expect && strcmp(expect, s->id) != 0)
+		return body_answer(conn, 421, "", NULL);
+	if (strcmp(url, "/catkinpath/order") == 0)
+		return order(s, conn, b->data);
+	return s->engine ? run_item(s, conn, id) : book(s, conn, id, b);
+}
+
+bool hosted_server_start(struct hosted *h, int index)
+{
+	struct hosted_server *s = &h->servers[index];
+	int port = HOSTED_SERVER_PORT + index;
+
+	s->h = h;
+	s->index = index;
+	s->engine = index < HOSTED_ENGINES;
+	s->version = 1;
+	snprintf(s->id, sizeof(s->id), "i-%d", index);
+	snprintf(s->addr, sizeof(s->addr), "%s:%d", h->ip, port);
+	s->http = body_listen(h->ip, port, on_call, s);
+	return s->http != NULL;
+}
--- /dev/null
+++ b/test/hosted/store.c
@@ -0,0 +1,253 @@
+// The platform's store and the calls of its duties.
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/clock.h"
+#include "body.h"
+#include "hosted.h"
+
+enum {
+	TICK_MS = 20, ///< longest sleep of a waiting watch
+	BASE64 = sodium_base64_VARIANT_ORIGINAL,
+};
+
+static void wait_change(struct hosted *h)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	ts.tv_nsec += TICK_MS * 1000000L;
+	if (ts.tv_nsec >= 1000000000L) {
+		ts.tv_nsec -= 1000000000L;
+		ts.tv_sec++;
+	}
+	pthread_cond_timedwait(&h->changed, &h->lock, &ts);
+	if (kv_expire(&h->kv, clock_now_ms()))
+		pthread_cond_broadcast(&h->changed);
+}
+
+void hosted_put(struct hosted *h, const char *key, json_t *value)
+{
+	char *text = json_dumps(value, JSON_COMPACT);
+	size_t len = sodium_base64_ENCODED_LEN(strlen(text), BASE64);
+	char *bin = malloc(len);
+	const struct kv_entry *e;
+	uint64_t rev;
+
+	sodium_bin2base64(bin, len, (unsigned char *)text, strlen(text),
+			  BASE64);
+	pthread_mutex_lock(&h->lock);
+	e = kv_find(&h->kv, key);
+	kv_put(&h->kv, key, bin, e && e->value ? e->rev : 0, 0, &rev);
+	pthread_cond_broadcast(&h->changed);
+	pthread_mutex_unlock(&h->lock);
+	free(bin);
+	free(text);
+	json_decref(value);
+}
+
+static json_t *item_of(const struct kv_entry *e)
+{
+	if (!e->value)
+		return json_pack("{s:s,s:I,s:b}", "key", e->key, "rev",
+				 (json_int_t)e->rev, "deleted", 1);
+	return json_pack("{s:s,s:s,s:I,s:I}", "key", e->key, "value", e->value,
+			 "rev", (json_int_t)e->rev, "lease",
+			 (json_int_t)e->lease);
+}
+
+static int entry_compare(const void *a, const void *b)
+{
+	const struct kv_entry *const *x = a;
+	const struct kv_entry *const *y = b;
+
+	return strcmp((*x)->key, (*y)->key);
+}
+
+/* Entries below a prefix: live ones after a key, or changes after a revision. */
+static json_t *entries(const struct kv *kv, const char *prefix,
+		       const char *from, bool changes, uint64_t after)
+{
+	const struct kv_entry **list = calloc(kv->n + 1, sizeof(*list));
+	json_t *arr = json_array();
+	size_t n = 0;
+
+	for (size_t i = 0; i < kv->n; i++) {
+		const struct kv_entry *e = &kv->entries[i];
+		bool want = changes ? e->rev > after
+				    : e->value && strcmp(e->key, from) > 0;
+
+		if (want && strncmp(e->key, prefix, strlen(prefix)) == 0)
+			list[n++] = e;
+	}
+	if (n)
+		qsort(list, n, sizeof(*list), entry_compare);
+	for (size_t i = 0; i < n; i++)
+		json_array_append_new(arr, item_of(list[i]));
+	free(list);
+	return arr;
+}
+
+static const char *arg(struct MHD_Connection *conn, const char *name)
+{
+	const char *v =
+		MHD_lookup_connection_value(conn, MHD_GET_ARGUMENT_KIND, name);
+
+	return v ? v : "";
+}
+
+static json_t *watch(struct hosted *h, struct MHD_Connection *conn)
+{
+	const char *prefix = arg(conn, "prefix");
+	uint64_t after = strtoull(arg(conn, "after"), NULL, 10);
+	int64_t until = clock_now_ms() + atoi(arg(conn, "wait_ms"));
+
+	while (!h->stopping && clock_now_ms() < until &&
+	       !kv_changed(&h->kv, prefix, after))
+		wait_change(h);
+	return json_pack("{s:o,s:I}", "events",
+			 entries(&h->kv, prefix, "", true, after), "at",
+			 (json_int_t)h->kv.rev);
+}
+
+static json_t *txn(struct hosted *h, const char *body, int *status)
+{
+	json_t *obj = json_loads(body ? body : "", 0, NULL);
+	const json_t *put = json_array_get(json_object_get(obj, "puts"), 0);
+	const json_t *exp = json_array_get(json_object_get(obj, "expected"), 0);
+	const char *key = json_string_value(json_object_get(exp, "key"));
+	uint64_t prev =
+		(uint64_t)json_integer_value(json_object_get(exp, "rev"));
+	uint64_t rev = 0;
+
+	if (put)
+		*status = kv_put(
+			&h->kv, key,
+			json_string_value(json_object_get(put, "value")), prev,
+			(uint64_t)json_integer_value(
+				json_object_get(put, "lease")),
+			&rev);
+	else
+		*status = kv_del(&h->kv, key, prev, &rev);
+	if (*status == 409)
+		*status = 412;
+	if (*status == 410)
+		*status = 404;
+	pthread_cond_broadcast(&h->changed);
+	json_decref(obj);
+	return json_pack("{s:I}", "rev", (json_int_t)rev);
+}
+
+static json_t *lease_call(struct hosted *h, const char *url, const char *body,
+			  int *status)
+{
+	uint64_t id = strtoull(strrchr(url, '/') + 1, NULL, 10);
+	json_t *obj;
+	int64_t ttl;
+
+	if (strcmp(url, "/catkinpath/kv-lease") == 0) {
+		obj = json_loads(body, 0, NULL);
+		ttl = json_integer_value(json_object_get(obj, "ttl_ms"));
+		json_decref(obj);
+		return json_pack(
+			"{s:I,s:I}", "lease",
+			(json_int_t)kv_lease_grant(&h->kv, ttl, clock_now_ms()),
+			"ttl_ms", (json_int_t)ttl);
+	}
+	if (strstr(url, "/kv-lease-end/")) {
+		kv_lease_revoke(&h->kv, id);
+		pthread_cond_broadcast(&h->changed);
+		return json_object();
+	}
+	ttl = kv_lease_renew(&h->kv, id, clock_now_ms());
+	*status = ttl ? 200 : 404;
+	return json_pack("{s:I}", "ttl_ms", (json_int_t)ttl);
+}
+
+/* An exact repeat is fine; other counts for a window are not. */
+static json_t *report(struct hosted *h, const char *body)
+{
+	json_t *obj = json_loads(body ? body : "", 0, NULL);
+	json_t *counts = json_object_get(obj, "counts");
+	char window[32];
+	json_t *had;
+
+	snprintf(window, sizeof(window), "%lld",
+		 (long long)json_integer_value(
+			 json_object_get(obj, "window_id")));
+	had = json_object_get(h->reports, window);
+	if (had && !json_equal(had, counts))
+		h->clashes++;
+	else if (!had)
+		json_object_set(h->reports, window, counts);
+	json_decref(obj);
+	return json_object();
+}
+
+static json_t *run_call(struct hosted *h, struct MHD_Connection *conn,
+			const char *url, const char *body, int *status)
+{
+	const struct kv_entry *e;
+
+	kv_expire(&h->kv, clock_now_ms());
+	*status = 200;
+	if (strcmp(url, "/catkinpath/kv-watch") == 0)
+		return watch(h, conn);
+	if (strcmp(url, "/catkinpath/kv-txn") == 0)
+		return txn(h, body, status);
+	if (strcmp(url, "/usage-reports") == 0)
+		return report(h, body);
+	if (strcmp(url, "/catkinpath/kv-range") == 0)
+		return json_pack("{s:o,s:b,s:I}", "items",
+				 entries(&h->kv, arg(conn, "prefix"),
+					 arg(conn, "after"), false, 0),
+				 "has_more", 0, "at", (json_int_t)h->kv.rev);
+	if (strcmp(url, "/catkinpath/kv-key") != 0)
+		return lease_call(h, url, body, status);
+	e = kv_find(&h->kv, arg(conn, "key"));
+	if (e && e->value)
+		return item_of(e);
+	*status = 404;
+	return json_object();
+}
+
+static enum MHD_Result on_call(void *ctx, struct MHD_Connection *conn,
+			       const char *url, const char *method,
+			       const char *version, const char *data,
+			       size_t *len, void **state)
+{
+	struct hosted *h = ctx;
+	struct body *b;
+	json_t *reply;
+	int status;
+	char *text;
+	enum MHD_Result ok;
+
+	if (!body_take(state, data, len, &b))
+		return MHD_NO;
+	if (!b)
+		return MHD_YES;
+	pthread_mutex_lock(&h->lock);
+	while (h->down == 2 && !h->stopping)
+		wait_change(h);
+	if (h->down || h->stopping) {
+		pthread_mutex_unlock(&h->lock);
+		return body_answer(conn, 503, "", NULL);
+	}
+	reply = run_call(h, conn, url, b->data, &status);
+	pthread_mutex_unlock(&h->lock);
+	text = json_dumps(reply, JSON_COMPACT);
+	ok = body_answer(conn, status, text, NULL);
+	free(text);
+	json_decref(reply);
+	return ok;
+}
+
+bool hosted_store_start(struct hosted *h)
+{
+	h->store = body_listen(h->ip, HOSTED_STORE_PORT, on_call, h);
+	return h->store != NULL;
+}
--- /dev/null
+++ b/test/hosted/test_hosted.c
@@ -0,0 +1,368 @@
+// The whole path on a stand-in of the users' platform, with whole daemons: what
+// callers get, also when the node that runs a batch is killed.
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "nodes.h"
+
+enum {
+	ITEMS = 24,
+	BATCH_MS = 30000, ///< for a batch to be whole, with a lost node
+	STEP_US = 20000, ///< between two requests while something is awaited
+	REVOKE_MS = 5000, ///< after which a withdrawn key must not work
+};
+
+static struct hosted h;
+static struct nodes ns;
+
+static int setup(void **state)
+{
+	return hosted_start(&h) && nodes_start(&ns, &h) ? 0 : -1;
+}
+
+static int teardown(void **state)
+{
+	nodes_stop(&ns);
+	hosted_stop(&h);
+	return 0;
+}
+
+static void test_booking(void **state)
+{
+	struct answer a;
+
+	node_call(&ns, 0, "POST", "/book/a/../b?x=%2F", "k1", "r1", "body", &a);
+	assert_int_equal(a.status, 200);
+	assert_string_equal(a.seal, "seal");
+	assert_string_equal(a.own, "kept");
+	assert_string_equal(a.body, "body");
+	assert_int_equal(hosted_runs(&h, "r1"), 1);
+	answer_free(&a);
+	node_call(&ns, 1, "POST", "/book/a", "nobody", "r2", "x", &a);
+	assert_int_equal(a.status, 401);
+	assert_int_equal(hosted_runs(&h, "r2"), 0);
+	answer_free(&a);
+	node_call(&ns, 2, "POST", "/none/a", "k1", "r3", "x", &a);
+	assert_int_equal(a.status, 404);
+	answer_free(&a);
+}
+
+/* One server takes connections and answers nothing: each caller is served. */
+static void test_dark_server(void **state)
+{
+	struct hosted_server *s = &h.servers[HOSTED_ENGINES];
+
+	pthread_mutex_lock(&h.lock);
+	s->dark = true;
+	pthread_mutex_unlock(&h.lock);
+	for (int i = 0; i < 4; i++) {
+		struct answer a;
+		char id[16];
+
+		snprintf(id, sizeof(id), "d%d", i);
+		node_call(&ns, i % NODES_ENTRY, "POST", "/book/d", "k1", id,
+			  "x", &a);
+		assert_int_equal(a.status, 200);
+		answer_free(&a);
+	}
+	pthread_mutex_lock(&h.lock);
+	s->dark = false;
+	pthread_mutex_unlock(&h.lock);
+}
+
+static void submit(const char *id, int at, int min_version)
+{
+	char *body = batch_body(id, ITEMS, min_version);
+	struct answer a;
+	char path[64];
+
+	snprintf(path, sizeof(path), "/learn/%s", id);
+	node_call(&ns, at, "POST", path, "k1", id, body, &a);
+	assert_int_equal(a.status, 202);
+	answer_free(&a);
+	free(body);
+}
+
+static void assert_result(const json_t *r, const char *batch)
+{
+	const char *id = json_string_value(json_object_get(r, "id"));
+	const char *text = json_string_value(json_object_get(r, "output"));
+	const json_t *versions = json_object_get(r, "versions");
+	int n = hosted_events(id);
+	uint64_t last = 0;
+	size_t k = 0;
+
+	assert_string_equal(json_string_value(json_object_get(r, "state")),
+			    "completed");
+	assert_int_equal(strncmp(id, batch, strlen(batch)), 0);
+	for (int e = 1; e <= n; e++) {
+		char want[80];
+		uint64_t v;
+		int len = snprintf(want, sizeof(want), "%s.%d.", id, e);
+
+		assert_int_equal(strncmp(text, want, (size_t)len), 0);
+		v = strtoull(text + len, (char **)&text, 10);
+		assert_int_equal(*text, e < n ? '\n' : '\0');
+		text += e < n;
+		if (v != last)
+			assert_int_equal(json_integer_value(
+						 json_array_get(versions, k++)),
+					 v);
+		last = v;
+	}
+	assert_int_equal(json_array_size(versions), k);
+}
+
+/* Read a batch to its end, at one node after the other; every position stays as
+ * it was read first. */
+static json_t *read_all(const char *id, int64_t until_ms)
+{
+	json_t *seen = json_array();
+
+	for (int i = 0; clock_now_ms() < until_ms; i++) {
+		int after = (int)json_array_size(seen);
+		json_t *page = read_results(&ns, i % NODES_ENTRY, id, after);
+		const json_t *results = json_object_get(page, "results");
+
+		if (page)
+			assert_int_equal(json_integer_value(json_object_get(
+						 page, "total")),
+					 ITEMS);
+		for (size_t k = 0; k < json_array_size(results); k++) {
+			assert_result(json_array_get(results, k), id);
+			json_array_append(seen, json_array_get(results, k));
+		}
+		json_decref(page);
+		if (json_array_size(seen) == ITEMS)
+			return seen;
+	}
+	fail_msg("%zu of %d results of %s", json_array_size(seen), ITEMS, id);
+	return seen;
+}
+
+static void assert_same_everywhere(const char *id, json_t *seen)
+{
+	for (int i = 0; i < NODES_ENTRY; i++) {
+		json_t *page = read_results(&ns, i, id, 0);
+
+		assert_non_null(page);
+		assert_true(json_equal(json_object_get(page, "results"), seen));
+		json_decref(page);
+	}
+}
+
+static void test_batch(void **state)
+{
+	struct answer a;
+	json_t *seen;
+
+	submit("b1", 0, 1);
+	/* The same batch once more, elsewhere: taken once. */
+	submit("b1", 1, 1);
+	node_call(&ns, 2, "GET", "/catkinpath/items/b1?id=b1.3", "k1", NULL,
+		  NULL, &a);
+	assert_int_equal(a.status, 200);
+	assert_int_equal(a.len, 3);
+	assert_memory_equal(a.body, "\x00\x01\x02", 3);
+	answer_free(&a);
+	seen = read_all("b1", clock_now_ms() + BATCH_MS);
+	assert_same_everywhere("b1", seen);
+	for (int i = 0; i < ITEMS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "b1.%d", i);
+		assert_int_equal(hosted_runs(&h, id), 1);
+	}
+	for (int i = 0; i < 2; i++) {
+		node_call(&ns, i, "DELETE", "/catkinpath/lots/b1", "k1", NULL,
+			  NULL, &a);
+		assert_int_equal(a.status, 200);
+		answer_free(&a);
+	}
+	node_call(&ns, 0, "GET", "/catkinpath/lots/none", "k1", NULL, NULL, &a);
+	assert_int_equal(a.status, 404);
+	answer_free(&a);
+	assert_same_everywhere("b1", seen);
+	json_decref(seen);
+}
+
+/* Bad input is refused whole and leaves nothing behind. */
+static void test_bad_batch(void **state)
+{
+	struct answer a;
+
+	node_call(&ns, 0, "POST", "/learn/bad", "k1", "bad", "{\"items\":7}",
+		  &a);
+	assert_int_equal(a.status, 400);
+	answer_free(&a);
+	node_call(&ns, 0, "GET", "/catkinpath/lots/bad", "k1", NULL, NULL, &a);
+	assert_int_equal(a.status, 404);
+	answer_free(&a);
+}
+
+/* Both nodes that may be homes are killed in turn while a batch runs. */
+static void test_home_killed(void **state)
+{
+	json_t *part;
+	json_t *seen;
+
+	submit("b2", 0, 1);
+	part = read_results(&ns, 1, "b2", 0);
+	for (int i = NODES_ENTRY; i < NODES; i++) {
+		proc_kill(&ns.list[i].proc);
+		assert_true(node_start(&ns, i));
+	}
+	seen = read_all("b2", clock_now_ms() + BATCH_MS);
+	for (size_t i = 0;
+	     i < json_array_size(json_object_get(part, "results")); i++)
+		assert_true(json_equal(
+			json_array_get(json_object_get(part, "results"), i),
+			json_array_get(seen, i)));
+	assert_same_everywhere("b2", seen);
+	json_decref(part);
+	json_decref(seen);
+}
+
+static bool versions_loaded(void *ctx)
+{
+	int n = 0;
+
+	pthread_mutex_lock(&h.lock);
+	for (int i = 0; i < HOSTED_ENGINES; i++)
+		n += h.servers[i].version == 3;
+	pthread_mutex_unlock(&h.lock);
+	return n == HOSTED_ENGINES;
+}
+
+static void test_versions(void **state)
+{
+	json_t *seen;
+
+	hosted_name_version(&h, 2);
+	hosted_name_version(&h, 3);
+	submit("b3", 2, 2);
+	seen = read_all("b3", clock_now_ms() + BATCH_MS);
+	json_decref(seen);
+	assert_true(wait_until(versions_loaded, NULL, BATCH_MS));
+	for (int i = 0; i < HOSTED_ENGINES; i++)
+		assert_int_equal(h.servers[i].stale_orders, 0);
+}
+
+static bool key_refused(void *ctx)
+{
+	static int n;
+	struct answer a;
+	char id[16];
+	bool refused = true;
+
+	for (int i = 0; i < NODES_ENTRY; i++) {
+		snprintf(id, sizeof(id), "w%d", n++);
+		node_call(&ns, i, "POST", "/book/a", "k2", id, "x", &a);
+		refused &= a.status == 401;
+		answer_free(&a);
+	}
+	return refused;
+}
+
+static void test_key_withdrawn(void **state)
+{
+	static const char *const keys[] = {"k1", NULL};
+
+	assert_false(key_refused(NULL));
+	hosted_conf(&h, keys);
+	assert_true(wait_until(key_refused, NULL, REVOKE_MS));
+}
+
+static bool window_reported(void *ctx)
+{
+	json_int_t sum = 0;
+	const char *window;
+	json_t *counts;
+
+	pthread_mutex_lock(&h.lock);
+	json_object_foreach(h.reports, window, counts)
+		sum += json_integer_value(json_object_get(counts, "t1"));
+	pthread_mutex_unlock(&h.lock);
+	return sum == *(json_int_t *)ctx;
+}
+
+/* Every booking that ran is in a report, once; batches are in none. */
+static void test_usage(void **state)
+{
+	json_int_t ran = 0;
+
+	pthread_mutex_lock(&h.lock);
+	for (int i = 0; i < h.n_runs; i++)
+		ran += h.runs[i].server >= HOSTED_ENGINES &&
+		       strcmp(h.runs[i].team, "t1") == 0;
+	pthread_mutex_unlock(&h.lock);
+	assert_true(ran > 0);
+	assert_true(wait_until(window_reported, &ran, BATCH_MS));
+	assert_int_equal(h.clashes, 0);
+}
+
+/* The store is silent: open work goes on, keyed requests are refused as not run
+ * once their keys can't be confirmed, and all is well again after. */
+static void test_store_away(void **state)
+{
+	struct answer a = {0};
+	int64_t end;
+
+	submit("b4", 0, 1);
+	pthread_mutex_lock(&h.lock);
+	h.down = 2;
+	pthread_mutex_unlock(&h.lock);
+	for (end = clock_now_ms() + REVOKE_MS;
+	     clock_now_ms() < end && a.status != 503;) {
+		answer_free(&a);
+		usleep(STEP_US);
+		node_call(&ns, 0, "POST", "/book/a", "k1", "s1", "x", &a);
+	}
+	assert_int_equal(a.status, 503);
+	assert_true(a.retry_after[0] != '\0');
+	answer_free(&a);
+	pthread_mutex_lock(&h.lock);
+	h.down = 0;
+	pthread_cond_broadcast(&h.changed);
+	pthread_mutex_unlock(&h.lock);
+	json_decref(read_all("b4", clock_now_ms() + BATCH_MS));
+	assert_true(node_ready(&ns, 0, BATCH_MS));
+}
+
+/* SIGTERM: not ready at once, served until the end, a clean exit. */
+static void test_drain(void **state)
+{
+	int status = -1;
+
+	proc_signal(&ns.list[2].proc, SIGTERM);
+	assert_true(proc_wait(&ns.list[2].proc, 8000, &status));
+	assert_int_equal(status, 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_booking),
+		cmocka_unit_test(test_dark_server),
+		cmocka_unit_test(test_batch),
+		cmocka_unit_test(test_bad_batch),
+		cmocka_unit_test(test_home_killed),
+		cmocka_unit_test(test_versions),
+		cmocka_unit_test(test_key_withdrawn),
+		cmocka_unit_test(test_usage),
+		cmocka_unit_test(test_store_away),
+		cmocka_unit_test(test_drain),
+	};
+
+	return cmocka_run_group_tests(tests, setup, teardown);
+}
