feat(job): runs move from slow servers; nodes without a relay ask less

Cause: placement knew running requests only; a silent run was noticed after 3 s. A relay without the store counts as useless, and all followers then asked the store, which refused them; each start woke all nodes' watches.

Solution: the pace of a server's events is kept (site_server_paced), slow ones get new work last, and running streams go on at a usual one from their last event; a stream silent for 0.7 s is cut. Failed watches back off; nodes that follow no relay wait between two watches. test_site replays a third of the engines turning slow.

--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -37,6 +37,7 @@
 	htab_handle server;
 	int64_t sent_ms;
 	int64_t first_ms; ///< of its first event, 0 before
+	int64_t last_ms; ///< of its last event, 0 before the first
 	uint64_t version; ///< weights of the last event
 	bool headed; ///< the answer's head came
 	bool refused; ///< the answer is no stream of events
@@ -59,6 +60,7 @@
 	struct job_spec *spec;
 	struct job_run *run;
 	struct job_at_server *at; ///< an entry an item
+	int64_t runs_next_ms; ///< next look at the runs
 	bool watching; ///< the owner key is watched
 	int64_t watch_next_ms;
 	char *record; ///< value on its way to the store
@@ -156,6 +158,9 @@
 /// Send items to servers.
 void job_send_step(struct core *c, struct job *j);
 
+/// End silent runs, and move runs from slow servers to others.
+void job_watch_runs(struct core *c, struct job *j);
+
 /// End every run of the batch at servers.
 void job_recall(struct core *c, struct job *j);
 
--- a/packages/daemon/src/job/job_mod.c
+++ b/packages/daemon/src/job/job_mod.c
@@ -76,6 +76,7 @@
 {
 	job_write_step(c, j);
 	job_send_step(c, j);
+	job_watch_runs(c, j);
 	job_watch_step(c, j);
 }
 
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -10,12 +10,21 @@
 #include "daemon/site_mod.h"
 #include "job/job.h"
 
+/* A run is moved from a server that is slower than the first figure to one that
+ * is not slower than the second. */
+static const double MOVE_FROM = 1.7;
+static const double MOVE_TO = 1.3;
+
 enum {
 	/// Longest wait for the first event: an engine queues a few requests,
-	/// each of which may take seconds.
-	RUN_FIRST_MS = 3000,
-	/// Longest silence between two events; they come some 40 ms apart.
-	RUN_SILENCE_MS = 1000,
+	/// and a place there comes free every some 100 ms.
+	RUN_FIRST_MS = 1500,
+	/// Longest silence between two events; they come some 40 ms apart, and
+	/// 160 ms at a slow engine.
+	RUN_SILENCE_MS = 700,
+	RUN_WATCH_MS = 100, ///< between two looks for slow and silent runs
+	RUN_MOVE_MS = 300, ///< least time at a server before a run is moved
+	RUN_MOVES = 4, ///< of a batch at one look
 	RUN_CONNECT_MS = 500, ///< to connect to an engine
 	/// Nodes that send to one cold server at once: its rate is shared.
 	COLD_SENDERS = 4,
@@ -148,16 +157,26 @@
 struct event_ctx {
 	struct job *j;
 	struct job_at_server *at;
+	struct site_server *server; ///< NULL if its entry is gone
 	int64_t now_ms;
 };
 
+static void note_pace(struct job_at_server *at, struct site_server *s,
+		      int64_t now)
+{
+	if (s && at->last_ms)
+		site_server_paced(s, now, (double)(now - at->last_ms));
+	if (!at->first_ms)
+		at->first_ms = now;
+	at->last_ms = now;
+}
+
 static bool on_event(void *ctx, const struct sse_event *ev)
 {
 	struct event_ctx *e = ctx;
 	enum err err;
 
-	if (!e->at->first_ms)
-		e->at->first_ms = e->now_ms;
+	note_pace(e->at, e->server, e->now_ms);
 	if (ev->extra)
 		e->at->version = ev->extra;
 	err = job_run_event(e->j->run, e->at->item, ev->id, e->at->version,
@@ -210,10 +229,11 @@
 {
 	struct job *j;
 	struct job_at_server *at = at_of(c, ctx, &j);
-	struct event_ctx e = {j, at, core_now(c)};
+	struct event_ctx e = {j, at, NULL, core_now(c)};
 
 	if (!at || at->refused)
 		return;
+	e.server = site_servers_get(site_mod_servers(c), at->server);
 	at->sse.opts.ctx = &e;
 	if (!at->spoilt && sse_feed(&at->sse, data, len) != ERR_OK)
 		at->spoilt = true;
@@ -303,8 +323,7 @@
 		.body = it->body,
 		.body_len = it->body_len,
 		.connect_timeout_ms = RUN_CONNECT_MS,
-		.idle_timeout_ms =
-			run.resume_after ? RUN_SILENCE_MS : RUN_FIRST_MS,
+		.idle_timeout_ms = RUN_FIRST_MS,
 		.want_head = true,
 		.on_head = on_head,
 		.on_data = on_data,
@@ -345,29 +364,113 @@
 	return route && route->n_targets ? route->targets[0].service : NULL;
 }
 
-void job_send_step(struct core *c, struct job *j)
+/* What an item of the batch needs of a server. */
+static bool ask_of(struct core *c, struct job *j, struct site_ask *ask)
 {
 	const struct site_conf *conf = site_mod_conf(c);
 	const struct site_service *svc;
-	struct site_ask ask = {
+
+	*ask = (struct site_ask){
+		.service = conf ? service_of(c, j) : NULL,
+		.model = j->spec->model,
+		.min_version = j->spec->min_version,
 		.domain = core_domain(c),
 		.only_free = true,
 	};
+	if (!ask->service)
+		return false;
+	svc = site_conf_service(conf, ask->service);
+	ask->cold_rate = svc ? svc->cold_rate / COLD_SENDERS : 0;
+	ask->pace_ms = site_servers_pace(site_mod_servers(c), ask->service,
+					 core_now(c));
+	return true;
+}
+
+/* Whether a run is better off elsewhere, and where. */
+static struct site_server *better_place(struct core *c,
+					const struct job_at_server *at,
+					const struct site_ask *ask)
+{
+	struct site_servers *t = site_mod_servers(c);
+	const struct site_server *from = site_servers_get(t, at->server);
+	int64_t now = core_now(c);
+	struct site_server *to;
+
+	if (!from || !at->last_ms || now - at->sent_ms < RUN_MOVE_MS ||
+	    site_server_slowness(from, now, ask->pace_ms) < MOVE_FROM)
+		return NULL;
+	to = site_servers_choose(t, now, ask);
+	if (!to || site_server_slowness(to, now, ask->pace_ms) > MOVE_TO)
+		return NULL;
+	return to;
+}
+
+/* Go on elsewhere from the last event that came. */
+static void move(struct core *c, struct job *j, struct job_at_server *at,
+		 struct site_server *to)
+{
+	int item = at->item;
+
+	log_event(EV_JOB_MOVED, "batch=%s item=%s to=%s events=%llu ms=%lld",
+		  j->id, j->spec->items[item].id, to->entry.id,
+		  (unsigned long long)job_run_text(j->run, item)->last_event,
+		  (long long)(core_now(c) - at->sent_ms));
+	core_fetch_cancel(c, at->fetch);
+	leave_server(c, at, true);
+	job_run_moved(j->run, item);
+	if (!send_item(c, j, item, to))
+		return;
+}
+
+static bool is_silent(struct core *c, const struct job_at_server *at)
+{
+	return at->last_ms && core_now(c) - at->last_ms >= RUN_SILENCE_MS;
+}
+
+void job_watch_runs(struct core *c, struct job *j)
+{
+	struct site_ask ask;
+	int moves = 0;
+
+	if (!j->running || core_now(c) < j->runs_next_ms)
+		return;
+	j->runs_next_ms = core_now(c) + RUN_WATCH_MS;
+	if (j->owner.ended || !ask_of(c, j, &ask))
+		return;
+	/* A text of one version can't go on under another: it would begin anew. */
+	if (route_of(c, j)->one_version)
+		moves = RUN_MOVES;
+	for (size_t i = 0; i < j->spec->n_items && moves < RUN_MOVES; i++) {
+		struct job_at_server *at = &j->at[i];
+		struct site_server *to;
+
+		if (!at->fetch)
+			continue;
+		if (is_silent(c, at)) {
+			cut(c, j, at);
+			continue;
+		}
+		to = better_place(c, at, &ask);
+		if (!to)
+			continue;
+		move(c, j, at, to);
+		moves++;
+	}
+}
+
+void job_send_step(struct core *c, struct job *j)
+{
+	struct site_ask ask;
 	int item;
 
-	if (!j->running || j->owner.ended || jobs_of(c)->draining || !conf ||
-	    !lead_mod_alive(c))
+	if (!j->running || j->owner.ended || jobs_of(c)->draining ||
+	    !site_mod_conf(c) || !lead_mod_alive(c))
 		return;
-	ask.service = service_of(c, j);
-	if (!ask.service) {
+	if (!ask_of(c, j, &ask)) {
 		job_run_give_up(j->run);
 		job_run_next(j->run, core_now(c));
 		return;
 	}
-	svc = site_conf_service(conf, ask.service);
-	ask.cold_rate = svc ? svc->cold_rate / COLD_SENDERS : 0;
-	ask.model = j->spec->model;
-	ask.min_version = j->spec->min_version;
 	while ((item = job_run_next(j->run, core_now(c))) >= 0) {
 		struct site_server *s = site_servers_choose(
 			site_mod_servers(c), core_now(c), &ask);
--- a/packages/daemon/src/lead/live.c
+++ b/packages/daemon/src/lead/live.c
@@ -13,7 +13,7 @@
 	/// item may be at no server.
 	LIVE_TTL_MS = 2400,
 	LIVE_RENEW_MS = 700, ///< three renewals fit into the time to live
-	LIVE_RETRY_MS = 150,
+	LIVE_RETRY_MS = 250, ///< two tries fit in after a missed renewal
 };
 
 bool live_held(const struct live *l, int64_t now)
--- a/packages/daemon/src/site/feed.c
+++ b/packages/daemon/src/site/feed.c
@@ -5,7 +5,8 @@
 #include <string.h>
 
 enum {
-	FEED_RETRY_MS = 200, ///< after a failed call
+	FEED_RETRY_MS = 200, ///< after a failed call; doubles with each further one
+	FEED_DOUBLINGS = 3,
 };
 
 void feed_init(struct feed *f, const struct feed_opts *opts)
@@ -16,10 +17,14 @@
 
 static void feed_failed(struct core *c, struct feed *f, enum err e)
 {
+	int shift = f->failures < FEED_DOUBLINGS ? f->failures : FEED_DOUBLINGS;
+
 	if (e == ERR_KV_HISTORY)
 		f->listed = false;
+	else
+		f->failures++;
 	f->from[0] = '\0';
-	f->next_ms = core_now(c) + FEED_RETRY_MS;
+	f->next_ms = core_now(c) + (FEED_RETRY_MS << shift);
 }
 
 static void feed_item(struct core *c, struct feed *f,
@@ -63,6 +68,7 @@
 
 static void feed_confirmed(struct core *c, struct feed *f, int64_t as_of_ms)
 {
+	f->failures = 0;
 	if (as_of_ms > f->confirmed_ms)
 		f->confirmed_ms = as_of_ms;
 	f->opts.ops->confirmed(c, f->opts.ctx, as_of_ms);
--- a/packages/daemon/src/site/feed.h
+++ b/packages/daemon/src/site/feed.h
@@ -35,6 +35,7 @@
 	int64_t start_ms; ///< of the call
 	int64_t list_ms; ///< start of the list
 	int64_t next_ms; ///< earliest next call
+	int failures; ///< of calls in a row
 	char from[256]; ///< last key of the list's page, "" at its start
 	int64_t confirmed_ms; ///< what is known was true then, 0 for never
 	struct relay_copy copy; ///< with opts.keep
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -23,6 +23,11 @@
 	/// Longest wait of a relay's watch on the configuration: its followers
 	/// add the time of a question to the age of what it knows.
 	RELAY_REFRESH_MS = 1000,
+	/// Least times between two watches of a node that follows no relay for
+	/// the moment: nodes start and return together, and what each of them
+	/// writes must not wake all the others.
+	LONE_CONF_PAUSE_MS = 250,
+	LONE_NODES_PAUSE_MS = 1500,
 	/// Least time between two watches on the entries: they change in bursts,
 	/// and a leaving server may be used for some seconds still.
 	SERVERS_PAUSE_MS = 800,
@@ -441,6 +446,7 @@
 		.wait_ms = relays ? RELAY_REFRESH_MS
 				  : settings_int(core_settings(c),
 						 S_CONF_REFRESH),
+		.pause_ms = relays ? 0 : LONE_CONF_PAUSE_MS,
 		.keep = relays,
 		.ops = &operator_ops,
 		.ctx = s,
@@ -456,6 +462,7 @@
 	const struct feed_opts nodes = {
 		.prefix = KEY_LIVE,
 		.wait_ms = SERVERS_WAIT_MS,
+		.pause_ms = relays ? 0 : LONE_NODES_PAUSE_MS,
 		.keep = relays,
 		.ops = &nodes_ops,
 		.ctx = s,
--- a/packages/job/include/job/job_run.h
+++ b/packages/job/include/job/job_run.h
@@ -79,6 +79,9 @@
 void job_run_ended(struct job_run *r, int item, int64_t now,
 		   enum job_outcome how);
 
+/// An item's run was ended to go on elsewhere at once: it is to be sent.
+void job_run_moved(struct job_run *r, int item);
+
 /// The batch's route is gone: give up what is not over yet.
 void job_run_give_up(struct job_run *r);
 
--- a/packages/job/src/job_run.c
+++ b/packages/job/src/job_run.c
@@ -236,6 +236,16 @@
 	}
 }
 
+void job_run_moved(struct job_run *r, int item)
+{
+	struct item *it = &r->items[item];
+
+	if (it->step != JOB_SENT)
+		return;
+	it->step = JOB_WAITING;
+	keep_or_drop(r, it);
+}
+
 void job_run_give_up(struct job_run *r)
 {
 	r->opts.give_up_ms = 0;
--- a/packages/site/include/site/server.h
+++ b/packages/site/include/site/server.h
@@ -48,6 +48,9 @@
 	int running; ///< this node's requests there
 	int failures; ///< in a row
 	int64_t avoid_until_ms; ///< no work before, unless nothing else is left
+	double pace_ms; ///< between two events of its streams, 0 if not known
+	int pace_events; ///< that the pace was taken from
+	int64_t paced_ms; ///< time of the last of them
 	double cold_credit; ///< requests that may be sent while it is cold
 	int64_t cold_credit_ms; ///< time of the credit
 };
@@ -65,6 +68,7 @@
 	int n_not;
 	bool only_free; ///< only servers with a slot that this node sees free
 	double cold_rate; ///< of the service, 0 for none
+	double pace_ms; ///< usual pace of the service, 0 if not known
 };
 
 /// @return table, NULL when out of memory
@@ -140,3 +144,24 @@
 ///
 /// @param ok  false: it showed that the server can't be used at present
 void site_server_end(struct site_server *s, int64_t now, bool ok);
+
+/// An event of a stream came some time after the one before.
+void site_server_paced(struct site_server *s, int64_t now, double ms);
+
+/// Usual pace of a service's servers: that of the quarter which is fastest ends
+/// there, so that it holds when half of the servers turn slow.
+///
+/// @return milliseconds, 0 if not known
+double site_servers_pace(const struct site_servers *t, const char *service,
+			 int64_t now);
+
+/// How many times slower than usual a server is.
+///
+/// Load pattern: a third of the engines slow at once. Streams that run there are
+/// worth moving, since reading their prompt and text elsewhere costs little
+/// beside the events that are left.
+///
+/// @param usual_ms  of site_servers_pace()
+/// @return 1 where it is not known
+double site_server_slowness(const struct site_server *s, int64_t now,
+			    double usual_ms);
--- a/packages/site/src/server.c
+++ b/packages/site/src/server.c
@@ -8,12 +8,18 @@
 	DOMAINS_OUT = 64, ///< failure domains out at once
 	AVOID_MS = 300, ///< after the first failure; doubles with each further one
 	AVOID_DOUBLINGS = 3,
+	PACE_SERVERS = 512, ///< of a service whose pace is looked at
+	PACE_EVENTS = 4, ///< that a pace must be taken from to count
+	PACE_KEEP_MS = 2000, ///< without events for longer, a pace is forgotten
 	COLD_BURST = 2, ///< requests that a cold server may get at once
 };
 
 /* Weights of the choice, in shares of a server's slots. */
 static const double OTHER_DOMAIN = 0.25; ///< bytes between domains cost
 static const double TROUBLED = 8.0; ///< more than any load
+static const double SLOW_LOAD = 1.0; ///< for each time that it is slower
+static const double SLOW_FROM = 1.25; ///< differences below are of the load
+static const double PACE_WEIGHT = 0.2; ///< of a new event in the pace
 
 struct site_servers {
 	struct htab *tab;
@@ -232,11 +238,15 @@
 {
 	int slots = s->entry.slots > 0 ? s->entry.slots : 1;
 	double load = (double)s->running / slots;
+	double slowness;
 
 	if (strcmp(s->entry.domain, ask->domain) != 0)
 		load += OTHER_DOMAIN;
 	if (now < s->avoid_until_ms)
 		load += TROUBLED;
+	slowness = site_server_slowness(s, now, ask->pace_ms);
+	if (slowness > SLOW_FROM)
+		load += (slowness - 1) * SLOW_LOAD;
 	return load;
 }
 
@@ -286,3 +296,55 @@
 	s->avoid_until_ms = now + ((int64_t)AVOID_MS << shift);
 	s->failures++;
 }
+
+void site_server_paced(struct site_server *s, int64_t now, double ms)
+{
+	if (now - s->paced_ms > PACE_KEEP_MS)
+		s->pace_events = 0;
+	s->pace_ms = s->pace_events ? s->pace_ms + PACE_WEIGHT *
+							   (ms - s->pace_ms)
+				    : ms;
+	s->pace_events++;
+	s->paced_ms = now;
+}
+
+static bool pace_known(const struct site_server *s, int64_t now)
+{
+	return s->pace_events >= PACE_EVENTS &&
+	       now - s->paced_ms <= PACE_KEEP_MS;
+}
+
+static int double_compare(const void *a, const void *b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
+double site_servers_pace(const struct site_servers *t, const char *service,
+			 int64_t now)
+{
+	double paces[PACE_SERVERS];
+	const struct site_server *s;
+	size_t iter = 0;
+	size_t n = 0;
+
+	while ((s = site_servers_next(t, &iter)) && n < PACE_SERVERS) {
+		if (strcmp(s->entry.service, service) == 0 &&
+		    pace_known(s, now))
+			paces[n++] = s->pace_ms;
+	}
+	if (!n)
+		return 0;
+	qsort(paces, n, sizeof(*paces), double_compare);
+	return paces[n / 4];
+}
+
+double site_server_slowness(const struct site_server *s, int64_t now,
+			    double usual_ms)
+{
+	if (usual_ms <= 0 || !pace_known(s, now))
+		return 1;
+	return s->pace_ms / usual_ms;
+}
--- a/packages/site/test/test_site.c
+++ b/packages/site/test/test_site.c
@@ -232,6 +232,47 @@
 	site_servers_free(t);
 }
 
+/* Load pattern: a third of the engines turn slow at once. New work goes to the
+ * others, and runs at the slow ones are told apart; once nothing runs there for
+ * a while they count as unknown and are tried again. */
+static void test_slow_third(void **state)
+{
+	struct site_servers *t = site_servers_new();
+	struct site_ask ask = {.service = "svc", .domain = "d1"};
+	struct site_server *s;
+	size_t iter = 0;
+	int n = 0;
+
+	for (int i = 0; i < 9; i++) {
+		char id[8];
+		struct site_server_entry e;
+
+		snprintf(id, sizeof(id), "s%d", i);
+		e = entry(id, "d1");
+		e.slots = 12;
+		site_servers_put(t, 1, 0, &e);
+	}
+	while ((s = site_servers_next(t, &iter))) {
+		bool slow = n++ < 3;
+
+		for (int64_t now = 0; now < 1000; now += 40)
+			site_server_paced(s, now, slow ? 150 : 40);
+	}
+	ask.pace_ms = site_servers_pace(t, "svc", 1000);
+	assert_true(ask.pace_ms > 35 && ask.pace_ms < 45);
+	for (int i = 0; i < 6 * 12; i++) {
+		s = site_servers_choose(t, 1000, &ask);
+		assert_true(site_server_slowness(s, 1000, ask.pace_ms) < 1.3);
+		site_server_begin(s, 1000);
+	}
+	/* The others are full: a slow one is better than waiting. */
+	ask.only_free = true;
+	s = site_servers_choose(t, 1000, &ask);
+	assert_true(site_server_slowness(s, 1000, ask.pace_ms) > 3);
+	assert_true(site_server_slowness(s, 9000, ask.pace_ms) < 1.1);
+	site_servers_free(t);
+}
+
 static void test_only_free(void **state)
 {
 	struct site_servers *t = site_servers_new();
@@ -261,6 +302,7 @@
 		cmocka_unit_test(test_min_version),
 		cmocka_unit_test(test_failing_server_costs_one_attempt),
 		cmocka_unit_test(test_cold_rate),
+		cmocka_unit_test(test_slow_third),
 		cmocka_unit_test(test_only_free),
 	};
 
