--- a/packages/core/src/loop.c
+++ b/packages/core/src/loop.c
@@ -179,8 +179,7 @@
 static bool all_idle(struct core *c)
 {
 	for (int i = 0; i < c->n_started; i++) {
-		if (c->mods[i]->idle &&
-		    !c->mods[i]->idle(c, c->mod_states[i]))
+		if (c->mods[i]->idle && !c->mods[i]->idle(c, c->mod_states[i]))
 			return false;
 	}
 	return c->opts.http->open(c->http) == 0;
--- a/packages/daemon/src/front/forward.c
+++ b/packages/daemon/src/front/forward.c
@@ -163,22 +163,21 @@
 static int64_t try_ms(struct core *c, const struct forward *f)
 {
 	int64_t left = f->until_ms - core_now(c);
-	int64_t half = left / 2 > FORWARD_TRY_MIN_MS ? left / 2
-						     : FORWARD_TRY_MIN_MS;
-	bool repeat = f->kind == SITE_IDEMPOTENT &&
-		      f->n_tried < f->max_servers;
+	int64_t half =
+		left / 2 > FORWARD_TRY_MIN_MS ? left / 2 : FORWARD_TRY_MIN_MS;
+	bool repeat = f->kind == SITE_IDEMPOTENT && f->n_tried < f->max_servers;
 
 	return repeat && half < left ? half : left;
 }
 
-static enum err send_to(struct core *c, struct forward *f,
-			struct core_req *req, const struct site_server *s)
+static enum err send_to(struct core *c, struct forward *f, struct core_req *req,
+			const struct site_server *s)
 {
 	struct front_forward ff = {
 		.server = s->entry.id,
 		.team = f->team,
-		.budget_ms = f->has_budget ? f->caller_until_ms - core_now(c)
-					   : 0,
+		.budget_ms =
+			f->has_budget ? f->caller_until_ms - core_now(c) : 0,
 	};
 	struct core_fetch_opts opts = {
 		.method = req->method,
@@ -285,8 +284,8 @@
 		      const struct site_route *route,
 		      const struct front_fields *fields)
 {
-	int64_t budget = fields->budget_ms > 0 ? fields->budget_ms
-					       : FORWARD_DEFAULT_MS;
+	int64_t budget =
+		fields->budget_ms > 0 ? fields->budget_ms : FORWARD_DEFAULT_MS;
 
 	f->has_budget = fields->budget_ms > 0;
 	f->caller_until_ms = req->arrived_ms + budget;
--- a/packages/daemon/src/job/end.c
+++ b/packages/daemon/src/job/end.c
@@ -118,8 +118,8 @@
 		end_done(c, e, res->rev);
 		return;
 	}
-	e->next_ms = core_now(c) +
-		     (res->err == ERR_KV_CONFLICT ? 0 : JOB_RETRY_MS);
+	e->next_ms =
+		core_now(c) + (res->err == ERR_KV_CONFLICT ? 0 : JOB_RETRY_MS);
 	end_call(c, e);
 }
 
--- a/packages/daemon/src/job/home.c
+++ b/packages/daemon/src/job/home.c
@@ -93,7 +93,8 @@
 	htab_del(homes_of(c)->open, (htab_handle)(uintptr_t)user);
 }
 
-bool job_home_try(struct core *c, struct core_req *req, const struct home_ask *ask)
+bool job_home_try(struct core *c, struct core_req *req,
+		  const struct home_ask *ask)
 {
 	const struct site_node *home = home_of(c, ask->team);
 	struct home_open *o;
@@ -222,7 +223,7 @@
 }
 
 void job_home_reply(struct core *c, const char *node,
-		     const struct home_reply *reply)
+		    const struct home_reply *reply)
 {
 	msgpack_sbuffer buf;
 	enum err e;
--- a/packages/daemon/src/job/home.h
+++ b/packages/daemon/src/job/home.h
@@ -47,12 +47,13 @@
 /// Ask the home of a team's batches, if it is another node that can be asked.
 ///
 /// @return false: this node has to do the work
-bool job_home_try(struct core *c, struct core_req *req, const struct home_ask *ask);
+bool job_home_try(struct core *c, struct core_req *req,
+		  const struct home_ask *ask);
 
 /// Give up on homes that do not answer: this node does the work.
 void job_home_step(struct core *c);
 
 void job_home_reply(struct core *c, const char *node,
-		     const struct home_reply *reply);
+		    const struct home_reply *reply);
 
 void job_home_free(struct core *c);
--- a/packages/daemon/src/job/home_msg.c
+++ b/packages/daemon/src/job/home_msg.c
@@ -89,7 +89,7 @@
 }
 
 enum err job_home_ask_read(const void *data, size_t len, struct arena *a,
-		       struct home_ask *ask)
+			   struct home_ask *ask)
 {
 	msgpack_unpacked u;
 	size_t off = 0;
@@ -137,7 +137,7 @@
 }
 
 enum err job_home_reply_read(const void *data, size_t len, struct arena *a,
-			 struct home_reply *reply)
+			     struct home_reply *reply)
 {
 	msgpack_unpacked u;
 	size_t off = 0;
--- a/packages/daemon/src/job/home_msg.h
+++ b/packages/daemon/src/job/home_msg.h
@@ -11,9 +11,9 @@
 /// @param a  owns what ask points to
 /// @return ERR_OK, ERR_PARSE or ERR_NOMEM
 enum err job_home_ask_read(const void *data, size_t len, struct arena *a,
-		       struct home_ask *ask);
+			   struct home_ask *ask);
 
 void job_home_reply_pack(msgpack_sbuffer *buf, const struct home_reply *reply);
 
 enum err job_home_reply_read(const void *data, size_t len, struct arena *a,
-			 struct home_reply *reply);
+			     struct home_reply *reply);
--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -13,7 +13,8 @@
 
 enum {
 	JOB_MAX = 1024, ///< batches known at once
-	JOB_KNOWN_IDLE_MS = 30000, ///< a batch that nobody asks for is forgotten
+	JOB_KNOWN_IDLE_MS =
+		30000, ///< a batch that nobody asks for is forgotten
 	JOB_WAIT_MS = 2500, ///< longest wait of a read of results
 	JOB_RETRY_MS = 150, ///< least wait after a failed store call
 };
--- a/packages/daemon/src/job/owner.c
+++ b/packages/daemon/src/job/owner.c
@@ -37,11 +37,10 @@
 
 char *job_owner_text(const struct job_owner *o)
 {
-	json_t *obj = json_pack("{s:s,s:s,s:s,s:b,s:b,s:I,s:I}", "node",
-				o->node, "run", o->run, "team", o->team,
-				"ended", o->ended, "over", o->over, "total",
-				(json_int_t)o->total, "at_ms",
-				(json_int_t)o->at_ms);
+	json_t *obj = json_pack(
+		"{s:s,s:s,s:s,s:b,s:b,s:I,s:I}", "node", o->node, "run", o->run,
+		"team", o->team, "ended", o->ended, "over", o->over, "total",
+		(json_int_t)o->total, "at_ms", (json_int_t)o->at_ms);
 	char *text = obj ? json_dumps(obj, JSON_COMPACT) : NULL;
 
 	json_decref(obj);
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -50,9 +50,8 @@
 	int64_t give_up = route ? route->give_up_ms : INT32_MAX;
 
 	return (struct job_run_opts){
-		.max_failures = route && route->max_servers
-					? route->max_servers
-					: RUN_MAX_FAILURES,
+		.max_failures = route && route->max_servers ? route->max_servers
+							    : RUN_MAX_FAILURES,
 		.one_version = route && route->one_version,
 		.give_up_ms =
 			core_now(c) + spec->at_ms + give_up - clock_wall_ms(),
@@ -184,9 +183,8 @@
 	if (err == ERR_OK)
 		return true;
 	log_event(EV_JOB_ITEM,
-		  "batch=%s item=%s event=%llu version=%llu error=%s",
-		  e->j->id, e->j->spec->items[e->at->item].id,
-		  (unsigned long long)ev->id,
+		  "batch=%s item=%s event=%llu version=%llu error=%s", e->j->id,
+		  e->j->spec->items[e->at->item].id, (unsigned long long)ev->id,
 		  (unsigned long long)e->at->version, err_code(err));
 	e->at->spoilt = true;
 	return false;
@@ -271,15 +269,16 @@
 	const struct site_server *s =
 		site_servers_get(site_mod_servers(c), at->server);
 
-	log_event(EV_JOB_ITEM,
-		  "batch=%s item=%s server=%s outcome=%s http=%d error=%s "
-		  "events=%llu version=%llu first_ms=%lld ms=%lld",
-		  j->id, j->spec->items[at->item].id, s ? s->entry.id : "gone",
-		  names[how], res->status, err_code(res->err),
-		  (unsigned long long)job_run_text(j->run, at->item)->last_event,
-		  (unsigned long long)at->version,
-		  at->first_ms ? (long long)(at->first_ms - at->sent_ms) : -1LL,
-		  (long long)(core_now(c) - at->sent_ms));
+	log_event(
+		EV_JOB_ITEM,
+		"batch=%s item=%s server=%s outcome=%s http=%d error=%s "
+		"events=%llu version=%llu first_ms=%lld ms=%lld",
+		j->id, j->spec->items[at->item].id, s ? s->entry.id : "gone",
+		names[how], res->status, err_code(res->err),
+		(unsigned long long)job_run_text(j->run, at->item)->last_event,
+		(unsigned long long)at->version,
+		at->first_ms ? (long long)(at->first_ms - at->sent_ms) : -1LL,
+		(long long)(core_now(c) - at->sent_ms));
 }
 
 static void on_done(struct core *c, void *ctx,
@@ -472,8 +471,8 @@
 		return;
 	}
 	while ((item = job_run_next(j->run, core_now(c))) >= 0) {
-		struct site_server *s = site_servers_choose(
-			site_mod_servers(c), core_now(c), &ask);
+		struct site_server *s = site_servers_choose(site_mod_servers(c),
+							    core_now(c), &ask);
 
 		if (!s || !send_item(c, j, item, s))
 			return;
--- a/packages/daemon/src/job/submit.c
+++ b/packages/daemon/src/job/submit.c
@@ -42,8 +42,8 @@
 
 static struct job_submit *submit_of(const struct core *c, void *ctx)
 {
-	struct job_submit **slot = htab_get(jobs_of(c)->submits,
-					    (htab_handle)(uintptr_t)ctx);
+	struct job_submit **slot =
+		htab_get(jobs_of(c)->submits, (htab_handle)(uintptr_t)ctx);
 
 	return slot ? *slot : NULL;
 }
@@ -137,8 +137,7 @@
 	}
 	if (res->err == ERR_KV_UNKNOWN)
 		s->owner_unknown = true;
-	submit_wait(c, s,
-		    res->err == ERR_KV_DOWN ? SUBMIT_OWNER : SUBMIT_CHECK,
+	submit_wait(c, s, res->err == ERR_KV_DOWN ? SUBMIT_OWNER : SUBMIT_CHECK,
 		    res->err == ERR_KV_CONFLICT ? 0 : JOB_RETRY_MS);
 }
 
--- a/packages/daemon/src/job/take.c
+++ b/packages/daemon/src/job/take.c
@@ -117,8 +117,8 @@
 	struct job *j = job_get(c, l->id);
 
 	if (!j || j->running || res->err != ERR_OK) {
-		loading_over(c, l, res->err == ERR_OK ? "busy"
-						      : err_code(res->err));
+		loading_over(c, l,
+			     res->err == ERR_OK ? "busy" : err_code(res->err));
 		return;
 	}
 	take_listed(j, res);
@@ -290,8 +290,8 @@
 	t->from[0] = '\0';
 	t->nodes_gen = site_mod_nodes_gen(c);
 	lead_mod_held(c, &t->epoch);
-	t->busy = kv_list(c, KEY_RUN, (struct kv_cb){on_owners, NULL}) ==
-		  ERR_OK;
+	t->busy =
+		kv_list(c, KEY_RUN, (struct kv_cb){on_owners, NULL}) == ERR_OK;
 	if (!t->busy)
 		jobs->reconcile_ms = core_now(c) + TAKE_ROUND_MS;
 }
--- a/packages/daemon/src/job/write.c
+++ b/packages/daemon/src/job/write.c
@@ -101,9 +101,9 @@
 static bool record_make(struct core *c, struct job *j)
 {
 	struct jobs *jobs = jobs_of(c);
-	size_t n = job_run_flush(j->run, core_now(c),
-				 j->owner.ended || jobs->draining,
-				 jobs->scratch);
+	size_t n =
+		job_run_flush(j->run, core_now(c),
+			      j->owner.ended || jobs->draining, jobs->scratch);
 
 	if (!n)
 		return false;
@@ -128,9 +128,9 @@
 			kv_get(c, key, (struct kv_cb){on_read, ctx_of(j)}) ==
 			ERR_OK;
 	else
-		j->writing = kv_put(c, &put,
-				    (struct kv_cb){on_written, ctx_of(j)}) ==
-			     ERR_OK;
+		j->writing =
+			kv_put(c, &put,
+			       (struct kv_cb){on_written, ctx_of(j)}) == ERR_OK;
 	if (!j->writing)
 		j->write_next_ms = core_now(c) + JOB_RETRY_MS;
 }
@@ -155,9 +155,9 @@
 	struct job_owner owner = j->owner;
 
 	owner.over = true;
-	j->writing = job_owner_put(c, j->id, &owner, j->owner_rev,
-				   (struct kv_cb){on_closed, ctx_of(j)}) ==
-		     ERR_OK;
+	j->writing =
+		job_owner_put(c, j->id, &owner, j->owner_rev,
+			      (struct kv_cb){on_closed, ctx_of(j)}) == ERR_OK;
 	if (!j->writing)
 		j->write_next_ms = core_now(c) + JOB_RETRY_MS;
 }
--- a/packages/daemon/src/order/order_mod.c
+++ b/packages/daemon/src/order/order_mod.c
@@ -42,8 +42,8 @@
 		       const struct core_fetch_result *res)
 {
 	struct order_call *call = ctx;
-	bool taken = res->err == ERR_OK && res->status >= 200 &&
-		     res->status < 300;
+	bool taken =
+		res->err == ERR_OK && res->status >= 200 && res->status < 300;
 
 	log_event(taken ? EV_ORDER_SENT : EV_ORDER_FAILED,
 		  "server=%s model=%s version=%llu epoch=%llu error=%s http=%d",
--- a/packages/daemon/src/platform_mod.c
+++ b/packages/daemon/src/platform_mod.c
@@ -31,7 +31,8 @@
 	struct proxy *proxy; ///< NULL where nodes don't know each other
 	bool by_peer; ///< calls go through a peer
 	int64_t probe_ms; ///< next look whether the store answers directly
-	uint64_t counts[KV_OPS]; ///< calls by kind since the last line about them
+	uint64_t counts
+		[KV_OPS]; ///< calls by kind since the last line about them
 	int64_t counted_ms; ///< time of that line
 	bool fresh; ///< the last call failed: don't trust old connections
 };
@@ -181,9 +182,8 @@
 	bool write = pc->call.op == KV_PUT || pc->call.op == KV_DEL ||
 		     pc->call.op == KV_GRANT;
 
-	return !pc->direct_only &&
-	       (res->err == ERR_KV_DOWN ||
-		(res->err == ERR_KV_UNKNOWN && !write));
+	return !pc->direct_only && (res->err == ERR_KV_DOWN ||
+				    (res->err == ERR_KV_UNKNOWN && !write));
 }
 
 static void platform_done(struct core *c, void *ctx,
--- a/packages/daemon/src/site/feed.c
+++ b/packages/daemon/src/site/feed.c
@@ -5,7 +5,8 @@
 #include <string.h>
 
 enum {
-	FEED_RETRY_MS = 200, ///< after a failed call; doubles with each further one
+	FEED_RETRY_MS =
+		200, ///< after a failed call; doubles with each further one
 	FEED_DOUBLINGS = 3,
 };
 
@@ -118,8 +119,8 @@
 		feed_failed(c, f, res->err);
 		return;
 	}
-	feed_items(c, f, res->items, res->n_items, res->deleted,
-		   res->n_deleted, res->rev);
+	feed_items(c, f, res->items, res->n_items, res->deleted, res->n_deleted,
+		   res->rev);
 	if (res->rev > f->rev)
 		f->rev = res->rev;
 	if (f->opts.keep && f->rev > f->copy.rev)
--- a/packages/daemon/src/site/relay.c
+++ b/packages/daemon/src/site/relay.c
@@ -94,8 +94,7 @@
 			core_peer_del(c, ask->node);
 			*ask = r->asks[--r->n_asks];
 		} else if (ask->open && core_now(c) >= ask->not_before_ms &&
-			   (core_now(c) >= ask->until_ms ||
-			    has_news(r, ask))) {
+			   (core_now(c) >= ask->until_ms || has_news(r, ask))) {
 			ask->open = false;
 			send_news(c, r, ask);
 		}
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -322,8 +322,7 @@
 {
 	struct site *s = ctx;
 	struct site_server_entry e;
-	enum err err =
-		s->wire->server(item->key, item->value, item->len, &e);
+	enum err err = s->wire->server(item->key, item->value, item->len, &e);
 
 	if (err != ERR_OK) {
 		log_event(EV_SITE_SERVER_BAD, "key=%s error=%s", item->key,
@@ -384,8 +383,7 @@
 	if (!self && (v->relay || near || s->relay.serves))
 		core_peer_add(c, v->node, v->peer);
 	if (!self && (near || v->relay))
-		node_put(s->neighbours, &s->n_neighbours, v,
-			 near && !v->relay);
+		node_put(s->neighbours, &s->n_neighbours, v, near && !v->relay);
 	if (!v->relay)
 		return;
 	node_put(s->homes, &s->n_homes, v, false);
@@ -443,9 +441,9 @@
 	bool relays = settings_int(core_settings(c), S_LEAD_CANDIDATE) == 1;
 	const struct feed_opts operators = {
 		.prefix = s->wire->operator_prefix,
-		.wait_ms = relays ? RELAY_REFRESH_MS
-				  : settings_int(core_settings(c),
-						 S_CONF_REFRESH),
+		.wait_ms =
+			relays ? RELAY_REFRESH_MS
+			       : settings_int(core_settings(c), S_CONF_REFRESH),
 		.pause_ms = relays ? 0 : LONE_CONF_PAUSE_MS,
 		.keep = relays,
 		.ops = &operator_ops,
--- a/packages/daemon/src/tally/report.c
+++ b/packages/daemon/src/tally/report.c
@@ -51,7 +51,7 @@
 
 	if (!obj)
 		log_event(EV_TALLY_FAILED, "key=%s error=parse", item->key);
-	json_object_foreach (obj, team, n) {
+	json_object_foreach(obj, team, n) {
 		json_int_t sum =
 			json_integer_value(json_object_get(r->sum, team));
 
@@ -137,7 +137,7 @@
 	json_t *n;
 	size_t k = 0;
 
-	json_object_foreach (r->sum, team, n) {
+	json_object_foreach(r->sum, team, n) {
 		if (k == REPORT_TEAMS)
 			break;
 		counts[k++] = (struct duty_count){
--- a/packages/daemon/src/tally/tally_mod.c
+++ b/packages/daemon/src/tally/tally_mod.c
@@ -98,8 +98,8 @@
 		.prev_rev = w->rev,
 	};
 
-	snprintf(key, sizeof(key), KEY_TALLY "%lld/%s.%s",
-		 (long long)w->number, core_node(c), core_incarnation(c));
+	snprintf(key, sizeof(key), KEY_TALLY "%lld/%s.%s", (long long)w->number,
+		 core_node(c), core_incarnation(c));
 	if (w->read) {
 		w->busy = kv_get(c, key, (struct kv_cb){on_read, w}) == ERR_OK;
 	} else if (text) {
--- a/packages/job/src/job_list.c
+++ b/packages/job/src/job_list.c
@@ -53,8 +53,8 @@
 	if (!json_is_array(arr) || n > JOB_VERSIONS)
 		return false;
 	for (size_t i = 0; i < n; i++)
-		r->versions[i] = (uint64_t)json_integer_value(
-			json_array_get(arr, i));
+		r->versions[i] =
+			(uint64_t)json_integer_value(json_array_get(arr, i));
 	r->n_versions = (int)n;
 	return true;
 }
--- a/packages/job/src/job_run.c
+++ b/packages/job/src/job_run.c
@@ -254,8 +254,7 @@
 static bool group_whole(const struct job_run *r, int group)
 {
 	for (size_t i = 0; i < r->spec->n_items; i++) {
-		if (r->items[i].group == group &&
-		    r->items[i].step < JOB_READY)
+		if (r->items[i].group == group && r->items[i].step < JOB_READY)
 			return false;
 	}
 	return true;
--- a/packages/relay/src/follow.c
+++ b/packages/relay/src/follow.c
@@ -10,7 +10,8 @@
 	FOLLOW_LATE_MS = 600,
 	FOLLOW_CONNECT_MS = 150, ///< some round trips between failure domains
 	FOLLOW_STRIKES = 2, ///< lost questions after which a relay is left
-	FOLLOW_AVOID_MS = 2500, ///< a relay that failed, before it is asked again
+	FOLLOW_AVOID_MS =
+		2500, ///< a relay that failed, before it is asked again
 };
 
 static struct follow_relay *find(struct follow *f, const char *node)
--- a/packages/rollplan/src/rollplan.c
+++ b/packages/rollplan/src/rollplan.c
@@ -290,8 +290,7 @@
 	for (int i = 0; i < n; i++) {
 		if (!behind(p, &rows[i]))
 			continue;
-		if (best < 0 ||
-		    more_urgent(p, rows, n, &rows[i], &rows[best]))
+		if (best < 0 || more_urgent(p, rows, n, &rows[i], &rows[best]))
 			best = i;
 	}
 	if (best < 0)
--- a/packages/site/include/site/server.h
+++ b/packages/site/include/site/server.h
@@ -64,7 +64,7 @@
 	const char *model; ///< NULL for a plain service
 	uint64_t min_version; ///< of the model's weights
 	const char *domain; ///< own failure domain, preferred
-	const htab_handle *not; ///< servers that were tried
+	const htab_handle * not ; ///< servers that were tried
 	int n_not;
 	bool only_free; ///< only servers with a slot that this node sees free
 	double cold_rate; ///< of the service, 0 for none
--- a/packages/site/src/server.c
+++ b/packages/site/src/server.c
@@ -6,7 +6,8 @@
 
 enum {
 	DOMAINS_OUT = 64, ///< failure domains out at once
-	AVOID_MS = 300, ///< after the first failure; doubles with each further one
+	AVOID_MS =
+		300, ///< after the first failure; doubles with each further one
 	AVOID_DOUBLINGS = 3,
 	PACE_SERVERS = 512, ///< of a service whose pace is looked at
 	PACE_EVENTS = 4, ///< that a pace must be taken from to count
@@ -301,9 +302,9 @@
 {
 	if (now - s->paced_ms > PACE_KEEP_MS)
 		s->pace_events = 0;
-	s->pace_ms = s->pace_events ? s->pace_ms + PACE_WEIGHT *
-							   (ms - s->pace_ms)
-				    : ms;
+	s->pace_ms = s->pace_events
+			     ? s->pace_ms + PACE_WEIGHT * (ms - s->pace_ms)
+			     : ms;
 	s->pace_events++;
 	s->paced_ms = now;
 }
--- a/packages/upstream/src/transfer.c
+++ b/packages/upstream/src/transfer.c
@@ -97,9 +97,9 @@
 		value++;
 	while (end > value && strchr(" \t\r\n", end[-1]))
 		end--;
-	h->names[h->n] =
-		arena_strndup(&c->arena, line, (size_t)(colon - line));
-	h->values[h->n] = arena_strndup(&c->arena, value, (size_t)(end - value));
+	h->names[h->n] = arena_strndup(&c->arena, line, (size_t)(colon - line));
+	h->values[h->n] =
+		arena_strndup(&c->arena, value, (size_t)(end - value));
 	if (h->names[h->n] && h->values[h->n])
 		h->n++;
 }
--- a/packages/upstream/test/test_upstream.c
+++ b/packages/upstream/test/test_upstream.c
@@ -308,8 +308,7 @@
 			heads++;
 			assert_int_equal(ev->status, 200);
 			assert_true(ev->head->n > 0);
-			assert_string_equal(ev->head->names[0],
-					    "Content-Type");
+			assert_string_equal(ev->head->names[0], "Content-Type");
 		} else {
 			assert_int_equal(heads, 1);
 		}
