--- a/packages/relay/test/test_relay.c
+++ b/packages/relay/test/test_relay.c
@@ -46,6 +46,19 @@
 	return n;
 }
 
+static bool has(const struct relay_copy *c, const struct relay_item *it)
+{
+	for (size_t i = 0; i < c->n; i++) {
+		const struct relay_item *x = &c->items[i];
+
+		if (x->value && x->len == it->len &&
+		    strcmp(x->key, it->key) == 0 &&
+		    memcmp(x->value, it->value, it->len) == 0)
+			return true;
+	}
+	return false;
+}
+
 static void assert_same(const struct relay_copy *a, const struct relay_copy *b,
 			uint64_t seed)
 {
@@ -53,15 +66,7 @@
 		fail_msg("seed %llu: %zu and %zu keys",
 			 (unsigned long long)seed, live(a), live(b));
 	for (size_t i = 0; i < a->n; i++) {
-		bool found = !a->items[i].value;
-
-		for (size_t k = 0; k < b->n; k++)
-			found |=
-				b->items[k].value &&
-				strcmp(a->items[i].key, b->items[k].key) == 0 &&
-				strcmp(a->items[i].value, b->items[k].value) ==
-					0;
-		if (!found)
+		if (a->items[i].value && !has(b, &a->items[i]))
 			fail_msg("seed %llu: %s", (unsigned long long)seed,
 				 a->items[i].key);
 	}
--- a/test/hosted/store.c
+++ b/test/hosted/store.c
@@ -71,7 +71,7 @@
 static json_t *entries(const struct kv *kv, const char *prefix,
 		       const char *from, bool changes, uint64_t after)
 {
-	const struct kv_entry **list = calloc(kv->n + 1, sizeof(*list));
+	const struct kv_entry **list = calloc(kv->n + 1, sizeof(const void *));
 	json_t *arr = json_array();
 	size_t n = 0;
 
@@ -84,7 +84,7 @@
 			list[n++] = e;
 	}
 	if (n)
-		qsort(list, n, sizeof(*list), entry_compare);
+		qsort(list, n, sizeof(const void *), entry_compare);
 	for (size_t i = 0; i < n; i++)
 		json_array_append_new(arr, item_of(list[i]));
 	free(list);
