--- a/packages/core/src/status.c
+++ b/packages/core/src/status.c
@@ -1,6 +1,7 @@
 // The core's own paths: health, readiness, metrics, status.
 #include <jansson.h>
 
+#include "base/histogram.h"
 #include "base/metric.h"
 #include "core.h"
 
@@ -56,6 +57,7 @@
 		return;
 	}
 	len = metric_render(text, METRICS_MAX);
+	len += histogram_render(text + len, METRICS_MAX - len);
 	core_reply(c, r->h, 200, "text/plain; version=0.0.4", text, len);
 }
 
--- a/packages/core/tool/catalogue.c
+++ b/packages/core/tool/catalogue.c
@@ -47,13 +47,18 @@
 static void print_metrics(void)
 {
 	printf("# Metrics\n\n"
-	       "Made from `packages/base/include/base/metric.def` by `make "
-	       "docs`. Served at\n`GET /metrics` of the admin listener.\n\n"
+	       "Made from `metric.def` and `histogram.def` of "
+	       "`packages/base/include/base` by\n`make docs`. Served at `GET "
+	       "/metrics` of the admin listener.\n\n"
 	       "| name | kind | meaning |\n|---|---|---|\n");
 #define METRIC(sym, kind, name, help) \
 	printf("| %s | %s | %s |\n", name, #kind, help);
 #include "base/metric.def"
 #undef METRIC
+#define HISTOGRAM(sym, name, help) \
+	printf("| %s | HISTOGRAM | %s |\n", name, help);
+#include "base/histogram.def"
+#undef HISTOGRAM
 }
 
 static void print_settings(void)
--- a/packages/daemon/src/front/forward.c
+++ b/packages/daemon/src/front/forward.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/histogram.h"
 #include "base/log.h"
 #include "base/metric.h"
 #include "daemon/tally_mod.h"
@@ -76,6 +77,7 @@
 					  res->head->values[i]);
 	}
 	metric_add(M_WORK_ANSWERED, 1);
+	histogram_add(H_FORWARD, core_now(c) - f->arrived_ms);
 	log_event(EV_FRONT_ANSWERED,
 		  "request=%s route=%s team=%s http=%d bytes=%zu servers=%d "
 		  "last_ms=%lld left_ms=%lld",
@@ -311,6 +313,7 @@
 	f->self = h;
 	f->req = req->h;
 	f->kind = route->kind;
+	f->arrived_ms = req->arrived_ms;
 	f->max_servers = max_servers(route);
 	set_times(f, req, route, fields);
 	snprintf(f->id, sizeof(f->id), "%s", fields->id ? fields->id : "");
--- a/packages/daemon/src/front/front.h
+++ b/packages/daemon/src/front/front.h
@@ -23,6 +23,7 @@
 	bool refused; ///< a server said that it is full
 	bool maybe_ran;
 	int max_servers;
+	int64_t arrived_ms;
 	int64_t caller_until_ms; ///< end of the caller's patience
 	int64_t until_ms; ///< end of the route's time or the caller's
 	int64_t sent_ms; ///< of the running attempt
--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -61,6 +61,7 @@
 	struct job_spec *spec;
 	struct job_run *run;
 	struct job_at_server *at; ///< an entry an item
+	int64_t waiting_next_ms; ///< next line about items that wait
 	int64_t runs_next_ms; ///< next look at the runs
 	bool watching; ///< the owner key is watched
 	int64_t watch_next_ms;
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/histogram.h"
 #include "base/log.h"
 #include "base/metric.h"
 #include "daemon/lead_mod.h"
@@ -22,6 +23,7 @@
 	/// Longest silence between two events; they come some 40 ms apart, and
 	/// 160 ms at a slow engine.
 	RUN_SILENCE_MS = 700,
+	WAITING_LOG_MS = 1000, ///< between two lines about items that wait
 	RUN_WATCH_MS = 100, ///< between two looks for slow and silent runs
 	RUN_MOVE_MS = 300, ///< least time at a server before a run is moved
 	RUN_MOVES = 4, ///< of a batch at one look
@@ -165,8 +167,10 @@
 {
 	if (s && at->last_ms)
 		site_server_paced(s, now, (double)(now - at->last_ms));
-	if (!at->first_ms)
+	if (!at->first_ms) {
 		at->first_ms = now;
+		histogram_add(H_ITEM_FIRST, now - at->sent_ms);
+	}
 	at->last_ms = now;
 }
 
@@ -296,6 +300,7 @@
 	how = at->spoilt ? JOB_RUN_BROKEN
 			 : outcome_of(at, res, job_run_text(j->run, at->item));
 	log_end(c, j, at, res, how);
+	histogram_add(H_ITEM, core_now(c) - at->sent_ms);
 	server_ok = how == JOB_RUN_WHOLE || how == JOB_RUN_IMPOSSIBLE;
 	leave_server(c, at, server_ok);
 	job_run_ended(j->run, at->item, core_now(c), how);
@@ -457,6 +462,37 @@
 	}
 }
 
+/* Servers that an item could go to if they had a free place. */
+static int count_fitting(struct core *c, const struct site_ask *ask)
+{
+	const struct site_servers *t = site_mod_servers(c);
+	const struct site_server *s;
+	size_t iter = 0;
+	int n = 0;
+
+	while ((s = site_servers_next(t, &iter)))
+		n += strcmp(s->entry.service, ask->service) == 0 &&
+		     site_server_usable(t, s) &&
+		     site_server_version(s, ask->model) >= ask->min_version;
+	return n;
+}
+
+/* Say now and then why items wait. */
+static void log_waiting(struct core *c, struct job *j,
+			const struct site_ask *ask)
+{
+	if (core_now(c) < j->waiting_next_ms)
+		return;
+	j->waiting_next_ms = core_now(c) + WAITING_LOG_MS;
+	log_event(EV_JOB_WAITING,
+		  "batch=%s waiting=%zu at=%zu servers=%d model=%s "
+		  "min_version=%llu named=%llu",
+		  j->id, job_run_count(j->run, JOB_WAITING),
+		  job_run_count(j->run, JOB_SENT), count_fitting(c, ask),
+		  ask->model, (unsigned long long)ask->min_version,
+		  (unsigned long long)site_mod_weights(c, ask->model));
+}
+
 void job_send_step(struct core *c, struct job *j)
 {
 	struct site_ask ask;
@@ -474,6 +510,8 @@
 		struct site_server *s = site_servers_choose(site_mod_servers(c),
 							    core_now(c), &ask);
 
+		if (!s)
+			log_waiting(c, j, &ask);
 		if (!s || !send_item(c, j, item, s))
 			return;
 	}
--- a/packages/daemon/src/job/submit.c
+++ b/packages/daemon/src/job/submit.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/histogram.h"
 #include "base/log.h"
 #include "daemon/lead_mod.h"
 #include "daemon/site_mod.h"
@@ -103,6 +104,8 @@
 		if (job_start(c, j, s->spec) == ERR_OK)
 			s->spec = NULL;
 	}
+	histogram_add(H_BATCH_TAKEN,
+		      core_now(c) + SUBMIT_MAX_MS - s->until_ms);
 	accepted(c, &s->caller);
 	submit_free(jobs, s);
 	if (j && j->running)
--- a/packages/daemon/src/platform_mod.c
+++ b/packages/daemon/src/platform_mod.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/contact.h"
+#include "base/histogram.h"
 #include "base/log.h"
 #include "base/metric.h"
 #include "core/settings.h"
@@ -161,6 +162,8 @@
 	htab_del(p->calls, h);
 	if (!pc->direct_only)
 		platform_note(p, pc, res, core_now(c));
+	if (pc->call.op != KV_WATCH)
+		histogram_add(H_KV_CALL, core_now(c) - pc->start_ms);
 	pc->cb.fn(c, pc->cb.ctx, res);
 	platform_call_free(pc);
 }
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "base/metric.h"
 #include "core/settings.h"
 #include "daemon/mods.h"
 #include "lead/live_value.h"
@@ -545,6 +546,10 @@
 	site_servers_expire(s->servers, now_ms, kv_back_since(c));
 	retire_step(c, s);
 	note_freshness(c, s);
+	if (s->conf) {
+		metric_set(M_CONF_REV, s->conf->version);
+		metric_set(M_CONF_AGE, (uint64_t)site_mod_age(c));
+	}
 }
 
 static bool site_ready(struct core *c, void *state)
