fix(front): refuse at once what no server can serve

Problem: a booking of a service without any usable server waited 300 ms before it was refused, and a batch without a request id was passed on to a server as if it were a call.

Solution: the first is refused as not run at once, with a time to come back; only a cold server's rate is waited for. The second is a bad batch.

--- a/packages/daemon/src/front/forward.c
+++ b/packages/daemon/src/front/forward.c
@@ -15,7 +15,7 @@
 	/// An attempt that may be repeated elsewhere gets at least this long.
 	FORWARD_TRY_MIN_MS = 400,
 	FORWARD_WAIT_MS = 60, ///< between two looks for a free server
-	/// Longest that a request waits for a server to be usable: past that its
+	/// Longest that a request waits for a cold server's rate: past that its
 	/// caller is better served by another node.
 	FORWARD_QUEUE_MS = 300,
 	FORWARD_RETRY_AFTER_MS = 400,
@@ -227,6 +227,10 @@
 		ask.n_not = 0;
 		s = site_servers_choose(site_mod_servers(c), core_now(c), &ask);
 	}
+	if (!s && !site_servers_usable(site_mod_servers(c), f->service)) {
+		forward_fail(c, f, ERR_ROUTE_NO_SERVER);
+		return;
+	}
 	if (!s) {
 		f->next_ms = core_now(c) + FORWARD_WAIT_MS;
 		return;
--- a/packages/daemon/src/front/front_mod.c
+++ b/packages/daemon/src/front/front_mod.c
@@ -62,9 +62,11 @@
 		e = site_mod_fresh(c) ? ERR_HTTP_ROUTE : ERR_CONF_CUT_OFF;
 	else if (route)
 		e = site_mod_auth(c, route, req->bearer, team);
+	if (e == ERR_OK && route->kind == SITE_BATCH && !fields->id)
+		e = ERR_BATCH_INVALID;
 	if (e != ERR_OK)
 		refuse(c, req, fields->id, e);
-	else if (route->kind == SITE_BATCH && fields->id)
+	else if (route->kind == SITE_BATCH)
 		job_mod_submit(c, req, fields->id, fields->host, team);
 	else
 		forward_begin(c, req, route, fields, team);
--- a/packages/daemon/src/order/order_mod.c
+++ b/packages/daemon/src/order/order_mod.c
@@ -123,15 +123,9 @@
 
 static int at_once(struct core *c, const char *service)
 {
-	const struct site_servers *t = site_mod_servers(c);
-	struct site_server *s;
-	size_t iter = 0;
-	int n = 0;
-
-	while ((s = site_servers_next(t, &iter)))
-		n += strcmp(s->entry.service, service) == 0 &&
-		     site_server_usable(t, s);
-	return n / ORDER_SHARE > ORDER_LEAST ? n / ORDER_SHARE : ORDER_LEAST;
+	int n = site_servers_usable(site_mod_servers(c), service) / ORDER_SHARE;
+
+	return n > ORDER_LEAST ? n : ORDER_LEAST;
 }
 
 static void order_tick(struct core *c, void *state, int64_t now_ms)
--- a/packages/site/include/site/server.h
+++ b/packages/site/include/site/server.h
@@ -124,6 +124,9 @@
 bool site_server_usable(const struct site_servers *t,
 			const struct site_server *s);
 
+/// Servers of a service that may get new work at all.
+int site_servers_usable(const struct site_servers *t, const char *service);
+
 /// Weight version of a model at a server, 0 if it does not have the model.
 uint64_t site_server_version(const struct site_server *s, const char *model);
 
--- a/packages/site/src/server.c
+++ b/packages/site/src/server.c
@@ -188,6 +188,18 @@
 	return !s->entry.leaving && domain_at(t, s->entry.domain) < 0;
 }
 
+int site_servers_usable(const struct site_servers *t, const char *service)
+{
+	const struct site_server *s;
+	size_t iter = 0;
+	int n = 0;
+
+	while ((s = site_servers_next(t, &iter)))
+		n += strcmp(s->entry.service, service) == 0 &&
+		     site_server_usable(t, s);
+	return n;
+}
+
 uint64_t site_server_version(const struct site_server *s, const char *model)
 {
 	for (int i = 0; i < s->entry.n_models; i++) {
--- a/test/hosted/test_hosted.c
+++ b/test/hosted/test_hosted.c
@@ -18,6 +18,8 @@
 enum {
 	ITEMS = 24,
 	BATCH_MS = 30000, ///< for a batch to be whole, with a lost node
+	AT_ONCE_MS = 250, ///< a refusal that did not wait
+	SETTLE_US = 2500000, ///< until every node knows of a server's leave
 	STEP_US = 20000, ///< between two requests while something is awaited
 	REVOKE_MS = 5000, ///< after which a withdrawn key must not work
 };
@@ -339,6 +341,31 @@
 	assert_true(node_ready(&ns, 0, BATCH_MS));
 }
 
+/* No server of the service is left: refused at once, as not run, with a time to
+ * come back, not held until the caller's time is over. */
+static void test_no_server(void **state)
+{
+	struct answer a;
+	int64_t start;
+
+	for (int i = HOSTED_ENGINES; i < HOSTED_SERVERS; i++)
+		hosted_withdraw(&h, &h.servers[i]);
+	usleep(SETTLE_US);
+	start = clock_now_ms();
+	node_call(&ns, 0, "POST", "/book/a", "k1", "n1", "x", &a);
+	assert_int_equal(a.status, 503);
+	assert_true(a.retry_after[0] != '\0');
+	assert_true(clock_now_ms() - start < AT_ONCE_MS);
+	assert_int_equal(hosted_runs(&h, "n1"), 0);
+	answer_free(&a);
+	for (int i = HOSTED_ENGINES; i < HOSTED_SERVERS; i++)
+		hosted_publish(&h, &h.servers[i]);
+	usleep(SETTLE_US);
+	node_call(&ns, 0, "POST", "/book/a", "k1", "n2", "x", &a);
+	assert_int_equal(a.status, 200);
+	answer_free(&a);
+}
+
 /* SIGTERM: not ready at once, served until the end, a clean exit. */
 static void test_drain(void **state)
 {
@@ -361,6 +388,7 @@
 		cmocka_unit_test(test_key_withdrawn),
 		cmocka_unit_test(test_usage),
 		cmocka_unit_test(test_store_away),
+		cmocka_unit_test(test_no_server),
 		cmocka_unit_test(test_drain),
 	};
 
