fix(site): everything is up again as soon as one call finds the store

Cause: watches that had failed waited out their doubled pause, followers left a relay alone for 2.5 s that had answered with old knowledge, and nodes a home that had refused. New items were not sent once the liveness key might have lapsed, 2.4 s after the last renewal.

Solution: when any call finds the store, watches begin at once; a relay or home that answers is asked again after 0.3 and 0.5 s; items are sent while the configuration is fresh enough for keys.

--- a/packages/daemon/src/job/home.c
+++ b/packages/daemon/src/job/home.c
@@ -21,6 +21,7 @@
 	/// Longest wait for a home beyond what its call may wait by itself; a
 	/// trainer expects a batch to be taken in some hundred milliseconds.
 	HOME_LATE_MS = 450,
+	HOME_REFUSED_MS = 500, ///< a home that lost the store, or drains
 	HOME_AVOID_MS = 2500, ///< a home that did not answer is left alone
 	HOME_BODY_MAX = 900000, ///< bytes of a batch that fit into a message
 };
@@ -44,10 +45,10 @@
 	return jobs_of(c)->homes;
 }
 
-static void avoid_home(struct core *c, const char *node)
+static void avoid_home(struct core *c, const char *node, int ms)
 {
-	avoid_add(&homes_of(c)->avoid, node, core_now(c) + HOME_AVOID_MS);
-	log_event(EV_JOB_HOME_LOST, "home=%s avoid_ms=%d", node, HOME_AVOID_MS);
+	avoid_add(&homes_of(c)->avoid, node, core_now(c) + ms);
+	log_event(EV_JOB_HOME_LOST, "home=%s avoid_ms=%d", node, ms);
 }
 
 /* Rendezvous hash: a lost home moves its own teams only. */
@@ -139,7 +140,7 @@
 {
 	struct home_open was = *o;
 
-	avoid_home(c, was.home);
+	avoid_home(c, was.home, HOME_AVOID_MS);
 	core_peer_reset(c, was.home);
 	htab_del(homes_of(c)->open, was.self);
 	fall_back(c, &was, true);
@@ -175,7 +176,7 @@
 	was = *o;
 	htab_del(homes_of(c)->open, was.self);
 	if (!is_final(reply)) {
-		avoid_home(c, was.home);
+		avoid_home(c, was.home, HOME_REFUSED_MS);
 		fall_back(c, &was, reply->run != RUN_NO);
 	} else if (reply->err == ERR_OK) {
 		core_reply(c, was.req, reply->status, reply->ctype, reply->body,
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -7,7 +7,6 @@
 #include "base/histogram.h"
 #include "base/log.h"
 #include "base/metric.h"
-#include "daemon/lead_mod.h"
 #include "daemon/site_mod.h"
 #include "job/job.h"
 
@@ -498,8 +497,11 @@
 	struct site_ask ask;
 	int item;
 
+	/* Items are sent on what is known of servers and routes as long as keys
+	 * may be trusted on it too: an item may run twice, if another node takes
+	 * the batch over meanwhile. */
 	if (!j->running || j->owner.ended || jobs_of(c)->draining ||
-	    !site_mod_conf(c) || !lead_mod_alive(c))
+	    !site_mod_fresh(c))
 		return;
 	if (!ask_of(c, j, &ask)) {
 		job_run_give_up(j->run);
--- a/packages/daemon/src/site/relay.c
+++ b/packages/daemon/src/site/relay.c
@@ -177,7 +177,7 @@
 		if (usable(parts))
 			take_parts(c, r, parts, asked_ms);
 		else
-			follow_failed(&r->follow, core_now(c));
+			follow_stale(&r->follow, core_now(c));
 	}
 	arena_free(&a);
 	relay_step(c, r);
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -52,6 +52,7 @@
 	struct relay relay;
 	int64_t confirmed_ms; ///< configuration, 0 for never
 	bool stale_logged;
+	int64_t back_ms; ///< since when the store answers, as last seen
 	bool retire; ///< this VM is to be emptied
 	bool retire_busy;
 	int64_t retire_next_ms;
@@ -530,8 +531,14 @@
 static void feeds_step(struct core *c, struct site *s)
 {
 	struct feed *const feeds[] = {&s->operators, &s->entries, &s->nodes};
+	int64_t back = kv_back_since(c);
+	bool returned = back && back != s->back_ms;
 
+	s->back_ms = back;
 	for (int i = 0; i < RELAY_FEEDS; i++) {
+		/* Some other call found the store again: no need to wait on. */
+		if (returned)
+			feeds[i]->next_ms = 0;
 		feeds[i]->quiet = relay_following(c, &s->relay);
 		feed_step(c, feeds[i]);
 	}
--- a/packages/relay/include/relay/follow.h
+++ b/packages/relay/include/relay/follow.h
@@ -56,9 +56,13 @@
 /// of a new connection may be lost, then the relay is left alone.
 void follow_lost(struct follow *f, int64_t now);
 
-/// The current relay does not know enough.
+/// The current relay can't be reached.
 void follow_failed(struct follow *f, int64_t now);
 
+/// The current relay answers and knows too little, such as in an outage of the
+/// store: it is asked again soon, since it is among the first to know more.
+void follow_stale(struct follow *f, int64_t now);
+
 /// Whether the open question is overdue.
 bool follow_late(const struct follow *f, int64_t now);
 
--- a/packages/relay/src/follow.c
+++ b/packages/relay/src/follow.c
@@ -10,6 +10,7 @@
 	FOLLOW_LATE_MS = 600,
 	FOLLOW_CONNECT_MS = 150, ///< some round trips between failure domains
 	FOLLOW_STRIKES = 2, ///< lost questions after which a relay is left
+	FOLLOW_STALE_MS = 300, ///< a relay that knows too little
 	FOLLOW_AVOID_MS =
 		2500, ///< a relay that failed, before it is asked again
 };
@@ -145,15 +146,25 @@
 		r->avoid_until_ms = now + FOLLOW_CONNECT_MS;
 }
 
-void follow_failed(struct follow *f, int64_t now)
+static void avoid_current(struct follow *f, int64_t until_ms)
 {
 	struct follow_relay *r = find(f, f->current);
 
 	if (r)
-		r->avoid_until_ms = now + FOLLOW_AVOID_MS;
+		r->avoid_until_ms = until_ms;
 	leave(f);
 }
 
+void follow_failed(struct follow *f, int64_t now)
+{
+	avoid_current(f, now + FOLLOW_AVOID_MS);
+}
+
+void follow_stale(struct follow *f, int64_t now)
+{
+	avoid_current(f, now + FOLLOW_STALE_MS);
+}
+
 bool follow_late(const struct follow *f, int64_t now)
 {
 	return f->asked_ms && now - f->asked_ms >= FOLLOW_LATE_MS;
--- a/packages/relay/test/test_relay.c
+++ b/packages/relay/test/test_relay.c
@@ -147,6 +147,10 @@
 	assert_int_equal(asked, 2000);
 	/* The near one gets another chance. */
 	assert_string_equal(follow_next(&f, 5000)->node, "near");
+	/* It knows too little for the moment. */
+	follow_stale(&f, 5000);
+	assert_string_equal(follow_next(&f, 5000)->node, "far");
+	assert_string_equal(follow_next(&f, 5300)->node, "near");
 	follow_del(&f, "near");
 	assert_string_equal(follow_next(&f, 5000)->node, "far");
 	follow_failed(&f, 5000);
