--- a/packages/daemon/include/daemon/site_mod.h
+++ b/packages/daemon/include/daemon/site_mod.h
@@ -39,6 +39,7 @@
 struct site_node {
 	char node[SITE_NAME];
 	char peer[SITE_ADDR]; ///< "IP:port" for messages between daemons
+	int64_t known_ms; ///< clock_now_ms() time since which it is known
 };
 
 /// Other live nodes that may be asked for help: first some of the own failure
--- a/packages/daemon/src/job/home.c
+++ b/packages/daemon/src/job/home.c
@@ -22,6 +22,9 @@
 	/// trainer expects a batch to be taken in some hundred milliseconds.
 	HOME_LATE_MS = 450,
 	HOME_REFUSED_MS = 500, ///< a home that lost the store, or drains
+	/// A node is asked once connections both ways had time to come about:
+	/// it and its askers learn of each other some 100 ms apart.
+	HOME_CONNECT_MS = 600,
 	HOME_AVOID_MS = 2500, ///< a home that did not answer is left alone
 	HOME_BODY_MAX = 900000, ///< bytes of a batch that fit into a message
 };
@@ -63,7 +66,8 @@
 		uint64_t score = XXH64(nodes[i].node, strlen(nodes[i].node),
 				       XXH64(team, strlen(team), 0));
 
-		if (avoid_has(&homes_of(c)->avoid, nodes[i].node, core_now(c)))
+		if (core_now(c) - nodes[i].known_ms < HOME_CONNECT_MS ||
+		    avoid_has(&homes_of(c)->avoid, nodes[i].node, core_now(c)))
 			continue;
 		if (!best || score > best_score) {
 			best = &nodes[i];
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -152,7 +152,7 @@
 
 /* Put a node into a list, at its front or its end. */
 static void node_put(struct site_node *list, size_t *n,
-		     const struct live_value *v, bool front)
+		     const struct live_value *v, bool front, int64_t now)
 {
 	struct site_node *h = node_find(list, *n, v->node);
 
@@ -163,6 +163,7 @@
 		if (front)
 			memmove(list + 1, list, *n * sizeof(*list));
 		(*n)++;
+		h->known_ms = now;
 	}
 	snprintf(h->node, sizeof(h->node), "%s", v->node);
 	snprintf(h->peer, sizeof(h->peer), "%s", v->peer);
@@ -385,10 +386,11 @@
 	if (!self && (v->relay || near || s->relay.serves))
 		core_peer_add(c, v->node, v->peer);
 	if (!self && (near || v->relay))
-		node_put(s->neighbours, &s->n_neighbours, v, near && !v->relay);
+		node_put(s->neighbours, &s->n_neighbours, v, near && !v->relay,
+			 core_now(c));
 	if (!v->relay)
 		return;
-	node_put(s->homes, &s->n_homes, v, false);
+	node_put(s->homes, &s->n_homes, v, false, core_now(c));
 	if (!self)
 		relay_node(c, &s->relay, v->node, v->peer, near);
 }
