fix(lead): a later leader acts 1.5 s after it took over; lost homes are noticed sooner

Problem: the leader's lease was 3 s so that holders can't take turns within 3 s, but one that is released at a SIGTERM ends at once: a leader stopped, its successor stopped too and the first one back could have acted in turn. And a lost home's batches waited 3 s, a lost leader's over 4 s.

Solution: lease_may_act(): orders and reports wait for 1.5 s of a holding that is not the first, so the acts of A, B, A span 3 s whatever the leases did (test_quiet). Taking over batches needs no fence and does not wait.

--- a/packages/daemon/include/daemon/lead_mod.h
+++ b/packages/daemon/include/daemon/lead_mod.h
@@ -12,6 +12,12 @@
 /// @param[out] epoch  fencing number, may be NULL
 bool lead_mod_held(struct core *c, uint64_t *epoch);
 
+/// Whether this node leads and may give orders and reports: not at once after it
+/// took over.
+///
+/// @param[out] epoch  fencing number, may be NULL
+bool lead_mod_may_act(struct core *c, uint64_t *epoch);
+
 /// Whether this node's liveness key surely stands in the store.
 bool lead_mod_alive(struct core *c);
 
--- a/packages/daemon/src/job/take.c
+++ b/packages/daemon/src/job/take.c
@@ -18,7 +18,7 @@
 #include "store_keys.h"
 
 enum {
-	TAKE_ROUND_MS = 500, ///< between two rounds while something is lost
+	TAKE_ROUND_MS = 300, ///< between two rounds while something is lost
 	TAKE_IDLE_MS = 5000, ///< between two rounds without a reason
 	/// After the store was away, nodes that live need this long to renew
 	/// their liveness keys.
--- a/packages/daemon/src/lead/lead_mod.c
+++ b/packages/daemon/src/lead/lead_mod.c
@@ -17,6 +17,8 @@
 enum {
 	LEAD_RETRY_MS = 100, ///< least wait after a failed call
 	LEAD_RENEWALS = 4, ///< in a time to live
+	/// Half of the time in which holders must not take turns, which is 3 s.
+	LEAD_QUIET_MS = 1500,
 };
 
 struct lead {
@@ -39,6 +41,13 @@
 	return l->candidate && lease_held(&l->lease, core_now(c), epoch, NULL);
 }
 
+bool lead_mod_may_act(struct core *c, uint64_t *epoch)
+{
+	const struct lead *l = lead_of(c);
+
+	return l->candidate && lease_may_act(&l->lease, core_now(c), epoch);
+}
+
 bool lead_mod_alive(struct core *c)
 {
 	return live_held(&lead_of(c)->live, core_now(c));
@@ -154,6 +163,7 @@
 		.renew_ms = settings_int(s, S_LEAD_TTL) / LEAD_RENEWALS,
 		.retry_ms = LEAD_RETRY_MS,
 		.slow_ms = settings_int(s, S_LEAD_TTL),
+		.quiet_ms = LEAD_QUIET_MS,
 	};
 
 	if (!l)
@@ -161,6 +171,7 @@
 	snprintf(id, sizeof(id), "%s/%s", core_node(c), core_incarnation(c));
 	randombytes_buf(&opts.seed, sizeof(opts.seed));
 	l->candidate = settings_int(s, S_LEAD_CANDIDATE) == 1;
+	l->live.home = l->candidate;
 	lease_init(&l->lease, &opts);
 	lease_set_eager(&l->lease, true);
 	*state = l;
--- a/packages/daemon/src/lead/live.c
+++ b/packages/daemon/src/lead/live.c
@@ -13,9 +13,22 @@
 	/// item may be at no server.
 	LIVE_TTL_MS = 2400,
 	LIVE_RENEW_MS = 700, ///< three renewals fit into the time to live
+	/// The same for a home of batches, which runs nearly all of them.
+	LIVE_HOME_TTL_MS = 1800,
+	LIVE_HOME_RENEW_MS = 450,
 	LIVE_RETRY_MS = 250, ///< two tries fit in after a missed renewal
 };
 
+static int64_t ttl_ms(const struct live *l)
+{
+	return l->home ? LIVE_HOME_TTL_MS : LIVE_TTL_MS;
+}
+
+static int64_t renew_ms(const struct live *l)
+{
+	return l->home ? LIVE_HOME_RENEW_MS : LIVE_RENEW_MS;
+}
+
 bool live_held(const struct live *l, int64_t now)
 {
 	return l->step == LIVE_RENEW && now < l->until_ms;
@@ -43,7 +56,7 @@
 		return;
 	}
 	l->lease = res->lease;
-	l->until_ms = l->called_ms + LIVE_TTL_MS;
+	l->until_ms = l->called_ms + ttl_ms(l);
 	live_again(l, LIVE_READ, core_now(c));
 }
 
@@ -60,7 +73,7 @@
 {
 	switch (res->err) {
 	case ERR_OK:
-		live_again(l, LIVE_RENEW, l->called_ms + LIVE_RENEW_MS);
+		live_again(l, LIVE_RENEW, l->called_ms + renew_ms(l));
 		log_event(EV_LIVE_TAKEN, "run=%s rev=%llu", core_incarnation(c),
 			  (unsigned long long)res->rev);
 		break;
@@ -81,8 +94,8 @@
 		     const struct kv_result *res)
 {
 	if (res->err == ERR_OK) {
-		l->until_ms = l->called_ms + LIVE_TTL_MS;
-		live_again(l, LIVE_RENEW, l->called_ms + LIVE_RENEW_MS);
+		l->until_ms = l->called_ms + ttl_ms(l);
+		live_again(l, LIVE_RENEW, l->called_ms + renew_ms(l));
 	} else if (res->err == ERR_NOT_FOUND || res->err == ERR_KV_LEASE) {
 		live_again(l, LIVE_GRANT, core_now(c));
 	} else {
@@ -137,7 +150,7 @@
 	snprintf(key, sizeof(key), KEY_LIVE "%s", core_node(c));
 	switch (l->step) {
 	case LIVE_GRANT:
-		return kv_lease_grant(c, LIVE_TTL_MS, cb);
+		return kv_lease_grant(c, ttl_ms(l), cb);
 	case LIVE_READ:
 		return kv_get(c, key, cb);
 	case LIVE_PUT:
--- a/packages/daemon/src/lead/live.h
+++ b/packages/daemon/src/lead/live.h
@@ -14,6 +14,7 @@
 
 struct live {
 	enum live_step step;
+	bool home; ///< others wait for this node's batches: noticed sooner
 	bool busy; ///< a call is outstanding
 	uint64_t lease;
 	uint64_t rev; ///< of the key
--- a/packages/daemon/src/order/order_mod.c
+++ b/packages/daemon/src/order/order_mod.c
@@ -140,7 +140,7 @@
 	struct rollplan_order ord;
 	uint64_t epoch;
 
-	if (!conf || !lead_mod_held(c, &epoch) || !site_mod_fresh(c))
+	if (!conf || !lead_mod_may_act(c, &epoch) || !site_mod_fresh(c))
 		return;
 	if (o->epoch != epoch) {
 		rollplan_init(&o->plan, &opts);
--- a/packages/daemon/src/tally/report.c
+++ b/packages/daemon/src/tally/report.c
@@ -17,9 +17,9 @@
 	REPORT_RETRY_MS = 400,
 	REPORT_TIMEOUT_MS = 1500, ///< of the call to the platform
 	REPORT_TEAMS = 512, ///< most teams of a report
-	/// Windows that a new leader looks back: as many as end within the time
-	/// in which a report is still of use.
-	REPORT_BACK = 3,
+	/// Windows that a new leader looks back: more than pass while nobody
+	/// leads. What was reported before is reported again, the same.
+	REPORT_BACK = 8,
 };
 
 static struct tally_report *report_of(const struct core *c)
@@ -233,11 +233,12 @@
 {
 	struct tally_report *r = &t->report;
 	int64_t settled = (wall_ms - t->settle_ms) / t->window_ms - 1;
+	int64_t back = epoch > 1 ? REPORT_BACK : 1;
 
 	if (!r->sum)
 		r->sum = json_object();
 	if (r->epoch != epoch || r->window < settled - REPORT_BACK)
-		r->window = settled - REPORT_BACK + 1;
+		r->window = settled - back + 1;
 	r->epoch = epoch;
 	if (r->window <= settled)
 		r->step = REPORT_LIST;
@@ -250,7 +251,7 @@
 
 	if (r->busy)
 		return;
-	if (!lead_mod_held(c, &epoch)) {
+	if (!lead_mod_may_act(c, &epoch)) {
 		r->step = REPORT_IDLE;
 		return;
 	}
--- a/packages/lease/include/lease/lease.h
+++ b/packages/lease/include/lease/lease.h
@@ -58,6 +58,7 @@
 	int64_t renew_ms; ///< from the start of a renewal to the next
 	int64_t retry_ms; ///< least wait after a failure
 	int64_t slow_ms; ///< between reads of a candidate that stands back
+	int64_t quiet_ms; ///< a later holder acts this long after it took over
 	uint64_t seed; ///< of the waits
 };
 
@@ -89,6 +90,7 @@
 	int64_t expires_ms; ///< earliest end of the store lease
 	int64_t next_ms; ///< earliest next call
 	bool waiting; ///< a call is outstanding
+	int64_t held_ms; ///< start of the holding
 	bool eager; ///< watches the key
 	bool ending; ///< lease_release() was called
 };
@@ -118,6 +120,14 @@
 bool lease_held(const struct lease *l, int64_t now, uint64_t *epoch,
 		int64_t *until_ms);
 
+/// Whether the holder may act towards those that see no lease and would count
+/// holders that take turns: not before quiet_ms of a holding that is not the
+/// first one. Of acts of A, of B after it and of A again, the first and the last
+/// are at least two such spans apart, however short B's holding was.
+///
+/// @param[out] epoch  fencing number, may be NULL
+bool lease_may_act(const struct lease *l, int64_t now, uint64_t *epoch);
+
 /// Give the duty up for good; call when nothing more will be sent under it.
 void lease_release(struct lease *l);
 
--- a/packages/lease/src/lease.c
+++ b/packages/lease/src/lease.c
@@ -209,8 +209,9 @@
 		lease_go(l, LEASE_ST_READ_BACK, now + l->opts.retry_ms);
 }
 
-static void lease_take(struct lease *l)
+static void lease_take(struct lease *l, int64_t now)
 {
+	l->held_ms = now;
 	lease_go(l, LEASE_ST_HELD,
 		 l->expires_ms - l->opts.ttl_ms + l->opts.renew_ms);
 }
@@ -220,7 +221,7 @@
 {
 	if (lease_mine(l, ans)) {
 		l->epoch = ans->epoch;
-		lease_take(l);
+		lease_take(l, now);
 	} else if (ans->err == ERR_OK || ans->err == ERR_NOT_FOUND) {
 		bool found = ans->err == ERR_OK;
 
@@ -236,7 +237,7 @@
 			 const struct lease_answer *ans)
 {
 	if (ans->err == ERR_OK)
-		lease_take(l);
+		lease_take(l, now);
 	else
 		lease_go(l, LEASE_ST_READ_EPOCH,
 			 ans->err == ERR_KV_CONFLICT ? now
@@ -297,6 +298,12 @@
 	return true;
 }
 
+bool lease_may_act(const struct lease *l, int64_t now, uint64_t *epoch)
+{
+	return lease_held(l, now, epoch, NULL) &&
+	       (l->epoch == 1 || now - l->held_ms >= l->opts.quiet_ms);
+}
+
 void lease_release(struct lease *l)
 {
 	l->ending = true;
--- a/packages/lease/test/test_lease.c
+++ b/packages/lease/test/test_lease.c
@@ -214,9 +214,64 @@
 	next(&l, 100000, LEASE_NONE);
 }
 
+/* Bring a candidate to its holding at a time, with an epoch. */
+static void hold_at(struct lease *l, int64_t now, uint64_t epoch)
+{
+	const struct lease_opts opts = {
+		.node = "n",
+		.ttl_ms = 2000,
+		.margin_ms = 500,
+		.renew_ms = 500,
+		.retry_ms = 50,
+		.slow_ms = 500,
+		.quiet_ms = 1500,
+	};
+	struct lease_answer ans = {.err = ERR_NOT_FOUND, .holder = ""};
+
+	lease_init(l, &opts);
+	assert_int_equal(lease_next(l, now).op, LEASE_READ);
+	lease_answer(l, now, &ans);
+	assert_int_equal(lease_next(l, now).op, LEASE_GRANT);
+	ans = (struct lease_answer){.holder = "", .store_lease = 7};
+	lease_answer(l, now, &ans);
+	assert_int_equal(lease_next(l, now).op, LEASE_CREATE);
+	lease_answer(l, now, &ans);
+	assert_int_equal(lease_next(l, now).op, LEASE_READ_EPOCH);
+	ans = (struct lease_answer){
+		.err = epoch > 1 ? ERR_OK : ERR_NOT_FOUND,
+		.holder = "other",
+		.epoch = epoch - 1,
+	};
+	lease_answer(l, now, &ans);
+	assert_int_equal(lease_next(l, now).op, LEASE_PUT_EPOCH);
+	ans = (struct lease_answer){.holder = ""};
+	lease_answer(l, now, &ans);
+	assert_true(lease_held(l, now, NULL, NULL));
+}
+
+/* A later holder is quiet at first; the first one has nobody to wait for. */
+static void test_quiet(void **state)
+{
+	struct lease l;
+	uint64_t epoch;
+
+	hold_at(&l, 1000, 1);
+	assert_true(lease_may_act(&l, 1000, &epoch));
+	assert_int_equal(epoch, 1);
+	hold_at(&l, 1000, 4);
+	assert_false(lease_may_act(&l, 2499, NULL));
+	/* Renewed meanwhile: the span counts from the start of the holding. */
+	assert_int_equal(lease_next(&l, 1500).op, LEASE_RENEW);
+	lease_answer(&l, 1510, &(struct lease_answer){.holder = ""});
+	assert_true(lease_may_act(&l, 2500, &epoch));
+	assert_int_equal(epoch, 4);
+	assert_false(lease_may_act(&l, 9000, NULL));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_quiet),
 		cmocka_unit_test(test_one_holder),
 		cmocka_unit_test(test_mutants_are_caught),
 		cmocka_unit_test(test_lost_create),
