fix(platform): of a watch's events the last one of each key counts

Cause: after an outage one answer to the relays' watch held 14 deletions and, after each, the entry's return. The adapter sorted events into items and deletions, and the deletions were taken last: all servers counted as lapsed and were dropped 2.2 s later, at the relays and so everywhere. Ruled out: servers that registered late (the puts stand in the same answer).

--- a/packages/wire/include/wire/store.h
+++ b/packages/wire/include/wire/store.h
@@ -20,6 +20,7 @@
 		///< ERR_KV_HISTORY; ERR_KV_UNKNOWN: the call may have taken
 		///< effect; ERR_KV_DOWN: it surely did not
 	uint64_t rev; ///< store's revision, or that of the key after a put
+	/// Of a watch, a key is among items or deleted as it stands at the end.
 	const struct kv_item *items;
 	size_t n_items;
 	bool more; ///< of a list: keys after the last one were left out
