--- a/packages/daemon/src/job/submit.c
+++ b/packages/daemon/src/job/submit.c
@@ -104,8 +104,7 @@
 		if (job_start(c, j, s->spec) == ERR_OK)
 			s->spec = NULL;
 	}
-	histogram_add(H_BATCH_TAKEN,
-		      core_now(c) + SUBMIT_MAX_MS - s->until_ms);
+	histogram_add(H_BATCH_TAKEN, core_now(c) + SUBMIT_MAX_MS - s->until_ms);
 	accepted(c, &s->caller);
 	submit_free(jobs, s);
 	if (j && j->running)
--- a/packages/daemon/src/proxy_msg.c
+++ b/packages/daemon/src/proxy_msg.c
@@ -3,18 +3,14 @@
 
 #include <string.h>
 
+#include "packed_msg.h"
+
 enum {
 	ASK_FIELDS = 9, ///< seq, addr, op, key, from, value, rev, lease, ms
 	REPLY_FIELDS = 8, ///< seq, err, rev, more, lease, ttl, items, deleted
 	ITEM_FIELDS = 3, ///< key, value, rev
 };
 
-static void pack_text(msgpack_packer *pk, const char *text)
-{
-	text = text ? text : "";
-	msgpack_pack_str_with_body(pk, text, strlen(text));
-}
-
 void proxy_ask_pack(msgpack_sbuffer *buf, const struct proxy_ask *ask)
 {
 	const struct kv_call *call = &ask->call;
@@ -23,10 +19,10 @@
 	msgpack_packer_init(&pk, buf, msgpack_sbuffer_write);
 	msgpack_pack_array(&pk, ASK_FIELDS);
 	msgpack_pack_uint64(&pk, ask->seq);
-	pack_text(&pk, ask->addr);
+	packed_text(&pk, ask->addr);
 	msgpack_pack_uint64(&pk, call->op);
-	pack_text(&pk, call->key);
-	pack_text(&pk, call->from);
+	packed_text(&pk, call->key);
+	packed_text(&pk, call->from);
 	msgpack_pack_bin_with_body(&pk, call->value ? call->value : "",
 				   call->len);
 	msgpack_pack_uint64(&pk, call->rev);
@@ -34,63 +30,30 @@
 	msgpack_pack_uint64(&pk, (uint64_t)call->ms);
 }
 
-static bool take_uint(const msgpack_object *o, uint64_t *out)
-{
-	if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
-		return false;
-	*out = o->via.u64;
-	return true;
-}
-
-static bool take_ms(const msgpack_object *o, int64_t *out)
-{
-	uint64_t v;
-
-	if (!take_uint(o, &v) || v > INT32_MAX)
-		return false;
-	*out = (int64_t)v;
-	return true;
-}
-
-static bool take_text(const msgpack_object *o, struct arena *a,
-		      const char **out)
-{
-	if (o->type != MSGPACK_OBJECT_STR ||
-	    memchr(o->via.str.ptr, '\0', o->via.str.size))
-		return false;
-	*out = arena_strndup(a, o->via.str.ptr, o->via.str.size);
-	return *out != NULL;
-}
-
-static bool take_bytes(const msgpack_object *o, struct arena *a,
-		       const char **out, size_t *len)
-{
-	if (o->type != MSGPACK_OBJECT_BIN)
-		return false;
-	*len = o->via.bin.size;
-	*out = arena_strndup(a, o->via.bin.ptr, *len);
-	return *out != NULL;
-}
-
-static bool is_array(const msgpack_object *o, uint32_t n)
-{
-	return o->type == MSGPACK_OBJECT_ARRAY && o->via.array.size == n;
-}
+struct ask_read {
+	struct arena *a;
+	struct proxy_ask *ask;
+};
 
-static bool ask_take(const msgpack_object *o, struct arena *a,
-		     struct proxy_ask *ask)
+static bool ask_take(const msgpack_object *o, void *ctx)
 {
+	struct ask_read *r = ctx;
+	struct proxy_ask *ask = r->ask;
+	struct arena *a = r->a;
 	const msgpack_object *f = o->via.array.ptr;
 	struct kv_call *call = &ask->call;
 	uint64_t op;
 
-	if (!is_array(o, ASK_FIELDS) || !take_uint(&f[0], &ask->seq) ||
-	    !take_text(&f[1], a, &ask->addr) || !take_uint(&f[2], &op) ||
-	    op >= KV_OPS || !take_text(&f[3], a, &call->key) ||
-	    !take_text(&f[4], a, &call->from) ||
-	    !take_bytes(&f[5], a, &call->value, &call->len) ||
-	    !take_uint(&f[6], &call->rev) || !take_uint(&f[7], &call->lease) ||
-	    !take_ms(&f[8], &call->ms))
+	if (!packed_is_array(o, ASK_FIELDS) ||
+	    !packed_take_uint(&f[0], &ask->seq) ||
+	    !packed_take_text(&f[1], a, &ask->addr) ||
+	    !packed_take_uint(&f[2], &op) || op >= KV_OPS ||
+	    !packed_take_text(&f[3], a, &call->key) ||
+	    !packed_take_text(&f[4], a, &call->from) ||
+	    !packed_take_bytes(&f[5], a, &call->value, &call->len) ||
+	    !packed_take_uint(&f[6], &call->rev) ||
+	    !packed_take_uint(&f[7], &call->lease) ||
+	    !packed_take_ms(&f[8], &call->ms))
 		return false;
 	call->op = (enum kv_op)op;
 	if (!*call->from)
@@ -101,16 +64,9 @@
 enum err proxy_ask_read(const void *data, size_t len, struct arena *a,
 			struct proxy_ask *ask)
 {
-	msgpack_unpacked u;
-	size_t off = 0;
-	bool ok;
-
-	msgpack_unpacked_init(&u);
-	ok = msgpack_unpack_next(&u, data, len, &off) ==
-		     MSGPACK_UNPACK_SUCCESS &&
-	     ask_take(&u.data, a, ask);
-	msgpack_unpacked_destroy(&u);
-	return ok ? ERR_OK : ERR_PARSE;
+	struct ask_read r = {a, ask};
+
+	return packed_read(data, len, ask_take, &r);
 }
 
 void proxy_reply_pack(msgpack_sbuffer *buf, uint64_t seq,
@@ -129,14 +85,14 @@
 	msgpack_pack_array(&pk, res->n_items);
 	for (size_t i = 0; i < res->n_items; i++) {
 		msgpack_pack_array(&pk, ITEM_FIELDS);
-		pack_text(&pk, res->items[i].key);
+		packed_text(&pk, res->items[i].key);
 		msgpack_pack_bin_with_body(&pk, res->items[i].value,
 					   res->items[i].len);
 		msgpack_pack_uint64(&pk, res->items[i].rev);
 	}
 	msgpack_pack_array(&pk, res->n_deleted);
 	for (size_t i = 0; i < res->n_deleted; i++)
-		pack_text(&pk, res->deleted[i]);
+		packed_text(&pk, res->deleted[i]);
 }
 
 static bool take_items(const msgpack_object *o, struct arena *a,
@@ -151,10 +107,11 @@
 		const msgpack_object *row = &o->via.array.ptr[i];
 		const msgpack_object *f = row->via.array.ptr;
 
-		if (!is_array(row, ITEM_FIELDS) ||
-		    !take_text(&f[0], a, &items[i].key) ||
-		    !take_bytes(&f[1], a, &items[i].value, &items[i].len) ||
-		    !take_uint(&f[2], &items[i].rev))
+		if (!packed_is_array(row, ITEM_FIELDS) ||
+		    !packed_take_text(&f[0], a, &items[i].key) ||
+		    !packed_take_bytes(&f[1], a, &items[i].value,
+				       &items[i].len) ||
+		    !packed_take_uint(&f[2], &items[i].rev))
 			return false;
 	}
 	res->items = items;
@@ -171,7 +128,7 @@
 		return false;
 	keys = arena_alloc(a, (o->via.array.size + 1) * sizeof(*keys));
 	for (uint32_t i = 0; keys && i < o->via.array.size; i++) {
-		if (!take_text(&o->via.array.ptr[i], a, &keys[i]))
+		if (!packed_take_text(&o->via.array.ptr[i], a, &keys[i]))
 			return false;
 	}
 	res->deleted = keys;
@@ -179,16 +136,27 @@
 	return keys != NULL;
 }
 
-static bool reply_take(const msgpack_object *o, struct arena *a, uint64_t *seq,
-		       struct kv_result *res)
+struct reply_read {
+	struct arena *a;
+	uint64_t *seq;
+	struct kv_result *res;
+};
+
+static bool reply_take(const msgpack_object *o, void *ctx)
 {
+	struct reply_read *r = ctx;
+	struct kv_result *res = r->res;
+	struct arena *a = r->a;
 	const msgpack_object *f = o->via.array.ptr;
 	uint64_t err, more;
 
-	if (!is_array(o, REPLY_FIELDS) || !take_uint(&f[0], seq) ||
-	    !take_uint(&f[1], &err) || err > INT16_MAX ||
-	    !take_uint(&f[2], &res->rev) || !take_uint(&f[3], &more) ||
-	    !take_uint(&f[4], &res->lease) || !take_ms(&f[5], &res->ttl_ms))
+	if (!packed_is_array(o, REPLY_FIELDS) ||
+	    !packed_take_uint(&f[0], r->seq) ||
+	    !packed_take_uint(&f[1], &err) || err > INT16_MAX ||
+	    !packed_take_uint(&f[2], &res->rev) ||
+	    !packed_take_uint(&f[3], &more) ||
+	    !packed_take_uint(&f[4], &res->lease) ||
+	    !packed_take_ms(&f[5], &res->ttl_ms))
 		return false;
 	res->err = (enum err)err;
 	res->more = more != 0;
@@ -198,15 +166,8 @@
 enum err proxy_reply_read(const void *data, size_t len, struct arena *a,
 			  uint64_t *seq, struct kv_result *res)
 {
-	msgpack_unpacked u;
-	size_t off = 0;
-	bool ok;
+	struct reply_read r = {a, seq, res};
 
 	memset(res, 0, sizeof(*res));
-	msgpack_unpacked_init(&u);
-	ok = msgpack_unpack_next(&u, data, len, &off) ==
-		     MSGPACK_UNPACK_SUCCESS &&
-	     reply_take(&u.data, a, seq, res);
-	msgpack_unpacked_destroy(&u);
-	return ok ? ERR_OK : ERR_PARSE;
+	return packed_read(data, len, reply_take, &r);
 }
