--- a/packages/daemon/src/front/front.h
+++ b/packages/daemon/src/front/front.h
@@ -20,7 +20,6 @@
 	char route[SITE_NAME];
 	enum site_kind kind;
 	bool has_budget; ///< the caller said how long it will wait
-	bool refused; ///< a server said that it is full
 	bool maybe_ran;
 	int max_servers;
 	int64_t arrived_ms;
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -8,24 +8,13 @@
 #include "base/log.h"
 #include "base/metric.h"
 #include "daemon/site_mod.h"
-#include "job/job.h"
-
-/* A run is moved from a server that is slower than the first figure to one that
- * is not slower than the second. */
-static const double MOVE_FROM = 1.7;
-static const double MOVE_TO = 1.3;
+#include "job/run.h"
 
 enum {
 	/// Longest wait for the first event: an engine queues a few requests,
 	/// and a place there comes free every some 100 ms.
 	RUN_FIRST_MS = 1500,
-	/// Longest silence between two events; they come some 40 ms apart, and
-	/// 160 ms at a slow engine.
-	RUN_SILENCE_MS = 700,
 	WAITING_LOG_MS = 1000, ///< between two lines about items that wait
-	RUN_WATCH_MS = 100, ///< between two looks for slow and silent runs
-	RUN_MOVE_MS = 300, ///< least time at a server before a run is moved
-	RUN_MOVES = 4, ///< of a batch at one look
 	RUN_CONNECT_MS = 500, ///< to connect to an engine
 	/// Nodes that send to one cold server at once: its rate is shared.
 	COLD_SENDERS = 4,
@@ -34,7 +23,7 @@
 	RUN_MAX_FAILURES = 3,
 };
 
-static const struct site_route *route_of(struct core *c, const struct job *j)
+const struct site_route *job_route(struct core *c, const struct job *j)
 {
 	const struct site_conf *conf = site_mod_conf(c);
 
@@ -97,7 +86,7 @@
 }
 
 /* Note at the server how the run went, and free its place. */
-static void leave_server(struct core *c, struct job_at_server *at, bool ok)
+void job_leave_server(struct core *c, struct job_at_server *at, bool ok)
 {
 	struct site_server *s =
 		site_servers_get(site_mod_servers(c), at->server);
@@ -114,7 +103,7 @@
 		if (!j->at[i].fetch)
 			continue;
 		core_fetch_cancel(c, j->at[i].fetch);
-		leave_server(c, &j->at[i], true);
+		job_leave_server(c, &j->at[i], true);
 		job_run_ended(j->run, (int)i, core_now(c), JOB_RUN_BROKEN);
 	}
 }
@@ -219,10 +208,10 @@
 }
 
 /* End a run that can't go on at its server. */
-static void cut(struct core *c, struct job *j, struct job_at_server *at)
+void job_cut(struct core *c, struct job *j, struct job_at_server *at)
 {
 	core_fetch_cancel(c, at->fetch);
-	leave_server(c, at, false);
+	job_leave_server(c, at, false);
 	job_run_ended(j->run, at->item, core_now(c), JOB_RUN_BROKEN);
 }
 
@@ -239,7 +228,7 @@
 	if (!at->spoilt && sse_feed(&at->sse, data, len) != ERR_OK)
 		at->spoilt = true;
 	if (at->spoilt)
-		cut(c, j, at);
+		job_cut(c, j, at);
 }
 
 static enum job_outcome outcome_of(const struct job_at_server *at,
@@ -301,13 +290,13 @@
 	log_end(c, j, at, res, how);
 	histogram_add(H_ITEM, core_now(c) - at->sent_ms);
 	server_ok = how == JOB_RUN_WHOLE || how == JOB_RUN_IMPOSSIBLE;
-	leave_server(c, at, server_ok);
+	job_leave_server(c, at, server_ok);
 	job_run_ended(j->run, at->item, core_now(c), how);
 	job_step(c, j);
 }
 
-static bool send_item(struct core *c, struct job *j, int item,
-		      struct site_server *s)
+bool job_send_item(struct core *c, struct job *j, int item,
+		   struct site_server *s)
 {
 	const struct job_item *it = &j->spec->items[item];
 	struct job_at_server *at = &j->at[item];
@@ -362,13 +351,13 @@
 /* Service that the batch's route names now; batches go to one service. */
 static const char *service_of(struct core *c, struct job *j)
 {
-	const struct site_route *route = route_of(c, j);
+	const struct site_route *route = job_route(c, j);
 
 	return route && route->n_targets ? route->targets[0].service : NULL;
 }
 
 /* What an item of the batch needs of a server. */
-static bool ask_of(struct core *c, struct job *j, struct site_ask *ask)
+bool job_ask_of(struct core *c, struct job *j, struct site_ask *ask)
 {
 	const struct site_conf *conf = site_mod_conf(c);
 	const struct site_service *svc;
@@ -389,78 +378,6 @@
 	return true;
 }
 
-/* Whether a run is better off elsewhere, and where. */
-static struct site_server *better_place(struct core *c,
-					const struct job_at_server *at,
-					const struct site_ask *ask)
-{
-	struct site_servers *t = site_mod_servers(c);
-	const struct site_server *from = site_servers_get(t, at->server);
-	int64_t now = core_now(c);
-	struct site_server *to;
-
-	if (!from || !at->last_ms || now - at->sent_ms < RUN_MOVE_MS ||
-	    site_server_slowness(from, now, ask->pace_ms) < MOVE_FROM)
-		return NULL;
-	to = site_servers_choose(t, now, ask);
-	if (!to || site_server_slowness(to, now, ask->pace_ms) > MOVE_TO)
-		return NULL;
-	return to;
-}
-
-/* Go on elsewhere from the last event that came. */
-static void move(struct core *c, struct job *j, struct job_at_server *at,
-		 struct site_server *to)
-{
-	int item = at->item;
-
-	log_event(EV_JOB_MOVED, "batch=%s item=%s to=%s events=%llu ms=%lld",
-		  j->id, j->spec->items[item].id, to->entry.id,
-		  (unsigned long long)job_run_text(j->run, item)->last_event,
-		  (long long)(core_now(c) - at->sent_ms));
-	core_fetch_cancel(c, at->fetch);
-	leave_server(c, at, true);
-	job_run_moved(j->run, item);
-	if (!send_item(c, j, item, to))
-		return;
-}
-
-static bool is_silent(struct core *c, const struct job_at_server *at)
-{
-	return at->last_ms && core_now(c) - at->last_ms >= RUN_SILENCE_MS;
-}
-
-void job_watch_runs(struct core *c, struct job *j)
-{
-	struct site_ask ask;
-	int moves = 0;
-
-	if (!j->running || core_now(c) < j->runs_next_ms)
-		return;
-	j->runs_next_ms = core_now(c) + RUN_WATCH_MS;
-	if (j->owner.ended || !ask_of(c, j, &ask))
-		return;
-	/* A text of one version can't go on under another: it would begin anew. */
-	if (route_of(c, j)->one_version)
-		moves = RUN_MOVES;
-	for (size_t i = 0; i < j->spec->n_items && moves < RUN_MOVES; i++) {
-		struct job_at_server *at = &j->at[i];
-		struct site_server *to;
-
-		if (!at->fetch)
-			continue;
-		if (is_silent(c, at)) {
-			cut(c, j, at);
-			continue;
-		}
-		to = better_place(c, at, &ask);
-		if (!to)
-			continue;
-		move(c, j, at, to);
-		moves++;
-	}
-}
-
 /* Servers that an item could go to if they had a free place. */
 static int count_fitting(struct core *c, const struct site_ask *ask)
 {
@@ -503,7 +420,7 @@
 	if (!j->running || j->owner.ended || jobs_of(c)->draining ||
 	    !site_mod_fresh(c))
 		return;
-	if (!ask_of(c, j, &ask)) {
+	if (!job_ask_of(c, j, &ask)) {
 		job_run_give_up(j->run);
 		job_run_next(j->run, core_now(c));
 		return;
@@ -514,7 +431,7 @@
 
 		if (!s)
 			log_waiting(c, j, &ask);
-		if (!s || !send_item(c, j, item, s))
+		if (!s || !job_send_item(c, j, item, s))
 			return;
 	}
 }
--- /dev/null
+++ b/packages/daemon/src/site/nodes.c
@@ -0,0 +1,154 @@
+// Which nodes are alive, which of them may be homes, relays or of help.
+#include <stdio.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "lead/live_value.h"
+#include "site/site.h"
+#include "store_keys.h"
+
+const struct site_node *site_mod_homes(struct core *c, size_t *n)
+{
+	*n = site_of(c)->n_homes;
+	return site_of(c)->homes;
+}
+
+const struct site_node *site_mod_neighbours(struct core *c, size_t *n)
+{
+	*n = site_of(c)->n_neighbours;
+	return site_of(c)->neighbours;
+}
+
+static struct site_node *node_find(struct site_node *list, size_t n,
+				   const char *node)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (strcmp(list[i].node, node) == 0)
+			return &list[i];
+	}
+	return NULL;
+}
+
+/* Put a node into a list, at its front or its end. */
+static void node_put(struct site_node *list, size_t *n,
+		     const struct live_value *v, bool front, int64_t now)
+{
+	struct site_node *h = node_find(list, *n, v->node);
+
+	if (!h && *n == SITE_HOMES)
+		return;
+	if (!h) {
+		h = front ? list : &list[*n];
+		if (front)
+			memmove(list + 1, list, *n * sizeof(*list));
+		(*n)++;
+		h->known_ms = now;
+	}
+	snprintf(h->node, sizeof(h->node), "%s", v->node);
+	snprintf(h->peer, sizeof(h->peer), "%s", v->peer);
+}
+
+static void node_del(struct site_node *list, size_t *n, const char *node)
+{
+	struct site_node *h = node_find(list, *n, node);
+
+	if (!h)
+		return;
+	(*n)--;
+	memmove(h, h + 1, (size_t)(list + *n - h) * sizeof(*h));
+}
+
+uint64_t site_mod_nodes_gen(struct core *c)
+{
+	return site_of(c)->nodes_gen;
+}
+
+bool site_mod_nodes_known(struct core *c)
+{
+	return site_of(c)->nodes.listed;
+}
+
+bool site_mod_alive(struct core *c, const char *node, const char *run)
+{
+	const struct relay_copy *copy = &site_of(c)->nodes.copy;
+
+	for (size_t i = 0; i < copy->n; i++) {
+		const struct relay_item *it = &copy->items[i];
+		const struct kv_item item = {
+			.key = it->key, .value = it->value, .len = it->len};
+		struct live_value v;
+
+		if (it->value &&
+		    strcmp(it->key + sizeof(KEY_LIVE) - 1, node) == 0 &&
+		    live_value_parse(&item, &v) == ERR_OK)
+			return strcmp(v.run, run) == 0;
+	}
+	return false;
+}
+
+static void node_known(struct core *c, struct site *s,
+		       const struct live_value *v)
+{
+	bool self = strcmp(v->node, core_node(c)) == 0;
+	bool near = strcmp(v->domain, core_domain(c)) == 0;
+
+	/* Connections are there before they are needed. */
+	if (!self && (v->relay || near || s->relay.serves))
+		core_peer_add(c, v->node, v->peer);
+	if (!self && (near || v->relay))
+		node_put(s->neighbours, &s->n_neighbours, v, near && !v->relay,
+			 core_now(c));
+	if (!v->relay)
+		return;
+	node_put(s->homes, &s->n_homes, v, false, core_now(c));
+	if (!self)
+		relay_node(c, &s->relay, v->node, v->peer, near);
+}
+
+static void nodes_begin(struct core *c, void *ctx)
+{
+	struct site *s = ctx;
+
+	s->nodes_gen++;
+	s->n_homes = 0;
+	s->n_neighbours = 0;
+}
+
+static void nodes_item(struct core *c, void *ctx, const struct kv_item *item)
+{
+	struct site *s = ctx;
+	struct live_value v;
+
+	s->nodes_gen++;
+	if (live_value_parse(item, &v) != ERR_OK) {
+		log_event(EV_SITE_SERVER_BAD, "key=%s error=parse", item->key);
+		return;
+	}
+	node_known(c, s, &v);
+}
+
+static void nodes_gone(struct core *c, void *ctx, const char *key)
+{
+	struct site *s = ctx;
+
+	s->nodes_gen++;
+	node_del(s->homes, &s->n_homes, key + sizeof(KEY_LIVE) - 1);
+	node_del(s->neighbours, &s->n_neighbours, key + sizeof(KEY_LIVE) - 1);
+	relay_node_gone(c, &s->relay, key + sizeof(KEY_LIVE) - 1);
+}
+
+static void nodes_listed(struct core *c, void *ctx)
+{
+}
+
+static void nodes_confirmed(struct core *c, void *ctx, int64_t as_of_ms)
+{
+}
+
+const struct feed_ops site_nodes_ops = {
+	.begin = nodes_begin,
+	.item = nodes_item,
+	.gone = nodes_gone,
+	.listed = nodes_listed,
+	.confirmed = nodes_confirmed,
+};
--- /dev/null
+++ b/packages/daemon/src/site/site.h
@@ -0,0 +1,40 @@
+// Inside of the site module.
+#pragma once
+
+#include "daemon/site_mod.h"
+#include "site/feed.h"
+#include "site/relay.h"
+#include "wire/wire.h"
+
+enum {
+	SITE_WEIGHTS = 64, ///< models whose versions are followed
+	SITE_HOMES = 64, ///< nodes that may be homes of batches, or neighbours
+};
+
+struct site {
+	const struct publish_wire_ops *wire;
+	struct site_conf *conf;
+	struct site_servers *servers;
+	struct publish_weights weights[SITE_WEIGHTS];
+	int n_weights;
+	struct feed operators;
+	struct feed entries;
+	struct feed nodes;
+	uint64_t nodes_gen; ///< changes with the nodes
+	struct site_node homes[SITE_HOMES];
+	size_t n_homes;
+	struct site_node neighbours[SITE_HOMES];
+	size_t n_neighbours;
+	struct relay relay;
+	int64_t confirmed_ms; ///< configuration, 0 for never
+	bool stale_logged;
+	int64_t back_ms; ///< since when the store answers, as last seen
+	bool retire; ///< this VM is to be emptied
+	bool retire_busy;
+	int64_t retire_next_ms;
+};
+
+struct site *site_of(const struct core *c);
+
+/// Keeps up with the nodes' liveness keys; its context is the struct site.
+extern const struct feed_ops site_nodes_ops;
