--- a/packages/daemon/src/job/move.c
+++ b/packages/daemon/src/job/move.c
@@ -62,6 +62,7 @@
 {
 	struct site_ask ask;
 	int moves = 0;
+	int most;
 
 	if (!j->running || core_now(c) < j->runs_next_ms)
 		return;
@@ -69,9 +70,8 @@
 	if (j->owner.ended || !job_ask_of(c, j, &ask))
 		return;
 	/* A text of one version can't go on under another: it would begin anew. */
-	if (job_route(c, j)->one_version)
-		moves = RUN_MOVES;
-	for (size_t i = 0; i < j->spec->n_items && moves < RUN_MOVES; i++) {
+	most = job_route(c, j)->one_version ? 0 : RUN_MOVES;
+	for (size_t i = 0; i < j->spec->n_items; i++) {
 		struct job_at_server *at = &j->at[i];
 		struct site_server *to;
 
@@ -81,7 +81,7 @@
 			job_cut(c, j, at);
 			continue;
 		}
-		to = better_place(c, at, &ask);
+		to = moves < most ? better_place(c, at, &ask) : NULL;
 		if (!to)
 			continue;
 		move(c, j, at, to);
