refactor(daemon): one driver of a lease's store calls

Problem: duty_lease.c and lead_mod.c each put the calls that a lease asks for on the store and read the answers back, line by line the same.

Solution: candidacy.c does it for both, with the keys as its input; duty_lease.c keeps only the reading of old intents, as duty_list.c. seen_holder goes: the lease looks at the name only while it takes the answer. The two readings differed in two things: the leader's took any item of a watch as a change, a duty's only its own key, which now holds for both (no other key begins with the leader's); the revision comes from the item that was read, which is the answer's own revision on the duty's wire. After a watch that saw a change the lease reads the key anew and uses no revision. Also, job/move.c no longer tests a result that it does nothing with.

--- a/packages/daemon/src/duty.h
+++ b/packages/daemon/src/duty.h
@@ -1,11 +1,11 @@
 // Inside of the duty module: one record a wanted duty.
 #pragma once
 
+#include "candidacy.h"
 #include "core/core.h"
 #include "daemon/duty_mod.h"
 #include "daemon/platform_mod.h"
 #include "gate/gate.h"
-#include "lease/lease.h"
 
 enum {
 	DUTY_MAX = 64, ///< duties that one node wants
@@ -54,8 +54,7 @@
 struct duty {
 	char name[DUTY_NAME_MAX];
 	int index;
-	struct lease lease;
-	char seen_holder[LEASE_HOLDER_MAX]; ///< of the last read
+	struct candidacy cand;
 	enum duty_phase phase;
 	struct gate *gate;
 	uint64_t epoch; ///< of the gate
@@ -82,9 +81,6 @@
 /// Whether the lease, the gate and the epoch all allow sending now.
 bool duty_may_send(struct core *c, const struct duty *d);
 
-/// Make the lease's next store call, if it wants one.
-void duty_drive(struct core *c, struct duty *d);
-
 /// Begin to read the intents of earlier holders.
 void duty_list(struct core *c, struct duty *d);
 
--- a/packages/daemon/src/duty_mod.c
+++ b/packages/daemon/src/duty_mod.c
@@ -53,7 +53,7 @@
 
 	return d->gate &&
 	       (d->phase == DUTY_READY || d->phase == DUTY_FINISHING) &&
-	       lease_held(&d->lease, core_now(c), &epoch, NULL) &&
+	       lease_held(&d->cand.lease, core_now(c), &epoch, NULL) &&
 	       epoch == d->epoch;
 }
 
@@ -104,10 +104,13 @@
 		 core_incarnation(c));
 	opts.seed = XXH3_64bits(node, strlen(node));
 	snprintf(d->name, sizeof(d->name), "%s", name);
+	snprintf(d->cand.key, sizeof(d->cand.key), "duty/%s", name);
+	snprintf(d->cand.epoch_key, sizeof(d->cand.epoch_key), "epoch/%s",
+		 name);
 	d->orders = htab_new(DUTY_ORDERS_MAX, sizeof(struct duty_order));
 	if (!d->orders)
 		return ERR_NOMEM;
-	lease_init(&d->lease, &opts);
+	lease_init(&d->cand.lease, &opts);
 	return ERR_OK;
 }
 
@@ -202,7 +205,7 @@
 {
 	uint64_t epoch;
 	int64_t until_ms;
-	bool held = lease_held(&d->lease, core_now(c), &epoch, &until_ms);
+	bool held = lease_held(&d->cand.lease, core_now(c), &epoch, &until_ms);
 
 	if (d->phase == DUTY_CLOSING)
 		duty_close(c, d);
@@ -234,7 +237,7 @@
 static void duty_drain_step(struct duty *d)
 {
 	if (d->phase == DUTY_OUT)
-		lease_release(&d->lease);
+		lease_release(&d->cand.lease);
 	else if (d->phase != DUTY_CLOSING && htab_count(d->orders) == 0)
 		duty_lose(d);
 }
@@ -247,8 +250,8 @@
 	for (int i = 0; i < ds->n; i++) {
 		struct duty *d = &ds->list[i];
 
-		lease_set_eager(&d->lease, duty_eager(c, d));
-		duty_drive(c, d);
+		lease_set_eager(&d->cand.lease, duty_eager(c, d));
+		candidacy_drive(c, &d->cand);
 		duty_follow(c, d);
 		duty_step(c, d);
 		if (ds->draining)
@@ -287,7 +290,7 @@
 
 	for (int i = 0; i < ds->n; i++) {
 		if (ds->list[i].phase != DUTY_OUT ||
-		    !lease_ended(&ds->list[i].lease))
+		    !lease_ended(&ds->list[i].cand.lease))
 			return false;
 	}
 	return true;
--- a/packages/daemon/src/job/move.c
+++ b/packages/daemon/src/job/move.c
@@ -49,8 +49,7 @@
 	core_fetch_cancel(c, at->fetch);
 	job_leave_server(c, at, true);
 	job_run_moved(j->run, item);
-	if (!job_send_item(c, j, item, to))
-		return;
+	job_send_item(c, j, item, to);
 }
 
 static bool is_silent(struct core *c, const struct job_at_server *at)
