feat(sizing): the leader orders servers by what runs

Problem: No server was ever ordered: a failure domain whose servers are lost stays small, and a service that has too few for its work stays so.

Solution: Each node writes the mean of its items at servers to the store, under its liveness lease. The leader sums them, fleet_step() decides the number of a service, fleet_spread() (new, pure) shares it among failure domains: equal numbers, the cheaper domain first, none where none are to be had or where operators took the servers out. An order names the number that a domain shall have, so a repeat changes nothing. A domain is never ordered below what it had while its service grows, and nothing is ordered in the first 5 s of a holding, whose view may be partial.

Items wait for servers with new weights, not for places: loads are the scarce thing (about two at once for all servers), and more servers make them slower.

Conclusion: the size follows use and makes up for lost servers; it is no means against steps that are late.

--- a/packages/core/include/core/core_defs.h
+++ b/packages/core/include/core/core_defs.h
@@ -103,6 +103,7 @@
 	MOD_TALLY,
 	MOD_JOB,
 	MOD_ORDER,
+	MOD_SIZING,
 	MOD_FRONT,
 	MOD_COUNT
 };
--- a/packages/daemon/include/daemon/job_mod.h
+++ b/packages/daemon/include/daemon/job_mod.h
@@ -14,6 +14,9 @@
 void job_mod_submit(struct core *c, struct core_req *req, const char *id,
 		    const char *host, const char *team);
 
+/// Items of this node's batches that are at servers of a service.
+int job_mod_need(struct core *c, const char *service);
+
 /// Answer a read of results, of an item's body, or the end of a batch.
 ///
 /// @param call     what is asked
--- a/packages/daemon/include/daemon/lead_mod.h
+++ b/packages/daemon/include/daemon/lead_mod.h
@@ -21,5 +21,8 @@
 /// Whether this node's liveness key surely stands in the store.
 bool lead_mod_alive(struct core *c);
 
+/// Store lease of this node's liveness key, 0 while it has none.
+uint64_t lead_mod_lease(struct core *c);
+
 /// Give the liveness key up before its time: others take over this node's work.
 void lead_mod_leave(struct core *c);
--- a/packages/daemon/src/job/job_mod.c
+++ b/packages/daemon/src/job/job_mod.c
@@ -6,6 +6,7 @@
 #include "daemon/lead_mod.h"
 #include "daemon/mods.h"
 #include "job/job.h"
+#include "job/run.h"
 
 enum {
 	READERS = 8192, ///< callers that wait for results
@@ -231,6 +232,24 @@
 		job_local(c, &(struct job_caller){.req = req->h}, &ask, false);
 }
 
+int job_mod_need(struct core *c, const char *service)
+{
+	struct jobs *jobs = jobs_of(c);
+	struct job *j;
+	size_t iter = 0;
+	size_t n = 0;
+
+	while ((j = htab_next(jobs->jobs, &iter, NULL))) {
+		const struct site_route *r =
+			j->running && !j->owner.ended ? job_route(c, j) : NULL;
+
+		if (r && r->n_targets &&
+		    strcmp(r->targets[0].service, service) == 0)
+			n += job_run_count(j->run, JOB_SENT);
+	}
+	return (int)n;
+}
+
 static bool jobs_ready(struct core *c, void *state)
 {
 	return lead_mod_alive(c);
--- a/packages/daemon/src/lead/lead_mod.c
+++ b/packages/daemon/src/lead/lead_mod.c
@@ -52,6 +52,13 @@
 	return live_held(&lead_of(c)->live, core_now(c));
 }
 
+uint64_t lead_mod_lease(struct core *c)
+{
+	const struct live *l = &lead_of(c)->live;
+
+	return live_held(l, core_now(c)) ? l->lease : 0;
+}
+
 void lead_mod_leave(struct core *c)
 {
 	live_leave(&lead_of(c)->live);
--- /dev/null
+++ b/packages/daemon/src/sizing/need.h
@@ -0,0 +1,58 @@
+// What the nodes need of servers: each node writes its own need to the store,
+// the leader reads and sums them.
+#pragma once
+
+#include "core/core.h"
+#include "daemon/platform_mod.h"
+#include "site/conf.h"
+#include "store_keys.h"
+
+enum {
+	NEED_SERVICES = 16, ///< services whose servers can be ordered
+};
+
+/// Need of one service, in requests that run at the same time: the mean over a
+/// while. Items that wait do not count: what they wait for is mostly a server
+/// with new weights, and more servers only make loads slower.
+struct need_row {
+	char service[SITE_NAME];
+	double sum; ///< of the looks of this node, or of all nodes' means
+};
+
+struct need_rows {
+	struct need_row rows[NEED_SERVICES];
+	int n;
+};
+
+/// This node's need and its key.
+struct need_own {
+	struct need_rows rows;
+	int looks; ///< that the rows are the sum of
+	bool zero; ///< the store says that nothing is needed, or has no key
+	bool busy; ///< a call is outstanding
+	bool read; ///< the key's revision must be read first
+	uint64_t rev; ///< of the key, 0 for none
+	int64_t look_ms; ///< next look at what this node runs
+	int64_t next_ms; ///< earliest next write
+};
+
+/// The leader's sum over all nodes.
+struct need_all {
+	struct need_rows rows;
+	struct need_rows sum; ///< of the list in progress
+	char from[STORE_KEY]; ///< last key of the list's page, "" for none
+	bool busy; ///< a call is outstanding
+	int64_t next_ms; ///< next list
+	int64_t read_ms; ///< end of the last whole list, 0 for none
+};
+
+/// Look at what this node runs, and write it when it is due.
+void need_own_step(struct core *c, struct need_own *own);
+
+/// Read what all nodes need when it is due.
+void need_all_step(struct core *c, struct need_all *all);
+
+/// Row of a service, made if there is room.
+///
+/// @return row, NULL when all are taken
+struct need_row *need_row_of(struct need_rows *rows, const char *service);
--- /dev/null
+++ b/packages/daemon/src/sizing/sizing_mod.c
@@ -0,0 +1,335 @@
+// The leader orders servers of the services that can grow and shrink.
+//
+// An order names the servers that a failure domain shall have, so one that is
+// repeated, or whose answer was lost, changes nothing.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "core/settings.h"
+#include "daemon/lead_mod.h"
+#include "daemon/mods.h"
+#include "daemon/site_mod.h"
+#include "fleet/fleet.h"
+#include "fleet/spread.h"
+#include "sizing/need.h"
+#include "wire/wire.h"
+
+enum {
+	SIZING_DOMAINS = 16, ///< of a service
+	SIZING_STEP_MS = 1000, ///< fleet_step() wants about one a second
+	SIZING_TIMEOUT_MS = 1500, ///< of an order
+	SIZING_RETRY_MS = 1000, ///< after an order that was not taken
+	/// From the start of a server to its entry in the store: a heartbeat and
+	/// the way to this node.
+	SIZING_SHOWN_MS = 2500,
+	/// A holding's first look at need and servers may be partial.
+	SIZING_SETTLE_MS = 5000,
+	SIZING_CLOSED_MS = 10000, ///< no orders where none were to be had
+	PERCENT = 100,
+};
+
+struct sized_domain {
+	char name[SITE_NAME];
+	int ordered; ///< servers of the last order that was taken, 0 for none
+	int asked; ///< servers of the order on its way
+	int most; ///< servers seen or ordered in this holding
+	int64_t taken_ms; ///< of the last order
+	bool busy; ///< an order is on its way
+	int64_t next_ms; ///< earliest next order
+	int64_t closed_until_ms; ///< no servers are to be had before
+};
+
+struct sized_service {
+	char name[SITE_NAME];
+	struct fleet fleet;
+	int64_t first_ms; ///< first look in this holding
+	struct sized_domain domains[SIZING_DOMAINS];
+	int n_domains;
+};
+
+struct sizing {
+	struct need_own own;
+	struct need_all all;
+	struct sized_service services[NEED_SERVICES];
+	int n_services;
+	uint64_t epoch; ///< of the holding that the rest belongs to
+	int64_t next_ms; ///< next look
+};
+
+/* An order on its way. */
+struct sizing_call {
+	struct sizing *z;
+	struct sized_domain *d;
+	uint64_t epoch;
+	char service[SITE_NAME];
+	char domain[SITE_NAME];
+	int servers;
+};
+
+static void on_ordered(struct core *c, void *ctx,
+		       const struct core_fetch_result *res)
+{
+	struct sizing_call *call = ctx;
+	bool taken =
+		res->err == ERR_OK && res->status >= 200 && res->status < 300;
+	struct sized_domain *d = call->d;
+
+	log_event(taken ? EV_SIZE_ORDERED : EV_SIZE_REFUSED,
+		  "service=%s domain=%s servers=%d epoch=%llu error=%s http=%d",
+		  call->service, call->domain, call->servers,
+		  (unsigned long long)call->epoch, err_code(res->err),
+		  res->status);
+	/* The tables of an earlier holding are gone. */
+	if (call->z->epoch == call->epoch) {
+		d->busy = false;
+		d->next_ms = core_now(c) + SIZING_RETRY_MS;
+		if (taken) {
+			d->ordered = call->servers;
+			d->taken_ms = core_now(c);
+		} else if (res->err == ERR_OK &&
+			   res->status == core_wire(c)->duty->none_to_be_had) {
+			d->closed_until_ms = core_now(c) + SIZING_CLOSED_MS;
+		}
+	}
+	free(call);
+}
+
+static void order_send(struct core *c, struct sizing *z,
+		       const struct sized_service *svc, struct sized_domain *d,
+		       int servers)
+{
+	const struct settings *s = core_settings(c);
+	const struct duty_wire_ops *wire = core_wire(c)->duty;
+	const char *base = settings_str(s, S_PLATFORM_DUTY_URL);
+	struct sizing_call *call = calloc(1, sizeof(*call));
+	const struct duty_size size = {
+		.holder = core_node(c),
+		.epoch = z->epoch,
+		.service = svc->name,
+		.domain = d->name,
+		.servers = servers,
+	};
+	struct core_fetch_opts opts = {
+		.method = "POST",
+		.timeout_ms = SIZING_TIMEOUT_MS,
+		.fresh = true,
+		.on_done = on_ordered,
+		.ctx = call,
+	};
+	struct arena a;
+	char url[512];
+
+	if (!call)
+		return;
+	call->z = z;
+	call->d = d;
+	call->epoch = z->epoch;
+	call->servers = servers;
+	strcpy(call->service, svc->name);
+	strcpy(call->domain, d->name);
+	arena_init(&a, 0);
+	snprintf(url, sizeof(url), "%s%s",
+		 *base ? base : settings_str(s, S_PLATFORM_URL),
+		 wire->size_path);
+	opts.url = url;
+	opts.headers = wire->size(&size, &a, &opts.body);
+	opts.body_len = opts.body ? strlen(opts.body) : 0;
+	d->busy = opts.headers && core_fetch(c, &opts, NULL) == ERR_OK;
+	if (!d->busy)
+		free(call);
+	arena_free(&a);
+}
+
+/* Servers of a domain: those that serve, those that may get no work, slots. */
+struct counted {
+	int there; ///< not leaving
+	int usable;
+	int slots; ///< of one server
+};
+
+static struct counted count(struct core *c, const char *service,
+			    const char *domain)
+{
+	const struct site_servers *t = site_mod_servers(c);
+	const struct site_server *s;
+	struct counted n = {0};
+	size_t iter = 0;
+
+	while ((s = site_servers_next(t, &iter))) {
+		if (strcmp(s->entry.service, service) != 0 ||
+		    strcmp(s->entry.domain, domain) != 0 || s->entry.leaving)
+			continue;
+		n.there++;
+		n.usable += site_server_usable(t, s);
+		n.slots = s->entry.slots;
+	}
+	return n;
+}
+
+/* Servers that were ordered so short a time ago that they may not show yet. */
+static int starting(const struct sized_domain *d, const struct site_sizing *s,
+		    int there, int64_t now)
+{
+	bool early =
+		d->ordered && now - d->taken_ms < s->boot_ms + SIZING_SHOWN_MS;
+
+	return early && d->ordered > there ? d->ordered - there : 0;
+}
+
+static struct sized_service *sized_of(struct core *c, struct sizing *z,
+				      const struct site_service *svc)
+{
+	const struct settings *s = core_settings(c);
+	const struct site_sizing *sz = &svc->sizing;
+	const struct fleet_opts opts = {
+		.target = (double)settings_int(s, S_FLEET_TARGET) / PERCENT,
+		.lead_ms = sz->boot_ms,
+		.hold_ms = settings_int(s, S_FLEET_HOLD),
+		.min = sz->min * sz->n_domains,
+		.max = sz->max * sz->n_domains,
+	};
+	struct sized_service *out;
+
+	for (int i = 0; i < z->n_services; i++) {
+		if (strcmp(z->services[i].name, svc->name) == 0)
+			return &z->services[i];
+	}
+	if (z->n_services == NEED_SERVICES)
+		return NULL;
+	out = &z->services[z->n_services++];
+	*out = (struct sized_service){0};
+	snprintf(out->name, sizeof(out->name), "%s", svc->name);
+	out->first_ms = core_now(c);
+	fleet_init(&out->fleet, &opts);
+	for (int i = 0; i < sz->n_domains && i < SIZING_DOMAINS; i++)
+		snprintf(out->domains[out->n_domains++].name, SITE_NAME, "%s",
+			 sz->domains[i].name);
+	return out;
+}
+
+/* What is there, for the decisions. */
+static struct fleet_input look(struct core *c, struct sized_service *svc,
+			       const struct site_sizing *sz,
+			       struct fleet_domain *d, int *slots)
+{
+	struct fleet_input in = {0};
+	int64_t now = core_now(c);
+
+	for (int i = 0; i < svc->n_domains; i++) {
+		struct sized_domain *sd = &svc->domains[i];
+		struct counted n = count(c, svc->name, sd->name);
+		int more = starting(sd, sz, n.there, now);
+
+		d[i] = (struct fleet_domain){
+			.price = sz->domains[i].price,
+			.have = n.there + more,
+			.closed = now<sd->closed_until_ms, .out = n.there> 0 &&
+				  n.usable == 0,
+		};
+		if (d[i].have > sd->most)
+			sd->most = d[i].have;
+		in.regular += d[i].out ? 0 : d[i].have;
+		in.starting += more;
+		*slots = n.slots ? n.slots : *slots;
+	}
+	return in;
+}
+
+/* A domain is never ordered below what it had in this holding while the service
+ * as a whole shall grow: this node may not see all of its servers at present. */
+static void order_domains(struct core *c, struct sizing *z,
+			  struct sized_service *svc,
+			  const struct fleet_domain *d, bool grow)
+{
+	for (int i = 0; i < svc->n_domains; i++) {
+		struct sized_domain *sd = &svc->domains[i];
+		int want = grow && d[i].want < sd->most ? sd->most : d[i].want;
+		bool due = grow ? want > d[i].have : want < d[i].have;
+
+		if (!due || d[i].closed || d[i].out || sd->busy ||
+		    core_now(c) < sd->next_ms)
+			continue;
+		sd->most = want;
+		order_send(c, z, svc, sd, want);
+	}
+}
+
+static void size_service(struct core *c, struct sizing *z,
+			 const struct site_service *conf)
+{
+	struct sized_service *svc = sized_of(c, z, conf);
+	const struct site_sizing *sz = &conf->sizing;
+	struct fleet_domain d[SIZING_DOMAINS];
+	const struct need_row *need = need_row_of(&z->all.rows, conf->name);
+	struct fleet_input in;
+	struct fleet_plan plan;
+	int slots = 0;
+
+	if (!svc || !need)
+		return;
+	in = look(c, svc, sz, d, &slots);
+	if (!slots)
+		return;
+	in.steady = need->sum / slots;
+	plan = fleet_step(&svc->fleet, core_now(c), &in);
+	if (plan.regular == 0 || core_now(c) - svc->first_ms < SIZING_SETTLE_MS)
+		return;
+	fleet_spread(d, svc->n_domains, in.regular + plan.regular, sz->min,
+		     sz->max);
+	order_domains(c, z, svc, d, plan.regular > 0);
+}
+
+static void lead_step(struct core *c, struct sizing *z, uint64_t epoch)
+{
+	const struct site_conf *conf = site_mod_conf(c);
+
+	if (z->epoch != epoch) {
+		z->epoch = epoch;
+		z->n_services = 0;
+		z->all.read_ms = 0;
+		z->all.next_ms = 0;
+	}
+	need_all_step(c, &z->all);
+	if (!conf || !z->all.read_ms || core_now(c) < z->next_ms)
+		return;
+	z->next_ms = core_now(c) + SIZING_STEP_MS;
+	for (size_t i = 0; i < conf->n_services; i++) {
+		if (conf->services[i].sizing.max > 0)
+			size_service(c, z, &conf->services[i]);
+	}
+}
+
+static void sizing_tick(struct core *c, void *state, int64_t now_ms)
+{
+	struct sizing *z = state;
+	uint64_t epoch;
+
+	need_own_step(c, &z->own);
+	if (lead_mod_may_act(c, &epoch) && site_mod_fresh(c))
+		lead_step(c, z, epoch);
+}
+
+static enum err sizing_start(struct core *c, void **state)
+{
+	struct sizing *z = calloc(1, sizeof(*z));
+
+	if (!z)
+		return ERR_NOMEM;
+	z->own.zero = true;
+	*state = z;
+	return ERR_OK;
+}
+
+static void sizing_stop(struct core *c, void *state)
+{
+	free(state);
+}
+
+const struct core_mod_ops sizing_mod_ops = {
+	.name = "sizing",
+	.start = sizing_start,
+	.tick = sizing_tick,
+	.stop = sizing_stop,
+};
--- a/packages/daemon/src/store_keys.h
+++ b/packages/daemon/src/store_keys.h
@@ -7,6 +7,7 @@
 #define KEY_RECORD "catkin/record/" ///< BATCH/NUMBER: results
 #define KEY_TALLY "catkin/tally/" ///< WINDOW/NODE: requests a team
 #define KEY_SEALED "catkin/sealed/" ///< WINDOW: the figures to report
+#define KEY_NEED "catkin/need/" ///< NODE.RUN: requests that it has to run
 #define KEY_LEADER "catkin/leader" ///< who leads
 #define KEY_EPOCH "catkin/epoch" ///< fencing number of the leader
 
--- a/packages/site/include/site/conf.h
+++ b/packages/site/include/site/conf.h
@@ -44,8 +44,24 @@
 	bool one_version; ///< a sample may have one weight version only
 };
 
+/// Failure domain in which servers can be ordered.
+struct site_sizing_domain {
+	const char *name;
+	double price; ///< of a server's second, against other domains
+};
+
+/// How many servers may be ordered of a service.
+struct site_sizing {
+	int min; ///< servers of a domain
+	int max; ///< servers of a domain, 0: none can be ordered
+	int64_t boot_ms; ///< from an order to a server that serves
+	struct site_sizing_domain *domains;
+	int n_domains;
+};
+
 struct site_service {
 	const char *name;
+	struct site_sizing sizing;
 	int64_t cold_ms; ///< a server is cold for this long after its start
 	double cold_rate; ///< requests a second that a cold server bears, 0: any
 	int64_t memory_tokens; ///< of an engine, 0 for a plain service
--- a/packages/wire/include/wire/duty.h
+++ b/packages/wire/include/wire/duty.h
@@ -20,10 +20,26 @@
 	size_t n;
 };
 
+/// Servers that a service shall have in a failure domain.
+struct duty_size {
+	const char *holder; ///< node that makes the call
+	uint64_t epoch; ///< fencing number
+	const char *service;
+	const char *domain;
+	int servers;
+};
+
 struct duty_wire_ops {
 	const char *report_path;
 	/// @param[out] body  in the arena
 	/// @return header lines, NULL when out of memory
 	const char **(*report)(const struct duty_report *r, struct arena *a,
 			       const char **body);
+
+	const char *size_path;
+	int none_to_be_had; ///< status that refuses an order for lack of servers
+	/// @param[out] body  in the arena
+	/// @return header lines, NULL when out of memory
+	const char **(*size)(const struct duty_size *s, struct arena *a,
+			     const char **body);
 };
