perf(platform): no store calls in vain while the store is away

Results also waited up to 1 s after the store's return for a home's next probe.

Solution: After three failed direct calls in a row (contact_away(); where a third of the answers is lost that is one call in 27) calls are not begun until a probe is answered. Homes probe each 250 ms, all others each 1.5 s and ask the homes.

Ruled out: retries of the feeds, halved, as the main cost: most of them never left the node, the peers refused them.

--- a/packages/base/src/contact.c
+++ b/packages/base/src/contact.c
@@ -9,13 +9,21 @@
 	if (away)
 		c->back_ms = blip ? c->was_back_ms : now;
 	c->answered_ms = now;
+	c->failures = 0;
 	if (heard_ms > c->heard_ms)
 		c->heard_ms = heard_ms;
 	return away;
 }
 
+bool contact_away(const struct contact *c)
+{
+	return c->failures >= CONTACT_AWAY_CALLS;
+}
+
 bool contact_bad(struct contact *c)
 {
+	if (c->failures < CONTACT_AWAY_CALLS)
+		c->failures++;
 	if (!c->back_ms)
 		return false;
 	c->was_back_ms = c->back_ms;
--- a/packages/base/test/test_contact.c
+++ b/packages/base/test/test_contact.c
@@ -38,11 +38,28 @@
 	assert_int_equal(c.heard_ms, 1090);
 }
 
+/* Some lost answers are no outage; one answer ends it. */
+static void test_away(void **state)
+{
+	struct contact c = {0};
+
+	contact_good(&c, 100, 90);
+	for (int i = 0; i < CONTACT_AWAY_CALLS; i++) {
+		assert_false(contact_away(&c));
+		contact_bad(&c);
+	}
+	assert_true(contact_away(&c));
+	contact_good(&c, 200, 190);
+	contact_bad(&c);
+	assert_false(contact_away(&c));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_blip),
 		cmocka_unit_test(test_outage),
+		cmocka_unit_test(test_away),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/daemon/src/platform_mod.c
+++ b/packages/daemon/src/platform_mod.c
@@ -20,8 +20,10 @@
 	PLATFORM_BODY_MAX = 64 << 20, ///< bytes of a list
 	PLATFORM_COUNT_MS = 10000, ///< between two lines about calls by kind
 	/// While calls go through a peer, between two direct ones that look
-	/// whether the store can be reached again.
-	PLATFORM_PROBE_MS = 1000,
+	/// whether the store can be reached again. Results wait for a home's
+	/// contact, and all others ask the homes.
+	PLATFORM_PROBE_MS = 1500,
+	PLATFORM_HOME_PROBE_MS = 250,
 };
 
 struct platform {
@@ -129,10 +131,19 @@
 			  (long long)silent, p->by_peer);
 }
 
+static int64_t probe_wait_ms(struct core *c)
+{
+	bool home = settings_int(core_settings(c), S_LEAD_CANDIDATE) == 1;
+
+	return home ? PLATFORM_HOME_PROBE_MS : PLATFORM_PROBE_MS;
+}
+
 /* What a direct call showed of the way to the store. */
-static void direct_note(struct platform *p, const struct platform_call *pc,
-			const struct kv_result *res, int64_t now)
+static void direct_note(struct core *c, struct platform *p,
+			const struct platform_call *pc,
+			const struct kv_result *res)
 {
+	int64_t now = core_now(c);
 	bool failed = is_failure(res);
 
 	p->fresh = failed;
@@ -142,7 +153,7 @@
 		contact_good(&p->direct, now, platform_heard(pc, res));
 	if (p->proxy && p->by_peer != failed) {
 		p->by_peer = failed;
-		p->probe_ms = now + PLATFORM_PROBE_MS;
+		p->probe_ms = now + probe_wait_ms(c);
 		log_event(EV_KV_PROXY, "by_peer=%d error=%s", failed,
 			  err_code(res->err));
 	}
@@ -203,7 +214,7 @@
 	if (fetch->err == ERR_OK)
 		p->wire->decode(&pc->call, fetch->status, fetch->body,
 				fetch->body_len, &pc->arena, &res);
-	direct_note(p, pc, &res, core_now(c));
+	direct_note(c, p, pc, &res);
 	if (p->proxy && fetch->err != ERR_CLOSED && may_repeat(pc, &res) &&
 	    proxy_call(c, p->proxy, h, &pc->call))
 		return;
@@ -262,6 +273,13 @@
 	       !pc->call.value == !call->value;
 }
 
+/* Load pattern: the store is away, and everyone wants something of it. Each call
+ * costs, refused or not; the probes find out when it is back. */
+static bool in_vain(const struct platform *p, const struct platform_call *pc)
+{
+	return p->proxy && !pc->direct_only && contact_away(&p->direct);
+}
+
 static enum err call_begin(struct core *c, const struct kv_call *call,
 			   struct kv_cb cb, bool direct_only)
 {
@@ -284,7 +302,7 @@
 	e = keep_texts(pc, call) ? ERR_OK : ERR_NOMEM;
 	if (e == ERR_OK && (direct_only || !p->by_peer ||
 			    !proxy_call(c, p->proxy, h, &pc->call)))
-		e = platform_fetch(c, pc, h);
+		e = in_vain(p, pc) ? ERR_KV_DOWN : platform_fetch(c, pc, h);
 	if (e != ERR_OK)
 		goto err_fetch;
 	metric_add(M_KV_CALLS, 1);
@@ -398,7 +416,7 @@
 
 	if (!p->by_peer || now_ms < p->probe_ms)
 		return;
-	p->probe_ms = now_ms + PLATFORM_PROBE_MS;
+	p->probe_ms = now_ms + probe_wait_ms(c);
 	call_begin(c, &call, (struct kv_cb){probed, NULL}, true);
 }
 
