perf(site): a node that starts waits for its relay before it lists

Solution: A follower lists the nodes first and is quiet about the rest for 1.5 s; its relay tells it by then.

--- a/packages/daemon/src/site/site.h
+++ b/packages/daemon/src/site/site.h
@@ -26,6 +26,7 @@
 	struct site_node neighbours[SITE_HOMES];
 	size_t n_neighbours;
 	struct relay relay;
+	int64_t start_ms; ///< of this module
 	int64_t confirmed_ms; ///< configuration, 0 for never
 	bool stale_logged;
 	int64_t back_ms; ///< since when the store answers, as last seen
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -27,6 +27,9 @@
 	/// Least time between two watches on the entries: they change in bursts,
 	/// and a leaving server may be used for some seconds still.
 	SERVERS_PAUSE_MS = 800,
+	/// A node that starts finds its relays among the nodes first, and lists
+	/// the rest itself only if none of them tells it within this time.
+	RELAY_WAIT_MS = 1500,
 	RETIRE_RETRY_MS = 500,
 };
 
@@ -313,6 +316,7 @@
 	if (!s)
 		return ERR_NOMEM;
 	s->wire = core_wire(c)->publish;
+	s->start_ms = core_now(c);
 	s->servers = site_servers_new();
 	if (!s->servers) {
 		free(s);
@@ -360,6 +364,16 @@
 		  (long long)site_mod_age(c));
 }
 
+/* Load pattern: all nodes start at once. Their lists of the same keys are what
+ * the store is asked for most then. */
+static bool quiet(struct core *c, const struct site *s, const struct feed *f)
+{
+	bool early = core_now(c) - s->start_ms < RELAY_WAIT_MS;
+
+	return relay_following(c, &s->relay) ||
+	       (early && !s->relay.serves && f != &s->nodes);
+}
+
 static void feeds_step(struct core *c, struct site *s)
 {
 	struct feed *const feeds[] = {&s->operators, &s->entries, &s->nodes};
@@ -371,7 +385,7 @@
 		/* Some other call found the store again: no need to wait on. */
 		if (returned)
 			feeds[i]->next_ms = 0;
-		feeds[i]->quiet = relay_following(c, &s->relay);
+		feeds[i]->quiet = quiet(c, s, feeds[i]);
 		feed_step(c, feeds[i]);
 	}
 }
