perf(lead): entry nodes renew their liveness each 1.1 s

Each start reads a liveness key that is mostly not there.

Solution: 3.6 s to live for nodes that are no homes: with two rounds of the leader (0.6 s) and the load of a batch still below the 5 s for which an item may be at no server. The key is put without a read; a conflict tells if there is one.

--- a/packages/daemon/src/lead/live.c
+++ b/packages/daemon/src/lead/live.c
@@ -8,14 +8,14 @@
 #include "store_keys.h"
 
 enum {
-	/// Time to live of the key: a lost node's batches go on elsewhere after
-	/// this time and one round of the leader's, within the 5 s for which an
-	/// item may be at no server.
-	LIVE_TTL_MS = 2400,
-	LIVE_RENEW_MS = 700, ///< three renewals fit into the time to live
-	/// The same for a home of batches, which runs nearly all of them.
+	/// Time to live of a home's key: homes run nearly all batches, and a lost
+	/// one's go on elsewhere after this time and one round of the leader's,
+	/// within the 5 s for which an item may be at no server.
 	LIVE_HOME_TTL_MS = 1800,
-	LIVE_HOME_RENEW_MS = 450,
+	LIVE_HOME_RENEW_MS = 450, ///< three renewals fit into the time to live
+	/// The same for all others, which run few batches and are many.
+	LIVE_TTL_MS = 3600,
+	LIVE_RENEW_MS = 1100,
 	LIVE_RETRY_MS = 250, ///< two tries fit in after a missed renewal
 };
 
@@ -57,7 +57,9 @@
 	}
 	l->lease = res->lease;
 	l->until_ms = l->called_ms + ttl_ms(l);
-	live_again(l, LIVE_READ, core_now(c));
+	/* Mostly there is no key: a conflict tells if there is. */
+	l->rev = 0;
+	live_again(l, LIVE_PUT, core_now(c));
 }
 
 static void on_read(struct core *c, struct live *l, const struct kv_result *res)
