--- /dev/null
+++ b/test/hosted/result.c
@@ -0,0 +1,50 @@
+// Judges a result of a batch by what the engines of the stand-in generate.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "hosted.h"
+
+/* One event's line; moves the text past it. */
+static const char *event_fault(const char **text, const char *id, int event,
+			       int last, uint64_t *version)
+{
+	char want[80];
+	int len = snprintf(want, sizeof(want), "%s.%d.", id, event);
+	char *end;
+
+	if (strncmp(*text, want, (size_t)len) != 0)
+		return "an event is missing, out of order or of another item";
+	*version = strtoull(*text + len, &end, 10);
+	if (*end != (event < last ? '\n' : '\0'))
+		return "an event does not end where it should";
+	*text = end + (event < last);
+	return NULL;
+}
+
+const char *hosted_result_fault(const json_t *result, const char *batch)
+{
+	const char *id = json_string_value(json_object_get(result, "id"));
+	const char *text = json_string_value(json_object_get(result, "output"));
+	const char *state = json_string_value(json_object_get(result, "state"));
+	const json_t *versions = json_object_get(result, "versions");
+	int n = id ? hosted_events(id) : 0;
+	uint64_t v, last = 0;
+	size_t k = 0;
+
+	if (!id || !text || !state || strcmp(state, "completed") != 0)
+		return "not completed";
+	if (strncmp(id, batch, strlen(batch)) != 0)
+		return "item of another batch";
+	for (int e = 1; e <= n; e++) {
+		const char *fault = event_fault(&text, id, e, n, &v);
+
+		if (fault)
+			return fault;
+		if (v != last && json_integer_value(json_array_get(
+					 versions, k++)) != (json_int_t)v)
+			return "versions differ from those of its events";
+		last = v;
+	}
+	return json_array_size(versions) == k ? NULL : "too many versions";
+}
