--- a/packages/daemon/src/job/submit.c
+++ b/packages/daemon/src/job/submit.c
@@ -19,9 +19,6 @@
 	/// with an unknown outcome; its trainer asks again elsewhere.
 	SUBMIT_MAX_MS = 3000,
 	SUBMIT_RETRY_AFTER_MS = 500, ///< the store may be back by then
-	/// A silence of the store that is longer lasts for seconds, mostly: a
-	/// submission would be held for all of SUBMIT_MAX_MS.
-	SUBMIT_SILENT_MS = 1000,
 };
 
 enum submit_step {
@@ -281,21 +278,14 @@
 		submit_refuse(c, s, ERR_NOMEM);
 }
 
-static bool store_silent(struct core *c)
-{
-	return !kv_back_since(c) &&
-	       core_now(c) - kv_last_contact(c) > SUBMIT_SILENT_MS;
-}
-
-/* Load pattern: the store is away, and each trainer's next step comes. Refuse
- * before anything of the batch is in the store through this node. */
+/* Refuse before anything of the batch is in the store through this node. */
 static bool refuse_early(struct core *c, const struct job_caller *to,
 			 bool maybe)
 {
 	bool draining = jobs_of(c)->draining;
 	enum err e = draining ? ERR_HTTP_DRAINING : ERR_KV_DOWN;
 
-	if (!draining && lead_mod_alive(c) && !store_silent(c))
+	if (!draining && lead_mod_alive(c))
 		return false;
 	if (maybe)
 		e = ERR_TIMEOUT;
