test(soak): randomized fault soak of whole daemons

Overlapping signals, cuts and restarts of real processes had no test.

Solution: test/soak starts the daemons as separate processes on the stand-in of the users' platform, each with a link of its own to the store, each server behind one. By its seed it kills, pauses, drains and restarts processes, cuts links one way, both ways or by resets, holds bytes up, darkens and withdraws servers, takes the store away, loses its answers, withdraws a key; up to five at once. Clocks are not moved: that needs rights or a preloaded library.

--- a/test/hosted/nodes.c
+++ b/test/hosted/nodes.c
@@ -16,9 +16,9 @@
 	CALL_MS = 6000,
 };
 
-static bool is_entry(int i)
+static bool is_entry(const struct nodes *ns, int i)
 {
-	return i < NODES_ENTRY;
+	return i < ns->n_entry;
 }
 
 static bool write_settings(const struct nodes *ns, int i)
@@ -37,7 +37,7 @@
 		"[lead]\ncandidate = %d\n[tally]\nwindow = 1s\nsettle = 900ms\n",
 		n->id, i % 2 + 1, n->ip, NODE_FRONT_PORT, n->ip,
 		NODE_READY_PORT, n->ip, NODE_PEER_PORT, ns->h->ip,
-		HOSTED_STORE_PORT, !is_entry(i));
+		n->store_port, !is_entry(ns, i));
 	return fclose(f) == 0;
 }
 
@@ -74,32 +74,47 @@
 	return wait_until(ask_ready, &ns->list[i], timeout_ms);
 }
 
-bool nodes_start(struct nodes *ns, struct hosted *h)
+void nodes_init(struct nodes *ns, struct hosted *h, int n, int n_entry)
 {
 	const char *dir = getenv("TMPDIR");
 
 	memset(ns, 0, sizeof(*ns));
 	ns->h = h;
-	for (int i = 0; i < NODES; i++) {
-		struct node *n = &ns->list[i];
+	ns->n = n;
+	ns->n_entry = n_entry;
+	for (int i = 0; i < n; i++) {
+		struct node *node = &ns->list[i];
+
+		snprintf(node->id, sizeof(node->id), "n%d", i);
+		addr_ip(i + 1, node->ip);
+		node->store_port = HOSTED_STORE_PORT;
+		snprintf(node->conf, sizeof(node->conf), "%s/catkin-%d-%s.ini",
+			 dir ? dir : "/tmp", (int)getpid(), node->id);
+	}
+}
 
-		snprintf(n->id, sizeof(n->id), "n%d", i);
-		addr_ip(i + 1, n->ip);
-		snprintf(n->conf, sizeof(n->conf), "%s/catkin-%d-%s.ini",
-			 dir ? dir : "/tmp", (int)getpid(), n->id);
+bool nodes_run(struct nodes *ns)
+{
+	for (int i = 0; i < ns->n; i++) {
 		if (!write_settings(ns, i) || !node_start(ns, i))
 			return false;
 	}
-	for (int i = 0; i < NODES; i++) {
+	for (int i = 0; i < ns->n; i++) {
 		if (!node_ready(ns, i, READY_MS))
 			return false;
 	}
 	return true;
 }
 
+bool nodes_start(struct nodes *ns, struct hosted *h)
+{
+	nodes_init(ns, h, NODES, NODES_ENTRY);
+	return nodes_run(ns);
+}
+
 void nodes_stop(struct nodes *ns)
 {
-	for (int i = 0; i < NODES; i++) {
+	for (int i = 0; i < ns->n; i++) {
 		proc_kill(&ns->list[i].proc);
 		unlink(ns->list[i].conf);
 	}
@@ -157,12 +172,12 @@
 	return curl_slist_append(l, line);
 }
 
-void node_call(struct nodes *ns, int i, const char *method, const char *path,
-	       const char *key, const char *id, const char *body,
-	       struct answer *out)
+void node_call_on(void *curl, struct nodes *ns, int i, const char *method,
+		  const char *path, const char *key, const char *id,
+		  const char *body, struct answer *out)
 {
 	struct curl_slist *l = NULL;
-	CURL *e = curl_easy_init();
+	CURL *e = curl;
 	char url[512], auth[128];
 	long status = 0;
 
@@ -176,6 +191,8 @@
 	l = add_field(l, "X-Catkinpath-Deadline-Ms", "3000");
 	l = add_field(l, "X-Catkinpath-Wait-Ms", "300");
 	l = curl_slist_append(l, "Expect:");
+	curl_easy_reset(e);
+	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(e, CURLOPT_URL, url);
 	curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, method);
 	if (body)
@@ -190,6 +207,15 @@
 	curl_easy_getinfo(e, CURLINFO_RESPONSE_CODE, &status);
 	out->status = (int)status;
 	curl_slist_free_all(l);
+}
+
+void node_call(struct nodes *ns, int i, const char *method, const char *path,
+	       const char *key, const char *id, const char *body,
+	       struct answer *out)
+{
+	CURL *e = curl_easy_init();
+
+	node_call_on(e, ns, i, method, path, key, id, body, out);
 	curl_easy_cleanup(e);
 }
 
--- a/test/hosted/nodes.h
+++ b/test/hosted/nodes.h
@@ -10,6 +10,7 @@
 enum {
 	NODES = 5, ///< three that take callers, two that may lead
 	NODES_ENTRY = 3,
+	NODES_MAX = 200,
 	NODE_FRONT_PORT = 7950,
 	NODE_READY_PORT = 7951,
 	NODE_PEER_PORT = 7952,
@@ -20,15 +21,24 @@
 	char id[32];
 	char ip[16];
 	char conf[256]; ///< settings file
+	int store_port; ///< at which it finds the store
 };
 
 struct nodes {
 	struct hosted *h;
-	struct node list[NODES];
+	int n;
+	int n_entry; ///< the first ones take callers, the others may lead
+	struct node list[NODES_MAX];
 };
 
 /// Start all and wait until they are ready.
 bool nodes_start(struct nodes *ns, struct hosted *h);
+
+/// Set up, for nodes_run(), without starting anything.
+void nodes_init(struct nodes *ns, struct hosted *h, int n, int n_entry);
+
+/// Start all that were set up and wait until they are ready.
+bool nodes_run(struct nodes *ns);
 bool node_start(struct nodes *ns, int i);
 bool node_ready(struct nodes *ns, int i, int timeout_ms);
 void nodes_stop(struct nodes *ns);
@@ -51,6 +61,11 @@
 	       struct answer *out);
 void answer_free(struct answer *a);
 
+/// node_call() on the connections that a handle of libcurl keeps open.
+void node_call_on(void *curl, struct nodes *ns, int i, const char *method,
+		  const char *path, const char *key, const char *id,
+		  const char *body, struct answer *out);
+
 /// Body of a batch of items "ID.0", "ID.1", ... in groups of two.
 char *batch_body(const char *id, int items, int min_version);
 
--- /dev/null
+++ b/test/soak/checks.c
@@ -0,0 +1,131 @@
+// Judges what was seen once all is well again.
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "soak.h"
+
+enum {
+	READ_PAUSE_MS = 50,
+};
+
+/* Runs by id, for counting. */
+static int run_compare(const void *a, const void *b)
+{
+	const struct hosted_run *x = a;
+	const struct hosted_run *y = b;
+
+	return strcmp(x->id, y->id);
+}
+
+static int runs_of(const struct hosted *h, const char *id)
+{
+	struct hosted_run key = {0};
+	const struct hosted_run *at;
+	int i, n = 0;
+
+	strncpy(key.id, id, sizeof(key.id) - 1);
+	at = bsearch(&key, h->runs, (size_t)h->n_runs, sizeof(key),
+		     run_compare);
+	if (!at)
+		return 0;
+	for (i = (int)(at - h->runs); i > 0; i--) {
+		if (strcmp(h->runs[i - 1].id, id) != 0)
+			break;
+	}
+	for (; i < h->n_runs && strcmp(h->runs[i].id, id) == 0; i++)
+		n++;
+	return n;
+}
+
+static void check_call(struct soak *k, const struct soak_call *c)
+{
+	int runs = runs_of(&k->h, c->id);
+
+	if (c->once && runs > 1)
+		soak_broken(k, "booking %s ran %d times", c->id, runs);
+	if (c->once && c->said_not_run && runs)
+		soak_broken(k, "booking %s was said not to have run", c->id);
+	if (c->late_key && runs)
+		soak_broken(k, "booking %s ran with a withdrawn key", c->id);
+}
+
+static void check_refused(struct soak *k, const struct soak_batch *b)
+{
+	char item[64];
+
+	for (int i = 0; i < SOAK_ITEMS; i++) {
+		snprintf(item, sizeof(item), "%s.%d", b->id, i);
+		if (runs_of(&k->h, item))
+			soak_broken(k, "batch %s was refused and %s ran", b->id,
+				    item);
+	}
+}
+
+/* Every accepted batch comes to its end, and reads the same at every node. */
+static void check_accepted(struct soak *k, struct soak_batch *b, int64_t end)
+{
+	int node = 0;
+
+	while (!batch_whole(b) && clock_now_ms() < end) {
+		batch_read(k, b, node++ % k->ns.n_entry, 0);
+		soak_pause(READ_PAUSE_MS);
+	}
+	if (!batch_whole(b))
+		soak_broken(k, "batch %s was accepted and is not whole", b->id);
+	batch_read(k, b, node % k->ns.n_entry, 0);
+}
+
+static void check_served(struct soak *k, int64_t end)
+{
+	for (int i = 0; i < k->ns.n; i++) {
+		int64_t left = end - clock_now_ms();
+
+		if (!node_ready(&k->ns, i, left > 0 ? (int)left : 1))
+			soak_broken(k, "node %d is not ready again", i);
+	}
+	for (int i = 0; i < k->ns.n_entry; i++) {
+		struct answer a;
+
+		node_call(&k->ns, i, "POST", "/book/end", "k1", "end", "end",
+			  &a);
+		if (a.status != 200)
+			soak_broken(k, "node %d serves nothing again: %d", i,
+				    a.status);
+		answer_free(&a);
+	}
+}
+
+static void check_platform(struct soak *k)
+{
+	if (k->h.clashes)
+		soak_broken(k, "%d windows were reported with two counts",
+			    k->h.clashes);
+	for (int i = 0; i < HOSTED_SERVERS; i++) {
+		if (k->h.servers[i].stale_orders)
+			soak_broken(k, "server %d got %d stale orders", i,
+				    k->h.servers[i].stale_orders);
+	}
+}
+
+void checks_run(struct soak *k)
+{
+	int64_t end = clock_now_ms() + k->opts.recover_ms;
+
+	check_served(k, end);
+	for (int i = 0; i < k->n_batches; i++) {
+		if (k->batches[i].accepted)
+			check_accepted(k, &k->batches[i], end);
+	}
+	pthread_mutex_lock(&k->h.lock);
+	qsort(k->h.runs, (size_t)k->h.n_runs, sizeof(k->h.runs[0]),
+	      run_compare);
+	for (int i = 0; i < k->n_calls; i++)
+		check_call(k, &k->calls[i]);
+	for (int i = 0; i < k->n_batches; i++) {
+		if (!k->batches[i].accepted && !k->batches[i].unsure)
+			check_refused(k, &k->batches[i]);
+	}
+	check_platform(k);
+	pthread_mutex_unlock(&k->h.lock);
+}
--- /dev/null
+++ b/test/soak/faults.c
@@ -0,0 +1,341 @@
+// Draws faults by the seed. They come in series and overlap; each has a target
+// that no other fault of its group holds.
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "soak.h"
+
+enum {
+	FAULTS_AT_ONCE = 5,
+	GAP_MS = 900, ///< most between two faults
+	STEP_MS = 10,
+	/// From SIGTERM to SIGKILL, on the users' platform.
+	GRACE_MS = 8000,
+	/// A process that drains writes its counts to the store first; the store
+	/// was there for this long without an end of it.
+	DRAIN_MS = 5000,
+	ANSWERS_LOST = 30, ///< percent
+	LATE_MS = 900, ///< for which bytes to a server are held up
+};
+
+enum group {
+	GROUP_NODE, ///< a node's process
+	GROUP_STORE_LINK, ///< a node's link to the store
+	GROUP_SERVER, ///< a server or its link
+	GROUP_STORE, ///< the store
+	GROUP_KEY, ///< the key that is withdrawn
+	GROUP_ALL, ///< every process
+	GROUPS,
+};
+
+struct fault;
+
+struct fault_kind {
+	const char *name;
+	enum group group;
+	int min_ms;
+	int max_ms;
+	void (*begin)(struct soak *k, const struct fault *f);
+	void (*end)(struct soak *k, const struct fault *f);
+};
+
+struct fault {
+	const struct fault_kind *kind;
+	int target;
+	int variant;
+	int64_t end_ms;
+};
+
+static void excuse_orders(struct soak *k)
+{
+	pthread_mutex_lock(&k->h.lock);
+	k->h.excuse_until_ms = clock_now_ms() + SOAK_THAW_MS;
+	pthread_mutex_unlock(&k->h.lock);
+}
+
+static void set_keys(struct soak *k, bool second)
+{
+	static const char *const both[] = {"k1", "k2", NULL};
+	static const char *const one[] = {"k1", NULL};
+
+	hosted_conf(&k->h, second ? both : one);
+}
+
+static void kill_begin(struct soak *k, const struct fault *f)
+{
+	proc_kill(&k->ns.list[f->target].proc);
+}
+
+static void start_end(struct soak *k, const struct fault *f)
+{
+	if (!node_start(&k->ns, f->target))
+		soak_broken(k, "node %d could not be started", f->target);
+}
+
+static void pause_begin(struct soak *k, const struct fault *f)
+{
+	proc_signal(&k->ns.list[f->target].proc, SIGSTOP);
+}
+
+static void pause_end(struct soak *k, const struct fault *f)
+{
+	excuse_orders(k);
+	proc_signal(&k->ns.list[f->target].proc, SIGCONT);
+}
+
+static void term_begin(struct soak *k, const struct fault *f)
+{
+	proc_signal(&k->ns.list[f->target].proc, SIGTERM);
+}
+
+static void term_end(struct soak *k, const struct fault *f)
+{
+	int64_t well_ms = clock_now_ms() - k->store_bad_ms[f->target];
+	int status = 0;
+
+	if (!proc_wait(&k->ns.list[f->target].proc, 0, &status)) {
+		if (well_ms > DRAIN_MS)
+			soak_broken(k, "node %d did not end after SIGTERM",
+				    f->target);
+		proc_kill(&k->ns.list[f->target].proc);
+	} else if (status != 0) {
+		soak_broken(k, "node %d ended with status %d after SIGTERM",
+			    f->target, status);
+	}
+	start_end(k, f);
+}
+
+static void herd_begin(struct soak *k, const struct fault *f)
+{
+	for (int i = 0; i < k->ns.n; i++)
+		proc_kill(&k->ns.list[i].proc);
+}
+
+static void herd_end(struct soak *k, const struct fault *f)
+{
+	for (int i = 0; i < k->ns.n; i++)
+		start_end(k, &(struct fault){.target = i});
+}
+
+static const enum link_mode modes[] = {LINK_SILENT, LINK_SILENT_BACK, LINK_CUT};
+
+static void store_link_begin(struct soak *k, const struct fault *f)
+{
+	k->store_cut[f->target] = true;
+	link_set(k->store[f->target], modes[f->variant]);
+}
+
+static void store_link_end(struct soak *k, const struct fault *f)
+{
+	k->store_cut[f->target] = false;
+	link_set(k->store[f->target], LINK_PASS);
+}
+
+static void server_link_begin(struct soak *k, const struct fault *f)
+{
+	link_set(k->server[f->target], modes[f->variant]);
+}
+
+static void server_link_end(struct soak *k, const struct fault *f)
+{
+	excuse_orders(k);
+	link_set(k->server[f->target], LINK_PASS);
+}
+
+static void server_late_begin(struct soak *k, const struct fault *f)
+{
+	link_hold(k->server[f->target], LATE_MS, "POST /pay/");
+}
+
+static void server_late_end(struct soak *k, const struct fault *f)
+{
+	link_hold(k->server[f->target], 0, "");
+}
+
+static void set_dark(struct soak *k, int server, bool dark)
+{
+	pthread_mutex_lock(&k->h.lock);
+	k->h.servers[server].dark = dark;
+	pthread_mutex_unlock(&k->h.lock);
+}
+
+static void dark_begin(struct soak *k, const struct fault *f)
+{
+	set_dark(k, f->target, true);
+}
+
+static void dark_end(struct soak *k, const struct fault *f)
+{
+	set_dark(k, f->target, false);
+}
+
+static void leave_begin(struct soak *k, const struct fault *f)
+{
+	struct hosted_server *s = &k->h.servers[f->target];
+
+	s->leaving = true;
+	if (f->variant)
+		hosted_publish(&k->h, s);
+	else
+		hosted_withdraw(&k->h, s);
+}
+
+static void leave_end(struct soak *k, const struct fault *f)
+{
+	struct hosted_server *s = &k->h.servers[f->target];
+
+	s->leaving = false;
+	hosted_publish(&k->h, s);
+}
+
+static void set_store(struct soak *k, int down, int lose)
+{
+	pthread_mutex_lock(&k->h.lock);
+	k->h.down = down;
+	k->h.lose_percent = lose;
+	pthread_cond_broadcast(&k->h.changed);
+	pthread_mutex_unlock(&k->h.lock);
+}
+
+static void store_away_begin(struct soak *k, const struct fault *f)
+{
+	set_store(k, 1 + f->variant % 2, 0);
+}
+
+static void store_lossy_begin(struct soak *k, const struct fault *f)
+{
+	set_store(k, 0, ANSWERS_LOST);
+}
+
+static void store_end(struct soak *k, const struct fault *f)
+{
+	set_store(k, 0, 0);
+}
+
+static void key_begin(struct soak *k, const struct fault *f)
+{
+	set_keys(k, false);
+	k->revoked_ms = clock_now_ms();
+}
+
+static void key_end(struct soak *k, const struct fault *f)
+{
+	k->revoked_ms = 0;
+	set_keys(k, true);
+}
+
+static const struct fault_kind kinds[] = {
+	{"kill", GROUP_NODE, 50, 2500, kill_begin, start_end},
+	{"pause", GROUP_NODE, 100, 4000, pause_begin, pause_end},
+	{"term", GROUP_NODE, GRACE_MS, GRACE_MS, term_begin, term_end},
+	{"kill-all", GROUP_ALL, 50, 1500, herd_begin, herd_end},
+	{"store-link", GROUP_STORE_LINK, 500, 6000, store_link_begin,
+	 store_link_end},
+	{"server-link", GROUP_SERVER, 500, 5000, server_link_begin,
+	 server_link_end},
+	{"server-late", GROUP_SERVER, 500, 4000, server_late_begin,
+	 server_late_end},
+	{"server-dark", GROUP_SERVER, 500, 4000, dark_begin, dark_end},
+	{"server-leaves", GROUP_SERVER, 2000, 5000, leave_begin, leave_end},
+	{"store-away", GROUP_STORE, 300, 5000, store_away_begin, store_end},
+	{"store-lossy", GROUP_STORE, 1000, 5000, store_lossy_begin, store_end},
+	{"key", GROUP_KEY, 6000, 9000, key_begin, key_end},
+};
+
+enum {
+	KINDS = sizeof(kinds) / sizeof(kinds[0]),
+	VARIANTS = sizeof(modes) / sizeof(modes[0]),
+};
+
+static int targets_of(const struct soak *k, enum group g)
+{
+	switch (g) {
+	case GROUP_NODE:
+	case GROUP_STORE_LINK:
+		return k->ns.n;
+	case GROUP_SERVER:
+		return HOSTED_SERVERS;
+	default:
+		return 1;
+	}
+}
+
+static bool clashes(const struct fault *a, const struct fault *b)
+{
+	enum group x = a->kind->group;
+	enum group y = b->kind->group;
+
+	/* Every process is a target of a fault of all. */
+	if ((x == GROUP_ALL && y == GROUP_NODE) ||
+	    (x == GROUP_NODE && y == GROUP_ALL))
+		return true;
+	return x == y && a->target == b->target;
+}
+
+static void fault_begin(struct soak *k, struct rng *r, struct fault *list,
+			int *n)
+{
+	struct fault f = {.kind = &kinds[rng_below(r, KINDS)]};
+	const struct fault_kind *kind = f.kind;
+	int span = kind->max_ms - kind->min_ms;
+	int ms = kind->min_ms + (int)rng_below(r, (uint64_t)span + 1);
+
+	f.target = (int)rng_below(r, (uint64_t)targets_of(k, kind->group));
+	f.variant = (int)rng_below(r, VARIANTS);
+	f.end_ms = clock_now_ms() + ms;
+	for (int i = 0; i < *n; i++) {
+		if (clashes(&f, &list[i]))
+			return;
+	}
+	soak_note(k, "%s target=%d variant=%d ms=%d", kind->name, f.target,
+		  f.variant, ms);
+	kind->begin(k, &f);
+	list[(*n)++] = f;
+}
+
+static void faults_end(struct soak *k, struct fault *list, int *n, bool all)
+{
+	for (int i = *n - 1; i >= 0; i--) {
+		struct fault f = list[i];
+
+		if (!all && clock_now_ms() < f.end_ms)
+			continue;
+		f.kind->end(k, &f);
+		soak_note(k, "%s target=%d over", f.kind->name, f.target);
+		list[i] = list[--*n];
+	}
+}
+
+/* Note which nodes can't reach the store as they should. */
+static void look_at_store(struct soak *k)
+{
+	bool bad = k->h.down || k->h.lose_percent;
+
+	for (int i = 0; i < k->ns.n; i++) {
+		if (bad || k->store_cut[i])
+			k->store_bad_ms[i] = clock_now_ms();
+	}
+}
+
+void faults_run(struct soak *k)
+{
+	struct rng r = {k->opts.seed};
+	struct fault list[FAULTS_AT_ONCE];
+	int n = 0;
+	int64_t end = clock_now_ms() + k->opts.faults_ms;
+	int64_t next = clock_now_ms();
+
+	k->h.lose_seed = k->opts.seed;
+	while (clock_now_ms() < end) {
+		look_at_store(k);
+		faults_end(k, list, &n, false);
+		if (n < FAULTS_AT_ONCE && clock_now_ms() >= next) {
+			fault_begin(k, &r, list, &n);
+			next = clock_now_ms() + (int64_t)rng_below(&r, GAP_MS);
+		}
+		soak_pause(STEP_MS);
+	}
+	faults_end(k, list, &n, true);
+}
--- /dev/null
+++ b/test/soak/main.c
@@ -0,0 +1,164 @@
+// soak SEED [NODES [SECONDS]]: one run; exits with 1 if a promise was broken.
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include "base/clock.h"
+#include "soak.h"
+
+enum {
+	SOAK_NODES = 24, ///< processes, unless said
+	SOAK_SECONDS = 20, ///< with faults, unless said
+	SOAK_RECOVER_MS = 20000, ///< time to recover of the users' deployments,
+		///< and the reads of the checks
+	SERVER_LINK_PORT = 8300,
+	STORE_LINK_PORT = 8400,
+	LEADS_IN = 4, ///< one node in so many may lead
+	MS = 1000,
+};
+
+static struct soak soak;
+
+void soak_pause(int ms)
+{
+	struct timespec ts = {ms / MS, (ms % MS) * 1000000L};
+
+	nanosleep(&ts, NULL);
+}
+
+static void say(const struct soak *k, const char *what, const char *fmt,
+		va_list ap)
+{
+	flockfile(stdout);
+	printf("%7.3f %s", (double)(clock_now_ms() - k->start_ms) / MS, what);
+	vprintf(fmt, ap);
+	putchar('\n');
+	fflush(stdout);
+	funlockfile(stdout);
+}
+
+void soak_note(const struct soak *k, const char *fmt, ...)
+{
+	va_list ap;
+
+	va_start(ap, fmt);
+	say(k, "", fmt, ap);
+	va_end(ap);
+}
+
+void soak_broken(struct soak *k, const char *fmt, ...)
+{
+	va_list ap;
+
+	__atomic_add_fetch(&k->broken, 1, __ATOMIC_RELAXED);
+	va_start(ap, fmt);
+	say(k, "BROKEN: ", fmt, ap);
+	va_end(ap);
+}
+
+/* Servers are known by the address of their link. */
+static bool link_servers(struct soak *k)
+{
+	for (int i = 0; i < HOSTED_SERVERS; i++) {
+		struct hosted_server *s = &k->h.servers[i];
+		int port = SERVER_LINK_PORT + i;
+
+		k->server[i] = link_start(k->h.ip, port, k->h.ip,
+					  HOSTED_SERVER_PORT + i);
+		if (!k->server[i])
+			return false;
+		snprintf(s->addr, sizeof(s->addr), "%s:%d", k->h.ip, port);
+		hosted_publish(&k->h, s);
+	}
+	return true;
+}
+
+static bool link_store(struct soak *k)
+{
+	for (int i = 0; i < k->ns.n; i++) {
+		int port = STORE_LINK_PORT + i;
+
+		k->store[i] =
+			link_start(k->h.ip, port, k->h.ip, HOSTED_STORE_PORT);
+		if (!k->store[i])
+			return false;
+		k->ns.list[i].store_port = port;
+	}
+	return true;
+}
+
+static bool start(struct soak *k)
+{
+	int leads = k->opts.nodes / LEADS_IN;
+
+	if (!hosted_start(&k->h) || !link_servers(k))
+		return false;
+	nodes_init(&k->ns, &k->h, k->opts.nodes,
+		   k->opts.nodes - (leads > 2 ? leads : 2));
+	return link_store(k) && nodes_run(&k->ns);
+}
+
+static void end(struct soak *k)
+{
+	nodes_stop(&k->ns);
+	for (int i = 0; i < k->ns.n; i++)
+		link_stop(k->store[i]);
+	for (int i = 0; i < HOSTED_SERVERS; i++)
+		link_stop(k->server[i]);
+	hosted_stop(&k->h);
+	for (int i = 0; i < k->n_batches; i++) {
+		for (int p = 0; p < SOAK_ITEMS; p++)
+			json_decref(k->batches[i].seen[p]);
+	}
+}
+
+static int run(struct soak *k)
+{
+	pthread_t threads[SOAK_BOOKERS + SOAK_TRAINERS];
+	int n, accepted = 0;
+
+	if (!callers_start(k, threads, &n))
+		return 2;
+	faults_run(k);
+	soak_note(k, "all faults are over");
+	k->stop = true;
+	for (int i = 0; i < n; i++)
+		pthread_join(threads[i], NULL);
+	checks_run(k);
+	for (int i = 0; i < k->n_batches; i++)
+		accepted += k->batches[i].accepted;
+	printf("seed=%llu nodes=%d bookings=%d batches=%d accepted=%d runs=%d "
+	       "broken=%d\n",
+	       (unsigned long long)k->opts.seed, k->opts.nodes, k->n_calls,
+	       k->n_batches, accepted, k->h.n_runs, k->broken);
+	return k->broken > 0;
+}
+
+int main(int argc, char **argv)
+{
+	struct soak *k = &soak;
+	int rc = 2;
+
+	signal(SIGPIPE, SIG_IGN);
+	k->opts = (struct soak_opts){
+		.seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 1,
+		.nodes = argc > 2 ? atoi(argv[2]) : SOAK_NODES,
+		.faults_ms = (argc > 3 ? atoi(argv[3]) : SOAK_SECONDS) * MS,
+		.recover_ms = SOAK_RECOVER_MS,
+	};
+	if (k->opts.nodes < LEADS_IN || k->opts.nodes > NODES_MAX) {
+		fprintf(stderr, "nodes: %d to %d\n", LEADS_IN, NODES_MAX);
+		return rc;
+	}
+	pthread_mutex_init(&k->lock, NULL);
+	k->start_ms = clock_now_ms();
+	k->version = 1;
+	if (start(k))
+		rc = run(k);
+	else
+		fprintf(stderr, "could not start\n");
+	end(k);
+	return rc;
+}
--- a/test/support/link.c
+++ b/test/support/link.c
@@ -16,7 +16,7 @@
 #include "base/clock.h"
 
 enum {
-	LINK_PAIRS = 128,
+	LINK_PAIRS = 1024,
 	LINK_BUF = 65536, ///< bytes
 	LINK_POLL_MS = 20,
 };
