feat(job): unfinished texts last in the store; a takeover is settled

A node that starts writes itself as the owner of what its earlier process ran; if that answer is lost it gave the takeover up, while the key named it. It is alive, so nobody else takes the batch.

The owner writes the texts that have 12 events or more under one key a batch, each 1.5 s, and deletes it at the end; who takes over resumes them.

Ruled out: copies at a peer.

Both faults have a case in test_hosted that failed before; test_job has the texts without I/O.

--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -69,6 +69,10 @@
 	bool writing; ///< a call for the record is outstanding
 	bool reading; ///< the record's key is read to settle an outcome
 	int64_t write_next_ms;
+	bool texts_busy; ///< a call for the unfinished texts is outstanding
+	bool texts_read; ///< their key's revision must be read first
+	uint64_t texts_rev; ///< of their key, 0 for none
+	int64_t texts_next_ms; ///< next write of them
 	bool closing; ///< the owner key is to say that all is over
 };
 
@@ -92,6 +96,7 @@
 	struct htab *ends; ///< struct job_end
 	int64_t reconcile_ms; ///< next look for batches of lost nodes
 	struct job_take *take; ///< look in progress
+	struct loading *loadings; ///< batches on their way to this node
 	bool own_looked; ///< batches of this node's earlier process were sought
 	bool draining;
 	struct homes *homes; ///< questions to homes
@@ -166,6 +171,18 @@
 /// End every run of the batch at servers.
 void job_recall(struct core *c, struct job *j);
 
+/// Write the unfinished texts now and then.
+void job_texts_step(struct core *c, struct job *j);
+
+/// Take the unfinished texts of the owner before.
+///
+/// @param item  value of their key
+void job_texts_restore(struct core *c, struct job *j,
+		       const struct kv_item *item);
+
+/// Delete the unfinished texts of a batch that is over.
+void job_texts_drop(struct core *c, struct job *j);
+
 /// Watch the owner key.
 void job_watch_step(struct core *c, struct job *j);
 
@@ -178,6 +195,12 @@
 /// Take over what lost nodes left, if this node leads.
 void job_take_step(struct core *c);
 
+/// Run a batch if its owner key turns out to name this node: a write of the key
+/// got no answer.
+///
+/// @param spec  taken over
+void job_take_settle(struct core *c, struct job_spec *spec);
+
 /// Move submissions and ends on whose store calls have to be made again.
 void job_submits_step(struct core *c);
 void job_ends_step(struct core *c);
@@ -205,3 +228,4 @@
 void job_submits_free(struct jobs *jobs);
 void job_ends_free(struct jobs *jobs);
 void job_take_free(struct jobs *jobs);
+void job_loadings_free(struct jobs *jobs);
--- a/packages/daemon/src/job/job_mod.c
+++ b/packages/daemon/src/job/job_mod.c
@@ -79,6 +79,7 @@
 	job_send_step(c, j);
 	job_watch_runs(c, j);
 	job_watch_step(c, j);
+	job_texts_step(c, j);
 }
 
 static void jobs_tick(struct core *c, void *state, int64_t now_ms)
@@ -138,6 +139,7 @@
 	job_submits_free(jobs);
 	job_ends_free(jobs);
 	job_take_free(jobs);
+	job_loadings_free(jobs);
 	job_home_free(c);
 	htab_free(jobs->jobs);
 	htab_free(jobs->readers);
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -82,6 +82,10 @@
 	j->running = true;
 	j->closing = false;
 	j->watch_next_ms = 0;
+	j->texts_next_ms = core_now(c);
+	j->texts_busy = false;
+	j->texts_read = false;
+	j->texts_rev = 0;
 	return ERR_OK;
 }
 
--- /dev/null
+++ b/packages/daemon/src/job/texts.c
@@ -0,0 +1,121 @@
+// Keeps the unfinished texts of this node's batches in the store.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "job/job.h"
+#include "job/job_texts.h"
+#include "store_keys.h"
+
+enum {
+	/// A lost node costs the events of this time at most. A step lasts some
+	/// 7 s, so a batch costs four calls more.
+	TEXTS_EVERY_MS = 1500,
+	TEXTS_BYTES = 512 << 10, ///< of texts; a value may have 1 MB in base64
+};
+
+static void key_of(const struct job *j, char key[STORE_KEY])
+{
+	snprintf(key, STORE_KEY, KEY_TEXTS "%s", j->id);
+}
+
+static struct job *job_of(const struct core *c, void *ctx)
+{
+	return htab_get(jobs_of(c)->jobs, (htab_handle)(uintptr_t)ctx);
+}
+
+static void *ctx_of(const struct job *j)
+{
+	return (void *)(uintptr_t)j->self;
+}
+
+static void on_read(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct job *j = job_of(c, ctx);
+
+	if (!j)
+		return;
+	j->texts_busy = false;
+	if (res->err != ERR_OK && res->err != ERR_NOT_FOUND)
+		return;
+	j->texts_read = false;
+	j->texts_rev = res->n_items ? res->items[0].rev : 0;
+}
+
+static void on_written(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct job *j = job_of(c, ctx);
+
+	if (!j)
+		return;
+	j->texts_busy = false;
+	if (res->err == ERR_OK) {
+		j->texts_rev = res->rev;
+		return;
+	}
+	log_event(EV_JOB_TEXTS, "batch=%s error=%s", j->id, err_code(res->err));
+	j->texts_read = true;
+}
+
+static void texts_write(struct core *c, struct job *j, const char *key)
+{
+	char *text = job_texts_make(j->run, j->spec, TEXTS_BYTES);
+	const struct kv_put_opts put = {
+		.key = key,
+		.value = text,
+		.len = text ? strlen(text) : 0,
+		.prev_rev = j->texts_rev,
+	};
+
+	j->texts_busy =
+		text && kv_put(c, &put,
+			       (struct kv_cb){on_written, ctx_of(j)}) == ERR_OK;
+	free(text);
+}
+
+void job_texts_step(struct core *c, struct job *j)
+{
+	const struct kv_cb cb = {on_read, ctx_of(j)};
+	char key[STORE_KEY];
+
+	if (!j->running || j->owner.ended || j->texts_busy ||
+	    core_now(c) < j->texts_next_ms)
+		return;
+	j->texts_next_ms = core_now(c) + TEXTS_EVERY_MS;
+	key_of(j, key);
+	if (j->texts_read)
+		j->texts_busy = kv_get(c, key, cb) == ERR_OK;
+	else
+		texts_write(c, j, key);
+}
+
+void job_texts_restore(struct core *c, struct job *j,
+		       const struct kv_item *item)
+{
+	int n = 0;
+	enum err e =
+		job_texts_take(j->run, j->spec, item->value, item->len, &n);
+
+	j->texts_rev = item->rev;
+	log_event(EV_JOB_RESUMED, "batch=%s texts=%d items=%zu error=%s", j->id,
+		  n, j->spec->n_items, err_code(e));
+}
+
+static void on_dropped(struct core *c, void *ctx, const struct kv_result *res)
+{
+	/* What stays is read by nobody: its batch is over. */
+	if (res->err != ERR_OK)
+		log_event(EV_JOB_TEXTS, "error=%s", err_code(res->err));
+}
+
+void job_texts_drop(struct core *c, struct job *j)
+{
+	char key[STORE_KEY];
+
+	key_of(j, key);
+	if (j->texts_rev && kv_del(c, key, j->texts_rev,
+				   (struct kv_cb){on_dropped, NULL}) != ERR_OK)
+		log_event(EV_JOB_TEXTS, "batch=%s error=not-sent", j->id);
+	j->texts_rev = 0;
+}
--- a/packages/daemon/src/job/write.c
+++ b/packages/daemon/src/job/write.c
@@ -144,10 +144,12 @@
 	j->writing = false;
 	/* On a conflict its trainer ended the batch, or it has a new owner: the
 	 * watch tells. What is over is over without this key as well. */
-	if (j->running && (res->err == ERR_OK || res->err == ERR_KV_CONFLICT))
+	if (j->running && (res->err == ERR_OK || res->err == ERR_KV_CONFLICT)) {
+		job_texts_drop(c, j);
 		job_stop(c, j, "over");
-	else
+	} else {
 		j->write_next_ms = core_now(c) + JOB_RETRY_MS;
+	}
 }
 
 static void close_batch(struct core *c, struct job *j)
@@ -170,6 +172,8 @@
 		record_send(c, j);
 	else if (job_run_over(j->run))
 		close_batch(c, j);
-	else if (j->owner.ended)
+	else if (j->owner.ended) {
+		job_texts_drop(c, j);
 		job_stop(c, j, "ended");
+	}
 }
--- a/packages/job/include/job/job_run.h
+++ b/packages/job/include/job/job_run.h
@@ -67,6 +67,17 @@
 /// Text held of an item.
 const struct job_text *job_run_text(const struct job_run *r, int item);
 
+/// Step of an item.
+enum job_step job_run_step(const struct job_run *r, int item);
+
+/// Take a text that an earlier run of this batch held of an item. Nothing
+/// changes if the item is not waiting, has a longer text, or the batch does not
+/// allow the weights.
+///
+/// @return ERR_OK, ERR_INVALID if it was not taken, ERR_NOMEM
+enum err job_run_restore(struct job_run *r, int item,
+			 const struct job_text *text);
+
 /// One whole event came.
 ///
 /// @param version  weights that made it, 0 if not known
--- a/packages/job/src/job_run.c
+++ b/packages/job/src/job_run.c
@@ -171,6 +171,42 @@
 	return true;
 }
 
+enum job_step job_run_step(const struct job_run *r, int item)
+{
+	return r->items[item].step;
+}
+
+static bool restorable(const struct job_run *r, const struct item *it,
+		       const struct job_text *text)
+{
+	if (it->step != JOB_WAITING || r->opts.one_version ||
+	    text->last_event <= it->text.last_event)
+		return false;
+	for (int i = 0; i < text->n_versions; i++) {
+		if (text->versions[i] < r->spec->min_version)
+			return false;
+	}
+	return text->n_versions > 0;
+}
+
+enum err job_run_restore(struct job_run *r, int item,
+			 const struct job_text *text)
+{
+	struct item *it = &r->items[item];
+	struct job_text copy = *text;
+
+	if (!restorable(r, it, text))
+		return ERR_INVALID;
+	copy.cap = text->len + 1;
+	copy.buf = malloc(copy.cap);
+	if (!copy.buf)
+		return ERR_NOMEM;
+	memcpy(copy.buf, text->buf, text->len);
+	drop_text(it);
+	it->text = copy;
+	return ERR_OK;
+}
+
 /* Whether the batch allows these weights for this text; notes them. */
 static bool version_ok(struct job_run *r, struct job_text *t, uint64_t version)
 {
--- a/packages/job/test/test_job.c
+++ b/packages/job/test/test_job.c
@@ -13,6 +13,7 @@
 #include "base/rng.h"
 #include "job/job_list.h"
 #include "job/job_run.h"
+#include "job/job_texts.h"
 
 enum {
 	ITEMS = 6,
@@ -278,9 +279,79 @@
 	}
 }
 
+/* A node that goes on with a batch has the long texts of the one before; short
+ * ones, and what the batch does not allow, begin anew. */
+static void test_texts_go_on(void **state)
+{
+	struct job_spec *s = spec_new();
+	struct job_run *r = run_new(s, false);
+	struct job_run *next = run_new(s, false);
+	struct job_run *one = run_new(s, true);
+	char *value;
+	int n;
+
+	for (int i = 0; i < 2; i++) {
+		job_run_sent(r, i);
+		for (uint64_t e = 1; e <= (i ? 2 : 30); e++)
+			assert_int_equal(
+				job_run_event(r, i, e, 3 + (e > 20), "ab", 2),
+				ERR_OK);
+	}
+	value = job_texts_make(r, s, 1 << 20);
+	assert_non_null(value);
+	assert_int_equal(job_texts_take(next, s, value, strlen(value), &n),
+			 ERR_OK);
+	assert_int_equal(n, 1);
+	assert_int_equal(job_run_text(next, 0)->last_event, 30);
+	assert_int_equal(job_run_text(next, 0)->n_versions, 2);
+	assert_int_equal(job_run_text(next, 0)->len, 30 * 3 - 1);
+	assert_memory_equal(job_run_text(next, 0)->buf, job_run_text(r, 0)->buf,
+			    30 * 3 - 1);
+	job_run_sent(next, 0);
+	assert_int_equal(job_run_event(next, 0, 31, 4, "cd", 2), ERR_OK);
+	assert_int_equal(job_texts_take(one, s, value, strlen(value), &n),
+			 ERR_OK);
+	assert_int_equal(n, 0);
+	s->min_version = 4;
+	job_run_free(one);
+	one = run_new(s, false);
+	job_texts_take(one, s, value, strlen(value), &n);
+	assert_int_equal(n, 0);
+	free(value);
+	assert_null(job_texts_make(one, s, 1 << 20));
+	job_run_free(r);
+	job_run_free(next);
+	job_run_free(one);
+	job_spec_free(s);
+}
+
+static void test_bad_texts(void **state)
+{
+	static const char *const bad[] = {"", "{}", "[{", "nonsense"};
+	static const char strange[] =
+		"[3,{},{\"id\":\"i0\"},{\"id\":\"none\",\"text\":\"x\"},"
+		"{\"id\":\"i0\",\"event\":-1,\"text\":\"x\",\"versions\":[3]},"
+		"{\"id\":\"i0\",\"event\":\"x\",\"text\":4}]";
+	struct job_spec *s = spec_new();
+	struct job_run *r = run_new(s, false);
+	int n;
+
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		assert_int_equal(
+			job_texts_take(r, s, bad[i], strlen(bad[i]), &n),
+			ERR_PARSE);
+	assert_int_equal(job_texts_take(r, s, strange, strlen(strange), &n),
+			 ERR_OK);
+	assert_int_equal(n, 0);
+	job_run_free(r);
+	job_spec_free(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_texts_go_on),
+		cmocka_unit_test(test_bad_texts),
 		cmocka_unit_test(test_longest_first),
 		cmocka_unit_test(test_resume_keeps_order),
 		cmocka_unit_test(test_one_version),
--- a/test/hosted/hosted.h
+++ b/test/hosted/hosted.h
@@ -27,6 +27,7 @@
 	char team[64];
 	int server;
 	int64_t at_ms;
+	int from; ///< last event that the caller had, 0 for none
 };
 
 struct hosted_server {
@@ -59,6 +60,7 @@
 	int down; ///< the store: 0 up, 1 refuses, 2 is silent
 	int lose_percent; ///< of the store's answers are lost
 	uint64_t lose_seed; ///< decides which
+	const char *lose_key; ///< the answer of the next write below it is lost
 	int64_t excuse_until_ms; ///< orders may be late: a sender just woke up
 	json_t *sizes; ///< "service/domain" to the servers ordered
 	bool stopping;
@@ -74,6 +76,11 @@
 /// @param keys  NULL-terminated
 void hosted_conf(struct hosted *h, const char *const *keys);
 
+/// Value of a key.
+///
+/// @return text, free with free(); NULL if there is no such key
+char *hosted_value(struct hosted *h, const char *key);
+
 /// Name a version of the model "m".
 void hosted_name_version(struct hosted *h, uint64_t version);
 
@@ -83,7 +90,7 @@
 /// Withdraw a server's entry.
 void hosted_withdraw(struct hosted *h, struct hosted_server *s);
 
-/// Events of an item, and its text when versions do not matter.
+/// Events of an item: many for those whose id begins with "L". And its text when versions do not matter.
 int hosted_events(const char *item);
 
 /// Runs of an id.
--- a/test/hosted/server.c
+++ b/test/hosted/server.c
@@ -10,6 +10,7 @@
 
 enum {
 	LOAD_MS = 120, ///< of a weight version
+	LONG_EVENTS = 60,
 };
 
 static void pause_ms(int ms)
@@ -23,6 +24,8 @@
 {
 	unsigned int sum = 7;
 
+	if (*item == 'L')
+		return LONG_EVENTS;
 	for (; *item; item++)
 		sum = sum * 31 + (unsigned char)*item;
 	return 3 + (int)(sum % 12);
@@ -37,7 +40,8 @@
 }
 
 /* Note that a run begins. */
-static void note_run(struct hosted_server *s, const char *id, const char *team)
+static void note_run(struct hosted_server *s, const char *id, const char *team,
+		     int from)
 {
 	struct hosted *h = s->h;
 	struct hosted_run *r;
@@ -48,6 +52,7 @@
 	snprintf(r->id, sizeof(r->id), "%s", id);
 	snprintf(r->team, sizeof(r->team), "%s", team);
 	r->server = s->index;
+	r->from = from;
 	r->at_ms = clock_now_ms();
 }
 
@@ -127,7 +132,7 @@
 
 /* Take a place; false when the server is full. */
 static bool take_place(struct hosted_server *s, const char *id,
-		       const char *team)
+		       const char *team, int from)
 {
 	bool ok;
 
@@ -135,7 +140,7 @@
 	ok = s->running < HOSTED_SLOTS;
 	if (ok) {
 		s->running++;
-		note_run(s, id, team);
+		note_run(s, id, team, from);
 	}
 	pthread_mutex_unlock(&s->h->lock);
 	return ok;
@@ -147,7 +152,8 @@
 	static const char *const not_run[] = {"X-Catkinpath-Not-Run", "1",
 					      NULL};
 
-	if (!take_place(s, id, field(conn, "X-Catkinpath-Tenant")))
+	if (!take_place(s, id, field(conn, "X-Catkinpath-Tenant"),
+			atoi(field(conn, "Last-Event-Id"))))
 		return body_answer(conn, 503, "", not_run);
 	return send_stream(s, conn, id);
 }
@@ -165,7 +171,7 @@
 				       NULL};
 
 	pthread_mutex_lock(&s->h->lock);
-	note_run(s, id, field(conn, "X-Catkinpath-Tenant"));
+	note_run(s, id, field(conn, "X-Catkinpath-Tenant"), 0);
 	pthread_mutex_unlock(&s->h->lock);
 	return body_answer(conn, 200, b->data ? b->data : "", headers);
 }
--- a/test/hosted/store.c
+++ b/test/hosted/store.c
@@ -51,6 +51,24 @@
 	json_decref(value);
 }
 
+char *hosted_value(struct hosted *h, const char *key)
+{
+	const struct kv_entry *e;
+	char *text = NULL;
+	size_t len = 0;
+
+	pthread_mutex_lock(&h->lock);
+	e = kv_find(&h->kv, key);
+	if (e && e->value) {
+		text = calloc(1, strlen(e->value) + 1);
+		sodium_base642bin((unsigned char *)text, strlen(e->value),
+				  e->value, strlen(e->value), NULL, &len, NULL,
+				  BASE64);
+	}
+	pthread_mutex_unlock(&h->lock);
+	return text;
+}
+
 static json_t *item_of(const struct kv_entry *e)
 {
 	if (!e->value)
@@ -202,13 +220,30 @@
 	return json_object();
 }
 
+/* Whether a call writes a key below a prefix. */
+static bool writes_below(const char *url, const char *body, const char *prefix)
+{
+	json_t *obj = json_loads(body ? body : "", 0, NULL);
+	const json_t *exp = json_array_get(json_object_get(obj, "expected"), 0);
+	const char *key = json_string_value(json_object_get(exp, "key"));
+	bool below = strcmp(url, "/catkinpath/kv-txn") == 0 && key &&
+		     strncmp(key, prefix, strlen(prefix)) == 0;
+
+	json_decref(obj);
+	return below;
+}
+
 /* Whether the answer of a call that was done is lost. */
-static bool loses(struct hosted *h)
+static bool loses(struct hosted *h, const char *url, const char *body)
 {
 	struct rng r = {h->lose_seed};
 	bool lost = (int)rng_below(&r, PERCENT) < h->lose_percent;
 
 	h->lose_seed = r.state;
+	if (h->lose_key && writes_below(url, body, h->lose_key)) {
+		h->lose_key = NULL;
+		return true;
+	}
 	return lost;
 }
 
@@ -266,7 +301,7 @@
 		return body_answer(conn, 503, "", NULL);
 	}
 	reply = run_call(h, conn, url, b->data, &status);
-	lost = loses(h);
+	lost = loses(h, url, b->data);
 	pthread_mutex_unlock(&h->lock);
 	text = json_dumps(reply, JSON_COMPACT);
 	ok = lost ? MHD_NO : body_answer(conn, status, text, NULL);
--- a/test/hosted/test_hosted.c
+++ b/test/hosted/test_hosted.c
@@ -191,6 +191,14 @@
 	answer_free(&a);
 }
 
+static void restart_homes(void)
+{
+	for (int i = NODES_ENTRY; i < NODES; i++) {
+		proc_kill(&ns.list[i].proc);
+		assert_true(node_start(&ns, i));
+	}
+}
+
 /* Both nodes that may be homes are killed in turn while a batch runs. */
 static void test_home_killed(void **state)
 {
@@ -199,10 +207,7 @@
 
 	submit("b2", 0, 1);
 	part = read_results(&ns, 1, "b2", 0);
-	for (int i = NODES_ENTRY; i < NODES; i++) {
-		proc_kill(&ns.list[i].proc);
-		assert_true(node_start(&ns, i));
-	}
+	restart_homes();
 	seen = read_all("b2", clock_now_ms() + BATCH_MS);
 	for (size_t i = 0;
 	     i < json_array_size(json_object_get(part, "results")); i++)
@@ -214,6 +219,78 @@
 	json_decref(seen);
 }
 
+/* The node that takes a batch over writes itself as its owner, and the answer is
+ * lost (soak seed 2: it did not run the batch, and nobody else took it). */
+static void test_takeover_answer_lost(void **state)
+{
+	submit("b5", 0, 1);
+	pthread_mutex_lock(&h.lock);
+	h.lose_key = "catkin/run/";
+	pthread_mutex_unlock(&h.lock);
+	restart_homes();
+	json_decref(read_all("b5", clock_now_ms() + BATCH_MS));
+	pthread_mutex_lock(&h.lock);
+	assert_null(h.lose_key);
+	pthread_mutex_unlock(&h.lock);
+}
+
+static bool texts_written(void *ctx)
+{
+	const struct kv_entry *e;
+	bool there;
+
+	pthread_mutex_lock(&h.lock);
+	e = kv_find(&h.kv, "catkin/texts/L1");
+	there = e && e->value;
+	pthread_mutex_unlock(&h.lock);
+	return there;
+}
+
+/* Kill and start the node that runs a batch. */
+static void restart_owner(const char *batch)
+{
+	char key[64];
+	char *value;
+
+	snprintf(key, sizeof(key), "catkin/run/%s", batch);
+	value = hosted_value(&h, key);
+	assert_non_null(value);
+	for (int i = 0; i < NODES; i++) {
+		char name[64];
+
+		snprintf(name, sizeof(name), "\"%s\"", ns.list[i].id);
+		if (!strstr(value, name))
+			continue;
+		proc_kill(&ns.list[i].proc);
+		assert_true(node_start(&ns, i));
+	}
+	free(value);
+}
+
+static int resumed_runs(const char *batch)
+{
+	int n = 0;
+
+	pthread_mutex_lock(&h.lock);
+	for (int i = 0; i < h.n_runs; i++)
+		n += strncmp(h.runs[i].id, batch, strlen(batch)) == 0 &&
+		     h.runs[i].from > 0;
+	pthread_mutex_unlock(&h.lock);
+	return n;
+}
+
+/* The node that takes a batch over goes on with its unfinished texts. */
+static void test_texts_go_on(void **state)
+{
+	h.event_ms = 50;
+	submit("L1", 0, 1);
+	assert_true(wait_until(texts_written, NULL, BATCH_MS));
+	restart_owner("L1");
+	json_decref(read_all("L1", clock_now_ms() + BATCH_MS));
+	assert_true(resumed_runs("L1.") > 0);
+	h.event_ms = 15;
+}
+
 static bool versions_loaded(void *ctx)
 {
 	int n = 0;
@@ -395,6 +472,8 @@
 		cmocka_unit_test(test_batch),
 		cmocka_unit_test(test_bad_batch),
 		cmocka_unit_test(test_home_killed),
+		cmocka_unit_test(test_takeover_answer_lost),
+		cmocka_unit_test(test_texts_go_on),
 		cmocka_unit_test(test_versions),
 		cmocka_unit_test(test_key_withdrawn),
 		cmocka_unit_test(test_usage),
