fix(job): a submission that gives up is run if its owner key stands

Problem: A submission that the store did not settle within 3 s was dropped. If its write of the owner key had been done, or was done late, the key named a living node that did not run the batch; a later attempt elsewhere got a 202 for it. And one that gave up with that write still in flight said "not run".

--- a/packages/daemon/src/job/submit.c
+++ b/packages/daemon/src/job/submit.c
@@ -33,6 +33,7 @@
 	enum submit_step step;
 	bool busy; ///< a call is outstanding
 	bool owner_unknown; ///< a write of the owner key may have taken effect
+	bool owner_put; ///< this node began to write the owner key
 	int64_t next_ms;
 	int64_t until_ms;
 	struct job_owner owner;
@@ -67,15 +68,25 @@
 	htab_free(jobs->submits);
 }
 
+/* The owner key may name this node, now or later: it has to run the batch then. */
+static void leave_to_take(struct core *c, struct job_submit *s)
+{
+	job_take_settle(c, s->spec);
+	s->spec = NULL;
+}
+
 static void submit_refuse(struct core *c, struct job_submit *s, enum err e)
 {
-	enum run_state run = s->owner_unknown ? RUN_MAYBE : RUN_NO;
+	bool maybe = s->owner_unknown || (s->busy && s->step == SUBMIT_OWNER);
+	enum run_state run = maybe ? RUN_MAYBE : RUN_NO;
 
-	if (s->owner_unknown)
+	if (maybe)
 		e = ERR_TIMEOUT;
 	log_event(EV_JOB_REFUSED, "batch=%s error=%s run=%s", s->spec->id,
 		  err_code(e), run_state_name(run));
 	job_caller_refuse(c, &s->caller, e, run, SUBMIT_RETRY_AFTER_MS);
+	if (maybe && s->owner_put)
+		leave_to_take(c, s);
 	submit_free(jobs_of(c), s);
 }
 
@@ -106,6 +117,8 @@
 	}
 	histogram_add(H_BATCH_TAKEN, core_now(c) + SUBMIT_MAX_MS - s->until_ms);
 	accepted(c, &s->caller);
+	if (mine && !(j && j->running))
+		leave_to_take(c, s);
 	submit_free(jobs, s);
 	if (j && j->running)
 		job_step(c, j);
@@ -205,6 +218,7 @@
 	case SUBMIT_BODY:
 		return submit_put_body(c, s, cb);
 	case SUBMIT_OWNER:
+		s->owner_put = true;
 		return job_owner_put(c, s->spec->id, &s->owner, 0, cb);
 	case SUBMIT_CHECK:
 		snprintf(key, sizeof(key), KEY_RUN "%s", s->spec->id);
