fix(peer): messages that come while the loop ends are freed

Solution: The edge frees what is left in the mailbox once its thread has ended. test_peer stops an edge with messages waiting; before the change it leaks.

--- a/packages/peer/include/peer/peer.h
+++ b/packages/peer/include/peer/peer.h
@@ -51,7 +51,8 @@
 	/// Free a received message; any thread.
 	void (*msg_free)(struct peer_edge *p, struct peer_msg *m);
 
-	/// Stop the thread. Messages left in the mailbox must have been freed.
+	/// Stop the thread, and free the messages that are left in the mailbox;
+	/// nobody takes any more.
 	void (*stop)(struct peer_edge *p);
 };
 
--- a/packages/peer/src/zmq_edge.c
+++ b/packages/peer/src/zmq_edge.c
@@ -320,6 +320,7 @@
 
 static void edge_stop(struct peer_edge *p)
 {
+	struct peer_msg *m;
 	struct cmd *c;
 
 	while (cmd_put(p, cmd_new(CMD_QUIT, "", NULL, 0)) != ERR_OK)
@@ -327,6 +328,9 @@
 	pthread_join(p->thread, NULL);
 	while ((c = mbox_get(p->cmds)))
 		free(c);
+	/* What came after the loop looked last. */
+	while ((m = mbox_get(p->opts.events)))
+		msg_done(p, m);
 	edge_free(p);
 }
 
--- /dev/null
+++ b/packages/peer/test/test_peer.c
@@ -0,0 +1,96 @@
+// Messages between edges; what nobody took is freed with the edge.
+#include <poll.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "base/mbox.h"
+#include "peer/peer.h"
+
+enum {
+	BOX = 256,
+	MESSAGES = 20,
+	WAIT_MS = 10000, ///< for a message on loopback
+	STEP_MS = 20,
+	PORT = 7990,
+};
+
+struct end {
+	struct mbox *box;
+	struct peer_edge *edge;
+	char addr[64];
+};
+
+static void end_start(struct end *e, const char *node, int number)
+{
+	struct peer_opts opts = {.node = node};
+
+	snprintf(e->addr, sizeof(e->addr), "127.77.%d.%d:%d",
+		 (int)(getpid() & 0xff), number, PORT);
+	e->box = mbox_new(BOX);
+	opts.listen = e->addr;
+	opts.events = e->box;
+	assert_int_equal(peer_zmq_ops.start(&opts, &e->edge), ERR_OK);
+}
+
+static void end_stop(struct end *e)
+{
+	peer_zmq_ops.stop(e->edge);
+	mbox_free(e->box);
+}
+
+static bool readable(struct end *e, int wait_ms)
+{
+	struct pollfd p = {.fd = mbox_fd(e->box), .events = POLLIN};
+
+	return poll(&p, 1, wait_ms) == 1;
+}
+
+static void send_to_a(struct end *from)
+{
+	assert_int_equal(peer_zmq_ops.send(from->edge, "a", 7, "text", 4),
+			 ERR_OK);
+}
+
+static void test_stop_with_messages(void **state)
+{
+	struct end a, b;
+	struct peer_msg *m;
+
+	end_start(&a, "a", 1);
+	end_start(&b, "b", 2);
+	assert_int_equal(peer_zmq_ops.add(b.edge, "a", a.addr), ERR_OK);
+	/* Messages are dropped until the connection stands. */
+	for (int i = 0; i < WAIT_MS / STEP_MS && !readable(&a, STEP_MS); i++)
+		send_to_a(&b);
+	mbox_clear(a.box);
+	m = mbox_get(a.box);
+	assert_non_null(m);
+	assert_string_equal(m->from, "b");
+	assert_int_equal(m->type, 7);
+	assert_int_equal(m->len, 4);
+	assert_memory_equal(m->data, "text", 4);
+	peer_zmq_ops.msg_free(a.edge, m);
+	for (int i = 0; i < MESSAGES; i++)
+		send_to_a(&b);
+	assert_true(readable(&a, WAIT_MS));
+	end_stop(&b);
+	/* Leaks are an error of this program when built with sanitizers. */
+	end_stop(&a);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_stop_with_messages),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
