--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -55,6 +55,8 @@
 	struct link *server[HOSTED_SERVERS]; ///< between nodes and a server
 	bool store_cut[NODES_MAX]; ///< a node's link to the store is disturbed
 	int64_t store_bad_ms[NODES_MAX]; ///< when it last was, or the store
+	int64_t started_ms[NODES_MAX]; ///< last start of a node's process
+	bool term_early[NODES_MAX]; ///< SIGTERM came while it was starting
 	int64_t start_ms;
 	_Atomic bool stop; ///< callers end
 	_Atomic int64_t
