fix(platform): callers come back when the store may be there; old calls tell nothing

After the return, calls that had hung since the outage timed out and were taken for a new loss: homes that had found the store at 9.6 s had it for good only at 10.0 to 10.2 s. Probes hung for 800 ms each.

A failed call that began before the last answered one changes nothing; a probe ends after 400 ms.

--- a/packages/daemon/include/daemon/platform_mod.h
+++ b/packages/daemon/include/daemon/platform_mod.h
@@ -52,6 +52,15 @@
 /// @return clock_now_ms() time, 0 for never
 int64_t kv_last_contact(struct core *c);
 
+/// When a caller should come back that was refused for want of the store.
+///
+/// Load pattern: the store is away, and callers come back a few times only. A
+/// silence that has lasted for some time lasts about as long again, so that is
+/// the time. Where peers have the store, another node can serve the caller soon.
+///
+/// @return milliseconds
+int64_t kv_retry_after(struct core *c);
+
 /// Since when the store answers without a failed call in between.
 ///
 /// @return clock_now_ms() time, 0 while it does not answer
--- a/packages/daemon/src/front/front_mod.c
+++ b/packages/daemon/src/front/front_mod.c
@@ -7,11 +7,11 @@
 #include "base/rng.h"
 #include "daemon/job_mod.h"
 #include "daemon/mods.h"
+#include "daemon/platform_mod.h"
 #include "front/front.h"
 
 enum {
 	FORWARDS = 4096, ///< requests on their way at once
-	REFUSED_RETRY_AFTER_MS = 1000, ///< a node without fresh settings
 };
 
 struct front *front_of(const struct core *c)
@@ -22,7 +22,7 @@
 static void refuse(struct core *c, struct core_req *req, const char *id,
 		   enum err e)
 {
-	int64_t again = err_http(e) == 503 ? REFUSED_RETRY_AFTER_MS : 0;
+	int64_t again = err_http(e) == 503 ? kv_retry_after(c) : 0;
 
 	log_event(EV_FRONT_REFUSED,
 		  "request=%s method=%s path=%.80s error=%s run=no conf=%llu "
--- a/packages/daemon/src/job/home.c
+++ b/packages/daemon/src/job/home.c
@@ -204,6 +204,16 @@
 	arena_free(&a);
 }
 
+/* A home without the store knows less than the asker can. Load pattern: the store
+ * is silent and each trainer's next step comes; a home that held them would leave
+ * the askers with unknown outcomes. */
+static bool of_use(struct core *c, const struct home_ask *ask)
+{
+	if (ask->kind == HOME_SUBMIT && !kv_back_since(c))
+		return false;
+	return lead_mod_alive(c) && !jobs_of(c)->draining;
+}
+
 static void on_ask(struct core *c, void *ctx, const char *from, const void *buf,
 		   size_t len)
 {
@@ -218,8 +228,7 @@
 	} else {
 		snprintf(to.node, sizeof(to.node), "%s", from);
 		to.seq = ask.seq;
-		/* A home without the store knows less than the asker can. */
-		if (lead_mod_alive(c) && !jobs_of(c)->draining)
+		if (of_use(c, &ask))
 			job_local(c, &to, &ask, false);
 		else
 			job_caller_refuse(c, &to, ERR_KV_DOWN, RUN_NO, 0);
--- a/packages/daemon/src/job/submit.c
+++ b/packages/daemon/src/job/submit.c
@@ -18,7 +18,6 @@
 	/// A submission that the store does not settle in this time is answered
 	/// with an unknown outcome; its trainer asks again elsewhere.
 	SUBMIT_MAX_MS = 3000,
-	SUBMIT_RETRY_AFTER_MS = 500, ///< the store may be back by then
 };
 
 enum submit_step {
@@ -84,7 +83,7 @@
 		e = ERR_TIMEOUT;
 	log_event(EV_JOB_REFUSED, "batch=%s error=%s run=%s", s->spec->id,
 		  err_code(e), run_state_name(run));
-	job_caller_refuse(c, &s->caller, e, run, SUBMIT_RETRY_AFTER_MS);
+	job_caller_refuse(c, &s->caller, e, run, kv_retry_after(c));
 	if (maybe && s->owner_put)
 		leave_to_take(c, s);
 	submit_free(jobs_of(c), s);
@@ -271,7 +270,7 @@
 		free(s);
 		job_spec_free(spec);
 		job_caller_refuse(c, to, ERR_FULL, maybe ? RUN_MAYBE : RUN_NO,
-				  SUBMIT_RETRY_AFTER_MS);
+				  kv_retry_after(c));
 		return;
 	}
 	*slot = s;
@@ -304,7 +303,7 @@
 	if (maybe)
 		e = ERR_TIMEOUT;
 	job_caller_refuse(c, to, e, maybe ? RUN_MAYBE : RUN_NO,
-			  SUBMIT_RETRY_AFTER_MS);
+			  kv_retry_after(c));
 	return true;
 }
 
--- a/packages/daemon/src/platform_mod.c
+++ b/packages/daemon/src/platform_mod.c
@@ -24,6 +24,13 @@
 	/// contact, and all others ask the homes.
 	PLATFORM_PROBE_MS = 1500,
 	PLATFORM_HOME_PROBE_MS = 250,
+	/// A probe of a store that is there is answered within some
+	/// milliseconds, or some hundreds if it is slow; a silent one is asked
+	/// again soon.
+	PLATFORM_PROBE_TIMEOUT_MS = 400,
+	RETRY_AFTER_MIN_MS = 500, ///< another node is reached by then
+	RETRY_AFTER_MAX_MS =
+		3000, ///< callers wait a third of their time at most
 };
 
 struct platform {
@@ -40,12 +47,19 @@
 	bool fresh; ///< the last call failed: don't trust old connections
 };
 
+/// How a call may reach the store.
+enum call_way {
+	WAY_ANY, ///< also through a peer
+	WAY_DIRECT, ///< for a peer
+	WAY_PROBE, ///< directly, to see whether the store is there
+};
+
 struct platform_call {
 	struct kv_call call;
 	struct kv_cb cb;
 	struct arena arena;
 	int64_t start_ms;
-	bool direct_only; ///< never through a peer
+	enum call_way way;
 };
 
 static struct platform *platform_of(const struct core *c)
@@ -112,14 +126,27 @@
 	return res->err == ERR_KV_UNKNOWN || res->err == ERR_KV_DOWN;
 }
 
+/* Whether a call hung since before the store answered another one: it tells
+ * nothing of the store as it is now. */
+static bool outdated(const struct contact *contact,
+		     const struct platform_call *pc,
+		     const struct kv_result *res)
+{
+	return is_failure(res) && contact->back_ms &&
+	       pc->start_ms < contact->heard_ms;
+}
+
 static void platform_note(struct platform *p, const struct platform_call *pc,
 			  const struct kv_result *res, int64_t now)
 {
 	int64_t heard = platform_heard(pc, res);
 	int64_t silent;
 
-	if (is_failure(res)) {
+	if (is_failure(res))
 		metric_add(M_KV_FAILED, 1);
+	if (outdated(&p->contact, pc, res))
+		return;
+	if (is_failure(res)) {
 		if (contact_bad(&p->contact))
 			log_event(EV_KV_LOST, "error=%s call=%d",
 				  err_code(res->err), (int)pc->call.op);
@@ -146,6 +173,8 @@
 	int64_t now = core_now(c);
 	bool failed = is_failure(res);
 
+	if (outdated(&p->direct, pc, res))
+		return;
 	p->fresh = failed;
 	if (failed)
 		contact_bad(&p->direct);
@@ -159,6 +188,17 @@
 	}
 }
 
+int64_t kv_retry_after(struct core *c)
+{
+	const struct platform *p = platform_of(c);
+	int64_t silent = core_now(c) - p->contact.heard_ms;
+	bool here_only = p->proxy && !proxy_peers_lost(c, p->proxy);
+
+	if (p->contact.back_ms || here_only || silent < RETRY_AFTER_MIN_MS)
+		return RETRY_AFTER_MIN_MS;
+	return silent < RETRY_AFTER_MAX_MS ? silent : RETRY_AFTER_MAX_MS;
+}
+
 int64_t kv_back_since(struct core *c)
 {
 	return platform_of(c)->contact.back_ms;
@@ -171,7 +211,7 @@
 	struct platform *p = platform_of(c);
 
 	htab_del(p->calls, h);
-	if (!pc->direct_only)
+	if (pc->way == WAY_ANY)
 		platform_note(p, pc, res, core_now(c));
 	if (pc->call.op != KV_WATCH)
 		histogram_add(H_KV_CALL, core_now(c) - pc->start_ms);
@@ -196,8 +236,8 @@
 	bool write = pc->call.op == KV_PUT || pc->call.op == KV_DEL ||
 		     pc->call.op == KV_GRANT;
 
-	return !pc->direct_only && (res->err == ERR_KV_DOWN ||
-				    (res->err == ERR_KV_UNKNOWN && !write));
+	return pc->way == WAY_ANY && (res->err == ERR_KV_DOWN ||
+				      (res->err == ERR_KV_UNKNOWN && !write));
 }
 
 static void platform_done(struct core *c, void *ctx,
@@ -233,7 +273,9 @@
 				     &pc->arena, &req);
 	struct core_fetch_opts opts = {
 		.headers = headers,
-		.timeout_ms = settings_int(s, S_PLATFORM_TIMEOUT),
+		.timeout_ms = pc->way == WAY_PROBE
+				      ? PLATFORM_PROBE_TIMEOUT_MS
+				      : settings_int(s, S_PLATFORM_TIMEOUT),
 		.max_body = PLATFORM_BODY_MAX,
 		.fresh = p->fresh,
 		.on_done = platform_done,
@@ -277,11 +319,11 @@
  * costs, refused or not; the probes find out when it is back. */
 static bool in_vain(const struct platform *p, const struct platform_call *pc)
 {
-	return p->proxy && !pc->direct_only && contact_away(&p->direct);
+	return p->proxy && pc->way == WAY_ANY && contact_away(&p->direct);
 }
 
 static enum err call_begin(struct core *c, const struct kv_call *call,
-			   struct kv_cb cb, bool direct_only)
+			   struct kv_cb cb, enum call_way way)
 {
 	struct platform *p = platform_of(c);
 	struct platform_call *pc = calloc(1, sizeof(*pc));
@@ -297,10 +339,10 @@
 	*slot = pc;
 	pc->cb = cb;
 	pc->start_ms = core_now(c);
-	pc->direct_only = direct_only;
+	pc->way = way;
 	arena_init(&pc->arena, 0);
 	e = keep_texts(pc, call) ? ERR_OK : ERR_NOMEM;
-	if (e == ERR_OK && (direct_only || !p->by_peer ||
+	if (e == ERR_OK && (way != WAY_ANY || !p->by_peer ||
 			    !proxy_call(c, p->proxy, h, &pc->call)))
 		e = in_vain(p, pc) ? ERR_KV_DOWN : platform_fetch(c, pc, h);
 	if (e != ERR_OK)
@@ -320,14 +362,14 @@
 static enum err platform_begin(struct core *c, const struct kv_call *call,
 			       struct kv_cb cb)
 {
-	return call_begin(c, call, cb, false);
+	return call_begin(c, call, cb, WAY_ANY);
 }
 
 enum err kv_direct(struct core *c, const struct kv_call *call, struct kv_cb cb)
 {
 	if (!platform_of(c)->direct.back_ms)
 		return ERR_KV_DOWN;
-	return call_begin(c, call, cb, true);
+	return call_begin(c, call, cb, WAY_DIRECT);
 }
 
 enum err kv_get(struct core *c, const char *key, struct kv_cb cb)
@@ -417,7 +459,7 @@
 	if (!p->by_peer || now_ms < p->probe_ms)
 		return;
 	p->probe_ms = now_ms + probe_wait_ms(c);
-	call_begin(c, &call, (struct kv_cb){probed, NULL}, true);
+	call_begin(c, &call, (struct kv_cb){probed, NULL}, WAY_PROBE);
 }
 
 static void platform_tick(struct core *c, void *state, int64_t now_ms)
--- a/packages/daemon/src/proxy.c
+++ b/packages/daemon/src/proxy.c
@@ -19,6 +19,7 @@
 	/// milliseconds, and another peer may be asked instead.
 	PROXY_TIMEOUT_MS = 500,
 	PROXY_AVOID_MS = 2000, ///< a peer that did not answer or lost the store
+	PROXY_TOLD_MS = 3000, ///< a peer's word holds until others were asked
 };
 
 /// A question to a peer.
@@ -39,6 +40,7 @@
 struct proxy {
 	struct htab *open; ///< struct proxy_open
 	struct avoid avoid;
+	int64_t told_down_ms; ///< when a peer said last that it has no store
 	void (*done)(struct core *c, htab_handle call,
 		     const struct kv_result *res);
 };
@@ -141,6 +143,8 @@
 	if (proxy_reply_read(buf, len, &a, &seq, &res) != ERR_OK) {
 		metric_add(M_PEER_MALFORMED, 1);
 	} else {
+		if (res.err == ERR_KV_DOWN)
+			p->told_down_ms = core_now(c);
 		o = htab_get(p->open, (htab_handle)seq);
 		if (o && strcmp(o->peer, from) == 0)
 			finish(c, p, o, &res);
@@ -148,6 +152,11 @@
 	arena_free(&a);
 }
 
+bool proxy_peers_lost(struct core *c, const struct proxy *p)
+{
+	return p->told_down_ms && core_now(c) - p->told_down_ms < PROXY_TOLD_MS;
+}
+
 static void reply(struct core *c, const struct proxied *to,
 		  const struct kv_result *res)
 {
--- a/packages/daemon/src/proxy.h
+++ b/packages/daemon/src/proxy.h
@@ -13,6 +13,9 @@
 
 /// Register the messages.
 ///
+/// Whether a peer said lately that it has no way to the store either.
+bool proxy_peers_lost(struct core *c, const struct proxy *p);
+
 /// @param done  takes the outcome of a call that was begun with proxy_call()
 enum err proxy_start(struct core *c, struct proxy **out,
 		     void (*done)(struct core *c, htab_handle call,
--- a/test/hosted/test_hosted.c
+++ b/test/hosted/test_hosted.c
@@ -369,6 +369,22 @@
 	assert_int_equal(h.clashes, 0);
 }
 
+/* Hand in a batch that can't be taken: refused as not run, with a time to come
+ * back that fits a silence of seconds. */
+static void submit_in_vain(const char *id)
+{
+	char *body = batch_body(id, ITEMS, 1);
+	struct answer a;
+	char path[64];
+
+	snprintf(path, sizeof(path), "/learn/%s", id);
+	node_call(&ns, 0, "POST", path, "k1", id, body, &a);
+	assert_int_equal(a.status, 503);
+	assert_true(atof(a.retry_after) >= 1.0);
+	answer_free(&a);
+	free(body);
+}
+
 /* The store is silent: open work goes on, keyed requests are refused as not run
  * once their keys can't be confirmed, and all is well again after. */
 static void test_store_away(void **state)
@@ -389,12 +405,16 @@
 	assert_int_equal(a.status, 503);
 	assert_true(a.retry_after[0] != '\0');
 	answer_free(&a);
+	submit_in_vain("b6");
 	pthread_mutex_lock(&h.lock);
 	h.down = 0;
 	pthread_cond_broadcast(&h.changed);
 	pthread_mutex_unlock(&h.lock);
 	json_decref(read_all("b4", clock_now_ms() + BATCH_MS));
+	assert_int_equal(hosted_runs(&h, "b6.0"), 0);
 	assert_true(node_ready(&ns, 0, BATCH_MS));
+	submit("b6", 0, 1);
+	json_decref(read_all("b6", clock_now_ms() + BATCH_MS));
 }
 
 /* No server of the service is left: refused at once, as not run, with a time to
