perf(site): nodes trust keys again sooner after an outage

Problem: After the store's return a relay confirmed the configuration by a watch that waits 1 s, and its followers asked again in their own time: entry nodes refused keyed requests for 0.5 to 2.3 s more.

Solution: The first watch after a return waits 20 ms. A relay answers all questions that came while it knew too little as soon as it knows enough.

--- a/packages/daemon/src/site/feed.c
+++ b/packages/daemon/src/site/feed.c
@@ -8,6 +8,8 @@
 	FEED_RETRY_MS =
 		200, ///< after a failed call; doubles with each further one
 	FEED_DOUBLINGS = 3,
+	/// Wait of a watch that shall only confirm what is known.
+	FEED_HURRY_MS = 20,
 };
 
 void feed_init(struct feed *f, const struct feed_opts *opts)
@@ -105,7 +107,7 @@
 {
 	bool quiet = !res->n_items && !res->n_deleted;
 
-	return quiet ? f->start_ms + f->opts.wait_ms : f->start_ms;
+	return quiet ? f->start_ms + f->wait_ms : f->start_ms;
 }
 
 static void on_watch(struct core *c, void *ctx, const struct kv_result *res)
@@ -158,13 +160,16 @@
 	if (f->busy || f->quiet || now < f->next_ms)
 		return;
 	f->start_ms = now;
+	f->wait_ms = f->hurry ? FEED_HURRY_MS : f->opts.wait_ms;
 	if (f->listed)
-		e = kv_watch(c, f->opts.prefix, f->rev, f->opts.wait_ms,
+		e = kv_watch(c, f->opts.prefix, f->rev, f->wait_ms,
 			     (struct kv_cb){on_watch, f});
 	else
 		e = kv_list_from(c, f->opts.prefix, f->from[0] ? f->from : NULL,
 				 (struct kv_cb){on_list, f});
 	f->busy = e == ERR_OK;
-	if (!f->busy)
+	if (f->busy)
+		f->hurry = false;
+	else
 		f->next_ms = now + FEED_RETRY_MS;
 }
--- a/packages/daemon/src/site/feed.h
+++ b/packages/daemon/src/site/feed.h
@@ -37,6 +37,8 @@
 	int64_t next_ms; ///< earliest next call
 	int failures; ///< of calls in a row
 	char from[256]; ///< last key of the list's page, "" at its start
+	int64_t wait_ms; ///< of the watch in progress
+	bool hurry; ///< the next watch is to confirm soon what is known
 	int64_t confirmed_ms; ///< what is known was true then, 0 for never
 	struct relay_copy copy; ///< with opts.keep
 };
--- a/packages/daemon/src/site/relay.c
+++ b/packages/daemon/src/site/relay.c
@@ -73,6 +73,12 @@
 	msgpack_sbuffer_destroy(&buf);
 }
 
+/* The first prefix is the configuration, whose age decides over keys. */
+static bool too_old(struct core *c, const struct relay *r)
+{
+	return core_now(c) - r->feeds[0]->confirmed_ms > RELAY_AGE_MS;
+}
+
 static bool has_news(const struct relay *r, const struct relay_ask *ask)
 {
 	for (int i = 0; i < RELAY_FEEDS; i++) {
@@ -94,7 +100,8 @@
 			core_peer_del(c, ask->node);
 			*ask = r->asks[--r->n_asks];
 		} else if (ask->open && core_now(c) >= ask->not_before_ms &&
-			   (core_now(c) >= ask->until_ms || has_news(r, ask))) {
+			   (core_now(c) >= ask->until_ms || has_news(r, ask) ||
+			    (ask->vain && !too_old(c, r)))) {
 			ask->open = false;
 			send_news(c, r, ask);
 		}
@@ -134,6 +141,7 @@
 		return;
 	snprintf(ask->node, sizeof(ask->node), "%s", from);
 	ask->open = true;
+	ask->vain = too_old(c, r);
 	ask->asked_ms = core_now(c);
 	ask->seq = q.seq;
 	memcpy(ask->revs, q.revs, sizeof(ask->revs));
@@ -141,7 +149,6 @@
 	answer_due(c, r);
 }
 
-/* The first prefix is the configuration, whose age decides over keys. */
 static bool usable(const struct relay_part *parts)
 {
 	for (int i = 0; i < RELAY_FEEDS; i++) {
--- a/packages/daemon/src/site/relay.h
+++ b/packages/daemon/src/site/relay.h
@@ -19,6 +19,7 @@
 struct relay_ask {
 	char node[FOLLOW_NODE];
 	bool open; ///< to be answered
+	bool vain; ///< what the relay knew was too old when it was asked
 	int64_t asked_ms;
 	int64_t not_before_ms; ///< first answer
 	uint64_t seq;
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -382,9 +382,12 @@
 
 	s->back_ms = back;
 	for (int i = 0; i < RELAY_FEEDS; i++) {
-		/* Some other call found the store again: no need to wait on. */
-		if (returned)
+		/* Some other call found the store again: no need to wait on.
+		 * Callers are refused until what is known is confirmed. */
+		if (returned) {
 			feeds[i]->next_ms = 0;
+			feeds[i]->hurry = true;
+		}
 		feeds[i]->quiet = quiet(c, s, feeds[i]);
 		feed_step(c, feeds[i]);
 	}
