test(hosted): the stand-in takes more than 1,024 descriptors

The stand-in's log: "New connection socket descriptor is not less than FD_SETSIZE"; it closed new connections, as its servers used select().

Solution: They use poll().

--- a/test/hosted/body.c
+++ b/test/hosted/body.c
@@ -54,7 +54,7 @@
 	inet_pton(AF_INET, ip, &sa.sin_addr);
 	return MHD_start_daemon(
 		MHD_USE_THREAD_PER_CONNECTION |
-			MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_ERROR_LOG,
+			MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
 		0, NULL, NULL, fn, ctx, MHD_OPTION_SOCK_ADDR, &sa,
 		MHD_OPTION_NOTIFY_COMPLETED, body_end, NULL,
 		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
