fix(daemon): a question that is dropped, and lost batches beyond a round's, are logged

Problem: Without memory a peer's question vanished without a line, and so did lost batches beyond the 1,024 of a round.

Solution: A line each; the batches come with the next round.

--- a/packages/daemon/src/job/take.c
+++ b/packages/daemon/src/job/take.c
@@ -394,8 +394,12 @@
 		return;
 	}
 	if (owner.ended || owner.over || (j && j->running) ||
-	    t->n_lost == TAKE_BATCHES || !lost_to(c, t, &owner))
+	    !lost_to(c, t, &owner))
 		return;
+	if (t->n_lost == TAKE_BATCHES) {
+		log_event(EV_JOB_REFUSED, "batch=%s takeover=next-round", id);
+		return;
+	}
 	l = &t->lost[t->n_lost++];
 	snprintf(l->id, sizeof(l->id), "%s", id);
 	l->owner = owner;
--- a/packages/daemon/src/proxy.c
+++ b/packages/daemon/src/proxy.c
@@ -188,8 +188,10 @@
 	struct proxy_ask ask = {0};
 	struct arena a;
 
-	if (!to)
+	if (!to) {
+		log_event(EV_KV_PROXY_LOST, "peer=%s error=no-memory", from);
 		return;
+	}
 	arena_init(&a, 0);
 	if (proxy_ask_read(buf, len, &a, &ask) != ERR_OK ||
 	    core_peer_add(c, from, ask.addr) != ERR_OK) {
