fix(sizing): a domain's price is kept with the domain

Problem: The price was read from the configuration in force by the place that the domain had in an earlier one. With fewer failure domains in a new version that reads past its list, with another order it takes another domain's price.

Solution: The price is kept beside the name, as both are taken from one version. A new version's prices hold from the next holding of the lead on, as its domains do.

--- a/packages/daemon/src/sizing/sizing_mod.c
+++ b/packages/daemon/src/sizing/sizing_mod.c
@@ -32,6 +32,7 @@
 
 struct sized_domain {
 	char name[SITE_NAME];
+	double price; ///< of a server's second, against other domains
 	int ordered; ///< servers of the last order that was taken, 0 for none
 	int asked; ///< servers of the order on its way
 	int most; ///< servers seen or ordered in this holding
@@ -203,9 +204,12 @@
 	snprintf(out->name, sizeof(out->name), "%s", svc->name);
 	out->first_ms = core_now(c);
 	fleet_init(&out->fleet, &opts);
-	for (int i = 0; i < sz->n_domains && i < SIZING_DOMAINS; i++)
-		snprintf(out->domains[out->n_domains++].name, SITE_NAME, "%s",
-			 sz->domains[i].name);
+	for (int i = 0; i < sz->n_domains && i < SIZING_DOMAINS; i++) {
+		struct sized_domain *d = &out->domains[out->n_domains++];
+
+		snprintf(d->name, sizeof(d->name), "%s", sz->domains[i].name);
+		d->price = sz->domains[i].price;
+	}
 	return out;
 }
 
@@ -223,10 +227,10 @@
 		int more = starting(sd, sz, n.there, now);
 
 		d[i] = (struct fleet_domain){
-			.price = sz->domains[i].price,
+			.price = sd->price,
 			.have = n.there + more,
-			.closed = now<sd->closed_until_ms, .out = n.there> 0 &&
-				  n.usable == 0,
+			.closed = sd->closed_until_ms > now,
+			.out = n.there && !n.usable,
 		};
 		if (d[i].have > sd->most)
 			sd->most = d[i].have;
