refactor(lead): one sender of the leader's calls to the platform

Problem: Usage reports and orders for servers each chose the base URL, the time-out and the new connection of their calls.

Solution: lead_call_send() in the folder of the lead. Both bring what the adapter wrote and a callback. Behaviour is the same.

--- a/packages/daemon/src/sizing/sizing_mod.c
+++ b/packages/daemon/src/sizing/sizing_mod.c
@@ -13,13 +13,13 @@
 #include "daemon/site_mod.h"
 #include "fleet/fleet.h"
 #include "fleet/spread.h"
+#include "lead/lead_call.h"
 #include "sizing/need.h"
 #include "wire/wire.h"
 
 enum {
 	SIZING_DOMAINS = 16, ///< of a service
 	SIZING_STEP_MS = 1000, ///< fleet_step() wants about one a second
-	SIZING_TIMEOUT_MS = 1500, ///< of an order
 	SIZING_RETRY_MS = 1000, ///< after an order that was not taken
 	/// From the start of a server to its entry in the store: a heartbeat and
 	/// the way to this node.
@@ -101,10 +101,8 @@
 		       const struct sized_service *svc, struct sized_domain *d,
 		       int servers)
 {
-	const struct settings *s = core_settings(c);
 	const struct duty_wire_ops *wire = core_wire(c)->duty;
-	const char *base = settings_str(s, S_PLATFORM_DUTY_URL);
-	struct sizing_call *call = calloc(1, sizeof(*call));
+	struct sizing_call *order = calloc(1, sizeof(*order));
 	const struct duty_size size = {
 		.holder = core_node(c),
 		.epoch = z->epoch,
@@ -112,34 +110,26 @@
 		.domain = d->name,
 		.servers = servers,
 	};
-	struct core_fetch_opts opts = {
-		.method = "POST",
-		.timeout_ms = SIZING_TIMEOUT_MS,
-		.fresh = true,
+	struct lead_call call = {
+		.path = wire->size_path,
 		.on_done = on_ordered,
-		.ctx = call,
+		.ctx = order,
 	};
 	struct arena a;
-	char url[512];
 
-	if (!call)
+	if (!order)
 		return;
-	call->z = z;
-	call->d = d;
-	call->epoch = z->epoch;
-	call->servers = servers;
-	strcpy(call->service, svc->name);
-	strcpy(call->domain, d->name);
+	order->z = z;
+	order->d = d;
+	order->epoch = z->epoch;
+	order->servers = servers;
+	strcpy(order->service, svc->name);
+	strcpy(order->domain, d->name);
 	arena_init(&a, 0);
-	snprintf(url, sizeof(url), "%s%s",
-		 *base ? base : settings_str(s, S_PLATFORM_URL),
-		 wire->size_path);
-	opts.url = url;
-	opts.headers = wire->size(&size, &a, &opts.body);
-	opts.body_len = opts.body ? strlen(opts.body) : 0;
-	d->busy = opts.headers && core_fetch(c, &opts, NULL) == ERR_OK;
+	call.headers = wire->size(&size, &a, &call.body);
+	d->busy = lead_call_send(c, &call) == ERR_OK;
 	if (!d->busy)
-		free(call);
+		free(order);
 	arena_free(&a);
 }
 
--- a/packages/daemon/src/tally/report.c
+++ b/packages/daemon/src/tally/report.c
@@ -7,15 +7,14 @@
 #include <string.h>
 
 #include "base/log.h"
-#include "core/settings.h"
 #include "daemon/lead_mod.h"
+#include "lead/lead_call.h"
 #include "store_keys.h"
 #include "tally/tally.h"
 #include "wire/wire.h"
 
 enum {
 	REPORT_RETRY_MS = 400,
-	REPORT_TIMEOUT_MS = 1500, ///< of the call to the platform
 	REPORT_TEAMS = 512, ///< most teams of a report
 	/// Windows that a new leader looks back: more than pass while nobody
 	/// leads. What was reported before is reported again, the same.
@@ -148,39 +147,27 @@
 	return k;
 }
 
-/* Checked just before the bytes leave: a leader that was paused between the
- * check and the call sends within moments of its wake-up or not at all. */
 static enum err report_send(struct core *c, struct tally_report *r)
 {
-	const struct settings *s = core_settings(c);
 	const struct duty_wire_ops *wire = core_wire(c)->duty;
-	const char *base = settings_str(s, S_PLATFORM_DUTY_URL);
 	struct duty_count counts[REPORT_TEAMS];
-	struct duty_report rep = {
+	const struct duty_report rep = {
 		.holder = core_node(c),
 		.epoch = r->epoch,
 		.window = r->window,
 		.counts = counts,
 		.n = report_counts(r, counts),
 	};
-	struct core_fetch_opts opts = {
-		.method = "POST",
-		.timeout_ms = REPORT_TIMEOUT_MS,
-		.fresh = true,
+	struct lead_call call = {
+		.path = wire->report_path,
 		.on_done = on_sent,
 	};
 	struct arena a;
-	char url[512];
 	enum err e;
 
 	arena_init(&a, 0);
-	snprintf(url, sizeof(url), "%s%s",
-		 *base ? base : settings_str(s, S_PLATFORM_URL),
-		 wire->report_path);
-	opts.url = url;
-	opts.headers = wire->report(&rep, &a, &opts.body);
-	opts.body_len = opts.body ? strlen(opts.body) : 0;
-	e = opts.headers ? core_fetch(c, &opts, NULL) : ERR_NOMEM;
+	call.headers = wire->report(&rep, &a, &call.body);
+	e = lead_call_send(c, &call);
 	arena_free(&a);
 	return e;
 }
