refactor(job): loading of a batch apart from the rounds that look for lost ones

Problem: take.c (490 lines) held two things: rounds over the owner keys, and the calls that load one batch. The number of loads in progress was counted beside their list, by each place that added or ended one.

Solution: load.c with its own header; the number is derived from the list. Submissions that are unsettled go to job_load_settle() as before. Code moved, behaviour the same; test_hosted (takeovers, lost answers) passes.

--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -96,7 +96,7 @@
 	struct htab *ends; ///< struct job_end
 	int64_t reconcile_ms; ///< next look for batches of lost nodes
 	struct job_take *take; ///< look in progress
-	struct loading *loadings; ///< batches on their way to this node
+	struct job_load *loads; ///< batches on their way to this node
 	bool own_looked; ///< batches of this node's earlier process were sought
 	bool draining;
 	struct homes *homes; ///< questions to homes
@@ -195,12 +195,6 @@
 /// Take over what lost nodes left, if this node leads.
 void job_take_step(struct core *c);
 
-/// Run a batch if its owner key turns out to name this node: a write of the key
-/// got no answer.
-///
-/// @param spec  taken over
-void job_take_settle(struct core *c, struct job_spec *spec);
-
 /// Move submissions and ends on whose store calls have to be made again.
 void job_submits_step(struct core *c);
 void job_ends_step(struct core *c);
@@ -228,4 +222,3 @@
 void job_submits_free(struct jobs *jobs);
 void job_ends_free(struct jobs *jobs);
 void job_take_free(struct jobs *jobs);
-void job_loadings_free(struct jobs *jobs);
--- a/packages/daemon/src/job/job_mod.c
+++ b/packages/daemon/src/job/job_mod.c
@@ -6,6 +6,7 @@
 #include "daemon/lead_mod.h"
 #include "daemon/mods.h"
 #include "job/job.h"
+#include "job/load.h"
 #include "job/run.h"
 
 enum {
@@ -139,7 +140,7 @@
 	job_submits_free(jobs);
 	job_ends_free(jobs);
 	job_take_free(jobs);
-	job_loadings_free(jobs);
+	job_loads_free(jobs);
 	job_home_free(c);
 	htab_free(jobs->jobs);
 	htab_free(jobs->readers);
--- /dev/null
+++ b/packages/daemon/src/job/load.h
@@ -0,0 +1,28 @@
+// Batches on their way to this node.
+#pragma once
+
+#include "job/job.h"
+
+/// Take a batch over.
+///
+/// @param owner  its owner key as it was read; this node writes itself into it
+/// @param rev    revision of that key
+void job_load_begin(struct core *c, const char *id,
+		    const struct job_owner *owner, uint64_t rev);
+
+/// Run a batch if its owner key turns out to name this node: a write of the key
+/// got no answer.
+///
+/// @param spec  taken over
+void job_load_settle(struct core *c, struct job_spec *spec);
+
+/// Look at owner keys again that are due.
+void job_load_step(struct core *c);
+
+/// Whether a batch is on its way.
+bool job_loading(const struct jobs *jobs, const char *id);
+
+/// Takeovers in progress, but those that only wait for a late write.
+int job_loads_active(const struct jobs *jobs);
+
+void job_loads_free(struct jobs *jobs);
--- a/packages/daemon/src/job/submit.c
+++ b/packages/daemon/src/job/submit.c
@@ -11,7 +11,7 @@
 #include "base/log.h"
 #include "daemon/lead_mod.h"
 #include "daemon/site_mod.h"
-#include "job/job.h"
+#include "job/load.h"
 #include "store_keys.h"
 
 enum {
@@ -68,9 +68,9 @@
 }
 
 /* The owner key may name this node, now or later: it has to run the batch then. */
-static void leave_to_take(struct core *c, struct job_submit *s)
+static void leave_to_load(struct core *c, struct job_submit *s)
 {
-	job_take_settle(c, s->spec);
+	job_load_settle(c, s->spec);
 	s->spec = NULL;
 }
 
@@ -85,7 +85,7 @@
 		  err_code(e), run_state_name(run));
 	job_caller_refuse(c, &s->caller, e, run, kv_retry_after(c));
 	if (maybe && s->owner_put)
-		leave_to_take(c, s);
+		leave_to_load(c, s);
 	submit_free(jobs_of(c), s);
 }
 
@@ -117,7 +117,7 @@
 	histogram_add(H_BATCH_TAKEN, core_now(c) + SUBMIT_MAX_MS - s->until_ms);
 	accepted(c, &s->caller);
 	if (mine && !(j && j->running))
-		leave_to_take(c, s);
+		leave_to_load(c, s);
 	submit_free(jobs, s);
 	if (j && j->running)
 		job_step(c, j);
