test(hosted): takeovers in a program of their own

Every test and assertion is kept; the cases that stay run in the same order, after the same restarts of homes.

--- a/test/hosted/nodes.c
+++ b/test/hosted/nodes.c
@@ -112,6 +112,16 @@
 	return nodes_run(ns);
 }
 
+bool nodes_restart_homes(struct nodes *ns)
+{
+	for (int i = ns->n_entry; i < ns->n; i++) {
+		proc_kill(&ns->list[i].proc);
+		if (!node_start(ns, i))
+			return false;
+	}
+	return true;
+}
+
 void nodes_stop(struct nodes *ns)
 {
 	for (int i = 0; i < ns->n; i++) {
--- a/test/hosted/nodes.h
+++ b/test/hosted/nodes.h
@@ -41,6 +41,8 @@
 bool nodes_run(struct nodes *ns);
 bool node_start(struct nodes *ns, int i);
 bool node_ready(struct nodes *ns, int i, int timeout_ms);
+/// Kill and start the nodes that may be homes, in turn.
+bool nodes_restart_homes(struct nodes *ns);
 void nodes_stop(struct nodes *ns);
 
 /// An answer.
--- a/test/hosted/test_hosted.c
+++ b/test/hosted/test_hosted.c
@@ -13,10 +13,9 @@
 #include <cmocka.h>
 
 #include "base/clock.h"
-#include "nodes.h"
+#include "batches.h"
 
 enum {
-	ITEMS = 24,
 	BATCH_MS = 30000, ///< for a batch to be whole, with a lost node
 	AT_ONCE_MS = 250, ///< a refusal that did not wait
 	SETTLE_US = 2500000, ///< until every node knows of a server's leave
@@ -83,82 +82,23 @@
 	pthread_mutex_unlock(&h.lock);
 }
 
-static void submit(const char *id, int at, int min_version)
-{
-	char *body = batch_body(id, ITEMS, min_version);
-	struct answer a;
-	char path[64];
-
-	snprintf(path, sizeof(path), "/learn/%s", id);
-	node_call(&ns, at, "POST", path, "k1", id, body, &a);
-	assert_int_equal(a.status, 202);
-	answer_free(&a);
-	free(body);
-}
-
-static void assert_result(const json_t *r, const char *batch)
-{
-	const char *fault = hosted_result_fault(r, batch);
-
-	if (fault)
-		fail_msg("%s: %s", batch, fault);
-}
-
-/* Read a batch to its end, at one node after the other; every position stays as
- * it was read first. */
-static json_t *read_all(const char *id, int64_t until_ms)
-{
-	json_t *seen = json_array();
-
-	for (int i = 0; clock_now_ms() < until_ms; i++) {
-		int after = (int)json_array_size(seen);
-		json_t *page = read_results(&ns, i % NODES_ENTRY, id, after);
-		const json_t *results = json_object_get(page, "results");
-
-		if (page)
-			assert_int_equal(json_integer_value(json_object_get(
-						 page, "total")),
-					 ITEMS);
-		for (size_t k = 0; k < json_array_size(results); k++) {
-			assert_result(json_array_get(results, k), id);
-			json_array_append(seen, json_array_get(results, k));
-		}
-		json_decref(page);
-		if (json_array_size(seen) == ITEMS)
-			return seen;
-	}
-	fail_msg("%zu of %d results of %s", json_array_size(seen), ITEMS, id);
-	return seen;
-}
-
-static void assert_same_everywhere(const char *id, json_t *seen)
-{
-	for (int i = 0; i < NODES_ENTRY; i++) {
-		json_t *page = read_results(&ns, i, id, 0);
-
-		assert_non_null(page);
-		assert_true(json_equal(json_object_get(page, "results"), seen));
-		json_decref(page);
-	}
-}
-
 static void test_batch(void **state)
 {
 	struct answer a;
 	json_t *seen;
 
-	submit("b1", 0, 1);
+	batch_submit(&ns, "b1", 0, 1);
 	/* The same batch once more, elsewhere: taken once. */
-	submit("b1", 1, 1);
+	batch_submit(&ns, "b1", 1, 1);
 	node_call(&ns, 2, "GET", "/catkinpath/items/b1?id=b1.3", "k1", NULL,
 		  NULL, &a);
 	assert_int_equal(a.status, 200);
 	assert_int_equal(a.len, 3);
 	assert_memory_equal(a.body, "\x00\x01\x02", 3);
 	answer_free(&a);
-	seen = read_all("b1", clock_now_ms() + BATCH_MS);
-	assert_same_everywhere("b1", seen);
-	for (int i = 0; i < ITEMS; i++) {
+	seen = batch_read_all(&ns, "b1", clock_now_ms() + BATCH_MS);
+	batch_same_everywhere(&ns, "b1", seen);
+	for (int i = 0; i < BATCH_ITEMS; i++) {
 		char id[32];
 
 		snprintf(id, sizeof(id), "b1.%d", i);
@@ -173,7 +113,7 @@
 	node_call(&ns, 0, "GET", "/catkinpath/lots/none", "k1", NULL, NULL, &a);
 	assert_int_equal(a.status, 404);
 	answer_free(&a);
-	assert_same_everywhere("b1", seen);
+	batch_same_everywhere(&ns, "b1", seen);
 	json_decref(seen);
 }
 
@@ -191,106 +131,26 @@
 	answer_free(&a);
 }
 
-static void restart_homes(void)
-{
-	for (int i = NODES_ENTRY; i < NODES; i++) {
-		proc_kill(&ns.list[i].proc);
-		assert_true(node_start(&ns, i));
-	}
-}
-
 /* Both nodes that may be homes are killed in turn while a batch runs. */
 static void test_home_killed(void **state)
 {
 	json_t *part;
 	json_t *seen;
 
-	submit("b2", 0, 1);
+	batch_submit(&ns, "b2", 0, 1);
 	part = read_results(&ns, 1, "b2", 0);
-	restart_homes();
-	seen = read_all("b2", clock_now_ms() + BATCH_MS);
+	assert_true(nodes_restart_homes(&ns));
+	seen = batch_read_all(&ns, "b2", clock_now_ms() + BATCH_MS);
 	for (size_t i = 0;
 	     i < json_array_size(json_object_get(part, "results")); i++)
 		assert_true(json_equal(
 			json_array_get(json_object_get(part, "results"), i),
 			json_array_get(seen, i)));
-	assert_same_everywhere("b2", seen);
+	batch_same_everywhere(&ns, "b2", seen);
 	json_decref(part);
 	json_decref(seen);
 }
 
-/* The node that takes a batch over writes itself as its owner, and the answer is
- * lost (soak seed 2: it did not run the batch, and nobody else took it). */
-static void test_takeover_answer_lost(void **state)
-{
-	submit("b5", 0, 1);
-	pthread_mutex_lock(&h.lock);
-	h.lose_key = "catkin/run/";
-	pthread_mutex_unlock(&h.lock);
-	restart_homes();
-	json_decref(read_all("b5", clock_now_ms() + BATCH_MS));
-	pthread_mutex_lock(&h.lock);
-	assert_null(h.lose_key);
-	pthread_mutex_unlock(&h.lock);
-}
-
-static bool texts_written(void *ctx)
-{
-	const struct kv_entry *e;
-	bool there;
-
-	pthread_mutex_lock(&h.lock);
-	e = kv_find(&h.kv, "catkin/texts/L1");
-	there = e && e->value;
-	pthread_mutex_unlock(&h.lock);
-	return there;
-}
-
-/* Kill and start the node that runs a batch. */
-static void restart_owner(const char *batch)
-{
-	char key[64];
-	char *value;
-
-	snprintf(key, sizeof(key), "catkin/run/%s", batch);
-	value = hosted_value(&h, key);
-	assert_non_null(value);
-	for (int i = 0; i < NODES; i++) {
-		char name[64];
-
-		snprintf(name, sizeof(name), "\"%s\"", ns.list[i].id);
-		if (!strstr(value, name))
-			continue;
-		proc_kill(&ns.list[i].proc);
-		assert_true(node_start(&ns, i));
-	}
-	free(value);
-}
-
-static int resumed_runs(const char *batch)
-{
-	int n = 0;
-
-	pthread_mutex_lock(&h.lock);
-	for (int i = 0; i < h.n_runs; i++)
-		n += strncmp(h.runs[i].id, batch, strlen(batch)) == 0 &&
-		     h.runs[i].from > 0;
-	pthread_mutex_unlock(&h.lock);
-	return n;
-}
-
-/* The node that takes a batch over goes on with its unfinished texts. */
-static void test_texts_go_on(void **state)
-{
-	h.event_ms = 50;
-	submit("L1", 0, 1);
-	assert_true(wait_until(texts_written, NULL, BATCH_MS));
-	restart_owner("L1");
-	json_decref(read_all("L1", clock_now_ms() + BATCH_MS));
-	assert_true(resumed_runs("L1.") > 0);
-	h.event_ms = 15;
-}
-
 static bool versions_loaded(void *ctx)
 {
 	int n = 0;
@@ -308,8 +168,8 @@
 
 	hosted_name_version(&h, 2);
 	hosted_name_version(&h, 3);
-	submit("b3", 2, 2);
-	seen = read_all("b3", clock_now_ms() + BATCH_MS);
+	batch_submit(&ns, "b3", 2, 2);
+	seen = batch_read_all(&ns, "b3", clock_now_ms() + BATCH_MS);
 	json_decref(seen);
 	assert_true(wait_until(versions_loaded, NULL, BATCH_MS));
 	for (int i = 0; i < HOSTED_ENGINES; i++)
@@ -373,7 +233,7 @@
  * back that fits a silence of seconds. */
 static void submit_in_vain(const char *id)
 {
-	char *body = batch_body(id, ITEMS, 1);
+	char *body = batch_body(id, BATCH_ITEMS, 1);
 	struct answer a;
 	char path[64];
 
@@ -392,7 +252,7 @@
 	struct answer a = {0};
 	int64_t end;
 
-	submit("b4", 0, 1);
+	batch_submit(&ns, "b4", 0, 1);
 	pthread_mutex_lock(&h.lock);
 	h.down = 2;
 	pthread_mutex_unlock(&h.lock);
@@ -410,11 +270,11 @@
 	h.down = 0;
 	pthread_cond_broadcast(&h.changed);
 	pthread_mutex_unlock(&h.lock);
-	json_decref(read_all("b4", clock_now_ms() + BATCH_MS));
+	json_decref(batch_read_all(&ns, "b4", clock_now_ms() + BATCH_MS));
 	assert_int_equal(hosted_runs(&h, "b6.0"), 0);
 	assert_true(node_ready(&ns, 0, BATCH_MS));
-	submit("b6", 0, 1);
-	json_decref(read_all("b6", clock_now_ms() + BATCH_MS));
+	batch_submit(&ns, "b6", 0, 1);
+	json_decref(batch_read_all(&ns, "b6", clock_now_ms() + BATCH_MS));
 }
 
 /* No server of the service is left: refused at once, as not run, with a time to
@@ -465,8 +325,8 @@
 	usleep(SETTLE_US);
 	for (int i = 0; i < FULL_BATCHES && !size_ordered(NULL); i++) {
 		snprintf(id, sizeof(id), "z%d", i);
-		submit(id, i % NODES_ENTRY, 1);
-		json_decref(read_all(id, clock_now_ms() + BATCH_MS));
+		batch_submit(&ns, id, i % NODES_ENTRY, 1);
+		json_decref(batch_read_all(&ns, id, clock_now_ms() + BATCH_MS));
 	}
 	assert_true(wait_until(size_ordered, NULL, BATCH_MS));
 	for (int i = 1; i < HOSTED_ENGINES; i++)
@@ -492,8 +352,6 @@
 		cmocka_unit_test(test_batch),
 		cmocka_unit_test(test_bad_batch),
 		cmocka_unit_test(test_home_killed),
-		cmocka_unit_test(test_takeover_answer_lost),
-		cmocka_unit_test(test_texts_go_on),
 		cmocka_unit_test(test_versions),
 		cmocka_unit_test(test_key_withdrawn),
 		cmocka_unit_test(test_usage),
--- /dev/null
+++ b/test/hosted/test_hosted_takeover.c
@@ -0,0 +1,115 @@
+// Batches whose node is killed, on a stand-in of the users' platform with whole
+// daemons.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "batches.h"
+
+enum {
+	BATCH_MS = 30000, ///< for a batch to be whole, with a lost node
+};
+
+static struct hosted h;
+static struct nodes ns;
+
+static int setup(void **state)
+{
+	return hosted_start(&h) && nodes_start(&ns, &h) ? 0 : -1;
+}
+
+static int teardown(void **state)
+{
+	nodes_stop(&ns);
+	hosted_stop(&h);
+	return 0;
+}
+
+/* The node that takes a batch over writes itself as its owner, and the answer is
+ * lost (soak seed 2: it did not run the batch, and nobody else took it). */
+static void test_takeover_answer_lost(void **state)
+{
+	batch_submit(&ns, "b5", 0, 1);
+	pthread_mutex_lock(&h.lock);
+	h.lose_key = "catkin/run/";
+	pthread_mutex_unlock(&h.lock);
+	assert_true(nodes_restart_homes(&ns));
+	json_decref(batch_read_all(&ns, "b5", clock_now_ms() + BATCH_MS));
+	pthread_mutex_lock(&h.lock);
+	assert_null(h.lose_key);
+	pthread_mutex_unlock(&h.lock);
+}
+
+static bool texts_written(void *ctx)
+{
+	const struct kv_entry *e;
+	bool there;
+
+	pthread_mutex_lock(&h.lock);
+	e = kv_find(&h.kv, "catkin/texts/L1");
+	there = e && e->value;
+	pthread_mutex_unlock(&h.lock);
+	return there;
+}
+
+/* Kill and start the node that runs a batch. */
+static void restart_owner(const char *batch)
+{
+	char key[64];
+	char *value;
+
+	snprintf(key, sizeof(key), "catkin/run/%s", batch);
+	value = hosted_value(&h, key);
+	assert_non_null(value);
+	for (int i = 0; i < NODES; i++) {
+		char name[64];
+
+		snprintf(name, sizeof(name), "\"%s\"", ns.list[i].id);
+		if (!strstr(value, name))
+			continue;
+		proc_kill(&ns.list[i].proc);
+		assert_true(node_start(&ns, i));
+	}
+	free(value);
+}
+
+static int resumed_runs(const char *batch)
+{
+	int n = 0;
+
+	pthread_mutex_lock(&h.lock);
+	for (int i = 0; i < h.n_runs; i++)
+		n += strncmp(h.runs[i].id, batch, strlen(batch)) == 0 &&
+		     h.runs[i].from > 0;
+	pthread_mutex_unlock(&h.lock);
+	return n;
+}
+
+/* The node that takes a batch over goes on with its unfinished texts. */
+static void test_texts_go_on(void **state)
+{
+	h.event_ms = 50;
+	batch_submit(&ns, "L1", 0, 1);
+	assert_true(wait_until(texts_written, NULL, BATCH_MS));
+	restart_owner("L1");
+	json_decref(batch_read_all(&ns, "L1", clock_now_ms() + BATCH_MS));
+	assert_true(resumed_runs("L1.") > 0);
+	h.event_ms = 15;
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_takeover_answer_lost),
+		cmocka_unit_test(test_texts_go_on),
+	};
+
+	return cmocka_run_group_tests(tests, setup, teardown);
+}
