fix(proxy): a peer whose call hung has lost the store too

Only a peer that refused at once counted, and only for 3 s.

Solution: An answer that the peer's call failed counts as well, also one that comes after the question was given up, and as long as the silence lasts.

--- a/packages/daemon/src/platform_mod.c
+++ b/packages/daemon/src/platform_mod.c
@@ -192,7 +192,8 @@
 {
 	const struct platform *p = platform_of(c);
 	int64_t silent = core_now(c) - p->contact.heard_ms;
-	bool here_only = p->proxy && !proxy_peers_lost(c, p->proxy);
+	bool here_only =
+		p->proxy && !proxy_peers_lost(p->proxy, p->contact.heard_ms);
 
 	if (p->contact.back_ms || here_only || silent < RETRY_AFTER_MIN_MS)
 		return RETRY_AFTER_MIN_MS;
--- a/packages/daemon/src/proxy.c
+++ b/packages/daemon/src/proxy.c
@@ -19,7 +19,6 @@
 	/// milliseconds, and another peer may be asked instead.
 	PROXY_TIMEOUT_MS = 500,
 	PROXY_AVOID_MS = 2000, ///< a peer that did not answer or lost the store
-	PROXY_TOLD_MS = 3000, ///< a peer's word holds until others were asked
 };
 
 /// A question to a peer.
@@ -40,7 +39,7 @@
 struct proxy {
 	struct htab *open; ///< struct proxy_open
 	struct avoid avoid;
-	int64_t told_down_ms; ///< when a peer said last that it has no store
+	int64_t told_lost_ms; ///< when a peer said last that its call failed
 	void (*done)(struct core *c, htab_handle call,
 		     const struct kv_result *res);
 };
@@ -143,8 +142,9 @@
 	if (proxy_reply_read(buf, len, &a, &seq, &res) != ERR_OK) {
 		metric_add(M_PEER_MALFORMED, 1);
 	} else {
-		if (res.err == ERR_KV_DOWN)
-			p->told_down_ms = core_now(c);
+		/* Also one that comes late: the peer's own call hung. */
+		if (res.err == ERR_KV_DOWN || res.err == ERR_KV_UNKNOWN)
+			p->told_lost_ms = core_now(c);
 		o = htab_get(p->open, (htab_handle)seq);
 		if (o && strcmp(o->peer, from) == 0)
 			finish(c, p, o, &res);
@@ -152,9 +152,9 @@
 	arena_free(&a);
 }
 
-bool proxy_peers_lost(struct core *c, const struct proxy *p)
+bool proxy_peers_lost(const struct proxy *p, int64_t since_ms)
 {
-	return p->told_down_ms && core_now(c) - p->told_down_ms < PROXY_TOLD_MS;
+	return p->told_lost_ms > since_ms;
 }
 
 static void reply(struct core *c, const struct proxied *to,
--- a/packages/daemon/src/proxy.h
+++ b/packages/daemon/src/proxy.h
@@ -13,8 +13,8 @@
 
 /// Register the messages.
 ///
-/// Whether a peer said lately that it has no way to the store either.
-bool proxy_peers_lost(struct core *c, const struct proxy *p);
+/// Whether a peer said since then that it could not reach the store either.
+bool proxy_peers_lost(const struct proxy *p, int64_t since_ms);
 
 /// @param done  takes the outcome of a call that was begun with proxy_call()
 enum err proxy_start(struct core *c, struct proxy **out,
