--- a/packages/daemon/include/daemon/site_mod.h
+++ b/packages/daemon/include/daemon/site_mod.h
@@ -17,6 +17,9 @@
 /// Milliseconds since the configuration was confirmed.
 int64_t site_mod_age(struct core *c);
 
+/// Milliseconds since the list of servers was confirmed, INT64_MAX for never.
+int64_t site_mod_servers_age(struct core *c);
+
 /// Servers known; entries stay until their handles are stale.
 struct site_servers *site_mod_servers(struct core *c);
 
--- a/packages/daemon/src/front/forward.c
+++ b/packages/daemon/src/front/forward.c
@@ -46,9 +46,10 @@
 	again = !f->maybe_ran;
 	log_event(EV_FRONT_REFUSED,
 		  "request=%s route=%s service=%s team=%s error=%s run=%s "
-		  "servers=%d left_ms=%lld",
+		  "servers=%d server=%s servers_age_ms=%lld left_ms=%lld",
 		  f->id, f->route, f->service, f->team, err_code(e),
-		  run_state_name(run), f->n_tried,
+		  run_state_name(run), f->n_tried, f->server_id,
+		  (long long)f->servers_age_ms,
 		  (long long)(f->until_ms - core_now(c)));
 	core_reply_err(c, f->req, e, run, again ? FORWARD_RETRY_AFTER_MS : 0,
 		       NULL);
@@ -80,9 +81,10 @@
 	histogram_add(H_FORWARD, core_now(c) - f->arrived_ms);
 	log_event(EV_FRONT_ANSWERED,
 		  "request=%s route=%s team=%s http=%d bytes=%zu servers=%d "
-		  "last_ms=%lld left_ms=%lld",
+		  "server=%s servers_age_ms=%lld last_ms=%lld left_ms=%lld",
 		  f->id, f->route, f->team, res->status, res->body_len,
-		  f->n_tried, (long long)(core_now(c) - f->sent_ms),
+		  f->n_tried, f->server_id, (long long)f->servers_age_ms,
+		  (long long)(core_now(c) - f->sent_ms),
 		  (long long)(f->until_ms - core_now(c)));
 	core_reply(c, f->req, res->status, NULL, res->body, res->body_len);
 	forward_free(c, f);
@@ -153,8 +155,10 @@
 		return;
 	}
 	log_event(EV_FRONT_RETRY,
-		  "request=%s route=%s error=%s http=%d sent=%d ms=%lld", f->id,
-		  f->route, err_code(res->err), res->status, res->sent,
+		  "request=%s route=%s server=%s servers_age_ms=%lld error=%s "
+		  "http=%d sent=%d ms=%lld",
+		  f->id, f->route, f->server_id, (long long)f->servers_age_ms,
+		  err_code(res->err), res->status, res->sent,
 		  (long long)(core_now(c) - f->sent_ms));
 	metric_add(M_WORK_RETRIES, 1);
 	forward_send(c, f);
@@ -236,6 +240,9 @@
 		return;
 	}
 	f->server = s->self;
+	snprintf(f->server_id, sizeof(f->server_id), "%s", s->entry.id);
+	f->servers_age_ms = site_mod_servers_age(c);
+	histogram_add(H_SERVERS_AGE, f->servers_age_ms);
 	f->tried[f->n_tried++] = s->self;
 	f->sent_ms = core_now(c);
 	f->sent_wall_ms = clock_wall_ms();
--- a/packages/daemon/src/front/front.h
+++ b/packages/daemon/src/front/front.h
@@ -29,6 +29,8 @@
 	int64_t sent_wall_ms;
 	int64_t next_ms; ///< when to look for a server again
 	htab_handle server; ///< of the running attempt
+	char server_id[SITE_NAME]; ///< of the last attempt, "" for none
+	int64_t servers_age_ms; ///< of what was known of servers at its choice
 	htab_handle tried[FORWARD_TRIES];
 	int n_tried;
 };
--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -37,6 +37,7 @@
 	htab_handle fetch; ///< 0: the item is at no server
 	htab_handle server;
 	int64_t sent_ms;
+	int64_t servers_age_ms; ///< of what was known of servers then
 	int64_t first_ms; ///< of its first event, 0 before
 	int64_t last_ms; ///< of its last event, 0 before the first
 	uint64_t version; ///< weights of the last event
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -268,11 +268,12 @@
 	log_event(
 		EV_JOB_ITEM,
 		"batch=%s item=%s server=%s outcome=%s http=%d error=%s "
-		"events=%llu version=%llu first_ms=%lld ms=%lld",
+		"events=%llu version=%llu servers_age_ms=%lld first_ms=%lld "
+		"ms=%lld",
 		j->id, j->spec->items[at->item].id, s ? s->entry.id : "gone",
 		names[how], res->status, err_code(res->err),
 		(unsigned long long)job_run_text(j->run, at->item)->last_event,
-		(unsigned long long)at->version,
+		(unsigned long long)at->version, (long long)at->servers_age_ms,
 		at->first_ms ? (long long)(at->first_ms - at->sent_ms) : -1LL,
 		(long long)(core_now(c) - at->sent_ms));
 }
@@ -339,7 +340,9 @@
 		.item = item,
 		.server = s->self,
 		.sent_ms = core_now(c),
+		.servers_age_ms = site_mod_servers_age(c),
 	};
+	histogram_add(H_SERVERS_AGE, at->servers_age_ms);
 	e = opts.headers ? core_fetch(c, &opts, &at->fetch) : ERR_NOMEM;
 	arena_free(&a);
 	if (e != ERR_OK) {
--- a/packages/daemon/src/site/feed.c
+++ b/packages/daemon/src/site/feed.c
@@ -4,6 +4,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/log.h"
+
 enum {
 	FEED_RETRY_MS =
 		200, ///< after a failed call; doubles with each further one
@@ -18,10 +20,22 @@
 	f->opts = *opts;
 }
 
+int64_t feed_age(struct core *c, const struct feed *f)
+{
+	return f->confirmed_ms ? core_now(c) - f->confirmed_ms : INT64_MAX;
+}
+
 static void feed_failed(struct core *c, struct feed *f, enum err e)
 {
 	int shift = f->failures < FEED_DOUBLINGS ? f->failures : FEED_DOUBLINGS;
 
+	log_event(
+		EV_FEED_FAILED,
+		"prefix=%s listed=%d error=%s ms=%lld age_ms=%lld failures=%d",
+		f->opts.prefix, f->listed, err_code(e),
+		(long long)(core_now(c) - f->start_ms),
+		f->confirmed_ms ? (long long)feed_age(c, f) : -1LL,
+		f->failures);
 	if (e == ERR_KV_HISTORY)
 		f->listed = false;
 	else
@@ -39,6 +53,13 @@
 	f->opts.ops->item(c, f->opts.ctx, item);
 }
 
+/* Who tells what is about to be taken, and as of when. */
+static void feed_source(struct feed *f, const char *source, int64_t as_of_ms)
+{
+	f->source = source;
+	f->source_as_of_ms = as_of_ms;
+}
+
 static void feed_items(struct core *c, struct feed *f,
 		       const struct kv_item *items, size_t n_items,
 		       const char *const *deleted, size_t n_deleted,
@@ -91,6 +112,7 @@
 		f->list_ms = f->start_ms;
 		feed_begin(c, f);
 	}
+	feed_source(f, "store", f->list_ms);
 	feed_items(c, f, res->items, res->n_items, NULL, 0, res->rev);
 	if (res->more && res->n_items) {
 		snprintf(f->from, sizeof(f->from), "%s",
@@ -121,14 +143,17 @@
 		feed_failed(c, f, res->err);
 		return;
 	}
+	as_of = watch_as_of(f, res);
+	if (as_of > now)
+		as_of = now;
+	feed_source(f, "store", as_of);
 	feed_items(c, f, res->items, res->n_items, res->deleted, res->n_deleted,
 		   res->rev);
 	if (res->rev > f->rev)
 		f->rev = res->rev;
 	if (f->opts.keep && f->rev > f->copy.rev)
 		f->copy.rev = f->rev;
-	as_of = watch_as_of(f, res);
-	feed_confirmed(c, f, as_of < now ? as_of : now);
+	feed_confirmed(c, f, as_of);
 	f->next_ms = f->start_ms + f->opts.pause_ms;
 	feed_step(c, f);
 }
@@ -141,6 +166,7 @@
 void feed_take(struct core *c, struct feed *f, const struct feed_news *news)
 {
 	f->from[0] = '\0';
+	feed_source(f, news->from, news->as_of_ms);
 	if (news->full)
 		feed_begin(c, f);
 	feed_items(c, f, news->items, news->n_items, news->deleted,
--- a/packages/daemon/src/site/feed.h
+++ b/packages/daemon/src/site/feed.h
@@ -40,6 +40,9 @@
 	int64_t wait_ms; ///< of the watch in progress
 	bool hurry; ///< the next watch is to confirm soon what is known
 	int64_t confirmed_ms; ///< what is known was true then, 0 for never
+	const char
+		*source; ///< who tells what is being taken: a node or "store"
+	int64_t source_as_of_ms; ///< time at which that was true
 	struct relay_copy copy; ///< with opts.keep
 };
 
@@ -53,6 +56,7 @@
 
 /// What a relay says of the prefix.
 struct feed_news {
+	const char *from; ///< relay's node id
 	bool full; ///< all items: those that are absent are gone
 	uint64_t rev;
 	int64_t as_of_ms; ///< clock_now_ms() time at which it was true
@@ -63,3 +67,6 @@
 };
 
 void feed_take(struct core *c, struct feed *f, const struct feed_news *news);
+
+/// Milliseconds since what is known was true, INT64_MAX for never.
+int64_t feed_age(struct core *c, const struct feed *f);
--- a/packages/daemon/src/site/relay.c
+++ b/packages/daemon/src/site/relay.c
@@ -158,16 +158,29 @@
 	return parts[0].age_ms <= RELAY_AGE_MS;
 }
 
-static void take_parts(struct core *c, struct relay *r,
+static void take_parts(struct core *c, struct relay *r, const char *from,
 		       struct relay_part *parts, int64_t asked_ms)
 {
 	for (int i = 0; i < RELAY_FEEDS; i++) {
+		parts[i].news.from = from;
 		parts[i].news.as_of_ms = asked_ms - parts[i].age_ms;
 		feed_take(c, r->feeds[i], &parts[i].news);
 	}
 	r->good_ms = core_now(c);
 }
 
+static void leave_stale(struct core *c, struct relay *r, const char *from,
+			const struct relay_part *parts)
+{
+	log_event(EV_RELAY_STALE,
+		  "relay=%s conf_age_ms=%lld servers_age_ms=%lld "
+		  "nodes_age_ms=%lld known=%d",
+		  from, (long long)parts[0].age_ms, (long long)parts[1].age_ms,
+		  (long long)parts[2].age_ms,
+		  parts[0].known && parts[1].known && parts[2].known);
+	follow_stale(&r->follow, core_now(c));
+}
+
 static void on_news(struct core *c, void *ctx, const char *from,
 		    const void *buf, size_t len)
 {
@@ -182,9 +195,9 @@
 		metric_add(M_PEER_MALFORMED, 1);
 	else if (follow_answered(&r->follow, seq, &asked_ms)) {
 		if (usable(parts))
-			take_parts(c, r, parts, asked_ms);
+			take_parts(c, r, from, parts, asked_ms);
 		else
-			follow_stale(&r->follow, core_now(c));
+			leave_stale(c, r, from, parts);
 	}
 	arena_free(&a);
 	relay_step(c, r);
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -55,6 +55,11 @@
 	return s->confirmed_ms ? core_now(c) - s->confirmed_ms : INT64_MAX;
 }
 
+int64_t site_mod_servers_age(struct core *c)
+{
+	return feed_age(c, &site_of(c)->entries);
+}
+
 bool site_mod_fresh(struct core *c)
 {
 	return site_of(c)->conf &&
@@ -217,6 +222,12 @@
 	site_servers_begin_list(s->servers);
 }
 
+/* Age of what is being taken of a feed. */
+static long long source_age(struct core *c, const struct feed *f)
+{
+	return core_now(c) - f->source_as_of_ms;
+}
+
 static void entries_item(struct core *c, void *ctx, const struct kv_item *item)
 {
 	struct site *s = ctx;
@@ -224,16 +235,19 @@
 	enum err err = s->wire->server(item->key, item->value, item->len, &e);
 
 	if (err != ERR_OK) {
-		log_event(EV_SITE_SERVER_BAD, "key=%s error=%s", item->key,
+		log_event(EV_SITE_SERVER_BAD,
+			  "key=%s rev=%llu from=%s error=%s", item->key,
+			  (unsigned long long)item->rev, s->entries.source,
 			  err_code(err));
 		return;
 	}
 	err = site_servers_put(s->servers, item->rev, core_now(c), &e);
 	log_event(EV_SITE_SERVER,
 		  "id=%s service=%s addr=%s domain=%s leaving=%d cold_ms=%lld "
-		  "error=%s",
+		  "rev=%llu from=%s age_ms=%lld error=%s",
 		  e.id, e.service, e.addr, e.domain, e.leaving,
-		  (long long)e.cold_left_ms, err_code(err));
+		  (long long)e.cold_left_ms, (unsigned long long)item->rev,
+		  s->entries.source, source_age(c, &s->entries), err_code(err));
 }
 
 /* Entries lapse while the store is away, though their servers live. */
@@ -249,7 +263,8 @@
 	struct site *s = ctx;
 	const char *id = key + strlen(s->wire->server_prefix);
 
-	log_event(EV_SITE_SERVER, "id=%s gone=1 outage=%d", id, outage(c));
+	log_event(EV_SITE_SERVER, "id=%s gone=1 outage=%d from=%s age_ms=%lld",
+		  id, outage(c), s->entries.source, source_age(c, &s->entries));
 	site_servers_gone(s->servers, id, core_now(c), outage(c));
 }
 
@@ -406,6 +421,8 @@
 		metric_set(M_CONF_REV, s->conf->version);
 		metric_set(M_CONF_AGE, (uint64_t)site_mod_age(c));
 	}
+	if (s->entries.confirmed_ms)
+		metric_set(M_SERVERS_AGE, (uint64_t)site_mod_servers_age(c));
 }
 
 static bool site_ready(struct core *c, void *state)
