--- a/test/hosted/hosted.c
+++ b/test/hosted/hosted.c
@@ -6,8 +6,20 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/clock.h"
 #include "support/addr.h"
 
+/* The store took what a server says of its leaving. */
+static void note_leave(struct hosted *h, struct hosted_server *s, bool leaves)
+{
+	pthread_mutex_lock(&h->lock);
+	if (!leaves)
+		s->left_ms = 0;
+	else if (!s->left_ms)
+		s->left_ms = clock_now_ms();
+	pthread_mutex_unlock(&h->lock);
+}
+
 void hosted_publish(struct hosted *h, struct hosted_server *s)
 {
 	char key[64];
@@ -25,6 +37,7 @@
 					      (json_int_t)s->version));
 	snprintf(key, sizeof(key), "servers/%s", s->id);
 	hosted_put(h, key, entry);
+	note_leave(h, s, s->leaving);
 }
 
 void hosted_withdraw(struct hosted *h, struct hosted_server *s)
@@ -37,6 +50,53 @@
 	kv_del(&h->kv, key, 0, &rev);
 	pthread_cond_broadcast(&h->changed);
 	pthread_mutex_unlock(&h->lock);
+	note_leave(h, s, true);
+}
+
+void hosted_leave(struct hosted *h, struct hosted_server *s, bool say)
+{
+	s->leaving = true;
+	if (say)
+		hosted_publish(h, s);
+	else
+		hosted_withdraw(h, s);
+}
+
+void hosted_stay(struct hosted *h, struct hosted_server *s)
+{
+	s->leaving = false;
+	hosted_publish(h, s);
+}
+
+void hosted_mute(struct hosted *h, const char *prefix)
+{
+	pthread_mutex_lock(&h->lock);
+	h->mute = prefix;
+	h->mute_ms = clock_now_ms();
+	pthread_mutex_unlock(&h->lock);
+}
+
+void hosted_delay(struct hosted *h, const char *prefix, int ms)
+{
+	pthread_mutex_lock(&h->lock);
+	h->late = prefix;
+	h->late_ms = clock_now_ms();
+	h->late_by_ms = ms;
+	pthread_mutex_unlock(&h->lock);
+}
+
+int64_t hosted_latest_run(struct hosted *h, int64_t since_ms)
+{
+	int64_t most = 0;
+
+	pthread_mutex_lock(&h->lock);
+	for (int i = 0; i < h->n_runs; i++) {
+		if (h->runs[i].at_ms >= since_ms &&
+		    h->runs[i].after_leave_ms > most)
+			most = h->runs[i].after_leave_ms;
+	}
+	pthread_mutex_unlock(&h->lock);
+	return most;
 }
 
 void hosted_conf(struct hosted *h, const char *const *keys)
--- a/test/hosted/hosted.h
+++ b/test/hosted/hosted.h
@@ -28,6 +28,8 @@
 	int server;
 	int64_t at_ms;
 	int from; ///< last event that the caller had, 0 for none
+	int64_t after_leave_ms; ///< since the store took the server's leaving;
+		///< 0 if it had not
 };
 
 struct hosted_server {
@@ -37,6 +39,7 @@
 	char addr[64];
 	bool engine;
 	bool leaving;
+	int64_t left_ms; ///< when the store took that; 0 while it stands
 	bool dark; ///< takes connections and does not answer
 	int running;
 	uint64_t version; ///< of the model "m"
@@ -61,6 +64,15 @@
 	int lose_percent; ///< of the store's answers are lost
 	uint64_t lose_seed; ///< decides which
 	const char *lose_key; ///< the answer of the next write below it is lost
+	const char
+		*mute; ///< watches below it that wait since mute_ms or before
+	///< never get an answer
+	int64_t mute_ms;
+	const char
+		*late; ///< watches below it that wait since late_ms or before
+	///< get an answer late_by_ms after it was made
+	int64_t late_ms;
+	int late_by_ms;
 	int64_t excuse_until_ms; ///< orders may be late: a sender just woke up
 	json_t *sizes; ///< "service/domain" to the servers ordered
 	bool stopping;
@@ -90,6 +102,21 @@
 /// Withdraw a server's entry.
 void hosted_withdraw(struct hosted *h, struct hosted_server *s);
 
+/// A server leaves: it says so, or its entry goes; or it stands again.
+void hosted_leave(struct hosted *h, struct hosted_server *s, bool say);
+void hosted_stay(struct hosted *h, struct hosted_server *s);
+
+/// Connections on which a watch below a prefix waits now go silent for good;
+/// new ones work.
+void hosted_mute(struct hosted *h, const char *prefix);
+
+/// Answers of watches below a prefix that wait now arrive late.
+void hosted_delay(struct hosted *h, const char *prefix, int ms);
+
+/// Longest time after a server's leaving at which a run began there, of the runs
+/// since a time.
+int64_t hosted_latest_run(struct hosted *h, int64_t since_ms);
+
 /// Events of an item: many for those whose id begins with "L". And its text when versions do not matter.
 int hosted_events(const char *item);
 
--- a/test/hosted/server.c
+++ b/test/hosted/server.c
@@ -54,6 +54,7 @@
 	r->server = s->index;
 	r->from = from;
 	r->at_ms = clock_now_ms();
+	r->after_leave_ms = s->left_ms ? r->at_ms - s->left_ms : 0;
 }
 
 /// A stream on its way.
--- a/test/hosted/store.c
+++ b/test/hosted/store.c
@@ -119,18 +119,44 @@
 	return v ? v : "";
 }
 
+/* Whether a call that came at a time is below a prefix that is disturbed. */
+static bool is_below(const char *prefix, const char *disturbed, int64_t came_ms,
+		     int64_t since_ms)
+{
+	return disturbed && came_ms <= since_ms &&
+	       strcmp(prefix, disturbed) == 0;
+}
+
+/* Hold the answer of a watch back, for a while or until the end. */
+static void hold_back(struct hosted *h, const char *prefix, int64_t came_ms)
+{
+	int64_t until = clock_now_ms();
+
+	while (!h->stopping && is_below(prefix, h->mute, came_ms, h->mute_ms))
+		wait_change(h);
+	if (!is_below(prefix, h->late, came_ms, h->late_ms))
+		return;
+	until += h->late_by_ms;
+	while (!h->stopping && clock_now_ms() < until)
+		wait_change(h);
+}
+
 static json_t *watch(struct hosted *h, struct MHD_Connection *conn)
 {
 	const char *prefix = arg(conn, "prefix");
 	uint64_t after = strtoull(arg(conn, "after"), NULL, 10);
-	int64_t until = clock_now_ms() + atoi(arg(conn, "wait_ms"));
+	int64_t came = clock_now_ms();
+	int64_t until = came + atoi(arg(conn, "wait_ms"));
+	json_t *reply;
 
 	while (!h->stopping && clock_now_ms() < until &&
 	       !kv_changed(&h->kv, prefix, after))
 		wait_change(h);
-	return json_pack("{s:o,s:I}", "events",
-			 entries(&h->kv, prefix, "", true, after), "at",
-			 (json_int_t)h->kv.rev);
+	reply = json_pack("{s:o,s:I}", "events",
+			  entries(&h->kv, prefix, "", true, after), "at",
+			  (json_int_t)h->kv.rev);
+	hold_back(h, prefix, came);
+	return reply;
 }
 
 static json_t *txn(struct hosted *h, const char *body, int *status)
--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -182,21 +182,12 @@
 
 static void leave_begin(struct soak *k, const struct fault *f)
 {
-	struct hosted_server *s = &k->h.servers[f->target];
-
-	s->leaving = true;
-	if (f->variant)
-		hosted_publish(&k->h, s);
-	else
-		hosted_withdraw(&k->h, s);
+	hosted_leave(&k->h, &k->h.servers[f->target], f->variant);
 }
 
 static void leave_end(struct soak *k, const struct fault *f)
 {
-	struct hosted_server *s = &k->h.servers[f->target];
-
-	s->leaving = false;
-	hosted_publish(&k->h, s);
+	hosted_stay(&k->h, &k->h.servers[f->target]);
 }
 
 static void set_store(struct soak *k, int down, int lose)
