--- a/test/hosted/batches.c
+++ b/test/hosted/batches.c
@@ -7,6 +7,7 @@
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -69,3 +70,22 @@
 		json_decref(page);
 	}
 }
+
+int batch_owner(struct nodes *ns, const char *batch)
+{
+	char key[64];
+	char *value;
+	int at = -1;
+
+	snprintf(key, sizeof(key), "catkin/run/%s", batch);
+	value = hosted_value(ns->h, key);
+	for (int i = 0; value && i < ns->n; i++) {
+		char name[64];
+
+		snprintf(name, sizeof(name), "\"%s\"", ns->list[i].id);
+		if (strstr(value, name))
+			at = i;
+	}
+	free(value);
+	return at;
+}
--- a/test/hosted/batches.h
+++ b/test/hosted/batches.h
@@ -18,3 +18,8 @@
 
 /// All nodes give the same results.
 void batch_same_everywhere(struct nodes *ns, const char *id, json_t *seen);
+
+/// Node that runs a batch, as its key in the store says.
+///
+/// @return index, -1 if there is none
+int batch_owner(struct nodes *ns, const char *batch);
--- a/test/hosted/test_hosted_leaving.c
+++ b/test/hosted/test_hosted_leaving.c
@@ -29,6 +29,8 @@
 	CALM_MS = 15000, ///< at most, until all nodes are ready again
 	BATCH_MS = 30000,
 	STEP_US = 15000,
+	REWATCH_US = 100000, ///< from a change until every watch waits again
+	LONG_EVENT_MS = 150, ///< between events: no item ends meanwhile
 	PUBLISH_MS = 300, ///< between two versions of the configuration
 	STORE_LINK_PORT = 8500,
 };
@@ -265,26 +267,32 @@
 	return n;
 }
 
-/* Items of a lost home are at servers again in time. */
+/* Items of a lost node are at servers again in time. */
 static void test_silent_watch_hides_a_lost_node(void **state)
 {
-	for (int i = NODES_ENTRY; i < NODES; i++) {
+	for (int round = 0; round < 2; round++) {
 		int64_t killed;
 		json_t *seen;
 		char id[16];
+		int owner;
 
 		calm();
-		h.event_ms = 150;
-		snprintf(id, sizeof(id), "n%d", i);
+		h.event_ms = LONG_EVENT_MS;
+		snprintf(id, sizeof(id), "L%d", round);
 		batch_submit(&ns, id, 0, 1);
 		usleep(QUIET_MS * 1000);
+		owner = batch_owner(&ns, id);
+		assert_in_range(owner, 0, NODES - 1);
+		/* A change, so that every watch has just begun. */
+		hosted_put(&h, "catkin/live/none", json_object());
+		usleep(REWATCH_US);
 		hosted_mute(&h, "catkin/live/");
-		proc_kill(&ns.list[i].proc);
+		proc_kill(&ns.list[owner].proc);
 		killed = clock_now_ms();
 		while (!runs_since(id, killed) &&
 		       clock_now_ms() < killed + 2 * LOST_MS)
 			usleep(STEP_US);
-		assert_true(node_start(&ns, i));
+		assert_true(node_start(&ns, owner));
 		h.event_ms = 15;
 		assert_in_range(clock_now_ms() - killed, 0, LOST_MS);
 		seen = batch_read_all(&ns, id, clock_now_ms() + BATCH_MS);
--- a/test/hosted/test_hosted_takeover.c
+++ b/test/hosted/test_hosted_takeover.c
@@ -62,22 +62,11 @@
 /* Kill and start the node that runs a batch. */
 static void restart_owner(const char *batch)
 {
-	char key[64];
-	char *value;
-
-	snprintf(key, sizeof(key), "catkin/run/%s", batch);
-	value = hosted_value(&h, key);
-	assert_non_null(value);
-	for (int i = 0; i < NODES; i++) {
-		char name[64];
-
-		snprintf(name, sizeof(name), "\"%s\"", ns.list[i].id);
-		if (!strstr(value, name))
-			continue;
-		proc_kill(&ns.list[i].proc);
-		assert_true(node_start(&ns, i));
-	}
-	free(value);
+	int i = batch_owner(&ns, batch);
+
+	assert_in_range(i, 0, NODES - 1);
+	proc_kill(&ns.list[i].proc);
+	assert_true(node_start(&ns, i));
 }
 
 static int resumed_runs(const char *batch)
