--- a/packages/core/include/core/core_defs.h
+++ b/packages/core/include/core/core_defs.h
@@ -73,6 +73,8 @@
 	int64_t idle_timeout_ms; ///< longest silence once sent; 0 for none
 	size_t max_body; ///< bytes; 0 for the setting's value
 	bool fresh; ///< use a new connection
+	/// clock_now_ms() time after which it is not sent; 0 for none.
+	int64_t send_until_ms;
 	const struct trace_ctx *trace; ///< sent as traceparent if not NULL
 	bool want_head; ///< keep the answer's header fields
 	/// Status and header fields, before any byte of a streamed body; only
--- a/packages/core/src/fetch.c
+++ b/packages/core/src/fetch.c
@@ -60,6 +60,7 @@
 				    ? o->max_body
 				    : (size_t)settings_int(s, S_UP_MAX_BODY),
 		.fresh = o->fresh,
+		.send_until_ms = o->send_until_ms,
 		.streamed = o->on_data != NULL,
 		.want_head = o->want_head,
 	};
--- a/packages/daemon/include/daemon/site_mod.h
+++ b/packages/daemon/include/daemon/site_mod.h
@@ -20,6 +20,15 @@
 /// Milliseconds since the list of servers was confirmed, INT64_MAX for never.
 int64_t site_mod_servers_age(struct core *c);
 
+/// Until when what is known of servers and operators may be acted on: a request may
+/// be sent to a server up to this time.
+///
+/// @return clock_now_ms() time, INT64_MAX while this node can't reach the store
+int64_t site_mod_until(struct core *c);
+
+/// Whether new work may be begun on what is known now.
+bool site_mod_current(struct core *c);
+
 /// Servers known; entries stay until their handles are stale.
 struct site_servers *site_mod_servers(struct core *c);
 
--- a/packages/daemon/src/front/forward.c
+++ b/packages/daemon/src/front/forward.c
@@ -192,6 +192,7 @@
 		.timeout_ms = try_ms(c, f),
 		.connect_timeout_ms = FORWARD_CONNECT_MS,
 		.fresh = f->n_tried > 1,
+		.send_until_ms = site_mod_until(c),
 		.want_head = true,
 		.on_done = on_done,
 		.ctx = (void *)(uintptr_t)f->self,
@@ -225,6 +226,11 @@
 	struct site_server *s;
 	enum err e;
 
+	/* What is known is being confirmed, or found to be all there is. */
+	if (!site_mod_current(c)) {
+		f->next_ms = core_now(c) + FORWARD_WAIT_MS;
+		return;
+	}
 	s = site_servers_choose(site_mod_servers(c), core_now(c), &ask);
 	if (!s && f->n_tried) {
 		/* All were tried: the first may be free again. */
--- a/packages/daemon/src/job/move.c
+++ b/packages/daemon/src/job/move.c
@@ -69,7 +69,8 @@
 	if (j->owner.ended || !job_ask_of(c, j, &ask))
 		return;
 	/* A text of one version can't go on under another: it would begin anew. */
-	most = job_route(c, j)->one_version ? 0 : RUN_MOVES;
+	most = job_route(c, j)->one_version || !site_mod_current(c) ? 0
+								    : RUN_MOVES;
 	for (size_t i = 0; i < j->spec->n_items; i++) {
 		struct job_at_server *at = &j->at[i];
 		struct site_server *to;
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -321,6 +321,7 @@
 		.body_len = it->body_len,
 		.connect_timeout_ms = RUN_CONNECT_MS,
 		.idle_timeout_ms = RUN_FIRST_MS,
+		.send_until_ms = site_mod_until(c),
 		.want_head = true,
 		.on_head = on_head,
 		.on_data = on_data,
@@ -425,7 +426,7 @@
 	 * may be trusted on it too: an item may run twice, if another node takes
 	 * the batch over meanwhile. */
 	if (!j->running || j->owner.ended || jobs_of(c)->draining ||
-	    !site_mod_fresh(c))
+	    !site_mod_fresh(c) || !site_mod_current(c))
 		return;
 	if (!job_ask_of(c, j, &ask)) {
 		job_run_give_up(j->run);
--- a/packages/daemon/src/platform_mod.c
+++ b/packages/daemon/src/platform_mod.c
@@ -45,6 +45,7 @@
 		[KV_OPS]; ///< calls by kind since the last line about them
 	int64_t counted_ms; ///< time of that line
 	bool fresh; ///< the last call failed: don't trust old connections
+	int64_t vain_ms; ///< see kv_vain_since()
 };
 
 /// How a call may reach the store.
@@ -60,6 +61,7 @@
 	struct arena arena;
 	int64_t start_ms;
 	enum call_way way;
+	bool fresh; ///< went out on a new connection
 };
 
 static struct platform *platform_of(const struct core *c)
@@ -176,6 +178,10 @@
 	if (outdated(&p->direct, pc, res))
 		return;
 	p->fresh = failed;
+	if (!failed)
+		p->vain_ms = 0;
+	else if (pc->fresh)
+		p->vain_ms = pc->start_ms;
 	if (failed)
 		contact_bad(&p->direct);
 	else
@@ -200,6 +206,11 @@
 	return silent < RETRY_AFTER_MAX_MS ? silent : RETRY_AFTER_MAX_MS;
 }
 
+int64_t kv_vain_since(struct core *c)
+{
+	return platform_of(c)->vain_ms;
+}
+
 int64_t kv_back_since(struct core *c)
 {
 	return platform_of(c)->contact.back_ms;
@@ -274,11 +285,11 @@
 				     &pc->arena, &req);
 	struct core_fetch_opts opts = {
 		.headers = headers,
-		.timeout_ms = pc->way == WAY_PROBE
+		.timeout_ms = pc->way == WAY_PROBE || pc->call.urgent
 				      ? PLATFORM_PROBE_TIMEOUT_MS
 				      : settings_int(s, S_PLATFORM_TIMEOUT),
 		.max_body = PLATFORM_BODY_MAX,
-		.fresh = p->fresh,
+		.fresh = p->fresh || pc->call.urgent,
 		.on_done = platform_done,
 		.ctx = (void *)(uintptr_t)h,
 	};
@@ -287,6 +298,7 @@
 		return e;
 	if (pc->call.op == KV_WATCH)
 		opts.timeout_ms += pc->call.ms;
+	pc->fresh = opts.fresh;
 	opts.method = req.method;
 	opts.url = req.url;
 	opts.body = req.body;
@@ -427,6 +439,20 @@
 	return platform_begin(c, &call, cb);
 }
 
+enum err kv_confirm(struct core *c, const char *prefix, uint64_t after,
+		    int64_t wait_ms, struct kv_cb cb)
+{
+	const struct kv_call call = {
+		.op = KV_WATCH,
+		.key = prefix,
+		.rev = after,
+		.ms = wait_ms,
+		.urgent = true,
+	};
+
+	return platform_begin(c, &call, cb);
+}
+
 enum err kv_lease_grant(struct core *c, int64_t ttl_ms, struct kv_cb cb)
 {
 	const struct kv_call call = {.op = KV_GRANT, .ms = ttl_ms};
--- a/packages/daemon/src/site/feed.c
+++ b/packages/daemon/src/site/feed.c
@@ -12,6 +12,9 @@
 	FEED_DOUBLINGS = 3,
 	/// Wait of a watch that shall only confirm what is known.
 	FEED_HURRY_MS = 20,
+	/// The store answers within some milliseconds, some hundreds if it is
+	/// slow.
+	FEED_LATE_MS = 400,
 };
 
 void feed_init(struct feed *f, const struct feed_opts *opts)
@@ -25,15 +28,17 @@
 	return f->confirmed_ms ? core_now(c) - f->confirmed_ms : INT64_MAX;
 }
 
-static void feed_failed(struct core *c, struct feed *f, enum err e)
+static void feed_failed(struct core *c, const struct feed_call *call,
+			enum err e)
 {
+	struct feed *f = call->feed;
 	int shift = f->failures < FEED_DOUBLINGS ? f->failures : FEED_DOUBLINGS;
 
 	log_event(
 		EV_FEED_FAILED,
 		"prefix=%s listed=%d error=%s ms=%lld age_ms=%lld failures=%d",
 		f->opts.prefix, f->listed, err_code(e),
-		(long long)(core_now(c) - f->start_ms),
+		(long long)(core_now(c) - call->start_ms),
 		f->confirmed_ms ? (long long)feed_age(c, f) : -1LL,
 		f->failures);
 	if (e == ERR_KV_HISTORY)
@@ -90,26 +95,40 @@
 	f->opts.ops->listed(c, f->opts.ctx);
 }
 
-static void feed_confirmed(struct core *c, struct feed *f, int64_t as_of_ms)
+static void feed_confirmed(struct feed *f, int64_t as_of_ms)
 {
 	f->failures = 0;
 	if (as_of_ms > f->confirmed_ms)
 		f->confirmed_ms = as_of_ms;
-	f->opts.ops->confirmed(c, f->opts.ctx, as_of_ms);
+}
+
+/* The call ended. An answer to one that was given up on is not taken: changes
+ * may have been learned since in another way. */
+static bool feed_ended(struct feed_call *call)
+{
+	struct feed *f = call->feed;
+	bool taken = f->call == call;
+
+	call->busy = false;
+	if (taken)
+		f->call = NULL;
+	return taken;
 }
 
 static void on_list(struct core *c, void *ctx, const struct kv_result *res)
 {
-	struct feed *f = ctx;
+	struct feed_call *call = ctx;
+	struct feed *f = call->feed;
 
-	f->busy = false;
+	if (!feed_ended(call))
+		return;
 	if (res->err != ERR_OK) {
-		feed_failed(c, f, res->err);
+		feed_failed(c, call, res->err);
 		return;
 	}
 	if (!f->from[0]) {
 		f->list_rev = res->rev;
-		f->list_ms = f->start_ms;
+		f->list_ms = call->start_ms;
 		feed_begin(c, f);
 	}
 	feed_source(f, "store", f->list_ms);
@@ -121,31 +140,37 @@
 	}
 	f->from[0] = '\0';
 	feed_listed(c, f, f->list_rev);
-	feed_confirmed(c, f, f->list_ms);
+	feed_confirmed(f, f->list_ms);
+}
+
+static bool is_quiet(const struct kv_result *res)
+{
+	return !res->n_items && !res->n_deleted;
 }
 
 /* An answer without changes was true when the wait ended. */
-static int64_t watch_as_of(const struct feed *f, const struct kv_result *res)
+static int64_t watch_as_of(struct core *c, const struct feed_call *call,
+			   const struct kv_result *res)
 {
-	bool quiet = !res->n_items && !res->n_deleted;
+	int64_t end = call->start_ms + call->wait_ms;
 
-	return quiet ? f->start_ms + f->wait_ms : f->start_ms;
+	if (!is_quiet(res))
+		return call->start_ms;
+	return end < core_now(c) ? end : core_now(c);
 }
 
 static void on_watch(struct core *c, void *ctx, const struct kv_result *res)
 {
-	struct feed *f = ctx;
-	int64_t now = core_now(c);
-	int64_t as_of;
+	struct feed_call *call = ctx;
+	struct feed *f = call->feed;
+	int64_t as_of = watch_as_of(c, call, res);
 
-	f->busy = false;
+	if (!feed_ended(call))
+		return;
 	if (res->err != ERR_OK) {
-		feed_failed(c, f, res->err);
+		feed_failed(c, call, res->err);
 		return;
 	}
-	as_of = watch_as_of(f, res);
-	if (as_of > now)
-		as_of = now;
 	feed_source(f, "store", as_of);
 	feed_items(c, f, res->items, res->n_items, res->deleted, res->n_deleted,
 		   res->rev);
@@ -153,8 +178,8 @@
 		f->rev = res->rev;
 	if (f->opts.keep && f->rev > f->copy.rev)
 		f->copy.rev = f->rev;
-	feed_confirmed(c, f, as_of);
-	f->next_ms = f->start_ms + f->opts.pause_ms;
+	feed_confirmed(f, as_of);
+	f->next_ms = is_quiet(res) ? 0 : call->start_ms + f->opts.pause_ms;
 	feed_step(c, f);
 }
 
@@ -175,27 +200,86 @@
 		feed_listed(c, f, news->rev);
 	else if (news->rev > f->rev)
 		f->rev = news->rev;
-	feed_confirmed(c, f, news->as_of_ms);
+	feed_confirmed(f, news->as_of_ms);
+}
+
+static bool feed_overdue(struct core *c, const struct feed *f)
+{
+	return f->listed && feed_age(c, f) >= f->opts.overdue_ms;
+}
+
+/* A watch that is not answered in time stays silent, as far as this node can
+ * tell; its connection may be dead while new ones work. */
+static bool hangs(struct core *c, const struct feed_call *call)
+{
+	return call->wait_ms && !call->urgent &&
+	       core_now(c) >= call->start_ms + call->wait_ms + FEED_LATE_MS;
+}
+
+/* Whether the next call is due. */
+static bool feed_due(struct core *c, struct feed *f, bool overdue)
+{
+	if (core_now(c) < f->next_ms || (f->quiet && !overdue))
+		return false;
+	if (f->call && !(overdue && hangs(c, f->call)))
+		return false;
+	return !f->calls[0].busy || !f->calls[1].busy;
+}
+
+/* The wait ends when what is known is to be confirmed again. */
+static int64_t feed_wait(struct core *c, const struct feed *f)
+{
+	int64_t left = f->confirmed_ms + f->opts.refresh_ms - core_now(c);
+
+	if (f->hurry || left < FEED_HURRY_MS)
+		return FEED_HURRY_MS;
+	return left < f->opts.refresh_ms ? left : f->opts.refresh_ms;
+}
+
+static void log_overdue(struct core *c, const struct feed *f)
+{
+	log_event(EV_FEED_OVERDUE,
+		  "prefix=%s age_ms=%lld following=%d hangs_ms=%lld",
+		  f->opts.prefix, (long long)feed_age(c, f), f->quiet,
+		  f->call ? (long long)(core_now(c) - f->call->start_ms) : 0LL);
+}
+
+static enum err feed_call_begin(struct core *c, struct feed *f,
+				struct feed_call *call)
+{
+	if (!f->listed)
+		return kv_list_from(c, f->opts.prefix,
+				    f->from[0] ? f->from : NULL,
+				    (struct kv_cb){on_list, call});
+	if (call->urgent)
+		return kv_confirm(c, f->opts.prefix, f->rev, call->wait_ms,
+				  (struct kv_cb){on_watch, call});
+	return kv_watch(c, f->opts.prefix, f->rev, call->wait_ms,
+			(struct kv_cb){on_watch, call});
 }
 
 void feed_step(struct core *c, struct feed *f)
 {
-	int64_t now = core_now(c);
-	enum err e;
+	bool overdue = feed_overdue(c, f);
+	struct feed_call *call;
 
-	if (f->busy || f->quiet || now < f->next_ms)
+	if (!feed_due(c, f, overdue))
 		return;
-	f->start_ms = now;
-	f->wait_ms = f->hurry ? FEED_HURRY_MS : f->opts.wait_ms;
-	if (f->listed)
-		e = kv_watch(c, f->opts.prefix, f->rev, f->wait_ms,
-			     (struct kv_cb){on_watch, f});
-	else
-		e = kv_list_from(c, f->opts.prefix, f->from[0] ? f->from : NULL,
-				 (struct kv_cb){on_list, f});
-	f->busy = e == ERR_OK;
-	if (f->busy)
+	if (overdue)
+		log_overdue(c, f);
+	call = f->calls[0].busy ? &f->calls[1] : &f->calls[0];
+	*call = (struct feed_call){
+		.feed = f,
+		.busy = true,
+		.urgent = overdue,
+		.start_ms = core_now(c),
+		.wait_ms = f->listed ? feed_wait(c, f) : 0,
+	};
+	f->call = call;
+	if (feed_call_begin(c, f, call) == ERR_OK) {
 		f->hurry = false;
-	else
-		f->next_ms = now + FEED_RETRY_MS;
+		return;
+	}
+	feed_ended(call);
+	f->next_ms = core_now(c) + FEED_RETRY_MS;
 }
--- a/packages/daemon/src/site/feed.h
+++ b/packages/daemon/src/site/feed.h
@@ -1,5 +1,9 @@
 // Keeps up with all keys of a prefix: lists them, then watches for changes, and
 // lists anew when the store has forgotten the changes in between.
+//
+// Each answer confirms what is known as of a time. A feed whose knowledge is overdue
+// gives up on a watch that hangs, and makes a call of its own even where a relay is
+// followed.
 #pragma once
 
 #include "daemon/platform_mod.h"
@@ -12,32 +16,44 @@
 	void (*gone)(struct core *c, void *ctx, const char *key);
 	/// Every item that stands has come.
 	void (*listed)(struct core *c, void *ctx);
-	/// The state was confirmed as of a time.
-	void (*confirmed)(struct core *c, void *ctx, int64_t as_of_ms);
 };
 
 struct feed_opts {
 	const char *prefix;
-	int64_t wait_ms; ///< longest wait of a watch
-	int64_t pause_ms; ///< least time between two watches
+	int64_t refresh_ms; ///< what is known is confirmed this often
+	int64_t told_ms; ///< older knowledge is of no use to followers
+	int64_t overdue_ms; ///< age at which a call is made anyway
+	int64_t pause_ms; ///< least time from a watch that saw changes to the next
 	bool keep; ///< keep a copy of the items, for followers
 	const struct feed_ops *ops;
 	void *ctx;
 };
 
+enum {
+	FEED_CALLS = 2, ///< one that hangs, and the one in its place
+};
+
+/// A call to the store.
+struct feed_call {
+	struct feed *feed;
+	bool busy; ///< outstanding, also once it was given up on
+	bool urgent; ///< ends soon by itself
+	int64_t start_ms;
+	int64_t wait_ms; ///< of a watch, 0 for a list
+};
+
 struct feed {
 	struct feed_opts opts;
 	bool listed; ///< the list was read and rev is known
-	bool busy; ///< a call is outstanding
+	struct feed_call calls[FEED_CALLS];
+	struct feed_call *call; ///< the one that is waited for, NULL for none
 	bool quiet; ///< a relay is followed: no call is begun
 	uint64_t rev; ///< changes after it are to come
 	uint64_t list_rev; ///< store's revision at the start of the list
-	int64_t start_ms; ///< of the call
 	int64_t list_ms; ///< start of the list
 	int64_t next_ms; ///< earliest next call
 	int failures; ///< of calls in a row
 	char from[256]; ///< last key of the list's page, "" at its start
-	int64_t wait_ms; ///< of the watch in progress
 	bool hurry; ///< the next watch is to confirm soon what is known
 	int64_t confirmed_ms; ///< what is known was true then, 0 for never
 	const char
--- a/packages/daemon/src/site/nodes.c
+++ b/packages/daemon/src/site/nodes.c
@@ -141,14 +141,9 @@
 {
 }
 
-static void nodes_confirmed(struct core *c, void *ctx, int64_t as_of_ms)
-{
-}
-
 const struct feed_ops site_nodes_ops = {
 	.begin = nodes_begin,
 	.item = nodes_item,
 	.gone = nodes_gone,
 	.listed = nodes_listed,
-	.confirmed = nodes_confirmed,
 };
--- a/packages/daemon/src/site/relay.c
+++ b/packages/daemon/src/site/relay.c
@@ -12,12 +12,8 @@
 #include "site/relay_msg.h"
 
 enum {
-	RELAY_HOLD_MS = 400, ///< longest wait of a question without news
 	/// A follower makes its own calls after this long without an answer.
 	RELAY_SILENT_MS = 1200,
-	/// Oldest knowledge of a relay that is of use: with the wait and a lost
-	/// answer it stays below the age at which keys are refused.
-	RELAY_AGE_MS = 2200,
 	RELAY_CONNECT_MS = 100, ///< some round trips
 	RELAY_FORGET_MS = 20000, ///< a follower that asks no more
 };
@@ -27,13 +23,15 @@
 static void on_news(struct core *c, void *ctx, const char *from,
 		    const void *buf, size_t len);
 
-enum err relay_init(struct core *c, struct relay *r, struct feed *const *feeds)
+enum err relay_init(struct core *c, struct relay *r, struct feed *const *feeds,
+		    int64_t hold_ms)
 {
 	enum err e;
 
 	memset(r, 0, sizeof(*r));
 	for (int i = 0; i < RELAY_FEEDS; i++)
 		r->feeds[i] = feeds[i];
+	r->hold_ms = hold_ms;
 	r->serves = settings_int(core_settings(c), S_LEAD_CANDIDATE) == 1;
 	r->follow.salt = XXH64(core_node(c), strlen(core_node(c)), 0);
 	e = core_peer_on(c, PEER_RELAY_ASK, on_ask, r);
@@ -73,10 +71,15 @@
 	msgpack_sbuffer_destroy(&buf);
 }
 
-/* The first prefix is the configuration, whose age decides over keys. */
+/* Each prefix has an age of its own: a call for one hangs while others are
+ * answered. */
 static bool too_old(struct core *c, const struct relay *r)
 {
-	return core_now(c) - r->feeds[0]->confirmed_ms > RELAY_AGE_MS;
+	for (int i = 0; i < RELAY_FEEDS; i++) {
+		if (feed_age(c, r->feeds[i]) > r->feeds[i]->opts.told_ms)
+			return true;
+	}
+	return false;
 }
 
 static bool has_news(const struct relay *r, const struct relay_ask *ask)
@@ -145,30 +148,39 @@
 	ask->asked_ms = core_now(c);
 	ask->seq = q.seq;
 	memcpy(ask->revs, q.revs, sizeof(ask->revs));
-	ask->until_ms = core_now(c) + RELAY_HOLD_MS;
+	ask->until_ms = core_now(c) + r->hold_ms;
 	answer_due(c, r);
 }
 
-static bool usable(const struct relay_part *parts)
+static bool usable(const struct relay *r, const struct relay_part *parts)
 {
 	for (int i = 0; i < RELAY_FEEDS; i++) {
-		if (!parts[i].known)
+		if (!parts[i].known ||
+		    parts[i].age_ms > r->feeds[i]->opts.told_ms)
 			return false;
 	}
-	return parts[0].age_ms <= RELAY_AGE_MS;
+	return true;
 }
 
 static void take_parts(struct core *c, struct relay *r, const char *from,
-		       struct relay_part *parts, int64_t asked_ms)
+		       struct relay_part *parts, int64_t told_ms)
 {
 	for (int i = 0; i < RELAY_FEEDS; i++) {
 		parts[i].news.from = from;
-		parts[i].news.as_of_ms = asked_ms - parts[i].age_ms;
+		parts[i].news.as_of_ms = told_ms - parts[i].age_ms;
 		feed_take(c, r->feeds[i], &parts[i].news);
 	}
 	r->good_ms = core_now(c);
 }
 
+/* The relay told no earlier than this: it had the question for held_ms. */
+static int64_t told_at(struct core *c, int64_t asked_ms, int64_t held_ms)
+{
+	int64_t told_ms = asked_ms + held_ms;
+
+	return told_ms < core_now(c) ? told_ms : core_now(c);
+}
+
 static void leave_stale(struct core *c, struct relay *r, const char *from,
 			const struct relay_part *parts)
 {
@@ -188,14 +200,16 @@
 	struct relay_part parts[RELAY_FEEDS];
 	struct arena a;
 	uint64_t seq = 0;
+	int64_t held_ms = 0;
 	int64_t asked_ms;
 
 	arena_init(&a, 0);
-	if (relay_news_read(buf, len, &a, &seq, parts) != ERR_OK)
+	if (relay_news_read(buf, len, &a, &seq, &held_ms, parts) != ERR_OK)
 		metric_add(M_PEER_MALFORMED, 1);
 	else if (follow_answered(&r->follow, seq, &asked_ms)) {
-		if (usable(parts))
-			take_parts(c, r, from, parts, asked_ms);
+		if (usable(r, parts))
+			take_parts(c, r, from, parts,
+				   told_at(c, asked_ms, held_ms));
 		else
 			leave_stale(c, r, from, parts);
 	}
--- a/packages/daemon/src/site/relay.h
+++ b/packages/daemon/src/site/relay.h
@@ -34,10 +34,14 @@
 	struct relay_ask asks[RELAY_ASKS];
 	int n_asks;
 	int64_t good_ms; ///< last usable answer
+	int64_t hold_ms; ///< longest wait of a question without news
 };
 
 /// Register the messages. The feeds outlive the relay.
-enum err relay_init(struct core *c, struct relay *r, struct feed *const *feeds);
+///
+/// @param hold_ms  longest wait of a question without news
+enum err relay_init(struct core *c, struct relay *r, struct feed *const *feeds,
+		    int64_t hold_ms);
 
 /// Ask, and answer questions that are due.
 void relay_step(struct core *c, struct relay *r);
--- a/packages/daemon/src/site/site.h
+++ b/packages/daemon/src/site/site.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daemon/site_mod.h"
+#include "site/fresh.h"
 #include "site/feed.h"
 #include "site/relay.h"
 #include "wire/wire.h"
@@ -27,7 +28,8 @@
 	size_t n_neighbours;
 	struct relay relay;
 	int64_t start_ms; ///< of this module
-	int64_t confirmed_ms; ///< configuration, 0 for never
+	struct site_fresh conf_fresh; ///< of the operators' keys
+	struct site_fresh servers_fresh; ///< of the servers' entries
 	bool stale_logged;
 	int64_t back_ms; ///< since when the store answers, as last seen
 	bool retire; ///< this VM is to be emptied
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -13,20 +13,15 @@
 #include "store_keys.h"
 
 enum {
-	/// Longest wait of a watch on entries and nodes: silence of its
-	/// connection is noticed a platform timeout later.
-	SERVERS_WAIT_MS = 5000,
-	/// Longest wait of a relay's watch on the configuration: its followers
-	/// add the time of a question to the age of what it knows.
-	RELAY_REFRESH_MS = 1000,
+	/// Liveness keys change rarely. A lost home's key lives for 1.8 s, and its
+	/// items are to be at servers again within 5 s.
+	NODES_REFRESH_MS = 2000,
+	NODES_OVERDUE_MS = 2800,
 	/// Least times between two watches of a node that follows no relay for
 	/// the moment: nodes start and return together, and what each of them
 	/// writes must not wake all the others.
 	LONE_CONF_PAUSE_MS = 250,
 	LONE_NODES_PAUSE_MS = 1500,
-	/// Least time between two watches on the entries: they change in bursts,
-	/// and a leaving server may be used for some seconds still.
-	SERVERS_PAUSE_MS = 800,
 	/// A node that starts finds its relays among the nodes first, and lists
 	/// the rest itself only if none of them tells it within this time.
 	RELAY_WAIT_MS = 1500,
@@ -52,7 +47,7 @@
 {
 	const struct site *s = site_of(c);
 
-	return s->confirmed_ms ? core_now(c) - s->confirmed_ms : INT64_MAX;
+	return feed_age(c, &s->operators);
 }
 
 int64_t site_mod_servers_age(struct core *c)
@@ -67,6 +62,23 @@
 		       settings_int(core_settings(c), S_CONF_MAX_AGE);
 }
 
+int64_t site_mod_until(struct core *c)
+{
+	const struct site *s = site_of(c);
+	int64_t vain = kv_vain_since(c);
+	int64_t conf = site_fresh_until(&s->conf_fresh,
+					s->operators.confirmed_ms, vain);
+	int64_t servers = site_fresh_until(&s->servers_fresh,
+					   s->entries.confirmed_ms, vain);
+
+	return conf < servers ? conf : servers;
+}
+
+bool site_mod_current(struct core *c)
+{
+	return core_now(c) <= site_mod_until(c);
+}
+
 uint64_t site_mod_weights(struct core *c, const char *model)
 {
 	const struct site *s = site_of(c);
@@ -199,20 +211,11 @@
 {
 }
 
-static void operator_confirmed(struct core *c, void *ctx, int64_t as_of_ms)
-{
-	struct site *s = ctx;
-
-	if (as_of_ms > s->confirmed_ms)
-		s->confirmed_ms = as_of_ms;
-}
-
 static const struct feed_ops operator_ops = {
 	.begin = operator_begin,
 	.item = operator_item,
 	.gone = operator_gone,
 	.listed = operator_listed,
-	.confirmed = operator_confirmed,
 };
 
 static void entries_begin(struct core *c, void *ctx)
@@ -275,53 +278,63 @@
 	site_servers_end_list(s->servers, core_now(c), outage(c));
 }
 
-static void entries_confirmed(struct core *c, void *ctx, int64_t as_of_ms)
-{
-}
-
 static const struct feed_ops entries_ops = {
 	.begin = entries_begin,
 	.item = entries_item,
 	.gone = entries_gone,
 	.listed = entries_listed,
-	.confirmed = entries_confirmed,
 };
 
+static void start_feed(struct feed *f, const struct site_fresh *fresh,
+		       const struct feed_opts *some)
+{
+	struct feed_opts opts = *some;
+
+	opts.refresh_ms = fresh->refresh_ms;
+	opts.told_ms = fresh->told_ms;
+	opts.overdue_ms = fresh->overdue_ms;
+	feed_init(f, &opts);
+}
+
 static enum err start_feeds(struct core *c, struct site *s)
 {
 	struct feed *const feeds[] = {&s->operators, &s->entries, &s->nodes};
 	bool relays = settings_int(core_settings(c), S_LEAD_CANDIDATE) == 1;
+	const struct site_fresh live = {
+		.refresh_ms = NODES_REFRESH_MS,
+		.told_ms = NODES_OVERDUE_MS,
+		.overdue_ms = NODES_OVERDUE_MS,
+	};
 	const struct feed_opts operators = {
 		.prefix = s->wire->operator_prefix,
-		.wait_ms =
-			relays ? RELAY_REFRESH_MS
-			       : settings_int(core_settings(c), S_CONF_REFRESH),
 		.pause_ms = relays ? 0 : LONE_CONF_PAUSE_MS,
 		.keep = relays,
 		.ops = &operator_ops,
 		.ctx = s,
 	};
+	/* Entries change in bursts: one call a refresh is enough. */
 	const struct feed_opts entries = {
 		.prefix = s->wire->server_prefix,
-		.wait_ms = SERVERS_WAIT_MS,
-		.pause_ms = SERVERS_PAUSE_MS,
+		.pause_ms = s->servers_fresh.refresh_ms,
 		.keep = relays,
 		.ops = &entries_ops,
 		.ctx = s,
 	};
 	const struct feed_opts nodes = {
 		.prefix = KEY_LIVE,
-		.wait_ms = SERVERS_WAIT_MS,
 		.pause_ms = relays ? 0 : LONE_NODES_PAUSE_MS,
 		.keep = relays,
 		.ops = &site_nodes_ops,
 		.ctx = s,
 	};
 
-	feed_init(&s->operators, &operators);
-	feed_init(&s->entries, &entries);
-	feed_init(&s->nodes, &nodes);
-	return relay_init(c, &s->relay, feeds);
+	start_feed(&s->operators, &s->conf_fresh, &operators);
+	start_feed(&s->entries, &s->servers_fresh, &entries);
+	start_feed(&s->nodes, &live, &nodes);
+	return relay_init(c, &s->relay, feeds,
+			  s->conf_fresh.hold_ms < s->servers_fresh.hold_ms
+				  ? s->conf_fresh.hold_ms
+				  : s->servers_fresh.hold_ms);
 }
 
 static enum err site_start(struct core *c, void **state)
@@ -332,6 +345,10 @@
 		return ERR_NOMEM;
 	s->wire = core_wire(c)->publish;
 	s->start_ms = core_now(c);
+	s->conf_fresh =
+		site_fresh_of(settings_int(core_settings(c), S_CONF_APPLY));
+	s->servers_fresh =
+		site_fresh_of(settings_int(core_settings(c), S_SERVERS_LEAVE));
 	s->servers = site_servers_new();
 	if (!s->servers) {
 		free(s);
--- /dev/null
+++ b/packages/site/test/test_fresh.c
@@ -0,0 +1,73 @@
+// How old knowledge may get: the shares of a bound add up to less than it.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "site/fresh.h"
+
+enum {
+	TICK_MS = 20, ///< of the loop, three of them a step at most
+	FLIGHT_MS = 50, ///< of a message or an answer of the store
+	PROBE_MS = 400, ///< after which an own call to the store is lost
+};
+
+/* Bounds of today's and the grown deployments, and beyond. */
+static const int64_t bounds[] = {1500, 2000, 3000, 5000};
+
+#define N_BOUNDS (sizeof(bounds) / sizeof(bounds[0]))
+
+/* Load pattern: all is well. No follower makes calls of its own. */
+static void test_followers_stay_quiet(void **state)
+{
+	for (size_t i = 0; i < N_BOUNDS; i++) {
+		struct site_fresh f = site_fresh_of(bounds[i]);
+		int64_t relay = f.refresh_ms + FLIGHT_MS + TICK_MS;
+		int64_t follower = relay + f.hold_ms + 2 * FLIGHT_MS + TICK_MS;
+
+		assert_true(relay < f.told_ms);
+		assert_true(follower < f.overdue_ms);
+	}
+}
+
+/* Load pattern: a relay, its connection or its store is lost just after it
+ * confirmed what a change overtook. A node that reaches the store has asked it
+ * before its knowledge may not be used any more; one that does not knows by then. */
+static void test_a_lost_relay_is_made_up_for(void **state)
+{
+	for (size_t i = 0; i < N_BOUNDS; i++) {
+		struct site_fresh f = site_fresh_of(bounds[i]);
+		int64_t asked = f.overdue_ms + TICK_MS;
+
+		assert_true(asked + FLIGHT_MS + 2 * TICK_MS < f.limit_ms);
+		assert_true(f.limit_ms < bounds[i]);
+	}
+	assert_true(site_fresh_of(2000).overdue_ms + PROBE_MS <=
+		    site_fresh_of(2000).limit_ms);
+}
+
+static void test_until(void **state)
+{
+	struct site_fresh f = site_fresh_of(2000);
+
+	assert_int_equal(site_fresh_until(&f, 10000, 0), 10000 + f.limit_ms);
+	/* An own call failed before what is known was confirmed. */
+	assert_int_equal(site_fresh_until(&f, 10000, 9000), 10000 + f.limit_ms);
+	/* It failed since: the store can't be reached, work goes on. */
+	assert_int_equal(site_fresh_until(&f, 10000, 10500), INT64_MAX);
+	/* Nothing was ever known. */
+	assert_int_equal(site_fresh_until(&f, 0, 0), f.limit_ms);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_followers_stay_quiet),
+		cmocka_unit_test(test_a_lost_relay_is_made_up_for),
+		cmocka_unit_test(test_until),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/upstream/include/upstream/upstream.h
+++ b/packages/upstream/include/upstream/upstream.h
@@ -34,6 +34,9 @@
 	int64_t max_idle_age_ms; ///< of a connection that is used again
 	size_t max_body; ///< bytes
 	bool fresh; ///< use a new connection
+	/// clock_now_ms() time after which the request is not sent, however long
+	/// the connection took; 0 for none.
+	int64_t send_until_ms;
 	bool streamed; ///< UPSTREAM_DATA events instead of a whole body
 	bool want_head; ///< UPSTREAM_HEAD before the body, head in the result
 };
--- a/packages/upstream/src/call.c
+++ b/packages/upstream/src/call.c
@@ -86,7 +86,7 @@
 {
 	if (c->too_large)
 		return ERR_TOO_LARGE;
-	if (c->idle)
+	if (c->idle || c->too_late)
 		return ERR_TIMEOUT;
 	switch (code) {
 	case CURLE_OK:
--- a/packages/upstream/src/call.h
+++ b/packages/upstream/src/call.h
@@ -35,6 +35,7 @@
 	bool head_posted; ///< UPSTREAM_HEAD went to the receiver
 	bool head_full; ///< more header fields than UPSTREAM_HEADERS
 	bool idle; ///< ended by the idle timeout
+	bool too_late; ///< a connection came after send_until_ms
 	int attempts; ///< times that the request was about to be written
 	int64_t start_us;
 	int64_t heard_ms; ///< last sign of the other side, 0 before the first
--- a/packages/upstream/src/transfer.c
+++ b/packages/upstream/src/transfer.c
@@ -137,6 +137,10 @@
 	struct upstream_call *c = ctx;
 
 	c->heard_ms = clock_now_ms();
+	if (c->opts.send_until_ms && c->heard_ms > c->opts.send_until_ms) {
+		c->too_late = true;
+		return CURL_PREREQFUNC_ABORT;
+	}
 	c->attempts++;
 	return c->attempts > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
--- a/packages/upstream/test/test_upstream.c
+++ b/packages/upstream/test/test_upstream.c
@@ -151,6 +151,27 @@
 
 /// A reset may come before or after the write: `sent` must not be false when
 /// the kernel took a byte. Whatever it says, no answer came.
+/* A request whose connection came too late is not sent. */
+static void test_not_sent_too_late(void **state)
+{
+	struct upstream_call_opts o;
+	struct outcome out;
+	char url[64];
+
+	url_of(url, sizeof(url), SERVER_PORT, "/ok");
+	o = options(url);
+	server_requests();
+	o.send_until_ms = clock_now_ms() - 1;
+	out = run(&o);
+	assert_int_equal(out.err, ERR_TIMEOUT);
+	assert_false(out.sent);
+	assert_int_equal(server_requests(), 0);
+	o.send_until_ms = clock_now_ms() + WAIT_MS;
+	out = run(&o);
+	assert_int_equal(out.err, ERR_OK);
+	assert_int_equal(server_requests(), 1);
+}
+
 static void test_reset(void **state)
 {
 	char url[128];
@@ -349,6 +370,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_faults),
+		cmocka_unit_test(test_not_sent_too_late),
 		cmocka_unit_test(test_reset),
 		cmocka_unit_test(test_no_second_write),
 		cmocka_unit_test(test_stream),
--- a/tools/explain.sh
+++ b/tools/explain.sh
@@ -15,7 +15,7 @@
 # What a node believed is shown from some seconds before the first line on.
 span=$(jq -s --arg id "$id" "map(select($has) | .time) |
 	[(min | .[0:19] + \"Z\" | fromdateiso8601 - 10 | todateiso8601), max]" <<<"$lines")
-beliefs='["store-lost","store-found","store-by-peer","site-stale","site-fresh","site-conf","lead-taken","lead-lost","live","node-lost","home-lost","relay-lost","relay-stale","feed-failed","drain","start"]'
+beliefs='["store-lost","store-found","store-by-peer","site-stale","site-fresh","site-conf","lead-taken","lead-lost","live","node-lost","home-lost","relay-lost","relay-stale","feed-failed","feed-overdue","drain","start"]'
 jq -c --arg id "$id" --arg batch "$batch" --argjson nodes "$nodes" --argjson span "$span" --argjson beliefs "$beliefs" '
 	select(([.. | strings] | index($id))
 	       or ($batch != "" and .batch == $batch and (.event | test("^(batch|items)-")))
