--- a/packages/daemon/src/site/relay.c
+++ b/packages/daemon/src/site/relay.c
@@ -56,6 +56,11 @@
 	       core_now(c) - r->good_ms < RELAY_SILENT_MS;
 }
 
+int64_t relay_store_back(const struct core *c, const struct relay *r)
+{
+	return relay_following(c, r) ? r->store_back_ms : 0;
+}
+
 static void send_news(struct core *c, struct relay *r,
 		      const struct relay_ask *ask)
 {
@@ -163,14 +168,18 @@
 }
 
 static void take_parts(struct core *c, struct relay *r, const char *from,
-		       struct relay_part *parts, int64_t told_ms)
+		       const struct relay_word *word, struct relay_part *parts,
+		       int64_t told_ms)
 {
+	/* Entries that went are judged by it. */
+	r->store_back_ms =
+		word->store_there ? told_ms - word->store_there_ms : 0;
+	r->good_ms = core_now(c);
 	for (int i = 0; i < RELAY_FEEDS; i++) {
 		parts[i].news.from = from;
 		parts[i].news.as_of_ms = told_ms - parts[i].age_ms;
 		feed_take(c, r->feeds[i], &parts[i].news);
 	}
-	r->good_ms = core_now(c);
 }
 
 /* The relay told no earlier than this: it had the question for held_ms. */
@@ -199,17 +208,16 @@
 	struct relay *r = ctx;
 	struct relay_part parts[RELAY_FEEDS];
 	struct arena a;
-	uint64_t seq = 0;
-	int64_t held_ms = 0;
+	struct relay_word word = {0};
 	int64_t asked_ms;
 
 	arena_init(&a, 0);
-	if (relay_news_read(buf, len, &a, &seq, &held_ms, parts) != ERR_OK)
+	if (relay_news_read(buf, len, &a, &word, parts) != ERR_OK)
 		metric_add(M_PEER_MALFORMED, 1);
-	else if (follow_answered(&r->follow, seq, &asked_ms)) {
+	else if (follow_answered(&r->follow, word.seq, &asked_ms)) {
 		if (usable(r, parts))
-			take_parts(c, r, from, parts,
-				   told_at(c, asked_ms, held_ms));
+			take_parts(c, r, from, &word, parts,
+				   told_at(c, asked_ms, word.held_ms));
 		else
 			leave_stale(c, r, from, parts);
 	}
--- a/packages/daemon/src/site/relay.h
+++ b/packages/daemon/src/site/relay.h
@@ -35,6 +35,8 @@
 	int n_asks;
 	int64_t good_ms; ///< last usable answer
 	int64_t hold_ms; ///< longest wait of a question without news
+	int64_t store_back_ms; ///< since when the store answers the relay that is
+		///< followed, as of its last answer; 0 while it does not
 };
 
 /// Register the messages. The feeds outlive the relay.
@@ -49,6 +51,11 @@
 /// Whether a relay keeps this node up to date: no own calls are needed.
 bool relay_following(const struct core *c, const struct relay *r);
 
+/// Since when the store answers the relay that this node follows.
+///
+/// @return clock_now_ms() time, 0 while it does not, or without a relay
+int64_t relay_store_back(const struct core *c, const struct relay *r);
+
 /// Nodes came or went.
 void relay_node(struct core *c, struct relay *r, const char *node,
 		const char *addr, bool near);
--- a/packages/daemon/src/site/relay_msg.c
+++ b/packages/daemon/src/site/relay_msg.c
@@ -8,7 +8,7 @@
 
 enum {
 	ASK_FIELDS = 3, ///< seq, addr, revs
-	NEWS_FIELDS = 3, ///< seq, held, parts
+	NEWS_FIELDS = 5, ///< seq, held, store there, for how long, parts
 	PART_FIELDS = 6, ///< known, age, full, rev, items, deleted
 	ITEM_FIELDS = 3, ///< key, value, rev
 };
@@ -107,12 +107,15 @@
 void relay_news_pack(struct core *c, msgpack_sbuffer *buf,
 		     const struct relay *r, const struct relay_ask *ask)
 {
+	int64_t back = kv_back_since(c);
 	msgpack_packer pk;
 
 	msgpack_packer_init(&pk, buf, msgpack_sbuffer_write);
 	msgpack_pack_array(&pk, NEWS_FIELDS);
 	msgpack_pack_uint64(&pk, ask->seq);
 	msgpack_pack_uint64(&pk, (uint64_t)(core_now(c) - ask->asked_ms));
+	packed_bool(&pk, back != 0);
+	msgpack_pack_uint64(&pk, back ? (uint64_t)(core_now(c) - back) : 0);
 	msgpack_pack_array(&pk, RELAY_FEEDS);
 	for (int i = 0; i < RELAY_FEEDS; i++)
 		pack_part(c, &pk, r->feeds[i], ask->revs[i]);
@@ -183,8 +186,7 @@
 
 struct news_read {
 	struct arena *a;
-	uint64_t *seq;
-	int64_t *held_ms;
+	struct relay_word *word;
 	struct relay_part *parts;
 };
 
@@ -194,22 +196,23 @@
 	struct news_read *r = ctx;
 
 	if (!packed_is_array(o, NEWS_FIELDS) ||
-	    !packed_take_uint(&f[0], r->seq) ||
-	    !packed_take_ms(&f[1], r->held_ms) ||
-	    !packed_is_array(&f[2], RELAY_FEEDS))
+	    !packed_take_uint(&f[0], &r->word->seq) ||
+	    !packed_take_ms(&f[1], &r->word->held_ms) ||
+	    !packed_take_bool(&f[2], &r->word->store_there) ||
+	    !packed_take_ms(&f[3], &r->word->store_there_ms) ||
+	    !packed_is_array(&f[4], RELAY_FEEDS))
 		return false;
 	for (int i = 0; i < RELAY_FEEDS; i++) {
-		if (!take_part(r->a, &f[2].via.array.ptr[i], &r->parts[i]))
+		if (!take_part(r->a, &f[4].via.array.ptr[i], &r->parts[i]))
 			return false;
 	}
 	return true;
 }
 
 enum err relay_news_read(const void *data, size_t len, struct arena *a,
-			 uint64_t *seq, int64_t *held_ms,
-			 struct relay_part *parts)
+			 struct relay_word *word, struct relay_part *parts)
 {
-	struct news_read r = {a, seq, held_ms, parts};
+	struct news_read r = {a, word, parts};
 
 	memset(parts, 0, RELAY_FEEDS * sizeof(*parts));
 	return packed_read(data, len, news_take, &r);
--- a/packages/daemon/src/site/relay_msg.h
+++ b/packages/daemon/src/site/relay_msg.h
@@ -6,6 +6,14 @@
 #include "base/arena.h"
 #include "site/relay.h"
 
+/// What a relay says beside the prefixes.
+struct relay_word {
+	uint64_t seq; ///< of the question
+	int64_t held_ms; ///< time for which the relay held it
+	bool store_there; ///< the store answers the relay
+	int64_t store_there_ms; ///< for so long
+};
+
 /// Question of a follower.
 struct relay_question {
 	uint64_t seq;
@@ -29,10 +37,8 @@
 void relay_news_pack(struct core *c, msgpack_sbuffer *buf,
 		     const struct relay *r, const struct relay_ask *ask);
 
-/// @param a             owns what parts point to
-/// @param[out] held_ms  time for which the relay held the question
-/// @param[out] parts    RELAY_FEEDS entries
+/// @param a           owns what parts point to
+/// @param[out] parts  RELAY_FEEDS entries
 /// @return ERR_OK, ERR_PARSE or ERR_NOMEM
 enum err relay_news_read(const void *data, size_t len, struct arena *a,
-			 uint64_t *seq, int64_t *held_ms,
-			 struct relay_part *parts);
+			 struct relay_word *word, struct relay_part *parts);
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -253,10 +253,16 @@
 		  s->entries.source, source_age(c, &s->entries), err_code(err));
 }
 
+static int64_t store_back(struct core *c)
+{
+	return site_store_back(kv_back_since(c),
+			       relay_store_back(c, &site_of(c)->relay));
+}
+
 /* Entries lapse while the store is away, though their servers live. */
 static bool outage(struct core *c)
 {
-	int64_t back = kv_back_since(c);
+	int64_t back = store_back(c);
 
 	return !back || core_now(c) - back < SITE_LAPSE_MS;
 }
@@ -431,7 +437,7 @@
 
 	relay_step(c, &s->relay);
 	feeds_step(c, s);
-	site_servers_expire(s->servers, now_ms, kv_back_since(c));
+	site_servers_expire(s->servers, now_ms, store_back(c));
 	retire_step(c, s);
 	note_freshness(c, s);
 	if (s->conf) {
--- a/packages/site/include/site/fresh.h
+++ b/packages/site/include/site/fresh.h
@@ -1,4 +1,5 @@
-// How old what a node knows of the platform's keys may get. Pure.
+// How old what a node knows of the platform's keys may get, and whether the store was
+// away. Pure.
 //
 // Load pattern: many nodes that learn of changes through a few relays, while any
 // call, connection or relay may hang. Each node knows how old its knowledge is, looks
@@ -31,3 +32,12 @@
 /// @return clock time; INT64_MAX while the store can't be reached
 int64_t site_fresh_until(const struct site_fresh *f, int64_t confirmed_ms,
 			 int64_t vain_ms);
+
+/// Since when the store answers, as far as this node can tell. Entries lapse only in
+/// an outage for all: what only this node lost says nothing of them.
+///
+/// @param own_ms    since when it answers this node, 0 while it does not
+/// @param relay_ms  since when it answers the relay that is followed, 0 while it
+///                  does not, or without a relay
+/// @return clock time, 0 while it is away
+int64_t site_store_back(int64_t own_ms, int64_t relay_ms);
--- a/packages/site/src/fresh.c
+++ b/packages/site/src/fresh.c
@@ -44,3 +44,10 @@
 {
 	return vain_ms > confirmed_ms ? INT64_MAX : confirmed_ms + f->limit_ms;
 }
+
+int64_t site_store_back(int64_t own_ms, int64_t relay_ms)
+{
+	if (!own_ms || !relay_ms)
+		return own_ms ? own_ms : relay_ms;
+	return own_ms < relay_ms ? own_ms : relay_ms;
+}
--- a/packages/site/test/test_fresh.c
+++ b/packages/site/test/test_fresh.c
@@ -61,12 +61,23 @@
 	assert_int_equal(site_fresh_until(&f, 0, 0), f.limit_ms);
 }
 
+/* A store that answers anyone was not away. */
+static void test_an_outage_is_one_for_all(void **state)
+{
+	assert_int_equal(site_store_back(0, 0), 0);
+	assert_int_equal(site_store_back(500, 0), 500);
+	assert_int_equal(site_store_back(0, 700), 700);
+	assert_int_equal(site_store_back(500, 700), 500);
+	assert_int_equal(site_store_back(900, 700), 700);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_followers_stay_quiet),
 		cmocka_unit_test(test_a_lost_relay_is_made_up_for),
 		cmocka_unit_test(test_until),
+		cmocka_unit_test(test_an_outage_is_one_for_all),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
