--- a/packages/daemon/src/site/feed.c
+++ b/packages/daemon/src/site/feed.c
@@ -115,6 +115,16 @@
 	return taken;
 }
 
+/* More was learned since it was asked for: what it tells of is older, and an entry
+ * that went meanwhile would come back. */
+static bool is_overtaken(const struct feed *f, const char *from, bool overtaken)
+{
+	if (overtaken)
+		log_event(EV_FEED_OVERTAKEN, "prefix=%s from=%s rev=%llu",
+			  f->opts.prefix, from, (unsigned long long)f->rev);
+	return overtaken;
+}
+
 static void on_list(struct core *c, void *ctx, const struct kv_result *res)
 {
 	struct feed_call *call = ctx;
@@ -126,6 +136,8 @@
 		feed_failed(c, call, res->err);
 		return;
 	}
+	if (is_overtaken(f, "store", call->taken != f->taken))
+		return;
 	if (!f->from[0]) {
 		f->list_rev = res->rev;
 		f->list_ms = call->start_ms;
@@ -171,6 +183,8 @@
 		feed_failed(c, call, res->err);
 		return;
 	}
+	if (is_overtaken(f, "store", call->after != f->rev))
+		return;
 	feed_source(f, "store", as_of);
 	feed_items(c, f, res->items, res->n_items, res->deleted, res->n_deleted,
 		   res->rev);
@@ -183,6 +197,11 @@
 	feed_step(c, f);
 }
 
+uint64_t feed_asks_after(const struct feed *f)
+{
+	return f->listed ? f->rev : 0;
+}
+
 void feed_free(struct feed *f)
 {
 	relay_copy_free(&f->copy);
@@ -190,10 +209,16 @@
 
 void feed_take(struct core *c, struct feed *f, const struct feed_news *news)
 {
+	if (is_overtaken(f, news->from,
+			 news->after != feed_asks_after(f) ||
+				 (news->full && news->rev < f->rev)))
+		return;
 	f->from[0] = '\0';
 	feed_source(f, news->from, news->as_of_ms);
-	if (news->full)
+	if (news->full) {
+		f->taken++;
 		feed_begin(c, f);
+	}
 	feed_items(c, f, news->items, news->n_items, news->deleted,
 		   news->n_deleted, news->rev);
 	if (news->full)
@@ -274,6 +299,8 @@
 		.urgent = overdue,
 		.start_ms = core_now(c),
 		.wait_ms = f->listed ? feed_wait(c, f) : 0,
+		.after = f->rev,
+		.taken = f->taken,
 	};
 	f->call = call;
 	if (feed_call_begin(c, f, call) == ERR_OK) {
--- a/packages/daemon/src/site/feed.h
+++ b/packages/daemon/src/site/feed.h
@@ -40,6 +40,8 @@
 	bool urgent; ///< ends soon by itself
 	int64_t start_ms;
 	int64_t wait_ms; ///< of a watch, 0 for a list
+	uint64_t after; ///< revision from which a watch was asked
+	uint32_t taken; ///< feed.taken at its start
 };
 
 struct feed {
@@ -47,6 +49,7 @@
 	bool listed; ///< the list was read and rev is known
 	struct feed_call calls[FEED_CALLS];
 	struct feed_call *call; ///< the one that is waited for, NULL for none
+	uint32_t taken; ///< times that a relay told all there is
 	bool quiet; ///< a relay is followed: no call is begun
 	uint64_t rev; ///< changes after it are to come
 	uint64_t list_rev; ///< store's revision at the start of the list
@@ -73,6 +76,7 @@
 /// What a relay says of the prefix.
 struct feed_news {
 	const char *from; ///< relay's node id
+	uint64_t after; ///< revision that this node had when it asked
 	bool full; ///< all items: those that are absent are gone
 	uint64_t rev;
 	int64_t as_of_ms; ///< clock_now_ms() time at which it was true
@@ -82,7 +86,11 @@
 	size_t n_deleted;
 };
 
+/// Take what a relay says. What this node learned more of meanwhile is not undone.
 void feed_take(struct core *c, struct feed *f, const struct feed_news *news);
 
+/// Revision after which a relay is asked, 0 for all there is.
+uint64_t feed_asks_after(const struct feed *f);
+
 /// Milliseconds since what is known was true, INT64_MAX for never.
 int64_t feed_age(struct core *c, const struct feed *f);
--- a/packages/daemon/src/site/relay.c
+++ b/packages/daemon/src/site/relay.c
@@ -177,6 +177,7 @@
 	r->good_ms = core_now(c);
 	for (int i = 0; i < RELAY_FEEDS; i++) {
 		parts[i].news.from = from;
+		parts[i].news.after = r->asked_revs[i];
 		parts[i].news.as_of_ms = told_ms - parts[i].age_ms;
 		feed_take(c, r->feeds[i], &parts[i].news);
 	}
@@ -235,7 +236,8 @@
 	snprintf(q.addr, sizeof(q.addr), "%s",
 		 settings_str(core_settings(c), S_PEER_LISTEN));
 	for (int i = 0; i < RELAY_FEEDS; i++)
-		q.revs[i] = r->feeds[i]->listed ? r->feeds[i]->rev : 0;
+		q.revs[i] = feed_asks_after(r->feeds[i]);
+	memcpy(r->asked_revs, q.revs, sizeof(q.revs));
 	msgpack_sbuffer_init(&buf);
 	relay_ask_pack(&buf, &q);
 	e = core_peer_add(c, to->node, to->addr);
--- a/packages/daemon/src/site/relay.h
+++ b/packages/daemon/src/site/relay.h
@@ -33,6 +33,7 @@
 	bool serves; ///< this node is a relay
 	struct relay_ask asks[RELAY_ASKS];
 	int n_asks;
+	uint64_t asked_revs[RELAY_FEEDS]; ///< of the open question
 	int64_t good_ms; ///< last usable answer
 	int64_t hold_ms; ///< longest wait of a question without news
 	int64_t store_back_ms; ///< since when the store answers the relay that is
