--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -225,6 +225,11 @@
 	site_servers_begin_list(s->servers);
 }
 
+static const char *id_of(const struct site *s, const char *key)
+{
+	return key + strlen(s->wire->server_prefix);
+}
+
 /* Age of what is being taken of a feed. */
 static long long source_age(struct core *c, const struct feed *f)
 {
@@ -237,7 +242,10 @@
 	struct site_server_entry e;
 	enum err err = s->wire->server(item->key, item->value, item->len, &e);
 
+	/* Whoever wrote it, the entry before stands no more. */
 	if (err != ERR_OK) {
+		site_servers_gone(s->servers, id_of(s, item->key), core_now(c),
+				  false);
 		log_event(EV_SITE_SERVER_BAD,
 			  "key=%s rev=%llu from=%s error=%s", item->key,
 			  (unsigned long long)item->rev, s->entries.source,
@@ -270,7 +278,7 @@
 static void entries_gone(struct core *c, void *ctx, const char *key)
 {
 	struct site *s = ctx;
-	const char *id = key + strlen(s->wire->server_prefix);
+	const char *id = id_of(s, key);
 
 	log_event(EV_SITE_SERVER, "id=%s gone=1 outage=%d from=%s age_ms=%lld",
 		  id, outage(c), s->entries.source, source_age(c, &s->entries));
