--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -96,6 +96,7 @@
 	struct upstream_opts opts = {
 		.events = c->up_box,
 		.max_calls = CORE_CALLS,
+		.source = settings_str(c->opts.settings, S_UP_SOURCE),
 	};
 
 	return c->opts.upstream->start(&opts, &c->up);
--- a/packages/upstream/include/upstream/upstream.h
+++ b/packages/upstream/include/upstream/upstream.h
@@ -18,6 +18,8 @@
 struct upstream_opts {
 	struct mbox *events; ///< gets struct upstream_event; room for 4 a call
 	unsigned int max_calls; ///< a power of two
+	/// Local IP address, which outlives it; NULL or "" for any.
+	const char *source;
 };
 
 /// Everything in it is copied.
--- a/packages/upstream/src/transfer.c
+++ b/packages/upstream/src/transfer.c
@@ -3,16 +3,19 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
 
 #include "base/clock.h"
+#include "edge.h"
 
 enum {
 	MS_PER_S = 1000,
 	BODY_MIN = 1024, ///< bytes of a body buffer at first
+	SOURCE_LEN = 80, ///< bytes of a local address and its marker
 	/// Sent bytes that stay unacknowledged for this long end a connection;
 	/// several times a round trip between failure domains.
 	UPSTREAM_UNACKED_MS = 2000,
@@ -210,6 +213,18 @@
 	curl_easy_setopt(c->easy, CURLOPT_PATH_AS_IS, 1L);
 }
 
+/* "host!" keeps libcurl from taking the address for an interface's name. */
+static void setup_source(struct upstream_call *c)
+{
+	const char *source = c->up->opts.source;
+	char name[SOURCE_LEN];
+
+	if (!source || !*source)
+		return;
+	snprintf(name, sizeof(name), "host!%s", source);
+	curl_easy_setopt(c->easy, CURLOPT_INTERFACE, name);
+}
+
 static void setup_callbacks(struct upstream_call *c)
 {
 	curl_easy_setopt(c->easy, CURLOPT_PRIVATE, c);
@@ -232,5 +247,6 @@
 	setup_method(c);
 	setup_limits(c);
 	setup_callbacks(c);
+	setup_source(c);
 	return setup_headers(c);
 }
