--- a/test/hosted/hosted.h
+++ b/test/hosted/hosted.h
@@ -26,6 +26,7 @@
 	char id[64];
 	char team[64];
 	int server;
+	int host; ///< last number of the sender's address
 	int64_t at_ms;
 	int from; ///< last event that the caller had, 0 for none
 	int64_t after_leave_ms; ///< since the store took the server's leaving;
--- a/test/hosted/nodes.c
+++ b/test/hosted/nodes.c
@@ -31,16 +31,25 @@
 	fprintf(f,
 		"[node]\nid = %s\ndomain = d%d\ndrain_notice = 300ms\n"
 		"[http]\nlisten = %s:%d\nadmin = %s:%d\n"
-		"[peer]\nlisten = %s:%d\n"
+		"[peer]\nlisten = %s:%d\n[upstream]\nsource = %s\n"
 		"[platform]\nwire = hosted\nurl = http://%s:%d\n"
 		"timeout = 800ms\n"
 		"[lead]\ncandidate = %d\n[tally]\nwindow = 1s\nsettle = 900ms\n",
 		n->id, i % 2 + 1, n->ip, NODE_FRONT_PORT, n->ip,
-		NODE_READY_PORT, n->ip, NODE_PEER_PORT, ns->h->ip,
+		NODE_READY_PORT, n->ip, NODE_PEER_PORT, n->ip, ns->h->ip,
 		n->store_port, !is_entry(ns, i));
 	return fclose(f) == 0;
 }
 
+int node_of_run(const struct nodes *ns, const struct hosted_run *r)
+{
+	for (int i = 0; i < ns->n; i++) {
+		if (atoi(strrchr(ns->list[i].ip, '.') + 1) == r->host)
+			return i;
+	}
+	return -1;
+}
+
 bool node_start(struct nodes *ns, int i)
 {
 	struct node *n = &ns->list[i];
--- a/test/hosted/nodes.h
+++ b/test/hosted/nodes.h
@@ -31,6 +31,11 @@
 	struct node list[NODES_MAX];
 };
 
+/// Node that sent a run.
+///
+/// @return index, -1 if it was none
+int node_of_run(const struct nodes *ns, const struct hosted_run *r);
+
 /// Start all and wait until they are ready.
 bool nodes_start(struct nodes *ns, struct hosted *h);
 
--- a/test/hosted/server.c
+++ b/test/hosted/server.c
@@ -1,4 +1,5 @@
 // Engines that stream events and take orders, and servers of a booking service.
+#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -39,9 +40,19 @@
 	return v ? v : "";
 }
 
+/* Last number of the address that a call comes from. */
+static int host_of(struct MHD_Connection *conn)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		conn, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	const struct sockaddr_in *sa = (const void *)info->client_addr;
+
+	return (int)(ntohl(sa->sin_addr.s_addr) & 0xff);
+}
+
 /* Note that a run begins. */
-static void note_run(struct hosted_server *s, const char *id, const char *team,
-		     int from)
+static void note_run(struct hosted_server *s, struct MHD_Connection *conn,
+		     const char *id, int from)
 {
 	struct hosted *h = s->h;
 	struct hosted_run *r;
@@ -50,8 +61,10 @@
 		abort();
 	r = &h->runs[h->n_runs++];
 	snprintf(r->id, sizeof(r->id), "%s", id);
-	snprintf(r->team, sizeof(r->team), "%s", team);
+	snprintf(r->team, sizeof(r->team), "%s",
+		 field(conn, "X-Catkinpath-Tenant"));
 	r->server = s->index;
+	r->host = host_of(conn);
 	r->from = from;
 	r->at_ms = clock_now_ms();
 	r->after_leave_ms = s->left_ms ? r->at_ms - s->left_ms : 0;
@@ -132,8 +145,8 @@
 }
 
 /* Take a place; false when the server is full. */
-static bool take_place(struct hosted_server *s, const char *id,
-		       const char *team, int from)
+static bool take_place(struct hosted_server *s, struct MHD_Connection *conn,
+		       const char *id)
 {
 	bool ok;
 
@@ -141,7 +154,7 @@
 	ok = s->running < HOSTED_SLOTS;
 	if (ok) {
 		s->running++;
-		note_run(s, id, team, from);
+		note_run(s, conn, id, atoi(field(conn, "Last-Event-Id")));
 	}
 	pthread_mutex_unlock(&s->h->lock);
 	return ok;
@@ -153,8 +166,7 @@
 	static const char *const not_run[] = {"X-Catkinpath-Not-Run", "1",
 					      NULL};
 
-	if (!take_place(s, id, field(conn, "X-Catkinpath-Tenant"),
-			atoi(field(conn, "Last-Event-Id"))))
+	if (!take_place(s, conn, id))
 		return body_answer(conn, 503, "", not_run);
 	return send_stream(s, conn, id);
 }
@@ -172,7 +184,7 @@
 				       NULL};
 
 	pthread_mutex_lock(&s->h->lock);
-	note_run(s, id, field(conn, "X-Catkinpath-Tenant"), 0);
+	note_run(s, conn, id, 0);
 	pthread_mutex_unlock(&s->h->lock);
 	return body_answer(conn, 200, b->data ? b->data : "", headers);
 }
--- a/test/soak/checks.c
+++ b/test/soak/checks.c
@@ -96,6 +96,50 @@
 	}
 }
 
+/* Why a late run is no fault of the node that sent it; NULL: it is one. A node must
+ * know of a leaving if it ran, reached the store, and the store was well. */
+static const char *excuse(const struct soak *k, const struct hosted_run *r,
+			  int node)
+{
+	int64_t since = r->at_ms - SOAK_CONTACT_MS;
+
+	if (!k->left_well[r->server])
+		return "the store was disturbed at the leaving";
+	if (node < 0)
+		return NULL;
+	if (k->node_bad_ms[node] >= since)
+		return "the node was disturbed";
+	if (k->store_bad_ms[node] >= since)
+		return "the node's way to the store was disturbed";
+	if (k->server_bad_ms[r->server] >= since)
+		return "the way to the server was disturbed";
+	return NULL;
+}
+
+void leaves_check(struct soak *k)
+{
+	pthread_mutex_lock(&k->h.lock);
+	for (; k->n_judged < k->h.n_runs; k->n_judged++) {
+		const struct hosted_run *r = &k->h.runs[k->n_judged];
+		int node = node_of_run(&k->ns, r);
+		const char *why = excuse(k, r, node);
+
+		if (r->after_leave_ms <= SOAK_LEAVE_MS)
+			continue;
+		k->n_late++;
+		if (why)
+			soak_note(k, "run %s of node %d late at server %d: %s",
+				  r->id, node, r->server, why);
+		else
+			soak_broken(k,
+				    "run %s of node %d reached server %d %lld "
+				    "ms after it left",
+				    r->id, node, r->server,
+				    (long long)r->after_leave_ms);
+	}
+	pthread_mutex_unlock(&k->h.lock);
+}
+
 static void check_platform(struct soak *k)
 {
 	if (k->h.clashes)
@@ -112,6 +156,7 @@
 {
 	int64_t end = clock_now_ms() + k->opts.recover_ms;
 
+	leaves_check(k);
 	check_served(k, end);
 	for (int i = 0; i < k->n_batches; i++) {
 		if (k->batches[i].accepted)
--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -9,8 +9,11 @@
 #include "soak.h"
 
 enum {
-	FAULTS_AT_ONCE = 5,
+	FAULTS_AT_ONCE = 5, ///< of a stream
 	GAP_MS = 900, ///< most between two faults
+	LEAVES_GAP_MS = 1800, ///< the same, of servers that leave
+	/// Apart from the other stream's, so that its seeds keep their faults.
+	LEAVES_SEED = 0x1eaf,
 	STEP_MS = 10,
 	/// From SIGTERM to SIGKILL, on the users' platform.
 	GRACE_MS = 8000,
@@ -30,6 +33,7 @@
 	GROUP_SERVER, ///< a server or its link
 	GROUP_STORE, ///< the store
 	GROUP_KEY, ///< the key that is withdrawn
+	GROUP_WATCHES, ///< connections on which watches wait
 	GROUP_ALL, ///< every process
 	GROUPS,
 };
@@ -45,6 +49,15 @@
 	void (*end)(struct soak *k, const struct fault *f);
 };
 
+/// Faults of a table, drawn by a generator of their own.
+struct stream {
+	const struct fault_kind *kinds;
+	int n_kinds;
+	int gap_ms;
+	struct rng rng;
+	int64_t next_ms;
+};
+
 struct fault {
 	const struct fault_kind *kind;
 	int target;
@@ -69,29 +82,34 @@
 
 static void kill_begin(struct soak *k, const struct fault *f)
 {
+	k->node_down[f->target] = true;
 	proc_kill(&k->ns.list[f->target].proc);
 }
 
 static void start_end(struct soak *k, const struct fault *f)
 {
 	k->started_ms[f->target] = clock_now_ms();
+	k->node_down[f->target] = false;
 	if (!node_start(&k->ns, f->target))
 		soak_broken(k, "node %d could not be started", f->target);
 }
 
 static void pause_begin(struct soak *k, const struct fault *f)
 {
+	k->node_down[f->target] = true;
 	proc_signal(&k->ns.list[f->target].proc, SIGSTOP);
 }
 
 static void pause_end(struct soak *k, const struct fault *f)
 {
 	excuse_orders(k);
+	k->node_down[f->target] = false;
 	proc_signal(&k->ns.list[f->target].proc, SIGCONT);
 }
 
 static void term_begin(struct soak *k, const struct fault *f)
 {
+	k->node_down[f->target] = true;
 	k->term_early[f->target] =
 		clock_now_ms() - k->started_ms[f->target] < STARTING_MS;
 	proc_signal(&k->ns.list[f->target].proc, SIGTERM);
@@ -119,7 +137,7 @@
 static void herd_begin(struct soak *k, const struct fault *f)
 {
 	for (int i = 0; i < k->ns.n; i++)
-		proc_kill(&k->ns.list[i].proc);
+		kill_begin(k, &(struct fault){.target = i});
 }
 
 static void herd_end(struct soak *k, const struct fault *f)
@@ -144,22 +162,26 @@
 
 static void server_link_begin(struct soak *k, const struct fault *f)
 {
+	k->server_cut[f->target] = true;
 	link_set(k->server[f->target], modes[f->variant]);
 }
 
 static void server_link_end(struct soak *k, const struct fault *f)
 {
 	excuse_orders(k);
+	k->server_cut[f->target] = false;
 	link_set(k->server[f->target], LINK_PASS);
 }
 
 static void server_late_begin(struct soak *k, const struct fault *f)
 {
+	k->server_cut[f->target] = true;
 	link_hold(k->server[f->target], LATE_MS, "POST /pay/");
 }
 
 static void server_late_end(struct soak *k, const struct fault *f)
 {
+	k->server_cut[f->target] = false;
 	link_hold(k->server[f->target], 0, "");
 }
 
@@ -182,6 +204,7 @@
 
 static void leave_begin(struct soak *k, const struct fault *f)
 {
+	k->left_well[f->target] = clock_now_ms() - k->down_ms > SOAK_CONTACT_MS;
 	hosted_leave(&k->h, &k->h.servers[f->target], f->variant);
 }
 
@@ -190,6 +213,15 @@
 	hosted_stay(&k->h, &k->h.servers[f->target]);
 }
 
+static void hush_begin(struct soak *k, const struct fault *f)
+{
+	hosted_mute(&k->h, f->variant ? "servers/" : "op/");
+}
+
+static void hush_end(struct soak *k, const struct fault *f)
+{
+}
+
 static void set_store(struct soak *k, int down, int lose)
 {
 	pthread_mutex_lock(&k->h.lock);
@@ -244,9 +276,19 @@
 	{"key", GROUP_KEY, 6000, 9000, key_begin, key_end},
 };
 
+/* Servers leave in series, while connections of the nodes' watches go silent. */
+static const struct fault_kind leaves[] = {
+	{"leaves", GROUP_SERVER, 2500, 7000, leave_begin, leave_end},
+	{"leaves", GROUP_SERVER, 2500, 7000, leave_begin, leave_end},
+	{"watches-silent", GROUP_WATCHES, 500, 1500, hush_begin, hush_end},
+};
+
 enum {
 	KINDS = sizeof(kinds) / sizeof(kinds[0]),
+	LEAVES = sizeof(leaves) / sizeof(leaves[0]),
 	VARIANTS = sizeof(modes) / sizeof(modes[0]),
+	STREAMS = 2,
+	FAULTS = STREAMS * FAULTS_AT_ONCE, ///< of both streams at once
 };
 
 static int targets_of(const struct soak *k, enum group g)
@@ -274,10 +316,12 @@
 	return x == y && a->target == b->target;
 }
 
-static void fault_begin(struct soak *k, struct rng *r, struct fault *list,
+static void fault_begin(struct soak *k, struct stream *st, struct fault *list,
 			int *n)
 {
-	struct fault f = {.kind = &kinds[rng_below(r, KINDS)]};
+	struct rng *r = &st->rng;
+	struct fault f = {
+		.kind = &st->kinds[rng_below(r, (uint64_t)st->n_kinds)]};
 	const struct fault_kind *kind = f.kind;
 	int span = kind->max_ms - kind->min_ms;
 	int ms = kind->min_ms + (int)rng_below(r, (uint64_t)span + 1);
@@ -308,33 +352,68 @@
 	}
 }
 
-/* Note which nodes can't reach the store as they should. */
-static void look_at_store(struct soak *k)
+/* Note which nodes, links and servers are disturbed. */
+static void look(struct soak *k)
 {
 	bool bad = k->h.down || k->h.lose_percent;
+	int64_t now = clock_now_ms();
 
+	if (bad)
+		k->down_ms = now;
 	for (int i = 0; i < k->ns.n; i++) {
 		if (bad || k->store_cut[i])
-			k->store_bad_ms[i] = clock_now_ms();
+			k->store_bad_ms[i] = now;
+		if (k->node_down[i] || now - k->started_ms[i] < STARTING_MS)
+			k->node_bad_ms[i] = now;
 	}
+	for (int i = 0; i < HOSTED_SERVERS; i++) {
+		if (k->server_cut[i])
+			k->server_bad_ms[i] = now;
+	}
+}
+
+static int faults_of(const struct stream *st, const struct fault *list, int n)
+{
+	int found = 0;
+
+	for (int i = 0; i < n; i++)
+		found += list[i].kind >= st->kinds &&
+			 list[i].kind < st->kinds + st->n_kinds;
+	return found;
+}
+
+static void stream_step(struct soak *k, struct stream *st, struct fault *list,
+			int *n)
+{
+	if (faults_of(st, list, *n) == FAULTS_AT_ONCE ||
+	    clock_now_ms() < st->next_ms)
+		return;
+	fault_begin(k, st, list, n);
+	st->next_ms = clock_now_ms() +
+		      (int64_t)rng_below(&st->rng, (uint64_t)st->gap_ms);
 }
 
 void faults_run(struct soak *k)
 {
-	struct rng r = {k->opts.seed};
-	struct fault list[FAULTS_AT_ONCE];
+	struct stream streams[STREAMS] = {
+		{kinds, KINDS, GAP_MS, {k->opts.seed}, 0},
+		{leaves,
+		 LEAVES,
+		 LEAVES_GAP_MS,
+		 {k->opts.seed ^ LEAVES_SEED},
+		 0},
+	};
+	struct fault list[FAULTS];
 	int n = 0;
 	int64_t end = clock_now_ms() + k->opts.faults_ms;
-	int64_t next = clock_now_ms();
 
 	k->h.lose_seed = k->opts.seed;
 	while (clock_now_ms() < end) {
-		look_at_store(k);
+		look(k);
+		leaves_check(k);
 		faults_end(k, list, &n, false);
-		if (n < FAULTS_AT_ONCE && clock_now_ms() >= next) {
-			fault_begin(k, &r, list, &n);
-			next = clock_now_ms() + (int64_t)rng_below(&r, GAP_MS);
-		}
+		for (int i = 0; i < STREAMS; i++)
+			stream_step(k, &streams[i], list, &n);
 		soak_pause(STEP_MS);
 	}
 	faults_end(k, list, &n, true);
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -130,9 +130,9 @@
 	for (int i = 0; i < k->n_batches; i++)
 		accepted += k->batches[i].accepted;
 	printf("seed=%llu nodes=%d bookings=%d batches=%d accepted=%d runs=%d "
-	       "broken=%d\n",
+	       "late=%d broken=%d\n",
 	       (unsigned long long)k->opts.seed, k->opts.nodes, k->n_calls,
-	       k->n_batches, accepted, k->h.n_runs, k->broken);
+	       k->n_batches, accepted, k->h.n_runs, k->n_late, k->broken);
 	return k->broken > 0;
 }
 
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -21,6 +21,9 @@
 	SOAK_ITEMS = 8, ///< of a batch
 	SOAK_REVOKE_MS = 5000, ///< after which a withdrawn key must not work
 	SOAK_THAW_MS = 300, ///< for which a waking sender's bytes are excused
+	SOAK_LEAVE_MS = 2000, ///< after which a server that left gets nothing
+	SOAK_CONTACT_MS = 3000, ///< a node, a link or the store was well for so
+		///< long before it counts as such
 };
 
 struct soak_opts {
@@ -55,6 +58,14 @@
 	struct link *server[HOSTED_SERVERS]; ///< between nodes and a server
 	bool store_cut[NODES_MAX]; ///< a node's link to the store is disturbed
 	int64_t store_bad_ms[NODES_MAX]; ///< when it last was, or the store
+	bool node_down[NODES_MAX]; ///< a node's process is disturbed
+	int64_t node_bad_ms[NODES_MAX]; ///< when it last was
+	bool server_cut[HOSTED_SERVERS]; ///< a server's link is disturbed
+	int64_t server_bad_ms[HOSTED_SERVERS]; ///< when it last was
+	int64_t down_ms; ///< when the store was last away or lost answers
+	bool left_well[HOSTED_SERVERS]; ///< the store was well at its leaving
+	int n_judged; ///< runs that were looked at
+	int n_late; ///< of them, after a leaving, excused or not
 	int64_t started_ms[NODES_MAX]; ///< last start of a node's process
 	bool term_early[NODES_MAX]; ///< SIGTERM came while it was starting
 	int64_t start_ms;
@@ -83,6 +94,10 @@
 /// Start the callers' threads; they end with soak.stop.
 bool callers_start(struct soak *k, pthread_t *threads, int *n);
 
+/// Look for runs that reached a server later than SOAK_LEAVE_MS after the store took
+/// its leaving.
+void leaves_check(struct soak *k);
+
 /// Inject faults for the time of the options, and end them all.
 void faults_run(struct soak *k);
 
--- a/test/support/link.c
+++ b/test/support/link.c
@@ -88,12 +88,24 @@
 	l->pairs[i] = l->pairs[--l->n];
 }
 
+/* The target sees the caller's address. */
+static bool link_bind(int to, struct sockaddr_in from)
+{
+	int one = 1;
+
+	from.sin_port = 0;
+	setsockopt(to, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &one, sizeof(one));
+	return bind(to, (struct sockaddr *)&from, sizeof(from)) == 0;
+}
+
 static void link_accept(struct link *l)
 {
-	int fd = accept4(l->lfd, NULL, NULL, SOCK_CLOEXEC);
+	struct sockaddr_in from = {0};
+	socklen_t len = sizeof(from);
+	int fd = accept4(l->lfd, (struct sockaddr *)&from, &len, SOCK_CLOEXEC);
 	int to = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	bool ok = fd >= 0 && to >= 0 && l->n < LINK_PAIRS &&
-		  l->mode != LINK_CUT &&
+		  l->mode != LINK_CUT && link_bind(to, from) &&
 		  connect(to, (struct sockaddr *)&l->to, sizeof(l->to)) == 0;
 
 	if (!ok) {
--- a/test/support/link.h
+++ b/test/support/link.h
@@ -1,4 +1,5 @@
-// A TCP relay that a test can cut, freeze or slow down: a network link.
+// A TCP relay that a test can cut, freeze or slow down: a network link. The target
+// sees the address of the caller.
 #pragma once
 
 enum link_mode {
