--- a/packages/daemon/src/site/site.h
+++ b/packages/daemon/src/site/site.h
@@ -29,6 +29,7 @@
 	struct relay relay;
 	int64_t start_ms; ///< of this module
 	struct site_fresh conf_fresh; ///< of the operators' keys
+	struct site_fresh keys_fresh; ///< of the callers' keys among them
 	struct site_fresh servers_fresh; ///< of the servers' entries
 	bool stale_logged;
 	int64_t back_ms; ///< since when the store answers, as last seen
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -57,9 +57,9 @@
 
 bool site_mod_fresh(struct core *c)
 {
-	return site_of(c)->conf &&
-	       site_mod_age(c) <=
-		       settings_int(core_settings(c), S_CONF_MAX_AGE);
+	const struct site *s = site_of(c);
+
+	return s->conf && site_mod_age(c) <= s->keys_fresh.limit_ms;
 }
 
 int64_t site_mod_until(struct core *c)
@@ -351,6 +351,18 @@
 				  : s->servers_fresh.hold_ms);
 }
 
+/* A domain that is taken out is among the operators' keys. */
+static void set_bounds(struct core *c, struct site *s)
+{
+	const struct settings *set = core_settings(c);
+	int64_t apply = settings_int(set, S_CONF_APPLY);
+	int64_t evacuate = settings_int(set, S_CONF_EVACUATE);
+
+	s->conf_fresh = site_fresh_of(apply < evacuate ? apply : evacuate);
+	s->keys_fresh = site_fresh_of(settings_int(set, S_CONF_REVOKE));
+	s->servers_fresh = site_fresh_of(settings_int(set, S_SERVERS_LEAVE));
+}
+
 static enum err site_start(struct core *c, void **state)
 {
 	struct site *s = calloc(1, sizeof(*s));
@@ -359,10 +371,7 @@
 		return ERR_NOMEM;
 	s->wire = core_wire(c)->publish;
 	s->start_ms = core_now(c);
-	s->conf_fresh =
-		site_fresh_of(settings_int(core_settings(c), S_CONF_APPLY));
-	s->servers_fresh =
-		site_fresh_of(settings_int(core_settings(c), S_SERVERS_LEAVE));
+	set_bounds(c, s);
 	s->servers = site_servers_new();
 	if (!s->servers) {
 		free(s);
