--- a/test/soak/callers.c
+++ b/test/soak/callers.c
@@ -75,6 +75,7 @@
 	snprintf(call.id, sizeof(call.id), "b%d.%d", c->number, n);
 	snprintf(path, sizeof(path), "/%s/%s", call.once ? "pay" : "book",
 		 call.id);
+	call.sent_ms = clock_now_ms();
 	call.late_key =
 		second && revoked && clock_now_ms() - revoked > SOAK_REVOKE_MS;
 	node_call_on(c->curl, &c->k->ns, node_of(c, again), "POST", path,
--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -255,6 +255,8 @@
 static void key_end(struct soak *k, const struct fault *f)
 {
 	k->revoked_ms = 0;
+	if (k->n_restored < SOAK_RESTORES)
+		k->restored_ms[k->n_restored++] = clock_now_ms();
 	set_keys(k, true);
 }
 
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -20,6 +20,7 @@
 	SOAK_BATCHES = 1024, ///< batches that are remembered
 	SOAK_ITEMS = 8, ///< of a batch
 	SOAK_REVOKE_MS = 5000, ///< after which a withdrawn key must not work
+	SOAK_RESTORES = 64, ///< times that the key is given back
 	SOAK_THAW_MS = 300, ///< for which a waking sender's bytes are excused
 	SOAK_LEAVE_MS = 2000, ///< after which a server that left gets nothing
 	SOAK_CONTACT_MS = 3000, ///< a node, a link or the store was well for so
@@ -39,6 +40,7 @@
 	bool once; ///< must not run twice
 	bool said_not_run; ///< the answer promised so
 	bool late_key; ///< sent with a key that had to be dead by then
+	int64_t sent_ms;
 };
 
 /// A batch, as its trainer saw it.
@@ -72,6 +74,8 @@
 	_Atomic bool stop; ///< callers end
 	_Atomic int64_t
 		revoked_ms; ///< when "k2" was withdrawn, 0 while it holds
+	int64_t restored_ms[SOAK_RESTORES]; ///< when it was given back
+	int n_restored;
 	pthread_mutex_t lock; ///< over the rest
 	int broken; ///< promises
 	uint64_t version; ///< of the weights, named last
