--- a/packages/site/src/fresh.c
+++ b/packages/site/src/fresh.c
@@ -3,8 +3,8 @@
 
 enum {
 	PERCENT = 100,
-	REFRESH_SHARE = 30,
-	HOLD_SHARE = 15,
+	REFRESH_SHARE = 35,
+	HOLD_SHARE = 12,
 	TOLD_SHARE = 50, ///< a refresh, and a slow answer of the store
 	OVERDUE_SHARE = 60, ///< a refresh, a hold, and their flight
 	LIMIT_SHARE = 80, ///< the store's answer to an own call came or is lost
