--- a/packages/daemon/src/site/feed.c
+++ b/packages/daemon/src/site/feed.c
@@ -261,12 +261,13 @@
 	return left < f->opts.refresh_ms ? left : f->opts.refresh_ms;
 }
 
-static void log_overdue(struct core *c, const struct feed *f)
+static void log_overdue(struct core *c, const struct feed *f,
+			const struct feed_call *before)
 {
 	log_event(EV_FEED_OVERDUE,
 		  "prefix=%s age_ms=%lld following=%d hangs_ms=%lld",
 		  f->opts.prefix, (long long)feed_age(c, f), f->quiet,
-		  f->call ? (long long)(core_now(c) - f->call->start_ms) : 0LL);
+		  before ? (long long)(core_now(c) - before->start_ms) : 0LL);
 }
 
 static enum err feed_call_begin(struct core *c, struct feed *f,
@@ -286,12 +287,11 @@
 void feed_step(struct core *c, struct feed *f)
 {
 	bool overdue = feed_overdue(c, f);
+	const struct feed_call *before;
 	struct feed_call *call;
 
 	if (!feed_due(c, f, overdue))
 		return;
-	if (overdue)
-		log_overdue(c, f);
 	call = f->calls[0].busy ? &f->calls[1] : &f->calls[0];
 	*call = (struct feed_call){
 		.feed = f,
@@ -302,11 +302,14 @@
 		.after = f->rev,
 		.taken = f->taken,
 	};
+	before = f->call;
 	f->call = call;
-	if (feed_call_begin(c, f, call) == ERR_OK) {
-		f->hurry = false;
+	if (feed_call_begin(c, f, call) != ERR_OK) {
+		feed_ended(call);
+		f->next_ms = core_now(c) + FEED_RETRY_MS;
 		return;
 	}
-	feed_ended(call);
-	f->next_ms = core_now(c) + FEED_RETRY_MS;
+	f->hurry = false;
+	if (overdue)
+		log_overdue(c, f, before);
 }
