--- a/packages/daemon/src/site/feed.h
+++ b/packages/daemon/src/site/feed.h
@@ -59,8 +59,7 @@
 	char from[256]; ///< last key of the list's page, "" at its start
 	bool hurry; ///< the next watch is to confirm soon what is known
 	int64_t confirmed_ms; ///< what is known was true then, 0 for never
-	const char
-		*source; ///< who tells what is being taken: a node or "store"
+	const char *source; ///< node or "store" that tells what is being taken
 	int64_t source_as_of_ms; ///< time at which that was true
 	struct relay_copy copy; ///< with opts.keep
 };
