--- a/packages/site/src/fresh.c
+++ b/packages/site/src/fresh.c
@@ -3,11 +3,12 @@
 
 enum {
 	PERCENT = 100,
-	REFRESH_SHARE = 35,
-	HOLD_SHARE = 12,
+	/* Percent of the bound. */
+	REFRESH_SHARE = 35, ///< each one costs a call of every relay
+	HOLD_SHARE = 12, ///< each one costs a message of every follower
 	TOLD_SHARE = 50, ///< a refresh, and a slow answer of the store
 	OVERDUE_SHARE = 60, ///< a refresh, a hold, and their flight
-	LIMIT_SHARE = 80, ///< the store's answer to an own call came or is lost
+	LIMIT_SHARE = 80, ///< an own call was answered or is lost by then
 	REFRESH_MIN_MS = 100,
 	/// Keys are trusted by the age of the same knowledge, and a failed call
 	/// must not end that.
