--- a/packages/daemon/include/daemon/platform_mod.h
+++ b/packages/daemon/include/daemon/platform_mod.h
@@ -35,8 +35,8 @@
 enum err kv_watch(struct core *c, const char *prefix, uint64_t after,
 		  int64_t wait_ms, struct kv_cb cb);
 
-/// A watch on a new connection that is given up on soon, for a node that must know
-/// whether the store can be reached.
+/// A watch that is made directly, on a new connection, and given up on soon, for a
+/// node that must know whether the store can be reached.
 enum err kv_confirm(struct core *c, const char *prefix, uint64_t after,
 		    int64_t wait_ms, struct kv_cb cb);
 
@@ -66,12 +66,18 @@
 /// @return milliseconds
 int64_t kv_retry_after(struct core *c);
 
-/// Begin of the last direct call on a new connection, if the store did not answer
-/// it: the store can't be reached from here, though a peer may reach it.
+/// Begin of the last direct call on a new connection that the store did not answer,
+/// while it can't be reached from here, and for a short time after, in which what is
+/// known can be confirmed. A peer may reach it.
 ///
-/// @return clock_now_ms() time, 0 if it was answered
+/// @return clock_now_ms() time, 0 while the store can be reached
 int64_t kv_vain_since(struct core *c);
 
+/// When the store was reached again after such a call.
+///
+/// @return clock_now_ms() time, 0 before
+int64_t kv_reached_since(struct core *c);
+
 /// Since when the store answers without a failed call in between.
 ///
 /// @return clock_now_ms() time, 0 while it does not answer
--- a/packages/daemon/src/front/front_mod.c
+++ b/packages/daemon/src/front/front_mod.c
@@ -57,11 +57,8 @@
 	char team[SITE_NAME];
 	enum err e = ERR_CONF_NONE;
 
-	/* An old configuration may lack a route that was added since, or send
-	 * where nothing may go any more. */
-	if (conf && !site_mod_current(c))
-		e = ERR_CONF_CUT_OFF;
-	else if (conf && !route)
+	/* An old configuration may lack a route that was added since. */
+	if (conf && !route)
 		e = site_mod_fresh(c) ? ERR_HTTP_ROUTE : ERR_CONF_CUT_OFF;
 	else if (route)
 		e = site_mod_auth(c, route, req->bearer, team);
--- a/packages/daemon/src/platform_mod.c
+++ b/packages/daemon/src/platform_mod.c
@@ -28,6 +28,9 @@
 	/// milliseconds, or some hundreds if it is slow; a silent one is asked
 	/// again soon.
 	PLATFORM_PROBE_TIMEOUT_MS = 400,
+	/// A node that reaches the store again confirms what it knows within
+	/// this time; a lost call and another one fit in.
+	PLATFORM_SETTLE_MS = 1000,
 	RETRY_AFTER_MIN_MS = 500, ///< another node is reached by then
 	RETRY_AFTER_MAX_MS =
 		3000, ///< callers wait a third of their time at most
@@ -45,7 +48,9 @@
 		[KV_OPS]; ///< calls by kind since the last line about them
 	int64_t counted_ms; ///< time of that line
 	bool fresh; ///< the last call failed: don't trust old connections
-	int64_t vain_ms; ///< see kv_vain_since()
+	int64_t vain_ms; ///< begin of the last direct call on a new connection that
+		///< got no answer, 0 for none
+	int64_t reached_ms; ///< first direct answer since, 0 for none
 };
 
 /// How a call may reach the store.
@@ -167,6 +172,18 @@
 	return home ? PLATFORM_HOME_PROBE_MS : PLATFORM_PROBE_MS;
 }
 
+/* An old connection that is dead shows nothing of the store. */
+static void vain_note(struct platform *p, const struct platform_call *pc,
+		      bool failed, int64_t now)
+{
+	if (failed && pc->fresh) {
+		p->vain_ms = pc->start_ms;
+		p->reached_ms = 0;
+	} else if (!failed && p->vain_ms && !p->reached_ms) {
+		p->reached_ms = now;
+	}
+}
+
 /* What a direct call showed of the way to the store. */
 static void direct_note(struct core *c, struct platform *p,
 			const struct platform_call *pc,
@@ -178,10 +195,7 @@
 	if (outdated(&p->direct, pc, res))
 		return;
 	p->fresh = failed;
-	if (!failed)
-		p->vain_ms = 0;
-	else if (pc->fresh)
-		p->vain_ms = pc->start_ms;
+	vain_note(p, pc, failed, now);
 	if (failed)
 		contact_bad(&p->direct);
 	else
@@ -208,7 +222,16 @@
 
 int64_t kv_vain_since(struct core *c)
 {
-	return platform_of(c)->vain_ms;
+	const struct platform *p = platform_of(c);
+
+	if (p->reached_ms && core_now(c) - p->reached_ms >= PLATFORM_SETTLE_MS)
+		return 0;
+	return p->vain_ms;
+}
+
+int64_t kv_reached_since(struct core *c)
+{
+	return platform_of(c)->reached_ms;
 }
 
 int64_t kv_back_since(struct core *c)
@@ -332,7 +355,8 @@
  * costs, refused or not; the probes find out when it is back. */
 static bool in_vain(const struct platform *p, const struct platform_call *pc)
 {
-	return p->proxy && pc->way == WAY_ANY && contact_away(&p->direct);
+	return p->proxy && pc->way == WAY_ANY && !pc->call.urgent &&
+	       contact_away(&p->direct);
 }
 
 static enum err call_begin(struct core *c, const struct kv_call *call,
@@ -355,7 +379,7 @@
 	pc->way = way;
 	arena_init(&pc->arena, 0);
 	e = keep_texts(pc, call) ? ERR_OK : ERR_NOMEM;
-	if (e == ERR_OK && (way != WAY_ANY || !p->by_peer ||
+	if (e == ERR_OK && (way != WAY_ANY || !p->by_peer || call->urgent ||
 			    !proxy_call(c, p->proxy, h, &pc->call)))
 		e = in_vain(p, pc) ? ERR_KV_DOWN : platform_fetch(c, pc, h);
 	if (e != ERR_OK)
--- a/packages/daemon/src/site/feed.c
+++ b/packages/daemon/src/site/feed.c
@@ -242,13 +242,28 @@
 }
 
 /* Whether the next call is due. */
-static bool feed_due(struct core *c, struct feed *f, bool overdue)
+static bool feed_due(struct core *c, const struct feed *f, bool overdue)
 {
 	if (core_now(c) < f->next_ms || (f->quiet && !overdue))
 		return false;
-	if (f->call && !(overdue && hangs(c, f->call)))
-		return false;
-	return !f->calls[0].busy || !f->calls[1].busy;
+	return !f->call || (overdue && hangs(c, f->call));
+}
+
+static struct feed_call *free_call(struct feed *f)
+{
+	for (int i = 0; i < FEED_CALLS; i++) {
+		if (!f->calls[i].busy)
+			return &f->calls[i];
+	}
+	return NULL;
+}
+
+void feed_renew(struct feed *f)
+{
+	f->call = NULL;
+	f->from[0] = '\0';
+	f->next_ms = 0;
+	f->hurry = true;
 }
 
 /* The wait ends when what is known is to be confirmed again. */
@@ -290,13 +305,13 @@
 	const struct feed_call *before;
 	struct feed_call *call;
 
-	if (!feed_due(c, f, overdue))
+	call = feed_due(c, f, overdue) ? free_call(f) : NULL;
+	if (!call)
 		return;
-	call = f->calls[0].busy ? &f->calls[1] : &f->calls[0];
 	*call = (struct feed_call){
 		.feed = f,
 		.busy = true,
-		.urgent = overdue,
+		.urgent = overdue && kv_vain_since(c) <= f->confirmed_ms,
 		.start_ms = core_now(c),
 		.wait_ms = f->listed ? feed_wait(c, f) : 0,
 		.after = f->rev,
--- a/packages/daemon/src/site/feed.h
+++ b/packages/daemon/src/site/feed.h
@@ -30,7 +30,7 @@
 };
 
 enum {
-	FEED_CALLS = 2, ///< one that hangs, and the one in its place
+	FEED_CALLS = 3, ///< two that hang, and the one in their place
 };
 
 /// A call to the store.
@@ -72,6 +72,10 @@
 /// Make the next call if it is due; call from the tick.
 void feed_step(struct core *c, struct feed *f);
 
+/// The store can be reached again: give up on calls that may hang, and confirm soon
+/// what is known.
+void feed_renew(struct feed *f);
+
 /// What a relay says of the prefix.
 struct feed_news {
 	const char *from; ///< relay's node id
--- a/packages/daemon/src/site/site.h
+++ b/packages/daemon/src/site/site.h
@@ -33,6 +33,7 @@
 	struct site_fresh servers_fresh; ///< of the servers' entries
 	bool stale_logged;
 	int64_t back_ms; ///< since when the store answers, as last seen
+	int64_t reached_ms; ///< since when directly, as last seen
 	bool retire; ///< this VM is to be emptied
 	bool retire_busy;
 	int64_t retire_next_ms;
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -433,16 +433,17 @@
 {
 	struct feed *const feeds[] = {&s->operators, &s->entries, &s->nodes};
 	int64_t back = kv_back_since(c);
-	bool returned = back && back != s->back_ms;
+	int64_t reached = kv_reached_since(c);
+	bool returned = (back && back != s->back_ms) ||
+			(reached && reached != s->reached_ms);
 
 	s->back_ms = back;
+	s->reached_ms = reached;
 	for (int i = 0; i < RELAY_FEEDS; i++) {
 		/* Some other call found the store again: no need to wait on.
 		 * Callers are refused until what is known is confirmed. */
-		if (returned) {
-			feeds[i]->next_ms = 0;
-			feeds[i]->hurry = true;
-		}
+		if (returned)
+			feed_renew(feeds[i]);
 		feeds[i]->quiet = quiet(c, s, feeds[i]);
 		feed_step(c, feeds[i]);
 	}
--- a/packages/daemon/test/test_feed.c
+++ b/packages/daemon/test/test_feed.c
@@ -30,6 +30,7 @@
 };
 
 static int64_t now;
+static int64_t vain_ms; ///< begin of an own call that failed
 static struct call calls[CALLS]; ///< not answered yet, the newest last
 static int n_calls;
 static int n_begun;
@@ -64,6 +65,11 @@
 	return begin(ASKED_WATCH, wait_ms, cb);
 }
 
+int64_t kv_vain_since(struct core *c)
+{
+	return vain_ms;
+}
+
 enum err kv_confirm(struct core *c, const char *prefix, uint64_t after,
 		    int64_t wait_ms, struct kv_cb cb)
 {
@@ -82,10 +88,13 @@
 
 static void on_gone(struct core *c, void *ctx, const char *key)
 {
-	for (int i = 0; i < n_known; i++) {
-		if (strcmp(known[i], key) == 0)
-			strcpy(known[i], known[--n_known]);
-	}
+	int at = 0;
+
+	while (at < n_known && strcmp(known[at], key) != 0)
+		at++;
+	if (at < n_known)
+		memmove(known[at], known[at + 1],
+			sizeof(known[0]) * (size_t)(--n_known - at));
 }
 
 static void on_listed(struct core *c, void *ctx)
@@ -131,6 +140,7 @@
 		.err = ERR_OK, .rev = 100, .items = &a, .n_items = 1};
 
 	now = 10000;
+	vain_ms = 0;
 	n_calls = n_begun = n_known = n_listed = 0;
 	feed_init(&f, &opts);
 	feed_step(NULL, &f);
@@ -199,6 +209,25 @@
 	assert_in_range(n_begun - begun, 1, WATCH_MS / REFRESH_MS + 2);
 }
 
+/* The store can't be reached: no more calls on new connections for it. After its
+ * return what is known is confirmed at once, whatever hangs still. */
+static void test_outage_and_return(void **state)
+{
+	pass(OVERDUE_MS + 20);
+	assert_int_equal(calls[1].what, ASKED_CONFIRM);
+	vain_ms = now;
+	answer(1, &(struct kv_result){.err = ERR_KV_UNKNOWN});
+	pass(REFRESH_MS);
+	assert_int_equal(calls[n_calls - 1].what, ASKED_WATCH);
+	vain_ms = 0;
+	feed_renew(&f);
+	feed_step(NULL, &f);
+	assert_int_equal(calls[n_calls - 1].what, ASKED_CONFIRM);
+	now += calls[n_calls - 1].wait_ms;
+	answer(n_calls - 1, &quiet);
+	assert_true(feed_age(NULL, &f) <= 20);
+}
+
 static void tell(uint64_t after, uint64_t rev, int64_t as_of_ms,
 		 const char *const *deleted)
 {
@@ -312,6 +341,8 @@
 						teardown),
 		cmocka_unit_test_setup_teardown(test_burst_of_changes, setup,
 						teardown),
+		cmocka_unit_test_setup_teardown(test_outage_and_return, setup,
+						teardown),
 		cmocka_unit_test_setup_teardown(test_relay_that_hangs, setup,
 						teardown),
 		cmocka_unit_test_setup_teardown(
--- a/packages/wire/include/wire/store.h
+++ b/packages/wire/include/wire/store.h
@@ -52,7 +52,7 @@
 	uint64_t rev; ///< prev_rev of a write, after of a watch
 	uint64_t lease;
 	int64_t ms; ///< wait of a watch, time to live of a grant
-	bool urgent; ///< on a new connection, and given up on soon
+	bool urgent; ///< directly, on a new connection, and given up on soon
 };
 
 /// One call as it goes out.
--- a/test/hosted/test_hosted_leaving.c
+++ b/test/hosted/test_hosted_leaving.c
@@ -24,6 +24,7 @@
 	CONF_MS = 2000,
 	REVOKE_MS = 5000, ///< after which a withdrawn key must not work
 	LOST_MS = 5000, ///< longest time for which an item is at no server
+	AWAY_MS = 3000, ///< of the store; keys are trusted for longer
 	WATCH_MS = 7000, ///< of callers' work after a server left
 	QUIET_MS = 1500, ///< until every watch waits
 	CALM_MS = 15000, ///< at most, until all nodes are ready again
@@ -121,6 +122,7 @@
 {
 	publishing = false;
 	pthread_mutex_lock(&h.lock);
+	h.down = 0;
 	h.mute = NULL;
 	h.late = NULL;
 	pthread_mutex_unlock(&h.lock);
@@ -231,6 +233,29 @@
 	assert_in_range(hosted_latest_run(&h, begun), 0, DRAIN_MS);
 }
 
+/* Store silent or there, for a time: everyone is served. */
+static void assert_all_served(int down, int ms)
+{
+	int64_t end = clock_now_ms() + ms;
+
+	pthread_mutex_lock(&h.lock);
+	h.down = down;
+	pthread_cond_broadcast(&h.changed);
+	pthread_mutex_unlock(&h.lock);
+	while (clock_now_ms() < end)
+		assert_int_equal(book_everywhere("k1"), NODES_ENTRY);
+}
+
+/* What is known can't be confirmed, and it is all there is. */
+static void test_silent_store_refuses_nobody(void **state)
+{
+	calm();
+	for (int i = 0; i < 2; i++) {
+		assert_all_served(2, AWAY_MS);
+		assert_all_served(0, AWAY_MS);
+	}
+}
+
 static bool all_refuse(const char *key)
 {
 	return book_everywhere(key) == 0;
@@ -311,6 +336,7 @@
 		cmocka_unit_test(test_lost_calls_keep_a_removed_server),
 		cmocka_unit_test(test_late_answer_revives_a_server),
 		cmocka_unit_test(test_unreadable_entry_keeps_the_one_before),
+		cmocka_unit_test(test_silent_store_refuses_nobody),
 		cmocka_unit_test(test_silent_watch_hides_a_configuration),
 		cmocka_unit_test(test_silent_watch_hides_a_lost_node),
 	};
