fix(test): the soak's store serves as many connections as its nodes make

soak 603 200 20 could not start: a node was not ready after 15 s. Cause: the stand-in's HTTP server took 512 connections and left all others in the listen queue, without an answer. Seen in a run of the code before: 512 established at the store's port, 513 lines of ss with its header, throughout the start; 1,686 feed-failed, 951 store-lost. 200 processes make 945 to 1,276 while they start. Nothing in the users' pages limits the store's connections.

Ruled out: processor (10% idle), the lock (35% of a core in the stand-in).

--- a/test/hosted/body.c
+++ b/test/hosted/body.c
@@ -6,6 +6,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum {
+	/// At once, a thread each. 200 processes make some 1,300 when they start,
+	/// more while links are cut; the platform's pages name no limit.
+	BODY_CONNECTIONS = 4096,
+};
+
 bool body_take(void **state, const char *data, size_t *len, struct body **whole)
 {
 	struct body *b = *state;
@@ -58,7 +64,7 @@
 		0, NULL, NULL, fn, ctx, MHD_OPTION_SOCK_ADDR, &sa,
 		MHD_OPTION_NOTIFY_COMPLETED, body_end, NULL,
 		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-		MHD_OPTION_CONNECTION_LIMIT, 512U, MHD_OPTION_END);
+		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)BODY_CONNECTIONS, MHD_OPTION_END);
 }
 
 enum MHD_Result body_answer(struct MHD_Connection *conn, int status,
