--- /dev/null
+++ b/packages/daemon/src/kv_counts.c
@@ -0,0 +1,78 @@
+// A row a kind and prefix.
+#include "kv_counts.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static const char *const op_names[KV_OPS] = {
+	[KV_GET] = "get",     [KV_LIST] = "list",     [KV_PUT] = "put",
+	[KV_DEL] = "del",     [KV_WATCH] = "watch",   [KV_GRANT] = "grant",
+	[KV_RENEW] = "renew", [KV_REVOKE] = "revoke",
+};
+
+/* Up to the second slash below the product's own keys, to the first elsewhere. */
+static void prefix_of(const char *key, char out[KV_COUNTS_PREFIX])
+{
+	size_t len = key ? strcspn(key, "/") : 0;
+
+	if (key && key[len] && strncmp(key, "catkin/", len + 1) == 0)
+		len += 1 + strcspn(key + len + 1, "/");
+	snprintf(out, KV_COUNTS_PREFIX, "%.*s", (int)len, key ? key : "");
+}
+
+static int row_of(struct kv_counts *counts, enum kv_op op, const char *prefix)
+{
+	int i = 0;
+
+	while (i < counts->n && (counts->rows[i].op != op ||
+				 strcmp(counts->rows[i].prefix, prefix) != 0))
+		i++;
+	if (i < counts->n)
+		return i;
+	if (counts->n == KV_COUNTS_ROWS)
+		return -1;
+	counts->rows[counts->n].op = op;
+	counts->rows[counts->n].n = 0;
+	strcpy(counts->rows[counts->n].prefix, prefix);
+	return counts->n++;
+}
+
+void kv_counts_add(struct kv_counts *counts, enum kv_op op, const char *key)
+{
+	char prefix[KV_COUNTS_PREFIX];
+	int row;
+
+	prefix_of(key, prefix);
+	row = row_of(counts, op, prefix);
+	if (row < 0)
+		row = KV_COUNTS_ROWS - 1;
+	counts->rows[row].n++;
+}
+
+uint64_t kv_counts_of(const struct kv_counts *counts, enum kv_op op)
+{
+	uint64_t n = 0;
+
+	for (int i = 0; i < counts->n; i++)
+		n += counts->rows[i].op == op ? counts->rows[i].n : 0;
+	return n;
+}
+
+void kv_counts_text(const struct kv_counts *counts, char text[KV_COUNTS_TEXT])
+{
+	size_t at = 0;
+
+	text[0] = '\0';
+	for (int i = 0; i < counts->n; i++) {
+		char one[2 * KV_COUNTS_PREFIX + 32];
+		int len = snprintf(one, sizeof(one), "%s%s:%s=%llu",
+				   at ? "," : "", op_names[counts->rows[i].op],
+				   counts->rows[i].prefix,
+				   (unsigned long long)counts->rows[i].n);
+
+		if (at + (size_t)len >= KV_COUNTS_TEXT)
+			return;
+		memcpy(text + at, one, (size_t)len + 1);
+		at += (size_t)len;
+	}
+}
--- a/packages/daemon/src/platform_mod.c
+++ b/packages/daemon/src/platform_mod.c
@@ -10,6 +10,7 @@
 #include "base/metric.h"
 #include "core/settings.h"
 #include "daemon/mods.h"
+#include "kv_counts.h"
 #include "platform_call.h"
 #include "platform_wire.h"
 #include "proxy.h"
@@ -45,8 +46,7 @@
 	struct proxy *proxy; ///< NULL where nodes don't know each other
 	bool by_peer; ///< calls go through a peer
 	int64_t probe_ms; ///< next look whether the store answers directly
-	uint64_t counts
-		[KV_OPS]; ///< calls by kind since the last line about them
+	struct kv_counts counts; ///< since the last line about them
 	int64_t counted_ms; ///< time of that line
 	bool fresh; ///< the last call failed: don't trust old connections
 	int64_t vain_ms; ///< begin of the last direct call on a new connection that
@@ -387,7 +387,7 @@
 		goto err_fetch;
 	metric_add(M_KV_CALLS, 1);
 	metric_add(op_metrics[call->op], 1);
-	p->counts[call->op]++;
+	kv_counts_add(&p->counts, call->op, call->key);
 	return ERR_OK;
 
 err_fetch:
@@ -425,10 +425,29 @@
 	call_begin(c, &call, (struct kv_cb){probed, NULL}, WAY_PROBE);
 }
 
+static void log_counts(const struct platform *p, int64_t ms)
+{
+	const struct kv_counts *n = &p->counts;
+	char text[KV_COUNTS_TEXT];
+
+	kv_counts_text(n, text);
+	log_event(EV_KV_CALLS,
+		  "ms=%lld get=%llu list=%llu put=%llu del=%llu watch=%llu "
+		  "grant=%llu renew=%llu revoke=%llu by=%s",
+		  (long long)ms, (unsigned long long)kv_counts_of(n, KV_GET),
+		  (unsigned long long)kv_counts_of(n, KV_LIST),
+		  (unsigned long long)kv_counts_of(n, KV_PUT),
+		  (unsigned long long)kv_counts_of(n, KV_DEL),
+		  (unsigned long long)kv_counts_of(n, KV_WATCH),
+		  (unsigned long long)kv_counts_of(n, KV_GRANT),
+		  (unsigned long long)kv_counts_of(n, KV_RENEW),
+		  (unsigned long long)kv_counts_of(n, KV_REVOKE),
+		  *text ? text : "-");
+}
+
 static void platform_tick(struct core *c, void *state, int64_t now_ms)
 {
 	struct platform *p = state;
-	uint64_t *n = p->counts;
 
 	if (p->proxy) {
 		proxy_step(c, p->proxy);
@@ -436,17 +455,8 @@
 	}
 	if (now_ms - p->counted_ms < PLATFORM_COUNT_MS)
 		return;
-	log_event(EV_KV_CALLS,
-		  "ms=%lld get=%llu list=%llu put=%llu del=%llu watch=%llu "
-		  "grant=%llu renew=%llu revoke=%llu",
-		  (long long)(now_ms - p->counted_ms),
-		  (unsigned long long)n[KV_GET], (unsigned long long)n[KV_LIST],
-		  (unsigned long long)n[KV_PUT], (unsigned long long)n[KV_DEL],
-		  (unsigned long long)n[KV_WATCH],
-		  (unsigned long long)n[KV_GRANT],
-		  (unsigned long long)n[KV_RENEW],
-		  (unsigned long long)n[KV_REVOKE]);
-	memset(n, 0, sizeof(p->counts));
+	log_counts(p, now_ms - p->counted_ms);
+	memset(&p->counts, 0, sizeof(p->counts));
 	p->counted_ms = now_ms;
 }
 
