--- a/packages/daemon/src/platform_mod.c
+++ b/packages/daemon/src/platform_mod.c
@@ -46,7 +46,7 @@
 	struct proxy *proxy; ///< NULL where nodes don't know each other
 	bool by_peer; ///< calls go through a peer
 	int64_t probe_ms; ///< next look whether the store answers directly
-	struct kv_counts counts; ///< since the last line about them
+	struct kv_counts counts; ///< direct ones, since the last line about them
 	int64_t counted_ms; ///< time of that line
 	bool fresh; ///< the last call failed: don't trust old connections
 	int64_t vain_ms; ///< begin of the last direct call on a new connection that
@@ -327,7 +327,10 @@
 	opts.url = req.url;
 	opts.body = req.body;
 	opts.body_len = req.len;
-	return core_fetch(c, &opts, NULL);
+	e = core_fetch(c, &opts, NULL);
+	if (e == ERR_OK)
+		kv_counts_add(&p->counts, pc->call.op, pc->call.key);
+	return e;
 }
 
 static const enum metric op_metrics[KV_OPS] = {
@@ -387,7 +390,6 @@
 		goto err_fetch;
 	metric_add(M_KV_CALLS, 1);
 	metric_add(op_metrics[call->op], 1);
-	kv_counts_add(&p->counts, call->op, call->key);
 	return ERR_OK;
 
 err_fetch:
