perf(job): results are written together until a trainer can use them

A trainer goes on only once as many groups as it waits for are whole.

Change: a record is due at once when the awaited groups are whole or the due time is near, else after a second.

--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -39,13 +39,14 @@
 	const struct site_route *route =
 		conf ? site_conf_route(conf, spec->host, spec->path) : NULL;
 	int64_t give_up = route ? route->give_up_ms : INT32_MAX;
+	int64_t begin = core_now(c) + spec->at_ms - clock_wall_ms();
 
 	return (struct job_run_opts){
 		.max_failures = route && route->max_servers ? route->max_servers
 							    : RUN_MAX_FAILURES,
 		.one_version = route && route->one_version,
-		.give_up_ms =
-			core_now(c) + spec->at_ms + give_up - clock_wall_ms(),
+		.due_ms = begin + (route ? route->results_due_ms : 0),
+		.give_up_ms = begin + give_up,
 	};
 }
 
--- a/packages/job/include/job/job_run.h
+++ b/packages/job/include/job/job_run.h
@@ -28,6 +28,7 @@
 struct job_run_opts {
 	int max_failures; ///< failed runs after which an item is given up
 	bool one_version; ///< a sample may have one weight version only
+	int64_t due_ms; ///< clock_now_ms() time at which results are due, 0: now
 	int64_t give_up_ms; ///< clock_now_ms() time from which items are given up
 };
 
@@ -140,8 +141,11 @@
 /// The batch's route is gone: give up what is not over yet.
 void job_run_give_up(struct job_run *r);
 
-/// Results to write now. A trainer can use whole groups only, so a record is
-/// due when a group is whole, and at the latest after some time.
+/// Results to write now.
+///
+/// Load pattern: a call to the store costs, and a trainer goes on once it has as
+/// many whole groups as it waits for, or at its due time. Before that, results are
+/// written together now and then; from there on each group as it becomes whole.
 ///
 /// @param[out] out  array of as many entries as the batch has items
 /// @return count, 0 when nothing is due; those are JOB_WRITING now
--- a/packages/job/src/job_run.c
+++ b/packages/job/src/job_run.c
@@ -10,8 +10,8 @@
 enum {
 	TEXT_MIN = 1024, ///< bytes of a text at first
 	RETRY_MS = 40, ///< least wait after a run that did not end whole
-	/// Results of a group that is not whole wait at most this long, so that
-	/// a reader sees progress about as often as it asks.
+	/// Results that nobody needs at once wait at most this long: a node that
+	/// is lost takes no more along.
 	FLUSH_MAX_MS = 1000,
 };
 
@@ -276,14 +276,27 @@
 	r->opts.give_up_ms = 0;
 }
 
+/* Whether the trainer can use a group as soon as it is whole. */
+static bool groups_awaited(const struct job_run *r, int64_t now)
+{
+	int target = r->spec->target_groups;
+
+	if (target < 1 || target > r->groups)
+		target = r->groups;
+	return r->groups_over >= target || now >= r->opts.due_ms - FLUSH_MAX_MS;
+}
+
 static bool flush_due(const struct job_run *r, int64_t now)
 {
+	bool awaited = groups_awaited(r, now);
+
 	if (r->count[JOB_WRITING])
 		return false;
 	for (int i = r->first[JOB_READY]; i >= 0; i = r->items[i].next) {
 		const struct run_item *it = &r->items[i];
 
-		if (now - it->ready_ms >= FLUSH_MAX_MS || !r->open[it->group])
+		if (now - it->ready_ms >= FLUSH_MAX_MS ||
+		    (awaited && !r->open[it->group]))
 			return true;
 	}
 	return false;
--- a/packages/job/src/job_texts.c
+++ b/packages/job/src/job_texts.c
@@ -15,9 +15,8 @@
 {
 	const struct job_text *t = job_run_text(r, item);
 
-	/* What is over without a score is in the next record. */
-	if (job_run_step(r, item) >= JOB_READY)
-		return job_run_step(r, item) < JOB_LISTED && t->score;
+	if (job_run_step(r, item) == JOB_LISTED)
+		return false;
 	return t->whole || t->last_event >= TEXTS_LEAST_EVENTS;
 }
 
--- a/packages/job/src/run_order.c
+++ b/packages/job/src/run_order.c
@@ -53,6 +53,7 @@
 		if (i == 0 || strcmp(list[i].group, list[i - 1].group) != 0)
 			first = list[i].item;
 		r->items[list[i].item].group = first;
+		r->groups += !r->open[first];
 		r->open[first]++;
 	}
 }
--- a/packages/job/src/run_state.h
+++ b/packages/job/src/run_state.h
@@ -25,6 +25,8 @@
 	struct run_item *items;
 	int *order; ///< items, those to be started first in front
 	int *open; ///< at a group's first item: items that are not over yet
+	int groups; ///< of the batch
+	int groups_over; ///< all of whose items are over
 	size_t count[JOB_STEPS]; ///< items in each step
 	int first
 		[JOB_STEPS]; ///< item that came into each step first, -1 for none
--- a/packages/job/src/run_step.c
+++ b/packages/job/src/run_step.c
@@ -39,7 +39,11 @@
 
 void run_step(struct job_run *r, struct run_item *it, enum job_step step)
 {
-	r->open[it->group] += (step < JOB_READY) - (it->step < JOB_READY);
+	int *open = &r->open[it->group];
+	int before = *open;
+
+	*open += (step < JOB_READY) - (it->step < JOB_READY);
+	r->groups_over += !*open - !before;
 	step_remove(r, it);
 	step_add(r, it, step);
 }
