perf(lead): only homes and nodes that run a batch hold a liveness key

Hardly any entry node ever runs a batch.

Change: an entry node takes its key before it writes an owner key and lets it lapse 5 s after its last batch. Homes need its address for answers: it says hello to each. What a node that makes no calls saw of the store itself counts for 2 s only, else its relay's word does. Lost batches of entry nodes are the leader's.

test_batch_while_homes_are_lost fails on the code before (entry nodes hold keys).

--- a/packages/base/include/base/contact.h
+++ b/packages/base/include/base/contact.h
@@ -27,6 +27,9 @@
 /// @return true if it was away before
 bool contact_good(struct contact *c, int64_t now, int64_t heard_ms);
 
+/// Another node says that the other side was there at a time.
+void contact_told(struct contact *c, int64_t heard_ms);
+
 /// A call got none.
 ///
 /// @return true if it was there before
--- a/packages/base/src/contact.c
+++ b/packages/base/src/contact.c
@@ -15,6 +15,12 @@
 	return away;
 }
 
+void contact_told(struct contact *c, int64_t heard_ms)
+{
+	if (heard_ms > c->heard_ms)
+		c->heard_ms = heard_ms;
+}
+
 bool contact_away(const struct contact *c)
 {
 	return c->failures >= CONTACT_AWAY_CALLS;
--- a/packages/daemon/include/daemon/lead_mod.h
+++ b/packages/daemon/include/daemon/lead_mod.h
@@ -1,8 +1,8 @@
 // Who leads, and which nodes are alive, by leases in the platform's store.
 //
 // One node at a time leads: it gives orders, reports usage and takes over what
-// lost nodes left. Any node that is alive holds a liveness key that names its
-// process's run.
+// lost nodes left. Homes, and any node that runs a batch, hold a liveness key that
+// names their process's run.
 #pragma once
 
 #include "core/core.h"
@@ -21,6 +21,9 @@
 /// Whether this node's liveness key surely stands in the store.
 bool lead_mod_alive(struct core *c);
 
+/// Have a liveness key soon, and for as long as this is called now and then.
+void lead_mod_want_alive(struct core *c);
+
 /// Store lease of this node's liveness key, 0 while it has none.
 uint64_t lead_mod_lease(struct core *c);
 
--- a/packages/daemon/include/daemon/platform_mod.h
+++ b/packages/daemon/include/daemon/platform_mod.h
@@ -57,6 +57,14 @@
 /// @return clock_now_ms() time, 0 for never
 int64_t kv_last_contact(struct core *c);
 
+/// Last time at which a call of this node got an answer, directly or by a peer.
+///
+/// @return clock_now_ms() time, 0 for never
+int64_t kv_answered(struct core *c);
+
+/// A relay knows what was true at the store at a time.
+void kv_told(struct core *c, int64_t as_of_ms);
+
 /// When a caller should come back that was refused for want of the store.
 ///
 /// Load pattern: the store is away, and callers come back a few times only. A
--- a/packages/daemon/include/daemon/site_mod.h
+++ b/packages/daemon/include/daemon/site_mod.h
@@ -52,6 +52,7 @@
 	char node[SITE_NAME];
 	char peer[SITE_ADDR]; ///< "IP:port" for messages between daemons
 	int64_t known_ms; ///< clock_now_ms() time since which it is known
+	int64_t hello_ms; ///< when this node told it its address last, 0: never
 };
 
 /// Other live nodes that may be asked for help: first some of the own failure
--- a/packages/daemon/src/job/job_mod.c
+++ b/packages/daemon/src/job/job_mod.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "core/settings.h"
 #include "daemon/lead_mod.h"
 #include "daemon/mods.h"
 #include "job/job.h"
@@ -92,9 +93,13 @@
 	size_t iter = 0;
 
 	while ((j = htab_next(jobs->jobs, &iter, NULL))) {
-		if (j->running)
-			job_step(c, j);
+		if (!j->running)
+			continue;
+		lead_mod_want_alive(c);
+		job_step(c, j);
 	}
+	if (jobs->loads)
+		lead_mod_want_alive(c);
 	job_submits_step(c);
 	job_ends_step(c);
 	job_readers_step(c);
@@ -150,6 +155,11 @@
 	free(jobs);
 }
 
+static bool is_home(const struct core *c)
+{
+	return settings_int(core_settings(c), S_LEAD_CANDIDATE) == 1;
+}
+
 static enum err jobs_start(struct core *c, void **state)
 {
 	struct jobs *jobs = calloc(1, sizeof(*jobs));
@@ -157,6 +167,8 @@
 	if (!jobs)
 		return ERR_NOMEM;
 	jobs->wire = core_wire(c);
+	/* Others rarely ran a batch: the leader goes on with it. */
+	jobs->own_looked = !is_home(c);
 	jobs->jobs = htab_new(JOB_MAX, sizeof(struct job));
 	jobs->readers = htab_new(READERS, sizeof(struct job_reader));
 	jobs->submits = htab_new(SUBMITS, sizeof(void *));
@@ -259,7 +271,8 @@
 
 static bool jobs_ready(struct core *c, void *state)
 {
-	return lead_mod_alive(c);
+	/* Others need a key only once they run a batch. */
+	return !is_home(c) || lead_mod_alive(c);
 }
 
 const struct core_mod_ops job_mod_ops = {
--- a/packages/daemon/src/job/submit.c
+++ b/packages/daemon/src/job/submit.c
@@ -18,6 +18,11 @@
 	/// A submission that the store does not settle in this time is answered
 	/// with an unknown outcome; its trainer asks again elsewhere.
 	SUBMIT_MAX_MS = 3000,
+	SUBMIT_ALIVE_MS =
+		10, ///< between two looks for this node's liveness key
+	/// A submission is held while the store was there so lately: a short
+	/// outage is over before its trainer would have come back.
+	SUBMIT_HOLD_MS = 3600,
 };
 
 enum submit_step {
@@ -230,8 +235,14 @@
 {
 	enum err e;
 
+	lead_mod_want_alive(c);
 	if (s->busy || core_now(c) < s->next_ms)
 		return;
+	/* Whoever owns a batch can be missed. */
+	if (s->step == SUBMIT_OWNER && !lead_mod_alive(c)) {
+		s->next_ms = core_now(c) + SUBMIT_ALIVE_MS;
+		return;
+	}
 	e = submit_step(c, s);
 	s->busy = e == ERR_OK;
 	if (s->busy)
@@ -298,7 +309,8 @@
 	bool draining = jobs_of(c)->draining;
 	enum err e = draining ? ERR_HTTP_DRAINING : ERR_KV_DOWN;
 
-	if (!draining && lead_mod_alive(c))
+	if (!draining &&
+	    (lead_mod_alive(c) || site_mod_age(c) < SUBMIT_HOLD_MS))
 		return false;
 	if (maybe)
 		e = ERR_TIMEOUT;
--- a/packages/daemon/src/lead/lead_mod.c
+++ b/packages/daemon/src/lead/lead_mod.c
@@ -52,6 +52,11 @@
 	return live_held(&lead_of(c)->live, core_now(c));
 }
 
+void lead_mod_want_alive(struct core *c)
+{
+	live_want(&lead_of(c)->live, core_now(c));
+}
+
 uint64_t lead_mod_lease(struct core *c)
 {
 	const struct live *l = &lead_of(c)->live;
@@ -85,6 +90,7 @@
 	randombytes_buf(&opts.seed, sizeof(opts.seed));
 	l->candidate = settings_int(s, S_LEAD_CANDIDATE) == 1;
 	l->live.home = l->candidate;
+	l->live.step = l->candidate ? LIVE_GRANT : LIVE_IDLE;
 	snprintf(l->cand.key, sizeof(l->cand.key), "%s", KEY_LEADER);
 	snprintf(l->cand.epoch_key, sizeof(l->cand.epoch_key), "%s", KEY_EPOCH);
 	lease_init(&l->cand.lease, &opts);
--- a/packages/daemon/src/lead/live.c
+++ b/packages/daemon/src/lead/live.c
@@ -17,6 +17,8 @@
 	LIVE_TTL_MS = 3600,
 	LIVE_RENEW_MS = 1100,
 	LIVE_RETRY_MS = 250, ///< two tries fit in after a missed renewal
+	LIVE_KEEP_MS =
+		5000, ///< a key that is no longer wanted is renewed so long
 };
 
 static int64_t ttl_ms(const struct live *l)
@@ -34,6 +36,27 @@
 	return l->step == LIVE_RENEW && now < l->until_ms;
 }
 
+void live_want(struct live *l, int64_t now)
+{
+	l->wanted_ms = now;
+	if (l->step != LIVE_IDLE)
+		return;
+	l->step = LIVE_GRANT;
+	l->next_ms = now;
+}
+
+/* What is not wanted any more lapses by itself. */
+static bool live_let_go(struct live *l, int64_t now)
+{
+	if (l->home || l->step == LIVE_LEAVE ||
+	    now - l->wanted_ms < LIVE_KEEP_MS)
+		return false;
+	l->step = LIVE_IDLE;
+	l->lease = 0;
+	l->until_ms = 0;
+	return true;
+}
+
 void live_leave(struct live *l)
 {
 	if (l->step != LIVE_LEFT)
@@ -161,6 +184,7 @@
 		return kv_lease_renew(c, l->lease, cb);
 	case LIVE_LEAVE:
 		return kv_lease_revoke(c, l->lease, cb);
+	case LIVE_IDLE:
 	case LIVE_LEFT:
 		break;
 	}
@@ -171,7 +195,8 @@
 {
 	int64_t now = core_now(c);
 
-	if (l->busy || l->step == LIVE_LEFT || now < l->next_ms)
+	if (l->busy || l->step == LIVE_IDLE || l->step == LIVE_LEFT ||
+	    now < l->next_ms || live_let_go(l, now))
 		return;
 	l->called_ms = now;
 	l->busy = live_call(c, l) == ERR_OK;
--- a/packages/daemon/src/lead/live.h
+++ b/packages/daemon/src/lead/live.h
@@ -4,6 +4,7 @@
 #include "daemon/platform_mod.h"
 
 enum live_step {
+	LIVE_IDLE, ///< nobody waits for this node: it needs no key
 	LIVE_GRANT, ///< grant a store lease
 	LIVE_READ, ///< read the key, for its revision
 	LIVE_PUT, ///< write it under the lease
@@ -15,6 +16,7 @@
 struct live {
 	enum live_step step;
 	bool home; ///< others wait for this node's batches: noticed sooner
+	int64_t wanted_ms; ///< the key was wanted last
 	bool busy; ///< a call is outstanding
 	uint64_t lease;
 	uint64_t rev; ///< of the key
@@ -26,6 +28,13 @@
 /// Make the next call if it is due.
 void live_step(struct core *c, struct live *l);
 
+/// The key is wanted: this node runs a batch, or is about to. A home's key always
+/// is.
+///
+/// Load pattern: hundreds of nodes that run a batch only while homes are lost. A key
+/// of each would be the most frequent call of the whole system.
+void live_want(struct live *l, int64_t now);
+
 /// Whether the key surely stands.
 bool live_held(const struct live *l, int64_t now);
 
--- a/packages/daemon/src/platform_mod.c
+++ b/packages/daemon/src/platform_mod.c
@@ -46,7 +46,8 @@
 	struct proxy *proxy; ///< NULL where nodes don't know each other
 	bool by_peer; ///< calls go through a peer
 	int64_t probe_ms; ///< next look whether the store answers directly
-	struct kv_counts counts; ///< direct ones, since the last line about them
+	struct kv_counts
+		counts; ///< direct ones, since the last line about them
 	int64_t counted_ms; ///< time of that line
 	bool fresh; ///< the last call failed: don't trust old connections
 	int64_t vain_ms; ///< begin of the last direct call on a new connection that
@@ -119,6 +120,16 @@
 	return platform_of(c)->contact.heard_ms;
 }
 
+int64_t kv_answered(struct core *c)
+{
+	return platform_of(c)->contact.answered_ms;
+}
+
+void kv_told(struct core *c, int64_t as_of_ms)
+{
+	contact_told(&platform_of(c)->contact, as_of_ms);
+}
+
 /* Latest time at which the store surely was there to answer. */
 static int64_t platform_heard(const struct platform_call *pc,
 			      const struct kv_result *res)
@@ -247,7 +258,9 @@
 	struct platform *p = platform_of(c);
 
 	htab_del(p->calls, h);
-	if (pc->way == WAY_ANY)
+	/* A node that makes no calls of its own learns of the store's return by
+	 * its probes. */
+	if (pc->way == WAY_ANY || (pc->way == WAY_PROBE && !is_failure(res)))
 		platform_note(p, pc, res, core_now(c));
 	if (pc->call.op != KV_WATCH)
 		histogram_add(H_KV_CALL, core_now(c) - pc->start_ms);
--- /dev/null
+++ b/packages/daemon/src/site/hello.c
@@ -0,0 +1,77 @@
+// Address of this node, to each node that it may ask.
+#include "site/hello.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+#include "base/metric.h"
+#include "core/settings.h"
+#include "packed_msg.h"
+
+enum {
+	HELLO_FIRST_MS = 100, ///< for a connection to come about
+	HELLO_SOON_MS = 150, ///< the first one may have been dropped
+	HELLO_AGAIN_MS = 3000,
+};
+
+static bool take_addr(const msgpack_object *o, void *ctx)
+{
+	char *addr = ctx;
+
+	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= SITE_ADDR)
+		return false;
+	memcpy(addr, o->via.str.ptr, o->via.str.size);
+	addr[o->via.str.size] = '\0';
+	return true;
+}
+
+static void on_hello(struct core *c, void *ctx, const char *from,
+		     const void *buf, size_t len)
+{
+	char addr[SITE_ADDR];
+
+	if (packed_read(buf, len, take_addr, addr) != ERR_OK ||
+	    core_peer_add(c, from, addr) != ERR_OK)
+		metric_add(M_PEER_MALFORMED, 1);
+}
+
+enum err hello_start(struct core *c)
+{
+	return core_peer_on(c, PEER_HELLO, on_hello, NULL);
+}
+
+static bool is_due(const struct site_node *n, int64_t now)
+{
+	if (!n->hello_ms)
+		return now - n->known_ms >= HELLO_FIRST_MS;
+	if (n->hello_ms - n->known_ms < HELLO_FIRST_MS + HELLO_SOON_MS)
+		return now - n->hello_ms >= HELLO_SOON_MS;
+	return now - n->hello_ms >= HELLO_AGAIN_MS;
+}
+
+static void say_hello(struct core *c, const char *node)
+{
+	msgpack_sbuffer buf;
+	msgpack_packer pk;
+
+	msgpack_sbuffer_init(&buf);
+	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
+	packed_text(&pk, settings_str(core_settings(c), S_PEER_LISTEN));
+	/* Dropped or not, the next one follows. */
+	if (core_peer_send(c, node, PEER_HELLO, buf.data, buf.size) != ERR_OK)
+		metric_add(M_PEER_DROPPED, 1);
+	msgpack_sbuffer_destroy(&buf);
+}
+
+void hello_step(struct core *c, struct site *s)
+{
+	for (size_t i = 0; i < s->n_homes; i++) {
+		struct site_node *n = &s->homes[i];
+
+		if (!is_due(n, core_now(c)) ||
+		    strcmp(n->node, core_node(c)) == 0)
+			continue;
+		n->hello_ms = core_now(c);
+		say_hello(c, n->node);
+	}
+}
--- a/packages/daemon/src/site/relay.c
+++ b/packages/daemon/src/site/relay.c
@@ -167,6 +167,15 @@
 	return true;
 }
 
+static int64_t youngest(const struct relay_part *parts)
+{
+	int64_t age = parts[0].age_ms;
+
+	for (int i = 1; i < RELAY_FEEDS; i++)
+		age = parts[i].age_ms < age ? parts[i].age_ms : age;
+	return age;
+}
+
 static void take_parts(struct core *c, struct relay *r, const char *from,
 		       const struct relay_word *word, struct relay_part *parts,
 		       int64_t told_ms)
@@ -175,6 +184,7 @@
 	r->store_back_ms =
 		word->store_there ? told_ms - word->store_there_ms : 0;
 	r->good_ms = core_now(c);
+	kv_told(c, told_ms - youngest(parts));
 	for (int i = 0; i < RELAY_FEEDS; i++) {
 		parts[i].news.from = from;
 		parts[i].news.after = r->asked_revs[i];
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -9,6 +9,7 @@
 #include "base/metric.h"
 #include "core/settings.h"
 #include "daemon/mods.h"
+#include "site/hello.h"
 #include "site/site.h"
 #include "store_keys.h"
 
@@ -26,6 +27,9 @@
 	/// the rest itself only if none of them tells it within this time.
 	RELAY_WAIT_MS = 1500,
 	RETIRE_RETRY_MS = 500,
+	/// Without a relay, watches are answered at least each REFRESH_MAX_MS of
+	/// site/fresh.c; one of two may be lost.
+	OWN_WORD_MS = 2000,
 };
 
 struct site *site_of(const struct core *c)
@@ -261,9 +265,13 @@
 		  s->entries.source, source_age(c, &s->entries), err_code(err));
 }
 
+/* A node that follows a relay makes hardly any calls: what it saw of the store
+ * itself counts for a short time only. */
 static int64_t store_back(struct core *c)
 {
-	return site_store_back(kv_back_since(c),
+	bool lately = core_now(c) - kv_answered(c) < OWN_WORD_MS;
+
+	return site_store_back(lately ? kv_back_since(c) : 0,
 			       relay_store_back(c, &site_of(c)->relay));
 }
 
@@ -378,7 +386,7 @@
 		return ERR_NOMEM;
 	}
 	*state = s;
-	return start_feeds(c, s);
+	return hello_start(c) == ERR_OK ? start_feeds(c, s) : ERR_NOMEM;
 }
 
 static void retire_done(struct core *c, void *ctx, const struct kv_result *res)
@@ -454,6 +462,7 @@
 	struct site *s = state;
 
 	relay_step(c, &s->relay);
+	hello_step(c, s);
 	feeds_step(c, s);
 	site_servers_expire(s->servers, now_ms, store_back(c));
 	retire_step(c, s);
--- a/test/hosted/test_hosted_takeover.c
+++ b/test/hosted/test_hosted_takeover.c
@@ -93,11 +93,48 @@
 	h.event_ms = 15;
 }
 
+static bool has_live_key(int node)
+{
+	char key[64];
+	char *value;
+
+	snprintf(key, sizeof(key), "catkin/live/%s", ns.list[node].id);
+	value = hosted_value(&h, key);
+	free(value);
+	return value != NULL;
+}
+
+static bool no_live_key(void *ctx)
+{
+	return !has_live_key(*(int *)ctx);
+}
+
+/* Entry nodes cost the store nothing until homes are lost: then the one that is
+ * handed a batch takes a liveness key, and lets it go after the batch. */
+static void test_batch_while_homes_are_lost(void **state)
+{
+	int owner;
+
+	for (int i = 0; i < NODES_ENTRY; i++)
+		assert_true(wait_until(no_live_key, &i, BATCH_MS));
+	for (int i = NODES_ENTRY; i < NODES; i++)
+		proc_kill(&ns.list[i].proc);
+	batch_submit(&ns, "b7", 1, 1);
+	owner = batch_owner(&ns, "b7");
+	assert_in_range(owner, 0, NODES_ENTRY - 1);
+	assert_true(has_live_key(owner));
+	json_decref(batch_read_all(&ns, "b7", clock_now_ms() + BATCH_MS));
+	assert_true(wait_until(no_live_key, &owner, BATCH_MS));
+	for (int i = NODES_ENTRY; i < NODES; i++)
+		assert_true(node_start(&ns, i));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_takeover_answer_lost),
 		cmocka_unit_test(test_texts_go_on),
+		cmocka_unit_test(test_batch_while_homes_are_lost),
 	};
 
 	return cmocka_run_group_tests(tests, setup, teardown);
