perf(site): one look a node in an outage, and relays tell of the store's return

Cause: when the store is silent for all, each of 250 entry nodes of the large site made an urgent call for each of three prefixes and probed it each 1.5 s; on its return each confirmed all three at once.

Change: an entry node asks for one prefix first; if that call gets no answer, no further one is begun (it goes on, as before, since it can't reach the store). Its probes wait while a relay says that it can't reach the store either, and begin at once when it can. What is new is left to the relay for 600 ms after the return. Relays, and nodes that know none, do as before.

--- a/packages/daemon/include/daemon/platform_mod.h
+++ b/packages/daemon/include/daemon/platform_mod.h
@@ -65,6 +65,9 @@
 /// A relay knows what was true at the store at a time.
 void kv_told(struct core *c, int64_t as_of_ms);
 
+/// A relay can't reach the store just now: this node's probes may wait for it.
+void kv_told_away(struct core *c);
+
 /// When a caller should come back that was refused for want of the store.
 ///
 /// Load pattern: the store is away, and callers come back a few times only. A
--- a/packages/daemon/src/platform_mod.c
+++ b/packages/daemon/src/platform_mod.c
@@ -26,6 +26,8 @@
 	/// contact, and all others ask the homes.
 	PLATFORM_PROBE_MS = 1500,
 	PLATFORM_HOME_PROBE_MS = 250,
+	/// A relay's word that the store is away; relays are asked more often.
+	PLATFORM_TOLD_MS = 1000,
 	/// A probe of a store that is there is answered within some
 	/// milliseconds, or some hundreds if it is slow; a silent one is asked
 	/// again soon.
@@ -53,6 +55,7 @@
 	int64_t vain_ms; ///< begin of the last direct call on a new connection that
 		///< got no answer, 0 for none
 	int64_t reached_ms; ///< first direct answer since, 0 for none
+	int64_t told_away_ms; ///< a relay said last that the store is away
 };
 
 /// How a call may reach the store.
@@ -127,7 +130,18 @@
 
 void kv_told(struct core *c, int64_t as_of_ms)
 {
-	contact_told(&platform_of(c)->contact, as_of_ms);
+	struct platform *p = platform_of(c);
+
+	contact_told(&p->contact, as_of_ms);
+	/* What the relay reaches may be reached from here as well. */
+	if (p->told_away_ms)
+		p->probe_ms = core_now(c);
+	p->told_away_ms = 0;
+}
+
+void kv_told_away(struct core *c)
+{
+	platform_of(c)->told_away_ms = core_now(c);
 }
 
 /* Latest time at which the store surely was there to answer. */
@@ -436,6 +450,9 @@
 
 	if (!p->by_peer || now_ms < p->probe_ms)
 		return;
+	/* Load pattern: the store is away, and hundreds of nodes look for it. */
+	if (p->told_away_ms && now_ms - p->told_away_ms < PLATFORM_TOLD_MS)
+		return;
 	p->probe_ms = now_ms + probe_wait_ms(c);
 	call_begin(c, &call, (struct kv_cb){probed, NULL}, WAY_PROBE);
 }
--- a/packages/daemon/src/site/feed.c
+++ b/packages/daemon/src/site/feed.c
@@ -244,11 +244,16 @@
 /* Whether the next call is due. */
 static bool feed_due(struct core *c, const struct feed *f, bool overdue)
 {
-	if (core_now(c) < f->next_ms || (f->quiet && !overdue))
+	if (core_now(c) < f->next_ms || f->hush || (f->quiet && !overdue))
 		return false;
 	return !f->call || (overdue && hangs(c, f->call));
 }
 
+bool feed_is_urgent(const struct feed *f)
+{
+	return f->call && f->call->urgent;
+}
+
 static struct feed_call *free_call(struct feed *f)
 {
 	for (int i = 0; i < FEED_CALLS; i++) {
--- a/packages/daemon/src/site/feed.h
+++ b/packages/daemon/src/site/feed.h
@@ -50,7 +50,8 @@
 	struct feed_call calls[FEED_CALLS];
 	struct feed_call *call; ///< the one that is waited for, NULL for none
 	uint32_t taken; ///< times that a relay told all there is
-	bool quiet; ///< a relay is followed: no call is begun
+	bool quiet; ///< a relay is followed: no call is begun unless it is overdue
+	bool hush; ///< no call is begun at all
 	uint64_t rev; ///< changes after it are to come
 	uint64_t list_rev; ///< store's revision at the start of the list
 	int64_t list_ms; ///< start of the list
@@ -92,6 +93,9 @@
 /// Take what a relay says. What this node learned more of meanwhile is not undone.
 void feed_take(struct core *c, struct feed *f, const struct feed_news *news);
 
+/// Whether a call is outstanding that only looks whether the store answers.
+bool feed_is_urgent(const struct feed *f);
+
 /// Revision after which a relay is asked, 0 for all there is.
 uint64_t feed_asks_after(const struct feed *f);
 
--- a/packages/daemon/src/site/relay.c
+++ b/packages/daemon/src/site/relay.c
@@ -202,6 +202,7 @@
 }
 
 static void leave_stale(struct core *c, struct relay *r, const char *from,
+			const struct relay_word *word,
 			const struct relay_part *parts)
 {
 	log_event(EV_RELAY_STALE,
@@ -210,6 +211,8 @@
 		  from, (long long)parts[0].age_ms, (long long)parts[1].age_ms,
 		  (long long)parts[2].age_ms,
 		  parts[0].known && parts[1].known && parts[2].known);
+	if (!word->store_there)
+		kv_told_away(c);
 	follow_stale(&r->follow, core_now(c));
 }
 
@@ -230,7 +233,7 @@
 			take_parts(c, r, from, &word, parts,
 				   told_at(c, asked_ms, word.held_ms));
 		else
-			leave_stale(c, r, from, parts);
+			leave_stale(c, r, from, &word, parts);
 	}
 	arena_free(&a);
 	relay_step(c, r);
--- a/packages/daemon/src/site/site.h
+++ b/packages/daemon/src/site/site.h
@@ -34,6 +34,7 @@
 	bool stale_logged;
 	int64_t back_ms; ///< since when the store answers, as last seen
 	int64_t reached_ms; ///< since when directly, as last seen
+	int64_t leave_to_relay_ms; ///< until then a relay is to tell what is new
 	bool retire; ///< this VM is to be emptied
 	bool retire_busy;
 	int64_t retire_next_ms;
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -26,6 +26,9 @@
 	/// A node that starts finds its relays among the nodes first, and lists
 	/// the rest itself only if none of them tells it within this time.
 	RELAY_WAIT_MS = 1500,
+	/// A relay that could not reach the store either looks for it each 250 ms,
+	/// and is asked again each 300 ms.
+	RETURN_RELAY_MS = 600,
 	RETIRE_RETRY_MS = 500,
 	/// Without a relay, watches are answered at least each REFRESH_MAX_MS of
 	/// site/fresh.c; one of two may be lost.
@@ -437,6 +440,40 @@
 	       (early && !s->relay.serves && f != &s->nodes);
 }
 
+/* Load pattern: the store is away, or back again, and hundreds of nodes have
+ * knowledge that is overdue. One call of each tells whether it can reach the store;
+ * if not, its probes find out when it can, and a relay then tells it what is new. */
+static bool hush(struct core *c, const struct site *s, const struct feed *f)
+{
+	const struct feed *const feeds[] = {&s->operators, &s->entries,
+					    &s->nodes};
+
+	if (s->relay.serves || !s->relay.follow.n)
+		return false;
+	if (core_now(c) < s->leave_to_relay_ms ||
+	    (kv_vain_since(c) && !kv_reached_since(c)))
+		return true;
+	for (int i = 0; i < RELAY_FEEDS; i++) {
+		if (feeds[i] != f && feed_is_urgent(feeds[i]))
+			return true;
+	}
+	return false;
+}
+
+/* Some other call found the store again: no need to wait on. Callers are refused
+ * until what is known is confirmed. */
+static void store_returned(struct core *c, struct site *s)
+{
+	struct feed *const feeds[] = {&s->operators, &s->entries, &s->nodes};
+
+	if (!s->relay.serves && s->relay.follow.n) {
+		s->leave_to_relay_ms = core_now(c) + RETURN_RELAY_MS;
+		return;
+	}
+	for (int i = 0; i < RELAY_FEEDS; i++)
+		feed_renew(feeds[i]);
+}
+
 static void feeds_step(struct core *c, struct site *s)
 {
 	struct feed *const feeds[] = {&s->operators, &s->entries, &s->nodes};
@@ -447,12 +484,11 @@
 
 	s->back_ms = back;
 	s->reached_ms = reached;
+	if (returned)
+		store_returned(c, s);
 	for (int i = 0; i < RELAY_FEEDS; i++) {
-		/* Some other call found the store again: no need to wait on.
-		 * Callers are refused until what is known is confirmed. */
-		if (returned)
-			feed_renew(feeds[i]);
 		feeds[i]->quiet = quiet(c, s, feeds[i]);
+		feeds[i]->hush = hush(c, s, feeds[i]);
 		feed_step(c, feeds[i]);
 	}
 }
