--- a/packages/upstream/src/call.h
+++ b/packages/upstream/src/call.h
@@ -33,6 +33,7 @@
 	bool paused; ///< reading waits until the receiver catches up
 	bool too_large;
 	bool head_posted; ///< UPSTREAM_HEAD went to the receiver
+	size_t head_len; ///< bytes of head lines so far
 	bool head_full; ///< more header fields than UPSTREAM_HEADERS
 	bool idle; ///< ended by the idle timeout
 	bool too_late; ///< a connection came after send_until_ms
--- a/packages/upstream/src/transfer.c
+++ b/packages/upstream/src/transfer.c
@@ -19,6 +19,9 @@
 	/// Sent bytes that stay unacknowledged for this long end a connection;
 	/// several times a round trip between failure domains.
 	UPSTREAM_UNACKED_MS = 2000,
+	/// Bytes of an answer's head, with interim ones and the trailer; what
+	/// common servers send at most is a quarter of it.
+	UPSTREAM_HEAD_MAX = 65536,
 };
 
 static bool body_append(struct upstream_call *c, const char *data, size_t len)
@@ -111,7 +114,12 @@
 {
 	struct upstream_call *c = ctx;
 
-	c->heard_ms = clock_now_ms();
+	/* Lines that follow are no progress: they may come without end. */
+	if (!c->head_len)
+		c->heard_ms = clock_now_ms();
+	c->head_len += size * n;
+	if (c->head_len > UPSTREAM_HEAD_MAX)
+		return 0;
 	if (c->opts.want_head)
 		head_take(c, data, size * n);
 	/* An answer that can't be passed on whole must not be passed on. */
--- a/packages/upstream/test/server.c
+++ b/packages/upstream/test/server.c
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 enum {
@@ -84,9 +85,80 @@
 	return p && strncmp(p + 1, path, strlen(path)) == 0;
 }
 
+struct endless {
+	const char *part;
+	const char *begin;
+	const char *again; ///< sent over and over
+};
+
+static const struct endless endless[] = {
+	{"lines", "HTTP/1.1 200 OK\r\n", "no field\r\n"},
+	{"fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+	{"line", "HTTP/1.1 200 OK\r\nA: ", "bbbbbbbbbbbbbbbb"},
+	{"interim", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+	{"garbage", "", "no answer at all\r\n"},
+	{"status", "HTTP/1.1 2", "00000000"},
+	{"body", "HTTP/1.1 200 OK\r\n\r\n", "xxxxxxxxxxxxxxxx"},
+	{"chunk",
+	 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	 "7fffffffffffffff\r\n",
+	 "xxxxxxxxxxxxxxxx"},
+	{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	 "1\r\nx\r\n"},
+	{"trailer",
+	 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+	 "A: b\r\n"},
+};
+
+static void pause_ms(int ms)
+{
+	struct timespec ts = {0, ms * 1000000L};
+
+	nanosleep(&ts, NULL);
+}
+
+/* At full speed many pieces go out at once. */
+static void pour(int fd, const struct endless *e, bool drops)
+{
+	char buf[4096];
+	size_t len = strlen(e->again);
+	size_t n = 0;
+
+	while (n + len <= sizeof(buf)) {
+		memcpy(buf + n, e->again, len);
+		n += len;
+	}
+	send(fd, e->begin, strlen(e->begin), MSG_NOSIGNAL);
+	while (send(fd, buf, drops ? len : n, MSG_NOSIGNAL) > 0) {
+		if (drops)
+			pause_ms(SERVER_DROP_MS);
+	}
+}
+
+static bool serve_endless(int fd, const char *req)
+{
+	bool drops = path_is(req, "/drop/");
+	const char *part = strchr(req, ' ') + sizeof("/drop/");
+
+	if (!drops && !path_is(req, "/endless/"))
+		return false;
+	if (!drops)
+		part += sizeof("/endless/") - sizeof("/drop/");
+	for (size_t i = 0; i < sizeof(endless) / sizeof(endless[0]); i++) {
+		size_t len = strlen(endless[i].part);
+
+		if (strncmp(part, endless[i].part, len) == 0 &&
+		    part[len] == ' ')
+			pour(fd, &endless[i], drops);
+	}
+	return true;
+}
+
 /// @return false to end the connection
 static bool serve(int fd, const char *req, int nth)
 {
+	if (serve_endless(fd, req))
+		return false;
 	if (path_is(req, "/silent")) {
 		char c;
 
--- a/packages/upstream/test/server.h
+++ b/packages/upstream/test/server.h
@@ -6,6 +6,8 @@
 //   /die     whole answer to the first request of a connection, then the end
 //            instead of an answer
 //   /big     a body of SERVER_BIG bytes
+//   /endless/PART  bytes of a part of an answer until the caller closes, at full
+//            speed; /drop/PART the same, a piece each SERVER_DROP_MS
 // A second port resets connections at once.
 #pragma once
 
@@ -14,6 +16,7 @@
 	SERVER_RESET_PORT = 7701,
 	SERVER_CLOSED_PORT = 7702, ///< nobody listens
 	SERVER_BIG = 3000000, ///< bytes
+	SERVER_DROP_MS = 50,
 };
 
 /// Start it on an address.
--- a/packages/upstream/test/test_upstream.c
+++ b/packages/upstream/test/test_upstream.c
@@ -27,6 +27,8 @@
 	WAIT_MS = 20000,
 	TIMEOUT_MS = 300,
 	OWN_PORT = 7703,
+	/// An idle timeout and what a busy machine adds.
+	ENDLESS_MS = 10 * TIMEOUT_MS,
 };
 
 static const struct upstream_ops *ops = &upstream_curl_ops;
@@ -152,6 +154,49 @@
 /// A reset may come before or after the write: `sent` must not be false when
 /// the kernel took a byte. Whatever it says, no answer came.
 /* A request whose connection came too late is not sent. */
+/* Bytes that are no answer come until the caller closes: each call ends by itself,
+ * with the limits under which generations are sent (no time for the whole), and what
+ * the node keeps of it is bounded. */
+static void test_bytes_without_end(void **state)
+{
+	static const struct {
+		const char *path;
+		bool streamed;
+	} cases[] = {
+		{"/endless/lines", true},    {"/drop/lines", true},
+		{"/endless/fields", true},   {"/drop/fields", true},
+		{"/endless/line", true},     {"/drop/line", true},
+		{"/endless/interim", true},  {"/drop/interim", true},
+		{"/endless/garbage", true},  {"/drop/garbage", true},
+		{"/endless/status", true},   {"/drop/status", true},
+		{"/endless/lines", false},   {"/endless/body", false},
+		{"/endless/chunk", false},   {"/endless/chunks", false},
+		{"/endless/trailer", false}, {"/drop/trailer", false},
+		{"/endless/trailer", true},  {"/drop/trailer", true},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		int64_t start = clock_now_ms();
+		struct upstream_call_opts o;
+		struct outcome out;
+		char url[128];
+
+		url_of(url, sizeof(url), SERVER_PORT, cases[i].path);
+		o = options(url);
+		o.idle_timeout_ms = TIMEOUT_MS;
+		o.want_head = true;
+		o.streamed = cases[i].streamed;
+		o.fresh = true;
+		out = run(&o);
+		if (out.err == ERR_OK || out.len > o.max_body ||
+		    clock_now_ms() - start > ENDLESS_MS)
+			fail_msg("%s streamed=%d: %s, %zu bytes, %lld ms",
+				 cases[i].path, cases[i].streamed,
+				 err_code(out.err), out.len,
+				 (long long)(clock_now_ms() - start));
+	}
+}
+
 static void test_not_sent_too_late(void **state)
 {
 	struct upstream_call_opts o;
@@ -370,6 +415,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_faults),
+		cmocka_unit_test(test_bytes_without_end),
 		cmocka_unit_test(test_not_sent_too_late),
 		cmocka_unit_test(test_reset),
 		cmocka_unit_test(test_no_second_write),
