fix(job): a stream that drips bytes and no event ends

Callers saw: a step that never became whole. An engine that sent comments, or the endless body of a refusal, before its first event was never left: bytes counted as progress until then, events only after it.

Change: the first event has 3 s, whatever other bytes come.

--- a/packages/daemon/src/job/move.c
+++ b/packages/daemon/src/job/move.c
@@ -12,6 +12,9 @@
 	/// Longest silence between two events; they come some 40 ms apart, and
 	/// 160 ms at a slow engine.
 	RUN_SILENCE_MS = 700,
+	/// Longest wait for the first event, whatever other bytes come: twice the
+	/// silence after which an engine is left that says nothing at all.
+	RUN_FIRST_EVENT_MS = 3000,
 	RUN_WATCH_MS = 100, ///< between two looks for slow and silent runs
 	RUN_MOVE_MS = 300, ///< least time at a server before a run is moved
 	RUN_MOVES = 4, ///< of a batch at one look
@@ -52,9 +55,13 @@
 	job_send_item(c, j, item, to);
 }
 
+/* Only events are progress: comments, and the body of a refusal, may come without
+ * end. */
 static bool is_silent(struct core *c, const struct job_at_server *at)
 {
-	return at->last_ms && core_now(c) - at->last_ms >= RUN_SILENCE_MS;
+	if (!at->last_ms)
+		return core_now(c) - at->sent_ms >= RUN_FIRST_EVENT_MS;
+	return core_now(c) - at->last_ms >= RUN_SILENCE_MS;
 }
 
 void job_watch_runs(struct core *c, struct job *j)
--- a/test/hosted/hosted.h
+++ b/test/hosted/hosted.h
@@ -54,6 +54,7 @@
 	bool leaving;
 	int64_t left_ms; ///< when the store took that; 0 while it stands
 	bool dark; ///< takes connections and does not answer
+	bool drips; ///< of an engine: sends comments and no event, without end
 	int running;
 	uint64_t version; ///< of the model "m"
 	uint64_t last_epoch; ///< of an order
--- a/test/hosted/server.c
+++ b/test/hosted/server.c
@@ -113,6 +113,10 @@
 		return MHD_CONTENT_READER_END_OF_STREAM;
 	pause_ms(h->event_ms);
 	pthread_mutex_lock(&h->lock);
+	if (st->s->drips && !h->stopping) {
+		pthread_mutex_unlock(&h->lock);
+		return snprintf(buf, max, ": still here\n");
+	}
 	v = st->s->version;
 	h->runs[st->run].whole = event == st->last;
 	if (h->stopping || st->s->dark) {
--- a/test/hosted/test_hosted_takeover.c
+++ b/test/hosted/test_hosted_takeover.c
@@ -93,6 +93,39 @@
 	h.event_ms = 15;
 }
 
+static void set_drips(bool drips)
+{
+	pthread_mutex_lock(&h.lock);
+	for (int i = 0; i < HOSTED_ENGINES / 2; i++)
+		h.servers[i].drips = drips;
+	pthread_mutex_unlock(&h.lock);
+}
+
+/* Half of the engines send bytes and never an event: their runs end, and the items go
+ * on elsewhere. */
+static void test_streams_that_only_drip_end(void **state)
+{
+	set_drips(true);
+	batch_submit(&ns, "d1", 0, 1);
+	json_decref(batch_read_all(&ns, "d1", clock_now_ms() + BATCH_MS));
+	set_drips(false);
+}
+
+/* Events that come slowly and surely are waited for: nothing runs twice. */
+static void test_slow_streams_are_not_cut(void **state)
+{
+	h.event_ms = 400;
+	batch_submit(&ns, "w1", 0, 1);
+	json_decref(batch_read_all(&ns, "w1", clock_now_ms() + BATCH_MS));
+	h.event_ms = 15;
+	for (int i = 0; i < BATCH_ITEMS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "w1.%d", i);
+		assert_int_equal(hosted_runs(&h, id), 1);
+	}
+}
+
 static bool has_live_key(int node)
 {
 	char key[64];
@@ -134,6 +167,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_takeover_answer_lost),
 		cmocka_unit_test(test_texts_go_on),
+		cmocka_unit_test(test_streams_that_only_drip_end),
+		cmocka_unit_test(test_slow_streams_are_not_cut),
 		cmocka_unit_test(test_batch_while_homes_are_lost),
 	};
 
