fix(job): a reward call that takes long is waited for longer each time

Cause: one reward call needed 1.19 s wherever it went. The wait, from the service's recent times, was 0.93 to 1.19 s: given up on eight times in a row, just before its answer. Its group was carried over, so the trainer waited for it. The model drew new work for each attempt and could not show it.

Change: the wait doubles with each call that went unanswered, up to the route's time; a call goes to servers that it was not at lately, but for one of them.

--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -59,6 +59,8 @@
 	int64_t sent_ms;
 	int64_t limit_ms; ///< longest wait for its answer
 	int64_t servers_age_ms; ///< of what was known of servers then
+	htab_handle
+		tried[JOB_RATING_TRIED]; ///< servers of its calls, latest first
 };
 
 /// A batch.
@@ -74,6 +76,7 @@
 	bool running;
 	struct job_spec *spec;
 	struct job_run *run;
+	int64_t work; ///< tokens that its items are expected to make
 	struct job_at_server *at; ///< an entry an item
 	struct job_reward_call *rewards; ///< an entry an item, NULL for none
 	int64_t waiting_next_ms; ///< next line about items that wait
--- a/packages/daemon/src/job/reward.c
+++ b/packages/daemon/src/job/reward.c
@@ -202,9 +202,9 @@
 	const struct engine_reward er = {
 		.reward = rw,
 		.server = s->entry.id,
-		.budget_ms =
-			patience_ms(patience_of(jobs_of(c), s->entry.service),
-				    target, most),
+		.budget_ms = patience_ms(
+			patience_of(jobs_of(c), s->entry.service),
+			job_run_unanswered(j->run, item), target, most),
 	};
 	struct core_fetch_opts opts = {
 		.method = "POST",
@@ -225,12 +225,11 @@
 	snprintf(url, sizeof(url), "http://%s%s", s->entry.addr, rw->path);
 	opts.url = url;
 	opts.headers = jobs_of(c)->wire->engine->reward(&er, &a);
-	*call = (struct job_reward_call){
-		.server = s->self,
-		.sent_ms = core_now(c),
-		.limit_ms = er.budget_ms,
-		.servers_age_ms = site_mod_servers_age(c),
-	};
+	call->server = s->self;
+	call->sent_ms = core_now(c);
+	call->limit_ms = er.budget_ms;
+	call->servers_age_ms = site_mod_servers_age(c);
+	job_rating_tried(call->tried, s->self);
 	snprintf(call->service, sizeof(call->service), "%s", s->entry.service);
 	histogram_add(H_SERVERS_AGE, call->servers_age_ms);
 	e = opts.headers ? core_fetch(c, &opts, &call->fetch) : ERR_NOMEM;
@@ -245,9 +244,12 @@
 	return true;
 }
 
-/* Server for a reward, by the configuration in force. */
+/* Server for a reward, by the configuration in force.
+ *
+ * @param call  its calls so far: another server than theirs */
 static struct site_server *choose(struct core *c, const struct job_reward *rw,
-				  const struct site_route *route)
+				  const struct site_route *route,
+				  const struct job_reward_call *call)
 {
 	const char *name =
 		site_route_service(route, XXH64(rw->id, strlen(rw->id), 0));
@@ -256,6 +258,9 @@
 	const struct site_ask ask = {
 		.service = name,
 		.domain = core_domain(c),
+		.not = call->tried,
+		.n_not = job_rating_avoids(
+			site_servers_usable(site_mod_servers(c), name)),
 		.only_free = true,
 		.share = JOB_RATING_SHARE,
 		.cold_rate = svc ? svc->cold_rate / REWARD_COLD_SENDERS : 0,
@@ -274,7 +279,8 @@
 	while ((item = job_run_next_reward(j->run, core_now(c))) >= 0) {
 		const struct job_reward *rw = &j->spec->items[item].reward;
 		const struct site_route *route = route_of(c, rw);
-		struct site_server *s = route ? choose(c, rw, route) : NULL;
+		struct site_server *s =
+			route ? choose(c, rw, route, &j->rewards[item]) : NULL;
 
 		if (!s || !send_call(c, j, item, route, s))
 			return;
--- a/packages/job/include/job/job_run.h
+++ b/packages/job/include/job/job_run.h
@@ -13,6 +13,7 @@
 	/// Percent of a server's slots that reward calls may take up: callers who
 	/// wait come to the same servers.
 	JOB_RATING_SHARE = 67,
+	JOB_RATING_TRIED = 8, ///< servers that a call does not go to again soon
 };
 
 enum job_step {
@@ -104,6 +105,18 @@
 void job_run_rated(struct job_run *r, int item, int64_t now,
 		   enum job_rating how, int max_failures, const char *seal);
 
+/// Note the server of a reward call.
+///
+/// @param tried  servers of the item's calls, latest first
+void job_rating_tried(uint32_t tried[JOB_RATING_TRIED], uint32_t server);
+
+/// How many of the servers that were tried last a call does not go to: a slow one is
+/// left, and one of few is asked again.
+int job_rating_avoids(int servers);
+
+/// Reward calls of an item that got no usable answer.
+int job_run_unanswered(const struct job_run *r, int item);
+
 /// Text held of an item.
 const struct job_text *job_run_text(const struct job_run *r, int item);
 
--- a/packages/job/include/job/patience.h
+++ b/packages/job/include/job/patience.h
@@ -19,10 +19,12 @@
 /// An answer came.
 void patience_add(struct patience *p, int64_t ms);
 
-/// Longest wait for the next one.
+/// Longest wait for the next one. Some calls take long wherever they go: the wait
+/// doubles with each one that went unanswered.
 ///
+/// @param unanswered  calls of the same request that got no answer
 /// @param target_ms  time within which the service is to answer
 /// @param most_ms    longest that anyone may wait
 /// @return milliseconds, from target_ms to most_ms
-int64_t patience_ms(const struct patience *p, int64_t target_ms,
+int64_t patience_ms(const struct patience *p, int unanswered, int64_t target_ms,
 		    int64_t most_ms);
--- a/packages/job/src/job_reward.c
+++ b/packages/job/src/job_reward.c
@@ -45,6 +45,24 @@
 	run_step(r, &r->items[item], JOB_RATING);
 }
 
+void job_rating_tried(uint32_t tried[JOB_RATING_TRIED], uint32_t server)
+{
+	memmove(tried + 1, tried, (JOB_RATING_TRIED - 1) * sizeof(*tried));
+	tried[0] = server;
+}
+
+int job_rating_avoids(int servers)
+{
+	if (servers < 2)
+		return 0;
+	return servers <= JOB_RATING_TRIED ? servers - 1 : JOB_RATING_TRIED;
+}
+
+int job_run_unanswered(const struct job_run *r, int item)
+{
+	return r->items[item].unanswered;
+}
+
 static int64_t again_ms(const struct run_item *it)
 {
 	int shift = it->rating_failures < AGAIN_DOUBLINGS ? it->rating_failures
@@ -70,5 +88,6 @@
 		   ++it->rating_failures >= max_failures) {
 		run_ready(r, it, now, true);
 	}
+	it->unanswered += how == JOB_RATING_BROKEN;
 	it->not_before_ms = now + again_ms(it);
 }
--- a/packages/job/src/patience.c
+++ b/packages/job/src/patience.c
@@ -34,7 +34,7 @@
 	return sorted[n * 9 / 10];
 }
 
-int64_t patience_ms(const struct patience *p, int64_t target_ms,
+int64_t patience_ms(const struct patience *p, int unanswered, int64_t target_ms,
 		    int64_t most_ms)
 {
 	int64_t ms = p->n >= ENOUGH ? TIMES_SLOWEST * ninth_decile(p)
@@ -42,5 +42,7 @@
 
 	if (ms < target_ms)
 		ms = target_ms;
+	for (; unanswered > 0 && ms < most_ms; unanswered--)
+		ms *= 2;
 	return ms < most_ms ? ms : most_ms;
 }
--- a/packages/job/src/run_state.h
+++ b/packages/job/src/run_state.h
@@ -12,6 +12,7 @@
 	bool given_up;
 	int failures;
 	int rating_failures;
+	int unanswered; ///< reward calls that got no usable answer
 	int64_t not_before_ms;
 	int64_t ready_ms;
 	int group; ///< index of the first item of its group
--- a/packages/job/test/test_reward.c
+++ b/packages/job/test/test_reward.c
@@ -217,19 +217,36 @@
 	struct patience p = {0};
 
 	/* Too little is known. */
-	assert_int_equal(patience_ms(&p, 800, 3000), 1600);
+	assert_int_equal(patience_ms(&p, 0, 800, 3000), 1600);
 	for (int i = 0; i < PATIENCE_TIMES; i++)
 		patience_add(&p, 200);
-	assert_int_equal(patience_ms(&p, 800, 3000), 800);
+	assert_int_equal(patience_ms(&p, 0, 800, 3000), 800);
 	/* A third of its servers turns slow: calls there are waited for. */
 	for (int i = 0; i < PATIENCE_TIMES; i++)
 		patience_add(&p, i % 3 ? 200 : 760);
-	assert_int_equal(patience_ms(&p, 800, 3000), 3 * 760);
-	assert_int_equal(patience_ms(&p, 800, 1000), 1000);
+	assert_int_equal(patience_ms(&p, 0, 800, 3000), 3 * 760);
+	assert_int_equal(patience_ms(&p, 0, 800, 1000), 1000);
+	/* A call that went unanswered may need longer than all others. */
+	assert_int_equal(patience_ms(&p, 1, 800, 3000), 3000);
+	assert_int_equal(patience_ms(&p, 1, 800, 9000), 6 * 760);
 	/* They are well again. */
 	for (int i = 0; i < PATIENCE_TIMES; i++)
 		patience_add(&p, 200);
-	assert_int_equal(patience_ms(&p, 800, 3000), 800);
+	assert_int_equal(patience_ms(&p, 0, 800, 3000), 800);
+}
+
+static void test_few_servers_are_asked_again(void **state)
+{
+	uint32_t tried[JOB_RATING_TRIED] = {0};
+
+	for (uint32_t s = 1; s <= JOB_RATING_TRIED + 2; s++)
+		job_rating_tried(tried, s);
+	assert_int_equal(tried[0], JOB_RATING_TRIED + 2);
+	assert_int_equal(tried[JOB_RATING_TRIED - 1], 3);
+	assert_int_equal(job_rating_avoids(0), 0);
+	assert_int_equal(job_rating_avoids(1), 0);
+	assert_int_equal(job_rating_avoids(2), 1);
+	assert_int_equal(job_rating_avoids(100), JOB_RATING_TRIED);
 }
 
 #define CASE(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
@@ -244,6 +261,7 @@
 		CASE(test_failed_calls_wait_longer),
 		CASE(test_nearest_group_first),
 		CASE(test_owner_lost_between_text_and_score),
+		cmocka_unit_test(test_few_servers_are_asked_again),
 		cmocka_unit_test(test_record_keeps_scores),
 		cmocka_unit_test(test_patience_follows_the_service),
 	};
--- a/test/replay/rating.c
+++ b/test/replay/rating.c
@@ -46,6 +46,8 @@
 	int *busy; ///< slots of each server
 	int *text_ms; ///< when each item's text ends
 	bool *fails; ///< calls that always fail
+	htab_handle (*tried)[JOB_RATING_TRIED]; ///< servers of each item
+	int *need_ms; ///< work of each call, at whatever attempt
 	int *failed; ///< calls of each item that a server failed
 	int *open; ///< items of each group that are not over
 	int groups_over;
@@ -94,6 +96,8 @@
 	p->failed = calloc(s->n_items, sizeof(int));
 	p->open = calloc(s->n_items, sizeof(int));
 	p->fails = calloc(s->n_items, sizeof(bool));
+	p->need_ms = calloc(s->n_items, sizeof(int));
+	p->tried = calloc(s->n_items, sizeof(*p->tried));
 	for (int i = 0; i < p->l->items; i++) {
 		s->items[i].id = text_of(&s->arena, "i%d", i);
 		s->items[i].group = text_of(&s->arena, "g%d", i / p->l->group);
@@ -101,6 +105,7 @@
 		p->text_ms[i] =
 			(int)rng_below(&p->rng, (uint64_t)p->l->texts_ms + 1);
 		p->fails[i] = (int)rng_below(&p->rng, 100) < p->l->failing;
+		p->need_ms[i] = draw_ms(&p->rng, p->l->call_ms);
 		p->open[i / p->l->group]++;
 	}
 	p->spec = s;
@@ -134,14 +139,7 @@
 	return p->now >= p->l->away_from_ms && p->now < p->l->away_to_ms;
 }
 
-static int need_of(struct play *p, int server, int mean)
-{
-	int ms = draw_ms(&p->rng, mean);
-
-	return server < p->l->slow ? ms * p->l->slowness : ms;
-}
-
-static void add_work(struct play *p, int server, int item, int mean,
+static void add_work(struct play *p, int server, int item, int need_ms,
 		     int patience)
 {
 	if (p->n_works == WORKS)
@@ -150,7 +148,8 @@
 		.server = server,
 		.item = item,
 		.came_ms = p->now,
-		.need_ms = need_of(p, server, mean),
+		.need_ms = server < p->l->slow ? need_ms * p->l->slowness
+					       : need_ms,
 		.start_ms = -1,
 		.left_ms = p->now + patience,
 	};
@@ -168,22 +167,27 @@
 /* The node sends what is due. */
 static void node_step(struct play *p)
 {
-	const struct site_ask ask = {.service = "rate",
-				     .domain = "d",
-				     .only_free = true,
-				     .share = JOB_RATING_SHARE};
+	struct site_ask ask = {.service = "rate",
+			       .domain = "d",
+			       .only_free = true,
+			       .share = JOB_RATING_SHARE};
 	int item;
 
 	while ((item = job_run_next_reward(p->run, p->now)) >= 0) {
-		struct site_server *s =
-			site_servers_choose(p->servers, p->now, &ask);
+		struct site_server *s;
 
+		ask.not = p->tried[item];
+		ask.n_not = job_rating_avoids(p->l->servers);
+		s = site_servers_choose(p->servers, p->now, &ask);
 		if (!s)
 			return;
+		job_rating_tried(p->tried[item], s->self);
 		site_server_begin(s, p->now);
 		job_run_rating(p->run, item);
-		add_work(p, server_at(p, s->self), item, p->l->call_ms,
-			 (int)patience_ms(&p->patience, TARGET_MS, TIMEOUT_MS));
+		add_work(p, server_at(p, s->self), item, p->need_ms[item],
+			 (int)patience_ms(&p->patience,
+					  job_run_unanswered(p->run, item),
+					  TARGET_MS, TIMEOUT_MS));
 		p->seen.calls++;
 	}
 }
@@ -194,6 +198,7 @@
 
 	p->seen.rated += is_rated;
 	p->seen.given_up += !is_rated;
+	p->seen.last_ms = p->now;
 	if (--p->open[item / p->l->group] == 0 &&
 	    ++p->groups_over == (9 * groups + 9) / 10)
 		p->seen.target_ms = p->now;
@@ -256,7 +261,7 @@
 {
 	if (uniform(&p->rng) < p->l->lookups_s / 1000)
 		add_work(p, (int)rng_below(&p->rng, (uint64_t)p->l->servers),
-			 -1, p->l->lookup_ms, END_MS);
+			 -1, draw_ms(&p->rng, p->l->lookup_ms), END_MS);
 }
 
 static void texts_step(struct play *p)
@@ -285,6 +290,8 @@
 	free(p->failed);
 	free(p->open);
 	free(p->fails);
+	free(p->need_ms);
+	free(p->tried);
 	free(p);
 }
 
--- a/test/replay/rating.h
+++ b/test/replay/rating.h
@@ -25,6 +25,7 @@
 	int given_up;
 	int calls; ///< sent
 	int most_failed; ///< calls of one item that a server failed
+	int last_ms; ///< when the last item was over
 	int target_ms; ///< when nine groups of ten were over
 	int lookup_p99_ms;
 };
--- a/test/replay/test_reward_load.c
+++ b/test/replay/test_reward_load.c
@@ -56,6 +56,22 @@
 	}
 }
 
+/* Some calls take long wherever they go. One that is given up on each time just
+ * before its answer never gets a score, and a trainer waits for its group. */
+static void test_long_calls_are_waited_for(void **state)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		const struct rating_load l = usual(seed);
+		const struct rating_seen s = rating_play(&l);
+
+		if (s.rated != l.items || s.last_ms > PERIOD_MS)
+			fail_msg("seed %llu: %d of %d rated, the last after "
+				 "%d ms",
+				 (unsigned long long)seed, s.rated, l.items,
+				 s.last_ms);
+	}
+}
+
 /* Callers who wait find a slot beside a burst of rewards. */
 static void test_lookups_beside_a_burst(void **state)
 {
@@ -124,6 +140,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_texts_end_together),
+		cmocka_unit_test(test_long_calls_are_waited_for),
 		cmocka_unit_test(test_lookups_beside_a_burst),
 		cmocka_unit_test(test_third_of_servers_slow),
 		cmocka_unit_test(test_service_away),
