perf(rollplan): servers are shared among models by the work of their steps

Cause: on the large site eight models had equal shares of 102 engines, though a step of four of them is twice the work of a step of two others.

Change: homes tell the leader what a step of each model takes (tokens to be made, by the items' hints), shares follow it, with a hold so that no server moves to and fro. The leader orders nothing before it has read the needs.

--- a/packages/daemon/include/daemon/job_mod.h
+++ b/packages/daemon/include/daemon/job_mod.h
@@ -17,6 +17,13 @@
 /// Items of this node's batches that are at servers of a service.
 int job_mod_need(struct core *c, const char *service);
 
+/// Next batch that this node runs.
+///
+/// @param[in,out] iter  start with 0
+/// @param[out] work     tokens that its items are expected to make
+/// @return its model, NULL past the last one
+const char *job_mod_next(struct core *c, size_t *iter, int64_t *work);
+
 /// Answer a read of results, of an item's body, or the end of a batch.
 ///
 /// @param call     what is asked
--- a/packages/daemon/src/job/job_mod.c
+++ b/packages/daemon/src/job/job_mod.c
@@ -249,6 +249,19 @@
 		job_local(c, &(struct job_caller){.req = req->h}, &ask, false);
 }
 
+const char *job_mod_next(struct core *c, size_t *iter, int64_t *work)
+{
+	struct job *j;
+
+	while ((j = htab_next(jobs_of(c)->jobs, iter, NULL))) {
+		if (!j->running || j->owner.ended)
+			continue;
+		*work = j->work;
+		return j->spec->model;
+	}
+	return NULL;
+}
+
 int job_mod_need(struct core *c, const char *service)
 {
 	struct jobs *jobs = jobs_of(c);
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -97,6 +97,7 @@
 		free_run(j);
 		return ERR_NOMEM;
 	}
+	j->work = job_spec_work(spec);
 	job_run_listed(j->run, &j->list);
 	j->spec = spec;
 	j->running = true;
--- a/packages/daemon/src/order/order_mod.c
+++ b/packages/daemon/src/order/order_mod.c
@@ -8,6 +8,7 @@
 #include "daemon/lead_mod.h"
 #include "daemon/mods.h"
 #include "daemon/site_mod.h"
+#include "daemon/sizing_mod.h"
 #include "rollplan/rollplan.h"
 #include "wire/wire.h"
 
@@ -117,8 +118,10 @@
 {
 	const char *model;
 
-	for (int i = 0; (model = site_mod_model(c, i)); i++)
+	for (int i = 0; (model = site_mod_model(c, i)); i++) {
 		rollplan_target(&o->plan, model, site_mod_weights(c, model));
+		rollplan_work(&o->plan, model, sizing_mod_work(c, model));
+	}
 }
 
 static int at_once(struct core *c, const char *service)
@@ -140,7 +143,9 @@
 	struct rollplan_order ord;
 	uint64_t epoch;
 
-	if (!conf || !lead_mod_may_act(c, &epoch) || !site_mod_fresh(c))
+	/* Shares by the needs of an earlier holding move servers twice. */
+	if (!conf || !lead_mod_may_act(c, &epoch) || !site_mod_fresh(c) ||
+	    !sizing_mod_known(c))
 		return;
 	if (o->epoch != epoch) {
 		rollplan_init(&o->plan, &opts);
--- a/packages/daemon/src/sizing/need.c
+++ b/packages/daemon/src/sizing/need.c
@@ -22,6 +22,8 @@
 	NEED_RETRY_MS = 500, ///< after a call that failed
 };
 
+static const double MODEL_WEIGHT = 0.3; ///< of a new step in a model's work
+
 struct need_row *need_row_of(struct need_rows *rows, const char *service)
 {
 	struct need_row *row;
@@ -38,6 +40,42 @@
 	return row;
 }
 
+static struct need_model *model_of(struct need_models *models, const char *name)
+{
+	for (int i = 0; i < models->n; i++) {
+		if (strcmp(models->rows[i].name, name) == 0)
+			return &models->rows[i];
+	}
+	if (models->n == NEED_MODELS)
+		return NULL;
+	models->rows[models->n] = (struct need_model){.work = 0};
+	snprintf(models->rows[models->n].name, SITE_NAME, "%s", name);
+	return &models->rows[models->n++];
+}
+
+double need_model_work(const struct need_all *all, const char *model)
+{
+	for (int i = 0; i < all->models.n; i++) {
+		if (strcmp(all->models.rows[i].name, model) == 0)
+			return all->models.rows[i].work;
+	}
+	return 0;
+}
+
+static void observe_models(struct core *c, struct need_models *models)
+{
+	const char *name;
+	size_t iter = 0;
+	int64_t work;
+
+	while ((name = job_mod_next(c, &iter, &work))) {
+		struct need_model *m = model_of(models, name);
+
+		if (m && (double)work > m->work)
+			m->work = (double)work;
+	}
+}
+
 static void observe(struct core *c, struct need_rows *rows)
 {
 	const struct site_conf *conf = site_mod_conf(c);
@@ -81,14 +119,21 @@
 	own->next_ms = core_now(c) + NEED_RETRY_MS;
 }
 
-static char *need_text(const struct need_rows *rows, int looks)
+static char *need_text(const struct need_own *own)
 {
-	json_t *obj = json_object();
+	json_t *services = json_object();
+	json_t *models = json_object();
+	json_t *obj =
+		json_pack("{s:o,s:o}", "services", services, "models", models);
 	char *text;
 
-	for (int i = 0; i < rows->n; i++)
-		json_object_set_new(obj, rows->rows[i].service,
-				    json_real(rows->rows[i].sum / looks));
+	for (int i = 0; i < own->rows.n; i++)
+		json_object_set_new(
+			services, own->rows.rows[i].service,
+			json_real(own->rows.rows[i].sum / own->looks));
+	for (int i = 0; i < own->models.n; i++)
+		json_object_set_new(models, own->models.rows[i].name,
+				    json_real(own->models.rows[i].work));
 	text = json_dumps(obj, JSON_COMPACT);
 	json_decref(obj);
 	return text;
@@ -96,7 +141,7 @@
 
 static void need_write(struct core *c, struct need_own *own, const char *key)
 {
-	char *text = need_text(&own->rows, own->looks);
+	char *text = need_text(own);
 	const struct kv_put_opts put = {
 		.key = key,
 		.value = text,
@@ -108,8 +153,9 @@
 	own->busy = text && put.lease &&
 		    kv_put(c, &put, (struct kv_cb){on_written, own}) == ERR_OK;
 	if (own->busy) {
-		own->zero = own->rows.n == 0;
+		own->zero = own->rows.n == 0 && own->models.n == 0;
 		own->rows.n = 0;
+		own->models.n = 0;
 		own->looks = 0;
 	}
 	free(text);
@@ -123,9 +169,10 @@
 		return;
 	own->look_ms = core_now(c) + NEED_LOOK_MS;
 	observe(c, &own->rows);
+	observe_models(c, &own->models);
 	own->looks++;
 	if (own->busy || core_now(c) < own->next_ms ||
-	    (own->zero && own->rows.n == 0))
+	    (own->zero && own->rows.n == 0 && own->models.n == 0))
 		return;
 	own->next_ms = core_now(c) + NEED_WRITE_MS;
 	snprintf(key, sizeof(key), KEY_NEED "%s.%s", core_node(c),
@@ -137,7 +184,25 @@
 		need_write(c, own, key);
 }
 
-static void sum_item(struct need_rows *sum, const struct kv_item *item)
+/* Steps of a model are alike: the last one tells. */
+static void take_models(struct need_models *models, json_t *obj)
+{
+	const char *name;
+	json_t *work;
+
+	json_object_foreach(obj, name, work) {
+		struct need_model *m = model_of(models, name);
+		double now = json_number_value(work);
+
+		if (m && now > 0)
+			m->work = m->work > 0
+					  ? m->work + MODEL_WEIGHT *
+							      (now - m->work)
+					  : now;
+	}
+}
+
+static void sum_item(struct need_all *all, const struct kv_item *item)
 {
 	json_t *obj = json_loadb(item->value, item->len, 0, NULL);
 	const char *service;
@@ -145,12 +210,13 @@
 
 	if (!obj)
 		log_event(EV_NEED_BAD, "key=%s", item->key);
-	json_object_foreach(obj, service, n) {
-		struct need_row *row = need_row_of(sum, service);
+	json_object_foreach(json_object_get(obj, "services"), service, n) {
+		struct need_row *row = need_row_of(&all->sum, service);
 
 		if (row)
 			row->sum += json_number_value(n);
 	}
+	take_models(&all->models, json_object_get(obj, "models"));
 	json_decref(obj);
 }
 
@@ -168,7 +234,7 @@
 	if (!all->from[0])
 		all->sum.n = 0;
 	for (size_t i = 0; i < res->n_items; i++)
-		sum_item(&all->sum, &res->items[i]);
+		sum_item(all, &res->items[i]);
 	if (res->more && res->n_items) {
 		snprintf(all->from, sizeof(all->from), "%s",
 			 res->items[res->n_items - 1].key);
--- a/packages/daemon/src/sizing/need.h
+++ b/packages/daemon/src/sizing/need.h
@@ -9,6 +9,18 @@
 
 enum {
 	NEED_SERVICES = 16, ///< services whose servers can be ordered
+	NEED_MODELS = 64, ///< models whose steps are weighed
+};
+
+/// What the largest batch of a model takes, in tokens to be made.
+struct need_model {
+	char name[SITE_NAME];
+	double work;
+};
+
+struct need_models {
+	struct need_model rows[NEED_MODELS];
+	int n;
 };
 
 /// Need of one service, in requests that run at the same time: the mean over a
@@ -27,6 +39,7 @@
 /// This node's need and its key.
 struct need_own {
 	struct need_rows rows;
+	struct need_models models; ///< of the looks
 	int looks; ///< that the rows are the sum of
 	bool zero; ///< the store says that nothing is needed, or has no key
 	bool busy; ///< a call is outstanding
@@ -40,6 +53,7 @@
 struct need_all {
 	struct need_rows rows;
 	struct need_rows sum; ///< of the list in progress
+	struct need_models models; ///< also those that nothing runs of just now
 	char from[STORE_KEY]; ///< last key of the list's page, "" for none
 	bool busy; ///< a call is outstanding
 	int64_t next_ms; ///< next list
@@ -52,6 +66,9 @@
 /// Read what all nodes need when it is due.
 void need_all_step(struct core *c, struct need_all *all);
 
+/// Work of a model's step, 0 if not known.
+double need_model_work(const struct need_all *all, const char *model);
+
 /// Row of a service, made if there is room.
 ///
 /// @return row, NULL when all are taken
--- a/packages/daemon/src/sizing/sizing_mod.c
+++ b/packages/daemon/src/sizing/sizing_mod.c
@@ -11,6 +11,7 @@
 #include "daemon/lead_mod.h"
 #include "daemon/mods.h"
 #include "daemon/site_mod.h"
+#include "daemon/sizing_mod.h"
 #include "fleet/fleet.h"
 #include "fleet/spread.h"
 #include "lead/lead_call.h"
@@ -295,6 +296,20 @@
 	}
 }
 
+bool sizing_mod_known(struct core *c)
+{
+	const struct sizing *z = core_mod_state(c, MOD_SIZING);
+
+	return z->all.read_ms != 0;
+}
+
+double sizing_mod_work(struct core *c, const char *model)
+{
+	const struct sizing *z = core_mod_state(c, MOD_SIZING);
+
+	return need_model_work(&z->all, model);
+}
+
 static void sizing_tick(struct core *c, void *state, int64_t now_ms)
 {
 	struct sizing *z = state;
--- a/packages/job/include/job/job_defs.h
+++ b/packages/job/include/job/job_defs.h
@@ -81,6 +81,10 @@
 	size_t n;
 };
 
+/// Tokens that the items of a batch are expected to make, by their hints where
+/// there are some.
+int64_t job_spec_work(const struct job_spec *s);
+
 /// Free a batch.
 ///
 /// @param s  batch or NULL
--- a/packages/job/src/spec.c
+++ b/packages/job/src/spec.c
@@ -3,6 +3,16 @@
 
 #include "job/job_defs.h"
 
+int64_t job_spec_work(const struct job_spec *s)
+{
+	int64_t work = 0;
+
+	for (size_t i = 0; i < s->n_items; i++)
+		work += s->items[i].length_hint > 0 ? s->items[i].length_hint
+						    : s->items[i].tokens;
+	return work;
+}
+
 void job_spec_free(struct job_spec *s)
 {
 	if (!s)
--- a/packages/rollplan/include/rollplan/rollplan.h
+++ b/packages/rollplan/include/rollplan/rollplan.h
@@ -5,6 +5,9 @@
 // keeps a server from new work for about a second. Each model therefore has its
 // share of the servers, and only those are ordered, a few at a time: first those
 // that can't serve a step any more, of the model that has the fewest that can.
+//
+// Steps of some models are twice the work of others. With equal shares their
+// trainers fall behind while other models' servers idle: shares go by the work.
 #pragma once
 
 #include <stdbool.h>
@@ -27,6 +30,7 @@
 struct rollplan_model {
 	char name[SITE_NAME];
 	uint64_t version; ///< that its servers shall have
+	double work; ///< of a step, in any unit; 0 if not known
 };
 
 struct rollplan_pending {
@@ -56,6 +60,10 @@
 /// A model shall have a version.
 void rollplan_target(struct rollplan *p, const char *model, uint64_t version);
 
+/// What a step of a model takes, against other models. Models whose work is not
+/// known count as the mean of the others.
+void rollplan_work(struct rollplan *p, const char *model, double work);
+
 /// Servers that a model's work goes to: those with the newest weights of it,
 /// then those that no other model counts on, as many as its share.
 ///
--- a/packages/rollplan/src/rollplan.c
+++ b/packages/rollplan/src/rollplan.c
@@ -9,6 +9,10 @@
 	FAILED_AGAIN_MS = 300, ///< after a refusal, before the next order
 };
 
+/* Part of a server that a model which has one more counts as above its due, so that
+ * a share between two numbers does not move a server to and fro. */
+static const double KEEP = 0.5;
+
 void rollplan_init(struct rollplan *p, const struct rollplan_opts *opts)
 {
 	memset(p, 0, sizeof(*p));
@@ -32,6 +36,68 @@
 	m->version = version;
 }
 
+void rollplan_work(struct rollplan *p, const char *model, double work)
+{
+	for (int i = 0; i < p->n_models; i++) {
+		if (strcmp(p->models[i].name, model) == 0)
+			p->models[i].work = work;
+	}
+}
+
+/* Mean work of the models that it is known of, 1 if of none. */
+static double mean_work(const struct rollplan *p)
+{
+	double sum = 0;
+	int n = 0;
+
+	for (int i = 0; i < p->n_models; i++) {
+		sum += p->models[i].work;
+		n += p->models[i].work > 0;
+	}
+	return n ? sum / n : 1;
+}
+
+static double work_of(const struct rollplan *p, int model, double mean)
+{
+	return p->models[model].work > 0 ? p->models[model].work : mean;
+}
+
+/* Servers for each model by its work, one at least if there are enough.
+ *
+ * @param owned  servers that each has now */
+static void shares_of(const struct rollplan *p, int n, const int *owned,
+		      int share[ROLLPLAN_MODELS])
+{
+	double mean = mean_work(p);
+	double rest[ROLLPLAN_MODELS];
+	double total = 0;
+	int spare = n;
+	int left = n - p->n_models;
+
+	for (int m = 0; m < p->n_models; m++)
+		total += work_of(p, m, mean);
+	for (int m = 0; m < p->n_models; m++) {
+		double due = left > 0 ? 1 + left * work_of(p, m, mean) / total
+				      : (double)n / p->n_models;
+
+		share[m] = (int)due;
+		rest[m] = due - share[m];
+		if (owned[m] > share[m])
+			rest[m] += KEEP;
+		spare -= share[m];
+	}
+	for (; spare > 0; spare--) {
+		int best = 0;
+
+		for (int m = 1; m < p->n_models; m++) {
+			if (rest[m] > rest[best])
+				best = m;
+		}
+		share[best]++;
+		rest[best] -= 1;
+	}
+}
+
 /* A server and what the plan thinks of it. */
 struct row {
 	const struct site_server *s;
@@ -140,16 +206,21 @@
 {
 	int n = rows_of(t, service, rows);
 	int models = p->n_models;
+	int owned[ROLLPLAN_MODELS] = {0};
+	int share[ROLLPLAN_MODELS];
 
-	for (int i = 0; i < n; i++)
+	for (int i = 0; i < n; i++) {
 		rows[i].owner = owner_of(p, rows[i].s);
+		if (rows[i].owner >= 0)
+			owned[rows[i].owner]++;
+	}
+	shares_of(p, n, owned, share);
 	for (int m = 0; m < models; m++)
-		release_excess(rows, n, m, (n + models - 1) / models);
+		release_excess(rows, n, m, share[m]);
 	for (bool more = true; more && models;) {
 		more = false;
 		for (int m = 0; m < models; m++) {
-			int share = n / models + (m < n % models);
-			int at = count_owned(rows, n, m) < share
+			int at = count_owned(rows, n, m) < share[m]
 					 ? pick_free(rows, n, m)
 					 : -1;
 
--- a/packages/rollplan/test/test_rollplan.c
+++ b/packages/rollplan/test/test_rollplan.c
@@ -11,6 +11,7 @@
 
 #include <stdio.h>
 
+#include "base/rng.h"
 #include "rollplan/rollplan.h"
 
 enum {
@@ -201,10 +202,82 @@
 	site_servers_free(t);
 }
 
+/* Load everything that is ordered, until nothing is. */
+static int load_all(struct rollplan *p, struct site_servers *t,
+		    uint64_t have[SERVERS][MODELS], int64_t now)
+{
+	static uint64_t rev = 1000;
+	struct rollplan_order o;
+	int orders = 0;
+
+	for (; orders < 1000 && rollplan_next(p, t, "svc", now, &o);
+	     orders++, now += LOAD_MS) {
+		int i = atoi(site_servers_get(t, o.server)->entry.id + 1);
+
+		have[i][o.model[1] - '0'] = o.version;
+		put(t, rev++, i, have[i]);
+	}
+	return orders;
+}
+
+static int share_of(const struct rollplan *p, const struct site_servers *t,
+		    int model)
+{
+	htab_handle out[SERVERS];
+	char name[8];
+
+	snprintf(name, sizeof(name), "m%d", model);
+	return rollplan_share(p, t, "svc", name, out, SERVERS);
+}
+
+/* Load pattern: steps of one model are four times the work of another's (on the
+ * large site eight trainers with equal shares: the heavy ones ended up to 13 s
+ * behind, the light ones were on time). Shares go by the work, and a work that
+ * varies by a tenth from step to step moves no server. */
+static void test_shares_by_work(void **state)
+{
+	static const double work[MODELS] = {1000, 2000, 4000};
+	const struct rollplan_opts opts = {
+		.at_once = AT_ONCE, .load_ms = LOAD_MS, .late_ms = 4000};
+	struct site_servers *t = site_servers_new();
+	uint64_t have[SERVERS][MODELS];
+	struct rng rng = {7};
+	struct rollplan p;
+	int64_t now = 0;
+
+	rollplan_init(&p, &opts);
+	for (int i = 0; i < SERVERS; i++) {
+		for (int m = 0; m < MODELS; m++)
+			have[i][m] = 1;
+		put(t, (uint64_t)i + 1, i, have[i]);
+	}
+	for (uint64_t v = 2; v < 40; v++) {
+		for (int m = 0; m < MODELS; m++) {
+			char name[8];
+
+			snprintf(name, sizeof(name), "m%d", m);
+			rollplan_target(&p, name, v);
+			rollplan_work(&p, name,
+				      work[m] * (0.95 + 0.1 * rng_unit(&rng)));
+		}
+		/* The first ones may also move servers to their models. */
+		if (v > 4)
+			assert_int_equal(load_all(&p, t, have, now), SERVERS);
+		else
+			load_all(&p, t, have, now);
+		now += 100 * STEP_MS;
+	}
+	assert_in_range(share_of(&p, t, 0), 2, 3);
+	assert_in_range(share_of(&p, t, 1), 3, 4);
+	assert_in_range(share_of(&p, t, 2), 5, 6);
+	site_servers_free(t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_shares),
+		cmocka_unit_test(test_shares_by_work),
 		cmocka_unit_test(test_lost_server),
 		cmocka_unit_test(test_starved_model_first),
 	};
