fix(front): an answer that may belong to another request decides nothing

Callers saw: a request that must run at most once ran twice; a booking got a 500 that its server had not given it. A server had sent a second copy of an answer, late, on a connection that was in use again. A refusal that says not run was believed whatever id it bore, so the request was sent once more though it had run; a failure without an id was passed back.

Change: what bears another request's id, or none on a connection that carried others before, neither is an answer nor says that nothing ran.

--- a/packages/core/include/core/core_defs.h
+++ b/packages/core/include/core/core_defs.h
@@ -54,6 +54,8 @@
 	enum err
 		err; ///< ERR_OK when a status line arrived and the body is whole
 	bool sent; ///< a byte of the request may have left this process
+	bool reused; ///< went by a connection that had carried others: what names
+		///< no request may answer one of those
 	int status; ///< HTTP status, 0 if none arrived
 	const char *body; ///< whole body, NULL when it was streamed
 	size_t body_len; ///< bytes
--- a/packages/core/src/fetch.c
+++ b/packages/core/src/fetch.c
@@ -120,6 +120,7 @@
 	struct core_fetch_result res = {
 		.err = r->err,
 		.sent = r->sent,
+		.reused = r->reused,
 		.status = r->status,
 		.body = r->body,
 		.body_len = r->body_len,
--- a/packages/daemon/src/front/forward.c
+++ b/packages/daemon/src/front/forward.c
@@ -105,17 +105,17 @@
 {
 	struct front_verdict v;
 	struct attempt_end end = {0};
+	bool stray;
 
 	front_of(c)->wire->front->verdict(res->status, res->head, &v);
-	if (res->status && (v.not_run || v.other_server)) {
+	stray = v.id ? strcmp(v.id, f->id) != 0 : res->reused;
+	if (res->status && !stray && (v.not_run || v.other_server)) {
 		end.server_ok = !v.other_server;
 		return end;
 	}
 	end.ran = res->sent;
-	if (res->err != ERR_OK)
-		return end;
-	/* An answer to another request, or one without the server's seal. */
-	if ((v.id && strcmp(v.id, f->id) != 0) ||
+	/* Broken, perhaps to another request, or without the server's seal. */
+	if (res->err != ERR_OK || stray ||
 	    (res->status < 300 && (!v.seal || !v.id)))
 		return end;
 	end.answer = true;
--- a/packages/daemon/src/job/reward.c
+++ b/packages/daemon/src/job/reward.c
@@ -107,10 +107,12 @@
 				 struct front_verdict *v)
 {
 	jobs_of(c)->wire->front->verdict(res->status, res->head, v);
+	/* An answer to another call tells nothing of this one. */
+	if (v->id && strcmp(v->id, rw->id) != 0)
+		return JOB_RATING_BROKEN;
 	if (res->status ? v->not_run || v->other_server : !res->sent)
 		return JOB_RATING_NOT_RUN;
-	/* A broken answer, one to another call, or one nobody vouches for. */
-	if (res->err != ERR_OK || !v->id || strcmp(v->id, rw->id) != 0)
+	if (res->err != ERR_OK || !v->id)
 		return JOB_RATING_BROKEN;
 	if (res->status == 500)
 		return JOB_RATING_FAILED;
--- a/packages/upstream/include/upstream/upstream.h
+++ b/packages/upstream/include/upstream/upstream.h
@@ -53,6 +53,7 @@
 struct upstream_result {
 	enum err err; ///< ERR_OK: a status line came and the body is whole
 	bool sent; ///< a byte of the request may have left this process
+	bool reused; ///< went by a connection that had carried others
 	int status; ///< 0 if none arrived
 	char *body; ///< whole body, NULL when it was streamed or is empty
 	size_t body_len; ///< bytes
--- a/packages/upstream/src/call.c
+++ b/packages/upstream/src/call.c
@@ -116,14 +116,17 @@
 	const char *ctype = NULL;
 	long status = 0;
 	long size = 0;
+	long connects = 0;
 
 	if (c->easy) {
 		curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
 		curl_easy_getinfo(c->easy, CURLINFO_REQUEST_SIZE, &size);
 		curl_easy_getinfo(c->easy, CURLINFO_CONTENT_TYPE, &ctype);
+		curl_easy_getinfo(c->easy, CURLINFO_NUM_CONNECTS, &connects);
 	}
 	r->status = (int)status;
 	r->sent = call_sent(c, size);
+	r->reused = connects == 0;
 	r->err = call_error(c, code);
 	r->total_us = clock_now_us() - c->start_us;
 	if (ctype && strlen(ctype) < sizeof(r->ctype))
