--- a/packages/rollplan/src/rollplan.c
+++ b/packages/rollplan/src/rollplan.c
@@ -69,7 +69,7 @@
 		      int share[ROLLPLAN_MODELS])
 {
 	double mean = mean_work(p);
-	double rest[ROLLPLAN_MODELS];
+	double rest[ROLLPLAN_MODELS] = {0};
 	double total = 0;
 	int spare = n;
 	int left = n - p->n_models;
@@ -86,7 +86,7 @@
 			rest[m] += KEEP;
 		spare -= share[m];
 	}
-	for (; spare > 0; spare--) {
+	for (; spare > 0 && p->n_models; spare--) {
 		int best = 0;
 
 		for (int m = 1; m < p->n_models; m++) {
@@ -207,7 +207,7 @@
 	int n = rows_of(t, service, rows);
 	int models = p->n_models;
 	int owned[ROLLPLAN_MODELS] = {0};
-	int share[ROLLPLAN_MODELS];
+	int share[ROLLPLAN_MODELS] = {0};
 
 	for (int i = 0; i < n; i++) {
 		rows[i].owner = owner_of(p, rows[i].s);
--- a/test/hosted/copycat.c
+++ b/test/hosted/copycat.c
@@ -99,7 +99,7 @@
 	char fields[256];
 
 	atomic_fetch_add(&c->cc->copies, 1);
-	switch (c->cc->kind) {
+	switch ((enum copycat_kind)atomic_load(&c->cc->kind)) {
 	case COPY_WHOLE:
 		send_answer(c->fd, before, sizeof(before->body));
 		break;
--- a/test/hosted/copycat.h
+++ b/test/hosted/copycat.h
@@ -22,7 +22,7 @@
 
 struct copycat {
 	char addr[64]; ///< "IP:port" at which it listens
-	_Atomic enum copycat_kind kind;
+	atomic_int kind; ///< enum copycat_kind
 	atomic_int copies; ///< that were sent
 	pthread_mutex_t lock;
 	char seen[COPYCAT_SEEN][64]; ///< ids of the requests that it ran
--- a/test/hosted/test_hosted_copies.c
+++ b/test/hosted/test_hosted_copies.c
@@ -94,7 +94,7 @@
 static void test_late_copy_is_nobody_elses_answer(void **state)
 {
 	for (enum copycat_kind k = 0; k < COPY_KINDS; k++) {
-		cat.kind = k;
+		atomic_store(&cat.kind, k);
 		check_calls(k, "/book/c", false);
 		check_calls(k, "/pay/c", true);
 	}
