fix(job): a reward call without a server holds up no other one

Found by reading the diff: the calls of a batch were sent in order until one found no server; an item whose reward no route leads to stopped all others of its batch.

--- a/packages/daemon/src/job/reward.c
+++ b/packages/daemon/src/job/reward.c
@@ -14,6 +14,7 @@
 #include "job/run.h"
 
 enum {
+	REWARD_MISSES = 8, ///< calls without a server at one look
 	REWARD_CONNECT_MS = 400, ///< some round trips and a retry
 	/// Nodes that send to one cold server at once: its rate is shared.
 	REWARD_COLD_SENDERS = 4,
@@ -220,12 +221,10 @@
 		.ctx = ctx_of(j, item),
 	};
 	struct arena a;
-	char url[1024];
 	enum err e;
 
 	arena_init(&a, 0);
-	snprintf(url, sizeof(url), "http://%s%s", s->entry.addr, rw->path);
-	opts.url = url;
+	opts.url = job_url(&a, s, rw->path);
 	opts.headers = jobs_of(c)->wire->engine->reward(&er, &a);
 	call->server = s->self;
 	call->sent_ms = core_now(c);
@@ -234,7 +233,8 @@
 	job_rating_tried(call->tried, s->self);
 	snprintf(call->service, sizeof(call->service), "%s", s->entry.service);
 	histogram_add(H_SERVERS_AGE, call->servers_age_ms);
-	e = opts.headers ? core_fetch(c, &opts, &call->fetch) : ERR_NOMEM;
+	e = opts.url && opts.headers ? core_fetch(c, &opts, &call->fetch)
+				     : ERR_NOMEM;
 	arena_free(&a);
 	if (e != ERR_OK) {
 		call->fetch = 0;
@@ -273,6 +273,7 @@
 
 void job_reward_step(struct core *c, struct job *j)
 {
+	int misses = 0;
 	int item;
 
 	if (!j->rewards || j->owner.ended || jobs_of(c)->draining ||
@@ -284,7 +285,10 @@
 		struct site_server *s =
 			route ? choose(c, rw, route, &j->rewards[item]) : NULL;
 
-		if (!s || !send_call(c, j, item, route, s))
+		if (s && send_call(c, j, item, route, s))
+			continue;
+		job_run_reward_later(j->run, item, core_now(c));
+		if (++misses == REWARD_MISSES)
 			return;
 	}
 }
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -319,6 +319,17 @@
 	job_step(c, j);
 }
 
+const char *job_url(struct arena *a, const struct site_server *s,
+		    const char *path)
+{
+	size_t len = sizeof("http://") + strlen(s->entry.addr) + strlen(path);
+	char *url = arena_alloc(a, len);
+
+	if (url)
+		snprintf(url, len, "http://%s%s", s->entry.addr, path);
+	return url;
+}
+
 bool job_send_item(struct core *c, struct job *j, int item,
 		   struct site_server *s)
 {
@@ -348,12 +359,10 @@
 		.ctx = ctx_of(j->self, item),
 	};
 	struct arena a;
-	char url[1024];
 	enum err e;
 
 	arena_init(&a, 0);
-	snprintf(url, sizeof(url), "http://%s%s", s->entry.addr, it->path);
-	opts.url = url;
+	opts.url = job_url(&a, s, it->path);
 	opts.headers = jobs_of(c)->wire->engine->run(&run, &a);
 	*at = (struct job_at_server){
 		.job = j->self,
@@ -363,7 +372,8 @@
 		.servers_age_ms = site_mod_servers_age(c),
 	};
 	histogram_add(H_SERVERS_AGE, at->servers_age_ms);
-	e = opts.headers ? core_fetch(c, &opts, &at->fetch) : ERR_NOMEM;
+	e = opts.url && opts.headers ? core_fetch(c, &opts, &at->fetch)
+				     : ERR_NOMEM;
 	arena_free(&a);
 	if (e != ERR_OK) {
 		at->fetch = 0;
--- a/packages/daemon/src/job/run.h
+++ b/packages/daemon/src/job/run.h
@@ -13,6 +13,12 @@
 /// @return false if its route is gone
 bool job_ask_of(struct core *c, struct job *j, struct site_ask *ask);
 
+/// URL of a path at a server, whole however long the path is.
+///
+/// @return text in the arena, NULL when out of memory
+const char *job_url(struct arena *a, const struct site_server *s,
+		    const char *path);
+
 /// Send an item, or go on with its text.
 ///
 /// @return false if nothing was sent
--- a/packages/job/include/job/job_run.h
+++ b/packages/job/include/job/job_run.h
@@ -95,6 +95,9 @@
 /// @return index of the item, -1 for none now
 int job_run_next_reward(struct job_run *r, int64_t now);
 
+/// No server was found for a reward call: the others are not to wait for it.
+void job_run_reward_later(struct job_run *r, int item, int64_t now);
+
 /// A reward call was sent.
 void job_run_rating(struct job_run *r, int item);
 
--- a/packages/job/src/job_reward.c
+++ b/packages/job/src/job_reward.c
@@ -39,6 +39,11 @@
 	return best;
 }
 
+void job_run_reward_later(struct job_run *r, int item, int64_t now)
+{
+	r->items[item].not_before_ms = now + AGAIN_MS;
+}
+
 void job_run_rating(struct job_run *r, int item)
 {
 	assert(r->items[item].step == JOB_WHOLE);
--- a/packages/job/test/test_reward.c
+++ b/packages/job/test/test_reward.c
@@ -154,6 +154,21 @@
 	assert_int_equal(job_run_next_reward(f->run, 30), 5);
 }
 
+/* A call that finds no server (its route is gone, say) holds up no other one. */
+static void test_call_without_a_server_is_passed_over(void **state)
+{
+	struct fixture *f = *state;
+
+	scored_finish(f->run, 0, 1, 0);
+	scored_finish(f->run, 2, 1, 10);
+	assert_int_equal(job_run_next_reward(f->run, 20), 0);
+	job_run_reward_later(f->run, 0, 20);
+	assert_int_equal(job_run_next_reward(f->run, 20), 2);
+	job_run_rating(f->run, 2);
+	assert_int_equal(job_run_next_reward(f->run, 20), -1);
+	assert_int_equal(job_run_next_reward(f->run, 100), 0);
+}
+
 static struct job_run *taken_over(struct fixture *f, bool one_version, int *n)
 {
 	struct job_run *next = scored_run(f->spec, one_version);
@@ -260,6 +275,7 @@
 		CASE(test_given_up_with_its_batch),
 		CASE(test_failed_calls_wait_longer),
 		CASE(test_nearest_group_first),
+		CASE(test_call_without_a_server_is_passed_over),
 		CASE(test_owner_lost_between_text_and_score),
 		cmocka_unit_test(test_few_servers_are_asked_again),
 		cmocka_unit_test(test_record_keeps_scores),
--- a/test/hosted/hosted.h
+++ b/test/hosted/hosted.h
@@ -148,6 +148,10 @@
 /// whose id begins with "F".
 bool hosted_hopeless(const char *item);
 
+/// Whether no route leads to the reward of an item: the third one's, in batches whose
+/// id begins with "N".
+bool hosted_unroutable(const char *item);
+
 /// What is wrong with a result of a batch.
 ///
 /// @return text, NULL if nothing is
--- a/test/hosted/nodes.c
+++ b/test/hosted/nodes.c
@@ -254,7 +254,8 @@
 	snprintf(path, sizeof(path), "/rate/%s", id);
 	sodium_bin2base64(body, sizeof(body), (const unsigned char *)id,
 			  strlen(id), sodium_base64_VARIANT_ORIGINAL);
-	return json_pack("{s:s,s:s,s:s,s:s}", "id", id, "host", "h2", "path",
+	return json_pack("{s:s,s:s,s:s,s:s}", "id", id, "host",
+			 hosted_unroutable(item) ? "nowhere" : "h2", "path",
 			 path, "body", body);
 }
 
--- a/test/hosted/server.c
+++ b/test/hosted/server.c
@@ -50,6 +50,11 @@
 	return *item == 'F' && number_of(item) == 1;
 }
 
+bool hosted_unroutable(const char *item)
+{
+	return *item == 'N' && number_of(item) == 3;
+}
+
 static const char *field(struct MHD_Connection *conn, const char *name)
 {
 	const char *v =
--- a/test/hosted/test_hosted_rewards.c
+++ b/test/hosted/test_hosted_rewards.c
@@ -81,6 +81,27 @@
 	check_calls();
 }
 
+/* An item whose reward no route leads to waits; all others are listed. */
+static void test_reward_without_a_route(void **state)
+{
+	int64_t until = clock_now_ms() + BATCH_MS;
+	size_t n = 0;
+
+	batch_submit(&ns, "N1", 0, 1);
+	while (n < BATCH_ITEMS - 1 && clock_now_ms() < until) {
+		json_t *page = read_results(&ns, 0, "N1", 0);
+		const json_t *results = json_object_get(page, "results");
+
+		n = json_array_size(results);
+		for (size_t i = 0; i < n; i++)
+			assert_null(hosted_result_fault(
+				json_array_get(results, i), "N1"));
+		json_decref(page);
+	}
+	assert_int_equal(n, BATCH_ITEMS - 1);
+	check_calls();
+}
+
 /* Answers that don't count: each item gets its score by another call. */
 static void test_answers_that_do_not_count(void **state)
 {
@@ -147,6 +168,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_rated),
 		cmocka_unit_test(test_reward_that_always_fails),
+		cmocka_unit_test(test_reward_without_a_route),
 		cmocka_unit_test(test_answers_that_do_not_count),
 		cmocka_unit_test(test_owner_killed_between_text_and_score),
 	};
