fix(order): nothing of a leader leaves after its lead has ended

The check and the time that it uses are of the event being handled; a process that is held up after it still hands the order to the sending thread.

--- a/packages/daemon/include/daemon/lead_mod.h
+++ b/packages/daemon/include/daemon/lead_mod.h
@@ -18,6 +18,12 @@
 /// @param[out] epoch  fencing number, may be NULL
 bool lead_mod_may_act(struct core *c, uint64_t *epoch);
 
+/// End of this node's lead unless it is renewed: what a leader sends may not leave
+/// later, however long the process was paused after it decided.
+///
+/// @return clock_now_ms() time, 1 while it does not lead
+int64_t lead_mod_until(struct core *c);
+
 /// Whether this node's liveness key surely stands in the store.
 bool lead_mod_alive(struct core *c);
 
--- a/packages/daemon/src/lead/lead_call.c
+++ b/packages/daemon/src/lead/lead_call.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "core/settings.h"
+#include "daemon/lead_mod.h"
 
 enum {
 	/// The connection is reset after it, so that nothing of the call arrives
@@ -24,6 +25,7 @@
 		.body = call->body,
 		.body_len = call->body ? strlen(call->body) : 0,
 		.timeout_ms = LEAD_CALL_TIMEOUT_MS,
+		.send_until_ms = lead_mod_until(c),
 		.fresh = true,
 		.on_done = call->on_done,
 		.ctx = call->ctx,
--- a/packages/daemon/src/lead/lead_mod.c
+++ b/packages/daemon/src/lead/lead_mod.c
@@ -47,6 +47,17 @@
 	       lease_may_act(&l->cand.lease, core_now(c), epoch);
 }
 
+int64_t lead_mod_until(struct core *c)
+{
+	const struct lead *l = lead_of(c);
+	int64_t until;
+
+	if (!l->candidate ||
+	    !lease_held(&l->cand.lease, core_now(c), NULL, &until))
+		return 1;
+	return until;
+}
+
 bool lead_mod_alive(struct core *c)
 {
 	return live_held(&lead_of(c)->live, core_now(c));
