--- a/test/hosted/copycat.c
+++ b/test/hosted/copycat.c
@@ -167,21 +167,18 @@
 	return NULL;
 }
 
-struct listener {
-	struct copycat *cc;
-	int fd;
-};
-
 static void *accept_run(void *arg)
 {
-	struct listener *l = arg;
+	struct copycat *cc = arg;
 
 	for (;;) {
 		struct conn *c = calloc(1, sizeof(*c));
 		pthread_t t;
 
-		c->cc = l->cc;
-		c->fd = accept(l->fd, NULL, NULL);
+		if (!c)
+			abort();
+		c->cc = cc;
+		c->fd = accept(cc->fd, NULL, NULL);
 		if (c->fd < 0 || pthread_create(&t, NULL, conn_run, c) != 0)
 			abort();
 		pthread_detach(t);
@@ -195,18 +192,16 @@
 		.sin_family = AF_INET,
 		.sin_port = htons((uint16_t)port),
 	};
-	struct listener *l = calloc(1, sizeof(*l));
 	int one = 1;
 	pthread_t t;
 
 	pthread_mutex_init(&cc->lock, NULL);
-	l->cc = cc;
-	l->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	cc->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	inet_pton(AF_INET, ip, &sa.sin_addr);
-	setsockopt(l->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(l->fd, (struct sockaddr *)&sa, sizeof(sa)) ||
-	    listen(l->fd, BACKLOG) ||
-	    pthread_create(&t, NULL, accept_run, l) != 0)
+	setsockopt(cc->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(cc->fd, (struct sockaddr *)&sa, sizeof(sa)) ||
+	    listen(cc->fd, BACKLOG) ||
+	    pthread_create(&t, NULL, accept_run, cc) != 0)
 		return false;
 	pthread_detach(t);
 	snprintf(cc->addr, sizeof(cc->addr), "%s:%d", ip, port);
--- a/test/hosted/copycat.h
+++ b/test/hosted/copycat.h
@@ -21,6 +21,7 @@
 };
 
 struct copycat {
+	int fd; ///< at which connections come in
 	char addr[64]; ///< "IP:port" at which it listens
 	atomic_int kind; ///< enum copycat_kind
 	atomic_int copies; ///< that were sent
