fix(platform): calls beyond the rows of a count are not told as another prefix's

Found by reading the diff: the header says that further kinds and prefixes count as "other"; the code added them to the last row, whatever that was of, so that a store-calls line named the wrong key and kind.

Change: the last rows, one a kind, are for "other". test_more_prefixes_than_rows: 88 in place of 51 reads before, 51 after; test_prefixes passes on both.

--- a/packages/daemon/src/kv_counts.c
+++ b/packages/daemon/src/kv_counts.c
@@ -29,24 +29,22 @@
 		i++;
 	if (i < counts->n)
 		return i;
-	if (counts->n == KV_COUNTS_ROWS)
-		return -1;
+	if (counts->n >= KV_COUNTS_ROWS - KV_OPS &&
+	    strcmp(prefix, "other") != 0)
+		return row_of(counts, op, "other");
 	counts->rows[counts->n].op = op;
 	counts->rows[counts->n].n = 0;
-	strcpy(counts->rows[counts->n].prefix, prefix);
+	snprintf(counts->rows[counts->n].prefix, KV_COUNTS_PREFIX, "%s",
+		 prefix);
 	return counts->n++;
 }
 
 void kv_counts_add(struct kv_counts *counts, enum kv_op op, const char *key)
 {
 	char prefix[KV_COUNTS_PREFIX];
-	int row;
 
 	prefix_of(key, prefix);
-	row = row_of(counts, op, prefix);
-	if (row < 0)
-		row = KV_COUNTS_ROWS - 1;
-	counts->rows[row].n++;
+	counts->rows[row_of(counts, op, prefix)].n++;
 }
 
 uint64_t kv_counts_of(const struct kv_counts *counts, enum kv_op op)
--- /dev/null
+++ b/packages/daemon/test/test_kv_counts.c
@@ -0,0 +1,59 @@
+// Counts of calls by kind and prefix.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "kv_counts.h"
+
+static void test_prefixes(void **state)
+{
+	struct kv_counts n = {.n = 0};
+	char text[KV_COUNTS_TEXT];
+
+	kv_counts_add(&n, KV_PUT, "catkin/record/b1/00000001");
+	kv_counts_add(&n, KV_PUT, "catkin/record/b2/00000001");
+	kv_counts_add(&n, KV_WATCH, "servers/");
+	kv_counts_add(&n, KV_RENEW, NULL);
+	kv_counts_text(&n, text);
+	assert_string_equal(text,
+			    "put:catkin/record=2,watch:servers=1,renew:=1");
+	assert_int_equal(kv_counts_of(&n, KV_PUT), 2);
+	assert_int_equal(kv_counts_of(&n, KV_GET), 0);
+}
+
+/* What has no row of its own is in nobody else's, and in its kind's sum. */
+static void test_more_prefixes_than_rows(void **state)
+{
+	struct kv_counts n = {.n = 0};
+	char text[KV_COUNTS_TEXT];
+
+	for (int i = 0; i < 100; i++) {
+		char key[32];
+
+		snprintf(key, sizeof(key), "p%d/x", i);
+		kv_counts_add(&n, i % 2 ? KV_GET : KV_PUT, key);
+	}
+	for (int op = 0; op < KV_OPS; op++)
+		kv_counts_add(&n, (enum kv_op)op, "late/x");
+	assert_int_equal(kv_counts_of(&n, KV_GET), 51);
+	assert_int_equal(kv_counts_of(&n, KV_PUT), 51);
+	assert_int_equal(kv_counts_of(&n, KV_DEL), 1);
+	kv_counts_text(&n, text);
+	assert_non_null(strstr(text, ":other="));
+	assert_null(strstr(text, ":late="));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_prefixes),
+		cmocka_unit_test(test_more_prefixes_than_rows),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
