--- a/packages/daemon/src/job/reward.c
+++ b/packages/daemon/src/job/reward.c
@@ -16,31 +16,18 @@
 enum {
 	REWARD_MISSES = 8, ///< calls without a server at one look
 	REWARD_CONNECT_MS = 400, ///< some round trips and a retry
-	/// Nodes that send to one cold server at once: its rate is shared.
-	REWARD_COLD_SENDERS = 4,
 	/// For a route that does not say.
 	REWARD_TARGET_MS = 1000,
 	REWARD_MOST_MS = 5000,
-	REWARD_MAX_FAILURES = 3,
 };
 
-static void *ctx_of(const struct job *j, int item)
-{
-	return (void *)(uintptr_t)((uint64_t)j->self << 32 | (uint32_t)item);
-}
-
 static struct job_reward_call *call_of(struct core *c, void *ctx,
-				       struct job **job)
+				       struct job **job, int *item)
 {
-	uint64_t v = (uint64_t)(uintptr_t)ctx;
-	struct job *j = htab_get(jobs_of(c)->jobs, (htab_handle)(v >> 32));
-	uint32_t item = (uint32_t)v;
-
-	if (!j || !j->running || item >= j->spec->n_items ||
-	    !j->rewards[item].fetch)
+	*job = job_of_ctx(c, ctx, item);
+	if (!*job || !(*job)->rewards[*item].fetch)
 		return NULL;
-	*job = j;
-	return &j->rewards[item];
+	return &(*job)->rewards[*item];
 }
 
 static const struct site_route *route_of(struct core *c,
@@ -51,14 +38,9 @@
 	return conf ? site_conf_route(conf, rw->host, rw->path) : NULL;
 }
 
-/* Free the call's place at its server. */
 static void leave(struct core *c, struct job_reward_call *call, bool ok)
 {
-	struct site_server *s =
-		site_servers_get(site_mod_servers(c), call->server);
-
-	if (s)
-		site_server_end(s, core_now(c), ok);
+	job_free_place(c, call->server, ok);
 	call->fetch = 0;
 }
 
@@ -130,7 +112,7 @@
 
 	if (batch && batch->max_servers > n)
 		n = batch->max_servers;
-	return n > 0 ? n : REWARD_MAX_FAILURES;
+	return n > 0 ? n : JOB_MAX_FAILURES;
 }
 
 static void log_end(struct core *c, const struct job *j, int item,
@@ -164,8 +146,8 @@
 		    const struct core_fetch_result *res)
 {
 	struct job *j;
-	struct job_reward_call *call = call_of(c, ctx, &j);
-	int item = (int)(uint32_t)(uintptr_t)ctx;
+	int item;
+	struct job_reward_call *call = call_of(c, ctx, &j, &item);
 	const struct job_reward *rw;
 	struct front_verdict v;
 	enum job_rating how;
@@ -218,7 +200,7 @@
 		.send_until_ms = site_mod_until(c),
 		.want_head = true,
 		.on_done = on_done,
-		.ctx = ctx_of(j, item),
+		.ctx = job_item_ctx(j, item),
 	};
 	struct arena a;
 	enum err e;
@@ -265,7 +247,7 @@
 			site_servers_usable(site_mod_servers(c), name)),
 		.only_free = true,
 		.share = JOB_RATING_SHARE,
-		.cold_rate = svc ? svc->cold_rate / REWARD_COLD_SENDERS : 0,
+		.cold_rate = svc ? svc->cold_rate / JOB_COLD_SENDERS : 0,
 	};
 
 	return site_servers_choose(site_mod_servers(c), core_now(c), &ask);
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -17,11 +17,6 @@
 	RUN_FIRST_MS = 1500,
 	WAITING_LOG_MS = 1000, ///< between two lines about items that wait
 	RUN_CONNECT_MS = 500, ///< to connect to an engine
-	/// Nodes that send to one cold server at once: its rate is shared.
-	COLD_SENDERS = 4,
-	/// Runs of an item that a server failed, after which it is given up,
-	/// for a route that does not say.
-	RUN_MAX_FAILURES = 3,
 };
 
 const struct site_route *job_route(struct core *c, const struct job *j)
@@ -43,7 +38,7 @@
 
 	return (struct job_run_opts){
 		.max_failures = route && route->max_servers ? route->max_servers
-							    : RUN_MAX_FAILURES,
+							    : JOB_MAX_FAILURES,
 		.one_version = route && route->one_version,
 		.due_ms = begin + (route ? route->results_due_ms : 0),
 		.give_up_ms = begin + give_up,
@@ -86,14 +81,15 @@
 enum err job_start(struct core *c, struct job *j, struct job_spec *spec)
 {
 	const struct job_run_opts opts = run_opts(c, j, spec);
+	bool rewards = has_rewards(spec);
 
 	if (!scratch_room(jobs_of(c), spec->n_items))
 		return ERR_NOMEM;
 	j->run = job_run_new(spec, &opts);
 	j->at = calloc(spec->n_items + 1, sizeof(*j->at));
-	if (has_rewards(spec))
+	if (rewards)
 		j->rewards = calloc(spec->n_items, sizeof(*j->rewards));
-	if (!j->run || !j->at || (has_rewards(spec) && !j->rewards)) {
+	if (!j->run || !j->at || (rewards && !j->rewards)) {
 		free_run(j);
 		return ERR_NOMEM;
 	}
@@ -110,14 +106,17 @@
 	return ERR_OK;
 }
 
-/* Note at the server how the run went, and free its place. */
-void job_leave_server(struct core *c, struct job_at_server *at, bool ok)
+void job_free_place(struct core *c, htab_handle server, bool ok)
 {
-	struct site_server *s =
-		site_servers_get(site_mod_servers(c), at->server);
+	struct site_server *s = site_servers_get(site_mod_servers(c), server);
 
 	if (s)
 		site_server_end(s, core_now(c), ok);
+}
+
+void job_leave_server(struct core *c, struct job_at_server *at, bool ok)
+{
+	job_free_place(c, at->server, ok);
 	sse_free(&at->sse);
 	at->fetch = 0;
 }
@@ -148,22 +147,28 @@
 	j->running = false;
 }
 
-/* A callback's item: batch and index travel as the context. */
-static void *ctx_of(htab_handle job, int item)
+void *job_item_ctx(const struct job *j, int item)
 {
-	return (void *)(uintptr_t)((uint64_t)job << 32 | (uint32_t)item);
+	return (void *)(uintptr_t)((uint64_t)j->self << 32 | (uint32_t)item);
 }
 
-static struct job_at_server *at_of(struct core *c, void *ctx, struct job **job)
+struct job *job_of_ctx(struct core *c, void *ctx, int *item)
 {
 	uint64_t v = (uint64_t)(uintptr_t)ctx;
 	struct job *j = htab_get(jobs_of(c)->jobs, (htab_handle)(v >> 32));
-	uint32_t item = (uint32_t)v;
 
-	if (!j || !j->running || item >= j->spec->n_items)
+	if (!j || !j->running || (uint32_t)v >= j->spec->n_items)
 		return NULL;
-	*job = j;
-	return &j->at[item];
+	*item = (int)(uint32_t)v;
+	return j;
+}
+
+static struct job_at_server *at_of(struct core *c, void *ctx, struct job **job)
+{
+	int item;
+
+	*job = job_of_ctx(c, ctx, &item);
+	return *job ? &(*job)->at[item] : NULL;
 }
 
 struct event_ctx {
@@ -356,7 +361,7 @@
 		.on_head = on_head,
 		.on_data = on_data,
 		.on_done = on_done,
-		.ctx = ctx_of(j->self, item),
+		.ctx = job_item_ctx(j, item),
 	};
 	struct arena a;
 	enum err e;
@@ -409,7 +414,7 @@
 	if (!ask->service)
 		return false;
 	svc = site_conf_service(conf, ask->service);
-	ask->cold_rate = svc ? svc->cold_rate / COLD_SENDERS : 0;
+	ask->cold_rate = svc ? svc->cold_rate / JOB_COLD_SENDERS : 0;
 	ask->pace_ms = site_servers_pace(site_mod_servers(c), ask->service,
 					 core_now(c));
 	return true;
--- a/packages/daemon/src/job/run.h
+++ b/packages/daemon/src/job/run.h
@@ -5,6 +5,26 @@
 #include "site/conf.h"
 #include "site/server.h"
 
+enum {
+	/// Nodes that send to one cold server at once: its rate is shared.
+	JOB_COLD_SENDERS = 4,
+	/// Failed tries after which an item is given up, for a route that does not
+	/// say.
+	JOB_MAX_FAILURES = 3,
+};
+
+/// Batch and index of an item as the context of a callback.
+void *job_item_ctx(const struct job *j, int item);
+
+/// Item of a callback.
+///
+/// @param[out] item  index
+/// @return its batch, NULL if this node does not run it any more
+struct job *job_of_ctx(struct core *c, void *ctx, int *item);
+
+/// Note at a server how a request went, and free its place.
+void job_free_place(struct core *c, htab_handle server, bool ok);
+
 /// Route of a batch as it is now, NULL if it was removed.
 const struct site_route *job_route(struct core *c, const struct job *j);
 
--- a/packages/daemon/src/site/site.h
+++ b/packages/daemon/src/site/site.h
@@ -40,6 +40,9 @@
 	int64_t retire_next_ms;
 };
 
+/// Make the calls of the feeds that are due.
+void site_feeds_step(struct core *c, struct site *s);
+
 struct site *site_of(const struct core *c);
 
 /// Keeps up with the nodes' liveness keys; its context is the struct site.
