fix(job): records fit the store; a sender takes an item only by its step

Cause, records: results that became ready within a second went into one record whatever its length. Change: a flush takes texts up to [platform] value_max, filled in from the platform's own limit; what does not fit goes into the next record.

Change: job_run_sent(), job_run_moved() and job_run_rating() refuse items of other steps with a typed error; runs of listed items are ended with their listing.

--- a/bench/bench_job.c
+++ b/bench/bench_job.c
@@ -1,6 +1,7 @@
 // What a batch's bookkeeping costs by its size: order and groups at its start, and
 // each record that is taken while items are rated and listed.
 #include <stdio.h>
+#include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -70,7 +71,7 @@
 		size_t n;
 
 		rate(r, i);
-		n = job_run_flush(r, 0, false, out);
+		n = job_run_flush(r, 0, false, SIZE_MAX, out);
 		if (!n)
 			continue;
 		record = job_record("bench", out, n);
--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -191,6 +191,10 @@
 /// End silent runs, and move runs from slow servers to others.
 void job_watch_runs(struct core *c, struct job *j);
 
+/// End the runs of items whose results have positions: another node that believed
+/// to own the batch wrote them.
+void job_recall_listed(struct core *c, struct job *j);
+
 /// End every run of the batch at servers.
 void job_recall(struct core *c, struct job *j);
 
--- a/packages/daemon/src/job/move.c
+++ b/packages/daemon/src/job/move.c
@@ -45,13 +45,14 @@
 {
 	int item = at->item;
 
+	if (job_run_moved(j->run, item) != ERR_OK)
+		return;
 	log_event(EV_JOB_MOVED, "batch=%s item=%s to=%s events=%llu ms=%lld",
 		  j->id, j->spec->items[item].id, to->entry.id,
 		  (unsigned long long)job_run_text(j->run, item)->last_event,
 		  (long long)(core_now(c) - at->sent_ms));
 	core_fetch_cancel(c, at->fetch);
 	job_leave_server(c, at, true);
-	job_run_moved(j->run, item);
 	job_send_item(c, j, item, to);
 }
 
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -121,6 +121,16 @@
 	at->fetch = 0;
 }
 
+void job_recall_listed(struct core *c, struct job *j)
+{
+	for (size_t i = 0; i < j->spec->n_items; i++) {
+		if (!j->at[i].fetch || job_run_step(j->run, (int)i) == JOB_SENT)
+			continue;
+		core_fetch_cancel(c, j->at[i].fetch);
+		job_leave_server(c, &j->at[i], true);
+	}
+}
+
 void job_recall(struct core *c, struct job *j)
 {
 	for (size_t i = 0; i < j->spec->n_items; i++) {
@@ -366,6 +376,12 @@
 	struct arena a;
 	enum err e;
 
+	if (job_run_step(j->run, item) != JOB_WAITING) {
+		log_event(EV_JOB_STEP, "batch=%s item=%s step=%d server=%s",
+			  j->id, it->id, (int)job_run_step(j->run, item),
+			  s->entry.id);
+		return false;
+	}
 	arena_init(&a, 0);
 	opts.url = job_url(&a, s, it->path);
 	opts.headers = jobs_of(c)->wire->engine->run(&run, &a);
--- a/packages/daemon/src/job/write.c
+++ b/packages/daemon/src/job/write.c
@@ -6,9 +6,15 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "core/settings.h"
 #include "job/job.h"
 #include "store_keys.h"
 
+enum {
+	/// Part of a record that is left for what stands around the texts.
+	RECORD_HEADROOM = 8,
+};
+
 static struct job *job_of(const struct core *c, void *ctx)
 {
 	return htab_get(jobs_of(c)->jobs, (htab_handle)(uintptr_t)ctx);
@@ -38,8 +44,10 @@
 		  "batch=%s from=%zu to=%zu total=%llu record=%llu error=%s",
 		  j->id, before, j->list.n, (unsigned long long)j->owner.total,
 		  (unsigned long long)j->list.records, err_code(e));
-	if (j->running)
+	if (j->running) {
 		job_run_listed(j->run, &j->list);
+		job_recall_listed(c, j);
+	}
 	job_readers_wake(c, j);
 }
 
@@ -98,19 +106,30 @@
 		job_step(c, j);
 }
 
+/* The store refuses a longer value each time, and the batch would never be whole.
+ * What escaping adds to the texts shows only in the record. */
 static bool record_make(struct core *c, struct job *j)
 {
 	struct jobs *jobs = jobs_of(c);
-	size_t n =
-		job_run_flush(j->run, core_now(c),
-			      j->owner.ended || jobs->draining, jobs->scratch);
-
-	if (!n)
-		return false;
-	j->record = job_record(core_incarnation(c), jobs->scratch, n);
-	if (!j->record)
+	size_t most =
+		(size_t)settings_int(core_settings(c), S_PLATFORM_VALUE_MAX);
+	size_t max = most - most / RECORD_HEADROOM;
+	bool all = j->owner.ended || jobs->draining;
+	size_t n;
+
+	while ((n = job_run_flush(j->run, core_now(c), all, max,
+				  jobs->scratch))) {
+		j->record = job_record(core_incarnation(c), jobs->scratch, n);
+		if (j->record && (n == 1 || strlen(j->record) <= most))
+			return true;
 		job_run_unwritten(j->run);
-	return j->record != NULL;
+		if (!j->record)
+			return false;
+		free(j->record);
+		j->record = NULL;
+		max /= 2;
+	}
+	return false;
 }
 
 static void record_send(struct core *c, struct job *j)
--- a/packages/job/include/job/job_run.h
+++ b/packages/job/include/job/job_run.h
@@ -84,7 +84,9 @@
 int job_run_next(struct job_run *r, int64_t now);
 
 /// An item was sent.
-void job_run_sent(struct job_run *r, int item);
+///
+/// @return ERR_OK, or ERR_INVALID if it is not waiting; nothing changes then
+enum err job_run_sent(struct job_run *r, int item);
 
 /// Next item whose reward to ask for.
 ///
@@ -99,7 +101,10 @@
 void job_run_reward_later(struct job_run *r, int item, int64_t now);
 
 /// A reward call was sent.
-void job_run_rating(struct job_run *r, int item);
+///
+/// @return ERR_OK, or ERR_INVALID if the item's text is not whole; nothing changes
+///         then
+enum err job_run_rating(struct job_run *r, int item);
 
 /// A reward call ended.
 ///
@@ -152,7 +157,10 @@
 		   enum job_outcome how);
 
 /// An item's run was ended to go on elsewhere at once: it is to be sent.
-void job_run_moved(struct job_run *r, int item);
+///
+/// @return ERR_OK, or ERR_INVALID if it was at no server: its result may have been
+///         listed by another owner meanwhile
+enum err job_run_moved(struct job_run *r, int item);
 
 /// The batch's route is gone: give up what is not over yet.
 void job_run_give_up(struct job_run *r);
@@ -163,9 +171,10 @@
 /// many whole groups as it waits for, or at its due time. Before that, results are
 /// written together now and then; from there on each group as it becomes whole.
 ///
-/// @param[out] out  array of as many entries as the batch has items
+/// @param max_bytes  of texts; one result goes in however long it is
+/// @param[out] out   array of as many entries as the batch has items
 /// @return count, 0 when nothing is due; those are JOB_WRITING now
-size_t job_run_flush(struct job_run *r, int64_t now, bool all,
+size_t job_run_flush(struct job_run *r, int64_t now, bool all, size_t max_bytes,
 		     struct job_result *out);
 
 /// The record of the last job_run_flush() was not written: it is due again.
--- a/packages/job/src/job_reward.c
+++ b/packages/job/src/job_reward.c
@@ -1,5 +1,4 @@
 // The second stage of an item: its text is whole, its reward is asked for.
-#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -44,10 +43,12 @@
 	r->items[item].not_before_ms = now + AGAIN_MS;
 }
 
-void job_run_rating(struct job_run *r, int item)
+enum err job_run_rating(struct job_run *r, int item)
 {
-	assert(r->items[item].step == JOB_WHOLE);
+	if (r->items[item].step != JOB_WHOLE)
+		return ERR_INVALID;
 	run_step(r, &r->items[item], JOB_RATING);
+	return ERR_OK;
 }
 
 void job_rating_tried(uint32_t tried[JOB_RATING_TRIED], uint32_t server)
--- a/packages/job/src/job_run.c
+++ b/packages/job/src/job_run.c
@@ -1,7 +1,6 @@
 // State of each item of a batch that this node runs.
 #include "job/job_run.h"
 
-#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -118,10 +117,12 @@
 	return -1;
 }
 
-void job_run_sent(struct job_run *r, int item)
+enum err job_run_sent(struct job_run *r, int item)
 {
-	assert(r->items[item].step == JOB_WAITING);
+	if (r->items[item].step != JOB_WAITING)
+		return ERR_INVALID;
 	run_step(r, &r->items[item], JOB_SENT);
+	return ERR_OK;
 }
 
 const struct job_text *job_run_text(const struct job_run *r, int item)
@@ -261,14 +262,15 @@
 	}
 }
 
-void job_run_moved(struct job_run *r, int item)
+enum err job_run_moved(struct job_run *r, int item)
 {
 	struct run_item *it = &r->items[item];
 
 	if (it->step != JOB_SENT)
-		return;
+		return ERR_INVALID;
 	run_step(r, it, JOB_WAITING);
 	keep_or_drop(r, it);
+	return ERR_OK;
 }
 
 void job_run_give_up(struct job_run *r)
@@ -318,9 +320,10 @@
 	return res;
 }
 
-size_t job_run_flush(struct job_run *r, int64_t now, bool all,
+size_t job_run_flush(struct job_run *r, int64_t now, bool all, size_t max_bytes,
 		     struct job_result *out)
 {
+	size_t bytes = 0;
 	size_t n = 0;
 
 	if (!all && !flush_due(r, now))
@@ -328,6 +331,9 @@
 	while (r->first[JOB_READY] >= 0) {
 		int i = r->first[JOB_READY];
 
+		bytes += r->items[i].text.len;
+		if (n && bytes > max_bytes)
+			break;
 		run_step(r, &r->items[i], JOB_WRITING);
 		out[n++] = result_of(r, (size_t)i);
 	}
--- a/packages/job/test/test_job.c
+++ b/packages/job/test/test_job.c
@@ -135,17 +135,17 @@
 		job_run_sent(r, i);
 	finish(r, 0, 0);
 	finish(r, 1, 20);
-	assert_int_equal(job_run_flush(r, 30, false, out), 0);
+	assert_int_equal(job_run_flush(r, 30, false, SIZE_MAX, out), 0);
 	/* One of two groups is whole; its oldest result is a second old. */
-	assert_int_equal(job_run_flush(r, 1000, false, out), 2);
+	assert_int_equal(job_run_flush(r, 1000, false, SIZE_MAX, out), 2);
 	finish(r, 4, 1010);
 	finish(r, 2, 1020);
 	finish(r, 3, 1030);
 	/* One record at a time. */
-	assert_int_equal(job_run_flush(r, 1040, false, out), 0);
+	assert_int_equal(job_run_flush(r, 1040, false, SIZE_MAX, out), 0);
 	job_run_unwritten(r);
 	/* The second group is whole; item 4 goes along. */
-	assert_int_equal(job_run_flush(r, 1040, false, out), 5);
+	assert_int_equal(job_run_flush(r, 1040, false, SIZE_MAX, out), 5);
 	job_run_free(r);
 	job_spec_free(s);
 }
@@ -163,8 +163,87 @@
 		job_run_sent(r, i);
 	finish(r, 0, 6400);
 	finish(r, 1, 6400);
-	assert_int_equal(job_run_flush(r, 6400, false, out), 0);
-	assert_int_equal(job_run_flush(r, 6500, false, out), 2);
+	assert_int_equal(job_run_flush(r, 6400, false, SIZE_MAX, out), 0);
+	assert_int_equal(job_run_flush(r, 6500, false, SIZE_MAX, out), 2);
+	job_run_free(r);
+	job_spec_free(s);
+}
+
+/* A record longer than the store takes is refused each time: its batch would never be
+ * whole. What does not fit goes into the next one. */
+static void test_records_fit_the_store(void **state)
+{
+	struct job_result out[ITEMS];
+	struct job_spec *s = spec_new();
+	struct job_run *r = run_new(s, false);
+	size_t texts = 0;
+
+	for (int i = 0; i < 3; i++) {
+		job_run_sent(r, i);
+		finish(r, i, 0);
+		texts += job_run_text(r, i)->len;
+	}
+	assert_int_equal(job_run_flush(r, 2000, false, texts - 1, out), 2);
+	job_run_unwritten(r);
+	/* One that is longer by itself goes alone. */
+	assert_int_equal(job_run_flush(r, 2000, false, 0, out), 1);
+	job_run_unwritten(r);
+	assert_int_equal(job_run_flush(r, 2000, false, texts, out), 3);
+	job_run_free(r);
+	job_spec_free(s);
+}
+
+/* Steps at which no sender may take an item: waiting ones are sent once, and only
+ * those at a server are moved. A sender that took a listed item ended the process. */
+static void test_senders_take_items_by_their_step(void **state)
+{
+	struct job_result out[ITEMS];
+	struct job_spec *s = spec_new();
+	struct job_run *r = run_new(s, false);
+
+	assert_int_equal(job_run_moved(r, 0), ERR_INVALID);
+	assert_int_equal(job_run_rating(r, 0), ERR_INVALID);
+	assert_int_equal(job_run_sent(r, 0), ERR_OK);
+	assert_int_equal(job_run_sent(r, 0), ERR_INVALID);
+	assert_int_equal(job_run_rating(r, 0), ERR_INVALID);
+	assert_int_equal(job_run_moved(r, 0), ERR_OK);
+	assert_int_equal(job_run_moved(r, 0), ERR_INVALID);
+	assert_int_equal(job_run_sent(r, 0), ERR_OK);
+	finish(r, 0, 0);
+	for (int step = JOB_READY; step <= JOB_WRITING; step++) {
+		assert_int_equal(job_run_step(r, 0), step);
+		assert_int_equal(job_run_sent(r, 0), ERR_INVALID);
+		assert_int_equal(job_run_moved(r, 0), ERR_INVALID);
+		assert_int_equal(job_run_rating(r, 0), ERR_INVALID);
+		job_run_flush(r, 0, true, SIZE_MAX, out);
+	}
+	job_run_free(r);
+	job_spec_free(s);
+}
+
+/* Two nodes believe to own a batch: the other one lists an item that is at a server
+ * here. Its run can neither go on nor move. */
+static void test_item_listed_while_sent(void **state)
+{
+	const struct job_result res = {.id = "i0", .text = "x", .text_len = 1};
+	struct job_spec *s = spec_new();
+	struct job_run *r = run_new(s, false);
+	struct job_list list;
+	char *record = job_record("other", &res, 1);
+
+	job_list_init(&list);
+	assert_int_equal(job_list_add(&list, 0, record, strlen(record)),
+			 ERR_OK);
+	job_run_sent(r, 0);
+	job_run_listed(r, &list);
+	assert_int_equal(job_run_step(r, 0), JOB_LISTED);
+	assert_int_equal(job_run_event(r, 0, 1, 3, "a", 1), ERR_INVALID);
+	assert_int_equal(job_run_moved(r, 0), ERR_INVALID);
+	assert_int_equal(job_run_sent(r, 0), ERR_INVALID);
+	job_run_ended(r, 0, 0, JOB_RUN_WHOLE);
+	assert_int_equal(job_run_step(r, 0), JOB_LISTED);
+	free(record);
+	job_list_free(&list);
 	job_run_free(r);
 	job_spec_free(s);
 }
@@ -183,12 +262,12 @@
 	job_run_ended(r, 0, 100, JOB_RUN_FAILED);
 	job_run_sent(r, 1);
 	job_run_ended(r, 1, 100, JOB_RUN_IMPOSSIBLE);
-	assert_int_equal(job_run_flush(r, 100, true, out), 2);
+	assert_int_equal(job_run_flush(r, 100, true, SIZE_MAX, out), 2);
 	assert_int_equal(out[0].state, JOB_ABANDONED);
 	assert_int_equal(out[1].state, JOB_ABANDONED);
 	assert_int_equal(job_run_next(r, 10000), -1);
 	job_run_unwritten(r);
-	assert_int_equal(job_run_flush(r, 10000, true, out), ITEMS);
+	assert_int_equal(job_run_flush(r, 10000, true, SIZE_MAX, out), ITEMS);
 	job_run_free(r);
 	job_spec_free(s);
 }
@@ -209,7 +288,7 @@
 		job_run_sent(r, i);
 		finish(r, i, 0);
 	}
-	assert_int_equal(job_run_flush(r, 0, true, out), ITEMS);
+	assert_int_equal(job_run_flush(r, 0, true, SIZE_MAX, out), ITEMS);
 	record = job_record("w", out, ITEMS);
 	assert_int_equal(job_list_add(&l, 0, record, strlen(record)), ERR_OK);
 	assert_int_equal(l.n, ITEMS - 1);
@@ -296,7 +375,7 @@
 			}
 			k = rng_below(&rng, 2)
 				    ? job_run_flush(run[w], guard * 100, true,
-						    out)
+						    SIZE_MAX, out)
 				    : 0;
 			if (!k)
 				continue;
@@ -408,6 +487,9 @@
 		cmocka_unit_test(test_one_version),
 		cmocka_unit_test(test_records_follow_what_is_awaited),
 		cmocka_unit_test(test_records_near_the_due_time),
+		cmocka_unit_test(test_records_fit_the_store),
+		cmocka_unit_test(test_senders_take_items_by_their_step),
+		cmocka_unit_test(test_item_listed_while_sent),
 		cmocka_unit_test(test_given_up_only_when_due),
 		cmocka_unit_test(test_id_named_twice),
 		cmocka_unit_test(test_records),
--- a/packages/job/test/test_reward.c
+++ b/packages/job/test/test_reward.c
@@ -56,13 +56,13 @@
 	assert_int_equal(job_run_next_reward(f->run, 0), -1);
 	scored_finish(f->run, 3, 1, 10);
 	assert_int_equal(job_run_step(f->run, 3), JOB_WHOLE);
-	assert_int_equal(job_run_flush(f->run, 5000, true, out), 0);
+	assert_int_equal(job_run_flush(f->run, 5000, true, SIZE_MAX, out), 0);
 	assert_int_equal(job_run_next_reward(f->run, 10), 3);
 	job_run_rating(f->run, 3);
 	assert_int_equal(job_run_next_reward(f->run, 10), -1);
-	assert_int_equal(job_run_flush(f->run, 5000, true, out), 0);
+	assert_int_equal(job_run_flush(f->run, 5000, true, SIZE_MAX, out), 0);
 	job_run_rated(f->run, 3, 200, JOB_RATED, MAX_FAILURES, "seal-3");
-	assert_int_equal(job_run_flush(f->run, 200, true, out), 1);
+	assert_int_equal(job_run_flush(f->run, 200, true, SIZE_MAX, out), 1);
 	assert_int_equal(out[0].state, JOB_COMPLETED);
 	assert_string_equal(out[0].score, "seal-3");
 }
@@ -80,7 +80,7 @@
 	job_run_rated(f->run, 0, 10, JOB_RATING_BROKEN, MAX_FAILURES, NULL);
 	job_run_rated(f->run, 0, 20, JOB_RATED, MAX_FAILURES, "late");
 	assert_int_equal(job_run_step(f->run, 0), JOB_WHOLE);
-	assert_int_equal(job_run_flush(f->run, 5000, true, out), 0);
+	assert_int_equal(job_run_flush(f->run, 5000, true, SIZE_MAX, out), 0);
 }
 
 static void rate(struct job_run *r, int item, int64_t now, enum job_rating how)
@@ -103,7 +103,7 @@
 		rate(f->run, 2, now += 1000, JOB_RATING_FAILED);
 	assert_int_equal(job_run_step(f->run, 2), JOB_WHOLE);
 	rate(f->run, 2, now += 1000, JOB_RATING_FAILED);
-	assert_int_equal(job_run_flush(f->run, now, true, out), 1);
+	assert_int_equal(job_run_flush(f->run, now, true, SIZE_MAX, out), 1);
 	assert_int_equal(out[0].state, JOB_ABANDONED);
 	assert_null(out[0].score);
 }
@@ -115,8 +115,9 @@
 
 	scored_finish(f->run, 1, 1, 0);
 	assert_int_equal(job_run_next_reward(f->run, SCORED_GIVE_UP_MS), -1);
-	assert_int_equal(job_run_flush(f->run, SCORED_GIVE_UP_MS, true, out),
-			 1);
+	assert_int_equal(
+		job_run_flush(f->run, SCORED_GIVE_UP_MS, true, SIZE_MAX, out),
+		1);
 	assert_int_equal(out[0].state, JOB_ABANDONED);
 }
 
@@ -200,7 +201,7 @@
 	assert_int_equal(job_run_step(next, 0), JOB_WHOLE);
 	assert_int_equal(job_run_step(next, 1), JOB_WHOLE);
 	assert_int_equal(job_run_step(next, 2), JOB_READY);
-	assert_int_equal(job_run_flush(next, 10, true, out), 1);
+	assert_int_equal(job_run_flush(next, 10, true, SIZE_MAX, out), 1);
 	assert_string_equal(out[0].id, "i2");
 	assert_string_equal(out[0].score, "seal-2");
 	job_run_free(next);
