feat(rollplan): keep usable servers out of loads while samples wait

Cause: every server was loaded for every version, 9 loads a second of the 12 that three models with 48 servers would take. A server one version behind still serves the newest step, so two of three loads took usable servers away while samples waited.

Change: rollplan_need() tells the plan what the samples of a model need. Stale servers are loaded at once; usable ones when nothing waits, with a third of the loads, or as a reserve, so that half of a share has the named version before the next naming. A late model's work counts up to a half more. Without a need of the last 1.5 s the plan is as before.

--- a/packages/rollplan/include/rollplan/rollplan.h
+++ b/packages/rollplan/include/rollplan/rollplan.h
@@ -8,6 +8,11 @@
 //
 // Steps of some models are twice the work of others. With equal shares their
 // trainers fall behind while other models' servers idle: shares go by the work.
+//
+// A server that is one version behind still serves the newest step, so loading it
+// costs more than it brings while samples wait. Where the plan is told what a model
+// needs, such servers are loaded when nothing waits, and otherwise only as many as
+// must have the named version for half of them to stay usable at the next one.
 #pragma once
 
 #include <stdbool.h>
@@ -25,12 +30,26 @@
 	int at_once; ///< loads in progress, over all models
 	int64_t load_ms; ///< after an order: its load is over, seen or not
 	int64_t late_ms; ///< after an order: it counts as lost
+	int64_t due_ms; ///< of a step, from its submission; 0 if not known
+};
+
+/// What the samples of a model need, over all nodes.
+struct rollplan_need {
+	int waiting; ///< samples that wait for a server
+	int running; ///< samples at servers
+	int64_t late_ms; ///< of the oldest open step, past its due time
+	int64_t at_ms; ///< when this was so
 };
 
 struct rollplan_model {
 	char name[SITE_NAME];
 	uint64_t version; ///< that its servers shall have
 	double work; ///< of a step, in any unit; 0 if not known
+	struct rollplan_need need;
+	bool needed; ///< a need was told
+	uint64_t seen; ///< version whose naming is noted
+	int64_t named_ms; ///< when the plan first saw it
+	int64_t gap_ms; ///< from the version before, 0 if not known
 };
 
 struct rollplan_pending {
@@ -38,6 +57,7 @@
 	char model[SITE_NAME];
 	uint64_t version;
 	int64_t at_ms;
+	bool failed; ///< refused: kept until it may be given again
 };
 
 struct rollplan {
@@ -46,6 +66,16 @@
 	int n_models;
 	struct rollplan_pending pending[ROLLPLAN_PENDING];
 	int n_pending;
+	int64_t now_ms; ///< of the last rollplan_next()
+};
+
+/// Why a server is loaded, least urgent first.
+enum rollplan_why {
+	ROLLPLAN_NONE, ///< it is not
+	ROLLPLAN_IDLE, ///< one version behind, and no sample waits
+	ROLLPLAN_RESERVE, ///< one behind, to stay usable at the next version
+	ROLLPLAN_BEHIND, ///< one behind; what the model needs is not known
+	ROLLPLAN_STALE, ///< no new step may use it
 };
 
 /// An order to give.
@@ -53,6 +83,15 @@
 	htab_handle server;
 	const char *model; ///< lives as long as the plan
 	uint64_t version;
+	enum rollplan_why why;
+};
+
+/// Servers of a model, as the plan sees them.
+struct rollplan_count {
+	int owned; ///< its share
+	int usable; ///< a version behind at most, loading ones included
+	int current; ///< that have the named version, or were ordered to load it
+	int loading; ///< usable ones whose load is in progress
 };
 
 void rollplan_init(struct rollplan *p, const struct rollplan_opts *opts);
@@ -64,6 +103,11 @@
 /// known count as the mean of the others.
 void rollplan_work(struct rollplan *p, const char *model, double work);
 
+/// What a model's samples need. Without a need of the last 1.5 s, every server
+/// that is behind is loaded.
+void rollplan_need(struct rollplan *p, const char *model,
+		   const struct rollplan_need *need);
+
 /// Servers that a model's work goes to: those with the newest weights of it,
 /// then those that no other model counts on, as many as its share.
 ///
@@ -82,6 +126,15 @@
 		   const char *service, int64_t now,
 		   struct rollplan_order *out);
 
+/// Servers of a model.
+struct rollplan_count rollplan_count(const struct rollplan *p,
+				     const struct site_servers *t,
+				     const char *service, const char *model,
+				     int64_t now);
+
+/// @return name for logs
+const char *rollplan_why_name(enum rollplan_why why);
+
 /// An order was refused, or its server could not be reached: give it again
 /// later.
 void rollplan_failed(struct rollplan *p, htab_handle server, int64_t now);
--- a/packages/rollplan/src/rollplan.c
+++ b/packages/rollplan/src/rollplan.c
@@ -7,8 +7,18 @@
 enum {
 	SHARE_MAX = 1024, ///< servers of a service that a plan looks at
 	FAILED_AGAIN_MS = 300, ///< after a refusal, before the next order
+	/// Needs come each 200 ms; seven lost in a row are a lost sender.
+	NEED_KEEP_MS = 1500,
+	/// Longest wait after a naming before usable servers are loaded for the
+	/// next one: two rounds of loads fit between it and the next naming of
+	/// a trainer that names a version every 4 s.
+	RESERVE_AFTER_MS = 2000,
 };
 
+/* Most by which the work of a model counts more when it is late, reached at one due
+ * time late. */
+static const double LATE_MORE = 0.5;
+
 /* Part of a server that a model which has one more counts as above its due, so that
  * a share between two numbers does not move a server to and fro. */
 static const double KEEP = 0.5;
@@ -19,15 +29,22 @@
 	p->opts = *opts;
 }
 
+static struct rollplan_model *model_of(struct rollplan *p, const char *model)
+{
+	for (int i = 0; i < p->n_models; i++) {
+		if (strcmp(p->models[i].name, model) == 0)
+			return &p->models[i];
+	}
+	return NULL;
+}
+
 void rollplan_target(struct rollplan *p, const char *model, uint64_t version)
 {
-	struct rollplan_model *m;
+	struct rollplan_model *m = model_of(p, model);
 
-	for (int i = 0; i < p->n_models; i++) {
-		if (strcmp(p->models[i].name, model) == 0) {
-			p->models[i].version = version;
-			return;
-		}
+	if (m) {
+		m->version = version;
+		return;
 	}
 	if (p->n_models == ROLLPLAN_MODELS)
 		return;
@@ -38,10 +55,44 @@
 
 void rollplan_work(struct rollplan *p, const char *model, double work)
 {
-	for (int i = 0; i < p->n_models; i++) {
-		if (strcmp(p->models[i].name, model) == 0)
-			p->models[i].work = work;
-	}
+	struct rollplan_model *m = model_of(p, model);
+
+	if (m)
+		m->work = work;
+}
+
+void rollplan_need(struct rollplan *p, const char *model,
+		   const struct rollplan_need *need)
+{
+	struct rollplan_model *m = model_of(p, model);
+	int64_t left;
+
+	if (!m || (m->needed && need->at_ms < m->need.at_ms))
+		return;
+	/* Falls no faster than time passes: the end of one late step does not move
+	 * servers that the next one needs. */
+	left = m->needed ? m->need.late_ms - (need->at_ms - m->need.at_ms) : 0;
+	m->need = *need;
+	if (m->need.late_ms < left)
+		m->need.late_ms = left;
+	m->needed = true;
+}
+
+static bool need_known(const struct rollplan_model *m, int64_t now)
+{
+	return m->needed && now - m->need.at_ms <= NEED_KEEP_MS;
+}
+
+/* How much more the work of a model counts, from 1. */
+static double lateness(const struct rollplan *p, const struct rollplan_model *m)
+{
+	double late;
+
+	if (p->opts.due_ms <= 0 || m->need.late_ms <= 0 ||
+	    !need_known(m, p->now_ms))
+		return 1;
+	late = (double)m->need.late_ms / (double)p->opts.due_ms;
+	return 1 + LATE_MORE * (late < 1 ? late : 1);
 }
 
 /* Mean work of the models that it is known of, 1 if of none. */
@@ -59,7 +110,9 @@
 
 static double work_of(const struct rollplan *p, int model, double mean)
 {
-	return p->models[model].work > 0 ? p->models[model].work : mean;
+	const struct rollplan_model *m = &p->models[model];
+
+	return (m->work > 0 ? m->work : mean) * lateness(p, m);
 }
 
 /* Servers for each model by its work, one at least if there are enough.
@@ -277,13 +330,14 @@
 	}
 }
 
-static bool is_pending(const struct rollplan *p, htab_handle server)
+static const struct rollplan_pending *pending_at(const struct rollplan *p,
+						 htab_handle server)
 {
 	for (int i = 0; i < p->n_pending; i++) {
 		if (p->pending[i].server == server)
-			return true;
+			return &p->pending[i];
 	}
-	return false;
+	return NULL;
 }
 
 void rollplan_failed(struct rollplan *p, htab_handle server, int64_t now)
@@ -292,84 +346,209 @@
 		if (p->pending[i].server == server)
 			p->pending[i].at_ms =
 				now - p->opts.late_ms + FAILED_AGAIN_MS;
+		p->pending[i].failed |= p->pending[i].server == server;
 	}
 }
 
+/* Whether an order's load is surely still in progress. */
+static bool in_progress(const struct rollplan *p,
+			const struct rollplan_pending *o, int64_t now)
+{
+	return !o->failed && now - o->at_ms < p->opts.load_ms;
+}
+
+static int loading(const struct rollplan *p, int64_t now)
+{
+	int n = 0;
+
+	for (int i = 0; i < p->n_pending; i++)
+		n += in_progress(p, &p->pending[i], now);
+	return n;
+}
+
 /* How many versions a server is behind for the model that counts on it. */
 static uint64_t behind(const struct rollplan *p, const struct row *r)
 {
 	uint64_t want, have;
 
-	if (r->owner < 0 || is_pending(p, r->s->self))
+	if (r->owner < 0 || pending_at(p, r->s->self))
 		return 0;
 	want = p->models[r->owner].version;
 	have = site_server_version(r->s, p->models[r->owner].name);
 	return have && want > have ? want - have : 0;
 }
 
-/* Loads that are surely still in progress. */
-static int loading(const struct rollplan *p, int64_t now)
+static void count_row(const struct rollplan *p, const struct row *r,
+		      int64_t now, struct rollplan_count *n)
 {
-	int n = 0;
+	const struct rollplan_model *m = &p->models[r->owner];
+	const struct rollplan_pending *o = pending_at(p, r->s->self);
+	uint64_t have = site_server_version(r->s, m->name);
+	bool ordered = o && !o->failed && o->version >= m->version &&
+		       strcmp(o->model, m->name) == 0;
+	bool usable = have && have + 1 >= m->version;
+
+	n->owned++;
+	n->current += have >= m->version || ordered;
+	/* A load that is over shows in the entry up to a heartbeat later. */
+	n->usable += usable || (ordered && !in_progress(p, o, now));
+	n->loading += usable && o && in_progress(p, o, now);
+}
 
-	for (int i = 0; i < p->n_pending; i++)
-		n += now - p->pending[i].at_ms < p->opts.load_ms;
-	return n;
+static void count_rows(const struct rollplan *p, const struct row *rows, int n,
+		       int64_t now, struct rollplan_count *counts)
+{
+	memset(counts, 0, ROLLPLAN_MODELS * sizeof(*counts));
+	for (int i = 0; i < n; i++) {
+		if (rows[i].owner >= 0)
+			count_row(p, &rows[i], now, &counts[rows[i].owner]);
+	}
 }
 
-/* Servers of a model that a step may use: a version behind at most. */
-static int count_fresh(const struct rollplan *p, const struct row *rows, int n,
-		       int model)
+struct rollplan_count rollplan_count(const struct rollplan *p,
+				     const struct site_servers *t,
+				     const char *service, const char *model,
+				     int64_t now)
 {
-	const struct rollplan_model *m = &p->models[model];
-	int k = 0;
+	struct rollplan_count counts[ROLLPLAN_MODELS];
+	struct row rows[SHARE_MAX];
+	int m = model_index(p, model);
 
-	for (int i = 0; i < n; i++)
-		k += rows[i].owner == model &&
-		     site_server_version(rows[i].s, m->name) + 1 >= m->version;
-	return k;
+	if (m < 0)
+		return (struct rollplan_count){0};
+	count_rows(p, rows, assign(p, t, service, rows), now, counts);
+	return counts[m];
+}
+
+const char *rollplan_why_name(enum rollplan_why why)
+{
+	static const char *const names[] = {
+		[ROLLPLAN_NONE] = "none",	[ROLLPLAN_IDLE] = "idle",
+		[ROLLPLAN_RESERVE] = "reserve", [ROLLPLAN_BEHIND] = "behind",
+		[ROLLPLAN_STALE] = "stale",
+	};
+
+	return names[why];
+}
+
+/* Note when versions were named. */
+static void note_namings(struct rollplan *p, int64_t now)
+{
+	for (int i = 0; i < p->n_models; i++) {
+		struct rollplan_model *m = &p->models[i];
+
+		if (m->seen == m->version)
+			continue;
+		m->gap_ms = m->seen ? now - m->named_ms : 0;
+		m->named_ms = now;
+		m->seen = m->version;
+	}
 }
 
-/* Whether a row is more urgent than another one. */
-static bool more_urgent(const struct rollplan *p, const struct row *rows, int n,
-			const struct row *a, const struct row *b)
+/* Load pattern: all servers of a model have the same version and samples wait all the
+ * time. The second naming from now would leave no server that its step may use, so
+ * half of them shall have the named version before the next naming. In the first
+ * half of the time between two namings the newest step starts its samples, and
+ * loads of stale servers usually make up that half by themselves. */
+static bool reserve_due(const struct rollplan_model *m,
+			const struct rollplan_count *n, int64_t now)
 {
-	uint64_t x = behind(p, a);
-	uint64_t y = behind(p, b);
-	bool stale = x > 1;
+	int64_t after = m->gap_ms / 2;
+
+	if (!m->gap_ms || after > RESERVE_AFTER_MS)
+		after = RESERVE_AFTER_MS;
+	return now - m->named_ms >= after && 2 * n->current < n->owned &&
+	       4 * n->loading < n->usable;
+}
 
-	if (stale != (y > 1))
-		return stale;
-	if (stale && a->owner != b->owner)
-		return count_fresh(p, rows, n, a->owner) <
-		       count_fresh(p, rows, n, b->owner);
-	return x > y;
+/* Whether a server is to be loaded now. */
+static enum rollplan_why why_load(const struct rollplan *p, const struct row *r,
+				  const struct rollplan_count *counts,
+				  int64_t now)
+{
+	uint64_t versions = behind(p, r);
+	const struct rollplan_model *m;
+	const struct rollplan_count *n;
+
+	if (!versions)
+		return ROLLPLAN_NONE;
+	if (versions > 1)
+		return ROLLPLAN_STALE;
+	m = &p->models[r->owner];
+	n = &counts[r->owner];
+	if (!need_known(m, now))
+		return ROLLPLAN_BEHIND;
+	if (reserve_due(m, n, now))
+		return ROLLPLAN_RESERVE;
+	/* The others are left to the next naming of any model: with half of them
+	 * taken by idle loads, a reserve was late for its naming. */
+	if (!m->need.waiting && 2 * (n->loading + 1) <= n->usable &&
+	    3 * loading(p, now) < p->opts.at_once)
+		return ROLLPLAN_IDLE;
+	return ROLLPLAN_NONE;
+}
+
+/* A server that may be loaded. */
+struct candidate {
+	const struct row *row;
+	enum rollplan_why why;
+	uint64_t behind;
+};
+
+/* Whether a load is more urgent than another one. */
+static bool more_urgent(const struct rollplan_count *counts,
+			const struct candidate *a, const struct candidate *b)
+{
+	if (a->why != b->why)
+		return a->why > b->why;
+	if (a->why == ROLLPLAN_STALE && a->row->owner != b->row->owner)
+		return counts[a->row->owner].usable <
+		       counts[b->row->owner].usable;
+	return a->behind > b->behind;
+}
+
+static bool most_urgent(const struct rollplan *p, const struct row *rows, int n,
+			int64_t now, struct candidate *best)
+{
+	struct rollplan_count counts[ROLLPLAN_MODELS];
+
+	count_rows(p, rows, n, now, counts);
+	*best = (struct candidate){0};
+	for (int i = 0; i < n; i++) {
+		const struct candidate c = {
+			.row = &rows[i],
+			.why = why_load(p, &rows[i], counts, now),
+			.behind = behind(p, &rows[i]),
+		};
+
+		if (c.why != ROLLPLAN_NONE &&
+		    (!best->row || more_urgent(counts, &c, best)))
+			*best = c;
+	}
+	return best->row != NULL;
 }
 
 bool rollplan_next(struct rollplan *p, const struct site_servers *t,
 		   const char *service, int64_t now, struct rollplan_order *out)
 {
 	struct row rows[SHARE_MAX];
-	int best = -1;
+	struct candidate best;
 	int n;
 
+	p->now_ms = now;
+	note_namings(p, now);
 	settle(p, t, now);
 	if (loading(p, now) >= p->opts.at_once ||
 	    p->n_pending == ROLLPLAN_PENDING)
 		return false;
 	n = assign(p, t, service, rows);
-	for (int i = 0; i < n; i++) {
-		if (!behind(p, &rows[i]))
-			continue;
-		if (best < 0 || more_urgent(p, rows, n, &rows[i], &rows[best]))
-			best = i;
-	}
-	if (best < 0)
+	if (!most_urgent(p, rows, n, now, &best))
 		return false;
 	*out = (struct rollplan_order){
-		.server = rows[best].s->self,
-		.model = p->models[rows[best].owner].name,
-		.version = p->models[rows[best].owner].version,
+		.server = best.row->s->self,
+		.model = p->models[best.row->owner].name,
+		.version = p->models[best.row->owner].version,
+		.why = best.why,
 	};
 	p->pending[p->n_pending] = (struct rollplan_pending){
 		.server = out->server,
