feat(order): tell homes of load orders

Cause: of 9,211 requests that reached engines 1,734 were rejected, nearly all within 1 s of a load order at that server. Senders did not know of the order, took the rejection for a failure of the server and left it alone for 0.3 to 2.4 s; and they learned of a finished load from the server's entry, up to 2 s later.

Change: the leader sends each order and its outcome to all homes (PEER_ENGINE_ORDER). They send a loading server no new work, and count on the ordered version 0.95 s after an accepted order; such a request names the version, so that a server without it does not run it. An engine's rejection leaves it alone for 150 ms; ten in a row are a failure. All of it applies from [engines] share_from usable servers on.

Tests: notice, load that never shows, notice of another incarnation, early expectation, rejections in a row (test_site); the message and damaged copies of it (test_peer_msgs).

--- a/packages/daemon/include/daemon/site_mod.h
+++ b/packages/daemon/include/daemon/site_mod.h
@@ -76,6 +76,10 @@
 /// lead.
 bool site_mod_alive(struct core *c, const char *node, const char *run);
 
+/// Whether models share a service's servers: `[engines] share_from` is reached and
+/// more than one model has a named version.
+bool site_mod_shares(struct core *c, const char *service);
+
 /// Models that some trainer named a version of.
 ///
 /// @param i  index from 0
--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -44,9 +44,11 @@
 	int64_t first_ms; ///< of its first event, 0 before
 	int64_t last_ms; ///< of its last event, 0 before the first
 	uint64_t version; ///< weights of the last event
+	uint64_t expected; ///< version that the request named, 0 for none
 	bool headed; ///< the answer's head came
 	bool refused; ///< the answer is no stream of events
 	bool not_run;
+	bool other_server; ///< not the server, or not the version, that it named
 	bool spoilt; ///< an event could not be used: end the run
 	struct sse sse;
 };
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -229,6 +229,7 @@
 	at->headed = true;
 	jobs_of(c)->wire->engine->head(status, head, &h);
 	at->not_run = h.not_run || h.other_server;
+	at->other_server = h.other_server;
 	at->refused = status != 200;
 	/* Bytes that belong to another request are nobody's answer. */
 	at->spoilt |= h.id && strcmp(h.id, id) != 0;
@@ -302,16 +303,44 @@
 	log_event(
 		EV_JOB_ITEM,
 		"batch=%s item=%s server=%s outcome=%s http=%d error=%s "
-		"events=%llu version=%llu servers_age_ms=%lld first_ms=%lld "
-		"ms=%lld",
+		"events=%llu version=%llu expected=%llu servers_age_ms=%lld "
+		"first_ms=%lld ms=%lld",
 		j->id, j->spec->items[at->item].id, s ? s->entry.id : "gone",
 		names[how], res->status, err_code(res->err),
 		(unsigned long long)job_run_text(j->run, at->item)->last_event,
-		(unsigned long long)at->version, (long long)at->servers_age_ms,
+		(unsigned long long)at->version,
+		(unsigned long long)at->expected, (long long)at->servers_age_ms,
 		at->first_ms ? (long long)(at->first_ms - at->sent_ms) : -1LL,
 		(long long)(core_now(c) - at->sent_ms));
 }
 
+/* Whether an engine rejected a run because it is full, loads, or does not have the
+ * version yet that its order promised. */
+static bool is_rejection(struct core *c, const struct job_at_server *at,
+			 enum job_outcome how)
+{
+	const struct site_server *s =
+		site_servers_get(site_mod_servers(c), at->server);
+
+	return how == JOB_RUN_NOT_RUN && at->not_run &&
+	       (!at->other_server || at->expected) && s &&
+	       site_mod_shares(c, s->entry.service);
+}
+
+static void note_rejection(struct core *c, struct job_at_server *at)
+{
+	struct site_server *s =
+		site_servers_get(site_mod_servers(c), at->server);
+
+	metric_add(M_ENGINE_REJECTED, 1);
+	if (at->other_server)
+		metric_add(M_ENGINE_UNEXPECTED, 1);
+	site_server_rejected(s, core_now(c),
+			     at->other_server ? at->expected : 0);
+	sse_free(&at->sse);
+	at->fetch = 0;
+}
+
 static void on_done(struct core *c, void *ctx,
 		    const struct core_fetch_result *res)
 {
@@ -329,7 +358,10 @@
 	log_end(c, j, at, res, how);
 	histogram_add(H_ITEM, core_now(c) - at->sent_ms);
 	server_ok = how == JOB_RUN_WHOLE || how == JOB_RUN_IMPOSSIBLE;
-	job_leave_server(c, at, server_ok);
+	if (is_rejection(c, at, how))
+		note_rejection(c, at);
+	else
+		job_leave_server(c, at, server_ok);
 	job_run_ended(j->run, at->item, core_now(c), how);
 	job_step(c, j);
 }
@@ -355,6 +387,8 @@
 		.item = it,
 		.server = s->entry.id,
 		.resume_after = job_run_text(j->run, item)->last_event,
+		.expect_version = site_server_expects(
+			s, core_now(c), j->spec->model, j->spec->min_version),
 	};
 	const struct sse_opts sse = {
 		.extra_field = jobs_of(c)->wire->engine->version_field,
@@ -391,7 +425,10 @@
 		.server = s->self,
 		.sent_ms = core_now(c),
 		.servers_age_ms = site_mod_servers_age(c),
+		.expected = run.expect_version,
 	};
+	if (at->expected)
+		metric_add(M_ENGINE_EXPECTED, 1);
 	histogram_add(H_SERVERS_AGE, at->servers_age_ms);
 	e = opts.url && opts.headers ? core_fetch(c, &opts, &at->fetch)
 				     : ERR_NOMEM;
@@ -447,7 +484,8 @@
 	while ((s = site_servers_next(t, &iter)))
 		n += strcmp(s->entry.service, ask->service) == 0 &&
 		     site_server_usable(t, s) &&
-		     site_server_version(s, ask->model) >= ask->min_version;
+		     site_server_has(s, core_now(c), ask->model,
+				     ask->min_version);
 	return n;
 }
 
--- /dev/null
+++ b/packages/daemon/src/order/notice_msg.c
@@ -0,0 +1,56 @@
+// Packs and reads notices of load orders; a malformed one is refused whole.
+#include "order/notice_msg.h"
+
+#include "packed_msg.h"
+
+enum {
+	NOTICE_FIELDS = 6,
+};
+
+void order_notice_pack(msgpack_sbuffer *buf, const struct order_notice *n)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, NOTICE_FIELDS);
+	packed_text(&pk, n->server);
+	msgpack_pack_uint64(&pk, n->started_ms);
+	packed_text(&pk, n->model);
+	msgpack_pack_uint64(&pk, n->version);
+	msgpack_pack_uint64(&pk, (uint64_t)n->ago_ms);
+	msgpack_pack_uint64(&pk, n->state);
+}
+
+struct notice_read {
+	struct arena *a;
+	struct order_notice *n;
+};
+
+static bool notice_take(const msgpack_object *o, void *ctx)
+{
+	struct notice_read *r = ctx;
+	struct order_notice *n = r->n;
+	struct arena *a = r->a;
+	const msgpack_object *f = o->via.array.ptr;
+	uint64_t state;
+
+	if (!packed_is_array(o, NOTICE_FIELDS) ||
+	    !packed_take_text(&f[0], a, &n->server) ||
+	    !packed_take_uint(&f[1], &n->started_ms) ||
+	    n->started_ms > INT64_MAX ||
+	    !packed_take_text(&f[2], a, &n->model) ||
+	    !packed_take_uint(&f[3], &n->version) || !n->version ||
+	    !packed_take_ms(&f[4], &n->ago_ms) ||
+	    !packed_take_uint(&f[5], &state) || state > SITE_ORDER_FAILED)
+		return false;
+	n->state = (enum site_order_state)state;
+	return true;
+}
+
+enum err order_notice_read(const void *data, size_t len, struct arena *a,
+			   struct order_notice *n)
+{
+	struct notice_read r = {a, n};
+
+	return packed_read(data, len, notice_take, &r);
+}
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -98,6 +98,19 @@
 	return i < s->n_weights ? s->weights[i].model : NULL;
 }
 
+bool site_mod_shares(struct core *c, const char *service)
+{
+	const struct site *s = site_of(c);
+	int64_t from = settings_int(core_settings(c), S_ENGINES_SHARE_FROM);
+	const struct site_service *svc;
+
+	if (!from || !s->conf || s->n_weights < 2)
+		return false;
+	svc = site_conf_service(s->conf, service);
+	return svc && svc->memory_tokens &&
+	       site_servers_usable(s->servers, service) >= from;
+}
+
 enum err site_mod_auth(struct core *c, const struct site_route *route,
 		       const char *bearer, char team[SITE_NAME])
 {
--- a/packages/daemon/test/test_peer_msgs.c
+++ b/packages/daemon/test/test_peer_msgs.c
@@ -12,6 +12,7 @@
 #include "base/packed.h"
 #include "base/rng.h"
 #include "job/home_msg.h"
+#include "order/notice_msg.h"
 #include "proxy_msg.h"
 #include "site/relay_msg.h"
 
@@ -215,6 +216,35 @@
 	damage(read_relay_ask);
 }
 
+static void read_notice(const void *data, size_t len)
+{
+	struct order_notice n;
+
+	order_notice_read(data, len, &a, &n);
+}
+
+static void test_order_notice(void **state)
+{
+	const struct order_notice in = {.server = "i-1",
+					.started_ms = 17,
+					.model = "m",
+					.version = 4,
+					.ago_ms = 12,
+					.state = SITE_ORDER_ACCEPTED};
+	struct order_notice out;
+
+	order_notice_pack(&buf, &in);
+	assert_int_equal(order_notice_read(buf.data, buf.size, &a, &out),
+			 ERR_OK);
+	assert_string_equal(out.server, "i-1");
+	assert_string_equal(out.model, "m");
+	assert_int_equal(out.started_ms, 17);
+	assert_int_equal(out.version, 4);
+	assert_int_equal(out.ago_ms, 12);
+	assert_int_equal(out.state, SITE_ORDER_ACCEPTED);
+	damage(read_notice);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -227,6 +257,8 @@
 						teardown),
 		cmocka_unit_test_setup_teardown(test_relay_ask, setup,
 						teardown),
+		cmocka_unit_test_setup_teardown(test_order_notice, setup,
+						teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/site/include/site/server.h
+++ b/packages/site/include/site/server.h
@@ -38,6 +38,32 @@
 	int n_models;
 };
 
+/// How far a load order is.
+enum site_order_state {
+	SITE_ORDER_SENT, ///< on its way, or without an answer
+	SITE_ORDER_ACCEPTED, ///< the server loads
+	SITE_ORDER_FAILED, ///< it surely does not
+};
+
+/// Notice of a load order that the leader gave.
+struct site_order {
+	const char *server; ///< id
+	int64_t started_ms; ///< incarnation, as its entry says it
+	const char *model;
+	uint64_t version;
+	int64_t sent_ms; ///< by this node's clock
+	enum site_order_state state;
+};
+
+/// Load that a server was ordered to do.
+struct site_load {
+	char model[SITE_NAME];
+	uint64_t version; ///< 0: none
+	int64_t sent_ms; ///< of the order
+	bool accepted;
+	int64_t expect_ms; ///< not expected to have the version before
+};
+
 struct site_server {
 	htab_handle self;
 	struct site_server_entry entry;
@@ -47,6 +73,8 @@
 	int64_t lapsed_ms; ///< entry went during an outage; 0 while it stands
 	int running; ///< this node's requests there
 	int failures; ///< in a row
+	int rejections; ///< in a row: answers that a request did not run
+	struct site_load load;
 	int64_t avoid_until_ms; ///< no work before, unless nothing else is left
 	double pace_ms; ///< between two events of its streams, 0 if not known
 	int pace_events; ///< that the pace was taken from
@@ -131,6 +159,29 @@
 /// Weight version of a model at a server, 0 if it does not have the model.
 uint64_t site_server_version(const struct site_server *s, const char *model);
 
+/// Take a notice of a load order; one that is older than what is known of the
+/// server changes nothing.
+///
+/// @return ERR_OK, or ERR_NOT_FOUND: no server of that id and incarnation
+enum err site_servers_ordered(struct site_servers *t, int64_t now,
+			      const struct site_order *o);
+
+/// Whether a server loads weights and gets no new work: until its entry shows the
+/// version, or 1 s after the order.
+bool site_server_loading(const struct site_server *s, int64_t now);
+
+/// Whether a server has a version of a model's weights or a newer one, by its entry
+/// or by an order, and does not load.
+bool site_server_has(const struct site_server *s, int64_t now,
+		     const char *model, uint64_t min_version);
+
+/// Version that a request has to name, since it is sent to a server on the basis
+/// of an order and not of the server's entry.
+///
+/// @return version, 0: the entry alone allows it
+uint64_t site_server_expects(const struct site_server *s, int64_t now,
+			     const char *model, uint64_t min_version);
+
 /// Choose a server for one request.
 ///
 /// Load pattern: steady load with a few slow or failing servers. The share of
@@ -149,6 +200,17 @@
 /// @param ok  false: it showed that the server can't be used at present
 void site_server_end(struct site_server *s, int64_t now, bool ok);
 
+/// A server rejected a request without running it, because it is full or loads.
+///
+/// Load pattern: several nodes send to the same engines. A rejection says nothing
+/// against the server, so it is left alone for the time of a place to come free;
+/// only ten such times in a row without a success or an event are a failure.
+///
+/// @param expected  version that the request named and the server does not have,
+///                  0 for none
+void site_server_rejected(struct site_server *s, int64_t now,
+			  uint64_t expected);
+
 /// An event of a stream came some time after the one before.
 void site_server_paced(struct site_server *s, int64_t now, double ms);
 
--- a/packages/site/src/server.c
+++ b/packages/site/src/server.c
@@ -1,6 +1,7 @@
 // Table of backend servers, and the choice among them.
 #include "site/server.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,6 +10,17 @@
 	AVOID_MS =
 		300, ///< after the first failure; doubles with each further one
 	AVOID_DOUBLINGS = 3,
+	REJECTED_MS = 150, ///< after a rejection, before the next request
+	REJECTIONS = 10, ///< in a row that are a failure
+	LOADING_MS = 1000, ///< longest usual load, from its order
+	EXPECT_MS =
+		950, ///< from an accepted order until the load is likely over
+	/// An entry shows a load a heartbeat of 2 s later; after this time the
+	/// entry is right and the order is not.
+	EXPECT_LATE_MS = 4000,
+	/// After a server did not have the expected version: it may take longer
+	/// while many servers load.
+	EXPECT_AGAIN_MS = 300,
 	PACE_SERVERS = 512, ///< of a service whose pace is looked at
 	PACE_EVENTS = 4, ///< that a pace must be taken from to count
 	PACE_KEEP_MS = 2000, ///< without events for longer, a pace is forgotten
@@ -210,6 +222,80 @@
 	return 0;
 }
 
+/* Whether an order still says more than the server's entry. */
+static bool load_open(const struct site_server *s, int64_t now)
+{
+	const struct site_load *l = &s->load;
+
+	return l->version && now - l->sent_ms < EXPECT_LATE_MS &&
+	       site_server_version(s, l->model) < l->version;
+}
+
+enum err site_servers_ordered(struct site_servers *t, int64_t now,
+			      const struct site_order *o)
+{
+	struct site_server *s = find(t, o->server);
+	struct site_load *l;
+	bool same;
+
+	if (!s || s->entry.started_ms != o->started_ms)
+		return ERR_NOT_FOUND;
+	l = &s->load;
+	same = l->version == o->version && strcmp(l->model, o->model) == 0;
+	if (o->state == SITE_ORDER_FAILED) {
+		if (same)
+			l->version = 0;
+		return ERR_OK;
+	}
+	if (load_open(s, now) && !same && o->sent_ms < l->sent_ms)
+		return ERR_OK;
+	*l = (struct site_load){
+		.version = o->version,
+		.sent_ms = o->sent_ms,
+		.accepted = o->state == SITE_ORDER_ACCEPTED,
+		.expect_ms = o->sent_ms + EXPECT_MS,
+	};
+	snprintf(l->model, sizeof(l->model), "%s", o->model);
+	return ERR_OK;
+}
+
+bool site_server_loading(const struct site_server *s, int64_t now)
+{
+	return load_open(s, now) && now - s->load.sent_ms < LOADING_MS;
+}
+
+/* Version of a model that a server likely has by an order, 0 if none. */
+static uint64_t expected_version(const struct site_server *s, int64_t now,
+				 const char *model)
+{
+	const struct site_load *l = &s->load;
+
+	return load_open(s, now) && l->accepted && now >= l->expect_ms &&
+			       strcmp(l->model, model) == 0
+		       ? l->version
+		       : 0;
+}
+
+uint64_t site_server_expects(const struct site_server *s, int64_t now,
+			     const char *model, uint64_t min_version)
+{
+	uint64_t v = expected_version(s, now, model);
+	bool needed = site_server_loading(s, now) ||
+		      site_server_version(s, model) < min_version;
+
+	return needed && v >= min_version ? v : 0;
+}
+
+bool site_server_has(const struct site_server *s, int64_t now,
+		     const char *model, uint64_t min_version)
+{
+	uint64_t v = site_server_version(s, model);
+
+	if (v && v >= min_version && !site_server_loading(s, now))
+		return true;
+	return site_server_expects(s, now, model, min_version) > 0;
+}
+
 static bool tried(const struct site_ask *ask, htab_handle h)
 {
 	for (int i = 0; i < ask->n_not; i++) {
@@ -244,12 +330,9 @@
 	if (strcmp(s->entry.service, ask->service) != 0 ||
 	    !site_server_usable(t, s) || tried(ask, s->self))
 		return false;
-	if (ask->model) {
-		uint64_t v = site_server_version(s, ask->model);
-
-		if (!v || v < ask->min_version)
-			return false;
-	}
+	if (ask->model ? !site_server_has(s, now, ask->model, ask->min_version)
+		       : site_server_loading(s, now))
+		return false;
 	if (ask->only_free &&
 	    (s->running >= slots_for(s, ask) || now < s->avoid_until_ms))
 		return false;
@@ -313,6 +396,7 @@
 		s->running--;
 	if (ok) {
 		s->failures = 0;
+		s->rejections = 0;
 		s->avoid_until_ms = 0;
 		return;
 	}
@@ -321,8 +405,27 @@
 	s->failures++;
 }
 
+void site_server_rejected(struct site_server *s, int64_t now, uint64_t expected)
+{
+	struct site_load *l = &s->load;
+
+	if (expected && l->version == expected && now >= l->expect_ms)
+		l->expect_ms = now + EXPECT_AGAIN_MS;
+	/* Requests that were on their way at the last one say the same. */
+	if (now >= s->avoid_until_ms && ++s->rejections >= REJECTIONS) {
+		s->rejections = 0;
+		site_server_end(s, now, false);
+		return;
+	}
+	if (s->running > 0)
+		s->running--;
+	if (s->avoid_until_ms < now + REJECTED_MS)
+		s->avoid_until_ms = now + REJECTED_MS;
+}
+
 void site_server_paced(struct site_server *s, int64_t now, double ms)
 {
+	s->rejections = 0;
 	if (now - s->paced_ms > PACE_KEEP_MS)
 		s->pace_events = 0;
 	s->pace_ms = s->pace_events
--- a/packages/site/test/test_site.c
+++ b/packages/site/test/test_site.c
@@ -289,6 +289,191 @@
 	site_servers_free(t);
 }
 
+/* A server "s1" with version 3 of "m", and an order of version 4 at 1000 ms. */
+static struct site_servers *ordered(enum site_order_state state)
+{
+	const struct site_order o = {.server = "s1",
+				     .started_ms = 1000,
+				     .model = "m",
+				     .version = 4,
+				     .sent_ms = 1000,
+				     .state = state};
+	struct site_servers *t = site_servers_new();
+	struct site_server_entry e = entry("s1", "d1");
+
+	site_servers_put(t, 1, 0, &e);
+	assert_int_equal(site_servers_ordered(t, 1005, &o), ERR_OK);
+	return t;
+}
+
+static struct site_server *choose_version(struct site_servers *t, int64_t now,
+					  uint64_t min_version)
+{
+	const struct site_ask ask = {.service = "svc",
+				     .domain = "d1",
+				     .model = "m",
+				     .min_version = min_version,
+				     .only_free = true};
+
+	return site_servers_choose(t, now, &ask);
+}
+
+/* Guards against work for a loading server, which rejects it for 0.9 s, and against
+ * a wait for the entry, which shows a load up to 2 s later. */
+static void test_load_notice(void **state)
+{
+	struct site_servers *t = ordered(SITE_ORDER_SENT);
+	const struct site_order accepted = {.server = "s1",
+					    .started_ms = 1000,
+					    .model = "m",
+					    .version = 4,
+					    .sent_ms = 1000,
+					    .state = SITE_ORDER_ACCEPTED};
+	struct site_server_entry e = entry("s1", "d1");
+	struct site_server *s;
+
+	assert_null(choose_version(t, 1005, 3));
+	assert_null(choose(t, 1005));
+	site_servers_ordered(t, 1010, &accepted);
+	assert_null(choose_version(t, 1949, 3));
+	/* A heartbeat during the load shows the version before. */
+	site_servers_put(t, 2, 1500, &e);
+	assert_null(choose_version(t, 1949, 3));
+	s = choose_version(t, 1950, 4);
+	assert_non_null(s);
+	assert_int_equal(site_server_expects(s, 1950, "m", 4), 4);
+	assert_int_equal(site_server_expects(s, 1950, "m", 3), 4);
+	assert_null(choose_version(t, 1950, 5));
+	assert_null(choose(t, 1999));
+	assert_non_null(choose(t, 2000));
+	assert_int_equal(site_server_expects(s, 2000, "m", 3), 0);
+	e.models[0].version = 4;
+	site_servers_put(t, 3, 2500, &e);
+	assert_non_null(choose_version(t, 2500, 4));
+	assert_int_equal(site_server_expects(s, 2500, "m", 4), 0);
+	site_servers_free(t);
+}
+
+/* Guards against a server that is lost to work, or taken for what it is not, since
+ * its load never came: the order failed, or had no answer, or was not carried out. */
+static void test_load_that_never_shows(void **state)
+{
+	const struct site_order failed = {.server = "s1",
+					  .started_ms = 1000,
+					  .model = "m",
+					  .version = 4,
+					  .sent_ms = 1000,
+					  .state = SITE_ORDER_FAILED};
+	struct site_servers *t = ordered(SITE_ORDER_SENT);
+
+	assert_null(choose_version(t, 1999, 3));
+	assert_non_null(choose_version(t, 2000, 3));
+	assert_null(choose_version(t, 2000, 4));
+	site_servers_free(t);
+
+	t = ordered(SITE_ORDER_SENT);
+	site_servers_ordered(t, 1020, &failed);
+	assert_non_null(choose_version(t, 1020, 3));
+	site_servers_free(t);
+
+	t = ordered(SITE_ORDER_ACCEPTED);
+	assert_non_null(choose_version(t, 2000, 3));
+	assert_non_null(choose_version(t, 4999, 4));
+	/* An entry would have shown it by now. */
+	assert_null(choose_version(t, 5000, 4));
+	assert_non_null(choose_version(t, 5000, 3));
+	site_servers_free(t);
+}
+
+/* Guards against a notice that is taken for another server's: one of an earlier
+ * incarnation, and one that arrives after a newer one. */
+static void test_notice_of_another(void **state)
+{
+	struct site_order o = {.server = "s1",
+			       .started_ms = 999,
+			       .model = "m",
+			       .version = 4,
+			       .sent_ms = 1000};
+	struct site_servers *t = site_servers_new();
+	struct site_server_entry e = entry("s1", "d1");
+
+	site_servers_put(t, 1, 0, &e);
+	assert_int_equal(site_servers_ordered(t, 1005, &o), ERR_NOT_FOUND);
+	assert_non_null(choose_version(t, 1005, 3));
+	o.started_ms = 1000;
+	o.version = 5;
+	o.state = SITE_ORDER_ACCEPTED;
+	site_servers_ordered(t, 1005, &o);
+	o.version = 4;
+	o.sent_ms = 500;
+	site_servers_ordered(t, 1010, &o);
+	assert_null(choose_version(t, 1600, 3));
+	assert_non_null(choose_version(t, 1960, 5));
+	/* A version that the entry has means no load. */
+	o.version = 3;
+	o.sent_ms = 6000;
+	site_servers_ordered(t, 6000, &o);
+	assert_non_null(choose_version(t, 6000, 3));
+	site_servers_free(t);
+}
+
+/* Guards against a server that a load longer than usual makes unusable: its 421 puts
+ * the expectation off, and is no failure. */
+static void test_expected_too_early(void **state)
+{
+	struct site_servers *t = ordered(SITE_ORDER_ACCEPTED);
+	struct site_server *s = choose_version(t, 1950, 4);
+
+	site_server_begin(s, 1950);
+	site_server_rejected(s, 1955, 4);
+	assert_int_equal(s->running, 0);
+	assert_int_equal(s->failures, 0);
+	assert_null(choose_version(t, 2254, 4));
+	assert_non_null(choose_version(t, 2105, 3));
+	assert_non_null(choose_version(t, 2255, 4));
+	site_servers_free(t);
+}
+
+/* Guards against full engines that are left alone for up to 2.4 s: rejections are no
+ * failures until ten in a row. */
+static void test_rejections(void **state)
+{
+	struct site_servers *t = site_servers_new();
+	struct site_server_entry e = entry("s1", "d1");
+	struct site_server *s;
+	int64_t now = 1000;
+
+	site_servers_put(t, 1, 0, &e);
+	s = choose(t, now);
+	for (int i = 0; i < 9; i++, now += 150) {
+		assert_non_null(choose_version(t, now, 3));
+		/* Two on their way at once count once. */
+		for (int k = 0; k < 2; k++) {
+			site_server_begin(s, now);
+			site_server_rejected(s, now, 0);
+		}
+		assert_null(choose_version(t, now + 149, 3));
+		assert_int_equal(s->failures, 0);
+	}
+	site_server_begin(s, now);
+	site_server_rejected(s, now, 0);
+	assert_int_equal(s->running, 0);
+	assert_int_equal(s->failures, 1);
+	assert_null(choose_version(t, now + 299, 3));
+	assert_non_null(choose_version(t, now + 300, 3));
+	/* A success ends the row. */
+	now += 300;
+	for (int i = 0; i < 30; i++, now += 150) {
+		site_server_begin(s, now);
+		if (i % 9 == 8)
+			site_server_end(s, now, true);
+		else
+			site_server_rejected(s, now, 0);
+		assert_true(s->failures <= 1);
+	}
+	site_servers_free(t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -304,6 +489,11 @@
 		cmocka_unit_test(test_cold_rate),
 		cmocka_unit_test(test_slow_third),
 		cmocka_unit_test(test_only_free),
+		cmocka_unit_test(test_load_notice),
+		cmocka_unit_test(test_load_that_never_shows),
+		cmocka_unit_test(test_notice_of_another),
+		cmocka_unit_test(test_expected_too_early),
+		cmocka_unit_test(test_rejections),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/wire/include/wire/engine.h
+++ b/packages/wire/include/wire/engine.h
@@ -11,6 +11,8 @@
 	const struct job_item *item;
 	const char *server; ///< id that the server must have
 	uint64_t resume_after; ///< last event that is held, 0 for none
+	uint64_t
+		expect_version; ///< without it the server must not run it; 0 for any
 };
 
 /// A reward call on its way to a server.
@@ -24,7 +26,8 @@
 struct engine_head {
 	const char *id; ///< item that it answers, NULL if not said
 	bool not_run; ///< it surely did not run
-	bool other_server; ///< another server has that address now
+	bool other_server; ///< another server has that address now, or one
+		///< without the version that the request named
 	uint64_t version; ///< weight version of its first event, 0 if not said
 };
 
