feat(room): nodes report to homes what they run at engines

Several homes send to the same engines and each knew its own requests only: what looked free was full, and the engine refused the rest. Homes now get a report of each node that runs batches (each 200 ms, and at once when a step begins) and count its requests as busy slots. While other nodes have samples of the model waiting, and for 40 ms after the begin of a step, a node takes its share of a server's free slots only. The sums also tell the leader what each model needs (room_mod_need). All of it is off unless [engines] share_from is set.

The share of a lost home is used again after 1.5 s.

--- a/packages/core/include/core/core_defs.h
+++ b/packages/core/include/core/core_defs.h
@@ -108,6 +108,7 @@
 	MOD_JOB,
 	MOD_ORDER,
 	MOD_SIZING,
+	MOD_ROOM,
 	MOD_FRONT,
 	MOD_COUNT
 };
--- a/packages/daemon/include/daemon/job_mod.h
+++ b/packages/daemon/include/daemon/job_mod.h
@@ -24,6 +24,24 @@
 /// @return its model, NULL past the last one
 const char *job_mod_next(struct core *c, size_t *iter, int64_t *work);
 
+/// An open batch of this node.
+struct job_open {
+	const char *service; ///< that its items go to
+	const char *model;
+	int64_t step;
+	int waiting; ///< items
+	int running; ///< items at servers
+	int64_t events_left; ///< that these are expected to make
+	uint64_t min_version;
+	int64_t due_ms; ///< clock_now_ms() time at which results are due
+};
+
+/// Next batch that this node runs and that needs servers for generations.
+///
+/// @param[in,out] iter  start with 0
+/// @return false past the last one
+bool job_mod_open(struct core *c, size_t *iter, struct job_open *out);
+
 /// Answer a read of results, of an item's body, or the end of a batch.
 ///
 /// @param call     what is asked
--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -79,6 +79,9 @@
 	int64_t work; ///< tokens that its items are expected to make
 	struct job_at_server *at; ///< an entry an item
 	struct job_reward_call *rewards; ///< an entry an item, NULL for none
+	int64_t begun_ms; ///< when this node began to run it
+	int64_t due_ms; ///< time at which its results are due
+	bool reported; ///< other nodes were told that it began
 	int64_t waiting_next_ms; ///< next line about items that wait
 	int64_t runs_next_ms; ///< next look at the runs
 	bool watching; ///< the owner key is watched
--- a/packages/daemon/src/job/job_mod.c
+++ b/packages/daemon/src/job/job_mod.c
@@ -6,6 +6,7 @@
 #include "core/settings.h"
 #include "daemon/lead_mod.h"
 #include "daemon/mods.h"
+#include "daemon/room_mod.h"
 #include "job/job.h"
 #include "job/load.h"
 #include "job/reward.h"
@@ -81,6 +82,10 @@
 	job_write_step(c, j);
 	job_reward_step(c, j);
 	job_send_step(c, j);
+	if (j->running && !j->reported) {
+		j->reported = true;
+		room_mod_begun(c);
+	}
 	job_watch_runs(c, j);
 	job_watch_step(c, j);
 	job_texts_step(c, j);
@@ -262,6 +267,32 @@
 	return NULL;
 }
 
+bool job_mod_open(struct core *c, size_t *iter, struct job_open *out)
+{
+	struct job *j;
+
+	while ((j = htab_next(jobs_of(c)->jobs, iter, NULL))) {
+		const struct site_route *r =
+			j->running && !j->owner.ended ? job_route(c, j) : NULL;
+
+		if (!r || !r->n_targets)
+			continue;
+		*out = (struct job_open){
+			.service = r->targets[0].service,
+			.model = j->spec->model,
+			.step = j->spec->step,
+			.waiting = (int)job_run_count(j->run, JOB_WAITING),
+			.running = (int)job_run_count(j->run, JOB_SENT),
+			.events_left = job_run_left(j->run),
+			.min_version = j->spec->min_version,
+			.due_ms = j->due_ms,
+		};
+		if (out->waiting || out->running)
+			return true;
+	}
+	return false;
+}
+
 int job_mod_need(struct core *c, const char *service)
 {
 	struct jobs *jobs = jobs_of(c);
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -7,6 +7,7 @@
 #include "base/histogram.h"
 #include "base/log.h"
 #include "base/metric.h"
+#include "daemon/room_mod.h"
 #include "daemon/site_mod.h"
 #include "job/reward.h"
 #include "job/run.h"
@@ -98,6 +99,9 @@
 	j->spec = spec;
 	j->running = true;
 	j->closing = false;
+	j->begun_ms = core_now(c);
+	j->due_ms = opts.due_ms;
+	j->reported = false;
 	j->watch_next_ms = 0;
 	j->texts_next_ms = core_now(c);
 	j->texts_busy = false;
@@ -327,6 +331,8 @@
 	how = at->spoilt ? JOB_RUN_BROKEN
 			 : outcome_of(at, res, job_run_text(j->run, at->item));
 	log_end(c, j, at, res, how);
+	if (how == JOB_RUN_NOT_RUN)
+		metric_add(M_ITEM_NOT_RUN, 1);
 	histogram_add(H_ITEM, core_now(c) - at->sent_ms);
 	server_ok = how == JOB_RUN_WHOLE || how == JOB_RUN_IMPOSSIBLE;
 	job_leave_server(c, at, server_ok);
@@ -402,6 +408,7 @@
 	}
 	sse_init(&at->sse, &sse);
 	site_server_begin(s, core_now(c));
+	metric_add(M_ITEM_SENT, 1);
 	job_run_sent(j->run, item);
 	return true;
 }
@@ -433,6 +440,7 @@
 	ask->cold_rate = svc ? svc->cold_rate / JOB_COLD_SENDERS : 0;
 	ask->pace_ms = site_servers_pace(site_mod_servers(c), ask->service,
 					 core_now(c));
+	room_mod_share(c, ask->model, j->begun_ms, ask);
 	return true;
 }
 
--- /dev/null
+++ b/packages/daemon/src/room/room_msg.c
@@ -0,0 +1,157 @@
+// Packs and reads the reports; a malformed one is refused whole.
+#include "room/room_msg.h"
+
+#include <string.h>
+
+#include "packed_msg.h"
+
+enum {
+	REPORT_FIELDS = 5,
+	AT_FIELDS = 2, ///< of a server; all servers are in one array
+	STEP_FIELDS = 7,
+};
+
+static void pack_step(msgpack_packer *pk, const struct room_step *s)
+{
+	msgpack_pack_array(pk, STEP_FIELDS);
+	packed_text(pk, s->model);
+	msgpack_pack_uint64(pk, (uint64_t)s->step);
+	msgpack_pack_uint64(pk, (uint64_t)s->waiting);
+	msgpack_pack_uint64(pk, (uint64_t)s->running);
+	msgpack_pack_uint64(pk, (uint64_t)s->events_left);
+	msgpack_pack_uint64(pk, s->min_version);
+	msgpack_pack_int64(pk, s->due_in_ms);
+}
+
+void room_report_pack(msgpack_sbuffer *buf, const struct room_report *rep,
+		      const struct room_msg_at *at, size_t n_at)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, REPORT_FIELDS);
+	msgpack_pack_uint64(&pk, rep->run);
+	msgpack_pack_uint64(&pk, rep->seq);
+	msgpack_pack_uint64(&pk, (uint64_t)rep->sent_ms);
+	msgpack_pack_array(&pk, n_at * AT_FIELDS);
+	for (size_t i = 0; i < n_at; i++) {
+		packed_text(&pk, at[i].id);
+		msgpack_pack_uint64(&pk, (uint64_t)at[i].running);
+	}
+	msgpack_pack_array(&pk, rep->n_steps);
+	for (size_t i = 0; i < rep->n_steps; i++)
+		pack_step(&pk, &rep->steps[i]);
+}
+
+struct report_read {
+	htab_handle (*server)(void *ctx, const char *id, size_t len);
+	void *ctx;
+	struct room_report *out;
+};
+
+static bool take_count(const msgpack_object *o, uint64_t max, int *out)
+{
+	uint64_t v;
+
+	if (!packed_take_uint(o, &v) || v > max)
+		return false;
+	*out = (int)v;
+	return true;
+}
+
+static bool take_positive(const msgpack_object *o, int64_t *out)
+{
+	uint64_t v;
+
+	if (!packed_take_uint(o, &v) || v > INT64_MAX)
+		return false;
+	*out = (int64_t)v;
+	return true;
+}
+
+/* A span of time that may lie in the past. */
+static bool take_span(const msgpack_object *o, int64_t *out)
+{
+	if (o->type == MSGPACK_OBJECT_NEGATIVE_INTEGER &&
+	    o->via.i64 >= -INT32_MAX) {
+		*out = o->via.i64;
+		return true;
+	}
+	return packed_take_ms(o, out);
+}
+
+static bool take_name(const msgpack_object *o, char name[ROOM_NAME])
+{
+	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= ROOM_NAME)
+		return false;
+	memcpy(name, o->via.str.ptr, o->via.str.size);
+	name[o->via.str.size] = '\0';
+	return true;
+}
+
+static bool take_at(const struct report_read *r, const msgpack_object *f)
+{
+	struct room_at *at = &r->out->at[r->out->n_at++];
+
+	if (f[0].type != MSGPACK_OBJECT_STR ||
+	    !take_count(&f[1], ROOM_RUNNING_MAX, &at->running))
+		return false;
+	at->server = r->server(r->ctx, f[0].via.str.ptr, f[0].via.str.size);
+	return true;
+}
+
+static bool take_step(const struct report_read *r, const msgpack_object *o)
+{
+	struct room_step *s = &r->out->steps[r->out->n_steps++];
+	const msgpack_object *f = o->via.array.ptr;
+
+	return packed_is_array(o, STEP_FIELDS) && take_name(&f[0], s->model) &&
+	       take_positive(&f[1], &s->step) &&
+	       take_count(&f[2], INT16_MAX, &s->waiting) &&
+	       take_count(&f[3], INT16_MAX, &s->running) &&
+	       take_positive(&f[4], &s->events_left) &&
+	       packed_take_uint(&f[5], &s->min_version) &&
+	       take_span(&f[6], &s->due_in_ms);
+}
+
+static bool report_take(const msgpack_object *o, void *ctx)
+{
+	const struct report_read *r = ctx;
+	struct room_report *out = r->out;
+	const msgpack_object *f = o->via.array.ptr;
+	const msgpack_object_array *at, *steps;
+
+	out->n_at = 0;
+	out->n_steps = 0;
+	if (!packed_is_array(o, REPORT_FIELDS) ||
+	    !packed_take_uint(&f[0], &out->run) ||
+	    !packed_take_uint(&f[1], &out->seq) ||
+	    !take_positive(&f[2], &out->sent_ms) ||
+	    f[3].type != MSGPACK_OBJECT_ARRAY ||
+	    f[4].type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	at = &f[3].via.array;
+	steps = &f[4].via.array;
+	if (at->size % AT_FIELDS || at->size / AT_FIELDS > ROOM_SERVERS ||
+	    steps->size > ROOM_MODELS)
+		return false;
+	for (uint32_t i = 0; i < at->size; i += AT_FIELDS) {
+		if (!take_at(r, &at->ptr[i]))
+			return false;
+	}
+	for (uint32_t i = 0; i < steps->size; i++) {
+		if (!take_step(r, &steps->ptr[i]))
+			return false;
+	}
+	return true;
+}
+
+enum err room_report_read(const void *data, size_t len,
+			  htab_handle (*server)(void *ctx, const char *id,
+						size_t len),
+			  void *ctx, struct room_report *out)
+{
+	struct report_read r = {server, ctx, out};
+
+	return packed_read(data, len, report_take, &r);
+}
--- a/packages/daemon/test/test_peer_msgs.c
+++ b/packages/daemon/test/test_peer_msgs.c
@@ -13,6 +13,7 @@
 #include "base/rng.h"
 #include "job/home_msg.h"
 #include "proxy_msg.h"
+#include "room/room_msg.h"
 #include "site/relay_msg.h"
 
 enum {
@@ -215,6 +216,73 @@
 	damage(read_relay_ask);
 }
 
+static htab_handle server_of(void *ctx, const char *id, size_t len)
+{
+	return len == 2 && memcmp(id, "s1", 2) == 0 ? 77 : 0;
+}
+
+static void read_room_report(const void *data, size_t len)
+{
+	struct room_report rep;
+
+	room_report_read(data, len, server_of, NULL, &rep);
+}
+
+static void test_room_report(void **state)
+{
+	const struct room_msg_at at[] = {{"s1", 8}, {"s2", 300}};
+	const struct room_report in = {
+		.run = 1700000000000,
+		.seq = 4,
+		.sent_ms = 5000,
+		.steps = {{.model = "m",
+			   .step = 6,
+			   .waiting = 40,
+			   .running = 360,
+			   .events_left = 7000,
+			   .min_version = 5,
+			   .due_in_ms = -1200}},
+		.n_steps = 1,
+	};
+	static struct room_report out;
+
+	room_report_pack(&buf, &in, at, 2);
+	assert_int_equal(
+		room_report_read(buf.data, buf.size, server_of, NULL, &out),
+		ERR_OK);
+	assert_int_equal(out.run, in.run);
+	assert_int_equal(out.seq, 4);
+	assert_int_equal(out.sent_ms, 5000);
+	assert_int_equal(out.n_at, 2);
+	assert_int_equal(out.at[0].server, 77);
+	assert_int_equal(out.at[0].running, 8);
+	assert_int_equal(out.at[1].server, 0);
+	assert_int_equal(out.n_steps, 1);
+	assert_memory_equal(&out.steps[0], &in.steps[0], sizeof(in.steps[0]));
+	damage(read_room_report);
+}
+
+/* A report longer than the table's rows must be refused, not cut. */
+static void test_room_report_bounds(void **state)
+{
+	static struct room_msg_at at[ROOM_SERVERS + 1];
+	static struct room_report rep;
+
+	for (size_t i = 0; i <= ROOM_SERVERS; i++)
+		at[i] = (struct room_msg_at){"s1", 1};
+	room_report_pack(&buf, &rep, at, ROOM_SERVERS + 1);
+	assert_int_equal(
+		room_report_read(buf.data, buf.size, server_of, NULL, &rep),
+		ERR_PARSE);
+	msgpack_sbuffer_clear(&buf);
+	rep = (struct room_report){0};
+	room_report_pack(&buf, &rep, at, ROOM_SERVERS);
+	assert_int_equal(
+		room_report_read(buf.data, buf.size, server_of, NULL, &rep),
+		ERR_OK);
+	assert_int_equal(rep.n_at, ROOM_SERVERS);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -227,6 +295,10 @@
 						teardown),
 		cmocka_unit_test_setup_teardown(test_relay_ask, setup,
 						teardown),
+		cmocka_unit_test_setup_teardown(test_room_report, setup,
+						teardown),
+		cmocka_unit_test_setup_teardown(test_room_report_bounds, setup,
+						teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/job/include/job/job_run.h
+++ b/packages/job/include/job/job_run.h
@@ -183,5 +183,8 @@
 /// Whether every item has a position.
 bool job_run_over(const struct job_run *r);
 
+/// Events that items which wait or are at servers are still expected to make.
+int64_t job_run_left(const struct job_run *r);
+
 /// Items in a step.
 size_t job_run_count(const struct job_run *r, enum job_step step);
--- a/packages/job/src/run_order.c
+++ b/packages/job/src/run_order.c
@@ -26,6 +26,23 @@
 	return it->length_hint > 0 ? it->length_hint : it->tokens;
 }
 
+int64_t job_run_left(const struct job_run *r)
+{
+	static const enum job_step steps[] = {JOB_WAITING, JOB_SENT};
+	int64_t left = 0;
+
+	for (size_t k = 0; k < sizeof(steps) / sizeof(*steps); k++) {
+		for (int i = r->first[steps[k]]; i >= 0; i = r->items[i].next) {
+			int64_t more = weight_of(&r->spec->items[i]) -
+				       (int64_t)r->items[i].text.last_event;
+
+			/* A text that outgrew its hint makes one at least. */
+			left += more > 0 ? more : 1;
+		}
+	}
+	return left;
+}
+
 static int longest_first(const void *a, const void *b)
 {
 	const struct ranked *x = a;
--- a/packages/site/include/site/server.h
+++ b/packages/site/include/site/server.h
@@ -46,6 +46,9 @@
 	int64_t cold_until_ms;
 	int64_t lapsed_ms; ///< entry went during an outage; 0 while it stands
 	int running; ///< this node's requests there
+	int others; ///< requests of other nodes there, by their reports
+	int sent; ///< requests begun less those ended since a choice in claim_round
+	uint32_t claim_round; ///< round of the claims of the last choice
 	int failures; ///< in a row
 	int64_t avoid_until_ms; ///< no work before, unless nothing else is left
 	double pace_ms; ///< between two events of its streams, 0 if not known
@@ -58,6 +61,14 @@
 /// Domains that operators took out, and the servers.
 struct site_servers;
 
+/// Other nodes that send requests of this kind at the same time: each takes its
+/// share of a server's free slots, until reports tell what the others took.
+struct site_claims {
+	int others; ///< count
+	int rank; ///< those of them that may take an odd slot before this node
+	uint32_t round; ///< changes with each report
+};
+
 /// What a request needs of a server.
 struct site_ask {
 	const char *service;
@@ -68,6 +79,7 @@
 	int n_not;
 	bool only_free; ///< only servers with a slot that this node sees free
 	int share; ///< percent of a server's slots that may be busy, 0 for all
+	struct site_claims claims; ///< with only_free
 	double cold_rate; ///< of the service, 0 for none
 	double pace_ms; ///< usual pace of the service, 0 if not known
 };
--- a/packages/site/src/server.c
+++ b/packages/site/src/server.c
@@ -238,6 +238,29 @@
 	return n > 0 || s->entry.slots < 1 ? n : 1;
 }
 
+/* Requests there, those of other nodes too where they matter. */
+static int busy_of(const struct site_server *s, const struct site_ask *ask)
+{
+	return ask->only_free ? s->running + s->others : s->running;
+}
+
+/* Whether this node may take one more slot. Slots that were free at the last report
+ * are shared among the nodes that have samples waiting; those that this node's own
+ * requests leave stay its own, since no other node knows yet that they are free. */
+static bool may_take(const struct site_server *s, const struct site_ask *ask)
+{
+	const struct site_claims *cl = &ask->claims;
+	int slots = slots_for(s, ask);
+	int sent = s->claim_round == cl->round ? s->sent : 0;
+	int claimants = cl->others + 1;
+	int free = slots - (s->running - sent) - s->others;
+
+	if (busy_of(s, ask) >= slots)
+		return false;
+	return !cl->others ||
+	       sent < free / claimants + (cl->rank < free % claimants);
+}
+
 static bool fits(const struct site_servers *t, const struct site_server *s,
 		 int64_t now, const struct site_ask *ask)
 {
@@ -250,8 +273,7 @@
 		if (!v || v < ask->min_version)
 			return false;
 	}
-	if (ask->only_free &&
-	    (s->running >= slots_for(s, ask) || now < s->avoid_until_ms))
+	if (ask->only_free && (!may_take(s, ask) || now < s->avoid_until_ms))
 		return false;
 	return s->cold_until_ms <= now || ask->cold_rate <= 0 ||
 	       cold_credit(s, now, ask->cold_rate) >= 1;
@@ -261,7 +283,7 @@
 		      const struct site_ask *ask)
 {
 	int slots = s->entry.slots > 0 ? s->entry.slots : 1;
-	double load = (double)s->running / slots;
+	double load = (double)busy_of(s, ask) / slots;
 	double slowness;
 
 	if (strcmp(s->entry.domain, ask->domain) != 0)
@@ -297,12 +319,17 @@
 		best->cold_credit = cold_credit(best, now, ask->cold_rate) - 1;
 		best->cold_credit_ms = now;
 	}
+	if (best && best->claim_round != ask->claims.round) {
+		best->claim_round = ask->claims.round;
+		best->sent = 0;
+	}
 	return best;
 }
 
 void site_server_begin(struct site_server *s, int64_t now)
 {
 	s->running++;
+	s->sent++;
 }
 
 void site_server_end(struct site_server *s, int64_t now, bool ok)
@@ -311,6 +338,7 @@
 
 	if (s->running > 0)
 		s->running--;
+	s->sent--;
 	if (ok) {
 		s->failures = 0;
 		s->avoid_until_ms = 0;
