--- a/packages/daemon/src/order/order_mod.c
+++ b/packages/daemon/src/order/order_mod.c
@@ -8,6 +8,7 @@
 #include "core/settings.h"
 #include "daemon/lead_mod.h"
 #include "daemon/mods.h"
+#include "daemon/room_mod.h"
 #include "daemon/site_mod.h"
 #include "daemon/sizing_mod.h"
 #include "order/notice.h"
@@ -163,6 +164,20 @@
 	arena_free(&a);
 }
 
+static void take_need(struct core *c, struct orders *o, const char *model)
+{
+	struct room_need room;
+
+	if (room_mod_need(c, model, &room))
+		rollplan_need(&o->plan, model,
+			      &(struct rollplan_need){
+				      .waiting = room.waiting,
+				      .running = room.running,
+				      .late_ms = room.late_ms,
+				      .at_ms = room.at_ms,
+			      });
+}
+
 static void take_targets(struct core *c, struct orders *o)
 {
 	const char *model;
@@ -170,6 +185,7 @@
 	for (int i = 0; (model = site_mod_model(c, i)); i++) {
 		rollplan_target(&o->plan, model, site_mod_weights(c, model));
 		rollplan_work(&o->plan, model, sizing_mod_work(c, model));
+		take_need(c, o, model);
 	}
 }
 
