--- a/packages/rollplan/src/rollplan.c
+++ b/packages/rollplan/src/rollplan.c
@@ -9,10 +9,9 @@
 	FAILED_AGAIN_MS = 300, ///< after a refusal, before the next order
 	/// Needs come each 200 ms; seven lost in a row are a lost sender.
 	NEED_KEEP_MS = 1500,
-	/// Longest wait after a naming before usable servers are loaded for the
-	/// next one: two rounds of loads fit between it and the next naming of
-	/// a trainer that names a version every 4 s.
-	RESERVE_AFTER_MS = 2000,
+	/// Wait after a naming before usable servers are loaded for the next one:
+	/// the newest step's first samples, its longest, are at servers by then.
+	RESERVE_AFTER_MS = 150,
 };
 
 /* Most by which the work of a model counts more when it is late, reached at one due
@@ -445,20 +444,16 @@
 	}
 }
 
-/* Load pattern: all servers of a model have the same version and samples wait all the
- * time. The second naming from now would leave no server that its step may use, so
- * half of them shall have the named version before the next naming. In the first
- * half of the time between two namings the newest step starts its samples, and
- * loads of stale servers usually make up that half by themselves. */
+/* Load pattern: all servers of a model have the same version, and the model's two open
+ * steps end together, so that it names two versions within a second. Servers that are
+ * not loaded after the first naming are of no use to the step of the second one, whose
+ * longest samples then wait for loads. So half of the servers load at once; what waits
+ * for them are the short samples of the first step. */
 static bool reserve_due(const struct rollplan_model *m,
 			const struct rollplan_count *n, int64_t now)
 {
-	int64_t after = m->gap_ms / 2;
-
-	if (!m->gap_ms || after > RESERVE_AFTER_MS)
-		after = RESERVE_AFTER_MS;
-	return now - m->named_ms >= after && 2 * n->current < n->owned &&
-	       4 * n->loading < n->usable;
+	return now - m->named_ms >= RESERVE_AFTER_MS &&
+	       2 * n->current < n->owned && 2 * n->loading < n->usable;
 }
 
 /* Whether a server is to be loaded now. */
