--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -9,6 +9,7 @@
 #include "job/job_list.h"
 #include "job/job_run.h"
 #include "job/patience.h"
+#include "job/slack.h"
 #include "site/conf.h"
 #include "sse/sse.h"
 #include "wire/wire.h"
@@ -44,6 +45,7 @@
 	int64_t first_ms; ///< of its first event, 0 before
 	int64_t last_ms; ///< of its last event, 0 before the first
 	uint64_t version; ///< weights of the last event
+	bool resumed; ///< it went on after events of another run
 	uint64_t expected; ///< version that the request named, 0 for none
 	bool headed; ///< the answer's head came
 	bool refused; ///< the answer is no stream of events
@@ -79,6 +81,8 @@
 	struct job_spec *spec;
 	struct job_run *run;
 	int64_t work; ///< tokens that its items are expected to make
+	int64_t due_ms; ///< when its results are due
+	uint32_t send_round; ///< round in which nothing more could be sent
 	struct job_at_server *at; ///< an entry an item
 	struct job_reward_call *rewards; ///< an entry an item, NULL for none
 	int64_t begun_ms; ///< when this node began to run it
@@ -123,6 +127,8 @@
 	bool own_looked; ///< batches of this node's earlier process were sought
 	bool draining;
 	struct homes *homes; ///< questions to homes
+	struct job_pace pace; ///< of the samples of all batches
+	uint32_t send_round; ///< of sending by slack
 	struct job_result *scratch; ///< for flushes
 	size_t scratch_cap;
 	struct {
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -16,7 +16,6 @@
 	/// Longest wait for the first event: an engine queues a few requests,
 	/// and a place there comes free every some 100 ms.
 	RUN_FIRST_MS = 1500,
-	WAITING_LOG_MS = 1000, ///< between two lines about items that wait
 	RUN_CONNECT_MS = 500, ///< to connect to an engine
 };
 
@@ -95,6 +94,8 @@
 		return ERR_NOMEM;
 	}
 	j->work = job_spec_work(spec);
+	j->due_ms = opts.due_ms;
+	j->send_round = jobs_of(c)->send_round;
 	job_run_listed(j->run, &j->list);
 	j->spec = spec;
 	j->running = true;
@@ -363,6 +364,10 @@
 	if (how == JOB_RUN_NOT_RUN)
 		metric_add(M_ITEM_NOT_RUN, 1);
 	histogram_add(H_ITEM, core_now(c) - at->sent_ms);
+	if (how == JOB_RUN_WHOLE && !at->resumed)
+		job_pace_note(&jobs_of(c)->pace,
+			      job_item_length(&j->spec->items[at->item]),
+			      core_now(c) - at->sent_ms);
 	server_ok = how == JOB_RUN_WHOLE || how == JOB_RUN_IMPOSSIBLE;
 	if (is_rejection(c, at, how))
 		note_rejection(c, at);
@@ -431,6 +436,7 @@
 		.server = s->self,
 		.sent_ms = core_now(c),
 		.servers_age_ms = site_mod_servers_age(c),
+		.resumed = run.resume_after > 0,
 		.expected = run.expect_version,
 	};
 	if (at->expected)
@@ -449,93 +455,3 @@
 	job_run_sent(j->run, item);
 	return true;
 }
-
-/* Service that the batch's route names now; batches go to one service. */
-static const char *service_of(struct core *c, struct job *j)
-{
-	const struct site_route *route = job_route(c, j);
-
-	return route && route->n_targets ? route->targets[0].service : NULL;
-}
-
-/* What an item of the batch needs of a server. */
-bool job_ask_of(struct core *c, struct job *j, struct site_ask *ask)
-{
-	const struct site_conf *conf = site_mod_conf(c);
-	const struct site_service *svc;
-
-	*ask = (struct site_ask){
-		.service = conf ? service_of(c, j) : NULL,
-		.model = j->spec->model,
-		.min_version = j->spec->min_version,
-		.domain = core_domain(c),
-		.only_free = true,
-	};
-	if (!ask->service)
-		return false;
-	svc = site_conf_service(conf, ask->service);
-	ask->cold_rate = svc ? svc->cold_rate / JOB_COLD_SENDERS : 0;
-	ask->pace_ms = site_servers_pace(site_mod_servers(c), ask->service,
-					 core_now(c));
-	room_mod_share(c, ask->model, j->begun_ms, ask);
-	return true;
-}
-
-/* Servers that an item could go to if they had a free place. */
-static int count_fitting(struct core *c, const struct site_ask *ask)
-{
-	const struct site_servers *t = site_mod_servers(c);
-	const struct site_server *s;
-	size_t iter = 0;
-	int n = 0;
-
-	while ((s = site_servers_next(t, &iter)))
-		n += strcmp(s->entry.service, ask->service) == 0 &&
-		     site_server_usable(t, s) &&
-		     site_server_has(s, core_now(c), ask->model,
-				     ask->min_version);
-	return n;
-}
-
-/* Say now and then why items wait. */
-static void log_waiting(struct core *c, struct job *j,
-			const struct site_ask *ask)
-{
-	if (core_now(c) < j->waiting_next_ms)
-		return;
-	j->waiting_next_ms = core_now(c) + WAITING_LOG_MS;
-	log_event(EV_JOB_WAITING,
-		  "batch=%s waiting=%zu at=%zu servers=%d model=%s "
-		  "min_version=%llu named=%llu",
-		  j->id, job_run_count(j->run, JOB_WAITING),
-		  job_run_count(j->run, JOB_SENT), count_fitting(c, ask),
-		  ask->model, (unsigned long long)ask->min_version,
-		  (unsigned long long)site_mod_weights(c, ask->model));
-}
-
-void job_send_step(struct core *c, struct job *j)
-{
-	struct site_ask ask;
-	int item;
-
-	/* Items are sent on what is known of servers and routes as long as keys
-	 * may be trusted on it too: an item may run twice, if another node takes
-	 * the batch over meanwhile. */
-	if (!j->running || j->owner.ended || jobs_of(c)->draining ||
-	    !site_mod_fresh(c) || !site_mod_current(c))
-		return;
-	if (!job_ask_of(c, j, &ask)) {
-		job_run_give_up(j->run);
-		job_run_next(j->run, core_now(c));
-		return;
-	}
-	while ((item = job_run_next(j->run, core_now(c))) >= 0) {
-		struct site_server *s = site_servers_choose(site_mod_servers(c),
-							    core_now(c), &ask);
-
-		if (!s)
-			log_waiting(c, j, &ask);
-		if (!s || !job_send_item(c, j, item, s))
-			return;
-	}
-}
--- /dev/null
+++ b/packages/daemon/src/job/send.c
@@ -0,0 +1,180 @@
+// Sends the items that wait: of the batches of this node, those with the least slack
+// first.
+#include <string.h>
+
+#include "base/log.h"
+#include "daemon/room_mod.h"
+#include "daemon/site_mod.h"
+#include "job/run.h"
+
+enum {
+	WAITING_LOG_MS = 1000, ///< between two lines about items that wait
+};
+
+/* Service that the batch's route names now; batches go to one service. */
+static const char *service_of(struct core *c, struct job *j)
+{
+	const struct site_route *route = job_route(c, j);
+
+	return route && route->n_targets ? route->targets[0].service : NULL;
+}
+
+/* What an item of the batch needs of a server. */
+bool job_ask_of(struct core *c, struct job *j, struct site_ask *ask)
+{
+	const struct site_conf *conf = site_mod_conf(c);
+	const struct site_service *svc;
+
+	*ask = (struct site_ask){
+		.service = conf ? service_of(c, j) : NULL,
+		.model = j->spec->model,
+		.min_version = j->spec->min_version,
+		.domain = core_domain(c),
+		.only_free = true,
+	};
+	if (!ask->service)
+		return false;
+	svc = site_conf_service(conf, ask->service);
+	ask->cold_rate = svc ? svc->cold_rate / JOB_COLD_SENDERS : 0;
+	ask->pace_ms = site_servers_pace(site_mod_servers(c), ask->service,
+					 core_now(c));
+	room_mod_share(c, ask->model, j->begun_ms, ask);
+	return true;
+}
+
+/* Servers that an item could go to if they had a free place. */
+static int count_fitting(struct core *c, const struct site_ask *ask)
+{
+	const struct site_servers *t = site_mod_servers(c);
+	const struct site_server *s;
+	size_t iter = 0;
+	int n = 0;
+
+	while ((s = site_servers_next(t, &iter)))
+		n += strcmp(s->entry.service, ask->service) == 0 &&
+		     site_server_usable(t, s) &&
+		     site_server_has(s, core_now(c), ask->model,
+				     ask->min_version);
+	return n;
+}
+
+/* Say now and then why items wait. */
+static void log_waiting(struct core *c, struct job *j,
+			const struct site_ask *ask)
+{
+	if (core_now(c) < j->waiting_next_ms)
+		return;
+	j->waiting_next_ms = core_now(c) + WAITING_LOG_MS;
+	log_event(EV_JOB_WAITING,
+		  "batch=%s waiting=%zu at=%zu servers=%d model=%s "
+		  "min_version=%llu named=%llu",
+		  j->id, job_run_count(j->run, JOB_WAITING),
+		  job_run_count(j->run, JOB_SENT), count_fitting(c, ask),
+		  ask->model, (unsigned long long)ask->min_version,
+		  (unsigned long long)site_mod_weights(c, ask->model));
+}
+
+static bool may_send(const struct job *j)
+{
+	return j->running && !j->owner.ended;
+}
+
+static int64_t slack_of(struct core *c, const struct job *j, int item)
+{
+	return job_slack(&jobs_of(c)->pace, core_now(c), j->due_ms,
+			 job_item_length(&j->spec->items[item]));
+}
+
+/* Send items of a batch while servers are free and none of another batch has less
+ * slack.
+ *
+ * @param slack  least of the other batches
+ * @return false if nothing more of it can be sent now */
+static bool send_some(struct core *c, struct job *j, int64_t slack)
+{
+	struct site_ask ask;
+	int item;
+
+	if (!job_ask_of(c, j, &ask)) {
+		job_run_give_up(j->run);
+		job_run_next(j->run, core_now(c));
+		return false;
+	}
+	while ((item = job_run_next(j->run, core_now(c))) >= 0) {
+		struct site_server *s;
+
+		if (slack_of(c, j, item) > slack)
+			return true;
+		s = site_servers_choose(site_mod_servers(c), core_now(c), &ask);
+		if (!s)
+			log_waiting(c, j, &ask);
+		if (!s || !job_send_item(c, j, item, s))
+			return false;
+	}
+	return false;
+}
+
+/* Batch whose next item has the least slack, among those that something can be sent of
+ * in this round.
+ *
+ * @param but          batch to leave out, NULL for none
+ * @param[out] slack   INT64_MAX if there is none */
+static struct job *most_urgent(struct core *c, const struct job *but,
+			       int64_t *slack)
+{
+	struct jobs *jobs = jobs_of(c);
+	struct job *best = NULL;
+	struct job *j;
+	size_t iter = 0;
+
+	*slack = INT64_MAX;
+	while ((j = htab_next(jobs->jobs, &iter, NULL))) {
+		int item;
+		int64_t s;
+
+		if (j == but || !may_send(j) ||
+		    j->send_round == jobs->send_round)
+			continue;
+		item = job_run_next(j->run, core_now(c));
+		if (item < 0)
+			continue;
+		s = slack_of(c, j, item);
+		if (best && s >= *slack)
+			continue;
+		best = j;
+		*slack = s;
+	}
+	return best;
+}
+
+/* Each pass sends an item or leaves a batch out of the round. */
+static void send_by_slack(struct core *c)
+{
+	struct jobs *jobs = jobs_of(c);
+	int64_t slack, others;
+	struct job *j;
+
+	jobs->send_round++;
+	while ((j = most_urgent(c, NULL, &slack))) {
+		most_urgent(c, j, &others);
+		if (!send_some(c, j, others))
+			j->send_round = jobs->send_round;
+	}
+}
+
+void job_send_step(struct core *c, struct job *j)
+{
+	const char *service;
+
+	/* Items are sent on what is known of servers and routes as long as keys
+	 * may be trusted on it too: an item may run twice, if another node takes
+	 * the batch over meanwhile. */
+	if (!may_send(j) || jobs_of(c)->draining || !site_mod_fresh(c) ||
+	    !site_mod_current(c))
+		return;
+	service = site_mod_conf(c) ? service_of(c, j) : NULL;
+	if (service && site_mod_shares(c, service))
+		send_by_slack(c);
+	else
+		send_some(c, j, INT64_MAX);
+}
--- a/packages/job/src/run_order.c
+++ b/packages/job/src/run_order.c
@@ -20,12 +20,6 @@
 	return strcmp(x->id, y->id);
 }
 
-/* Expected length, for the order: the hint if there is one. */
-static int64_t weight_of(const struct job_item *it)
-{
-	return it->length_hint > 0 ? it->length_hint : it->tokens;
-}
-
 int64_t job_run_left(const struct job_run *r)
 {
 	static const enum job_step steps[] = {JOB_WAITING, JOB_SENT};
@@ -85,7 +79,7 @@
 	for (size_t i = 0; i < n; i++) {
 		const struct job_item *it = &r->spec->items[i];
 
-		list[i] = (struct ranked){(int)i, weight_of(it), it->group,
+		list[i] = (struct ranked){(int)i, job_item_length(it), it->group,
 					  it->id};
 	}
 	qsort(list, n, sizeof(*list), by_group);
--- /dev/null
+++ b/packages/job/test/test_slack.c
@@ -0,0 +1,74 @@
+// Which of several open steps gets a slot that becomes free.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "base/rng.h"
+#include "job/slack.h"
+
+enum {
+	DUE_MS = 7500,
+	MS_PER_TOKEN = 2,
+	SHORT = 500, ///< tokens expected of a short sample
+	LONG = 3200,
+};
+
+static void learn(struct job_pace *p, struct rng *rng)
+{
+	for (int i = 0; i < 400; i++) {
+		int64_t length = 400 + (int64_t)(rng_next(rng) % 3000);
+
+		/* A hint is off by up to a factor of two. */
+		job_pace_note(
+			p, length * (50 + (int64_t)(rng_next(rng) % 150)) / 100,
+			length * MS_PER_TOKEN);
+	}
+}
+
+/* The long samples of the step that began last must not wait behind the short ones of
+ * the step before. */
+static void test_long_samples_of_the_next_step_first(void **state)
+{
+	struct rng rng = {.state = 7};
+	struct job_pace p = {0};
+
+	learn(&p, &rng);
+	assert_true(job_slack(&p, 1000, 1000 + DUE_MS, LONG) <
+		    job_slack(&p, 1000, DUE_MS, SHORT));
+	/* Of equally long ones, those that are due first. */
+	assert_true(job_slack(&p, 1000, DUE_MS, SHORT) <
+		    job_slack(&p, 1000, 1000 + DUE_MS, SHORT));
+}
+
+/* Short samples that waited too long are not passed over for good. */
+static void test_waiting_makes_urgent(void **state)
+{
+	struct rng rng = {.state = 8};
+	struct job_pace p = {0};
+
+	learn(&p, &rng);
+	assert_true(job_slack(&p, 7000, DUE_MS, SHORT) <
+		    job_slack(&p, 7000, 6800 + DUE_MS, LONG));
+}
+
+/* Before the first sample is whole only the due time counts. */
+static void test_unknown_pace(void **state)
+{
+	const struct job_pace p = {0};
+
+	assert_int_equal(job_slack(&p, 100, DUE_MS, LONG), DUE_MS - 100);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_long_samples_of_the_next_step_first),
+		cmocka_unit_test(test_waiting_makes_urgent),
+		cmocka_unit_test(test_unknown_pace),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
