--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -94,7 +94,6 @@
 		return ERR_NOMEM;
 	}
 	j->work = job_spec_work(spec);
-	j->due_ms = opts.due_ms;
 	j->send_round = jobs_of(c)->send_round;
 	job_run_listed(j->run, &j->list);
 	j->spec = spec;
--- a/packages/job/src/run_order.c
+++ b/packages/job/src/run_order.c
@@ -27,7 +27,7 @@
 
 	for (size_t k = 0; k < sizeof(steps) / sizeof(*steps); k++) {
 		for (int i = r->first[steps[k]]; i >= 0; i = r->items[i].next) {
-			int64_t more = weight_of(&r->spec->items[i]) -
+			int64_t more = job_item_length(&r->spec->items[i]) -
 				       (int64_t)r->items[i].text.last_event;
 
 			/* A text that outgrew its hint makes one at least. */
