--- a/test/hosted/hosted.c
+++ b/test/hosted/hosted.c
@@ -139,6 +139,13 @@
 			     (json_int_t)version));
 }
 
+void hosted_name_other(struct hosted *h, uint64_t version)
+{
+	hosted_put(h, "op/version/m2",
+		   json_pack("{s:s,s:I}", "model", "m2", "version",
+			     (json_int_t)version));
+}
+
 int hosted_runs(struct hosted *h, const char *id)
 {
 	int n = 0;
--- a/test/hosted/hosted.h
+++ b/test/hosted/hosted.h
@@ -57,6 +57,8 @@
 	bool drips; ///< of an engine: sends comments and no event, without end
 	int running;
 	uint64_t version; ///< of the model "m"
+	uint64_t next_version; ///< that it loads, with hosted.load_ms
+	int64_t loaded_ms; ///< when it has that, 0 for none
 	uint64_t last_epoch; ///< of an order
 	int stale_orders; ///< with a lower epoch than one before
 	struct MHD_Daemon *http;
@@ -73,6 +75,11 @@
 	json_t *reports; ///< window to counts
 	int clashes; ///< windows that were reported with different counts
 	uint64_t conf_version;
+	/// Orders are answered at once, and an engine rejects runs for so long then;
+	/// its entry is not published. 0: it answers when it has the version.
+	int load_ms;
+	int loading_rejects; ///< runs rejected by loading engines
+	int version_rejects; ///< runs rejected for lack of the version they name
 	int event_ms; ///< between two events of a stream
 	enum hosted_rating rating;
 	int odd_ratings; ///< so many calls get it, then HOSTED_RATE
@@ -114,6 +121,9 @@
 /// Name a version of the model "m".
 void hosted_name_version(struct hosted *h, uint64_t version);
 
+/// Name a version of another model, which no engine has.
+void hosted_name_other(struct hosted *h, uint64_t version);
+
 /// Publish a server's entry as it is now.
 void hosted_publish(struct hosted *h, struct hosted_server *s);
 
--- a/test/hosted/nodes.h
+++ b/test/hosted/nodes.h
@@ -28,6 +28,7 @@
 	struct hosted *h;
 	int n;
 	int n_entry; ///< the first ones take callers, the others may lead
+	const char *settings; ///< further lines of each settings file, or NULL
 	struct node list[NODES_MAX];
 };
 
--- a/test/hosted/server.c
+++ b/test/hosted/server.c
@@ -195,14 +195,40 @@
 	return run;
 }
 
+/* Status with which an engine rejects a run, 0 if it takes it. */
+static int rejects(struct hosted_server *s, struct MHD_Connection *conn)
+{
+	uint64_t expect =
+		strtoull(field(conn, "X-Catkinpath-Expect-Version"), NULL, 10);
+	int status = 0;
+
+	pthread_mutex_lock(&s->h->lock);
+	if (s->loaded_ms && clock_now_ms() >= s->loaded_ms) {
+		s->version = s->next_version;
+		s->loaded_ms = 0;
+	}
+	if (expect && expect != s->version) {
+		s->h->version_rejects++;
+		status = 421;
+	} else if (s->loaded_ms) {
+		s->h->loading_rejects++;
+		status = 503;
+	}
+	pthread_mutex_unlock(&s->h->lock);
+	return status;
+}
+
 static enum MHD_Result run_item(struct hosted_server *s,
 				struct MHD_Connection *conn, const char *id)
 {
 	static const char *const not_run[] = {"X-Catkinpath-Not-Run", "1",
 					      NULL};
 
-	int run = take_place(s, conn, id);
+	int status = rejects(s, conn);
+	int run = status ? -1 : take_place(s, conn, id);
 
+	if (status)
+		return body_answer(conn, (unsigned int)status, "", not_run);
 	if (run < 0)
 		return body_answer(conn, 503, "", not_run);
 	return send_stream(s, conn, id, run);
@@ -331,14 +357,22 @@
 		(uint64_t)json_integer_value(json_object_get(obj, "fence"));
 	uint64_t version =
 		(uint64_t)json_integer_value(json_object_get(obj, "version"));
+	int load_ms;
 
 	pthread_mutex_lock(&s->h->lock);
 	s->stale_orders +=
 		epoch < s->last_epoch && clock_now_ms() > s->h->excuse_until_ms;
 	if (epoch > s->last_epoch)
 		s->last_epoch = epoch;
+	load_ms = s->h->load_ms;
+	if (load_ms) {
+		s->next_version = version;
+		s->loaded_ms = clock_now_ms() + load_ms;
+	}
 	pthread_mutex_unlock(&s->h->lock);
 	json_decref(obj);
+	if (load_ms)
+		return body_answer(conn, 202, "", NULL);
 	pause_ms(LOAD_MS);
 	pthread_mutex_lock(&s->h->lock);
 	s->version = version;
