--- a/packages/daemon/include/daemon/job_mod.h
+++ b/packages/daemon/include/daemon/job_mod.h
@@ -33,7 +33,8 @@
 	int running; ///< items at servers
 	int64_t events_left; ///< that these are expected to make
 	uint64_t min_version;
-	int64_t due_ms; ///< clock_now_ms() time at which results are due
+	int64_t due_ms; ///< clock_now_ms() time at which results are due,
+		///< INT64_MAX if the route does not say
 };
 
 /// Next batch that this node runs and that needs servers for generations.
--- a/packages/daemon/src/job/job_mod.c
+++ b/packages/daemon/src/job/job_mod.c
@@ -285,7 +285,7 @@
 			.running = (int)job_run_count(j->run, JOB_SENT),
 			.events_left = job_run_left(j->run),
 			.min_version = j->spec->min_version,
-			.due_ms = j->due_ms,
+			.due_ms = r->results_due_ms ? j->due_ms : INT64_MAX,
 		};
 		if (out->waiting || out->running)
 			return true;
--- a/packages/daemon/src/room/room_mod.c
+++ b/packages/daemon/src/room/room_mod.c
@@ -88,6 +88,16 @@
 			  z->n_services > 0, z->n_services, (long long)from);
 }
 
+/* Time that is left to a due time, within what a message holds. */
+static int64_t time_left(struct core *c, int64_t due_ms)
+{
+	int64_t left = due_ms - core_now(c);
+
+	if (left > INT32_MAX)
+		return INT32_MAX;
+	return left < -INT32_MAX ? -INT32_MAX : left;
+}
+
 /* Open steps of this node. */
 static void own_steps(struct core *c, const struct room_state *z,
 		      struct room_report *rep)
@@ -98,12 +108,12 @@
 	rep->n_steps = 0;
 	while (job_mod_open(c, &iter, &open)) {
 		struct room_step step = {
-			.step = open.step,
+			.step = open.step > 0 ? open.step : 0,
 			.waiting = open.waiting,
 			.running = open.running,
 			.events_left = open.events_left,
 			.min_version = open.min_version,
-			.due_in_ms = open.due_ms - core_now(c),
+			.due_in_ms = time_left(c, open.due_ms),
 		};
 
 		if (strlen(open.model) >= ROOM_NAME ||
--- a/packages/daemon/src/room/room_msg.c
+++ b/packages/daemon/src/room/room_msg.c
@@ -107,8 +107,8 @@
 
 	return packed_is_array(o, STEP_FIELDS) && take_name(&f[0], s->model) &&
 	       take_positive(&f[1], &s->step) &&
-	       take_count(&f[2], INT16_MAX, &s->waiting) &&
-	       take_count(&f[3], INT16_MAX, &s->running) &&
+	       take_count(&f[2], ROOM_SAMPLES_MAX, &s->waiting) &&
+	       take_count(&f[3], ROOM_SAMPLES_MAX, &s->running) &&
 	       take_positive(&f[4], &s->events_left) &&
 	       packed_take_uint(&f[5], &s->min_version) &&
 	       take_span(&f[6], &s->due_in_ms);
--- a/packages/room/include/room/room.h
+++ b/packages/room/include/room/room.h
@@ -18,6 +18,8 @@
 	ROOM_SERVERS = 512, ///< servers of a report
 	ROOM_MODELS = 16, ///< models of a report
 	ROOM_RUNNING_MAX = 65535, ///< requests of a node at a server
+	/// Samples of a node in a step's row: sums over all nodes fit an int.
+	ROOM_SAMPLES_MAX = 1 << 24,
 	/// Seven reports of 200 ms: a lost home's slots are free for others soon,
 	/// and a few lost reports change nothing.
 	ROOM_KEEP_MS = 1500,
@@ -108,10 +110,9 @@
 
 /// Need of a model.
 ///
-/// @param own      open steps of this node
-/// @param n_own    count
-/// @param own_ms   time of them
-/// @param[out] out need; zero for a model that no report names
+/// @param own       open steps of this node, as of now
+/// @param n_own     count
+/// @param[out] out  need; zero for a model that no report names
 /// @return false if there is no report, and no open step of this node
 bool room_need(const struct room *r, int64_t now, const char *model,
 	       const struct room_step *own, size_t n_own,
--- a/test/hosted/nodes.c
+++ b/test/hosted/nodes.c
@@ -35,10 +35,11 @@
 		"[peer]\nlisten = %s:%d\n[upstream]\nsource = %s\n"
 		"[platform]\nwire = hosted\nurl = http://%s:%d\n"
 		"timeout = 800ms\n"
-		"[lead]\ncandidate = %d\n[tally]\nwindow = 1s\nsettle = 900ms\n",
+		"[lead]\ncandidate = %d\n[tally]\nwindow = 1s\nsettle = 900ms\n"
+		"[engines]\nshare_from = %d\n",
 		n->id, i % 2 + 1, n->ip, NODE_FRONT_PORT, n->ip,
 		NODE_READY_PORT, n->ip, NODE_PEER_PORT, n->ip, ns->h->ip,
-		n->store_port, !is_entry(ns, i));
+		n->store_port, !is_entry(ns, i), ns->share_from);
 	return fclose(f) == 0;
 }
 
@@ -239,6 +240,30 @@
 	curl_easy_cleanup(e);
 }
 
+long node_metric(const struct nodes *ns, int i, const char *name)
+{
+	struct answer a = {0};
+	CURL *e = curl_easy_init();
+	char url[128], line[128];
+	const char *at;
+	long value = -1;
+
+	snprintf(url, sizeof(url), "http://%s:%d/metrics", ns->list[i].ip,
+		 NODE_READY_PORT);
+	snprintf(line, sizeof(line), "\n%s ", name);
+	curl_easy_setopt(e, CURLOPT_URL, url);
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, &a);
+	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, 500L);
+	curl_easy_perform(e);
+	curl_easy_cleanup(e);
+	at = a.body ? strstr(a.body, line) : NULL;
+	if (at)
+		value = strtol(at + strlen(line), NULL, 10);
+	answer_free(&a);
+	return value;
+}
+
 void answer_free(struct answer *a)
 {
 	free(a->body);
--- a/test/hosted/nodes.h
+++ b/test/hosted/nodes.h
@@ -28,6 +28,7 @@
 	struct hosted *h;
 	int n;
 	int n_entry; ///< the first ones take callers, the others may lead
+	int share_from; ///< [engines] share_from
 	struct node list[NODES_MAX];
 };
 
@@ -73,6 +74,11 @@
 		  const char *path, const char *key, const char *id,
 		  const char *body, struct answer *out);
 
+/// Value of a metric of a node.
+///
+/// @return value, -1 if the node does not answer or has no such metric
+long node_metric(const struct nodes *ns, int i, const char *name);
+
 /// Body of a batch of items "ID.0", "ID.1", ... in groups of two.
 char *batch_body(const char *id, int items, int min_version);
 
--- /dev/null
+++ b/test/hosted/test_hosted_room.c
@@ -0,0 +1,86 @@
+// Reports of requests at engines among whole daemons: homes learn what others run,
+// and forget what a lost one ran.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "batches.h"
+
+enum {
+	BATCH_MS = 30000, ///< for a batch to be whole, with a lost node
+	/// Reports of nodes that have no batch any more count for 1.5 s.
+	KNOWN_MS = 3000,
+	/// Reports count for 1.5 s; the rest is for a loaded machine.
+	EXPIRED_MS = 2500,
+	EVENT_MS = 60, ///< the longest items take 3.6 s
+};
+
+static struct hosted h;
+static struct nodes ns;
+static int other; ///< home that does not run the batch
+
+static int setup(void **state)
+{
+	if (!hosted_start(&h))
+		return -1;
+	/* Reports are off with a single model. */
+	hosted_name_version(&h, 1);
+	hosted_put(&h, "op/version/n",
+		   json_pack("{s:s,s:i}", "model", "n", "version", 1));
+	nodes_init(&ns, &h, NODES, NODES_ENTRY);
+	ns.share_from = HOSTED_ENGINES;
+	return nodes_run(&ns) ? 0 : -1;
+}
+
+static int teardown(void **state)
+{
+	nodes_stop(&ns);
+	hosted_stop(&h);
+	return 0;
+}
+
+static bool known(void *ctx)
+{
+	return node_metric(&ns, other, "catkinpath_room_nodes") == 1;
+}
+
+static bool unknown(void *ctx)
+{
+	return node_metric(&ns, other, "catkinpath_room_nodes") == 0;
+}
+
+static void test_home_learns_and_forgets(void **state)
+{
+	int owner;
+
+	batch_wait_homes(&ns, clock_now_ms() + BATCH_MS);
+	h.event_ms = EVENT_MS;
+	batch_submit(&ns, "L1", 0, 1);
+	owner = batch_owner(&ns, "L1");
+	assert_in_range(owner, NODES_ENTRY, NODES - 1);
+	other = NODES_ENTRY + (owner == NODES_ENTRY);
+	assert_true(wait_until(known, NULL, KNOWN_MS));
+	assert_true(node_metric(&ns, other, "catkinpath_room_taken_total") > 0);
+	/* An entry node sends reports only while it runs batches, and takes none. */
+	assert_int_equal(node_metric(&ns, 0, "catkinpath_room_nodes"), 0);
+	proc_kill(&ns.list[owner].proc);
+	assert_true(wait_until(unknown, NULL, EXPIRED_MS));
+	assert_true(node_start(&ns, owner));
+	json_decref(batch_read_all(&ns, "L1", clock_now_ms() + BATCH_MS));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_home_learns_and_forgets),
+	};
+
+	return cmocka_run_group_tests(tests, setup, teardown);
+}
