feat(job): samples of groups that the trainer does not wait for come last

A trainer goes on with a share of its groups, and where slots are short each sample of the others delayed it. Samples of groups that have more samples waiting than as many groups as the trainer waits for now start last, and after them those of groups that lost a sample for good.

A test also pins that nothing is started past the time at which items may be given up, which held before.

--- a/packages/job/src/job_run.c
+++ b/packages/job/src/job_run.c
@@ -27,8 +27,11 @@
 	r->order = calloc(spec->n_items + 1, sizeof(*r->order));
 	r->open = calloc(spec->n_items + 1, sizeof(*r->open));
 	r->by_id = calloc(spec->n_items + 1, sizeof(*r->by_id));
-	if (!r->items || !r->order || !r->open || !r->by_id ||
-	    run_order(r) != ERR_OK) {
+	r->unsent = calloc(spec->n_items + 1, sizeof(*r->unsent));
+	r->spoilt = calloc(spec->n_items + 1, sizeof(*r->spoilt));
+	r->by_unsent = calloc(spec->n_items + 1, sizeof(*r->by_unsent));
+	if (!r->items || !r->order || !r->open || !r->by_id || !r->unsent ||
+	    !r->spoilt || !r->by_unsent || run_order(r) != ERR_OK) {
 		job_run_free(r);
 		return NULL;
 	}
@@ -53,6 +56,9 @@
 	free(r->order);
 	free(r->open);
 	free(r->by_id);
+	free(r->unsent);
+	free(r->spoilt);
+	free(r->by_unsent);
 	free(r);
 }
 
@@ -62,8 +68,10 @@
 	run_step(r, it, JOB_READY);
 	it->given_up = given_up;
 	it->ready_ms = now;
-	if (given_up)
+	if (given_up) {
 		drop_text(it);
+		run_spoil(r, it->group);
+	}
 }
 
 static const struct job_item *spec_of(const struct job_run *r,
@@ -83,11 +91,14 @@
 		run_ready(r, it, now, false);
 }
 
-static void set_listed(struct job_run *r, struct run_item *it)
+static void set_listed(struct job_run *r, struct run_item *it,
+		       enum job_state state)
 {
 	if (it->step == JOB_LISTED)
 		return;
 	run_step(r, it, JOB_LISTED);
+	if (state == JOB_ABANDONED)
+		run_spoil(r, it->group);
 	drop_text(it);
 }
 
@@ -95,26 +106,48 @@
 {
 	for (; r->listed < list->n; r->listed++) {
 		size_t n;
-		size_t at = run_find(r, list->results[r->listed].id, &n);
+		const struct job_result *res = &list->results[r->listed];
+		size_t at = run_find(r, res->id, &n);
 
 		for (size_t i = at; i < at + n; i++)
-			set_listed(r, &r->items[r->by_id[i]]);
+			set_listed(r, &r->items[r->by_id[i]], res->state);
 	}
 }
 
+/* Rank of an item's group in the order of the start. */
+enum group_rank {
+	GROUP_NEAR, ///< among those that the trainer will have first
+	GROUP_FAR,
+	GROUP_SPOILT, ///< never complete
+	GROUP_RANKS,
+};
+
+static enum group_rank rank_of(const struct job_run *r, int group, int near)
+{
+	if (r->spoilt[group])
+		return GROUP_SPOILT;
+	return r->unsent[group] <= near ? GROUP_NEAR : GROUP_FAR;
+}
+
 int job_run_next(struct job_run *r, int64_t now)
 {
+	int first[GROUP_RANKS] = {-1, -1, -1};
+	int near = run_near(r);
+
 	for (size_t i = 0; i < r->spec->n_items; i++) {
 		struct run_item *it = &r->items[r->order[i]];
+		enum group_rank rank = rank_of(r, it->group, near);
 
 		if (it->step != JOB_WAITING)
 			continue;
 		if (now >= r->opts.give_up_ms)
 			run_ready(r, it, now, true);
-		else if (now >= it->not_before_ms)
-			return r->order[i];
+		else if (now >= it->not_before_ms && first[rank] < 0)
+			first[rank] = r->order[i];
+		if (first[GROUP_NEAR] >= 0)
+			return first[GROUP_NEAR];
 	}
-	return -1;
+	return first[GROUP_FAR] >= 0 ? first[GROUP_FAR] : first[GROUP_SPOILT];
 }
 
 enum err job_run_sent(struct job_run *r, int item)
--- a/packages/job/src/run_state.h
+++ b/packages/job/src/run_state.h
@@ -26,6 +26,9 @@
 	struct run_item *items;
 	int *order; ///< items, those to be started first in front
 	int *open; ///< at a group's first item: items that are not over yet
+	int *unsent; ///< at a group's first item: items that wait
+	bool *spoilt; ///< at a group's first item: an item was given up
+	int *by_unsent; ///< groups with so many items that wait, spoilt ones apart
 	int groups; ///< of the batch
 	int groups_over; ///< all of whose items are over
 	size_t count[JOB_STEPS]; ///< items in each step
@@ -47,6 +50,13 @@
 /// @return place of the first in by_id
 size_t run_find(const struct job_run *r, const char *id, size_t *n);
 
+/// A group can't be complete any more.
+void run_spoil(struct job_run *r, int group);
+
+/// Most items that may wait in a group for it to be among those nearest to
+/// completion, as many as the trainer waits for.
+int run_near(const struct job_run *r);
+
 /// Put all items into the first step.
 void run_steps_init(struct job_run *r);
 
--- a/packages/job/src/run_step.c
+++ b/packages/job/src/run_step.c
@@ -1,6 +1,37 @@
 // The steps of a batch's items: a list of items each.
 #include "run_state.h"
 
+/* Count a group among those with as many items that wait as it has. */
+static void count_unsent(struct job_run *r, int group, int by)
+{
+	if (!r->spoilt[group])
+		r->by_unsent[r->unsent[group]] += by;
+}
+
+void run_spoil(struct job_run *r, int group)
+{
+	count_unsent(r, group, -1);
+	r->spoilt[group] = true;
+}
+
+int run_near(const struct job_run *r)
+{
+	int target = r->spec->target_groups;
+	int most = (int)r->spec->n_items;
+	int groups = 0;
+
+	/* A text of one version begins anew when its run breaks off: a sample that
+	 * comes last is then late more often than the order saves. */
+	if (target < 1 || target >= r->groups || r->opts.one_version)
+		return most;
+	for (int n = 0; n < most; n++) {
+		groups += r->by_unsent[n];
+		if (groups >= target)
+			return n;
+	}
+	return most;
+}
+
 static void step_add(struct job_run *r, struct run_item *it, enum job_step step)
 {
 	int i = (int)(it - r->items);
@@ -33,8 +64,14 @@
 {
 	for (int s = 0; s < JOB_STEPS; s++)
 		r->first[s] = r->last[s] = -1;
-	for (size_t i = 0; i < r->spec->n_items; i++)
+	for (size_t i = 0; i < r->spec->n_items; i++) {
 		step_add(r, &r->items[i], JOB_WAITING);
+		r->unsent[r->items[i].group]++;
+	}
+	for (size_t i = 0; i < r->spec->n_items; i++) {
+		if (r->items[i].group == (int)i)
+			count_unsent(r, (int)i, 1);
+	}
 }
 
 void run_step(struct job_run *r, struct run_item *it, enum job_step step)
@@ -44,6 +81,10 @@
 
 	*open += (step < JOB_READY) - (it->step < JOB_READY);
 	r->groups_over += !*open - !before;
+	count_unsent(r, it->group, -1);
+	r->unsent[it->group] +=
+		(step == JOB_WAITING) - (it->step == JOB_WAITING);
+	count_unsent(r, it->group, 1);
 	step_remove(r, it);
 	step_add(r, it, step);
 }
--- /dev/null
+++ b/packages/job/test/test_order.c
@@ -0,0 +1,219 @@
+// Which samples of a batch start first when slots are few: a trainer waits for a
+// share of the groups.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include <stdio.h>
+
+#include "base/rng.h"
+#include "job/job_run.h"
+
+enum {
+	GROUPS = 32,
+	GROUP = 8,
+	ITEMS = GROUPS * GROUP,
+	TARGET = 29, ///< 90% of the groups
+	EVENT_MS = 49,
+	EVENTS_LONGEST = 144,
+	GIVE_UP_MS = 1000000,
+	SEEDS = 20,
+	BROKEN = 5, ///< one in so many runs breaks off
+};
+
+static struct job_spec *spec_new(int target)
+{
+	struct job_spec *s = calloc(1, sizeof(*s));
+
+	arena_init(&s->arena, 0);
+	s->items = arena_alloc(&s->arena, ITEMS * sizeof(*s->items));
+	memset(s->items, 0, ITEMS * sizeof(*s->items));
+	s->n_items = ITEMS;
+	s->min_version = 1;
+	s->target_groups = target;
+	for (int i = 0; i < ITEMS; i++) {
+		char text[16];
+
+		snprintf(text, sizeof(text), "i%d", i);
+		s->items[i].id = arena_strdup(&s->arena, text);
+		snprintf(text, sizeof(text), "g%d", i / GROUP);
+		s->items[i].group = arena_strdup(&s->arena, text);
+	}
+	return s;
+}
+
+static struct job_run *run_new(const struct job_spec *s)
+{
+	const struct job_run_opts opts = {
+		.max_failures = 1, .due_ms = 7500, .give_up_ms = GIVE_UP_MS};
+
+	return job_run_new(s, &opts);
+}
+
+/* Heavy-tailed lengths; hints are off by up to a half. */
+static void lengths_new(struct job_spec *s, struct rng *rng, int *events)
+{
+	for (int i = 0; i < ITEMS; i++) {
+		events[i] = rng_below(rng, 20) == 0
+				    ? EVENTS_LONGEST
+				    : 1 + (int)rng_below(rng, 30);
+		s->items[i].length_hint =
+			1 + events[i] * (50 + (int)rng_below(rng, 100)) / 100;
+	}
+}
+
+struct sim {
+	struct job_run *run;
+	int64_t end_ms[ITEMS]; ///< 0: not at a server
+	int made[ITEMS]; ///< events of the run at the server
+	int events[ITEMS];
+	int left[GROUPS]; ///< samples that are not whole
+	int whole; ///< groups
+};
+
+/* One run in some breaks off anywhere; what came is kept. */
+static void begin_item(struct sim *sim, struct rng *rng, int i, int64_t now)
+{
+	int left = sim->events[i] - (int)job_run_text(sim->run, i)->last_event;
+
+	sim->made[i] = left;
+	if (rng_below(rng, BROKEN) == 0)
+		sim->made[i] = (int)rng_below(rng, (uint64_t)left);
+	sim->end_ms[i] = now + 1 + sim->made[i] * (int64_t)EVENT_MS;
+	job_run_sent(sim->run, i);
+}
+
+static void end_item(struct sim *sim, int i, int64_t now)
+{
+	const struct job_text *t = job_run_text(sim->run, i);
+
+	sim->end_ms[i] = 0;
+	for (int k = 0; k < sim->made[i]; k++)
+		assert_int_equal(job_run_event(sim->run, i, t->last_event + 1,
+					       1, "x", 1),
+				 ERR_OK);
+	if ((int)t->last_event < sim->events[i]) {
+		job_run_ended(sim->run, i, now, JOB_RUN_BROKEN);
+		return;
+	}
+	job_run_ended(sim->run, i, now, JOB_RUN_WHOLE);
+	sim->whole += --sim->left[i / GROUP] == 0;
+}
+
+/* Time at which the trainer has the groups that it waits for. */
+static int64_t replay(int target, int slots, uint64_t seed)
+{
+	static struct sim sim;
+	struct rng rng = {seed};
+	struct job_spec *s = spec_new(target);
+	int64_t now = 0;
+	int at = 0;
+	int item;
+
+	memset(&sim, 0, sizeof(sim));
+	lengths_new(s, &rng, sim.events);
+	sim.run = run_new(s);
+	for (int i = 0; i < GROUPS; i++)
+		sim.left[i] = GROUP;
+	for (; sim.whole < TARGET; now += 7) {
+		for (int i = 0; i < ITEMS; i++) {
+			if (!sim.end_ms[i] || sim.end_ms[i] > now)
+				continue;
+			end_item(&sim, i, now);
+			at--;
+		}
+		while (at < slots && (item = job_run_next(sim.run, now)) >= 0) {
+			begin_item(&sim, &rng, item, now);
+			at++;
+		}
+	}
+	job_run_free(sim.run);
+	job_spec_free(s);
+	return now;
+}
+
+static int64_t mean_of(int target, int slots)
+{
+	int64_t sum = 0;
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++)
+		sum += replay(target, slots, seed);
+	return sum / SEEDS;
+}
+
+/* Slots are few, one run in five breaks off: samples of groups that the trainer
+ * does not wait for must not take slots from those that it does. */
+static void test_nearest_groups_first(void **state)
+{
+	static const int slots[] = {16, 24, 48, 96, ITEMS};
+
+	for (size_t i = 0; i < sizeof(slots) / sizeof(*slots); i++) {
+		int64_t all = mean_of(0, slots[i]);
+		int64_t near = mean_of(TARGET, slots[i]);
+
+		print_message("%d slots: %lld ms, %lld ms without the rule\n",
+			      slots[i], (long long)near, (long long)all);
+		/* Where slots are not short nothing may be lost. */
+		assert_true(near <= all + all / 100);
+		assert_true(slots[i] > 24 || near < all * 97 / 100);
+	}
+}
+
+/* A group that lost a sample for good is never complete: its samples come last, and
+ * still run. */
+static void test_spoilt_groups_last(void **state)
+{
+	struct job_spec *s = spec_new(TARGET);
+	struct job_run *r;
+	int item;
+
+	s->items[1].length_hint = 50;
+	s->items[0].length_hint = 100;
+	r = run_new(s);
+	assert_int_equal(job_run_next(r, 0), 0);
+	job_run_sent(r, 0);
+	job_run_ended(r, 0, 0, JOB_RUN_FAILED);
+	for (int i = 1; i < ITEMS; i++) {
+		item = job_run_next(r, 0);
+		assert_int_equal(item / GROUP == 0, i > ITEMS - GROUP);
+		assert_int_equal(job_run_sent(r, item), ERR_OK);
+	}
+	assert_int_equal(job_run_next(r, 0), -1);
+	job_run_free(r);
+	job_spec_free(s);
+}
+
+/* Past the time at which items may be given up nothing is started, neither new nor
+ * again; what runs may end. */
+static void test_nothing_starts_too_late(void **state)
+{
+	struct job_spec *s = spec_new(TARGET);
+	struct job_run *r = run_new(s);
+
+	job_run_sent(r, 0);
+	job_run_sent(r, 1);
+	job_run_ended(r, 1, GIVE_UP_MS - 1, JOB_RUN_BROKEN);
+	assert_int_equal(job_run_next(r, GIVE_UP_MS), -1);
+	assert_int_equal(job_run_count(r, JOB_WAITING), 0);
+	assert_int_equal(job_run_event(r, 0, 1, 1, "x", 1), ERR_OK);
+	job_run_ended(r, 0, GIVE_UP_MS + 1, JOB_RUN_WHOLE);
+	assert_int_equal(job_run_count(r, JOB_READY), ITEMS);
+	job_run_free(r);
+	job_spec_free(s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_nearest_groups_first),
+		cmocka_unit_test(test_spoilt_groups_last),
+		cmocka_unit_test(test_nothing_starts_too_late),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
