feat(job): groups that were carried over start first

A trainer submits groups that did not become complete again in a later batch. Nothing in the batch says so, and by length alone they could come last once more. The node that runs a batch now remembers hashes of the item ids of the last 16 batches it began; items of the same team and model that an earlier one had mark their group, which starts before all others. A node that takes a team's batches over does not know the earlier ones: there the order is by length until the next step.

Tests of packages/site cover other nodes' requests and the sharing of free slots.

--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -9,6 +9,7 @@
 #include "job/job_list.h"
 #include "job/job_run.h"
 #include "job/patience.h"
+#include "job/seen.h"
 #include "site/conf.h"
 #include "sse/sse.h"
 #include "wire/wire.h"
@@ -123,6 +124,7 @@
 	struct homes *homes; ///< questions to homes
 	struct job_result *scratch; ///< for flushes
 	size_t scratch_cap;
+	struct job_seen seen; ///< items of recent batches
 	struct {
 		char service[SITE_NAME];
 		struct patience times;
--- a/packages/daemon/src/job/job_mod.c
+++ b/packages/daemon/src/job/job_mod.c
@@ -156,6 +156,7 @@
 	job_home_free(c);
 	htab_free(jobs->jobs);
 	htab_free(jobs->readers);
+	job_seen_free(&jobs->seen);
 	free(jobs->scratch);
 	free(jobs);
 }
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -86,6 +86,7 @@
 
 	if (!scratch_room(jobs_of(c), spec->n_items))
 		return ERR_NOMEM;
+	metric_add(M_ITEM_CARRIED, job_seen_take(&jobs_of(c)->seen, spec));
 	j->run = job_run_new(spec, &opts);
 	j->at = calloc(spec->n_items + 1, sizeof(*j->at));
 	if (rewards)
--- a/packages/job/include/job/job_defs.h
+++ b/packages/job/include/job/job_defs.h
@@ -38,6 +38,9 @@
 	int64_t tokens; ///< prompt and longest output
 	int64_t length_hint; ///< the caller's guess of the output, 0 for none
 	struct job_reward reward;
+	/// An earlier batch of the team and model had it; set by the node that runs
+	/// the batch.
+	bool carried;
 };
 
 /// A batch as its trainer handed it in.
--- a/packages/job/include/job/job_run.h
+++ b/packages/job/include/job/job_run.h
@@ -80,6 +80,9 @@
 /// The longest by the caller's hint go first, since the last one to start
 /// decides when the batch is whole.
 ///
+/// Groups that were carried over from an earlier batch (seen.h) come before all
+/// others.
+///
 /// Load pattern: a trainer goes on once it has a share of the groups, and slots are
 /// so few that samples wait. Samples of groups that have more samples waiting than
 /// as many groups as it waits for come last, and so do those of groups that lost a
--- a/packages/job/src/job_run.c
+++ b/packages/job/src/job_run.c
@@ -29,9 +29,11 @@
 	r->by_id = calloc(spec->n_items + 1, sizeof(*r->by_id));
 	r->unsent = calloc(spec->n_items + 1, sizeof(*r->unsent));
 	r->spoilt = calloc(spec->n_items + 1, sizeof(*r->spoilt));
+	r->carried = calloc(spec->n_items + 1, sizeof(*r->carried));
 	r->by_unsent = calloc(spec->n_items + 1, sizeof(*r->by_unsent));
 	if (!r->items || !r->order || !r->open || !r->by_id || !r->unsent ||
-	    !r->spoilt || !r->by_unsent || run_order(r) != ERR_OK) {
+	    !r->spoilt || !r->carried || !r->by_unsent ||
+	    run_order(r) != ERR_OK) {
 		job_run_free(r);
 		return NULL;
 	}
@@ -58,6 +60,7 @@
 	free(r->by_id);
 	free(r->unsent);
 	free(r->spoilt);
+	free(r->carried);
 	free(r->by_unsent);
 	free(r);
 }
@@ -126,7 +129,8 @@
 {
 	if (r->spoilt[group])
 		return GROUP_SPOILT;
-	return r->unsent[group] <= near ? GROUP_NEAR : GROUP_FAR;
+	return r->carried[group] || r->unsent[group] <= near ? GROUP_NEAR
+							     : GROUP_FAR;
 }
 
 int job_run_next(struct job_run *r, int64_t now)
--- a/packages/job/src/run_order.c
+++ b/packages/job/src/run_order.c
@@ -7,6 +7,7 @@
 /// An item while the items are sorted.
 struct ranked {
 	int item;
+	bool carried; ///< its group was
 	int64_t weight;
 	const char *group;
 	const char *id;
@@ -43,11 +44,14 @@
 	return left;
 }
 
+/* Groups that were carried over held up a step already: they come before. */
 static int longest_first(const void *a, const void *b)
 {
 	const struct ranked *x = a;
 	const struct ranked *y = b;
 
+	if (x->carried != y->carried)
+		return x->carried ? -1 : 1;
 	if (x->weight != y->weight)
 		return x->weight < y->weight ? 1 : -1;
 	return x->item - y->item;
@@ -70,6 +74,7 @@
 		if (i == 0 || strcmp(list[i].group, list[i - 1].group) != 0)
 			first = list[i].item;
 		r->items[list[i].item].group = first;
+		r->carried[first] |= r->spec->items[list[i].item].carried;
 		r->groups += !r->open[first];
 		r->open[first]++;
 	}
@@ -85,11 +90,13 @@
 	for (size_t i = 0; i < n; i++) {
 		const struct job_item *it = &r->spec->items[i];
 
-		list[i] = (struct ranked){(int)i, weight_of(it), it->group,
-					  it->id};
+		list[i] = (struct ranked){(int)i, false, weight_of(it),
+					  it->group, it->id};
 	}
 	qsort(list, n, sizeof(*list), by_group);
 	take_groups(r, list, n);
+	for (size_t i = 0; i < n; i++)
+		list[i].carried = r->carried[r->items[list[i].item].group];
 	qsort(list, n, sizeof(*list), longest_first);
 	for (size_t i = 0; i < n; i++)
 		r->order[i] = list[i].item;
--- a/packages/job/src/run_state.h
+++ b/packages/job/src/run_state.h
@@ -28,6 +28,7 @@
 	int *open; ///< at a group's first item: items that are not over yet
 	int *unsent; ///< at a group's first item: items that wait
 	bool *spoilt; ///< at a group's first item: an item was given up
+	bool *carried; ///< at a group's first item: it was in an earlier batch
 	int *by_unsent; ///< groups with so many items that wait, spoilt ones apart
 	int groups; ///< of the batch
 	int groups_over; ///< all of whose items are over
--- a/packages/job/test/test_order.c
+++ b/packages/job/test/test_order.c
@@ -13,6 +13,7 @@
 
 #include "base/rng.h"
 #include "job/job_run.h"
+#include "job/seen.h"
 
 enum {
 	GROUPS = 32,
@@ -23,6 +24,7 @@
 	EVENTS_LONGEST = 144,
 	GIVE_UP_MS = 1000000,
 	SEEDS = 20,
+	CARRIED = 3, ///< groups of an earlier step
 	BROKEN = 5, ///< one in so many runs breaks off
 };
 
@@ -105,28 +107,49 @@
 	sim->whole += --sim->left[i / GROUP] == 0;
 }
 
-/* Time at which the trainer has the groups that it waits for. */
-static int64_t replay(int target, int slots, uint64_t seed)
+static bool first_whole(const struct sim *sim)
+{
+	for (int i = 0; i < CARRIED; i++) {
+		if (sim->left[i])
+			return false;
+	}
+	return true;
+}
+
+/* Time at which the trainer has the groups that it waits for.
+ *
+ * @param carried          the first groups were carried over
+ * @param[out] carried_ms  time at which they are whole */
+static int64_t replay(int target, int slots, uint64_t seed, bool carried,
+		      int64_t *carried_ms)
 {
 	static struct sim sim;
 	struct rng rng = {seed};
 	struct job_spec *s = spec_new(target);
+	int64_t target_ms = 0;
 	int64_t now = 0;
 	int at = 0;
 	int item;
 
+	*carried_ms = 0;
 	memset(&sim, 0, sizeof(sim));
 	lengths_new(s, &rng, sim.events);
+	for (int i = 0; i < CARRIED * GROUP; i++)
+		s->items[i].carried = carried;
 	sim.run = run_new(s);
 	for (int i = 0; i < GROUPS; i++)
 		sim.left[i] = GROUP;
-	for (; sim.whole < TARGET; now += 7) {
+	for (; !target_ms || !*carried_ms; now += 7) {
 		for (int i = 0; i < ITEMS; i++) {
 			if (!sim.end_ms[i] || sim.end_ms[i] > now)
 				continue;
 			end_item(&sim, i, now);
 			at--;
 		}
+		if (!target_ms && sim.whole >= TARGET)
+			target_ms = now;
+		if (!*carried_ms && first_whole(&sim))
+			*carried_ms = now;
 		while (at < slots && (item = job_run_next(sim.run, now)) >= 0) {
 			begin_item(&sim, &rng, item, now);
 			at++;
@@ -134,15 +157,20 @@
 	}
 	job_run_free(sim.run);
 	job_spec_free(s);
-	return now;
+	return target_ms;
 }
 
-static int64_t mean_of(int target, int slots)
+static int64_t mean_of(int target, int slots, bool carried, int64_t *carried_ms)
 {
 	int64_t sum = 0;
 
-	for (uint64_t seed = 1; seed <= SEEDS; seed++)
-		sum += replay(target, slots, seed);
+	*carried_ms = 0;
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		int64_t ms;
+
+		sum += replay(target, slots, seed, carried, &ms);
+		*carried_ms += ms / SEEDS;
+	}
 	return sum / SEEDS;
 }
 
@@ -153,8 +181,9 @@
 	static const int slots[] = {16, 24, 48, 96, ITEMS};
 
 	for (size_t i = 0; i < sizeof(slots) / sizeof(*slots); i++) {
-		int64_t all = mean_of(0, slots[i]);
-		int64_t near = mean_of(TARGET, slots[i]);
+		int64_t ms;
+		int64_t all = mean_of(0, slots[i], false, &ms);
+		int64_t near = mean_of(TARGET, slots[i], false, &ms);
 
 		print_message("%d slots: %lld ms, %lld ms without the rule\n",
 			      slots[i], (long long)near, (long long)all);
@@ -188,6 +217,85 @@
 	job_spec_free(s);
 }
 
+static void name_items(struct job_spec *s, const char *batch, int step)
+{
+	strcpy(s->id, batch);
+	strcpy(s->team, "t");
+	s->model = "m";
+	for (int i = 0; i < ITEMS; i++) {
+		char text[32];
+
+		/* The first groups are those of the step before. */
+		snprintf(text, sizeof(text), "s%d-%d",
+			 i < CARRIED * GROUP ? 0 : step, i);
+		s->items[i].id = arena_strdup(&s->arena, text);
+	}
+}
+
+/* Groups that a trainer submits again were last again, by chance: they held up one
+ * step after the other. They are known by their items' ids, and start first, also
+ * before longer samples. */
+static void test_carried_groups_first(void **state)
+{
+	struct job_spec *before = spec_new(TARGET);
+	struct job_spec *s = spec_new(TARGET);
+	struct job_seen seen = {0};
+	struct job_run *r;
+
+	name_items(before, "b0", 0);
+	name_items(s, "b1", 1);
+	s->items[ITEMS - 1].length_hint = EVENTS_LONGEST;
+	assert_int_equal(job_seen_take(&seen, before), 0);
+	/* It starts again at this node: nothing is carried over. */
+	assert_int_equal(job_seen_take(&seen, before), 0);
+	assert_int_equal(job_seen_take(&seen, s), CARRIED * GROUP);
+	r = run_new(s);
+	for (int i = 0; i < CARRIED * GROUP; i++) {
+		int item = job_run_next(r, 0);
+
+		assert_true(item < CARRIED * GROUP);
+		job_run_sent(r, item);
+	}
+	assert_int_equal(job_run_next(r, 0), ITEMS - 1);
+	/* Another team's ids are its own. */
+	strcpy(s->team, "u");
+	assert_int_equal(job_seen_take(&seen, s), 0);
+	job_run_free(r);
+	/* Only so many batches are remembered. */
+	strcpy(s->team, "t");
+	for (int i = 0; i < SEEN_BATCHES; i++) {
+		snprintf(before->id, sizeof(before->id), "x%d", i);
+		strcpy(before->team, "v");
+		job_seen_take(&seen, before);
+	}
+	strcpy(s->id, "b2");
+	assert_int_equal(job_seen_take(&seen, s), 0);
+	job_seen_free(&seen);
+	job_spec_free(before);
+	job_spec_free(s);
+}
+
+/* A step with carried groups on few slots: these are whole earlier, and the trainer
+ * has what it waits for no later than some percent. */
+static void test_carried_groups_end_sooner(void **state)
+{
+	static const int slots[] = {16, 24, 96};
+
+	for (size_t i = 0; i < sizeof(slots) / sizeof(*slots); i++) {
+		int64_t first_ms, any_ms;
+		int64_t first = mean_of(TARGET, slots[i], true, &first_ms);
+		int64_t any = mean_of(TARGET, slots[i], false, &any_ms);
+
+		print_message("%d slots: carried groups whole at %lld ms, "
+			      "%lld without the rule; target %lld ms, %lld\n",
+			      slots[i], (long long)first_ms, (long long)any_ms,
+			      (long long)first, (long long)any);
+		assert_true(first_ms <= any_ms + any_ms / 100);
+		assert_true(slots[i] > 24 || first_ms < any_ms * 8 / 10);
+		assert_true(first <= any + any / 20);
+	}
+}
+
 /* Past the time at which items may be given up nothing is started, neither new nor
  * again; what runs may end. */
 static void test_nothing_starts_too_late(void **state)
@@ -212,6 +320,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_nearest_groups_first),
 		cmocka_unit_test(test_spoilt_groups_last),
+		cmocka_unit_test(test_carried_groups_first),
+		cmocka_unit_test(test_carried_groups_end_sooner),
 		cmocka_unit_test(test_nothing_starts_too_late),
 	};
 
--- a/packages/site/test/test_site.c
+++ b/packages/site/test/test_site.c
@@ -289,6 +289,69 @@
 	site_servers_free(t);
 }
 
+/* Requests of other nodes take slots up for choices of free servers, and count for
+ * no other choice: a caller's request must not be turned away by a report. */
+static void test_others(void **state)
+{
+	struct site_servers *t = site_servers_new();
+	struct site_server_entry e = entry("s1", "d1");
+	struct site_ask ask = {
+		.service = "svc", .domain = "d1", .only_free = true};
+	struct site_server *s;
+
+	site_servers_put(t, 1, 0, &e);
+	strcpy(e.id, "s2");
+	site_servers_put(t, 2, 0, &e);
+	s = choose(t, 0);
+	assert_string_equal(s->entry.id, "s1");
+	s->others = 2;
+	assert_string_equal(site_servers_choose(t, 0, &ask)->entry.id, "s2");
+	assert_ptr_equal(choose(t, 0), s);
+	s->others = 1;
+	assert_string_equal(site_servers_choose(t, 0, &ask)->entry.id, "s2");
+	site_servers_free(t);
+}
+
+/* Two nodes see the same free slots: each takes its share, the odd one goes to one
+ * of them, and a slot that an own request left stays its own. Without that both
+ * send to the last free slot, or neither does. */
+static void test_claims(void **state)
+{
+	for (int rank = 0; rank < 2; rank++) {
+		struct site_servers *t = site_servers_new();
+		struct site_server_entry e = entry("s1", "d1");
+		struct site_ask ask = {.service = "svc",
+				       .domain = "d1",
+				       .only_free = true,
+				       .claims = {1, rank, 7}};
+		struct site_server *s;
+		int n = 0;
+
+		e.slots = 8;
+		site_servers_put(t, 1, 0, &e);
+		s = choose(t, 0);
+		s->others = 1;
+		while (site_servers_choose(t, 0, &ask)) {
+			site_server_begin(s, 0);
+			n++;
+		}
+		assert_int_equal(n, rank ? 3 : 4);
+		site_server_end(s, 0, true);
+		assert_non_null(site_servers_choose(t, 0, &ask));
+		site_server_begin(s, 0);
+		assert_null(site_servers_choose(t, 0, &ask));
+		/* A report: the other one took its share. */
+		s->others += rank ? 4 : 3;
+		ask.claims.round++;
+		assert_null(site_servers_choose(t, 0, &ask));
+		/* It has nothing waiting any more, and one that ended. */
+		s->others--;
+		ask.claims = (struct site_claims){0};
+		assert_non_null(site_servers_choose(t, 0, &ask));
+		site_servers_free(t);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -303,6 +366,8 @@
 		cmocka_unit_test(test_failing_server_costs_one_attempt),
 		cmocka_unit_test(test_cold_rate),
 		cmocka_unit_test(test_slow_third),
+		cmocka_unit_test(test_others),
+		cmocka_unit_test(test_claims),
 		cmocka_unit_test(test_only_free),
 	};
 
