--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -9,6 +9,7 @@
 #include "job/job_list.h"
 #include "job/job_run.h"
 #include "job/patience.h"
+#include "job/seen.h"
 #include "job/slack.h"
 #include "site/conf.h"
 #include "sse/sse.h"
@@ -130,6 +131,7 @@
 	uint32_t send_round; ///< of sending by slack
 	struct job_result *scratch; ///< for flushes
 	size_t scratch_cap;
+	struct job_seen seen; ///< items of recent batches
 	struct {
 		char service[SITE_NAME];
 		struct patience times;
--- a/test/hosted/nodes.c
+++ b/test/hosted/nodes.c
@@ -241,6 +241,30 @@
 	curl_easy_cleanup(e);
 }
 
+long node_metric(const struct nodes *ns, int i, const char *name)
+{
+	struct answer a = {0};
+	CURL *e = curl_easy_init();
+	char url[128], line[128];
+	const char *at;
+	long value = -1;
+
+	snprintf(url, sizeof(url), "http://%s:%d/metrics", ns->list[i].ip,
+		 NODE_READY_PORT);
+	snprintf(line, sizeof(line), "\n%s ", name);
+	curl_easy_setopt(e, CURLOPT_URL, url);
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, &a);
+	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, 500L);
+	curl_easy_perform(e);
+	curl_easy_cleanup(e);
+	at = a.body ? strstr(a.body, line) : NULL;
+	if (at)
+		value = strtol(at + strlen(line), NULL, 10);
+	answer_free(&a);
+	return value;
+}
+
 void answer_free(struct answer *a)
 {
 	free(a->body);
