perf(site): index servers by id and service, bound the cost of a choice

A choice, a put, a lookup by id and the usual pace each walked the whole table of up to 4,096 servers, so a node with 3,000 engines spent more on one request than on sending it.

Servers are now in a hash of their ids and, for each service, in bit sets: used, usable, not avoided, below each quarter of the slots, and one set for each failure domain and weight version. A choice in a service of more than 64 servers intersects these sets and compares up to eight candidates, most of them of the own domain. The sets hold at least every server that fits() accepts, and all candidates are compared when none fits, so a free server is found whenever there is one. Smaller services are compared as a whole, as before. The pace of a large service is taken from 120 servers every 100 ms.

test_site compares one service of 300 servers with the same servers in services of 60 over 30,000 random events: the choice finds a server in one exactly when it does in the other.

--- /dev/null
+++ b/bench/bench_choose.c
@@ -0,0 +1,190 @@
+// What the choice of a server costs, with all that a sender does for it: usual
+// pace, choice, begin and end of a request.
+#include <linux/perf_event.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "site/server.h"
+#include "support/bench.h"
+
+enum {
+	CHOICES = 20000,
+	WARM = 2000,
+	DOMAINS = 4,
+	MODELS = 3,
+	SLOTS = 8,
+	BOUND_INSTRUCTIONS = 4000,
+	/// Where the machine counts no instructions: 4,000 at four a nanosecond.
+	BOUND_NS = 1000,
+	REPEATS = 5,
+};
+
+enum load {
+	LOAD_HALF, ///< half of the slots are busy
+	LOAD_ONE_FREE, ///< a single slot is free, and asked for
+	LOAD_FULL, ///< of the model that is asked for
+	LOAD_LOADING, ///< the version that is asked for is nowhere yet
+	LOAD_AVOIDED, ///< half of the servers failed just now
+	LOAD_N,
+};
+
+static const char *const load_names[LOAD_N] = {
+	"half", "one_free", "full", "loading", "avoided",
+};
+
+static int counter_open(void)
+{
+	struct perf_event_attr attr = {
+		.type = PERF_TYPE_HARDWARE,
+		.size = sizeof(attr),
+		.config = PERF_COUNT_HW_INSTRUCTIONS,
+		.exclude_kernel = 1,
+		.exclude_hv = 1,
+	};
+
+	return (int)syscall(SYS_perf_event_open, &attr, 0, -1, -1, 0);
+}
+
+/* Instructions so far; nanoseconds where there is no counter. */
+static double cost_now(int counter)
+{
+	uint64_t n;
+
+	if (counter >= 0 && read(counter, &n, sizeof(n)) == sizeof(n))
+		return (double)n;
+	return (double)clock_now_us() * 1000;
+}
+
+static struct site_servers *servers_new(int n)
+{
+	struct site_servers *t = site_servers_new();
+
+	for (int i = 0; i < n; i++) {
+		struct site_server_entry e = {
+			.service = "engines",
+			.slots = SLOTS,
+			.n_models = 1,
+			.started_ms = 1,
+		};
+
+		snprintf(e.id, sizeof(e.id), "engine-%d", i);
+		snprintf(e.domain, sizeof(e.domain), "d%d", i % DOMAINS);
+		snprintf(e.models[0].name, SITE_NAME, "model-%d",
+			 i / DOMAINS % MODELS);
+		e.models[0].version = 7 + (uint64_t)(i / DOMAINS / MODELS % 2);
+		if (site_servers_put(t, 1, 1, &e) != ERR_OK)
+			abort();
+	}
+	return t;
+}
+
+static void prepare(struct site_servers *t, enum load load)
+{
+	struct site_server *s;
+	size_t iter = 0;
+	int i = 0;
+
+	while ((s = site_servers_next(t, &iter))) {
+		bool asked = strcmp(s->entry.models[0].name, "model-1") == 0;
+		int busy = SLOTS / 2;
+
+		if (load == LOAD_ONE_FREE || load == LOAD_FULL)
+			busy = asked ? SLOTS : 0;
+		for (int k = 0; k < busy; k++)
+			site_server_begin(s, 1);
+		if (load == LOAD_AVOIDED && i % 2)
+			site_server_end(s, 1, false);
+		for (int k = 0; k < 8; k++)
+			site_server_paced(s, 1, 49 + i % 5);
+		i++;
+	}
+	iter = 0;
+	while (load == LOAD_ONE_FREE && (s = site_servers_next(t, &iter))) {
+		if (strcmp(s->entry.models[0].name, "model-1") != 0)
+			continue;
+		site_server_end(s, 1, true);
+		break;
+	}
+}
+
+/* One sender's work at each choice. */
+static void step(struct site_servers *t, enum load load, int64_t now)
+{
+	struct site_ask ask = {
+		.service = "engines",
+		.model = "model-1",
+		.min_version = load == LOAD_LOADING ? 9 : 7,
+		.domain = "d1",
+		.only_free = true,
+	};
+	bool must = load != LOAD_FULL && load != LOAD_LOADING;
+	struct site_server *s;
+
+	ask.pace_ms = site_servers_pace(t, ask.service, now);
+	s = site_servers_choose(t, now, &ask);
+	if ((s != NULL) != must)
+		abort();
+	if (!s)
+		return;
+	site_server_begin(s, now);
+	site_server_end(s, now, true);
+}
+
+/* A choice each half millisecond, as of 2,000 requests a second; while servers
+ * are avoided more, so that none comes back before the end. */
+static double cost_of(int counter, int servers, enum load load)
+{
+	struct site_servers *t = servers_new(servers);
+	int each_ms = load == LOAD_AVOIDED ? 100 : 2;
+	double start = 0;
+	double cost;
+
+	prepare(t, load);
+	for (int i = -WARM; i < CHOICES; i++) {
+		if (i == 0)
+			start = cost_now(counter);
+		step(t, load, 2 + (i + WARM) / each_ms);
+	}
+	cost = (cost_now(counter) - start) / CHOICES;
+	site_servers_free(t);
+	return cost;
+}
+
+static double least(int counter, int servers, enum load load)
+{
+	double least = cost_of(counter, servers, load);
+
+	for (int i = 1; i < REPEATS; i++) {
+		double cost = cost_of(counter, servers, load);
+
+		if (cost < least)
+			least = cost;
+	}
+	return least;
+}
+
+int main(void)
+{
+	static const int sizes[] = {290, 3000};
+	int counter = counter_open();
+	bool ok = true;
+
+	for (size_t i = 0; i < sizeof(sizes) / sizeof(*sizes); i++) {
+		for (int load = 0; load < LOAD_N; load++) {
+			char name[64];
+
+			snprintf(name, sizeof(name), "choose_%s_of_%d",
+				 load_names[load], sizes[i]);
+			ok &= bench_check(
+				name, least(counter, sizes[i], (enum load)load),
+				counter >= 0 ? "instructions" : "ns",
+				BENCH_AT_MOST,
+				counter >= 0 ? BOUND_INSTRUCTIONS : BOUND_NS);
+		}
+	}
+	return !ok;
+}
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -436,21 +436,6 @@
 	return true;
 }
 
-/* Servers that an item could go to if they had a free place. */
-static int count_fitting(struct core *c, const struct site_ask *ask)
-{
-	const struct site_servers *t = site_mod_servers(c);
-	const struct site_server *s;
-	size_t iter = 0;
-	int n = 0;
-
-	while ((s = site_servers_next(t, &iter)))
-		n += strcmp(s->entry.service, ask->service) == 0 &&
-		     site_server_usable(t, s) &&
-		     site_server_version(s, ask->model) >= ask->min_version;
-	return n;
-}
-
 /* Say now and then why items wait. */
 static void log_waiting(struct core *c, struct job *j,
 			const struct site_ask *ask)
@@ -462,8 +447,9 @@
 		  "batch=%s waiting=%zu at=%zu servers=%d model=%s "
 		  "min_version=%llu named=%llu",
 		  j->id, job_run_count(j->run, JOB_WAITING),
-		  job_run_count(j->run, JOB_SENT), count_fitting(c, ask),
-		  ask->model, (unsigned long long)ask->min_version,
+		  job_run_count(j->run, JOB_SENT),
+		  site_servers_fitting(site_mod_servers(c), ask), ask->model,
+		  (unsigned long long)ask->min_version,
 		  (unsigned long long)site_mod_weights(c, ask->model));
 }
 
--- a/packages/site/include/site/server.h
+++ b/packages/site/include/site/server.h
@@ -38,8 +38,16 @@
 	int n_models;
 };
 
+struct index_group;
+
+/// The index of server_index.h is kept up to date by the functions below: a
+/// change of `running`, `avoid_until_ms` or of what site_server_usable() looks
+/// at needs server_index_load() or server_index_usable() after it.
 struct site_server {
 	htab_handle self;
+	struct index_group *group; ///< of its service
+	int place; ///< in the group
+	htab_handle id_next; ///< in the chain of its id's hash
 	struct site_server_entry entry;
 	uint64_t rev; ///< store revision of the entry
 	uint32_t round; ///< list in which it was seen last
@@ -128,6 +136,10 @@
 /// Servers of a service that may get new work at all.
 int site_servers_usable(const struct site_servers *t, const char *service);
 
+/// Servers that a request could go to if they had a free place.
+int site_servers_fitting(const struct site_servers *t,
+			 const struct site_ask *ask);
+
 /// Weight version of a model at a server, 0 if it does not have the model.
 uint64_t site_server_version(const struct site_server *s, const char *model);
 
@@ -135,7 +147,10 @@
 ///
 /// Load pattern: steady load with a few slow or failing servers. The share of
 /// busy slots decides; a server that failed just now comes last, so that one
-/// bad server costs one attempt instead of many.
+/// bad server costs one attempt instead of many. All servers of a small service
+/// are compared; of a large one some, most of them of the own failure domain,
+/// which are drawn from those that the index holds for free. A server that fits
+/// is found whenever there is one.
 ///
 /// @return server, NULL if none will do
 struct site_server *site_servers_choose(struct site_servers *t, int64_t now,
@@ -153,10 +168,11 @@
 void site_server_paced(struct site_server *s, int64_t now, double ms);
 
 /// Usual pace of a service's servers: that of the quarter which is fastest ends
-/// there, so that it holds when half of the servers turn slow.
+/// there, so that it holds when half of the servers turn slow. For a large
+/// service it is taken from some of the servers, every 100 ms.
 ///
 /// @return milliseconds, 0 if not known
-double site_servers_pace(const struct site_servers *t, const char *service,
+double site_servers_pace(struct site_servers *t, const char *service,
 			 int64_t now);
 
 /// How many times slower than usual a server is.
--- a/packages/site/src/server.c
+++ b/packages/site/src/server.c
@@ -4,12 +4,27 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/rng.h"
+#include "server_index.h"
+
 enum {
+	SMALL = 64, ///< services up to here are compared as a whole
+	/// Servers of the own failure domain and of others that are compared. A
+	/// comparison takes some 200 instructions of the 4,000 that a choice may
+	/// take.
+	LOOK_OWN = 6,
+	LOOK_OTHER = 2,
+	LOOK_WORD = 2, ///< of these in a word of the index
+	CALM_EVERY_MS = 10, ///< between two looks for ends of avoidance
+
 	DOMAINS_OUT = 64, ///< failure domains out at once
 	AVOID_MS =
 		300, ///< after the first failure; doubles with each further one
 	AVOID_DOUBLINGS = 3,
-	PACE_SERVERS = 512, ///< of a service whose pace is looked at
+	/// Of a service whose pace is looked at; the C library's qsort()
+	/// allocates from 1 KB on.
+	PACE_SERVERS = 120,
+	PACE_EVERY_MS = 100, ///< between two looks at a large service's
 	PACE_EVENTS = 4, ///< that a pace must be taken from to count
 	PACE_KEEP_MS = 2000, ///< without events for longer, a pace is forgotten
 	PERCENT = 100,
@@ -25,6 +40,8 @@
 
 struct site_servers {
 	struct htab *tab;
+	struct server_index index;
+	struct rng rng; ///< draws among candidates
 	uint32_t round; ///< of the list that is being read
 	char out[DOMAINS_OUT][SITE_NAME];
 	int n_out;
@@ -47,6 +64,7 @@
 {
 	if (!t)
 		return;
+	server_index_free(&t->index);
 	htab_free(t->tab);
 	free(t);
 }
@@ -65,44 +83,86 @@
 
 static struct site_server *find(const struct site_servers *t, const char *id)
 {
-	struct site_server *s;
-	size_t iter = 0;
+	return server_index_find(&t->index, t->tab, id);
+}
 
-	while ((s = site_servers_next(t, &iter))) {
-		if (strcmp(s->entry.id, id) == 0)
-			return s;
+static void drop(struct site_servers *t, struct site_server *s)
+{
+	server_index_del(&t->index, t->tab, s);
+	htab_del(t->tab, s->self);
+}
+
+/* Whether an entry has another place in the index than the one before. */
+static bool moves(const struct site_server_entry *a,
+		  const struct site_server_entry *b)
+{
+	if (strcmp(a->service, b->service) != 0 ||
+	    strcmp(a->domain, b->domain) != 0 || a->n_models != b->n_models)
+		return true;
+	for (int i = 0; i < a->n_models; i++) {
+		if (a->models[i].version != b->models[i].version ||
+		    strcmp(a->models[i].name, b->models[i].name) != 0)
+			return true;
 	}
-	return NULL;
+	return false;
 }
 
-static struct site_server *add(struct site_servers *t)
+static enum err add(struct site_servers *t, const struct site_server_entry *e,
+		    struct site_server **out)
 {
 	htab_handle h;
 	struct site_server *s = htab_add(t->tab, &h);
+	enum err err;
 
-	if (s)
-		s->self = h;
-	return s;
+	if (!s)
+		return ERR_FULL;
+	s->self = h;
+	s->entry = *e;
+	err = server_index_add(&t->index, s, site_server_usable(t, s));
+	if (err != ERR_OK)
+		htab_del(t->tab, h);
+	*out = s;
+	return err;
+}
+
+/* Take a newer entry of a server that is known. */
+static enum err renew(struct site_servers *t, struct site_server *s,
+		      const struct site_server_entry *e)
+{
+	bool index = moves(&s->entry, e);
+	enum err err = ERR_OK;
+
+	if (index)
+		server_index_del(&t->index, t->tab, s);
+	s->entry = *e;
+	if (index)
+		err = server_index_add(&t->index, s, site_server_usable(t, s));
+	if (err != ERR_OK) {
+		htab_del(t->tab, s->self);
+		return err;
+	}
+	server_index_load(s);
+	server_index_usable(s, site_server_usable(t, s));
+	return ERR_OK;
 }
 
 enum err site_servers_put(struct site_servers *t, uint64_t rev, int64_t now,
 			  const struct site_server_entry *e)
 {
 	struct site_server *s = find(t, e->id);
+	enum err err;
 
 	if (s)
 		s->round = t->round;
 	if (s && rev < s->rev)
 		return ERR_OK;
 	if (s && s->entry.started_ms != e->started_ms) {
-		htab_del(t->tab, s->self);
+		drop(t, s);
 		s = NULL;
 	}
-	if (!s)
-		s = add(t);
-	if (!s)
-		return ERR_FULL;
-	s->entry = *e;
+	err = s ? renew(t, s, e) : add(t, e, &s);
+	if (err != ERR_OK)
+		return err;
 	s->rev = rev;
 	s->round = t->round;
 	s->lapsed_ms = 0;
@@ -118,7 +178,7 @@
 	if (!s)
 		return;
 	if (!outage)
-		htab_del(t->tab, s->self);
+		drop(t, s);
 	else if (!s->lapsed_ms)
 		s->lapsed_ms = now;
 }
@@ -149,7 +209,7 @@
 		return;
 	while ((s = site_servers_next(t, &iter))) {
 		if (s->lapsed_ms)
-			htab_del(t->tab, s->self);
+			drop(t, s);
 	}
 }
 
@@ -162,6 +222,16 @@
 	return -1;
 }
 
+/* A domain went out or came back. */
+static void index_usable(struct site_servers *t)
+{
+	struct site_server *s;
+	size_t iter = 0;
+
+	while ((s = site_servers_next(t, &iter)))
+		server_index_usable(s, site_server_usable(t, s));
+}
+
 void site_servers_domain_out(struct site_servers *t, const char *domain,
 			     bool out)
 {
@@ -170,17 +240,22 @@
 	if (out && at < 0 && t->n_out < DOMAINS_OUT) {
 		strncpy(t->out[t->n_out], domain, SITE_NAME - 1);
 		t->n_out++;
+		index_usable(t);
 	} else if (!out && at >= 0) {
 		t->n_out--;
 		memmove(t->out[at], t->out[t->n_out], SITE_NAME);
 		memset(t->out[t->n_out], 0, SITE_NAME);
+		index_usable(t);
 	}
 }
 
 void site_servers_domains_in(struct site_servers *t)
 {
+	if (!t->n_out)
+		return;
 	memset(t->out, 0, sizeof(t->out));
 	t->n_out = 0;
+	index_usable(t);
 }
 
 bool site_server_usable(const struct site_servers *t,
@@ -191,14 +266,9 @@
 
 int site_servers_usable(const struct site_servers *t, const char *service)
 {
-	const struct site_server *s;
-	size_t iter = 0;
-	int n = 0;
+	const struct index_group *g = server_index_group(&t->index, service);
 
-	while ((s = site_servers_next(t, &iter)))
-		n += strcmp(s->entry.service, service) == 0 &&
-		     site_server_usable(t, s);
-	return n;
+	return g ? g->n_usable : 0;
 }
 
 uint64_t site_server_version(const struct site_server *s, const char *model)
@@ -274,35 +344,195 @@
 	return load;
 }
 
+struct pick {
+	const struct site_servers *t;
+	int64_t now;
+	const struct site_ask *ask;
+	struct site_server *best;
+	double best_load;
+};
+
+/* Compare one more server; false if it does not fit. */
+static bool look(struct pick *p, struct site_server *s)
+{
+	double load;
+
+	if (!fits(p->t, s, p->now, p->ask))
+		return false;
+	load = load_of(s, p->now, p->ask);
+	if (!p->best || load < p->best_load) {
+		p->best = s;
+		p->best_load = load;
+	}
+	return true;
+}
+
+/* Nodes must not draw the same servers: their clocks differ. */
+static uint64_t next_draw(struct site_servers *t, int64_t now)
+{
+	t->rng.state += (uint64_t)now;
+	return rng_next(&t->rng);
+}
+
+/* Compare candidates of a word, from a drawn bit on, until enough of them fit.
+ *
+ * @return how many more are wanted */
+static int look_at(struct pick *p, const struct index_group *g, int word,
+		   uint64_t left, int from, int enough)
+{
+	/* Shifts by 0 to 63 only: by 64 they are undefined. */
+	left = left >> from | left << (-from & (INDEX_WORD_BITS - 1));
+	for (; left && enough > 0; left &= left - 1) {
+		int bit = (__builtin_ctzll(left) + from) % INDEX_WORD_BITS;
+
+		enough -= look(p, g->members[word * INDEX_WORD_BITS + bit]);
+	}
+	return enough;
+}
+
+static int least(int a, int b)
+{
+	return a < b ? a : b;
+}
+
+/* Compare some candidates of the own failure domain and some of others, from a
+ * drawn place on. Few are taken of a word: if neighbours were compared with each
+ * other only, those beside a gap would be chosen too often. */
+static void look_in(struct site_servers *t, struct pick *p,
+		    const struct index_group *g, const union index_set *set)
+{
+	static const union index_set none;
+	const union index_set *own = index_group_domain(g, p->ask->domain);
+	uint64_t draw = next_draw(t, p->now);
+	int w = (int)((draw >> 32) % (uint64_t)g->words);
+	int from = (int)(draw % INDEX_WORD_BITS);
+	int n_own = own ? LOOK_OWN : 0;
+	int n_other = own ? LOOK_OTHER : LOOK_OWN;
+
+	if (!own)
+		own = &none;
+	for (int i = 0; i < g->words && n_own + n_other > 0; i++) {
+		uint64_t left = set->bits[w];
+		int n = least(LOOK_WORD, n_own);
+		int m = least(LOOK_WORD, n_other);
+
+		if (left) {
+			n_own +=
+				look_at(p, g, w, left & own->bits[w], from, n) -
+				n;
+			n_other += look_at(p, g, w, left & ~own->bits[w], from,
+					   m) -
+				   m;
+		}
+		w = w + 1 < g->words ? w + 1 : 0;
+	}
+}
+
+static const union index_set *free_set(const struct index_group *g, int share)
+{
+	int quarters = (share * INDEX_QUARTERS + PERCENT - 1) / PERCENT;
+
+	if (share <= 0 || quarters > INDEX_QUARTERS)
+		quarters = INDEX_QUARTERS;
+	return &g->below[quarters - 1];
+}
+
+/* Servers of a set that have what is asked for. */
+static void capable(const struct index_group *g, const struct site_ask *ask,
+		    const union index_set *in, union index_set *out)
+{
+	if (!ask->model) {
+		*out = *in;
+		return;
+	}
+	index_group_model(g, ask->model, ask->min_version, out);
+	index_set_and(out, in, g->words);
+}
+
+static void look_among(struct site_servers *t, struct pick *p,
+		       const struct index_group *g, const union index_set *in)
+{
+	union index_set set;
+
+	capable(g, p->ask, in, &set);
+	look_in(t, p, g, &set);
+}
+
+/* A large service: free servers first, then any that are not avoided, then
+ * the others. */
+static void choose_large(struct site_servers *t, struct pick *p,
+			 struct index_group *g)
+{
+	const union index_set *idle = free_set(g, p->ask->share);
+	union index_set calm;
+
+	if (p->now >= g->calm_at_ms && p->now - g->calmed_ms >= CALM_EVERY_MS)
+		index_group_calm(g, p->now);
+	look_among(t, p, g, idle);
+	if (!p->best && p->now >= g->calm_at_ms) {
+		index_group_calm(g, p->now);
+		look_among(t, p, g, idle);
+	}
+	if (p->best || p->ask->only_free)
+		return;
+	calm = g->usable;
+	index_set_and(&calm, &g->calm, g->words);
+	look_among(t, p, g, &calm);
+	if (!p->best)
+		look_among(t, p, g, &g->usable);
+}
+
+static void choose_small(struct pick *p, const struct index_group *g)
+{
+	for (int w = 0; w < g->words; w++) {
+		uint64_t left = g->used.bits[w];
+
+		for (; left; left &= left - 1)
+			look(p, g->members[w * INDEX_WORD_BITS +
+					   __builtin_ctzll(left)]);
+	}
+}
+
 struct site_server *site_servers_choose(struct site_servers *t, int64_t now,
 					const struct site_ask *ask)
 {
-	struct site_server *best = NULL;
-	struct site_server *s;
-	double best_load = 0;
-	size_t iter = 0;
+	struct index_group *g = server_index_group(&t->index, ask->service);
+	struct pick p = {.t = t, .now = now, .ask = ask};
 
-	while ((s = site_servers_next(t, &iter))) {
-		double load;
-
-		if (!fits(t, s, now, ask))
-			continue;
-		load = load_of(s, now, ask);
-		if (best && load >= best_load)
-			continue;
-		best = s;
-		best_load = load;
-	}
-	if (best && best->cold_until_ms > now && ask->cold_rate > 0) {
-		best->cold_credit = cold_credit(best, now, ask->cold_rate) - 1;
-		best->cold_credit_ms = now;
+	if (!g)
+		return NULL;
+	if (g->n <= SMALL)
+		choose_small(&p, g);
+	else
+		choose_large(t, &p, g);
+	if (p.best && p.best->cold_until_ms > now && ask->cold_rate > 0) {
+		p.best->cold_credit =
+			cold_credit(p.best, now, ask->cold_rate) - 1;
+		p.best->cold_credit_ms = now;
 	}
-	return best;
+	return p.best;
+}
+
+int site_servers_fitting(const struct site_servers *t,
+			 const struct site_ask *ask)
+{
+	const struct index_group *g =
+		server_index_group(&t->index, ask->service);
+	union index_set set;
+	int n = 0;
+
+	if (!g)
+		return 0;
+	capable(g, ask, &g->usable, &set);
+	for (int w = 0; w < g->words; w++)
+		n += __builtin_popcountll(set.bits[w]);
+	return n;
 }
 
 void site_server_begin(struct site_server *s, int64_t now)
 {
 	s->running++;
+	server_index_load(s);
 }
 
 void site_server_end(struct site_server *s, int64_t now, bool ok)
@@ -314,11 +544,13 @@
 	if (ok) {
 		s->failures = 0;
 		s->avoid_until_ms = 0;
+		server_index_load(s);
 		return;
 	}
 	shift = s->failures < AVOID_DOUBLINGS ? s->failures : AVOID_DOUBLINGS;
 	s->avoid_until_ms = now + ((int64_t)AVOID_MS << shift);
 	s->failures++;
+	server_index_load(s);
 }
 
 void site_server_paced(struct site_server *s, int64_t now, double ms)
@@ -346,18 +578,26 @@
 	return (x > y) - (x < y);
 }
 
-double site_servers_pace(const struct site_servers *t, const char *service,
-			 int64_t now)
+/* Quarter of the paces of servers from a drawn place on. */
+static double pace_of(struct site_servers *t, const struct index_group *g,
+		      int64_t now)
 {
 	double paces[PACE_SERVERS];
-	const struct site_server *s;
-	size_t iter = 0;
+	int w = (int)(next_draw(t, now) % (uint64_t)g->words);
 	size_t n = 0;
 
-	while ((s = site_servers_next(t, &iter)) && n < PACE_SERVERS) {
-		if (strcmp(s->entry.service, service) == 0 &&
-		    pace_known(s, now))
-			paces[n++] = s->pace_ms;
+	for (int i = 0; i < g->words; i++) {
+		uint64_t left = g->used.bits[w];
+
+		for (; left && n < PACE_SERVERS; left &= left - 1) {
+			const struct site_server *s =
+				g->members[w * INDEX_WORD_BITS +
+					   __builtin_ctzll(left)];
+
+			if (pace_known(s, now))
+				paces[n++] = s->pace_ms;
+		}
+		w = w + 1 < g->words ? w + 1 : 0;
 	}
 	if (!n)
 		return 0;
@@ -365,6 +605,22 @@
 	return paces[n / 4];
 }
 
+double site_servers_pace(struct site_servers *t, const char *service,
+			 int64_t now)
+{
+	struct index_group *g = server_index_group(&t->index, service);
+
+	if (!g)
+		return 0;
+	if (g->n <= SMALL)
+		return pace_of(t, g, now);
+	if (!g->paced_ms || now - g->paced_ms >= PACE_EVERY_MS) {
+		g->pace_ms = pace_of(t, g, now);
+		g->paced_ms = now;
+	}
+	return g->pace_ms;
+}
+
 double site_server_slowness(const struct site_server *s, int64_t now,
 			    double usual_ms)
 {
--- /dev/null
+++ b/packages/site/src/server_index.c
@@ -0,0 +1,385 @@
+// Index of the servers by id, and by service with bit sets.
+#include "server_index.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	TAGS_STEP = 16,
+	TAGS_MAX = 256, ///< domains and weight versions of a service
+};
+
+static const uint32_t HASH_START = 2166136261U; ///< FNV-1a
+static const uint32_t HASH_PRIME = 16777619U;
+
+static uint32_t hash_of(const char *s)
+{
+	uint32_t h = HASH_START;
+
+	while (*s)
+		h = (h ^ (unsigned char)*s++) * HASH_PRIME;
+	return h;
+}
+
+static void set_bit(union index_set *set, int at, bool on)
+{
+	uint64_t bit = UINT64_C(1) << (at % INDEX_WORD_BITS);
+
+	if (on)
+		set->bits[at / INDEX_WORD_BITS] |= bit;
+	else
+		set->bits[at / INDEX_WORD_BITS] &= ~bit;
+}
+
+static bool has_bit(const union index_set *set, int at)
+{
+	return set->bits[at / INDEX_WORD_BITS] >> (at % INDEX_WORD_BITS) & 1;
+}
+
+static void group_free(struct index_group *g)
+{
+	free(g->members);
+	free(g->tags);
+	free(g);
+}
+
+void server_index_free(struct server_index *ix)
+{
+	for (int i = 0; i < ix->n_groups; i++)
+		group_free(ix->groups[i]);
+	free(ix->groups);
+}
+
+static htab_handle *chain_of(struct server_index *ix, const char *id)
+{
+	return &ix->ids[hash_of(id) & (INDEX_IDS - 1)];
+}
+
+struct site_server *server_index_find(const struct server_index *ix,
+				      const struct htab *tab, const char *id)
+{
+	htab_handle h = ix->ids[hash_of(id) & (INDEX_IDS - 1)];
+	struct site_server *s;
+
+	while ((s = htab_get(tab, h))) {
+		if (strcmp(s->entry.id, id) == 0)
+			return s;
+		h = s->id_next;
+	}
+	return NULL;
+}
+
+struct index_group *server_index_group(const struct server_index *ix,
+				       const char *service)
+{
+	uint32_t hash = hash_of(service);
+
+	for (int i = 0; i < ix->n_groups; i++) {
+		struct index_group *g = ix->groups[i];
+
+		if (g->hash == hash && strcmp(g->service, service) == 0)
+			return g;
+	}
+	return NULL;
+}
+
+static struct index_group *group_add(struct server_index *ix,
+				     const char *service)
+{
+	struct index_group **all =
+		realloc(ix->groups, ((size_t)ix->n_groups + 1) * sizeof(*all));
+	struct index_group *g;
+
+	if (!all)
+		return NULL;
+	ix->groups = all;
+	g = calloc(1, sizeof(*g));
+	if (!g)
+		return NULL;
+	snprintf(g->service, sizeof(g->service), "%s", service);
+	g->hash = hash_of(service);
+	g->calm_at_ms = INT64_MAX;
+	all[ix->n_groups++] = g;
+	return g;
+}
+
+static void group_del(struct server_index *ix, struct index_group *g)
+{
+	for (int i = 0; i < ix->n_groups; i++) {
+		if (ix->groups[i] != g)
+			continue;
+		ix->groups[i] = ix->groups[--ix->n_groups];
+		break;
+	}
+	group_free(g);
+}
+
+/* Lowest free place, -1 when out of memory. */
+static int place_add(struct index_group *g)
+{
+	int at = 0;
+	int w = 0;
+
+	while (w < g->words && !~g->used.bits[w])
+		w++;
+	at = w * INDEX_WORD_BITS;
+	if (w < g->words)
+		at += __builtin_ctzll(~g->used.bits[w]);
+	if (at >= g->cap) {
+		int cap = g->cap + INDEX_WORD_BITS;
+		struct site_server **p = realloc(
+			g->members, (size_t)cap * sizeof(struct site_server *));
+
+		if (!p)
+			return -1;
+		g->members = p;
+		g->cap = cap;
+	}
+	if (w == g->words)
+		g->words++;
+	return at;
+}
+
+static struct index_tag *tag_find(const struct index_group *g, const char *name,
+				  uint64_t version)
+{
+	uint32_t hash = hash_of(name);
+
+	for (int i = 0; i < g->n_tags; i++) {
+		struct index_tag *tag = &g->tags[i];
+
+		if (tag->n && tag->hash == hash && tag->version == version &&
+		    strcmp(tag->name, name) == 0)
+			return tag;
+	}
+	return NULL;
+}
+
+static struct index_tag *tag_new(struct index_group *g, const char *name,
+				 uint64_t version)
+{
+	struct index_tag *tags = g->tags;
+	int i = 0;
+
+	while (i < g->n_tags && tags[i].n)
+		i++;
+	if (i == TAGS_MAX)
+		return NULL;
+	if (i == g->n_tags && i % TAGS_STEP == 0) {
+		tags = realloc(tags, ((size_t)i + TAGS_STEP) * sizeof(*tags));
+		if (!tags)
+			return NULL;
+		g->tags = tags;
+	}
+	if (i == g->n_tags)
+		g->n_tags++;
+	memset(&tags[i], 0, sizeof(tags[i]));
+	snprintf(tags[i].name, sizeof(tags[i].name), "%s", name);
+	tags[i].hash = hash_of(name);
+	tags[i].version = version;
+	return &tags[i];
+}
+
+static void tag_server(struct index_group *g, const char *name,
+		       uint64_t version, int at)
+{
+	struct index_tag *tag = tag_find(g, name, version);
+
+	if (!tag)
+		tag = tag_new(g, name, version);
+	if (!tag) {
+		set_bit(&g->untagged, at, true);
+		g->some_untagged = true;
+	} else if (!has_bit(&tag->in, at)) {
+		set_bit(&tag->in, at, true);
+		tag->n++;
+	}
+}
+
+static void untag_server(struct index_group *g, int at)
+{
+	for (int i = 0; i < g->n_tags; i++) {
+		struct index_tag *tag = &g->tags[i];
+
+		if (!tag->n || !has_bit(&tag->in, at))
+			continue;
+		set_bit(&tag->in, at, false);
+		tag->n--;
+	}
+	while (g->n_tags && !g->tags[g->n_tags - 1].n)
+		g->n_tags--;
+	if (g->some_untagged)
+		set_bit(&g->untagged, at, false);
+}
+
+/* All that a request may ask for by name: domain, and versions of models. */
+static void tag_all(struct index_group *g, const struct site_server *s)
+{
+	tag_server(g, s->entry.domain, 0, s->place);
+	for (int i = 0; i < s->entry.n_models; i++) {
+		if (s->entry.models[i].version)
+			tag_server(g, s->entry.models[i].name,
+				   s->entry.models[i].version, s->place);
+	}
+}
+
+static enum err join(struct server_index *ix, struct site_server *s)
+{
+	struct index_group *g = server_index_group(ix, s->entry.service);
+
+	if (!g)
+		g = group_add(ix, s->entry.service);
+	if (!g)
+		return ERR_NOMEM;
+	s->place = place_add(g);
+	if (s->place < 0) {
+		if (!g->n)
+			group_del(ix, g);
+		return ERR_NOMEM;
+	}
+	s->group = g;
+	g->members[s->place] = s;
+	g->n++;
+	set_bit(&g->used, s->place, true);
+	tag_all(g, s);
+	return ERR_OK;
+}
+
+static void leave(struct server_index *ix, struct site_server *s)
+{
+	struct index_group *g = s->group;
+
+	server_index_usable(s, false);
+	untag_server(g, s->place);
+	for (int i = 0; i < INDEX_QUARTERS; i++)
+		set_bit(&g->below[i], s->place, false);
+	set_bit(&g->calm, s->place, false);
+	set_bit(&g->used, s->place, false);
+	s->group = NULL;
+	if (!--g->n)
+		group_del(ix, g);
+}
+
+enum err server_index_add(struct server_index *ix, struct site_server *s,
+			  bool usable)
+{
+	htab_handle *head = chain_of(ix, s->entry.id);
+	enum err e = join(ix, s);
+
+	if (e != ERR_OK)
+		return e;
+	s->id_next = *head;
+	*head = s->self;
+	server_index_load(s);
+	server_index_usable(s, usable);
+	return ERR_OK;
+}
+
+void server_index_del(struct server_index *ix, const struct htab *tab,
+		      struct site_server *s)
+{
+	htab_handle *at = chain_of(ix, s->entry.id);
+
+	if (!s->group)
+		return;
+	while (*at != s->self)
+		at = &((struct site_server *)htab_get(tab, *at))->id_next;
+	*at = s->id_next;
+	leave(ix, s);
+}
+
+static void index_below(struct index_group *g, const struct site_server *s)
+{
+	bool ready =
+		has_bit(&g->usable, s->place) && has_bit(&g->calm, s->place);
+	int slots = s->entry.slots;
+
+	for (int i = 0; i < INDEX_QUARTERS; i++) {
+		int n = slots * (i + 1) / INDEX_QUARTERS;
+
+		if (n < 1 && slots > 0)
+			n = 1;
+		set_bit(&g->below[i], s->place, ready && s->running < n);
+	}
+}
+
+void server_index_load(struct site_server *s)
+{
+	struct index_group *g = s->group;
+
+	if (!g)
+		return;
+	set_bit(&g->calm, s->place, !s->avoid_until_ms);
+	if (s->avoid_until_ms && s->avoid_until_ms < g->calm_at_ms)
+		g->calm_at_ms = s->avoid_until_ms;
+	index_below(g, s);
+}
+
+void server_index_usable(struct site_server *s, bool usable)
+{
+	struct index_group *g = s->group;
+
+	if (!g || has_bit(&g->usable, s->place) == usable)
+		return;
+	set_bit(&g->usable, s->place, usable);
+	g->n_usable += usable ? 1 : -1;
+	index_below(g, s);
+}
+
+void index_group_calm(struct index_group *g, int64_t now)
+{
+	int64_t next = INT64_MAX;
+
+	g->calmed_ms = now;
+	for (int w = 0; w < g->words; w++) {
+		uint64_t left = g->used.bits[w] & ~g->calm.bits[w];
+
+		for (; left; left &= left - 1) {
+			int at = w * INDEX_WORD_BITS + __builtin_ctzll(left);
+			struct site_server *s = g->members[at];
+
+			if (s->avoid_until_ms > now) {
+				if (s->avoid_until_ms < next)
+					next = s->avoid_until_ms;
+				continue;
+			}
+			s->avoid_until_ms = 0;
+			set_bit(&g->calm, at, true);
+			index_below(g, s);
+		}
+	}
+	g->calm_at_ms = next;
+}
+
+void index_group_model(const struct index_group *g, const char *model,
+		       uint64_t min_version, union index_set *out)
+{
+	uint32_t hash = hash_of(model);
+	bool any = g->some_untagged;
+
+	if (g->some_untagged)
+		*out = g->untagged;
+	for (int i = 0; i < g->n_tags; i++) {
+		const struct index_tag *tag = &g->tags[i];
+
+		if (!tag->n || tag->hash != hash || !tag->version ||
+		    tag->version < min_version || strcmp(tag->name, model) != 0)
+			continue;
+		if (any)
+			index_set_or(out, &tag->in, g->words);
+		else
+			*out = tag->in;
+		any = true;
+	}
+	if (!any)
+		memset(out, 0, sizeof(*out));
+}
+
+const union index_set *index_group_domain(const struct index_group *g,
+					  const char *domain)
+{
+	const struct index_tag *tag = tag_find(g, domain, 0);
+
+	return tag ? &tag->in : NULL;
+}
--- a/packages/site/test/test_site.c
+++ b/packages/site/test/test_site.c
@@ -10,6 +10,7 @@
 
 #include <stdio.h>
 
+#include "base/rng.h"
 #include "site/conf.h"
 #include "site/server.h"
 
@@ -289,6 +290,181 @@
 	site_servers_free(t);
 }
 
+enum {
+	MANY = 300,
+	PARTS = 5, ///< services of 60, which are compared as a whole
+	TURNS = 30000,
+};
+
+/* The same servers twice: as one large service, and as small ones. */
+struct twins {
+	struct site_servers *one;
+	struct site_servers *parts;
+	struct rng rng;
+	uint64_t rev;
+	int64_t now;
+	int known[MANY]; ///< version of the entry, 0 if there is none
+};
+
+static struct site_server *by_id(const struct site_servers *t, const char *id)
+{
+	struct site_server *s;
+	size_t iter = 0;
+
+	while ((s = site_servers_next(t, &iter)) &&
+	       strcmp(s->entry.id, id) != 0)
+		;
+	return s;
+}
+
+static void twins_put(struct twins *w, int i)
+{
+	char id[16];
+	char domain[16];
+	struct site_server_entry e;
+
+	snprintf(id, sizeof(id), "s%d", i);
+	snprintf(domain, sizeof(domain), "d%d", i % 3);
+	e = entry(id, domain);
+	e.slots = 1 + i % 4;
+	e.leaving = rng_below(&w->rng, 10) == 0;
+	w->known[i] = 1 + (int)rng_below(&w->rng, 4);
+	e.models[0].version = (uint64_t)w->known[i];
+	snprintf(e.models[0].name, SITE_NAME, "m%d", i / 3 % 2);
+	w->rev++;
+	assert_int_equal(site_servers_put(w->one, w->rev, w->now, &e), ERR_OK);
+	snprintf(e.service, SITE_NAME, "svc%d", i % PARTS);
+	assert_int_equal(site_servers_put(w->parts, w->rev, w->now, &e),
+			 ERR_OK);
+}
+
+static void twins_event(struct twins *w)
+{
+	int i = (int)rng_below(&w->rng, MANY);
+	bool ok = rng_below(&w->rng, 3) > 0;
+	char id[16];
+
+	w->now += (int64_t)rng_below(&w->rng, 20);
+	snprintf(id, sizeof(id), "s%d", i);
+	switch (rng_below(&w->rng, 60)) {
+	case 0:
+		site_servers_gone(w->one, id, w->now, false);
+		site_servers_gone(w->parts, id, w->now, false);
+		w->known[i] = 0;
+		return;
+	case 1:
+		site_servers_domain_out(w->one, "d1", ok);
+		site_servers_domain_out(w->parts, "d1", ok);
+		return;
+	case 2:
+	case 3:
+	case 4:
+		twins_put(w, i);
+		return;
+	default:
+		break;
+	}
+	if (!w->known[i])
+		return;
+	if (rng_below(&w->rng, 2)) {
+		site_server_end(by_id(w->one, id), w->now, ok);
+		site_server_end(by_id(w->parts, id), w->now, ok);
+	}
+}
+
+static struct site_server *choose_of_parts(struct twins *w,
+					   struct site_ask *ask)
+{
+	char name[16];
+
+	for (int i = 0; i < PARTS; i++) {
+		struct site_server *s;
+
+		snprintf(name, sizeof(name), "svc%d", i);
+		ask->service = name;
+		s = site_servers_choose(w->parts, w->now, ask);
+		if (s)
+			return s;
+	}
+	return NULL;
+}
+
+/* Guards against a refusal while a server is free: whatever happened to the
+ * servers, a choice in a large service finds one exactly when a comparison of
+ * all finds one. */
+static void test_free_server_is_found(void **state)
+{
+	struct twins w = {.one = site_servers_new(),
+			  .parts = site_servers_new(),
+			  .rng = {7},
+			  .now = 1000};
+	int none = 0;
+
+	for (int i = 0; i < MANY; i++)
+		twins_put(&w, i);
+	for (int turn = 0; turn < TURNS; turn++) {
+		struct site_ask ask = {
+			.service = "svc",
+			.domain = rng_below(&w.rng, 4) ? "d1" : "d7",
+			.model = rng_below(&w.rng, 4) ? "m1" : NULL,
+			.min_version = rng_below(&w.rng, 6),
+			.only_free = rng_below(&w.rng, 4) > 0,
+			.share = rng_below(&w.rng, 3) ? 0 : 60,
+		};
+		struct site_server *s;
+
+		twins_event(&w);
+		s = site_servers_choose(w.one, w.now, &ask);
+		none += !s;
+		if (s) {
+			site_server_begin(s, w.now);
+			site_server_begin(by_id(w.parts, s->entry.id), w.now);
+			site_server_end(s, w.now, true);
+			site_server_end(by_id(w.parts, s->entry.id), w.now,
+					true);
+		}
+		assert_int_equal(s != NULL, choose_of_parts(&w, &ask) != NULL);
+		ask.service = "svc";
+		s = site_servers_choose(w.one, w.now, &ask);
+		if (!s)
+			continue;
+		site_server_begin(s, w.now);
+		site_server_begin(by_id(w.parts, s->entry.id), w.now);
+	}
+	assert_in_range(none, TURNS / 50, TURNS * 9 / 10);
+	site_servers_free(w.one);
+	site_servers_free(w.parts);
+}
+
+/* Load pattern: many requests at once for a large service. Guards against a
+ * choice that prefers some places of the index: no server gets much more than
+ * its part. */
+static void test_large_service_is_loaded_evenly(void **state)
+{
+	struct site_servers *t = site_servers_new();
+	const struct site_ask ask = {
+		.service = "svc", .domain = "d1", .only_free = true};
+	struct site_server *s;
+	size_t iter = 0;
+
+	for (int i = 0; i < MANY; i++) {
+		char id[16];
+		struct site_server_entry e;
+
+		snprintf(id, sizeof(id), "s%d", i);
+		e = entry(id, "d1");
+		e.slots = 16;
+		site_servers_put(t, 1, 0, &e);
+	}
+	assert_int_equal(site_servers_usable(t, "svc"), MANY);
+	assert_int_equal(site_servers_fitting(t, &ask), MANY);
+	for (int i = 0; i < MANY * 8; i++)
+		site_server_begin(site_servers_choose(t, i / 10, &ask), i / 10);
+	while ((s = site_servers_next(t, &iter)))
+		assert_in_range(s->running, 6, 10);
+	site_servers_free(t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -304,6 +480,8 @@
 		cmocka_unit_test(test_cold_rate),
 		cmocka_unit_test(test_slow_third),
 		cmocka_unit_test(test_only_free),
+		cmocka_unit_test(test_free_server_is_found),
+		cmocka_unit_test(test_large_service_is_loaded_evenly),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
