fix(log): a field can't take the place of a key of the line

Fields named `event` and `node` overwrote the line's own keys, so item-ended lines were filed under an event number instead of a name, and batch-ended lines under the owner instead of the node that wrote them.

--- a/packages/base/include/base/log.h
+++ b/packages/base/include/base/log.h
@@ -32,7 +32,9 @@
 /// @param ev   event from the table
 /// @param fmt  printf format of `key=value` fields, separated by blanks; a value
 ///             with blanks stands in double quotes, and goes to the end of the
-///             line if it is the last field
+///             line if it is the last field. A field named like a key of the
+///             line itself, or like a field before it, is written as
+///             `field_NAME`; tools/log_keys.awk finds those in the sources
 void log_event(enum log_event ev, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
 
--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -152,6 +152,20 @@
 	return json_integer(n);
 }
 
+/* Set a field. A key that the line has already is kept as it is: readers look
+ * lines up by its own keys. */
+static void set_field(json_t *obj, const char *key, size_t len, json_t *value)
+{
+	char name[LOG_TEXT_MAX + sizeof("field_")];
+
+	if (!json_object_getn(obj, key, len)) {
+		json_object_setn_new(obj, key, len, value);
+		return;
+	}
+	snprintf(name, sizeof(name), "field_%.*s", (int)len, key);
+	json_object_set_new(obj, name, value);
+}
+
 /* Fields of `key=value` text; what has no key goes to "text". */
 static void line_fields(json_t *obj, const char *s)
 {
@@ -161,14 +175,14 @@
 		json_t *value;
 
 		if (!eq) {
-			json_object_set_new(obj, "text", json_string(s));
+			set_field(obj, "text", strlen("text"), json_string(s));
 			return;
 		}
 		len = value_len(eq + 1);
 		value = value_of(eq + 1, len);
 		if (!value)
 			value = json_string("(not UTF-8)");
-		json_object_setn_new(obj, s, (size_t)(eq - s), value);
+		set_field(obj, s, (size_t)(eq - s), value);
 		s = eq + 1 + len;
 		s += strspn(s, " ");
 	}
--- a/packages/base/test/test_log.c
+++ b/packages/base/test/test_log.c
@@ -87,6 +87,42 @@
 	json_decref(obj);
 }
 
+static const char *text_of(const json_t *obj, const char *key)
+{
+	return json_string_value(json_object_get(obj, key));
+}
+
+/* Guards against a field that takes the place of a key of the line itself: lines
+ * were then filed under a wrong event or node. */
+static void test_keys_of_the_line(void **state)
+{
+	static const char *const keys[] = {
+		"time", "level", "num", "event", "node", "program",
+	};
+	json_t *obj;
+
+	next_second();
+	log_event(EV_START, "time=x level=x num=x event=x node=x program=x "
+			    "a=first a=second");
+	obj = next_line();
+	assert_non_null(obj);
+	for (size_t i = 0; i < sizeof(keys) / sizeof(*keys); i++) {
+		char name[32];
+
+		snprintf(name, sizeof(name), "field_%s", keys[i]);
+		assert_string_equal(text_of(obj, name), "x");
+	}
+	assert_string_equal(text_of(obj, "level"), "notice");
+	assert_int_equal(json_integer_value(json_object_get(obj, "num")),
+			 EV_START);
+	assert_string_equal(text_of(obj, "event"), "start");
+	assert_string_equal(text_of(obj, "node"), "n1");
+	assert_string_equal(text_of(obj, "program"), "test");
+	assert_string_equal(text_of(obj, "a"), "first");
+	assert_string_equal(text_of(obj, "field_a"), "second");
+	json_decref(obj);
+}
+
 static void test_bad_bytes(void **state)
 {
 	json_t *obj;
@@ -149,6 +185,8 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(test_fields, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_keys_of_the_line, setup,
+						teardown),
 		cmocka_unit_test_setup_teardown(test_bad_bytes, setup,
 						teardown),
 		cmocka_unit_test_setup_teardown(test_budget, setup, teardown),
--- a/packages/daemon/src/job/end.c
+++ b/packages/daemon/src/job/end.c
@@ -61,7 +61,7 @@
 {
 	struct job *j = job_find(c, e->id);
 
-	log_event(EV_JOB_ENDED, "batch=%s team=%s node=%s rev=%llu", e->id,
+	log_event(EV_JOB_ENDED, "batch=%s team=%s owner=%s rev=%llu", e->id,
 		  e->team, e->owner.node, (unsigned long long)rev);
 	if (j && rev > j->owner_rev) {
 		j->owner = e->owner;
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -213,8 +213,9 @@
 	if (err == ERR_OK)
 		return true;
 	log_event(EV_JOB_ITEM,
-		  "batch=%s item=%s event=%llu version=%llu error=%s", e->j->id,
-		  e->j->spec->items[e->at->item].id, (unsigned long long)ev->id,
+		  "batch=%s item=%s last_event=%llu version=%llu error=%s",
+		  e->j->id, e->j->spec->items[e->at->item].id,
+		  (unsigned long long)ev->id,
 		  (unsigned long long)e->at->version, err_code(err));
 	e->at->spoilt = true;
 	return false;
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -393,7 +393,7 @@
 	s->retire_busy = false;
 	if (res->err == ERR_OK || res->err == ERR_KV_CONFLICT) {
 		s->retire = false;
-		log_event(EV_SITE_RETIRED, "node=%s", core_node(c));
+		log_event(EV_SITE_RETIRED, "domain=%s", core_domain(c));
 	}
 }
 
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -3,6 +3,9 @@
 set -u
 cd "$(dirname "$0")/.."
 mapfile -t all < <(git ls-files '*.c' '*.h')
+# test_log.c writes faulty lines on purpose.
+git ls-files '*.c' ':!packages/base/test/test_log.c' |
+	xargs awk -f tools/log_keys.awk || exit 1
 clang-format --dry-run -Werror "${all[@]}" || exit 1
 cmake -G Ninja -S . -B build/release >/dev/null || exit 1
 git ls-files '*.c' | xargs -P "${JOBS:-10}" -n 4 \
