fix(daemon): a contradiction in one request or claim ends that one only

Assertions in the claim shard, the slot and queue bookkeeping of requests, the replay of claimed answers and the lookup of a key's team ended the process, and with it all its batches, for a contradiction that concerns one request.

These are typed errors with a work-inconsistent line now: the request is ended and taken out of queue and slot.

test_claim_faults: an answer that no call asked for changes nothing. test_site: keys of unknown teams are refused. The branches of requests have no test: nothing outside reaches them.

--- a/packages/claim/include/claim/shard.h
+++ b/packages/claim/include/claim/shard.h
@@ -88,7 +88,9 @@
 			  const struct claim_record *r);
 
 /// Take the outcome of the call that is out.
-void claim_shard_kv(struct claim_shard *s, struct claim_time t,
+///
+/// @return ERR_OK, ERR_INVALID if none is out: nothing changes
+enum err claim_shard_kv(struct claim_shard *s, struct claim_time t,
 		    const struct claim_kv *kv);
 
 /// Let time pass.
--- a/packages/claim/src/shard.c
+++ b/packages/claim/src/shard.c
@@ -1,7 +1,6 @@
 // Writer of one shard of the claim log.
 #include "claim/shard.h"
 
-#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -314,12 +313,13 @@
 	}
 }
 
-void claim_shard_kv(struct claim_shard *s, struct claim_time t,
+enum err claim_shard_kv(struct claim_shard *s, struct claim_time t,
 		    const struct claim_kv *kv)
 {
 	enum shard_out out = s->out;
 
-	assert(out != SHARD_OUT_NONE);
+	if (out == SHARD_OUT_NONE)
+		return ERR_INVALID;
 	s->out = SHARD_OUT_NONE;
 	s->busy = true;
 	if (out == SHARD_OUT_LIST)
@@ -330,6 +330,7 @@
 		shard_on_put(s, t, kv);
 	s->busy = false;
 	shard_run(s, t);
+	return ERR_OK;
 }
 
 /* Claims that waited too long are refused; outcomes too old are dropped. */
--- a/packages/claim/test/test_claim_faults.c
+++ b/packages/claim/test/test_claim_faults.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <cmocka.h>
 
+#include "claim/shard.h"
 #include "sim.h"
 
 enum {
@@ -64,12 +65,35 @@
 		0);
 }
 
+static void no_list(void *ctx, const char *prefix)
+{
+	(*(int *)ctx)++;
+}
+
+/* Guards against an end of the process when an answer of the store is handed on
+ * twice: the second one must change nothing. */
+static void test_stray_answer(void **state)
+{
+	static const struct claim_ops ops = {.list = no_list};
+	int lists = 0;
+	const struct claim_shard_opts opts = {
+		.prefix = "claim/0/", .ops = &ops, .ctx = &lists};
+	struct claim_shard *s = claim_shard_new(&opts);
+	const struct claim_time t = {1000, 1000};
+	const struct claim_kv down = {.err = ERR_KV_DOWN};
+
+	assert_int_equal(claim_shard_kv(s, t, &down), ERR_INVALID);
+	assert_int_equal(lists, 0);
+	claim_shard_free(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_real),
 		cmocka_unit_test(test_naive_runs_twice),
 		cmocka_unit_test(test_naive_refuses_falsely),
+		cmocka_unit_test(test_stray_answer),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/daemon/src/lead/lead_mod.c
+++ b/packages/daemon/src/lead/lead_mod.c
@@ -95,6 +95,11 @@
 		.quiet_ms = LEAD_QUIET_MS,
 	};
 
+	if (2 * opts.margin_ms > opts.ttl_ms) {
+		log_event(EV_FATAL, "[lead] margin is over half of [lead] ttl");
+		free(l);
+		return ERR_SETTINGS;
+	}
 	if (!l)
 		return ERR_NOMEM;
 	snprintf(id, sizeof(id), "%s/%s", core_node(c), core_incarnation(c));
--- a/packages/daemon/src/work_mod_claim.c
+++ b/packages/daemon/src/work_mod_claim.c
@@ -53,6 +53,17 @@
 
 // --- KV calls of a shard ----------------------------------------------------
 
+/* Hand an outcome to its shard; one that it did not ask for is dropped. */
+static void claim_take(struct core *c, struct claim_slot *s,
+		       const struct claim_kv *kv)
+{
+	enum err e = claim_shard_kv(s->shard, claim_now(c), kv);
+
+	if (e != ERR_OK)
+		log_event(EV_WORK_FAULT, "what=stray-claim-answer error=%s",
+			  err_code(e));
+}
+
 static void claim_on_kv(struct core *c, void *ctx, const struct kv_result *res)
 {
 	struct claim_slot *s = ctx;
@@ -68,7 +79,7 @@
 		items[i] = (struct claim_kv_item){
 			res->items[i].key, res->items[i].value,
 			res->items[i].len, res->items[i].rev};
-	claim_shard_kv(s->shard, claim_now(c), &kv);
+	claim_take(c, s, &kv);
 	free(items);
 }
 
@@ -341,7 +352,7 @@
 			continue;
 		if (s->failed) {
 			s->failed = false;
-			claim_shard_kv(s->shard, claim_now(c), &none);
+			claim_take(c, s, &none);
 		}
 		claim_shard_tick(s->shard, claim_now(c));
 		claim_count(s);
--- a/packages/daemon/src/work_mod_keyed.c
+++ b/packages/daemon/src/work_mod_keyed.c
@@ -1,5 +1,4 @@
 // Callers' requests that carry an idempotency key: claimed, run, noted.
-#include <assert.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -7,6 +6,7 @@
 #include <xxhash.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "base/metric.h"
 #include "core/settings.h"
 #include "work_mod_int.h"
@@ -85,7 +85,11 @@
 {
 	char detail[KEYED_DETAIL_LEN];
 
-	assert(a);
+	if (!a) {
+		log_event(EV_WORK_FAULT, "what=done-without-answer");
+		core_reply_err(c, req, ERR_CLAIM_DONE, RUN_DONE, 0, NULL);
+		return;
+	}
 	metric_add(M_CLAIM_REPLAYED, 1);
 	if (a->len == 0 || a->body) {
 		core_reply_header(c, req, "Catkin-Run", "done");
--- a/packages/daemon/src/work_mod_pool.c
+++ b/packages/daemon/src/work_mod_pool.c
@@ -1,15 +1,16 @@
 // Pools of backend servers and their queues.
-#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/log.h"
 #include "conf/conf.h"
 #include "daemon/conf_mod.h"
 #include "work_mod_int.h"
 
 enum {
 	POOL_QUEUE_CAP = WORK_CAP,
+	POOL_FAULT_MS = 1000, ///< without work, after its slots contradict
 	POOL_DEFAULT_MAX = 10000, ///< waiting, without a configuration
 };
 
@@ -166,8 +167,15 @@
 	enum err e;
 
 	work_pool_take(c, w->pool);
-	if (!slot_holder_take(&v->holder, core_now(c)))
-		assert(!"picked without a free slot");
+	if (!slot_holder_take(&v->holder, core_now(c))) {
+		log_event(EV_WORK_FAULT,
+			  "what=picked-without-slot request=%llu server=%s",
+			  (unsigned long long)w->id, v->id);
+		w->failed = ERR_FULL;
+		/* Those behind it in the queue go to other servers. */
+		v->down_until_ms = core_now(c) + POOL_FAULT_MS;
+		return;
+	}
 	e = work_attempt_fetch(c, w, v);
 	if (e != ERR_OK) {
 		slot_holder_put(&v->holder, SLOT_CANCELLED, 0);
--- a/packages/daemon/src/work_mod_submit.c
+++ b/packages/daemon/src/work_mod_submit.c
@@ -1,5 +1,4 @@
 // Takes requests in, holds them, and ends them.
-#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -42,17 +41,30 @@
 	arena_free(&w->arena);
 }
 
-static void work_drop(struct work_state *s, struct work *w)
+/* A request that still waits or holds a slot is taken out there first: a queue
+ * entry or a slot of a freed request would hit the one that gets its place. */
+static void work_drop(struct core *c, struct work *w)
 {
-	assert(!w->queued && !w->server);
+	struct work_state *s = work_state(c);
+
+	if (w->queued || w->server) {
+		log_event(EV_WORK_FAULT,
+			  "what=dropped-in-use request=%llu queued=%d "
+			  "server=%s via=%d",
+			  (unsigned long long)w->id, w->queued != 0,
+			  w->server ? w->server->id : "none", (int)w->via);
+		work_unqueue(w);
+		work_attempt_cancel(c, w);
+	}
 	work_free(w);
 	htab_del(s->works, w->h);
 	metric_set(M_WORK_RUNNING, htab_count(s->works));
 }
 
-static struct work *work_add(struct work_state *s, const struct work_opts *opts,
+static struct work *work_add(struct core *c, const struct work_opts *opts,
 			     bool forwarded)
 {
+	struct work_state *s = work_state(c);
 	htab_handle h;
 	struct work *w = htab_add(s->works, &h);
 
@@ -63,7 +75,7 @@
 	w->forwarded = forwarded;
 	arena_init(&w->arena, WORK_ARENA_LIMIT);
 	if (work_copy_opts(w, opts) != ERR_OK) {
-		work_drop(s, w);
+		work_drop(c, w);
 		return NULL;
 	}
 	attempt_init(&w->att, &(struct attempt_opts){
@@ -78,7 +90,7 @@
 			  int64_t *retry_after_ms)
 {
 	struct work_state *s = work_state(c);
-	struct work *w = work_add(s, opts, forwarded);
+	struct work *w = work_add(c, opts, forwarded);
 	enum err e;
 
 	*retry_after_ms = WORK_NO_SERVER_RETRY_MS;
@@ -86,7 +98,7 @@
 		return ERR_ADMIT_FULL;
 	e = work_place(c, w, retry_after_ms);
 	if (e != ERR_OK) {
-		work_drop(s, w);
+		work_drop(c, w);
 		return e;
 	}
 	if (h)
@@ -111,7 +123,7 @@
 		return;
 	work_unqueue(w);
 	work_attempt_cancel(c, w);
-	work_drop(s, w);
+	work_drop(c, w);
 }
 
 void work_finish(struct core *c, struct work *w, const struct work_result *res)
--- a/packages/site/include/site/conf.h
+++ b/packages/site/include/site/conf.h
@@ -95,7 +95,9 @@
 void site_key_hash(const char *key, uint8_t hash[SITE_KEY_HASH]);
 
 /// Sort the keys; call once all are in.
-void site_conf_seal(struct site_conf *conf);
+///
+/// @return ERR_OK, ERR_INVALID if a key is of no team of the list
+enum err site_conf_seal(struct site_conf *conf);
 
 /// Route of a request: longest prefix of the path on that host.
 ///
--- a/packages/site/src/conf.c
+++ b/packages/site/src/conf.c
@@ -1,7 +1,6 @@
 // Look-ups in a configuration.
 #include "site/conf.h"
 
-#include <assert.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
@@ -28,11 +27,18 @@
 	return memcmp(x->hash, y->hash, SITE_KEY_HASH);
 }
 
-void site_conf_seal(struct site_conf *conf)
+enum err site_conf_seal(struct site_conf *conf)
 {
+	for (size_t i = 0; i < conf->n_keys; i++) {
+		int team = conf->keys[i].team;
+
+		if (team < 0 || (size_t)team >= conf->n_teams)
+			return ERR_INVALID;
+	}
 	if (conf->n_keys)
 		qsort(conf->keys, conf->n_keys, sizeof(*conf->keys),
 		      key_compare);
+	return ERR_OK;
 }
 
 const struct site_route *site_conf_route(const struct site_conf *conf,
@@ -99,6 +105,5 @@
 			key_compare);
 	if (!found)
 		return NULL;
-	assert((size_t)found->team < conf->n_teams);
 	return conf->teams[found->team];
 }
--- a/packages/site/test/test_site.c
+++ b/packages/site/test/test_site.c
@@ -47,13 +47,19 @@
 	keys[0].team = 0;
 	keys[1].team = 1;
 	keys[2].team = 0;
-	site_conf_seal(&conf);
+	assert_int_equal(site_conf_seal(&conf), ERR_OK);
 	assert_string_equal(site_conf_team(&conf, "alpha"), "t0");
 	assert_string_equal(site_conf_team(&conf, "beta"), "t1");
 	assert_string_equal(site_conf_team(&conf, "gamma"), "t0");
 	assert_null(site_conf_team(&conf, "delta"));
 	assert_null(site_conf_team(&conf, ""));
 	assert_null(site_conf_team(&conf, NULL));
+	/* Guards against an end of the process at the first request with a key
+	 * whose team is not listed. */
+	keys[1].team = 2;
+	assert_int_equal(site_conf_seal(&conf), ERR_INVALID);
+	keys[1].team = -1;
+	assert_int_equal(site_conf_seal(&conf), ERR_INVALID);
 }
 
 static struct site_server_entry entry(const char *id, const char *domain)
