--- a/packages/daemon/src/job/owner.c
+++ b/packages/daemon/src/job/owner.c
@@ -20,7 +20,7 @@
 	const json_t *total = json_object_get(obj, "total");
 
 	memset(out, 0, sizeof(*out));
-	if (!json_is_integer(total)) {
+	if (!json_is_integer(total) || json_integer_value(total) < 0) {
 		json_decref(obj);
 		return ERR_PARSE;
 	}
--- a/packages/daemon/test/test_peer_msgs.c
+++ b/packages/daemon/test/test_peer_msgs.c
@@ -14,9 +14,10 @@
 #include "job/home_msg.h"
 #include "proxy_msg.h"
 #include "site/relay_msg.h"
+#include "support/mutate.h"
 
 enum {
-	DAMAGES = 4000, ///< damaged copies of each message
+	DAMAGES = 4000, ///< copies of each message with one byte changed
 };
 
 static struct arena a;
@@ -36,8 +37,8 @@
 	return 0;
 }
 
-/* Read damaged copies, as the loop would: only what is one whole object. */
-static void damage(void (*read)(const void *data, size_t len))
+/* One byte changed, at times the end cut off. */
+static void damage_byte(void (*read)(const void *data, size_t len))
 {
 	struct rng rng = {buf.size};
 
@@ -55,11 +56,60 @@
 	}
 }
 
+/* Read damaged copies, as the loop would: only what is one whole object. */
+static void damage(void (*read)(const void *data, size_t len))
+{
+	static const char number[] = "\xcf\xff\xff\xff\xff\xff\xff\xff\xff";
+	static const char array[] = "\xdd\xff\xff\xff\xff";
+	const struct mutate_bytes corpus[] = {
+		{buf.data, buf.size},
+		{number, sizeof(number) - 1},
+		{array, sizeof(array) - 1},
+	};
+	int whole = 0;
+
+	damage_byte(read);
+	for (uint64_t seed = 1; seed <= MUTATE_SEEDS; seed++) {
+		struct rng rng = {seed};
+
+		for (int i = 0; i < MUTATE_EACH; i++) {
+			size_t len;
+			char *copy = mutate(corpus, 3, 0, &rng, &len);
+
+			if (packed_ok(copy, len)) {
+				whole++;
+				read(copy, len);
+			}
+			free(copy);
+		}
+	}
+	/* Enough copies must get as far as the reader. */
+	assert_true(whole > MUTATE_SEEDS * MUTATE_EACH / 50);
+}
+
+/* Texts must end, and bodies be there. */
+static void touch(const char *text, const char *body, size_t len)
+{
+	volatile size_t sum = text ? strlen(text) : 0;
+
+	for (size_t i = 0; i < len; i++)
+		sum += (unsigned char)body[i];
+}
+
 static void read_home_ask(const void *data, size_t len)
 {
 	struct home_ask ask;
 
-	job_home_ask_read(data, len, &a, &ask);
+	if (job_home_ask_read(data, len, &a, &ask) != ERR_OK)
+		return;
+	assert_in_range(ask.kind, 0, HOME_END);
+	touch(ask.addr, ask.body, ask.len);
+	touch(ask.job, NULL, 0);
+	touch(ask.item, NULL, 0);
+	touch(ask.team, NULL, 0);
+	touch(ask.host, NULL, 0);
+	touch(ask.path, NULL, 0);
+	assert_true(ask.wait_ms >= 0);
 }
 
 static void test_home_ask(void **state)
@@ -97,7 +147,11 @@
 {
 	struct home_reply reply;
 
-	job_home_reply_read(data, len, &a, &reply);
+	if (job_home_reply_read(data, len, &a, &reply) != ERR_OK)
+		return;
+	touch(reply.ctype, reply.body, reply.len);
+	assert_non_null(err_code(reply.err));
+	assert_non_null(run_state_name(reply.run));
 }
 
 static void test_home_reply(void **state)
@@ -199,7 +253,8 @@
 {
 	struct relay_question q;
 
-	relay_ask_read(data, len, &q);
+	if (relay_ask_read(data, len, &q) == ERR_OK)
+		assert_non_null(memchr(q.addr, '\0', sizeof(q.addr)));
 }
 
 static void test_relay_ask(void **state)
@@ -215,6 +270,68 @@
 	damage(read_relay_ask);
 }
 
+/* A relay's answer: a part for each prefix, one item and one deletion in each. */
+static void pack_news(void)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, 5);
+	msgpack_pack_uint64(&pk, 8);
+	msgpack_pack_uint64(&pk, 20);
+	msgpack_pack_true(&pk);
+	msgpack_pack_uint64(&pk, 3000);
+	msgpack_pack_array(&pk, RELAY_FEEDS);
+	for (int i = 0; i < RELAY_FEEDS; i++) {
+		msgpack_pack_array(&pk, 6);
+		msgpack_pack_true(&pk);
+		msgpack_pack_uint64(&pk, 40);
+		msgpack_pack_false(&pk);
+		msgpack_pack_uint64(&pk, 70);
+		msgpack_pack_array(&pk, 1);
+		msgpack_pack_array(&pk, 3);
+		msgpack_pack_str_with_body(&pk, "a", 1);
+		msgpack_pack_bin_with_body(&pk, "v\0w", 3);
+		msgpack_pack_uint64(&pk, 69);
+		msgpack_pack_array(&pk, 1);
+		msgpack_pack_str_with_body(&pk, "b", 1);
+	}
+}
+
+static void read_relay_news(const void *data, size_t len)
+{
+	struct relay_word word;
+	struct relay_part parts[RELAY_FEEDS];
+
+	if (relay_news_read(data, len, &a, &word, parts) != ERR_OK)
+		return;
+	assert_true(word.held_ms >= 0 && word.store_there_ms >= 0);
+	for (int i = 0; i < RELAY_FEEDS; i++) {
+		const struct feed_news *n = &parts[i].news;
+
+		assert_true(parts[i].age_ms >= 0);
+		for (size_t k = 0; k < n->n_items; k++)
+			touch(n->items[k].key, n->items[k].value,
+			      n->items[k].len);
+		for (size_t k = 0; k < n->n_deleted; k++)
+			touch(n->deleted[k], NULL, 0);
+	}
+}
+
+static void test_relay_news(void **state)
+{
+	struct relay_word word;
+	struct relay_part parts[RELAY_FEEDS];
+
+	pack_news();
+	assert_int_equal(relay_news_read(buf.data, buf.size, &a, &word, parts),
+			 ERR_OK);
+	assert_int_equal(word.held_ms, 20);
+	assert_int_equal(parts[RELAY_FEEDS - 1].news.items[0].rev, 69);
+	assert_string_equal(parts[0].news.deleted[0], "b");
+	damage(read_relay_news);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -227,6 +344,8 @@
 						teardown),
 		cmocka_unit_test_setup_teardown(test_relay_ask, setup,
 						teardown),
+		cmocka_unit_test_setup_teardown(test_relay_news, setup,
+						teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/packages/sse/test/test_sse_fuzz.c
@@ -0,0 +1,114 @@
+// Damaged streams of events: what is read does not depend on the pieces in which
+// the bytes come, and nothing is read that was not sent.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "sse/sse.h"
+#include "support/mutate.h"
+
+#define ENTRY(text)                    \
+	{                              \
+		text, sizeof(text) - 1 \
+	}
+
+static const struct mutate_bytes corpus[] = {
+	ENTRY("x-version: 3\nid: 1\ndata: a\n\n"),
+	ENTRY("id: 2\r\ndata: b\r\ndata: c\r\n\r\nid:3\r\ndata\r\n\r\n"),
+	ENTRY(": comment\n\n: more\nretry: 100\nevent: token\nid: 4\ndata:\n\n"),
+	ENTRY("id: 18446744073709551615\nx-version: 18446744073709551616\n"
+	      "data: {\"t\":\"\xc3\xa9\"}\n\n"),
+	ENTRY("\xef\xbb\xbfid: 0007\nid: x\ndata: y\rdata: z\r\r\n\n"),
+};
+
+enum {
+	CORPUS = sizeof(corpus) / sizeof(*corpus),
+};
+
+/* What a reader saw, in a sum. */
+struct seen {
+	size_t n;
+	size_t bytes;
+	uint64_t sum;
+};
+
+static void sum_add(struct seen *s, const void *data, size_t len)
+{
+	const unsigned char *p = data;
+
+	for (size_t i = 0; i < len; i++)
+		s->sum = (s->sum ^ p[i]) * UINT64_C(1099511628211);
+}
+
+static bool on_event(void *ctx, const struct sse_event *ev)
+{
+	struct seen *s = ctx;
+
+	s->n++;
+	s->bytes += ev->len;
+	sum_add(s, &ev->id, sizeof(ev->id));
+	sum_add(s, &ev->extra, sizeof(ev->extra));
+	sum_add(s, &ev->len, sizeof(ev->len));
+	sum_add(s, ev->data, ev->len);
+	return true;
+}
+
+/* @param pieces  NULL: all bytes at once */
+static struct seen feed(const char *data, size_t len, struct rng *pieces,
+			bool *clean)
+{
+	struct seen seen = {0};
+	const struct sse_opts opts = {
+		.extra_field = "x-version",
+		.on_event = on_event,
+		.ctx = &seen,
+	};
+	struct sse s;
+
+	sse_init(&s, &opts);
+	for (size_t at = 0; at < len;) {
+		size_t n = pieces ? 1 + rng_below(pieces, 9) : len;
+
+		n = n < len - at ? n : len - at;
+		assert_int_equal(sse_feed(&s, data + at, n), ERR_OK);
+		at += n;
+	}
+	*clean = sse_clean(&s);
+	sse_free(&s);
+	return seen;
+}
+
+static void test_damaged_streams(void **state)
+{
+	for (uint64_t seed = 1; seed <= MUTATE_SEEDS; seed++) {
+		struct rng rng = {seed};
+
+		for (size_t i = 0; i < CORPUS * MUTATE_EACH; i++) {
+			size_t len;
+			char *data =
+				mutate(corpus, CORPUS, i % CORPUS, &rng, &len);
+			bool clean, clean_cut;
+			struct seen whole = feed(data, len, NULL, &clean);
+			struct seen cut = feed(data, len, &rng, &clean_cut);
+
+			if (whole.n != cut.n || whole.sum != cut.sum ||
+			    clean != clean_cut || whole.bytes > len)
+				fail_msg("seed %d, mutation %zu", (int)seed, i);
+			free(data);
+		}
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_damaged_streams),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
