--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -378,9 +378,15 @@
 	enum err e;
 
 	if (job_run_step(j->run, item) != JOB_WAITING) {
-		log_event(EV_JOB_STEP, "batch=%s item=%s step=%d server=%s",
+		log_event(EV_JOB_STEP,
+			  "batch=%s item=%s step=%d server=%s waiting=%zu "
+			  "at=%zu listed=%zu items=%zu records=%llu "
+			  "owner_rev=%llu",
 			  j->id, it->id, (int)job_run_step(j->run, item),
-			  s->entry.id);
+			  s->entry.id, job_run_count(j->run, JOB_WAITING),
+			  job_run_count(j->run, JOB_SENT), j->list.n,
+			  j->spec->n_items, (unsigned long long)j->list.records,
+			  (unsigned long long)j->owner_rev);
 		return false;
 	}
 	arena_init(&a, 0);
