--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -82,6 +82,7 @@
 	struct job_spec *spec;
 	struct job_run *run;
 	int64_t work; ///< tokens that its items are expected to make
+	int64_t long_from; ///< length of its long items, 0 if not known
 	uint32_t send_round; ///< round in which nothing more could be sent
 	struct job_at_server *at; ///< an entry an item
 	struct job_reward_call *rewards; ///< an entry an item, NULL for none
--- a/packages/daemon/src/job/move.c
+++ b/packages/daemon/src/job/move.c
@@ -18,6 +18,9 @@
 	RUN_WATCH_MS = 100, ///< between two looks for slow and silent runs
 	RUN_MOVE_MS = 300, ///< least time at a server before a run is moved
 	RUN_MOVES = 4, ///< of a batch at one look
+	/// Least gain of a move to a fast server: several times what reading the
+	/// prompt and the text takes there.
+	RUN_MOVE_GAIN_MS = 400,
 };
 
 /* Whether a run is better off elsewhere, and where. */
@@ -56,6 +59,56 @@
 	job_send_item(c, j, item, to);
 }
 
+/* Time that a run at a slower kind of server saves at a fast one, 0 if it is at none or
+ * has just begun there. */
+static int64_t gain_at(struct core *c, const struct job *j,
+		       const struct job_at_server *at,
+		       const struct site_ask *ask, const struct site_server *to)
+{
+	const struct site_server *from =
+		site_servers_get(site_mod_servers(c), at->server);
+	int64_t now = core_now(c);
+	const struct job_move m = {
+		.length = job_item_length(&j->spec->items[at->item]),
+		.elapsed_ms = now - at->sent_ms,
+		.from_ms = from ? site_server_expected_pace(from, now,
+							    &ask->speeds)
+				: 0,
+		.to_ms = site_server_expected_pace(to, now, &ask->speeds),
+	};
+
+	if (!at->fetch || !at->last_ms || now - at->sent_ms < RUN_MOVE_MS)
+		return 0;
+	return job_move_gain(&jobs_of(c)->pace, &m);
+}
+
+/* Load pattern: slots at fast servers become free while long samples run at slow ones.
+ * The one that gains most goes on there. */
+static void move_to_fast(struct core *c, struct job *j, struct site_ask *ask)
+{
+	ask->speed = SITE_FAST_FIRST;
+	for (int moves = 0; moves < RUN_MOVES; moves++) {
+		struct site_server *to = site_servers_choose(
+			site_mod_servers(c), core_now(c), ask);
+		int64_t best_gain = RUN_MOVE_GAIN_MS;
+		struct job_at_server *best = NULL;
+
+		if (!to)
+			return;
+		for (size_t i = 0; i < j->spec->n_items; i++) {
+			int64_t gain = gain_at(c, j, &j->at[i], ask, to);
+
+			if (gain <= best_gain)
+				continue;
+			best = &j->at[i];
+			best_gain = gain;
+		}
+		if (!best)
+			return;
+		move(c, j, best, to);
+	}
+}
+
 /* Only events are progress: comments, and the body of a refusal, may come without
  * end. */
 static bool is_silent(struct core *c, const struct job_at_server *at)
@@ -89,10 +142,14 @@
 			job_cut(c, j, at);
 			continue;
 		}
-		to = moves < most ? better_place(c, at, &ask) : NULL;
+		to = moves < most && !ask.speeds.uneven
+			     ? better_place(c, at, &ask)
+			     : NULL;
 		if (!to)
 			continue;
 		move(c, j, at, to);
 		moves++;
 	}
+	if (most && ask.speeds.uneven)
+		move_to_fast(c, j, &ask);
 }
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -96,6 +96,7 @@
 	}
 	j->work = job_spec_work(spec);
 	j->send_round = jobs_of(c)->send_round;
+	j->long_from = 0;
 	job_run_listed(j->run, &j->list);
 	j->spec = spec;
 	j->running = true;
--- a/packages/daemon/src/job/send.c
+++ b/packages/daemon/src/job/send.c
@@ -39,9 +39,27 @@
 	ask->pace_ms = site_servers_pace(site_mod_servers(c), ask->service,
 					 core_now(c));
 	room_mod_share(c, ask->model, j->begun_ms, ask);
+	if (site_mod_shares(c, ask->service))
+		site_servers_speeds(site_mod_servers(c), ask->service,
+				    core_now(c), &ask->speeds);
 	return true;
 }
 
+/* Where some servers are faster, the longest items of a batch go to them: as many of it
+ * as are its share of them. */
+static enum site_speed speed_of(struct job *j, int item,
+				const struct site_ask *ask)
+{
+	if (!ask->speeds.uneven)
+		return SITE_ANY_SPEED;
+	if (!j->long_from)
+		j->long_from =
+			job_spec_longest(j->spec, ask->speeds.fast_share);
+	return job_item_length(&j->spec->items[item]) >= j->long_from
+		       ? SITE_FAST_FIRST
+		       : SITE_SLOW_FIRST;
+}
+
 /* Say now and then why items wait. */
 static void log_waiting(struct core *c, struct job *j,
 			const struct site_ask *ask)
@@ -90,6 +108,7 @@
 
 		if (slack_of(c, j, item) > slack)
 			return true;
+		ask.speed = speed_of(j, item, &ask);
 		s = site_servers_choose(site_mod_servers(c), core_now(c), &ask);
 		if (!s)
 			log_waiting(c, j, &ask);
--- a/packages/job/include/job/job_defs.h
+++ b/packages/job/include/job/job_defs.h
@@ -91,6 +91,12 @@
 /// there are some.
 int64_t job_spec_work(const struct job_spec *s);
 
+/// Expected length from which items belong to a part of the batch that are its longest.
+///
+/// @param part  0 to 1
+/// @return tokens; more than any item has for a part of none
+int64_t job_spec_longest(const struct job_spec *s, double part);
+
 /// Free a batch.
 ///
 /// @param s  batch or NULL
--- a/packages/job/include/job/slack.h
+++ b/packages/job/include/job/slack.h
@@ -26,3 +26,19 @@
 /// @param length  expected of it
 int64_t job_slack(const struct job_pace *p, int64_t now, int64_t due_ms,
 		  int64_t length);
+
+/// A sample that runs at a slow server, and a free slot at a faster one.
+struct job_move {
+	int64_t length; ///< expected of the sample
+	int64_t elapsed_ms; ///< since it began
+	double from_ms; ///< pace of its server
+	double to_ms; ///< pace of the other one
+};
+
+/// Time that a sample is expected to save by going on at the faster server.
+///
+/// Load pattern: lengths have heavy tails and hints are far off, so a sample that has
+/// outlived its hint is likely to be one of the longest, and the step waits for it.
+///
+/// @return milliseconds, 0 if it saves nothing
+int64_t job_move_gain(const struct job_pace *p, const struct job_move *m);
--- a/packages/job/src/spec.c
+++ b/packages/job/src/spec.c
@@ -17,6 +17,30 @@
 	return work;
 }
 
+static int longer_first(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
+
+	return (x < y) - (x > y);
+}
+
+int64_t job_spec_longest(const struct job_spec *s, double part)
+{
+	size_t n = (size_t)(part * (double)s->n_items);
+	int64_t *lengths = calloc(s->n_items + 1, sizeof(*lengths));
+	int64_t from = INT64_MAX;
+
+	for (size_t i = 0; lengths && i < s->n_items; i++)
+		lengths[i] = job_item_length(&s->items[i]);
+	if (lengths && n) {
+		qsort(lengths, s->n_items, sizeof(*lengths), longer_first);
+		from = lengths[n < s->n_items ? n - 1 : s->n_items - 1];
+	}
+	free(lengths);
+	return from;
+}
+
 void job_spec_free(struct job_spec *s)
 {
 	if (!s)
--- a/packages/job/test/test_slack.c
+++ b/packages/job/test/test_slack.c
@@ -62,12 +62,34 @@
 	assert_int_equal(job_slack(&p, 100, DUE_MS, LONG), DUE_MS - 100);
 }
 
+/* Slots at fast servers must not go to samples that are nearly over. */
+static void test_move_gain(void **state)
+{
+	struct rng rng = {.state = 9};
+	struct job_pace p = {0};
+	struct job_move m = {
+		.length = SHORT, .elapsed_ms = 800, .from_ms = 60, .to_ms = 30};
+	int64_t shorter;
+
+	learn(&p, &rng);
+	shorter = job_move_gain(&p, &m);
+	m.length = LONG;
+	assert_true(job_move_gain(&p, &m) > 4 * shorter);
+	/* It has outlived its hint. */
+	m.length = SHORT;
+	m.elapsed_ms = 6000;
+	assert_true(job_move_gain(&p, &m) > 2 * shorter);
+	m.to_ms = 60;
+	assert_int_equal(job_move_gain(&p, &m), 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_long_samples_of_the_next_step_first),
 		cmocka_unit_test(test_waiting_makes_urgent),
 		cmocka_unit_test(test_unknown_pace),
+		cmocka_unit_test(test_move_gain),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/site/include/site/server.h
+++ b/packages/site/include/site/server.h
@@ -90,10 +90,27 @@
 	double pace_ms; ///< between two events of its streams, 0 if not known
 	int pace_events; ///< that the pace was taken from
 	int64_t paced_ms; ///< time of the last of them
+	double best_ms; ///< least pace of its recent past, 0 if not known
+	int64_t best_at_ms; ///< time of that figure
 	double cold_credit; ///< requests that may be sent while it is cold
 	int64_t cold_credit_ms; ///< time of the credit
 };
 
+/// Speeds of a service's servers.
+struct site_speeds {
+	bool uneven; ///< some are much faster than most
+	double fast_ms; ///< pace of the fast ones
+	double typical_ms; ///< pace of most
+	double fast_share; ///< part of the servers that are fast
+};
+
+/// Which servers a request prefers where speeds are uneven.
+enum site_speed {
+	SITE_ANY_SPEED,
+	SITE_FAST_FIRST,
+	SITE_SLOW_FIRST, ///< the fast ones are left to others
+};
+
 /// Domains that operators took out, and the servers.
 struct site_servers;
 
@@ -118,6 +135,8 @@
 	struct site_claims claims; ///< with only_free
 	double cold_rate; ///< of the service, 0 for none
 	double pace_ms; ///< usual pace of the service, 0 if not known
+	enum site_speed speed;
+	struct site_speeds speeds; ///< with a preference
 };
 
 /// @return table, NULL when out of memory
@@ -259,3 +278,23 @@
 /// @return 1 where it is not known
 double site_server_slowness(const struct site_server *s, int64_t now,
 			    double usual_ms);
+
+/// Speeds of a service's servers.
+///
+/// Load pattern: a quarter of the engines is twice as fast as the others. A step ends
+/// with its longest samples, so these belong on the fast ones, and short ones, which
+/// have time to spare, on the others.
+///
+/// @param[out] out  not uneven while too few are known
+void site_servers_speeds(struct site_servers *t, const char *service,
+			 int64_t now, struct site_speeds *out);
+
+/// Whether a server is one of the fast ones.
+bool site_server_fast(const struct site_server *s,
+		      const struct site_speeds *speeds);
+
+/// Time between two events of a stream that a server is expected to take.
+///
+/// @return milliseconds, the typical pace where it is not known
+double site_server_expected_pace(const struct site_server *s, int64_t now,
+				 const struct site_speeds *speeds);
--- a/packages/site/src/server.c
+++ b/packages/site/src/server.c
@@ -7,6 +7,8 @@
 
 #include "base/rng.h"
 #include "server_index.h"
+#include "server_table.h"
+#include "speed.h"
 
 enum {
 	SMALL = 64, ///< services up to here are compared as a whole
@@ -18,7 +20,6 @@
 	LOOK_WORD = 2, ///< of these in a word of the index
 	CALM_EVERY_MS = 10, ///< between two looks for ends of avoidance
 
-	DOMAINS_OUT = 64, ///< failure domains out at once
 	AVOID_MS =
 		300, ///< after the first failure; doubles with each further one
 	AVOID_DOUBLINGS = 3,
@@ -50,15 +51,6 @@
 static const double SLOW_FROM = 1.25; ///< differences below are of the load
 static const double PACE_WEIGHT = 0.2; ///< of a new event in the pace
 
-struct site_servers {
-	struct htab *tab;
-	struct server_index index;
-	struct rng rng; ///< draws among candidates
-	uint32_t round; ///< of the list that is being read
-	char out[DOMAINS_OUT][SITE_NAME];
-	int n_out;
-};
-
 struct site_servers *site_servers_new(void)
 {
 	struct site_servers *t = calloc(1, sizeof(*t));
@@ -444,6 +436,8 @@
 		load += OTHER_DOMAIN;
 	if (now < s->avoid_until_ms)
 		load += TROUBLED;
+	if (ask->speed != SITE_ANY_SPEED)
+		return load + speed_load(s, now, ask);
 	slowness = site_server_slowness(s, now, ask->pace_ms);
 	if (slowness > SLOW_FROM)
 		load += (slowness - 1) * SLOW_LOAD;
@@ -696,6 +690,7 @@
 			     : ms;
 	s->pace_events++;
 	s->paced_ms = now;
+	speed_note(s, now);
 }
 
 static bool pace_known(const struct site_server *s, int64_t now)
--- a/packages/site/src/server_index.h
+++ b/packages/site/src/server_index.h
@@ -60,6 +60,8 @@
 	/// Servers that lack some tag for want of memory: always candidates.
 	union index_set untagged;
 	bool some_untagged;
+	struct site_speeds speeds; ///< kept between two looks at them
+	int64_t speeds_ms; ///< time of the last look, 0 for none
 	double pace_ms; ///< kept between two looks at all paces
 	int64_t paced_ms; ///< time of that look, 0 for none
 };
