--- a/packages/core/include/core/core_defs.h
+++ b/packages/core/include/core/core_defs.h
@@ -77,8 +77,6 @@
 	bool fresh; ///< use a new connection
 	/// clock_now_ms() time after which it is not sent; 0 for none.
 	int64_t send_until_ms;
-	/// The connection is its own and is reset at send_until_ms.
-	bool cut_late;
 	const struct trace_ctx *trace; ///< sent as traceparent if not NULL
 	bool want_head; ///< keep the answer's header fields
 	/// Status and header fields, before any byte of a streamed body; only
--- a/packages/core/src/fetch.c
+++ b/packages/core/src/fetch.c
@@ -61,7 +61,6 @@
 				    : (size_t)settings_int(s, S_UP_MAX_BODY),
 		.fresh = o->fresh,
 		.send_until_ms = o->send_until_ms,
-		.cut_late = o->cut_late,
 		.streamed = o->on_data != NULL,
 		.want_head = o->want_head,
 	};
--- a/packages/daemon/src/order/order_mod.c
+++ b/packages/daemon/src/order/order_mod.c
@@ -129,7 +129,6 @@
 		.timeout_ms = ORDER_TIMEOUT_MS,
 		.connect_timeout_ms = ORDER_TIMEOUT_MS,
 		.send_until_ms = lead_mod_until(c),
-		.cut_late = true,
 		.on_done = on_ordered,
 		.ctx = call,
 	};
--- a/packages/upstream/include/upstream/upstream.h
+++ b/packages/upstream/include/upstream/upstream.h
@@ -39,11 +39,6 @@
 	/// clock_now_ms() time after which the request is not sent, however long
 	/// the connection took; 0 for none.
 	int64_t send_until_ms;
-	/// Nothing of the request leaves after send_until_ms: its connection is
-	/// its own and is reset then, also while the edge's thread does not run.
-	/// A process that is stopped as a whole is covered only by the kernel's
-	/// limit for unacknowledged bytes, which is timeout_ms then.
-	bool cut_late;
 	bool streamed; ///< UPSTREAM_DATA events instead of a whole body
 	bool want_head; ///< UPSTREAM_HEAD before the body, head in the result
 };
--- a/packages/upstream/src/call.c
+++ b/packages/upstream/src/call.c
@@ -48,7 +48,6 @@
 	c->start_cmd = (struct call_cmd){CALL_START, c};
 	c->cancel_cmd = (struct call_cmd){CALL_CANCEL, c};
 	c->start_us = clock_now_us();
-	c->fd = CURL_SOCKET_BAD;
 	arena_init(&c->arena, 0);
 	if (copy_opts(c, opts))
 		return c;
@@ -125,10 +124,6 @@
 		curl_easy_getinfo(c->easy, CURLINFO_CONTENT_TYPE, &ctype);
 		curl_easy_getinfo(c->easy, CURLINFO_NUM_CONNECTS, &connects);
 	}
-	/* A cut socket shows as any failure to read or write. */
-	if (c->guarded && code != CURLE_OK &&
-	    clock_now_ms() >= c->opts.send_until_ms)
-		c->too_late = true;
 	r->status = (int)status;
 	r->sent = call_sent(c, size);
 	r->reused = connects == 0;
--- a/packages/upstream/src/call.h
+++ b/packages/upstream/src/call.h
@@ -36,9 +36,7 @@
 	size_t head_len; ///< bytes of head lines so far
 	bool head_full; ///< more header fields than UPSTREAM_HEADERS
 	bool idle; ///< ended by the idle timeout
-	bool too_late; ///< send_until_ms passed before or while it was sent
-	bool guarded; ///< its socket is cut at send_until_ms
-	curl_socket_t fd; ///< with `guarded`
+	bool too_late; ///< a connection came after send_until_ms
 	int attempts; ///< times that the request was about to be written
 	int64_t start_us;
 	int64_t heard_ms; ///< last sign of the other side, 0 before the first
--- a/packages/upstream/src/curl_edge.c
+++ b/packages/upstream/src/curl_edge.c
@@ -12,7 +12,6 @@
 #include "base/metric.h"
 #include "call.h"
 #include "edge.h"
-#include "guard.h"
 
 enum {
 	EDGE_EVENTS = 128, ///< descriptors handled a round
@@ -162,7 +161,7 @@
 	       now - c->heard_ms >= c->opts.idle_timeout_ms;
 }
 
-/// End silent and cut calls, and go on reading once the receiver caught up.
+/// End silent calls, and go on reading once the receiver caught up.
 static void scan(struct upstream *up, int64_t now)
 {
 	struct upstream_call *next;
@@ -176,12 +175,9 @@
 			curl_easy_pause(c->easy, CURLPAUSE_CONT);
 			continue;
 		}
-		if (c->guarded && guard_was_cut(c->fd))
-			c->too_late = true;
-		else if (call_silent(c, now))
-			c->idle = true;
-		else
+		if (!call_silent(c, now))
 			continue;
+		c->idle = true;
 		curl_multi_remove_handle(up->multi, c->easy);
 		call_done(up, c, CURLE_OPERATION_TIMEDOUT);
 	}
@@ -219,7 +215,6 @@
 	struct epoll_event evs[EDGE_EVENTS];
 	int running;
 
-	up->guard = guard_take();
 	for (;;) {
 		int n = epoll_wait(up->epoll, evs, EDGE_EVENTS,
 				   edge_timeout(up));
@@ -241,9 +236,8 @@
 		if (now >= up->scan_ms)
 			scan(up, now);
 		if (!commands(up))
-			break;
+			return NULL;
 	}
-	return NULL;
 }
 
 static enum err curl_call(struct upstream *up,
@@ -326,7 +320,6 @@
 	up->cmds = mbox_new(EDGE_CMDS_A_CALL * opts->max_calls);
 	if (!up->cmds || !edge_multi(up) || !edge_epoll(up))
 		goto err;
-	guard_mask();
 	if (pthread_create(&up->thread, NULL, edge_run, up))
 		goto err;
 	*out = up;
@@ -348,8 +341,6 @@
 	while (up->running)
 		call_stop(up, up->running);
 	curl_multi_cleanup(up->multi);
-	if (up->guard)
-		guard_release();
 	close(up->epoll);
 	mbox_free(up->cmds);
 	free(up);
--- a/packages/upstream/src/edge.h
+++ b/packages/upstream/src/edge.h
@@ -14,7 +14,6 @@
 	pthread_t thread;
 	CURLM *multi;
 	int epoll;
-	bool guard; ///< this edge's thread has the guard
 	int64_t timer_ms; ///< when libcurl wants to be called, -1 for never
 	int64_t scan_ms; ///< next scan
 	struct upstream_call *running; ///< list
--- a/packages/upstream/src/transfer.c
+++ b/packages/upstream/src/transfer.c
@@ -11,7 +11,6 @@
 
 #include "base/clock.h"
 #include "edge.h"
-#include "guard.h"
 
 enum {
 	MS_PER_S = 1000,
@@ -134,28 +133,13 @@
 static int on_socket_made(void *ctx, curl_socket_t fd, curlsocktype purpose)
 {
 	const struct linger reset = {.l_onoff = 1, .l_linger = 0};
-	const struct upstream_call *c = ctx;
 	unsigned int ms = UPSTREAM_UNACKED_MS;
 
-	/* The kernel keeps this limit when the whole process is stopped. */
-	if (c->opts.cut_late && c->opts.timeout_ms > 0 &&
-	    c->opts.timeout_ms < UPSTREAM_UNACKED_MS)
-		ms = (unsigned int)c->opts.timeout_ms;
-
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
 	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 	return CURL_SOCKOPT_OK;
 }
 
-static curl_socket_t on_socket_open(void *ctx, curlsocktype purpose,
-				    struct curl_sockaddr *addr)
-{
-	struct upstream_call *c = ctx;
-
-	c->fd = guard_socket(addr, c->opts.send_until_ms);
-	return c->fd;
-}
-
 /// libcurl writes a request again by itself when a connection that it used
 /// before turns out dead. The other side may have run it: allow one attempt.
 static int on_request(void *ctx, char *ip, char *local_ip, int port,
@@ -259,22 +243,6 @@
 	curl_easy_setopt(c->easy, CURLOPT_PREREQFUNCTION, on_request);
 	curl_easy_setopt(c->easy, CURLOPT_PREREQDATA, c);
 	curl_easy_setopt(c->easy, CURLOPT_SOCKOPTFUNCTION, on_socket_made);
-	curl_easy_setopt(c->easy, CURLOPT_SOCKOPTDATA, c);
-}
-
-/* A connection of its own, which ends with the time to send. */
-static void setup_cut(struct upstream_call *c)
-{
-	if (!c->opts.cut_late || !c->opts.send_until_ms)
-		return;
-	curl_easy_setopt(c->easy, CURLOPT_FRESH_CONNECT, 1L);
-	curl_easy_setopt(c->easy, CURLOPT_FORBID_REUSE, 1L);
-	c->guarded = c->up->guard;
-	if (!c->guarded)
-		return;
-	curl_easy_setopt(c->easy, CURLOPT_OPENSOCKETFUNCTION, on_socket_open);
-	curl_easy_setopt(c->easy, CURLOPT_OPENSOCKETDATA, c);
-	curl_easy_setopt(c->easy, CURLOPT_CLOSESOCKETFUNCTION, guard_close);
 }
 
 bool call_setup(struct upstream_call *c)
@@ -288,6 +256,5 @@
 	setup_limits(c);
 	setup_callbacks(c);
 	setup_source(c);
-	setup_cut(c);
 	return setup_headers(c);
 }
--- a/programs/catkinpathd/main.c
+++ b/programs/catkinpathd/main.c
@@ -109,17 +109,6 @@
 	return strcmp(name, platform_wire.name) == 0;
 }
 
-/* Before any thread starts: only the thread of outgoing calls, which unblocks
- * it, may get the signal that cuts late orders. */
-static void mask_alarm(void)
-{
-	sigset_t set;
-
-	sigemptyset(&set);
-	sigaddset(&set, SIGALRM);
-	sigprocmask(SIG_BLOCK, &set, NULL);
-}
-
 static int run(struct settings *s, const char *path)
 {
 	struct core_opts opts = {
@@ -140,7 +129,6 @@
 		return EXIT_START;
 	}
 	signal(SIGPIPE, SIG_IGN);
-	mask_alarm();
 	if (core_new(&opts, &running) != ERR_OK) {
 		trace_close();
 		return EXIT_START;
