fix(job): a record is taken under the number that its call was made for

Cause: a home that had lost its batch to another one read the record that its write had met and took it under the next number of its list, which had grown by a reader's call meanwhile. Change: a call for a record keeps its number.

--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -95,6 +95,7 @@
 	int64_t watch_next_ms;
 	char *record; ///< value on its way to the store
 	bool writing; ///< a call for the record is outstanding
+	uint64_t record_no; ///< number of that record
 	bool reading; ///< the record's key is read to settle an outcome
 	int64_t write_next_ms;
 	bool texts_busy; ///< a call for the unfinished texts is outstanding
--- a/packages/daemon/src/job/write.c
+++ b/packages/daemon/src/job/write.c
@@ -28,15 +28,17 @@
 static void record_key(const struct job *j, char *key, size_t len)
 {
 	snprintf(key, len, KEY_RECORD "%s/%08llu", j->id,
-		 (unsigned long long)j->list.records);
+		 (unsigned long long)j->record_no);
 }
 
-/* The record has its number: its results have their positions. */
+/* The record of the call that was answered has its number: its results have their
+ * positions. The list may have grown by reads meanwhile; taken under the number that
+ * comes next, the record would shift the positions of all later results. */
 static void record_stands(struct core *c, struct job *j, const char *value,
 			  size_t len, uint64_t rev)
 {
 	size_t before = j->list.n;
-	enum err e = job_list_add(&j->list, j->list.records, value, len);
+	enum err e = job_list_add(&j->list, j->record_no, value, len);
 
 	if (rev > j->list.rev)
 		j->list.rev = rev;
@@ -141,6 +143,7 @@
 		.len = strlen(j->record),
 	};
 
+	j->record_no = j->list.records;
 	record_key(j, key, sizeof(key));
 	if (j->reading)
 		j->writing =
--- a/packages/job/test/test_job.c
+++ b/packages/job/test/test_job.c
@@ -221,6 +221,34 @@
 	job_spec_free(s);
 }
 
+/* A node that lost its batch reads the record that its own write had met, while its list
+ * grew by reads. Under any number but its own the record would shift the positions of
+ * all later results. */
+static void test_late_record_changes_nothing(void **state)
+{
+	const struct job_result res[] = {
+		{.id = "i0"}, {.id = "i1"}, {.id = "i2"}};
+	char *records[3];
+	struct job_list list;
+
+	job_list_init(&list);
+	for (int i = 0; i < 3; i++)
+		records[i] = job_record("other", &res[i], 1);
+	for (int i = 0; i < 2; i++)
+		assert_int_equal(job_list_add(&list, (uint64_t)i, records[i],
+					      strlen(records[i])),
+				 ERR_OK);
+	assert_int_equal(job_list_add(&list, 0, records[0], strlen(records[0])),
+			 ERR_OK);
+	assert_int_equal(list.records, 2);
+	assert_int_equal(job_list_add(&list, 2, records[2], strlen(records[2])),
+			 ERR_OK);
+	assert_int_equal(job_list_find(&list, "i2"), 2);
+	for (int i = 0; i < 3; i++)
+		free(records[i]);
+	job_list_free(&list);
+}
+
 /* Two nodes believe to own a batch: the other one lists an item that is at a server
  * here. Its run can neither go on nor move. */
 static void test_item_listed_while_sent(void **state)
@@ -490,6 +518,7 @@
 		cmocka_unit_test(test_records_fit_the_store),
 		cmocka_unit_test(test_senders_take_items_by_their_step),
 		cmocka_unit_test(test_item_listed_while_sent),
+		cmocka_unit_test(test_late_record_changes_nothing),
 		cmocka_unit_test(test_given_up_only_when_due),
 		cmocka_unit_test(test_id_named_twice),
 		cmocka_unit_test(test_records),
