--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -122,6 +122,11 @@
 
 void job_leave_server(struct core *c, struct job_at_server *at, bool ok)
 {
+	struct site_server *s =
+		site_servers_get(site_mod_servers(c), at->server);
+
+	if (s)
+		site_server_ran(s, at->events, at->last_ms - at->first_ms);
 	job_free_place(c, at->server, ok);
 	sse_free(&at->sse);
 	at->fetch = 0;
@@ -212,6 +217,7 @@
 	enum err err;
 
 	note_pace(e->at, e->server, e->now_ms);
+	e->at->events++;
 	if (ev->extra)
 		e->at->version = ev->extra;
 	err = job_run_event(e->j->run, e->at->item, ev->id, e->at->version,
--- a/packages/site/include/site/server.h
+++ b/packages/site/include/site/server.h
@@ -90,8 +90,7 @@
 	double pace_ms; ///< between two events of its streams, 0 if not known
 	int pace_events; ///< that the pace was taken from
 	int64_t paced_ms; ///< time of the last of them
-	double best_ms; ///< least pace of its recent past, 0 if not known
-	int64_t best_at_ms; ///< time of that figure
+	double run_ms; ///< mean pace of its recent runs, 0 if not known
 	double cold_credit; ///< requests that may be sent while it is cold
 	int64_t cold_credit_ms; ///< time of the credit
 };
@@ -289,6 +288,12 @@
 void site_servers_speeds(struct site_servers *t, const char *service,
 			 int64_t now, struct site_speeds *out);
 
+/// A run ended there, or went on elsewhere.
+///
+/// @param events  that it made there
+/// @param ms      from the first of them to the last
+void site_server_ran(struct site_server *s, int events, int64_t ms);
+
 /// Whether a server is one of the fast ones.
 bool site_server_fast(const struct site_server *s,
 		      const struct site_speeds *speeds);
--- a/packages/site/src/server.c
+++ b/packages/site/src/server.c
@@ -690,7 +690,6 @@
 			     : ms;
 	s->pace_events++;
 	s->paced_ms = now;
-	speed_note(s, now);
 }
 
 static bool pace_known(const struct site_server *s, int64_t now)
--- a/packages/site/src/speed.c
+++ b/packages/site/src/speed.c
@@ -10,15 +10,14 @@
 	SPEED_SERVERS = 120, ///< whose speeds are looked at
 	SPEED_KNOWN = 8, ///< servers whose speed must be known
 	SPEED_EVERY_MS = 500, ///< between two looks
-	SPEED_EVENTS = 4, ///< that a pace must be taken from to count
+	/// Of a run whose mean pace counts: a few may come late and together.
+	SPEED_EVENTS = 8,
+	PACE_EVENTS = 4, ///< that a recent pace must be taken from to count
 	PACE_FRESH_MS =
 		2000, ///< a pace is older: the server may have recovered
-	MS_PER_S = 1000,
 };
 
-/* Part by which the least pace of a server grows a second: one that turned slow for
- * good is known for it within a minute. */
-static const double RELAX = 0.02;
+static const double RUN_WEIGHT = 0.2; ///< of a new run in a server's speed
 static const double UNEVEN_FROM = 1.5; ///< typical pace against the fast one
 static const double FAST_TO =
 	1.3; ///< pace of a fast server against the fast pace
@@ -27,16 +26,15 @@
 /* A slot that a long sample may want soon, against a busy slot of a slow server. */
 static const double RESERVED_LOAD = 1.5;
 
-void speed_note(struct site_server *s, int64_t now)
+void site_server_ran(struct site_server *s, int events, int64_t ms)
 {
-	double relaxed = s->best_ms *
-			 (1 + RELAX * (double)(now - s->best_at_ms) / MS_PER_S);
+	double pace;
 
-	if (s->pace_events < SPEED_EVENTS)
+	if (events < SPEED_EVENTS)
 		return;
-	s->best_ms =
-		s->best_ms > 0 && relaxed < s->pace_ms ? relaxed : s->pace_ms;
-	s->best_at_ms = now;
+	pace = (double)ms / (events - 1);
+	s->run_ms = s->run_ms > 0 ? s->run_ms + RUN_WEIGHT * (pace - s->run_ms)
+				  : pace;
 }
 
 static int double_compare(const void *a, const void *b)
@@ -59,8 +57,8 @@
 				g->members[w * INDEX_WORD_BITS +
 					   __builtin_ctzll(left)];
 
-			if (s->best_ms > 0)
-				speeds[n++] = s->best_ms;
+			if (s->run_ms > 0)
+				speeds[n++] = s->run_ms;
 		}
 	}
 	return n;
@@ -103,16 +101,15 @@
 bool site_server_fast(const struct site_server *s,
 		      const struct site_speeds *speeds)
 {
-	return s->best_ms > 0 && s->best_ms <= FAST_TO * speeds->fast_ms;
+	return s->run_ms > 0 && s->run_ms <= FAST_TO * speeds->fast_ms;
 }
 
 double site_server_expected_pace(const struct site_server *s, int64_t now,
 				 const struct site_speeds *speeds)
 {
-	if (s->pace_events >= SPEED_EVENTS &&
-	    now - s->paced_ms <= PACE_FRESH_MS)
+	if (s->pace_events >= PACE_EVENTS && now - s->paced_ms <= PACE_FRESH_MS)
 		return s->pace_ms;
-	return s->best_ms > 0 ? s->best_ms : speeds->typical_ms;
+	return s->run_ms > 0 ? s->run_ms : speeds->typical_ms;
 }
 
 double speed_load(const struct site_server *s, int64_t now,
