--- a/packages/rollplan/src/rollplan.c
+++ b/packages/rollplan/src/rollplan.c
@@ -384,15 +384,20 @@
 	const struct rollplan_model *m = &p->models[r->owner];
 	const struct rollplan_pending *o = pending_at(p, r->s->self);
 	uint64_t have = site_server_version(r->s, m->name);
-	bool ordered = o && !o->failed && o->version >= m->version &&
-		       strcmp(o->model, m->name) == 0;
-	bool usable = have && have + 1 >= m->version;
+	bool loads = o && in_progress(p, o, now);
+	uint64_t ordered = o && !o->failed && strcmp(o->model, m->name) == 0
+				   ? o->version
+				   : 0;
+	bool usable;
 
 	n->owned++;
-	n->current += have >= m->version || ordered;
+	n->current += have >= m->version || ordered >= m->version;
 	/* A load that is over shows in the entry up to a heartbeat later. */
-	n->usable += usable || (ordered && !in_progress(p, o, now));
-	n->loading += usable && o && in_progress(p, o, now);
+	if (!loads && ordered > have)
+		have = ordered;
+	usable = have && have + 1 >= m->version;
+	n->usable += usable;
+	n->loading += usable && loads;
 }
 
 static void count_rows(const struct rollplan *p, const struct row *rows, int n,
