fix(room): slots are not held back for samples that can't use them

A node whose waiting samples need newer weights than an engine has was counted as competing for that engine's free slots, and half of them stayed empty until its next reports. Claims now carry the oldest weights that one of the competing nodes can use.

--- a/packages/daemon/src/room/room_mod.c
+++ b/packages/daemon/src/room/room_mod.c
@@ -251,8 +251,12 @@
 	if (homes < 2 || !is_shared(z, ask->service))
 		return;
 	claims = room_claims(z->room, core_now(c), model, begun_ms);
-	ask->claims =
-		(struct site_claims){claims.others, claims.rank, claims.round};
+	ask->claims = (struct site_claims){
+		.others = claims.others,
+		.rank = claims.rank,
+		.round = claims.round,
+		.min_version = claims.min_version,
+	};
 }
 
 static void room_tick(struct core *c, void *state, int64_t now_ms)
--- a/packages/room/include/room/room.h
+++ b/packages/room/include/room/room.h
@@ -72,6 +72,7 @@
 	int others;
 	int rank; ///< those of them that come before this node
 	uint32_t round; ///< changes with each report of one of them
+	uint64_t min_version; ///< oldest weights that one of them can use
 };
 
 struct room_opts {
--- a/packages/room/src/room.c
+++ b/packages/room/src/room.c
@@ -252,6 +252,8 @@
 
 		if (!s || !s->waiting)
 			continue;
+		if (!out.others || s->min_version < out.min_version)
+			out.min_version = s->min_version;
 		out.others++;
 		out.rank += strcmp(n->name, r->opts.self) < 0;
 		out.round += (uint32_t)n->seq;
--- a/packages/room/test/test_room.c
+++ b/packages/room/test/test_room.c
@@ -61,6 +61,7 @@
 	rep.steps[0] = (struct room_step){.model = "m",
 					  .waiting = 5,
 					  .running = running,
+					  .min_version = 4,
 					  .due_in_ms = 100};
 	rep.n_steps = 1;
 	return room_take(r, now, node, &rep);
@@ -157,6 +158,31 @@
 	room_free(r);
 }
 
+/* Nodes that have samples of the model waiting compete for its engines; one that has
+ * none, or that needs newer weights than an engine has, must not hold slots back. */
+static void test_claims(void **state)
+{
+	struct room *r = table_new();
+	struct room_claims cl = room_claims(r, 100, "m", 100);
+
+	/* Another one may have begun at the same moment. */
+	assert_int_equal(cl.others, 1);
+	assert_int_equal(room_claims(r, 100 + ROOM_HOLD_MS, "m", 100).others,
+			 0);
+	take(r, 200, "a", 9, 1, 0, 3);
+	take(r, 200, "z", 9, 1, 0, 3);
+	cl = room_claims(r, 200, "m", 100);
+	assert_int_equal(cl.others, 2);
+	assert_int_equal(cl.rank, 1);
+	assert_int_equal(cl.min_version, 4);
+	take(r, 210, "a", 9, 2, 10, 3);
+	assert_int_not_equal(room_claims(r, 210, "m", 100).round, cl.round);
+	assert_int_equal(room_claims(r, 210, "n", 100).others, 0);
+	assert_int_equal(room_claims(r, 300 + ROOM_KEEP_MS, "m", 100).others,
+			 0);
+	room_free(r);
+}
+
 /* More nodes than rows: what does not fit is refused, and rows of lost nodes are
  * used again. */
 static void test_bounds(void **state)
@@ -332,7 +358,8 @@
 		struct room_claims cl =
 			room_claims(h->room, now, "m", h->begun_ms);
 
-		ask.claims = (struct site_claims){cl.others, cl.rank, cl.round};
+		ask.claims = (struct site_claims){cl.others, cl.rank, cl.round,
+						  cl.min_version};
 	}
 	while (h->waiting > 0 &&
 	       (s = site_servers_choose(h->servers, now, &ask)))
@@ -461,6 +488,7 @@
 		cmocka_unit_test(test_expires),
 		cmocka_unit_test(test_held_up),
 		cmocka_unit_test(test_need),
+		cmocka_unit_test(test_claims),
 		cmocka_unit_test(test_bounds),
 		cmocka_unit_test(test_two_homes),
 		cmocka_unit_test(test_lost_reports),
--- a/packages/site/include/site/server.h
+++ b/packages/site/include/site/server.h
@@ -67,6 +67,8 @@
 	int others; ///< count
 	int rank; ///< those of them that may take an odd slot before this node
 	uint32_t round; ///< changes with each report
+	uint64_t
+		min_version; ///< servers with older weights are of no use to them
 };
 
 /// What a request needs of a server.
--- a/packages/site/src/server.c
+++ b/packages/site/src/server.c
@@ -258,6 +258,8 @@
 	if (busy_of(s, ask) >= slots)
 		return false;
 	return !cl->others ||
+	       (ask->model &&
+		site_server_version(s, ask->model) < cl->min_version) ||
 	       sent < free / claimants + (cl->rank < free % claimants);
 }
 
--- a/packages/site/test/test_site.c
+++ b/packages/site/test/test_site.c
@@ -322,8 +322,9 @@
 		struct site_server_entry e = entry("s1", "d1");
 		struct site_ask ask = {.service = "svc",
 				       .domain = "d1",
+				       .model = "m",
 				       .only_free = true,
-				       .claims = {1, rank, 7}};
+				       .claims = {1, rank, 7, 3}};
 		struct site_server *s;
 		int n = 0;
 
@@ -344,6 +345,11 @@
 		s->others += rank ? 4 : 3;
 		ask.claims.round++;
 		assert_null(site_servers_choose(t, 0, &ask));
+		/* One ended; what it has waiting needs newer weights. */
+		s->others--;
+		ask.claims.min_version = 4;
+		assert_non_null(site_servers_choose(t, 0, &ask));
+		s->others++;
 		/* It has nothing waiting any more, and one that ended. */
 		s->others--;
 		ask.claims = (struct site_claims){0};
