--- a/packages/room/test/test_room.c
+++ b/packages/room/test/test_room.c
@@ -451,26 +451,26 @@
  * survivor that has samples waiting. */
 static void test_lost_home(void **state)
 {
-	static const int64_t LOST_MS = 1000;
+	static const int64_t lost_ms = 1000;
 	struct site_server *s;
 	size_t iter = 0;
 	int others = 0;
 	int running = 0;
 
 	world_new(&w, 0, 1);
-	replay(&w, 0, LOST_MS);
+	replay(&w, 0, lost_ms);
 	w.homes[1].lost = true;
 	for (int i = 0; i < RUNS; i++) {
 		if (w.runs[i].home == 1 && w.runs[i].end_ms)
-			w.runs[i].end_ms = LOST_MS;
+			w.runs[i].end_ms = lost_ms;
 	}
 	w.homes[0].waiting += 2 * ENGINES * SLOTS;
-	replay(&w, LOST_MS, LOST_MS + ROOM_KEEP_MS - REPORT_MS);
+	replay(&w, lost_ms, lost_ms + ROOM_KEEP_MS - REPORT_MS);
 	while ((s = site_servers_next(w.homes[0].servers, &iter)))
 		others += s->others;
 	assert_true(others > 0);
-	replay(&w, LOST_MS + ROOM_KEEP_MS - REPORT_MS,
-	       LOST_MS + ROOM_KEEP_MS + 2 * TICK_MS);
+	replay(&w, lost_ms + ROOM_KEEP_MS - REPORT_MS,
+	       lost_ms + ROOM_KEEP_MS + 2 * TICK_MS);
 	iter = 0;
 	while ((s = site_servers_next(w.homes[0].servers, &iter))) {
 		assert_int_equal(s->others, 0);
