fix(job): take the batches of a lost home in the first round

Cause: a batch without a living owner had to be missing in two rounds of the leader's, 300 ms apart, though the leader had seen its owner's liveness key go. After a failed call of the leader's, and a silence of 1 s or more, no round began for 1.5 s, also for losses from before it. Body, owner key, records and texts were read one after the other. A node that stopped during a renewal of its key took the answer for that of the end of its lease, and its key stayed until it lapsed.

A deployment lost a retired home's batches for 3 s after the next leader had the lead. Its log is not at hand; the settling time after failed calls explains the figures (1.5 s after the store answered again), and is what the test replays.

Change: nodes that may lead remember which process's key went, when, and how long the store had answered by then. job_takeover_now() takes a batch of such an owner in the first round, also while the store settles; all others as before. Records and texts are read beside the body. The owner key is written conditionally, as before. Metric catkinpath_job_takeover_ms, events batch-lost, batch-goes-on, node-lost.

--- a/packages/daemon/include/daemon/site_mod.h
+++ b/packages/daemon/include/daemon/site_mod.h
@@ -76,6 +76,23 @@
 /// lead.
 bool site_mod_alive(struct core *c, const char *node, const char *run);
 
+/// The going of a liveness key.
+struct site_loss {
+	int64_t at_ms; ///< clock_now_ms() time at which this node learned of it
+	int64_t store_ms; ///< how long the store had answered this node by then
+};
+
+/// When a process's run lost its node's liveness key; only at nodes that may lead.
+///
+/// @return false if this node did not see it go
+bool site_mod_lost(struct core *c, const char *node, const char *run,
+		   struct site_loss *out);
+
+/// Latest going of any liveness key.
+///
+/// @return false if this node saw none
+bool site_mod_last_loss(struct core *c, struct site_loss *out);
+
 /// Models that some trainer named a version of.
 ///
 /// @param i  index from 0
--- a/packages/daemon/src/job/home.c
+++ b/packages/daemon/src/job/home.c
@@ -5,7 +5,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "base/log.h"
 #include "base/metric.h"
@@ -14,6 +13,7 @@
 #include "daemon/site_mod.h"
 #include "job/home_msg.h"
 #include "job/job.h"
+#include "job/takeover.h"
 #include "relay/avoid.h"
 
 enum {
@@ -26,6 +26,7 @@
 	/// it and its askers learn of each other some 100 ms apart.
 	HOME_CONNECT_MS = 600,
 	HOME_AVOID_MS = 2500, ///< a home that did not answer is left alone
+	HOME_NODES = 64, ///< nodes that are chosen from
 	HOME_BODY_MAX = 900000, ///< bytes of a batch that fit into a message
 };
 
@@ -54,27 +55,26 @@
 	log_event(EV_JOB_HOME_LOST, "home=%s avoid_ms=%d", node, ms);
 }
 
-/* Rendezvous hash: a lost home moves its own teams only. */
-static const struct site_node *home_of(struct core *c, const char *team)
+const struct site_node *job_home_of(struct core *c, const char *team,
+				    bool other)
 {
-	const struct site_node *best = NULL;
-	uint64_t best_score = 0;
+	struct job_home homes[HOME_NODES];
 	size_t n;
 	const struct site_node *nodes = site_mod_homes(c, &n);
+	int best;
 
+	n = n < HOME_NODES ? n : HOME_NODES;
 	for (size_t i = 0; i < n; i++) {
-		uint64_t score = XXH64(nodes[i].node, strlen(nodes[i].node),
-				       XXH64(team, strlen(team), 0));
-
-		if (core_now(c) - nodes[i].known_ms < HOME_CONNECT_MS ||
-		    avoid_has(&homes_of(c)->avoid, nodes[i].node, core_now(c)))
-			continue;
-		if (!best || score > best_score) {
-			best = &nodes[i];
-			best_score = score;
-		}
+		const char *node = nodes[i].node;
+
+		homes[i].node = node;
+		homes[i].usable =
+			core_now(c) - nodes[i].known_ms >= HOME_CONNECT_MS &&
+			!avoid_has(&homes_of(c)->avoid, node, core_now(c)) &&
+			!(other && strcmp(node, core_node(c)) == 0);
 	}
-	return best;
+	best = job_home_choose(team, homes, n);
+	return best < 0 ? NULL : &nodes[best];
 }
 
 static bool send_ask(struct core *c, const struct site_node *home,
@@ -101,7 +101,7 @@
 bool job_home_try(struct core *c, struct core_req *req,
 		  const struct home_ask *ask)
 {
-	const struct site_node *home = home_of(c, ask->team);
+	const struct site_node *home = job_home_of(c, ask->team, false);
 	struct home_open *o;
 	htab_handle h;
 
--- a/packages/daemon/src/job/home.h
+++ b/packages/daemon/src/job/home.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "core/core.h"
+#include "daemon/site_mod.h"
 #include "wire/front.h"
 
 /// What is asked of a home.
@@ -41,6 +42,13 @@
 	size_t len; ///< bytes
 };
 
+/// Home of a team's batches among the nodes that can be asked.
+///
+/// @param other  leave this node out
+/// @return node, NULL if there is none; valid until the next event
+const struct site_node *job_home_of(struct core *c, const char *team,
+				    bool other);
+
 /// Register the messages.
 enum err job_home_start(struct core *c);
 
--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -92,6 +92,8 @@
 	uint64_t texts_rev; ///< of their key, 0 for none
 	int64_t texts_next_ms; ///< next write of them
 	bool closing; ///< the owner key is to say that all is over
+	int64_t lost_ms; ///< when its owner before was known to be lost; 0 once an
+		///< item was sent since
 };
 
 /// A caller that waits for results.
--- a/packages/daemon/src/job/load.c
+++ b/packages/daemon/src/job/load.c
@@ -1,5 +1,9 @@
-// Loads a batch that this node takes over: its body, the owner key in this node's
-// name, its records, its unfinished texts; then it runs.
+// Loads a batch that this node takes over: its body, its records and its unfinished
+// texts, read side by side, and the owner key in this node's name, written as soon as
+// the body can be used. Then it runs.
+//
+// Records and texts may be older than the owner key: a record that the owner before
+// wrote since is found by its number, newer texts by their revision.
 #include "job/load.h"
 
 #include <stdio.h>
@@ -25,10 +29,23 @@
 struct job_load {
 	struct job_load *next;
 	char id[JOB_ID];
+	int busy; ///< calls outstanding
+	bool over; ///< freed after the last one
 	bool again; ///< the owner key is to be read
 	int64_t next_ms; ///< earliest read of it
 	int64_t late_until_ms; ///< a write of it may still be done
 	bool active; ///< of a takeover that others wait behind
+	bool owned; ///< the owner key names this node
+	bool reads; ///< records and texts are being read
+	bool listed; ///< the records are in the list
+	bool list_again; ///< they are to be read (again) at list_ms
+	int64_t list_ms;
+	htab_handle job; ///< whose list has them
+	bool texts_known; ///< texts were read, or could not be
+	char *texts; ///< their value, NULL for none
+	size_t texts_len; ///< bytes
+	uint64_t texts_rev;
+	int64_t known_ms; ///< when the loss was known
 	struct job_owner owner;
 	uint64_t rev;
 	struct job_spec *spec;
@@ -43,6 +60,7 @@
 	if (*at)
 		*at = l->next;
 	job_spec_free(l->spec);
+	free(l->texts);
 	free(l);
 }
 
@@ -56,7 +74,29 @@
 {
 	if (why)
 		log_event(EV_JOB_REFUSED, "batch=%s takeover=%s", l->id, why);
-	load_free(jobs_of(c), l);
+	l->over = true;
+	if (!l->busy)
+		load_free(jobs_of(c), l);
+}
+
+/* A call ended.
+ *
+ * @return false: nothing is left to be done for the batch, and it is freed */
+static bool load_answered(struct core *c, struct job_load *l)
+{
+	l->busy--;
+	if (l->over && !l->busy)
+		load_free(jobs_of(c), l);
+	else
+		return !l->over;
+	return false;
+}
+
+/* Note whether a call was begun. */
+static bool load_called(struct job_load *l, enum err e)
+{
+	l->busy += e == ERR_OK;
+	return e == ERR_OK;
 }
 
 static void load_again(struct core *c, struct job_load *l)
@@ -80,104 +120,165 @@
 		j->list.rev = res->rev;
 }
 
-/* @param texts  unfinished texts, NULL for none */
-static void run_loaded(struct core *c, struct job_load *l, struct job *j,
-		       const struct kv_item *texts)
+static void run_loaded(struct core *c, struct job_load *l, struct job *j)
 {
+	const struct kv_item texts = {
+		.value = l->texts,
+		.len = l->texts_len,
+		.rev = l->texts_rev,
+	};
+
 	j->known = true;
 	j->owner = l->owner;
 	j->owner_rev = l->rev;
-	log_event(EV_JOB_TAKEOVER, "batch=%s listed=%zu items=%zu", j->id,
-		  j->list.n, l->spec->n_items);
+	log_event(EV_JOB_TAKEOVER,
+		  "batch=%s listed=%zu items=%zu known_ms=%lld", j->id,
+		  j->list.n, l->spec->n_items,
+		  (long long)(core_now(c) - l->known_ms));
 	if (job_start(c, j, l->spec) == ERR_OK)
 		l->spec = NULL;
-	if (j->running && texts)
-		job_texts_restore(c, j, texts);
+	if (j->running)
+		j->lost_ms = l->known_ms;
+	if (j->running && l->texts)
+		job_texts_restore(c, j, &texts);
 	load_over(c, l, NULL);
 	if (j->running)
 		job_step(c, j);
 }
 
+static void list_again(struct core *c, struct job_load *l)
+{
+	l->listed = false;
+	l->list_again = true;
+	l->list_ms = core_now(c) + LOAD_AGAIN_MS;
+}
+
+/* Run the batch if all that it takes is there. */
+static void load_try(struct core *c, struct job_load *l)
+{
+	struct job *j;
+
+	if (!l->owned || !l->spec || !l->listed || !l->texts_known)
+		return;
+	j = job_get(c, l->id);
+	if (j && j->running)
+		load_over(c, l, "busy");
+	else if (!j || j->self != l->job)
+		list_again(c, l);
+	else
+		run_loaded(c, l, j);
+}
+
 static void on_texts(struct core *c, void *ctx, const struct kv_result *res)
 {
 	struct job_load *l = ctx;
-	struct job *j = job_get(c, l->id);
 
-	if (j && j->running) {
-		load_over(c, l, "busy");
-		return;
-	}
-	if (!j) {
-		load_again(c, l);
+	if (!load_answered(c, l))
 		return;
-	}
+	l->texts_known = true;
 	if (res->err != ERR_OK && res->err != ERR_NOT_FOUND)
 		log_event(EV_JOB_TEXTS, "batch=%s error=%s", l->id,
 			  err_code(res->err));
-	run_loaded(c, l, j, res->n_items ? &res->items[0] : NULL);
+	if (res->err == ERR_OK && res->n_items) {
+		const struct kv_item *item = &res->items[0];
+
+		l->texts = malloc(item->len + 1);
+		if (l->texts)
+			memcpy(l->texts, item->value, item->len);
+		l->texts_len = item->len;
+		l->texts_rev = item->rev;
+	}
+	load_try(c, l);
 }
 
-static void load_texts(struct core *c, struct job_load *l, struct job *j)
+static void load_texts(struct core *c, struct job_load *l)
 {
 	char key[STORE_KEY];
 
 	snprintf(key, sizeof(key), KEY_TEXTS "%s", l->id);
-	if (kv_get(c, key, (struct kv_cb){on_texts, l}) != ERR_OK)
-		run_loaded(c, l, j, NULL);
+	l->texts_known =
+		!load_called(l, kv_get(c, key, (struct kv_cb){on_texts, l}));
 }
 
-static void load_records(struct core *c, struct job_load *l, struct job *j);
+static void load_records(struct core *c, struct job_load *l);
 
 static void on_records(struct core *c, void *ctx, const struct kv_result *res)
 {
 	struct job_load *l = ctx;
-	struct job *j = job_get(c, l->id);
+	struct job *j;
 
+	if (!load_answered(c, l))
+		return;
+	j = job_get(c, l->id);
 	if (j && j->running) {
 		load_over(c, l, "busy");
 		return;
 	}
-	if (!j || res->err != ERR_OK) {
-		load_again(c, l);
+	/* A list that was forgotten meanwhile begins anew. */
+	if (!j || j->self != l->job || res->err != ERR_OK) {
+		list_again(c, l);
 		return;
 	}
 	take_listed(j, res);
+	l->listed = !res->more;
 	if (res->more)
-		load_records(c, l, j);
+		load_records(c, l);
 	else
-		load_texts(c, l, j);
+		load_try(c, l);
 }
 
-static void load_records(struct core *c, struct job_load *l, struct job *j)
+static void load_records(struct core *c, struct job_load *l)
 {
+	struct job *j = job_get(c, l->id);
 	char prefix[STORE_KEY];
 	char from[STORE_KEY];
 
+	l->list_again = false;
+	if (!j) {
+		list_again(c, l);
+		return;
+	}
+	l->job = j->self;
 	snprintf(prefix, sizeof(prefix), KEY_RECORD "%s/", l->id);
 	snprintf(from, sizeof(from), KEY_RECORD "%s/%08llu", l->id,
 		 (unsigned long long)j->list.records - 1);
-	if (kv_list_from(c, prefix, j->list.records ? from : NULL,
-			 (struct kv_cb){on_records, l}) != ERR_OK)
-		load_again(c, l);
+	if (!load_called(l,
+			 kv_list_from(c, prefix, j->list.records ? from : NULL,
+				      (struct kv_cb){on_records, l})))
+		list_again(c, l);
+}
+
+/* Read what stands beside the body. */
+static void load_reads(struct core *c, struct job_load *l)
+{
+	if (l->reads)
+		return;
+	l->reads = true;
+	load_records(c, l);
+	load_texts(c, l);
 }
 
 /* What the owner key says after all. */
 static void on_settled(struct core *c, void *ctx, const struct kv_result *res)
 {
 	struct job_load *l = ctx;
-	struct job *j = job_get(c, l->id);
 	struct job_owner owner;
+	bool mine;
 
-	bool mine = res->err == ERR_OK &&
-		    job_owner_parse(&res->items[0], &owner) == ERR_OK &&
-		    job_owner_me(c, &owner) && !owner.ended && !owner.over;
+	if (!load_answered(c, l))
+		return;
+	mine = res->err == ERR_OK &&
+	       job_owner_parse(&res->items[0], &owner) == ERR_OK &&
+	       job_owner_me(c, &owner) && !owner.ended && !owner.over;
 
-	if ((res->err != ERR_OK && res->err != ERR_NOT_FOUND) || !j) {
+	if (res->err != ERR_OK && res->err != ERR_NOT_FOUND) {
 		load_again(c, l);
 	} else if (mine) {
 		l->owner = owner;
 		l->rev = res->items[0].rev;
-		load_records(c, l, j);
+		l->owned = true;
+		load_reads(c, l);
+		load_try(c, l);
 	} else if (core_now(c) < l->late_until_ms) {
 		l->active = false;
 		load_again(c, l);
@@ -192,8 +293,8 @@
 	char key[STORE_KEY];
 
 	snprintf(key, sizeof(key), KEY_RUN "%s", l->id);
-	l->again = kv_get(c, key, (struct kv_cb){on_settled, l}) != ERR_OK;
-	if (l->again)
+	l->again = false;
+	if (!load_called(l, kv_get(c, key, (struct kv_cb){on_settled, l})))
 		load_again(c, l);
 }
 
@@ -203,24 +304,30 @@
 
 	for (l = jobs_of(c)->loads; l; l = next) {
 		next = l->next;
+		if (l->over)
+			continue;
 		if (l->again && core_now(c) >= l->next_ms)
 			settle(c, l);
+		if (l->list_again && core_now(c) >= l->list_ms)
+			load_records(c, l);
 	}
 }
 
 static void on_owned(struct core *c, void *ctx, const struct kv_result *res)
 {
 	struct job_load *l = ctx;
-	struct job *j = job_get(c, l->id);
 
+	if (!load_answered(c, l))
+		return;
 	if (res->err == ERR_KV_CONFLICT) {
 		load_over(c, l, err_code(res->err));
-	} else if (res->err != ERR_OK || !j) {
+	} else if (res->err != ERR_OK) {
 		l->late_until_ms = core_now(c) + LOAD_LATE_MS;
 		load_again(c, l);
 	} else {
 		l->rev = res->rev;
-		load_records(c, l, j);
+		l->owned = true;
+		load_try(c, l);
 	}
 }
 
@@ -229,13 +336,15 @@
 	struct job_load *l = ctx;
 	enum err e = res->err;
 
+	if (!load_answered(c, l))
+		return;
 	if (e == ERR_OK)
 		e = job_batch_parse(jobs_of(c), l->id, res->items[0].value,
 				    res->items[0].len, &l->spec);
 	if (e == ERR_OK)
 		e = job_owner_put(c, l->id, &l->owner, l->rev,
 				  (struct kv_cb){on_owned, l});
-	if (e != ERR_OK)
+	if (!load_called(l, e))
 		load_over(c, l, err_code(e));
 }
 
@@ -252,6 +361,7 @@
 	snprintf(l->id, sizeof(l->id), "%s", spec->id);
 	l->spec = spec;
 	l->late_until_ms = core_now(c) + LOAD_LATE_MS;
+	l->known_ms = core_now(c);
 	l->next = jobs->loads;
 	jobs->loads = l;
 	load_again(c, l);
@@ -261,7 +371,7 @@
 {
 	const struct job_load *l = jobs->loads;
 
-	while (l && strcmp(l->id, id) != 0)
+	while (l && (l->over || strcmp(l->id, id) != 0))
 		l = l->next;
 	return l != NULL;
 }
@@ -271,12 +381,12 @@
 	int n = 0;
 
 	for (const struct job_load *l = jobs->loads; l; l = l->next)
-		n += l->active;
+		n += l->active && !l->over;
 	return n;
 }
 
 void job_load_begin(struct core *c, const char *id,
-		    const struct job_owner *owner, uint64_t rev)
+		    const struct job_load_opts *opts)
 {
 	struct jobs *jobs = jobs_of(c);
 	struct job_load *l = calloc(1, sizeof(*l));
@@ -287,14 +397,17 @@
 		return;
 	}
 	snprintf(l->id, sizeof(l->id), "%s", id);
-	l->owner = *owner;
-	l->rev = rev;
+	l->owner = *opts->owner;
+	l->rev = opts->rev;
+	l->known_ms = opts->known_ms;
 	snprintf(l->owner.node, sizeof(l->owner.node), "%s", core_node(c));
 	snprintf(l->owner.run, sizeof(l->owner.run), "%s", core_incarnation(c));
 	l->active = true;
 	l->next = jobs->loads;
 	jobs->loads = l;
 	snprintf(key, sizeof(key), KEY_BATCH "%s", l->id);
-	if (kv_get(c, key, (struct kv_cb){on_batch, l}) != ERR_OK)
+	if (load_called(l, kv_get(c, key, (struct kv_cb){on_batch, l})))
+		load_reads(c, l);
+	else
 		load_over(c, l, "full");
 }
--- a/packages/daemon/src/job/load.h
+++ b/packages/daemon/src/job/load.h
@@ -3,12 +3,16 @@
 
 #include "job/job.h"
 
+struct job_load_opts {
+	/// Its owner key as it was read; this node writes itself into it.
+	const struct job_owner *owner;
+	uint64_t rev; ///< of that key
+	int64_t known_ms; ///< since when the loss is known, for the metric
+};
+
 /// Take a batch over.
-///
-/// @param owner  its owner key as it was read; this node writes itself into it
-/// @param rev    revision of that key
 void job_load_begin(struct core *c, const char *id,
-		    const struct job_owner *owner, uint64_t rev);
+		    const struct job_load_opts *opts);
 
 /// Run a batch if its owner key turns out to name this node: a write of the key
 /// got no answer.
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -345,6 +345,17 @@
 	return url;
 }
 
+/* The first item that is sent after a takeover ends its time. */
+static void note_takeover(struct core *c, struct job *j)
+{
+	if (!j->lost_ms)
+		return;
+	histogram_add(H_JOB_TAKEOVER, core_now(c) - j->lost_ms);
+	log_event(EV_JOB_GOES_ON, "batch=%s ms=%lld", j->id,
+		  (long long)(core_now(c) - j->lost_ms));
+	j->lost_ms = 0;
+}
+
 bool job_send_item(struct core *c, struct job *j, int item,
 		   struct site_server *s)
 {
@@ -403,6 +414,7 @@
 	sse_init(&at->sse, &sse);
 	site_server_begin(s, core_now(c));
 	job_run_sent(j->run, item);
+	note_takeover(c, j);
 	return true;
 }
 
--- a/packages/daemon/src/job/take.c
+++ b/packages/daemon/src/job/take.c
@@ -1,8 +1,8 @@
 // The leader goes on with the batches of nodes that were lost or that left.
 //
 // A round lists the owner keys: when nodes came or went, when a leader begins, and
-// now and then. A batch whose owner is not alive in two rounds gets the leader as
-// its owner, is loaded and run.
+// now and then. A batch whose owner is surely lost (job_takeover_now()) gets the
+// leader as its owner, is loaded and run.
 //
 // A node that starts looks for what its own earlier process ran: that process is
 // surely gone, so nothing has to lapse first.
@@ -14,14 +14,15 @@
 #include "daemon/lead_mod.h"
 #include "daemon/site_mod.h"
 #include "job/load.h"
+#include "job/takeover.h"
 #include "store_keys.h"
 
 enum {
 	TAKE_ROUND_MS = 300, ///< between two rounds while something is lost
 	TAKE_IDLE_MS = 5000, ///< between two rounds without a reason
-	/// After the store was away, nodes that live need this long to renew
-	/// their liveness keys.
-	TAKE_SETTLE_MS = 1500,
+	/// Rounds go on for so long after a loss that was seen, though a call of
+	/// this node's failed meanwhile.
+	TAKE_LOSS_MS = 10000,
 	TAKE_BATCHES = 1024, ///< lost batches of a round
 	TAKE_AT_ONCE = 8, ///< batches being loaded
 };
@@ -31,16 +32,24 @@
 	char id[JOB_ID];
 	struct job_owner owner;
 	uint64_t rev;
+	int64_t known_ms; ///< since when the loss is known here
+};
+
+/// A batch that was lost in the round before.
+struct suspect {
+	char id[JOB_ID];
+	int64_t known_ms;
 };
 
 struct job_take {
 	struct lost lost[TAKE_BATCHES];
 	size_t n_lost;
-	char suspects[TAKE_BATCHES][JOB_ID]; ///< lost in the round before
+	struct suspect suspects[TAKE_BATCHES];
 	size_t n_suspects;
 	char from[256]; ///< last key of the list's page
 	bool busy; ///< a round is in progress
 	bool own; ///< the round looks for this node's earlier batches only
+	bool settled; ///< the store had answered for long when the round began
 	uint64_t nodes_gen; ///< of the last round
 	uint64_t epoch; ///< of the leader in the last round
 };
@@ -60,13 +69,41 @@
 							       : TAKE_IDLE_MS);
 }
 
-static bool suspected(const struct job_take *t, const char *id)
+static const struct suspect *suspect_find(const struct job_take *t,
+					  const char *id)
 {
 	for (size_t i = 0; i < t->n_suspects; i++) {
-		if (strcmp(t->suspects[i], id) == 0)
-			return true;
+		if (strcmp(t->suspects[i].id, id) == 0)
+			return &t->suspects[i];
 	}
-	return false;
+	return NULL;
+}
+
+/* Whether a lost batch may be taken now. */
+static bool judge(struct core *c, const struct job_take *t, struct lost *l)
+{
+	const struct suspect *s = suspect_find(t, l->id);
+	struct site_loss loss = {0};
+	struct job_takeover in = {
+		.own = t->own,
+		.watched = site_mod_lost(c, l->owner.node, l->owner.run, &loss),
+		.store_ms = loss.store_ms,
+		.suspected = s != NULL,
+		.settled = t->settled,
+	};
+	bool now = job_takeover_now(&in);
+
+	if (in.watched)
+		l->known_ms = loss.at_ms;
+	else if (s)
+		l->known_ms = s->known_ms;
+	log_event(EV_JOB_LOST,
+		  "batch=%s owner=%s run=%s own=%d watched=%d store_ms=%lld "
+		  "suspected=%d settled=%d known_ms=%lld take=%d",
+		  l->id, l->owner.node, l->owner.run, in.own, in.watched,
+		  (long long)in.store_ms, in.suspected, in.settled,
+		  (long long)(core_now(c) - l->known_ms), now);
+	return now;
 }
 
 static void take_lost(struct core *c, struct job_take *t)
@@ -74,16 +111,23 @@
 	const struct jobs *jobs = jobs_of(c);
 
 	for (size_t i = 0; i < t->n_lost; i++) {
-		const struct lost *l = &t->lost[i];
-		bool sure = t->own || suspected(t, l->id);
+		struct lost *l = &t->lost[i];
+		struct job_load_opts opts = {
+			.owner = &l->owner,
+			.rev = l->rev,
+		};
 
-		if (sure && job_loads_active(jobs) < TAKE_AT_ONCE &&
-		    !job_loading(jobs, l->id))
-			job_load_begin(c, l->id, &l->owner, l->rev);
+		if (job_loads_active(jobs) >= TAKE_AT_ONCE ||
+		    job_loading(jobs, l->id) || !judge(c, t, l))
+			continue;
+		opts.known_ms = l->known_ms;
+		job_load_begin(c, l->id, &opts);
+	}
+	t->n_suspects = t->settled ? t->n_lost : 0;
+	for (size_t i = 0; i < t->n_suspects; i++) {
+		strcpy(t->suspects[i].id, t->lost[i].id);
+		t->suspects[i].known_ms = t->lost[i].known_ms;
 	}
-	t->n_suspects = t->n_lost;
-	for (size_t i = 0; i < t->n_lost; i++)
-		strcpy(t->suspects[i], t->lost[i].id);
 }
 
 /* Whether a batch of that owner is this node's to take over. */
@@ -120,6 +164,7 @@
 	snprintf(l->id, sizeof(l->id), "%s", id);
 	l->owner = owner;
 	l->rev = item->rev;
+	l->known_ms = core_now(c);
 }
 
 static void on_owners(struct core *c, void *ctx, const struct kv_result *res)
@@ -150,7 +195,18 @@
 {
 	int64_t back = kv_back_since(c);
 
-	return back && core_now(c) - back >= TAKE_SETTLE_MS;
+	return back && core_now(c) - back >= JOB_STORE_SETTLE_MS;
+}
+
+/* Whether a round may find batches that can be taken. */
+static bool round_of_use(struct core *c)
+{
+	struct site_loss last;
+
+	if (!site_mod_nodes_known(c))
+		return false;
+	return store_settled(c) || (site_mod_last_loss(c, &last) &&
+				    core_now(c) - last.at_ms < TAKE_LOSS_MS);
 }
 
 static void round_begin(struct core *c, bool own)
@@ -164,6 +220,7 @@
 	if (!t)
 		return;
 	t->own = own;
+	t->settled = store_settled(c);
 	t->n_lost = 0;
 	t->from[0] = '\0';
 	t->nodes_gen = site_mod_nodes_gen(c);
@@ -196,8 +253,7 @@
 		return;
 	if (!jobs->own_looked)
 		round_begin(c, true);
-	else if (lead_mod_held(c, NULL) && store_settled(c) &&
-		 site_mod_nodes_known(c))
+	else if (lead_mod_held(c, NULL) && round_of_use(c))
 		round_begin(c, false);
 	else if (jobs->take && !job_loads_active(jobs))
 		job_take_free(jobs);
--- a/packages/daemon/src/lead/live.c
+++ b/packages/daemon/src/lead/live.c
@@ -66,8 +66,9 @@
 
 static void live_again(struct live *l, enum live_step step, int64_t at_ms)
 {
-	if (l->step != LIVE_LEAVE && l->step != LIVE_LEFT)
-		l->step = step;
+	if (l->step == LIVE_LEAVE || l->step == LIVE_LEFT)
+		return;
+	l->step = step;
 	l->next_ms = at_ms;
 }
 
@@ -131,6 +132,10 @@
 static void on_leave(struct core *c, struct live *l,
 		     const struct kv_result *res)
 {
+	if (res->err != ERR_OK && res->err != ERR_NOT_FOUND) {
+		l->next_ms = core_now(c) + LIVE_RETRY_MS;
+		return;
+	}
 	l->lease = 0;
 	l->step = LIVE_LEFT;
 }
@@ -144,11 +149,11 @@
 		[LIVE_LEAVE] = on_leave,
 	};
 	struct live *l = ctx;
-	enum live_step step = l->step;
 
+	/* The call may have begun before live_leave(). */
 	l->busy = false;
-	if (step != LIVE_LEFT)
-		handlers[step](c, l, res);
+	if (l->step != LIVE_LEFT)
+		handlers[l->called](c, l, res);
 }
 
 static enum err live_put(struct core *c, const struct live *l, struct kv_cb cb)
@@ -199,6 +204,7 @@
 	    now < l->next_ms || live_let_go(l, now))
 		return;
 	l->called_ms = now;
+	l->called = l->step;
 	l->busy = live_call(c, l) == ERR_OK;
 	if (!l->busy)
 		l->next_ms = now + LIVE_RETRY_MS;
--- a/packages/daemon/src/lead/live.h
+++ b/packages/daemon/src/lead/live.h
@@ -18,6 +18,7 @@
 	bool home; ///< others wait for this node's batches: noticed sooner
 	int64_t wanted_ms; ///< the key was wanted last
 	bool busy; ///< a call is outstanding
+	enum live_step called; ///< its step
 	uint64_t lease;
 	uint64_t rev; ///< of the key
 	int64_t called_ms; ///< start of the call
--- a/packages/daemon/src/site/feed.c
+++ b/packages/daemon/src/site/feed.c
@@ -72,10 +72,11 @@
 {
 	for (size_t i = 0; i < n_items; i++)
 		feed_item(c, f, &items[i]);
+	/* The copy still holds the value that goes. */
 	for (size_t i = 0; i < n_deleted; i++) {
+		f->opts.ops->gone(c, f->opts.ctx, deleted[i]);
 		if (f->opts.keep)
 			relay_copy_del(&f->copy, deleted[i], rev);
-		f->opts.ops->gone(c, f->opts.ctx, deleted[i]);
 	}
 }
 
--- a/packages/daemon/src/site/nodes.c
+++ b/packages/daemon/src/site/nodes.c
@@ -68,24 +68,77 @@
 	return site_of(c)->nodes.listed;
 }
 
-bool site_mod_alive(struct core *c, const char *node, const char *run)
+/* What a node's liveness key says. */
+static bool node_value(const struct site *s, const char *node,
+		       struct live_value *out)
 {
-	const struct relay_copy *copy = &site_of(c)->nodes.copy;
+	const struct relay_copy *copy = &s->nodes.copy;
 
 	for (size_t i = 0; i < copy->n; i++) {
 		const struct relay_item *it = &copy->items[i];
 		const struct kv_item item = {
 			.key = it->key, .value = it->value, .len = it->len};
-		struct live_value v;
 
 		if (it->value &&
 		    strcmp(it->key + sizeof(KEY_LIVE) - 1, node) == 0 &&
-		    live_value_parse(&item, &v) == ERR_OK)
-			return strcmp(v.run, run) == 0;
+		    live_value_parse(&item, out) == ERR_OK)
+			return true;
+	}
+	return false;
+}
+
+bool site_mod_alive(struct core *c, const char *node, const char *run)
+{
+	struct live_value v;
+
+	return node_value(site_of(c), node, &v) && strcmp(v.run, run) == 0;
+}
+
+bool site_mod_lost(struct core *c, const char *node, const char *run,
+		   struct site_loss *out)
+{
+	const struct site *s = site_of(c);
+
+	/* The latest one counts: a key may have come back in between. */
+	for (uint64_t i = 1; i <= SITE_LOSSES && i <= s->n_gone; i++) {
+		const struct site_gone *g =
+			&s->gone[(s->n_gone - i) % SITE_LOSSES];
+
+		if (strcmp(g->node, node) == 0 && strcmp(g->run, run) == 0) {
+			*out = g->loss;
+			return true;
+		}
 	}
 	return false;
 }
 
+bool site_mod_last_loss(struct core *c, struct site_loss *out)
+{
+	const struct site *s = site_of(c);
+
+	if (s->n_gone)
+		*out = s->gone[(s->n_gone - 1) % SITE_LOSSES].loss;
+	return s->n_gone > 0;
+}
+
+/* Remember whose key goes. */
+static void node_lost(struct core *c, struct site *s, const char *node)
+{
+	int64_t back = kv_back_since(c);
+	struct site_gone *g = &s->gone[s->n_gone % SITE_LOSSES];
+	struct live_value v;
+
+	if (!node_value(s, node, &v))
+		return;
+	snprintf(g->node, sizeof(g->node), "%s", v.node);
+	snprintf(g->run, sizeof(g->run), "%s", v.run);
+	g->loss.at_ms = core_now(c);
+	g->loss.store_ms = back ? core_now(c) - back : 0;
+	s->n_gone++;
+	log_event(EV_NODE_LOST, "lost=%s run=%s store_ms=%lld", v.node, v.run,
+		  (long long)g->loss.store_ms);
+}
+
 static void node_known(struct core *c, struct site *s,
 		       const struct live_value *v)
 {
@@ -132,6 +185,7 @@
 	struct site *s = ctx;
 
 	s->nodes_gen++;
+	node_lost(c, s, key + sizeof(KEY_LIVE) - 1);
 	node_del(s->homes, &s->n_homes, key + sizeof(KEY_LIVE) - 1);
 	node_del(s->neighbours, &s->n_neighbours, key + sizeof(KEY_LIVE) - 1);
 	relay_node_gone(c, &s->relay, key + sizeof(KEY_LIVE) - 1);
--- a/packages/daemon/src/site/site.h
+++ b/packages/daemon/src/site/site.h
@@ -10,6 +10,14 @@
 enum {
 	SITE_WEIGHTS = 64, ///< models whose versions are followed
 	SITE_HOMES = 64, ///< nodes that may be homes of batches, or neighbours
+	SITE_LOSSES = 64, ///< liveness keys whose going is remembered
+};
+
+/// A liveness key that went while this node watched.
+struct site_gone {
+	char node[SITE_NAME];
+	char run[SITE_NAME];
+	struct site_loss loss;
 };
 
 struct site {
@@ -26,6 +34,8 @@
 	size_t n_homes;
 	struct site_node neighbours[SITE_HOMES];
 	size_t n_neighbours;
+	struct site_gone gone[SITE_LOSSES]; ///< a ring, by n_gone
+	uint64_t n_gone; ///< since the start
 	struct relay relay;
 	int64_t start_ms; ///< of this module
 	struct site_fresh conf_fresh; ///< of the operators' keys
--- /dev/null
+++ b/packages/job/test/test_takeover.c
@@ -0,0 +1,133 @@
+// Whether a batch may be taken over, and by which home.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "job/takeover.h"
+
+enum {
+	HOMES = 10,
+	TEAMS = 200,
+};
+
+static char names[HOMES][16];
+static struct job_home homes[HOMES];
+
+static int setup(void **state)
+{
+	for (int i = 0; i < HOMES; i++) {
+		snprintf(names[i], sizeof(names[i]), "n%d", i);
+		homes[i] = (struct job_home){names[i], true};
+	}
+	return 0;
+}
+
+/* Guards against a second round, 300 ms later, for a loss that was seen. */
+static void test_seen_loss_is_taken_at_once(void **state)
+{
+	const struct job_takeover t = {
+		.watched = true,
+		.store_ms = JOB_STORE_SETTLE_MS,
+		.settled = true,
+	};
+
+	assert_true(job_takeover_now(&t));
+}
+
+/* Guards against the wait of 1.5 s after a failed call of the leader's: the key went
+ * before it, while the store answered. */
+static void test_later_silence_does_not_matter(void **state)
+{
+	const struct job_takeover t = {
+		.watched = true,
+		.store_ms = JOB_STORE_SETTLE_MS,
+		.settled = false,
+	};
+
+	assert_true(job_takeover_now(&t));
+}
+
+/* Guards against taking the batches of all nodes after an outage, in which every
+ * liveness key lapses. */
+static void test_loss_in_an_outage_needs_two_rounds(void **state)
+{
+	struct job_takeover t = {
+		.watched = true,
+		.store_ms = JOB_STORE_SETTLE_MS - 1,
+	};
+
+	assert_false(job_takeover_now(&t));
+	t.suspected = true;
+	assert_false(job_takeover_now(&t));
+	t.settled = true;
+	assert_true(job_takeover_now(&t));
+}
+
+/* Guards against a takeover from a node that only has yet to write its key. */
+static void test_unseen_loss_needs_two_rounds(void **state)
+{
+	struct job_takeover t = {.settled = true};
+
+	assert_false(job_takeover_now(&t));
+	t.suspected = true;
+	assert_true(job_takeover_now(&t));
+}
+
+static void test_own_earlier_process_is_gone(void **state)
+{
+	const struct job_takeover t = {.own = true};
+
+	assert_true(job_takeover_now(&t));
+}
+
+/* Guards against moving teams whose home still stands. */
+static void test_lost_home_moves_its_teams_only(void **state)
+{
+	int moved = 0;
+
+	for (int i = 0; i < TEAMS; i++) {
+		char team[16];
+		int before, after;
+
+		snprintf(team, sizeof(team), "t%d", i);
+		homes[3].usable = true;
+		before = job_home_choose(team, homes, HOMES);
+		homes[3].usable = false;
+		after = job_home_choose(team, homes, HOMES);
+		assert_in_range(after, 0, HOMES - 1);
+		assert_int_not_equal(after, 3);
+		moved += before == 3;
+		if (before != 3)
+			assert_int_equal(before, after);
+	}
+	assert_in_range(moved, 1, TEAMS / 2);
+}
+
+static void test_no_usable_home(void **state)
+{
+	for (int i = 0; i < HOMES; i++)
+		homes[i].usable = false;
+	assert_int_equal(job_home_choose("t", homes, HOMES), -1);
+	assert_int_equal(job_home_choose("t", homes, 0), -1);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_seen_loss_is_taken_at_once),
+		cmocka_unit_test(test_later_silence_does_not_matter),
+		cmocka_unit_test(test_loss_in_an_outage_needs_two_rounds),
+		cmocka_unit_test(test_unseen_loss_needs_two_rounds),
+		cmocka_unit_test(test_own_earlier_process_is_gone),
+		cmocka_unit_test_setup(test_lost_home_moves_its_teams_only,
+				       setup),
+		cmocka_unit_test_setup(test_no_usable_home, setup),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/hosted/hosted.h
+++ b/test/hosted/hosted.h
@@ -81,6 +81,7 @@
 	int down; ///< the store: 0 up, 1 refuses, 2 is silent
 	int lose_percent; ///< of the store's answers are lost
 	uint64_t lose_seed; ///< decides which
+	const char *down_at; ///< refuses calls once a key below it is read
 	const char *lose_key; ///< the answer of the next write below it is lost
 	const char
 		*mute; ///< watches below it that wait since mute_ms or before
--- a/test/hosted/store.c
+++ b/test/hosted/store.c
@@ -320,6 +320,11 @@
 	if (!b)
 		return MHD_YES;
 	pthread_mutex_lock(&h->lock);
+	if (h->down_at && strcmp(url, "/catkinpath/kv-key") == 0 &&
+	    strncmp(arg(conn, "key"), h->down_at, strlen(h->down_at)) == 0) {
+		h->down_at = NULL;
+		h->down = 1;
+	}
 	while (h->down == 2 && !h->stopping)
 		wait_change(h);
 	if (h->down || h->stopping) {
