--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -396,6 +396,17 @@
 	return url;
 }
 
+/* The first item that is sent after a takeover ends its time. */
+static void note_takeover(struct core *c, struct job *j)
+{
+	if (!j->lost_ms)
+		return;
+	histogram_add(H_JOB_TAKEOVER, core_now(c) - j->lost_ms);
+	log_event(EV_JOB_GOES_ON, "batch=%s ms=%lld", j->id,
+		  (long long)(core_now(c) - j->lost_ms));
+	j->lost_ms = 0;
+}
+
 bool job_send_item(struct core *c, struct job *j, int item,
 		   struct site_server *s)
 {
@@ -467,5 +478,6 @@
 	site_server_begin(s, core_now(c));
 	metric_add(M_ITEM_SENT, 1);
 	job_run_sent(j->run, item);
+	note_takeover(c, j);
 	return true;
 }
