feat(upstream): tell the head of every tagged answer, also after a cancel

An answer taken whole told its header fields with its end only, and a call that was cancelled told nothing, though its head had arrived. Calls may carry a tag: their head is told before the body, and core_on_heads() sees it whether anybody still waits for the answer or not. The event holds a copy of the head, since a trailer adds to the call's own while the receiver reads.

test_upstream: the head of a cancelled call arrives (11 tests pass); test_core passes.

--- a/packages/core/include/core/core.h
+++ b/packages/core/include/core/core.h
@@ -168,7 +168,15 @@
 enum err core_fetch(struct core *c, const struct core_fetch_opts *opts,
 		    htab_handle *h);
 
-/// Cancel; no callback follows. The request may have been sent.
+/// Register what sees the head of each answer to a request with a tag: also of one
+/// that is then broken off, and of one that was cancelled after the head arrived. May
+/// be called more than once an answer.
+void core_on_heads(struct core *c,
+		   void (*fn)(struct core *c, uint32_t tag, int status,
+			      const struct upstream_head *head));
+
+/// Cancel; no callback but that of core_on_heads() follows. The request may have been
+/// sent.
 void core_fetch_cancel(struct core *c, htab_handle h);
 
 // --- peers -----------------------------------------------------------------
--- a/packages/core/include/core/core_defs.h
+++ b/packages/core/include/core/core_defs.h
@@ -79,8 +79,11 @@
 	int64_t send_until_ms;
 	const struct trace_ctx *trace; ///< sent as traceparent if not NULL
 	bool want_head; ///< keep the answer's header fields
-	/// Status and header fields, before any byte of a streamed body; only
-	/// with want_head and on_data, and not for an answer without a body.
+	/// Of the server, for core_on_heads(), with want_head; 0 for none.
+	uint32_t tag;
+	/// Status and header fields, before any byte of the body; only with
+	/// want_head, and only with a tag for an answer that isn't streamed or
+	/// has no body.
 	void (*on_head)(struct core *c, void *ctx, int status,
 			const struct upstream_head *head);
 	/// Streamed body; NULL to have it whole in on_done.
--- a/packages/core/src/core.h
+++ b/packages/core/src/core.h
@@ -78,6 +78,8 @@
 	struct peer_edge *peer;
 	struct htab *reqs; ///< struct req_entry
 	struct htab *fetches; ///< struct fetch_entry
+	void (*on_heads)(struct core *c, uint32_t tag, int status,
+			 const struct upstream_head *head);
 	struct core_route_opts routes[CORE_ROUTES];
 	bool route_draining[CORE_ROUTES]; ///< still served after SIGTERM
 	size_t n_routes;
--- a/packages/core/src/fetch.c
+++ b/packages/core/src/fetch.c
@@ -44,6 +44,7 @@
 
 	return (struct upstream_call_opts){
 		.id = h,
+		.tag = o->tag,
 		.method = o->method,
 		.url = o->url,
 		.headers = headers,
@@ -160,12 +161,30 @@
 	}
 }
 
+void core_on_heads(struct core *c,
+		   void (*fn)(struct core *c, uint32_t tag, int status,
+			      const struct upstream_head *head))
+{
+	c->on_heads = fn;
+}
+
+static void tell_head(struct core *c, const struct upstream_event *ev)
+{
+	if (!c->on_heads || !ev->tag)
+		return;
+	if (ev->kind == UPSTREAM_HEAD)
+		c->on_heads(c, ev->tag, ev->status, ev->head);
+	else if (ev->kind == UPSTREAM_DONE && ev->result->status)
+		c->on_heads(c, ev->tag, ev->result->status, &ev->result->head);
+}
+
 void core_on_upstream(struct core *c, struct upstream_event *ev)
 {
 	struct fetch_entry *f = htab_get(c->fetches, ev->id);
 
 	if (f && f->call != ev->call)
 		f = NULL;
+	tell_head(c, ev);
 	if (f && ev->kind == UPSTREAM_HEAD && f->on_head)
 		f->on_head(c, f->ctx, ev->status, ev->head);
 	else if (f && ev->kind == UPSTREAM_DATA && f->on_data)
--- a/packages/upstream/include/upstream/upstream.h
+++ b/packages/upstream/include/upstream/upstream.h
@@ -25,6 +25,9 @@
 /// Everything in it is copied.
 struct upstream_call_opts {
 	uint32_t id; ///< given back with each event
+	/// Given back with each event, also after cancel(); with want_head and a tag
+	/// that is not 0 UPSTREAM_HEAD comes for answers of any kind, before the body.
+	uint32_t tag;
 	const char *method;
 	const char *url;
 	const char *const *headers; ///< "Name: value", NULL-terminated, or NULL
@@ -71,6 +74,7 @@
 struct upstream_event {
 	enum upstream_event_kind kind;
 	uint32_t id;
+	uint32_t tag;
 	struct upstream_call *call; ///< referenced by the event
 	int status; ///< with UPSTREAM_HEAD
 	const struct upstream_head *head; ///< with UPSTREAM_HEAD
--- a/packages/upstream/src/curl_edge.c
+++ b/packages/upstream/src/curl_edge.c
@@ -60,6 +60,7 @@
 	c->done = (struct upstream_event){
 		.kind = UPSTREAM_DONE,
 		.id = c->opts.id,
+		.tag = c->opts.tag,
 		.call = c,
 		.result = &c->result,
 	};
--- a/packages/upstream/src/event.c
+++ b/packages/upstream/src/event.c
@@ -31,18 +31,23 @@
 bool upstream_post_head(struct upstream_call *c)
 {
 	struct upstream_event *ev;
+	struct upstream_head *head;
 
 	if (upstream_behind(c->up))
 		return false;
-	ev = malloc(sizeof(*ev));
+	ev = malloc(sizeof(*ev) + sizeof(*head));
 	if (!ev)
 		return false;
+	/* A trailer adds to the call's own while the receiver reads. */
+	head = (struct upstream_head *)(ev + 1);
+	*head = c->result.head;
 	*ev = (struct upstream_event){
 		.kind = UPSTREAM_HEAD,
 		.id = c->opts.id,
+		.tag = c->opts.tag,
 		.call = c,
 		.status = c->result.status,
-		.head = &c->result.head,
+		.head = head,
 	};
 	call_ref(c);
 	atomic_fetch_add(&c->up->events, 1);
@@ -67,6 +72,7 @@
 	*ev = (struct upstream_event){
 		.kind = UPSTREAM_DATA,
 		.id = c->opts.id,
+		.tag = c->opts.tag,
 		.call = c,
 		.data = copy,
 		.len = len,
--- a/packages/upstream/src/transfer.c
+++ b/packages/upstream/src/transfer.c
@@ -22,6 +22,7 @@
 	/// Bytes of an answer's head, with interim ones and the trailer; what
 	/// common servers send at most is a quarter of it.
 	UPSTREAM_HEAD_MAX = 65536,
+	UPSTREAM_FINAL = 200, ///< lowest status of an answer that isn't interim
 };
 
 static bool body_append(struct upstream_call *c, const char *data, size_t len)
@@ -46,8 +47,8 @@
 	return true;
 }
 
-/// The head goes out with the first byte of the body, so that a receiver that
-/// is behind stops the body at once.
+/// The head of a streamed answer goes out with the first byte of the body, if not
+/// before, so that a receiver that is behind stops the body at once.
 static bool head_ready(struct upstream_call *c)
 {
 	long status = 0;
@@ -110,6 +111,22 @@
 		h->n++;
 }
 
+static bool head_ends(const char *line, size_t len)
+{
+	return len <= 2 && (len == 0 || line[len - 1] == '\n');
+}
+
+/// What the head says of the server counts even if the call is cancelled before
+/// the answer is whole. Without room for the event it comes with the last one.
+static void head_early(struct upstream_call *c)
+{
+	long status = 0;
+
+	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (status >= UPSTREAM_FINAL)
+		head_ready(c);
+}
+
 static size_t on_header(char *data, size_t size, size_t n, void *ctx)
 {
 	struct upstream_call *c = ctx;
@@ -122,6 +139,8 @@
 		return 0;
 	if (c->opts.want_head)
 		head_take(c, data, size * n);
+	if (c->opts.tag && head_ends(data, size * n) && !c->head_full)
+		head_early(c);
 	/* An answer that can't be passed on whole must not be passed on. */
 	return c->head_full ? 0 : size * n;
 }
--- a/packages/upstream/test/test_upstream.c
+++ b/packages/upstream/test/test_upstream.c
@@ -384,6 +384,29 @@
 	ops->forget(up, call);
 }
 
+/* A head that arrived is told though the call is cancelled before its answer ends. */
+static void test_head_of_a_cancelled_call(void **state)
+{
+	struct upstream_call_opts o;
+	struct upstream_call *call;
+	struct upstream_event *ev;
+	char url[64];
+
+	url_of(url, sizeof(url), SERVER_PORT, "/drop/body");
+	o = options(url);
+	o.want_head = true;
+	o.tag = 9;
+	o.fresh = true;
+	assert_int_equal(ops->call(up, &o, &call), ERR_OK);
+	ev = next_event(WAIT_MS);
+	ops->cancel(up, call);
+	assert_non_null(ev);
+	assert_int_equal(ev->kind, UPSTREAM_HEAD);
+	assert_int_equal(ev->tag, 9);
+	assert_int_equal(ev->status, 200);
+	ops->event_free(ev);
+}
+
 static void test_bad_url(void **state)
 {
 	struct upstream_call_opts o = options("gopher://x/");
@@ -423,6 +446,7 @@
 		cmocka_unit_test(test_full_and_cancel),
 		cmocka_unit_test(test_given_up_is_reset),
 		cmocka_unit_test(test_head),
+		cmocka_unit_test(test_head_of_a_cancelled_call),
 		cmocka_unit_test(test_bad_url),
 	};
 
