feat(site): send nothing to a server whose answer says that it leaves

A leaving server was known by its entry in the store alone, which a node that is cut off doesn't see. Server-Leaving: 1 in any answer now marks that start of the server. Entries of the same start don't take the mark back, nor does a lapse in an outage; a new start does.

test_site: the mark outlasts entries, lapses and late answers.

--- a/packages/daemon/include/daemon/site_mod.h
+++ b/packages/daemon/include/daemon/site_mod.h
@@ -26,6 +26,12 @@
 /// @return clock_now_ms() time, INT64_MAX while this node can't reach the store
 int64_t site_mod_until(struct core *c);
 
+/// Until when a request whose server is chosen now may leave: site_mod_until(), and
+/// also a bounded time if the store can't be reached.
+///
+/// @return clock_now_ms() time
+int64_t site_mod_send_until(struct core *c);
+
 /// Whether new work may be begun on what is known now.
 bool site_mod_current(struct core *c);
 
--- a/packages/daemon/src/order/order_mod.c
+++ b/packages/daemon/src/order/order_mod.c
@@ -90,6 +90,8 @@
 		.timeout_ms = ORDER_TIMEOUT_MS,
 		.connect_timeout_ms = ORDER_TIMEOUT_MS,
 		.send_until_ms = lead_mod_until(c),
+		.want_head = true,
+		.tag = ord->server,
 		.on_done = on_ordered,
 		.ctx = call,
 	};
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -75,6 +75,14 @@
 	return conf < servers ? conf : servers;
 }
 
+int64_t site_mod_send_until(struct core *c)
+{
+	int64_t until = site_mod_until(c);
+	int64_t late = core_now(c) + site_of(c)->servers_fresh.send_ms;
+
+	return until < late ? until : late;
+}
+
 bool site_mod_current(struct core *c)
 {
 	return core_now(c) <= site_mod_until(c);
@@ -368,6 +376,20 @@
 	s->servers_fresh = site_fresh_of(settings_int(set, S_SERVERS_LEAVE));
 }
 
+static void on_server_head(struct core *c, uint32_t tag, int status,
+			   const struct upstream_head *head)
+{
+	struct front_verdict v;
+	const char *id;
+
+	core_wire(c)->front->verdict(status, head, &v);
+	id = v.leaving ? site_servers_leave(site_mod_servers(c), tag) : NULL;
+	if (!id)
+		return;
+	metric_add(M_SERVERS_LEFT, 1);
+	log_event(EV_SITE_SERVER_LEAVES, "id=%s http=%d", id, status);
+}
+
 static enum err site_start(struct core *c, void **state)
 {
 	struct site *s = calloc(1, sizeof(*s));
@@ -383,6 +405,7 @@
 		return ERR_NOMEM;
 	}
 	*state = s;
+	core_on_heads(c, on_server_head);
 	return hello_start(c) == ERR_OK ? start_feeds(c, s) : ERR_NOMEM;
 }
 
--- a/packages/site/include/site/fresh.h
+++ b/packages/site/include/site/fresh.h
@@ -16,6 +16,9 @@
 	int64_t told_ms; ///< older knowledge of a relay is of no use
 	int64_t overdue_ms; ///< a node asks the store itself at this age
 	int64_t limit_ms; ///< nothing is begun on older knowledge
+	/// A request leaves within this time of the choice of its server, or not
+	/// at all: the server may say meanwhile that it leaves.
+	int64_t send_ms;
 };
 
 /// @param bound_ms  from the store's acknowledgement of a change until no node may
--- a/packages/site/include/site/server.h
+++ b/packages/site/include/site/server.h
@@ -45,6 +45,7 @@
 	uint32_t round; ///< list in which it was seen last
 	int64_t cold_until_ms;
 	int64_t lapsed_ms; ///< entry went during an outage; 0 while it stands
+	bool leaving; ///< an answer said so; no entry of this start takes it back
 	int running; ///< this node's requests there
 	int failures; ///< in a row
 	int64_t avoid_until_ms; ///< no work before, unless nothing else is left
@@ -121,6 +122,16 @@
 struct site_server *site_servers_next(const struct site_servers *t,
 				      size_t *iter);
 
+/// An answer of a server said that it leaves. This holds for that start of the
+/// server, whatever its entry says, and also if the entry goes and comes back.
+///
+/// Load pattern: answers tell of a leaving before the store does, and at nodes that
+/// are cut off from the store nothing else does.
+///
+/// @param h  handle, may be stale
+/// @return id, NULL if nothing is new
+const char *site_servers_leave(struct site_servers *t, htab_handle h);
+
 /// Whether a server may get new work at all.
 bool site_server_usable(const struct site_servers *t,
 			const struct site_server *s);
--- a/packages/site/src/fresh.c
+++ b/packages/site/src/fresh.c
@@ -9,6 +9,7 @@
 	TOLD_SHARE = 50, ///< a refresh, and a slow answer of the store
 	OVERDUE_SHARE = 60, ///< a refresh, a hold, and their flight
 	LIMIT_SHARE = 80, ///< an own call was answered or is lost by then
+	SEND_SHARE = 50, ///< longer than any wait for a connection
 	REFRESH_MIN_MS = 100,
 	/// Keys are trusted by the age of the same knowledge, and a failed call
 	/// must not end that.
@@ -37,6 +38,7 @@
 		.told_ms = share(bound_ms, TOLD_SHARE),
 		.overdue_ms = share(bound_ms, OVERDUE_SHARE),
 		.limit_ms = share(bound_ms, LIMIT_SHARE),
+		.send_ms = share(bound_ms, SEND_SHARE),
 	};
 }
 
--- a/packages/site/src/server.c
+++ b/packages/site/src/server.c
@@ -14,6 +14,7 @@
 	PACE_KEEP_MS = 2000, ///< without events for longer, a pace is forgotten
 	PERCENT = 100,
 	COLD_BURST = 2, ///< requests that a cold server may get at once
+	GONE = 256, ///< servers remembered whose entry went
 };
 
 /* Weights of the choice, in shares of a server's slots. */
@@ -23,11 +24,22 @@
 static const double SLOW_FROM = 1.25; ///< differences below are of the load
 static const double PACE_WEIGHT = 0.2; ///< of a new event in the pace
 
+/* A start of a server whose entry went, while something of it was left to know. */
+struct gone {
+	htab_handle self;
+	char id[SITE_NAME];
+	int64_t started_ms;
+	bool outage; ///< it went as all entries do while the store is away
+	bool leaving;
+};
+
 struct site_servers {
 	struct htab *tab;
 	uint32_t round; ///< of the list that is being read
 	char out[DOMAINS_OUT][SITE_NAME];
 	int n_out;
+	struct gone gone[GONE];
+	uint32_t n_gone; ///< so far
 };
 
 struct site_servers *site_servers_new(void)
@@ -75,16 +87,80 @@
 	return NULL;
 }
 
-static struct site_server *add(struct site_servers *t)
+/* Entries without a time of their start can be told apart by their id only. */
+static bool same_start(const struct gone *g, const struct site_server_entry *e)
+{
+	return (e->started_ms || g->outage) && g->started_ms == e->started_ms &&
+	       strcmp(g->id, e->id) == 0;
+}
+
+static bool was_leaving(const struct site_servers *t,
+			const struct site_server_entry *e)
+{
+	for (int i = 0; i < GONE; i++) {
+		if (t->gone[i].leaving && same_start(&t->gone[i], e))
+			return true;
+	}
+	return false;
+}
+
+static struct site_server *add(struct site_servers *t,
+			       const struct site_server_entry *e)
 {
 	htab_handle h;
 	struct site_server *s = htab_add(t->tab, &h);
 
-	if (s)
-		s->self = h;
+	if (!s)
+		return NULL;
+	s->self = h;
+	s->leaving = was_leaving(t, e);
 	return s;
 }
 
+/* Only what an answer told, or an answer that is to come may tell, is kept. */
+static void del(struct site_servers *t, const struct site_server *s)
+{
+	if (s->leaving || s->running) {
+		struct gone *g = &t->gone[t->n_gone++ % GONE];
+
+		*g = (struct gone){
+			.self = s->self,
+			.started_ms = s->entry.started_ms,
+			.outage = s->lapsed_ms != 0,
+			.leaving = s->leaving,
+		};
+		memcpy(g->id, s->entry.id, sizeof(g->id));
+	}
+	htab_del(t->tab, s->self);
+}
+
+static struct gone *gone_of(struct site_servers *t, htab_handle h)
+{
+	for (int i = 0; i < GONE; i++) {
+		if (t->gone[i].self == h)
+			return &t->gone[i];
+	}
+	return NULL;
+}
+
+const char *site_servers_leave(struct site_servers *t, htab_handle h)
+{
+	struct site_server *s = site_servers_get(t, h);
+	struct gone *g = s ? NULL : gone_of(t, h);
+
+	if (g && !g->leaving) {
+		g->leaving = true;
+		s = find(t, g->id);
+		if (s && same_start(g, &s->entry))
+			s->leaving = true;
+		return g->id;
+	}
+	if (!s || s->leaving)
+		return NULL;
+	s->leaving = true;
+	return s->entry.id;
+}
+
 enum err site_servers_put(struct site_servers *t, uint64_t rev, int64_t now,
 			  const struct site_server_entry *e)
 {
@@ -95,11 +171,11 @@
 	if (s && rev < s->rev)
 		return ERR_OK;
 	if (s && s->entry.started_ms != e->started_ms) {
-		htab_del(t->tab, s->self);
+		del(t, s);
 		s = NULL;
 	}
 	if (!s)
-		s = add(t);
+		s = add(t, e);
 	if (!s)
 		return ERR_FULL;
 	s->entry = *e;
@@ -118,7 +194,7 @@
 	if (!s)
 		return;
 	if (!outage)
-		htab_del(t->tab, s->self);
+		del(t, s);
 	else if (!s->lapsed_ms)
 		s->lapsed_ms = now;
 }
@@ -149,7 +225,7 @@
 		return;
 	while ((s = site_servers_next(t, &iter))) {
 		if (s->lapsed_ms)
-			htab_del(t->tab, s->self);
+			del(t, s);
 	}
 }
 
@@ -186,7 +262,8 @@
 bool site_server_usable(const struct site_servers *t,
 			const struct site_server *s)
 {
-	return !s->entry.leaving && domain_at(t, s->entry.domain) < 0;
+	return !s->entry.leaving && !s->leaving &&
+	       domain_at(t, s->entry.domain) < 0;
 }
 
 int site_servers_usable(const struct site_servers *t, const char *service)
--- a/packages/site/test/test_fresh.c
+++ b/packages/site/test/test_fresh.c
@@ -43,6 +43,8 @@
 
 		assert_true(asked + FLIGHT_MS + 2 * TICK_MS < f.limit_ms);
 		assert_true(f.limit_ms < bounds[i]);
+		/* What was chosen just before its server left. */
+		assert_true(f.send_ms + FLIGHT_MS < bounds[i]);
 	}
 	assert_true(site_fresh_of(2000).overdue_ms + PROBE_MS <=
 		    site_fresh_of(2000).limit_ms);
--- a/packages/site/test/test_site.c
+++ b/packages/site/test/test_site.c
@@ -289,6 +289,72 @@
 	site_servers_free(t);
 }
 
+/* Whatever a server's entry says or does, what its answers said of its leaving holds
+ * until it starts again. */
+static void test_answers_tell_of_leaving(void **state)
+{
+	struct site_servers *t = site_servers_new();
+	struct site_server_entry e = entry("s1", "d1");
+	htab_handle h;
+
+	e.started_ms = 100;
+	site_servers_put(t, 5, 0, &e);
+	h = choose(t, 0)->self;
+	assert_string_equal(site_servers_leave(t, h), "s1");
+	assert_null(site_servers_leave(t, h));
+	assert_null(choose(t, 0));
+	assert_int_equal(site_servers_usable(t, "svc"), 0);
+	site_servers_put(t, 4, 0, &e);
+	site_servers_put(t, 6, 0, &e);
+	assert_null(choose(t, 0));
+	/* It lapses in an outage, and is back in time, and too late. */
+	site_servers_gone(t, "s1", 1000, true);
+	site_servers_put(t, 7, 2000, &e);
+	assert_null(choose(t, 2000));
+	site_servers_gone(t, "s1", 3000, true);
+	site_servers_expire(t, 3000 + SITE_LAPSE_MS, 3000);
+	assert_null(site_servers_get(t, h));
+	site_servers_put(t, 8, 9000, &e);
+	assert_null(choose(t, 9000));
+	site_servers_gone(t, "s1", 9500, false);
+	site_servers_put(t, 9, 9600, &e);
+	assert_null(choose(t, 9600));
+	e.started_ms = 10000;
+	site_servers_put(t, 10, 10000, &e);
+	assert_non_null(choose(t, 10000));
+	site_servers_free(t);
+}
+
+/* The answer comes after the server's entry went, and the entry is back. */
+static void test_late_answer_tells_of_leaving(void **state)
+{
+	struct site_servers *t = site_servers_new();
+	struct site_server_entry e = entry("s1", "d1");
+	htab_handle h;
+
+	for (int back_first = 0; back_first < 2; back_first++) {
+		uint64_t rev = 10 * (uint64_t)(1 + back_first);
+
+		e.started_ms = 100 + back_first;
+		site_servers_put(t, rev, 0, &e);
+		h = choose(t, 0)->self;
+		site_server_begin(choose(t, 0), 0);
+		site_servers_gone(t, "s1", 10, false);
+		if (back_first)
+			site_servers_put(t, rev + 1, 20, &e);
+		assert_string_equal(site_servers_leave(t, h), "s1");
+		if (!back_first)
+			site_servers_put(t, rev + 1, 20, &e);
+		assert_null(choose(t, 20));
+	}
+	/* What the start before said does not count for the next one. */
+	e.started_ms = 200;
+	site_servers_put(t, 30, 30, &e);
+	assert_null(site_servers_leave(t, h));
+	assert_non_null(choose(t, 30));
+	site_servers_free(t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -304,6 +370,8 @@
 		cmocka_unit_test(test_cold_rate),
 		cmocka_unit_test(test_slow_third),
 		cmocka_unit_test(test_only_free),
+		cmocka_unit_test(test_answers_tell_of_leaving),
+		cmocka_unit_test(test_late_answer_tells_of_leaving),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/wire/include/wire/front.h
+++ b/packages/wire/include/wire/front.h
@@ -48,6 +48,7 @@
 	const char *seal; ///< the server vouches for the answer, NULL if not
 	bool not_run; ///< it surely did not run the request
 	bool other_server; ///< another server has that address now
+	bool leaving; ///< it takes nothing new from now on
 };
 
 struct front_wire_ops {
--- a/test/hosted/hosted.c
+++ b/test/hosted/hosted.c
@@ -28,7 +28,7 @@
 		s->engine ? "engines" : "desk", "addr", s->addr, "zone",
 		s->index % 2 ? "d2" : "d1", "version", "v1", "slots",
 		HOSTED_SLOTS, "state", s->leaving ? "draining" : "ready",
-		"cold_left_ms", 0, "born", 1000 + s->index);
+		"cold_left_ms", 0, "born", 1000 + s->index + 10 * s->starts);
 
 	if (s->engine)
 		json_object_set_new(entry, "models",
--- a/test/hosted/hosted.h
+++ b/test/hosted/hosted.h
@@ -53,6 +53,8 @@
 	bool engine;
 	bool leaving;
 	int64_t left_ms; ///< when the store took that; 0 while it stands
+	bool says_leaving; ///< its answers say that it leaves
+	int starts; ///< after the first
 	bool dark; ///< takes connections and does not answer
 	bool drips; ///< of an engine: sends comments and no event, without end
 	int running;
--- a/test/hosted/server.c
+++ b/test/hosted/server.c
@@ -218,6 +218,9 @@
 				       "seal",
 				       "X-Own",
 				       "kept",
+				       s->says_leaving ? "Server-Leaving"
+						       : NULL,
+				       "1",
 				       NULL};
 
 	pthread_mutex_lock(&s->h->lock);
