--- a/packages/site/src/server.c
+++ b/packages/site/src/server.c
@@ -90,8 +90,20 @@
 	return server_index_find(&t->index, t->tab, id);
 }
 
+/* Only what an answer told, or an answer that is to come may tell, is kept. */
 static void drop(struct site_servers *t, struct site_server *s)
 {
+	if (s->leaving || s->running) {
+		struct gone *g = &t->gone[t->n_gone++ % GONE];
+
+		*g = (struct gone){
+			.self = s->self,
+			.started_ms = s->entry.started_ms,
+			.outage = s->lapsed_ms != 0,
+			.leaving = s->leaving,
+		};
+		memcpy(g->id, s->entry.id, sizeof(g->id));
+	}
 	server_index_del(&t->index, t->tab, s);
 	htab_del(t->tab, s->self);
 }
@@ -111,6 +123,23 @@
 	return false;
 }
 
+/* Entries without a time of their start can be told apart by their id only. */
+static bool same_start(const struct gone *g, const struct site_server_entry *e)
+{
+	return (e->started_ms || g->outage) && g->started_ms == e->started_ms &&
+	       strcmp(g->id, e->id) == 0;
+}
+
+static bool was_leaving(const struct site_servers *t,
+			const struct site_server_entry *e)
+{
+	for (int i = 0; i < GONE; i++) {
+		if (t->gone[i].leaving && same_start(&t->gone[i], e))
+			return true;
+	}
+	return false;
+}
+
 static enum err add(struct site_servers *t, const struct site_server_entry *e,
 		    struct site_server **out)
 {
@@ -122,6 +151,7 @@
 		return ERR_FULL;
 	s->self = h;
 	s->entry = *e;
+	s->leaving = was_leaving(t, e);
 	err = server_index_add(&t->index, s, site_server_usable(t, s));
 	if (err != ERR_OK)
 		htab_del(t->tab, h);
@@ -150,6 +180,39 @@
 	return ERR_OK;
 }
 
+static struct gone *gone_of(struct site_servers *t, htab_handle h)
+{
+	for (int i = 0; i < GONE; i++) {
+		if (t->gone[i].self == h)
+			return &t->gone[i];
+	}
+	return NULL;
+}
+
+static void mark_leaving(struct site_server *s)
+{
+	s->leaving = true;
+	server_index_usable(s, false);
+}
+
+const char *site_servers_leave(struct site_servers *t, htab_handle h)
+{
+	struct site_server *s = site_servers_get(t, h);
+	struct gone *g = s ? NULL : gone_of(t, h);
+
+	if (g && !g->leaving) {
+		g->leaving = true;
+		s = find(t, g->id);
+		if (s && same_start(g, &s->entry))
+			mark_leaving(s);
+		return g->id;
+	}
+	if (!s || s->leaving)
+		return NULL;
+	mark_leaving(s);
+	return s->entry.id;
+}
+
 enum err site_servers_put(struct site_servers *t, uint64_t rev, int64_t now,
 			  const struct site_server_entry *e)
 {
@@ -265,7 +328,8 @@
 bool site_server_usable(const struct site_servers *t,
 			const struct site_server *s)
 {
-	return !s->entry.leaving && domain_at(t, s->entry.domain) < 0;
+	return !s->entry.leaving && !s->leaving &&
+	       domain_at(t, s->entry.domain) < 0;
 }
 
 int site_servers_usable(const struct site_servers *t, const char *service)
--- a/packages/site/src/server_table.h
+++ b/packages/site/src/server_table.h
@@ -7,6 +7,16 @@
 
 enum {
 	DOMAINS_OUT = 64, ///< failure domains out at once
+	GONE = 256, ///< servers remembered whose entry went
+};
+
+/// A start of a server whose entry went, while something of it was left to know.
+struct gone {
+	htab_handle self;
+	char id[SITE_NAME];
+	int64_t started_ms;
+	bool outage; ///< it went as all entries do while the store is away
+	bool leaving;
 };
 
 struct site_servers {
@@ -16,4 +26,6 @@
 	uint32_t round; ///< of the list that is being read
 	char out[DOMAINS_OUT][SITE_NAME];
 	int n_out;
+	struct gone gone[GONE];
+	uint32_t n_gone; ///< so far
 };
