feat(site): engines with room in their memory are preferred

Change: what a node's own samples are expected to hold counts against the memory of an engine, where models share engines.

--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -46,6 +46,7 @@
 	int64_t first_ms; ///< of its first event, 0 before
 	int64_t last_ms; ///< of its last event, 0 before the first
 	int events; ///< that came from this server
+	int64_t tokens; ///< reserved there
 	uint64_t version; ///< weights of the last event
 	bool resumed; ///< it went on after events of another run
 	uint64_t expected; ///< version that the request named, 0 for none
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -125,8 +125,10 @@
 	struct site_server *s =
 		site_servers_get(site_mod_servers(c), at->server);
 
-	if (s)
+	if (s) {
 		site_server_ran(s, at->events, at->last_ms - at->first_ms);
+		site_server_reserve(s, -at->tokens);
+	}
 	job_free_place(c, at->server, ok);
 	sse_free(&at->sse);
 	at->fetch = 0;
@@ -348,6 +350,7 @@
 	metric_add(M_ENGINE_REJECTED, 1);
 	if (at->other_server)
 		metric_add(M_ENGINE_UNEXPECTED, 1);
+	site_server_reserve(s, -at->tokens);
 	site_server_rejected(s, core_now(c),
 			     at->other_server ? at->expected : 0);
 	sse_free(&at->sse);
@@ -464,6 +467,7 @@
 		.servers_age_ms = site_mod_servers_age(c),
 		.resumed = run.resume_after > 0,
 		.expected = run.expect_version,
+		.tokens = job_item_memory(it),
 	};
 	if (at->expected)
 		metric_add(M_ENGINE_EXPECTED, 1);
@@ -477,6 +481,7 @@
 	}
 	sse_init(&at->sse, &sse);
 	site_server_begin(s, core_now(c));
+	site_server_reserve(s, at->tokens);
 	metric_add(M_ITEM_SENT, 1);
 	job_run_sent(j->run, item);
 	note_takeover(c, j);
--- a/packages/daemon/src/job/send.c
+++ b/packages/daemon/src/job/send.c
@@ -39,9 +39,11 @@
 	ask->pace_ms = site_servers_pace(site_mod_servers(c), ask->service,
 					 core_now(c));
 	room_mod_share(c, ask->model, j->begun_ms, ask);
-	if (site_mod_shares(c, ask->service))
+	if (site_mod_shares(c, ask->service)) {
 		site_servers_speeds(site_mod_servers(c), ask->service,
 				    core_now(c), &ask->speeds);
+		ask->memory_tokens = svc ? svc->memory_tokens : 0;
+	}
 	return true;
 }
 
@@ -109,6 +111,7 @@
 		if (slack_of(c, j, item) > slack)
 			return true;
 		ask.speed = speed_of(j, item, &ask);
+		ask.tokens = job_item_memory(&j->spec->items[item]);
 		s = site_servers_choose(site_mod_servers(c), core_now(c), &ask);
 		if (!s)
 			log_waiting(c, j, &ask);
--- a/packages/job/include/job/job_defs.h
+++ b/packages/job/include/job/job_defs.h
@@ -87,6 +87,9 @@
 /// Tokens that an item is expected to make, by its hint where it has one.
 int64_t job_item_length(const struct job_item *it);
 
+/// Tokens that an item is expected to hold in an engine's memory.
+int64_t job_item_memory(const struct job_item *it);
+
 /// Tokens that the items of a batch are expected to make, by their hints where
 /// there are some.
 int64_t job_spec_work(const struct job_spec *s);
--- a/packages/job/src/spec.c
+++ b/packages/job/src/spec.c
@@ -8,6 +8,13 @@
 	return it->length_hint > 0 ? it->length_hint : it->tokens;
 }
 
+int64_t job_item_memory(const struct job_item *it)
+{
+	int64_t length = job_item_length(it);
+
+	return length < it->tokens ? length : it->tokens;
+}
+
 int64_t job_spec_work(const struct job_spec *s)
 {
 	int64_t work = 0;
--- a/packages/site/include/site/server.h
+++ b/packages/site/include/site/server.h
@@ -81,6 +81,7 @@
 	int64_t lapsed_ms; ///< entry went during an outage; 0 while it stands
 	bool leaving; ///< an answer said so; no entry of this start takes it back
 	int running; ///< this node's requests there
+	int64_t tokens; ///< expected memory of this node's samples there
 	int others; ///< requests of other nodes there, by their reports
 	int sent; ///< requests begun less those ended since a choice in claim_round
 	uint32_t claim_round; ///< round of the claims of the last choice
@@ -137,6 +138,8 @@
 	struct site_claims claims; ///< with only_free
 	double cold_rate; ///< of the service, 0 for none
 	double pace_ms; ///< usual pace of the service, 0 if not known
+	int64_t memory_tokens; ///< of an engine, 0: its memory does not bind
+	int64_t tokens; ///< expected of the request
 	enum site_speed speed;
 	struct site_speeds speeds; ///< with a preference
 };
@@ -253,6 +256,14 @@
 /// A request begins at a server.
 void site_server_begin(struct site_server *s, int64_t now);
 
+/// A sample begins or ends there: change what its memory is expected to hold.
+///
+/// Load pattern: engines with memory for a few long samples. A sample that no longer
+/// fits is put back and read in again, and the step waits for it.
+///
+/// @param tokens  negative at the end
+void site_server_reserve(struct site_server *s, int64_t tokens);
+
 /// A request ended there.
 ///
 /// @param ok  false: it showed that the server can't be used at present
--- a/packages/site/src/server.c
+++ b/packages/site/src/server.c
@@ -47,6 +47,7 @@
 /* Weights of the choice, in shares of a server's slots. */
 static const double OTHER_DOMAIN = 0.25; ///< bytes between domains cost
 static const double TROUBLED = 8.0; ///< more than any load
+static const double CROWDED = 1.0; ///< more than its memory holds
 static const double SLOW_LOAD = 1.0; ///< for each time that it is slower
 static const double SLOW_FROM = 1.25; ///< differences below are of the load
 static const double PACE_WEIGHT = 0.2; ///< of a new event in the pace
@@ -498,6 +499,13 @@
 	double load = (double)busy_of(s, ask) / slots;
 	double slowness;
 
+	if (ask->memory_tokens > 0) {
+		double memory = (double)(s->tokens + ask->tokens) /
+				(double)ask->memory_tokens;
+
+		load = memory > load ? memory : load;
+		load += memory > 1 ? CROWDED : 0;
+	}
 	if (strcmp(s->entry.domain, ask->domain) != 0)
 		load += OTHER_DOMAIN;
 	if (now < s->avoid_until_ms)
@@ -707,6 +715,11 @@
 	server_index_load(s);
 }
 
+void site_server_reserve(struct site_server *s, int64_t tokens)
+{
+	s->tokens += tokens;
+}
+
 void site_server_end(struct site_server *s, int64_t now, bool ok)
 {
 	int shift;
--- a/packages/site/test/test_site.c
+++ b/packages/site/test/test_site.c
@@ -790,6 +790,40 @@
 	site_servers_free(t);
 }
 
+/* Long samples that share an engine's memory are put back: a server with a busy slot
+ * less but a full memory must not get the next one. */
+static void test_memory(void **state)
+{
+	struct site_servers *t = site_servers_new();
+	struct site_server_entry e = entry("s1", "d1");
+	struct site_ask ask = {.service = "svc",
+			       .domain = "d1",
+			       .memory_tokens = 40000,
+			       .tokens = 13000};
+	struct site_server *s;
+
+	e.slots = 8;
+	site_servers_put(t, 1, 0, &e);
+	strcpy(e.id, "s2");
+	site_servers_put(t, 2, 0, &e);
+	s = choose(t, 0);
+	assert_string_equal(s->entry.id, "s1");
+	site_server_begin(s, 0);
+	site_server_reserve(s, 30000);
+	s = site_servers_choose(t, 0, &ask);
+	assert_string_equal(s->entry.id, "s2");
+	for (int i = 0; i < 4; i++) {
+		site_server_begin(s, 0);
+		site_server_reserve(s, 1000);
+	}
+	assert_string_equal(site_servers_choose(t, 0, &ask)->entry.id, "s2");
+	/* A short one goes by the slots. */
+	ask.tokens = 1000;
+	ask.memory_tokens = 0;
+	assert_string_equal(site_servers_choose(t, 0, &ask)->entry.id, "s1");
+	site_servers_free(t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -804,6 +838,7 @@
 		cmocka_unit_test(test_failing_server_costs_one_attempt),
 		cmocka_unit_test(test_cold_rate),
 		cmocka_unit_test(test_slow_third),
+		cmocka_unit_test(test_memory),
 		cmocka_unit_test(test_others),
 		cmocka_unit_test(test_claims),
 		cmocka_unit_test(test_only_free),
