perf(site): bench live requests' choices; keep the index free of pointer arrays

The bench lacked the choices of forward.c (any version, servers already tried, no free slot) and the count of servers that a waiting batch logs. clang-tidy refuses arrays of pointers to structs whose size is taken.

bench_choose covers both.

--- a/bench/bench_choose.c
+++ b/bench/bench_choose.c
@@ -29,11 +29,13 @@
 	LOAD_FULL, ///< of the model that is asked for
 	LOAD_LOADING, ///< the version that is asked for is nowhere yet
 	LOAD_AVOIDED, ///< half of the servers failed just now
+	LOAD_LIVE, ///< live requests, one after a failed attempt
+	LOAD_LIVE_FULL, ///< the same while all slots are busy
 	LOAD_N,
 };
 
 static const char *const load_names[LOAD_N] = {
-	"half", "one_free", "full", "loading", "avoided",
+	"half", "one_free", "full", "loading", "avoided", "live", "live_full",
 };
 
 static int counter_open(void)
@@ -94,6 +96,8 @@
 
 		if (load == LOAD_ONE_FREE || load == LOAD_FULL)
 			busy = asked ? SLOTS : 0;
+		if (load == LOAD_LIVE_FULL)
+			busy = SLOTS;
 		for (int k = 0; k < busy; k++)
 			site_server_begin(s, 1);
 		if (load == LOAD_AVOIDED && i % 2)
@@ -111,7 +115,32 @@
 	}
 }
 
-/* One sender's work at each choice. */
+/* A live request's choice, as in forward.c: any server of the service will do,
+ * but for those that were tried. */
+static void step_live(struct site_servers *t, int64_t now)
+{
+	htab_handle tried[2];
+	struct site_ask ask = {
+		.service = "engines",
+		.domain = "d1",
+		.not = tried,
+	};
+
+	for (; ask.n_not < 2; ask.n_not++) {
+		struct site_server *s = site_servers_choose(t, now, &ask);
+
+		if (!s || !site_servers_usable(t, ask.service))
+			abort();
+		tried[ask.n_not] = s->self;
+		site_server_begin(s, now);
+		site_server_end(s, now, true);
+		site_server_begin(s, now);
+	}
+	for (int i = 0; i < 2; i++)
+		site_server_end(site_servers_get(t, tried[i]), now, true);
+}
+
+/* A batch's choice, as in run.c. */
 static void step(struct site_servers *t, enum load load, int64_t now)
 {
 	struct site_ask ask = {
@@ -128,6 +157,9 @@
 	s = site_servers_choose(t, now, &ask);
 	if ((s != NULL) != must)
 		abort();
+	/* The sender counts once a second; here each time. */
+	if (!s && site_servers_fitting(t, &ask) < 0)
+		abort();
 	if (!s)
 		return;
 	site_server_begin(s, now);
@@ -147,9 +179,14 @@
 	for (int i = -WARM; i < CHOICES; i++) {
 		if (i == 0)
 			start = cost_now(counter);
-		step(t, load, 2 + (i + WARM) / each_ms);
+		if (load == LOAD_LIVE || load == LOAD_LIVE_FULL)
+			step_live(t, 2 + (i + WARM) / each_ms);
+		else
+			step(t, load, 2 + (i + WARM) / each_ms);
 	}
 	cost = (cost_now(counter) - start) / CHOICES;
+	if (load == LOAD_LIVE || load == LOAD_LIVE_FULL)
+		cost /= 2;
 	site_servers_free(t);
 	return cost;
 }
--- a/packages/claim/include/claim/shard.h
+++ b/packages/claim/include/claim/shard.h
@@ -91,7 +91,7 @@
 ///
 /// @return ERR_OK, ERR_INVALID if none is out: nothing changes
 enum err claim_shard_kv(struct claim_shard *s, struct claim_time t,
-		    const struct claim_kv *kv);
+			const struct claim_kv *kv);
 
 /// Let time pass.
 void claim_shard_tick(struct claim_shard *s, struct claim_time t);
--- a/packages/claim/src/shard.c
+++ b/packages/claim/src/shard.c
@@ -314,7 +314,7 @@
 }
 
 enum err claim_shard_kv(struct claim_shard *s, struct claim_time t,
-		    const struct claim_kv *kv)
+			const struct claim_kv *kv)
 {
 	enum shard_out out = s->out;
 
--- a/packages/site/src/server.c
+++ b/packages/site/src/server.c
@@ -385,7 +385,8 @@
 	for (; left && enough > 0; left &= left - 1) {
 		int bit = (__builtin_ctzll(left) + from) % INDEX_WORD_BITS;
 
-		enough -= look(p, g->members[word * INDEX_WORD_BITS + bit]);
+		enough -=
+			look(p, g->places[word * INDEX_WORD_BITS + bit].server);
 	}
 	return enough;
 }
@@ -488,8 +489,9 @@
 		uint64_t left = g->used.bits[w];
 
 		for (; left; left &= left - 1)
-			look(p, g->members[w * INDEX_WORD_BITS +
-					   __builtin_ctzll(left)]);
+			look(p, g->places[w * INDEX_WORD_BITS +
+					  __builtin_ctzll(left)]
+					.server);
 	}
 }
 
@@ -513,6 +515,16 @@
 	return p.best;
 }
 
+/* The compiler's own count is a call where no instruction for it is assumed. */
+static int bits_in(uint64_t x)
+{
+	x -= x >> 1 & UINT64_C(0x5555555555555555);
+	x = (x & UINT64_C(0x3333333333333333)) +
+	    (x >> 2 & UINT64_C(0x3333333333333333));
+	x = (x + (x >> 4)) & UINT64_C(0x0f0f0f0f0f0f0f0f);
+	return (int)(x * UINT64_C(0x0101010101010101) >> 56);
+}
+
 int site_servers_fitting(const struct site_servers *t,
 			 const struct site_ask *ask)
 {
@@ -525,7 +537,7 @@
 		return 0;
 	capable(g, ask, &g->usable, &set);
 	for (int w = 0; w < g->words; w++)
-		n += __builtin_popcountll(set.bits[w]);
+		n += bits_in(set.bits[w]);
 	return n;
 }
 
@@ -591,8 +603,9 @@
 
 		for (; left && n < PACE_SERVERS; left &= left - 1) {
 			const struct site_server *s =
-				g->members[w * INDEX_WORD_BITS +
-					   __builtin_ctzll(left)];
+				g->places[w * INDEX_WORD_BITS +
+					  __builtin_ctzll(left)]
+					.server;
 
 			if (pace_known(s, now))
 				paces[n++] = s->pace_ms;
--- a/packages/site/src/server_index.c
+++ b/packages/site/src/server_index.c
@@ -39,16 +39,19 @@
 
 static void group_free(struct index_group *g)
 {
-	free(g->members);
+	free(g->places);
 	free(g->tags);
 	free(g);
 }
 
 void server_index_free(struct server_index *ix)
 {
-	for (int i = 0; i < ix->n_groups; i++)
-		group_free(ix->groups[i]);
-	free(ix->groups);
+	struct index_group *next;
+
+	for (struct index_group *g = ix->groups; g; g = next) {
+		next = g->next;
+		group_free(g);
+	}
 }
 
 static htab_handle *chain_of(struct server_index *ix, const char *id)
@@ -74,44 +77,35 @@
 				       const char *service)
 {
 	uint32_t hash = hash_of(service);
+	struct index_group *g = ix->groups;
 
-	for (int i = 0; i < ix->n_groups; i++) {
-		struct index_group *g = ix->groups[i];
-
-		if (g->hash == hash && strcmp(g->service, service) == 0)
-			return g;
-	}
-	return NULL;
+	while (g && (g->hash != hash || strcmp(g->service, service) != 0))
+		g = g->next;
+	return g;
 }
 
 static struct index_group *group_add(struct server_index *ix,
 				     const char *service)
 {
-	struct index_group **all =
-		realloc(ix->groups, ((size_t)ix->n_groups + 1) * sizeof(*all));
-	struct index_group *g;
+	struct index_group *g = calloc(1, sizeof(*g));
 
-	if (!all)
-		return NULL;
-	ix->groups = all;
-	g = calloc(1, sizeof(*g));
 	if (!g)
 		return NULL;
 	snprintf(g->service, sizeof(g->service), "%s", service);
 	g->hash = hash_of(service);
 	g->calm_at_ms = INT64_MAX;
-	all[ix->n_groups++] = g;
+	g->next = ix->groups;
+	ix->groups = g;
 	return g;
 }
 
 static void group_del(struct server_index *ix, struct index_group *g)
 {
-	for (int i = 0; i < ix->n_groups; i++) {
-		if (ix->groups[i] != g)
-			continue;
-		ix->groups[i] = ix->groups[--ix->n_groups];
-		break;
-	}
+	struct index_group **at = &ix->groups;
+
+	while (*at != g)
+		at = &(*at)->next;
+	*at = g->next;
 	group_free(g);
 }
 
@@ -128,12 +122,12 @@
 		at += __builtin_ctzll(~g->used.bits[w]);
 	if (at >= g->cap) {
 		int cap = g->cap + INDEX_WORD_BITS;
-		struct site_server **p = realloc(
-			g->members, (size_t)cap * sizeof(struct site_server *));
+		struct index_place *p =
+			realloc(g->places, (size_t)cap * sizeof(*p));
 
 		if (!p)
 			return -1;
-		g->members = p;
+		g->places = p;
 		g->cap = cap;
 	}
 	if (w == g->words)
@@ -239,7 +233,7 @@
 		return ERR_NOMEM;
 	}
 	s->group = g;
-	g->members[s->place] = s;
+	g->places[s->place].server = s;
 	g->n++;
 	set_bit(&g->used, s->place, true);
 	tag_all(g, s);
@@ -337,7 +331,7 @@
 
 		for (; left; left &= left - 1) {
 			int at = w * INDEX_WORD_BITS + __builtin_ctzll(left);
-			struct site_server *s = g->members[at];
+			struct site_server *s = g->places[at].server;
 
 			if (s->avoid_until_ms > now) {
 				if (s->avoid_until_ms < next)
--- a/packages/site/src/server_index.h
+++ b/packages/site/src/server_index.h
@@ -35,14 +35,19 @@
 	union index_set in;
 };
 
+struct index_place {
+	struct site_server *server; ///< while the place is used
+};
+
 struct index_group {
+	struct index_group *next;
 	char service[SITE_NAME];
 	uint32_t hash; ///< of the service
 	int n; ///< servers
 	int words; ///< that may have bits
 	int n_usable;
-	struct site_server **members; ///< by place
-	int cap; ///< places
+	struct index_place *places;
+	int cap; ///< of places
 	union index_set used;
 	union index_set usable; ///< site_server_usable()
 	/// Usable, calm, and below a quarter, half, three quarters, all of the
@@ -64,8 +69,7 @@
 
 struct server_index {
 	htab_handle ids[INDEX_IDS]; ///< heads of the chains
-	struct index_group **groups;
-	int n_groups;
+	struct index_group *groups; ///< list
 };
 
 void server_index_free(struct server_index *ix);
