feat(job): hand batches over when a home stops or is retired

Cause: a node that stopped ended its batches at once and gave its liveness key up: the texts since the last write (every 1.5 s) were lost, and the items waited for the leader. A retired node wrote "completed" at once while its batches still ran; its VM is removed then, without a signal.

Change: the node says in its liveness key that it is no home any more, gives the lead up, ends its items' runs without counting an attempt, writes results and texts, and tells the next home of each batch (PEER_JOB_HANDOVER, 132). That home writes itself into the owner key under the revision that the message names; the watch of the key is the answer. Without it in 500 ms, 1.5 s after SIGTERM, or at three quarters of the retire time, the batch is left to the leader as before. While the store is away nothing is stopped before the deadline. "completed" is written when no batch is left or at that deadline. finish_by_s is decoded: a span in seconds, or a time since 1970 if it is that large. An order that an earlier process answered is not carried out again. Nodes of the version before ignore the message and the new field.

The message leaves 100 ms after the runs ended. Without that wait one run of four had the next home refused by engines that had not noticed the end, and it left them alone: 2429 ms to the first accepted generation instead of 106 to 118.

Tests (test_hosted_handover, whole daemons): planned stop, all 24 samples go on with their texts; retire, "completed" after 163 to 182 ms of 4 s given; the next home dies before its write; the answer of the owner write is lost; the store is away; two homes stop 1 s apart. Messages and retire values: test_peer_msgs, test_platform_publish. test_hosted failed once in 6 runs on the loaded machine (test_batch: an item ran twice); its log was not kept.

--- a/packages/daemon/include/daemon/job_mod.h
+++ b/packages/daemon/include/daemon/job_mod.h
@@ -24,6 +24,9 @@
 /// @return its model, NULL past the last one
 const char *job_mod_next(struct core *c, size_t *iter, int64_t *work);
 
+/// Whether a node that is retired runs no batches any more.
+bool job_mod_empty(struct core *c);
+
 /// Answer a read of results, of an item's body, or the end of a batch.
 ///
 /// @param call     what is asked
--- a/packages/daemon/include/daemon/lead_mod.h
+++ b/packages/daemon/include/daemon/lead_mod.h
@@ -33,5 +33,9 @@
 /// Store lease of this node's liveness key, 0 while it has none.
 uint64_t lead_mod_lease(struct core *c);
 
+/// This node stops or is retired: its liveness key says that it is no home any more,
+/// and it gives the lead up. The key stands until lead_mod_leave().
+void lead_mod_retire(struct core *c);
+
 /// Give the liveness key up before its time: others take over this node's work.
 void lead_mod_leave(struct core *c);
--- a/packages/daemon/include/daemon/site_mod.h
+++ b/packages/daemon/include/daemon/site_mod.h
@@ -93,6 +93,12 @@
 /// @return false if this node saw none
 bool site_mod_last_loss(struct core *c, struct site_loss *out);
 
+/// Whether operators empty this VM.
+///
+/// @param[out] until_ms  clock_now_ms() time until which its batches are to be with
+///                       other nodes
+bool site_mod_retiring(struct core *c, int64_t *until_ms);
+
 /// Models that some trainer named a version of.
 ///
 /// @param i  index from 0
--- /dev/null
+++ b/packages/daemon/src/job/handover.c
@@ -0,0 +1,216 @@
+// A batch is handed over in this order: its items' runs end, what is ready and the
+// texts are written, then its next home is told. That home writes itself into the
+// owner key under the revision that the message names; the watch of the key shows it
+// here. A home that doesn't do so in time leaves the batch to the leader, which goes
+// on once this node's liveness key is gone.
+#include "job/handover.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "base/metric.h"
+#include "daemon/lead_mod.h"
+#include "job/handover_msg.h"
+#include "job/job.h"
+#include "job/load.h"
+
+enum {
+	/// A next home reads the batch and writes the owner key within some ten
+	/// milliseconds.
+	HANDOVER_ANSWER_MS = 500,
+	/// Engines make an event each 49 ms and notice then that its run ended. A
+	/// next home that sent earlier was refused by engines still full and left
+	/// them alone for up to 2.4 s.
+	HANDOVER_SLOTS_MS = 100,
+};
+
+static struct job_leave *leave_of(const struct core *c)
+{
+	return &jobs_of(c)->leave;
+}
+
+void job_handover_begin(struct core *c, int64_t until_ms)
+{
+	struct job_leave *l = leave_of(c);
+
+	if (!l->on || until_ms < l->until_ms)
+		l->until_ms = until_ms;
+	if (l->on)
+		return;
+	l->on = true;
+	l->begin_ms = core_now(c);
+	lead_mod_retire(c);
+}
+
+static enum err send_handover(struct core *c, const struct job *j,
+			      const struct site_node *to)
+{
+	const struct handover h = {
+		.job = j->id,
+		.rev = j->owner_rev,
+		.run = j->owner.run,
+		.team = j->owner.team,
+		.total = j->owner.total,
+		.at_ms = (uint64_t)j->owner.at_ms,
+		.age_ms = (uint64_t)(core_now(c) - j->frozen_ms),
+	};
+	msgpack_sbuffer buf;
+	enum err e;
+
+	msgpack_sbuffer_init(&buf);
+	handover_pack(&buf, &h);
+	e = core_peer_add(c, to->node, to->peer);
+	if (e == ERR_OK)
+		e = core_peer_send(c, to->node, PEER_JOB_HANDOVER, buf.data,
+				   buf.size);
+	msgpack_sbuffer_destroy(&buf);
+	return e;
+}
+
+static void hand_over(struct core *c, struct job *j)
+{
+	const struct site_node *to = job_home_of(c, j->owner.team, true);
+	enum err e = to ? send_handover(c, j, to) : ERR_NOT_FOUND;
+
+	j->handed_ms = core_now(c);
+	j->hand_failed = e != ERR_OK;
+	log_event(EV_JOB_HANDOVER,
+		  "batch=%s to=%s rev=%llu listed=%zu items=%zu frozen_ms=%lld "
+		  "left_ms=%lld error=%s",
+		  j->id, to ? to->node : "", (unsigned long long)j->owner_rev,
+		  j->list.n, j->spec->n_items,
+		  (long long)(core_now(c) - j->frozen_ms),
+		  (long long)(leave_of(c)->until_ms - core_now(c)),
+		  err_code(e));
+}
+
+static void batch_step(struct core *c, struct job *j)
+{
+	/* A batch that ended is over once its last record stands. */
+	if (j->owner.ended || j->hand_failed)
+		return;
+	if (j->handed_ms) {
+		j->hand_failed =
+			core_now(c) - j->handed_ms >= HANDOVER_ANSWER_MS;
+		return;
+	}
+	/* While the store is away nobody could go on: its items run on here. */
+	if (!j->frozen_ms && kv_back_since(c))
+		job_freeze(c, j);
+	if (!j->frozen_ms)
+		return;
+	if (job_texts_flush(c, j) && !j->writing && !j->record &&
+	    core_now(c) - j->frozen_ms >= HANDOVER_SLOTS_MS)
+		hand_over(c, j);
+}
+
+/* The old way: the leader takes what has no living owner. */
+static void leave_to_leader(struct core *c, int given_up)
+{
+	struct jobs *jobs = jobs_of(c);
+	struct job *j;
+	size_t iter = 0;
+
+	while ((j = htab_next(jobs->jobs, &iter, NULL))) {
+		if (j->running)
+			job_stop(c, j, "draining");
+	}
+	lead_mod_leave(c);
+	jobs->leave.left = true;
+	log_event(EV_JOB_HANDED, "left_to_leader=%d ms=%lld", given_up,
+		  (long long)(core_now(c) - jobs->leave.begin_ms));
+}
+
+void job_handover_step(struct core *c)
+{
+	struct jobs *jobs = jobs_of(c);
+	struct job_leave *l = &jobs->leave;
+	bool late = core_now(c) >= l->until_ms;
+	int failed = 0;
+	int open = 0;
+	struct job *j;
+	size_t iter = 0;
+
+	if (!l->on || l->left)
+		return;
+	while ((j = htab_next(jobs->jobs, &iter, NULL))) {
+		if (j->running)
+			batch_step(c, j);
+		failed += j->running && j->hand_failed;
+		open += j->running && !j->hand_failed;
+	}
+	open += (int)htab_count(jobs->submits) + (jobs->loads != NULL);
+	l->open = open + failed;
+	if (!late && open)
+		return;
+	/* A node that is retired and rid of its batches may still be asked: its
+	 * key stands until it is removed. */
+	if (failed || jobs->draining || (late && l->open))
+		leave_to_leader(c, open + failed);
+}
+
+bool job_handover_done(struct core *c)
+{
+	const struct job_leave *l = leave_of(c);
+
+	return l->left || (l->on && !l->open);
+}
+
+bool job_handover_left(const struct core *c)
+{
+	return leave_of(c)->left;
+}
+
+/* Whether this node can go on with another one's batch. */
+static bool can_take(struct core *c, const struct handover *h)
+{
+	const struct job *j = job_find(c, h->job);
+
+	return lead_mod_alive(c) && kv_back_since(c) && !leave_of(c)->on &&
+	       !jobs_of(c)->draining && !(j && j->running) &&
+	       !job_loading(jobs_of(c), h->job);
+}
+
+static void take(struct core *c, const char *from, const struct handover *h)
+{
+	struct job_owner owner = {
+		.total = h->total,
+		.at_ms = (int64_t)h->at_ms,
+	};
+	const struct job_load_opts opts = {
+		.owner = &owner,
+		.rev = h->rev,
+		.known_ms = core_now(c) - (int64_t)h->age_ms,
+	};
+	bool can = can_take(c, h);
+
+	log_event(EV_JOB_HANDOVER,
+		  "batch=%s from=%s rev=%llu age_ms=%llu take=%d", h->job, from,
+		  (unsigned long long)h->rev, (unsigned long long)h->age_ms,
+		  can);
+	if (!can)
+		return;
+	snprintf(owner.team, sizeof(owner.team), "%s", h->team);
+	job_load_begin(c, h->job, &opts);
+}
+
+static void on_handover(struct core *c, void *ctx, const char *from,
+			const void *buf, size_t len)
+{
+	struct handover h = {0};
+	struct arena a;
+
+	arena_init(&a, 0);
+	if (handover_read(buf, len, &a, &h) == ERR_OK &&
+	    strlen(h.job) < JOB_ID && strlen(h.team) < JOB_ID)
+		take(c, from, &h);
+	else
+		metric_add(M_PEER_MALFORMED, 1);
+	arena_free(&a);
+}
+
+enum err job_handover_start(struct core *c)
+{
+	return core_peer_on(c, PEER_JOB_HANDOVER, on_handover, NULL);
+}
--- a/packages/daemon/src/job/home.c
+++ b/packages/daemon/src/job/home.c
@@ -101,7 +101,8 @@
 bool job_home_try(struct core *c, struct core_req *req,
 		  const struct home_ask *ask)
 {
-	const struct site_node *home = job_home_of(c, ask->team, false);
+	const struct site_node *home =
+		job_home_of(c, ask->team, jobs_of(c)->leave.on);
 	struct home_open *o;
 	htab_handle h;
 
@@ -211,7 +212,8 @@
 {
 	if (ask->kind == HOME_SUBMIT && !kv_back_since(c))
 		return false;
-	return lead_mod_alive(c) && !jobs_of(c)->draining;
+	return lead_mod_alive(c) && !jobs_of(c)->draining &&
+	       !(ask->kind == HOME_SUBMIT && jobs_of(c)->leave.on);
 }
 
 static void on_ask(struct core *c, void *ctx, const char *from, const void *buf,
--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -91,6 +91,11 @@
 	bool texts_read; ///< their key's revision must be read first
 	uint64_t texts_rev; ///< of their key, 0 for none
 	int64_t texts_next_ms; ///< next write of them
+	int64_t frozen_ms; ///< when its items' runs ended for a handover, 0 before
+	bool texts_flushed; ///< the texts as they were then are in the store
+	bool texts_flushing; ///< they are on their way there
+	int64_t handed_ms; ///< when its next home was told, 0 before
+	bool hand_failed; ///< it is left to the leader
 	bool closing; ///< the owner key is to say that all is over
 	int64_t lost_ms; ///< when its owner before was known to be lost; 0 once an
 		///< item was sent since
@@ -108,6 +113,15 @@
 	bool watching; ///< a call is outstanding
 };
 
+/// A stop or retirement of this node.
+struct job_leave {
+	bool on;
+	bool left; ///< this node takes no batches any more
+	int open; ///< batches that it still has
+	int64_t begin_ms;
+	int64_t until_ms; ///< the leader gets what is not handed over then
+};
+
 struct jobs {
 	const struct wire_ops *wire;
 	struct htab *jobs; ///< struct job
@@ -119,6 +133,7 @@
 	struct job_load *loads; ///< batches on their way to this node
 	bool own_looked; ///< batches of this node's earlier process were sought
 	bool draining;
+	struct job_leave leave;
 	struct homes *homes; ///< questions to homes
 	struct job_result *scratch; ///< for flushes
 	size_t scratch_cap;
@@ -200,9 +215,21 @@
 /// End every run of the batch at servers.
 void job_recall(struct core *c, struct job *j);
 
+/// Whether this node may send requests of a batch.
+bool job_may_send(const struct core *c, const struct job *j);
+
+/// End every run of the batch at servers for its next owner: its items keep their
+/// texts, and no attempt is counted.
+void job_freeze(struct core *c, struct job *j);
+
 /// Write the unfinished texts now and then.
 void job_texts_step(struct core *c, struct job *j);
 
+/// Write the texts of a batch whose items' runs ended for a handover.
+///
+/// @return whether they are in the store
+bool job_texts_flush(struct core *c, struct job *j);
+
 /// Take the unfinished texts of the owner before.
 ///
 /// @param item  value of their key
--- a/packages/daemon/src/job/job_mod.c
+++ b/packages/daemon/src/job/job_mod.c
@@ -6,6 +6,8 @@
 #include "core/settings.h"
 #include "daemon/lead_mod.h"
 #include "daemon/mods.h"
+#include "daemon/site_mod.h"
+#include "job/handover.h"
 #include "job/job.h"
 #include "job/load.h"
 #include "job/reward.h"
@@ -15,6 +17,9 @@
 	READERS = 8192, ///< callers that wait for results
 	SUBMITS = 256, ///< batches being taken
 	ENDS = 512, ///< batches being ended
+	/// Longest handover after SIGTERM: texts are written and the next home
+	/// answers within some ten milliseconds, or does not.
+	DRAIN_HANDOVER_MS = 1500,
 };
 
 struct jobs *jobs_of(const struct core *c)
@@ -86,6 +91,21 @@
 	job_texts_step(c, j);
 }
 
+/* Operators empty this VM: it is removed later, without another signal. */
+static void retire_step(struct core *c)
+{
+	int64_t until;
+
+	if (site_mod_retiring(c, &until))
+		job_handover_begin(c, until);
+	job_handover_step(c);
+}
+
+bool job_mod_empty(struct core *c)
+{
+	return job_handover_done(c);
+}
+
 static void jobs_tick(struct core *c, void *state, int64_t now_ms)
 {
 	struct jobs *jobs = state;
@@ -105,22 +125,18 @@
 	job_readers_step(c);
 	job_take_step(c);
 	job_home_step(c);
+	retire_step(c);
 	forget_idle(c, jobs);
 }
 
-/* Others go on with this node's batches once its liveness key is gone. */
+/* Others go on with this node's batches. */
 static void jobs_drain(struct core *c, void *state)
 {
 	struct jobs *jobs = state;
-	struct job *j;
-	size_t iter = 0;
 
 	jobs->draining = true;
-	while ((j = htab_next(jobs->jobs, &iter, NULL))) {
-		if (j->running)
-			job_stop(c, j, "draining");
-	}
-	lead_mod_leave(c);
+	job_handover_begin(c, core_now(c) + DRAIN_HANDOVER_MS);
+	job_handover_step(c);
 }
 
 static bool jobs_idle(struct core *c, void *state)
@@ -133,7 +149,7 @@
 		if (j->writing)
 			return false;
 	}
-	return job_calls_idle(c);
+	return job_handover_left(c) && job_calls_idle(c);
 }
 
 static void jobs_stop(struct core *c, void *state)
@@ -176,7 +192,7 @@
 	*state = jobs;
 	if (!jobs->jobs || !jobs->readers || !jobs->submits || !jobs->ends)
 		return ERR_NOMEM;
-	return job_home_start(c);
+	return job_handover_start(c) == ERR_OK ? job_home_start(c) : ERR_NOMEM;
 }
 
 void job_local(struct core *c, const struct job_caller *to,
--- a/packages/daemon/src/job/load.c
+++ b/packages/daemon/src/job/load.c
@@ -163,6 +163,8 @@
 	j = job_get(c, l->id);
 	if (j && j->running)
 		load_over(c, l, "busy");
+	else if (jobs_of(c)->leave.left)
+		load_over(c, l, "draining");
 	else if (!j || j->self != l->job)
 		list_again(c, l);
 	else
--- a/packages/daemon/src/job/reward.c
+++ b/packages/daemon/src/job/reward.c
@@ -56,6 +56,16 @@
 	}
 }
 
+void job_reward_freeze(struct core *c, struct job *j)
+{
+	for (size_t i = 0; j->rewards && i < j->spec->n_items; i++) {
+		if (!j->rewards[i].fetch)
+			continue;
+		core_fetch_cancel(c, j->rewards[i].fetch);
+		leave(c, &j->rewards[i], true);
+	}
+}
+
 int job_reward_at(struct core *c, const struct job *j, const char *service)
 {
 	int n = 0;
@@ -258,8 +268,8 @@
 	int misses = 0;
 	int item;
 
-	if (!j->rewards || j->owner.ended || jobs_of(c)->draining ||
-	    !site_mod_fresh(c) || !site_mod_current(c))
+	if (!j->rewards || !job_may_send(c, j) || !site_mod_fresh(c) ||
+	    !site_mod_current(c))
 		return;
 	while ((item = job_run_next_reward(j->run, core_now(c))) >= 0) {
 		const struct job_reward *rw = &j->spec->items[item].reward;
--- a/packages/daemon/src/job/run.c
+++ b/packages/daemon/src/job/run.c
@@ -103,6 +103,12 @@
 	j->texts_busy = false;
 	j->texts_read = false;
 	j->texts_rev = 0;
+	j->lost_ms = 0;
+	j->frozen_ms = 0;
+	j->texts_flushed = false;
+	j->texts_flushing = false;
+	j->handed_ms = 0;
+	j->hand_failed = false;
 	return ERR_OK;
 }
 
@@ -143,6 +149,26 @@
 	job_reward_recall(c, j);
 }
 
+bool job_may_send(const struct core *c, const struct job *j)
+{
+	const struct jobs *jobs = jobs_of(c);
+
+	return !j->owner.ended && !j->frozen_ms && !jobs->draining &&
+	       !jobs->leave.left;
+}
+
+void job_freeze(struct core *c, struct job *j)
+{
+	for (size_t i = 0; i < j->spec->n_items; i++) {
+		if (!j->at[i].fetch)
+			continue;
+		core_fetch_cancel(c, j->at[i].fetch);
+		job_leave_server(c, &j->at[i], true);
+	}
+	job_reward_freeze(c, j);
+	j->frozen_ms = core_now(c);
+}
+
 void job_stop(struct core *c, struct job *j, const char *why)
 {
 	log_event(EV_JOB_LEFT, "batch=%s why=%s listed=%zu items=%zu at=%zu",
@@ -487,8 +513,8 @@
 	/* Items are sent on what is known of servers and routes as long as keys
 	 * may be trusted on it too: an item may run twice, if another node takes
 	 * the batch over meanwhile. */
-	if (!j->running || j->owner.ended || jobs_of(c)->draining ||
-	    !site_mod_fresh(c) || !site_mod_current(c))
+	if (!j->running || !job_may_send(c, j) || !site_mod_fresh(c) ||
+	    !site_mod_current(c))
 		return;
 	if (!job_ask_of(c, j, &ask)) {
 		job_run_give_up(j->run);
--- a/packages/daemon/src/job/submit.c
+++ b/packages/daemon/src/job/submit.c
@@ -306,7 +306,7 @@
 static bool refuse_early(struct core *c, const struct job_caller *to,
 			 bool maybe)
 {
-	bool draining = jobs_of(c)->draining;
+	bool draining = jobs_of(c)->draining || jobs_of(c)->leave.left;
 	enum err e = draining ? ERR_HTTP_DRAINING : ERR_KV_DOWN;
 
 	if (!draining &&
--- a/packages/daemon/src/job/take.c
+++ b/packages/daemon/src/job/take.c
@@ -244,10 +244,10 @@
 {
 	struct jobs *jobs = jobs_of(c);
 
-	if (!jobs->draining)
+	if (!jobs->leave.left)
 		job_load_step(c);
 	if ((jobs->take && jobs->take->busy) || jobs->draining ||
-	    !lead_mod_alive(c))
+	    jobs->leave.on || !lead_mod_alive(c))
 		return;
 	if (core_now(c) < jobs->reconcile_ms && !round_urgent(c, jobs->take))
 		return;
--- a/packages/daemon/src/job/texts.c
+++ b/packages/daemon/src/job/texts.c
@@ -40,6 +40,8 @@
 	if (res->err != ERR_OK && res->err != ERR_NOT_FOUND)
 		return;
 	j->texts_read = false;
+	if (j->frozen_ms)
+		j->texts_next_ms = 0;
 	j->texts_rev = res->n_items ? res->items[0].rev : 0;
 }
 
@@ -52,13 +54,18 @@
 	j->texts_busy = false;
 	if (res->err == ERR_OK) {
 		j->texts_rev = res->rev;
+		j->texts_flushed = j->texts_flushing;
 		return;
 	}
+	if (j->texts_flushing)
+		j->texts_next_ms = core_now(c) + JOB_RETRY_MS;
+	j->texts_flushing = false;
 	log_event(EV_JOB_TEXTS, "batch=%s error=%s", j->id, err_code(res->err));
 	j->texts_read = true;
 }
 
-static void texts_write(struct core *c, struct job *j, const char *key)
+/* @return ERR_NOT_FOUND when there is no text worth a write */
+static enum err texts_write(struct core *c, struct job *j, const char *key)
 {
 	char *text = job_texts_make(j->run, j->spec, TEXTS_BYTES);
 	const struct kv_put_opts put = {
@@ -67,27 +74,49 @@
 		.len = text ? strlen(text) : 0,
 		.prev_rev = j->texts_rev,
 	};
+	enum err e = ERR_NOT_FOUND;
 
-	j->texts_busy =
-		text && kv_put(c, &put,
-			       (struct kv_cb){on_written, ctx_of(j)}) == ERR_OK;
+	if (text)
+		e = kv_put(c, &put, (struct kv_cb){on_written, ctx_of(j)});
 	free(text);
+	return e;
 }
 
-void job_texts_step(struct core *c, struct job *j)
+static enum err texts_call(struct core *c, struct job *j)
 {
-	const struct kv_cb cb = {on_read, ctx_of(j)};
 	char key[STORE_KEY];
+	enum err e;
 
-	if (!j->running || j->owner.ended || j->texts_busy ||
+	key_of(j, key);
+	e = j->texts_read ? kv_get(c, key, (struct kv_cb){on_read, ctx_of(j)})
+			  : texts_write(c, j, key);
+	j->texts_busy = e == ERR_OK;
+	return e;
+}
+
+void job_texts_step(struct core *c, struct job *j)
+{
+	if (!j->running || j->owner.ended || j->frozen_ms || j->texts_busy ||
 	    core_now(c) < j->texts_next_ms)
 		return;
 	j->texts_next_ms = core_now(c) + TEXTS_EVERY_MS;
-	key_of(j, key);
-	if (j->texts_read)
-		j->texts_busy = kv_get(c, key, cb) == ERR_OK;
-	else
-		texts_write(c, j, key);
+	texts_call(c, j);
+}
+
+bool job_texts_flush(struct core *c, struct job *j)
+{
+	if (j->texts_flushed || j->texts_busy)
+		return j->texts_flushed;
+	/* The write of before the freeze may have failed just now. */
+	if (j->texts_next_ms - core_now(c) > JOB_RETRY_MS)
+		j->texts_next_ms = 0;
+	if (core_now(c) < j->texts_next_ms)
+		return false;
+	j->texts_next_ms = core_now(c) + JOB_RETRY_MS;
+	j->texts_flushing = !j->texts_read;
+	if (texts_call(c, j) == ERR_NOT_FOUND)
+		j->texts_flushed = true;
+	return j->texts_flushed;
 }
 
 void job_texts_restore(struct core *c, struct job *j,
--- a/packages/daemon/src/job/write.c
+++ b/packages/daemon/src/job/write.c
@@ -114,7 +114,7 @@
 	size_t most =
 		(size_t)settings_int(core_settings(c), S_PLATFORM_VALUE_MAX);
 	size_t max = most - most / RECORD_HEADROOM;
-	bool all = j->owner.ended || jobs->draining;
+	bool all = j->owner.ended || j->frozen_ms || jobs->draining;
 	size_t n;
 
 	while ((n = job_run_flush(j->run, core_now(c), all, max,
--- a/packages/daemon/src/lead/lead_mod.c
+++ b/packages/daemon/src/lead/lead_mod.c
@@ -75,6 +75,15 @@
 	return live_held(l, core_now(c)) ? l->lease : 0;
 }
 
+void lead_mod_retire(struct core *c)
+{
+	struct lead *l = lead_of(c);
+
+	l->live.retiring = true;
+	if (l->candidate)
+		lease_release(&l->cand.lease);
+}
+
 void lead_mod_leave(struct core *c)
 {
 	live_leave(&lead_of(c)->live);
--- a/packages/daemon/src/lead/live.c
+++ b/packages/daemon/src/lead/live.c
@@ -99,9 +99,14 @@
 {
 	switch (res->err) {
 	case ERR_OK:
-		live_again(l, LIVE_RENEW, l->called_ms + renew_ms(l));
-		log_event(EV_LIVE_TAKEN, "run=%s rev=%llu", core_incarnation(c),
-			  (unsigned long long)res->rev);
+		l->rev = res->rev;
+		l->said = l->saying;
+		/* It may be long since the last renewal. */
+		live_again(l, LIVE_RENEW,
+			   l->said ? core_now(c) : l->called_ms + renew_ms(l));
+		log_event(EV_LIVE_TAKEN, "run=%s rev=%llu retiring=%d",
+			  core_incarnation(c), (unsigned long long)res->rev,
+			  l->said);
 		break;
 	case ERR_KV_LEASE:
 	case ERR_NOT_FOUND:
@@ -156,18 +161,19 @@
 		handlers[l->called](c, l, res);
 }
 
-static enum err live_put(struct core *c, const struct live *l, struct kv_cb cb)
+static enum err live_put(struct core *c, struct live *l, struct kv_cb cb)
 {
 	char key[STORE_KEY];
 	char value[LIVE_VALUE];
 	const struct kv_put_opts put = {
 		.key = key,
 		.value = value,
-		.len = live_value_make(c, value, sizeof(value)),
+		.len = live_value_make(c, l->retiring, value, sizeof(value)),
 		.prev_rev = l->rev,
 		.lease = l->lease,
 	};
 
+	l->saying = l->retiring;
 	snprintf(key, sizeof(key), KEY_LIVE "%s", core_node(c));
 	return kv_put(c, &put, cb);
 }
@@ -200,6 +206,10 @@
 {
 	int64_t now = core_now(c);
 
+	if (l->retiring && !l->said && !l->busy && l->step == LIVE_RENEW) {
+		l->step = LIVE_PUT;
+		l->next_ms = now;
+	}
 	if (l->busy || l->step == LIVE_IDLE || l->step == LIVE_LEFT ||
 	    now < l->next_ms || live_let_go(l, now))
 		return;
--- a/packages/daemon/src/lead/live.h
+++ b/packages/daemon/src/lead/live.h
@@ -21,6 +21,9 @@
 	enum live_step called; ///< its step
 	uint64_t lease;
 	uint64_t rev; ///< of the key
+	bool retiring; ///< the key is to say that this node is no home any more
+	bool saying; ///< the call on its way writes that
+	bool said; ///< it does
 	int64_t called_ms; ///< start of the call
 	int64_t until_ms; ///< the lease stands at least until then
 	int64_t next_ms; ///< earliest next call
--- a/packages/daemon/src/site/nodes.c
+++ b/packages/daemon/src/site/nodes.c
@@ -153,7 +153,10 @@
 			 core_now(c));
 	if (!v->relay)
 		return;
-	node_put(s->homes, &s->n_homes, v, false, core_now(c));
+	if (v->retiring)
+		node_del(s->homes, &s->n_homes, v->node);
+	else
+		node_put(s->homes, &s->n_homes, v, false, core_now(c));
 	if (!self)
 		relay_node(c, &s->relay, v->node, v->peer, near);
 }
--- a/packages/daemon/src/site/site.h
+++ b/packages/daemon/src/site/site.h
@@ -45,7 +45,9 @@
 	int64_t back_ms; ///< since when the store answers, as last seen
 	int64_t reached_ms; ///< since when directly, as last seen
 	int64_t leave_to_relay_ms; ///< until then a relay is to tell what is new
-	bool retire; ///< this VM is to be emptied
+	bool retire; ///< this VM is to be emptied, and it was not answered yet
+	bool retiring; ///< this process empties the VM
+	int64_t retire_ms; ///< batches are to be handed over until then, 0: no order
 	bool retire_busy;
 	int64_t retire_next_ms;
 };
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "base/metric.h"
 #include "core/settings.h"
+#include "daemon/job_mod.h"
 #include "daemon/mods.h"
 #include "site/hello.h"
 #include "site/site.h"
@@ -24,6 +25,11 @@
 	LONE_CONF_PAUSE_MS = 250,
 	LONE_NODES_PAUSE_MS = 1500,
 	RETIRE_RETRY_MS = 500,
+	/// Batches are handed over within this part of the time that operators
+	/// give; the rest is for the answer, with an outage of the store.
+	RETIRE_PART = 3,
+	RETIRE_PARTS = 4,
+	RETIRE_MS = 3000, ///< where they don't say
 	/// Without a relay, watches are answered at least each REFRESH_MAX_MS of
 	/// site/fresh.c; one of two may be lost.
 	OWN_WORD_MS = 2000,
@@ -173,6 +179,31 @@
 	site_servers_domains_in(s->servers);
 }
 
+static void take_retire(struct core *c, struct site *s, const char *node,
+			const struct kv_item *item)
+{
+	int64_t given;
+
+	if (strcmp(node, core_node(c)) != 0)
+		return;
+	s->retire = true;
+	if (s->retire_ms)
+		return;
+	given = s->wire->retire(item->value, item->len);
+	s->retire_ms = core_now(c) +
+		       (given ? given * RETIRE_PART / RETIRE_PARTS : RETIRE_MS);
+	log_event(EV_SITE_RETIRE, "given_ms=%lld until_ms=%lld",
+		  (long long)given, (long long)(s->retire_ms - core_now(c)));
+}
+
+bool site_mod_retiring(struct core *c, int64_t *until_ms)
+{
+	const struct site *s = site_of(c);
+
+	*until_ms = s->retire_ms;
+	return s->retiring;
+}
+
 static void operator_item(struct core *c, void *ctx, const struct kv_item *item)
 {
 	struct site *s = ctx;
@@ -190,7 +221,7 @@
 		take_weights(s, item);
 		break;
 	case PUBLISH_RETIRE:
-		s->retire |= strcmp(name, core_node(c)) == 0;
+		take_retire(c, s, name, item);
 		break;
 	case PUBLISH_OTHER:
 		break;
@@ -393,24 +424,41 @@
 	s->retire_busy = false;
 	if (res->err == ERR_OK || res->err == ERR_KV_CONFLICT) {
 		s->retire = false;
-		log_event(EV_SITE_RETIRED, "node=%s", core_node(c));
+		log_event(EV_SITE_RETIRED, "retired=%s", core_node(c));
 	}
 }
 
-/* This node keeps no data of its own: it is empty at once. */
+/* An order that an earlier process answered is not for this one. */
+static void retire_read(struct core *c, void *ctx, const struct kv_result *res)
+{
+	struct site *s = ctx;
+
+	s->retire_busy = false;
+	if (res->err == ERR_OK)
+		s->retire = false;
+	s->retiring = res->err == ERR_NOT_FOUND;
+	if (s->retiring)
+		s->retire_next_ms = 0;
+}
+
+/* This node keeps no data of its own: it is empty once it runs no batches. */
 static void retire_step(struct core *c, struct site *s)
 {
 	struct kv_put_opts put = {0};
 	char key[256];
+	enum err e;
 
 	if (!s->retire || s->retire_busy || core_now(c) < s->retire_next_ms)
 		return;
+	if (s->retiring && core_now(c) < s->retire_ms && !job_mod_empty(c))
+		return;
 	s->wire->retired(core_node(c), key, sizeof(key), &put.value);
 	put.key = key;
 	put.len = strlen(put.value);
 	s->retire_next_ms = core_now(c) + RETIRE_RETRY_MS;
-	s->retire_busy =
-		kv_put(c, &put, (struct kv_cb){retire_done, s}) == ERR_OK;
+	e = s->retiring ? kv_put(c, &put, (struct kv_cb){retire_done, s})
+			: kv_get(c, key, (struct kv_cb){retire_read, s});
+	s->retire_busy = e == ERR_OK;
 }
 
 static void note_freshness(struct core *c, struct site *s)
--- a/packages/daemon/test/test_live.c
+++ b/packages/daemon/test/test_live.c
@@ -31,7 +31,7 @@
 	return "r1";
 }
 
-size_t live_value_make(struct core *c, char *buf, size_t len)
+size_t live_value_make(struct core *c, bool retiring, char *buf, size_t len)
 {
 	return 0;
 }
--- a/packages/daemon/test/test_peer_msgs.c
+++ b/packages/daemon/test/test_peer_msgs.c
@@ -11,6 +11,7 @@
 
 #include "base/packed.h"
 #include "base/rng.h"
+#include "job/handover_msg.h"
 #include "job/home_msg.h"
 #include "proxy_msg.h"
 #include "site/relay_msg.h"
@@ -122,6 +123,49 @@
 	damage(read_home_reply);
 }
 
+static void read_handover(const void *data, size_t len)
+{
+	struct handover h;
+
+	handover_read(data, len, &a, &h);
+}
+
+static void test_handover(void **state)
+{
+	const struct handover in = {
+		.job = "b1",
+		.rev = 11,
+		.run = "r1",
+		.team = "t1",
+		.total = 24,
+		.at_ms = 1700000000000,
+		.age_ms = 12,
+	};
+	struct handover out;
+
+	handover_pack(&buf, &in);
+	assert_int_equal(handover_read(buf.data, buf.size, &a, &out), ERR_OK);
+	assert_string_equal(out.job, "b1");
+	assert_int_equal(out.rev, 11);
+	assert_string_equal(out.run, "r1");
+	assert_string_equal(out.team, "t1");
+	assert_int_equal(out.total, 24);
+	assert_int_equal(out.at_ms, 1700000000000);
+	assert_int_equal(out.age_ms, 12);
+	damage(read_handover);
+}
+
+/* Guards against a write of an owner key that must not exist. */
+static void test_handover_without_revision(void **state)
+{
+	const struct handover in = {.job = "b1", .run = "r", .team = "t"};
+	struct handover out;
+
+	handover_pack(&buf, &in);
+	assert_int_equal(handover_read(buf.data, buf.size, &a, &out),
+			 ERR_PARSE);
+}
+
 static void read_proxy_ask(const void *data, size_t len)
 {
 	struct proxy_ask ask;
@@ -221,6 +265,9 @@
 		cmocka_unit_test_setup_teardown(test_home_ask, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_home_reply, setup,
 						teardown),
+		cmocka_unit_test_setup_teardown(test_handover, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_handover_without_revision,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_proxy_ask, setup,
 						teardown),
 		cmocka_unit_test_setup_teardown(test_proxy_reply, setup,
--- a/packages/wire/include/wire/publish.h
+++ b/packages/wire/include/wire/publish.h
@@ -39,6 +39,10 @@
 	enum err (*weights)(const char *value, size_t len,
 			    struct publish_weights *out);
 
+	/// @return milliseconds that the operators give for it from now on, 0 if
+	///         they don't say
+	int64_t (*retire)(const char *value, size_t len);
+
 	/// Key and value that say that a VM holds no data any more.
 	void (*retired)(const char *node, char *key, size_t key_len,
 			const char **value);
--- a/test/hosted/test_hosted_handover.c
+++ b/test/hosted/test_hosted_handover.c
@@ -23,7 +23,12 @@
 	AGAIN_MS = 1500, ///< from a key's going to the first item sent again
 	/// Longer than CONTACT_BLIP_MS, and too short for keys to lapse.
 	DOWN_MS = 1200,
-	AFTER_DOWN_MS = 800,
+	/// A new leader may have to come first; without the settling time.
+	AFTER_DOWN_MS = 1000,
+	RUN_MS = 1000, ///< items have more events than are worth a text then
+	HANDED_MS = 500, ///< from a signal to the first item sent again
+	STOP_MS = 5000, ///< for a process to end
+	RETIRE_S = 4,
 	EVENT_MS = 50, ///< between two events of the engines
 };
 
@@ -242,13 +247,279 @@
 	restart(home);
 }
 
-int main(void)
+/* Whether so many items of a batch were sent. */
+static bool all_sent(void *ctx)
 {
-	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_lost_home),
-		cmocka_unit_test(test_lost_home_then_leader),
-		cmocka_unit_test(test_store_lost_during_a_takeover),
-	};
+	const char *id = ctx;
 
+	for (int i = 0; i < BATCH_ITEMS; i++) {
+		char item[32];
+
+		snprintf(item, sizeof(item), "%s.%d", id, i);
+		if (!hosted_runs(&h, item))
+			return false;
+	}
+	return true;
+}
+
+/* A batch whose items have made events for a while, whose home is not the leader. */
+static int submit_and_run(const char *name, char id[16])
+{
+	int home = submit_apart(name, id);
+
+	assert_true(wait_until(all_sent, id, BATCH_MS));
+	usleep(RUN_MS * 1000);
+	return home;
+}
+
+/* Most runs of an item of a batch that began with its first event. */
+static int most_from_start(const char *id)
+{
+	int n[BATCH_ITEMS] = {0};
+	size_t len = strlen(id);
+	int most = 0;
+
+	pthread_mutex_lock(&h.lock);
+	for (int i = 0; i < h.n_runs; i++) {
+		const struct hosted_run *r = &h.runs[i];
+
+		if (strncmp(r->id, id, len) != 0 || r->id[len] != '.' ||
+		    r->from > 0)
+			continue;
+		n[atoi(r->id + len + 1)]++;
+	}
+	pthread_mutex_unlock(&h.lock);
+	for (int i = 0; i < BATCH_ITEMS; i++)
+		most = n[i] > most ? n[i] : most;
+	return most;
+}
+
+/* Runs of a batch that went on after its first event. */
+static int resumed(const char *id)
+{
+	int n = 0;
+
+	pthread_mutex_lock(&h.lock);
+	for (int i = 0; i < h.n_runs; i++)
+		n += strncmp(h.runs[i].id, id, strlen(id)) == 0 &&
+		     h.runs[i].from > 0;
+	pthread_mutex_unlock(&h.lock);
+	return n;
+}
+
+/* Every sample comes out once and alike at all nodes. */
+static void read_once(const char *id)
+{
+	json_t *seen = batch_read_all(&ns, id, clock_now_ms() + BATCH_MS);
+
+	batch_same_everywhere(&ns, id, seen);
+	json_decref(seen);
+}
+
+static bool owner_changed(void *ctx)
+{
+	const struct sent *s = ctx;
+
+	return batch_owner(&ns, s->batch) != s->not_by;
+}
+
+/* Guards against the loss of the texts since their last write, and against a wait
+ * for the leader, when a home stops. */
+static void test_planned_stop(void **state)
+{
+	char id[16];
+	int home = submit_and_run("d", id);
+	int64_t begin = clock_now_ms();
+	int64_t ms;
+
+	proc_signal(&ns.list[home].proc, SIGTERM);
+	ms = again_after(id, home, begin);
+	print_message("sent again %lld ms after the signal\n", (long long)ms);
+	assert_in_range(ms, 0, HANDED_MS);
+	read_once(id);
+	assert_int_equal(most_from_start(id), 1);
+	assert_int_equal(resumed(id), BATCH_ITEMS);
+	assert_true(proc_wait(&ns.list[home].proc, STOP_MS, NULL));
+	restart(home);
+}
+
+static void put_retire(int node)
+{
+	char key[64];
+
+	snprintf(key, sizeof(key), "op/retire/%s", ns.list[node].id);
+	hosted_put(&h, key, json_pack("{s:i}", "finish_by_s", RETIRE_S));
+}
+
+static void del_retire(int node)
+{
+	char key[64];
+	const struct kv_entry *e;
+	uint64_t rev;
+
+	snprintf(key, sizeof(key), "op/retire/%s", ns.list[node].id);
+	pthread_mutex_lock(&h.lock);
+	e = kv_find(&h.kv, key);
+	if (e && e->value)
+		kv_del(&h.kv, key, e->rev, &rev);
+	snprintf(key, sizeof(key), "status/retire/%s", ns.list[node].id);
+	e = kv_find(&h.kv, key);
+	if (e && e->value)
+		kv_del(&h.kv, key, e->rev, &rev);
+	pthread_cond_broadcast(&h.changed);
+	pthread_mutex_unlock(&h.lock);
+}
+
+static bool key_there(void *ctx)
+{
+	return !key_gone(ctx);
+}
+
+static bool says_retiring(int node)
+{
+	char key[64];
+	char *value;
+	bool says;
+
+	live_key(node, key);
+	value = hosted_value(&h, key);
+	says = value && strstr(value, "\"retiring\":true");
+	free(value);
+	return says;
+}
+
+/* Guards against "completed" while batches still run: the VM is removed then,
+ * without a signal. */
+static void test_retire(void **state)
+{
+	char id[16], key[64];
+	int home = submit_and_run("e", id);
+	int64_t begin = clock_now_ms();
+
+	snprintf(key, sizeof(key), "status/retire/%s", ns.list[home].id);
+	put_retire(home);
+	assert_true(wait_until(key_there, key, BATCH_MS));
+	print_message("completed after %lld ms\n",
+		      (long long)(clock_now_ms() - begin));
+	assert_int_not_equal(batch_owner(&ns, id), home);
+	assert_true(says_retiring(home));
+	assert_in_range(clock_now_ms() - begin, 0, RETIRE_S * 1000 * 3 / 4);
+	read_once(id);
+	assert_int_equal(most_from_start(id), 1);
+	/* The answered order does not concern the node's next process. */
+	restart(home);
+	live_key(home, key);
+	assert_true(wait_until(key_there, key, BATCH_MS));
+	usleep(RUN_MS * 1000);
+	assert_false(says_retiring(home));
+	del_retire(home);
+}
+
+/* Guards against a batch that nobody runs: its next home dies between the message
+ * and its write of the owner key. */
+static void test_next_home_dies(void **state)
+{
+	char id[16];
+	int home = submit_and_run("f", id);
+	int lead = leader();
+	int next = 3 * NODES_ENTRY + 3 - home - lead;
+	struct sent s = {id, home, 0, 0};
+
+	assert_in_range(next, NODES_ENTRY, ALL - 1);
+	proc_signal(&ns.list[next].proc, SIGSTOP);
+	proc_signal(&ns.list[lead].proc, SIGSTOP);
+	proc_signal(&ns.list[home].proc, SIGTERM);
+	usleep(100 * 1000);
+	assert_int_equal(batch_owner(&ns, id), home);
+	proc_kill(&ns.list[next].proc);
+	proc_kill(&ns.list[lead].proc);
+	assert_true(node_start(&ns, next));
+	assert_true(node_start(&ns, lead));
+	assert_true(wait_until(owner_changed, &s, BATCH_MS));
+	read_once(id);
+	assert_in_range(most_from_start(id), 1, 2);
+	assert_true(node_ready(&ns, next, BATCH_MS));
+	assert_true(node_ready(&ns, lead, BATCH_MS));
+	restart(home);
+}
+
+/* Guards against a batch that its next home owns and does not run: the answer to its
+ * write of the owner key is lost. */
+static void test_handover_answer_lost(void **state)
+{
+	char id[16];
+	int home = submit_and_run("g", id);
+	bool lost;
+
+	pthread_mutex_lock(&h.lock);
+	h.lose_key = "catkin/run/";
+	pthread_mutex_unlock(&h.lock);
+	proc_signal(&ns.list[home].proc, SIGTERM);
+	read_once(id);
+	pthread_mutex_lock(&h.lock);
+	lost = !h.lose_key;
+	pthread_mutex_unlock(&h.lock);
+	assert_true(lost);
+	assert_int_equal(most_from_start(id), 1);
+	restart(home);
+}
+
+/* Guards against a loss of texts that the store had, when a home stops while the
+ * store is away. */
+static void test_stop_without_store(void **state)
+{
+	char id[16], key[64];
+	int home = submit_apart("h", id);
+
+	snprintf(key, sizeof(key), "catkin/texts/%s", id);
+	assert_true(wait_until(key_there, key, BATCH_MS));
+	pthread_mutex_lock(&h.lock);
+	h.down = 1;
+	pthread_mutex_unlock(&h.lock);
+	proc_signal(&ns.list[home].proc, SIGTERM);
+	assert_true(proc_wait(&ns.list[home].proc, STOP_MS, NULL));
+	set_up();
+	read_once(id);
+	assert_true(resumed(id) > 0);
+	assert_in_range(most_from_start(id), 1, 2);
+	restart(home);
+}
+
+/* Guards against samples that come twice or begin anew again and again: two homes
+ * stop, 1 s apart, while a step runs. */
+static void test_two_stops(void **state)
+{
+	char id[16];
+	int home = submit_and_run("i", id);
+	struct sent s = {id, home, 0, 0};
+	int next;
+
+	proc_signal(&ns.list[home].proc, SIGTERM);
+	assert_true(wait_until(owner_changed, &s, BATCH_MS));
+	usleep(RUN_MS * 1000);
+	next = batch_owner(&ns, id);
+	proc_signal(&ns.list[next].proc, SIGTERM);
+	read_once(id);
+	assert_in_range(most_from_start(id), 1, 2);
+	restart(home);
+	restart(next);
+}
+
+static const struct CMUnitTest tests[] = {
+	cmocka_unit_test(test_lost_home),
+	cmocka_unit_test(test_lost_home_then_leader),
+	cmocka_unit_test(test_store_lost_during_a_takeover),
+	cmocka_unit_test(test_planned_stop),
+	cmocka_unit_test(test_retire),
+	cmocka_unit_test(test_next_home_dies),
+	cmocka_unit_test(test_handover_answer_lost),
+	cmocka_unit_test(test_stop_without_store),
+	cmocka_unit_test(test_two_stops),
+};
+
+int main(int argc, char **argv)
+{
+	if (argc > 1)
+		cmocka_set_test_filter(argv[1]);
 	return cmocka_run_group_tests(tests, setup, teardown);
 }
