--- a/packages/daemon/include/daemon/job_mod.h
+++ b/packages/daemon/include/daemon/job_mod.h
@@ -43,6 +43,9 @@
 /// @return false past the last one
 bool job_mod_open(struct core *c, size_t *iter, struct job_open *out);
 
+/// Whether a node that is retired runs no batches any more.
+bool job_mod_empty(struct core *c);
+
 /// Answer a read of results, of an item's body, or the end of a batch.
 ///
 /// @param call     what is asked
--- a/packages/daemon/src/job/send.c
+++ b/packages/daemon/src/job/send.c
@@ -79,9 +79,9 @@
 		  (unsigned long long)site_mod_weights(c, ask->model));
 }
 
-static bool may_send(const struct job *j)
+static bool may_send(struct core *c, struct job *j)
 {
-	return j->running && !j->owner.ended;
+	return j->running && job_may_send(c, j);
 }
 
 static int64_t slack_of(struct core *c, const struct job *j, int item)
@@ -139,7 +139,7 @@
 		int item;
 		int64_t s;
 
-		if (j == but || !may_send(j) ||
+		if (j == but || !may_send(c, j) ||
 		    j->send_round == jobs->send_round)
 			continue;
 		item = job_run_next(j->run, core_now(c));
@@ -176,8 +176,7 @@
 	/* Items are sent on what is known of servers and routes as long as keys
 	 * may be trusted on it too: an item may run twice, if another node takes
 	 * the batch over meanwhile. */
-	if (!may_send(j) || jobs_of(c)->draining || !site_mod_fresh(c) ||
-	    !site_mod_current(c))
+	if (!may_send(c, j) || !site_mod_fresh(c) || !site_mod_current(c))
 		return;
 	service = site_mod_conf(c) ? service_of(c, j) : NULL;
 	if (service && site_mod_shares(c, service))
--- a/packages/site/src/speed.c
+++ b/packages/site/src/speed.c
@@ -54,8 +54,9 @@
 
 		for (; left && n < SPEED_SERVERS; left &= left - 1) {
 			const struct site_server *s =
-				g->members[w * INDEX_WORD_BITS +
-					   __builtin_ctzll(left)];
+				g->places[w * INDEX_WORD_BITS +
+					  __builtin_ctzll(left)]
+					.server;
 
 			if (s->run_ms > 0)
 				speeds[n++] = s->run_ms;
