feat(attempt,site): decide on second attempts and on servers to leave alone

Live lookups of 21 to 25 ms had a p99 of 650 to 1,000 ms past servers that are slow, cut off, grey or lose answers: an attempt that may be repeated had half of the caller's time. attempt/hedge.h says when a second attempt is made (three times the median of the recent answers, half of the target at least) and keeps the node's budget. The median, not the ninth decile: one slow server of three would raise the decile and end what is meant to help against it. site/health.h keeps the last 20 outcomes of a server and of a failure domain.

Added attempts stay at or below a tenth of the requests of any 10 s.

--- /dev/null
+++ b/packages/attempt/test/test_hedge.c
@@ -0,0 +1,93 @@
+// Second attempts: their time and the node's budget.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "attempt/hedge.h"
+
+enum {
+	PERCENT = 10,
+};
+
+static int take_all(struct hedge_budget *b, int64_t now, enum hedge_why why)
+{
+	int n = 0;
+
+	while (hedge_budget_take(b, now, PERCENT, why))
+		n++;
+	return n;
+}
+
+/* One in ten of the last 10 s, whether they follow each other or come at once. */
+static void test_budget_is_a_share(void **state)
+{
+	struct hedge_budget b = {0};
+
+	for (int64_t now = 100000; now < 110000; now += 10)
+		hedge_budget_request(&b, now);
+	assert_int_equal(take_all(&b, 109999, HEDGE_EARLY), 100);
+	assert_int_equal(take_all(&b, 109999, HEDGE_LAST), 0);
+	/* Half of the requests are older now, and what they granted is used. */
+	assert_int_equal(take_all(&b, 114500, HEDGE_EARLY), 0);
+	/* All are older. */
+	assert_int_equal(take_all(&b, 130000, HEDGE_EARLY), 1);
+}
+
+/* Those without which a request fails are granted to nodes with few requests. */
+static void test_budget_of_a_quiet_node(void **state)
+{
+	struct hedge_budget b = {0};
+
+	hedge_budget_request(&b, 50000);
+	assert_int_equal(take_all(&b, 50000, HEDGE_EARLY), 1);
+	assert_int_equal(take_all(&b, 50000, HEDGE_LAST), 9);
+	assert_int_equal(take_all(&b, 59999, HEDGE_LAST), 0);
+	assert_int_equal(take_all(&b, 60000, HEDGE_LAST), 10);
+}
+
+static void test_time_of_a_second_attempt(void **state)
+{
+	struct hedge_ask ask = {
+		.idempotent = true,
+		.missed_ms = 1000 + hedge_after_ms(25, 150),
+		.usual_ms = 25,
+		.came_ms = 1000,
+		.until_ms = 2500,
+		.running = 1,
+		.tried = 1,
+		.max_servers = 2,
+	};
+
+	assert_int_equal(ask.missed_ms, 1075);
+	assert_int_equal(hedge_after_ms(100, 150), 300);
+	assert_int_equal(hedge_after_ms(0, 150), 150);
+	assert_false(hedge_due(&ask, 1074));
+	assert_true(hedge_due(&ask, 1075));
+	assert_int_equal(hedge_why_of(&ask, 1075), HEDGE_EARLY);
+	assert_int_equal(hedge_why_of(&ask, 1800), HEDGE_LAST);
+	/* It could not be answered in time any more. */
+	assert_false(hedge_due(&ask, 2480));
+	ask.running = 2;
+	assert_false(hedge_due(&ask, 1100));
+	ask.running = 1;
+	ask.tried = 2;
+	assert_false(hedge_due(&ask, 1100));
+	ask.tried = 1;
+	/* What may not be repeated never gets one. */
+	ask.idempotent = false;
+	assert_false(hedge_due(&ask, 1100));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_budget_is_a_share),
+		cmocka_unit_test(test_budget_of_a_quiet_node),
+		cmocka_unit_test(test_time_of_a_second_attempt),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/job/include/job/patience.h
+++ b/packages/job/include/job/patience.h
@@ -19,6 +19,11 @@
 /// An answer came.
 void patience_add(struct patience *p, int64_t ms);
 
+/// Median of the last answers: it holds while less than half of the servers are slow.
+///
+/// @return milliseconds, 0 while too few are known
+int64_t patience_usual_ms(const struct patience *p);
+
 /// Longest wait for the next one. Some calls take long wherever they go: the wait
 /// doubles with each one that went unanswered.
 ///
--- a/packages/job/src/patience.c
+++ b/packages/job/src/patience.c
@@ -9,6 +9,9 @@
 	TIMES_SLOWEST = 3, ///< the bound, in times of the ninth decile
 	TIMES_TARGET = 2, ///< the bound while too few answers are known
 	MS_MAX = 1 << 30,
+	TENTHS = 10,
+	MEDIAN = 5, ///< in tenths
+	SLOWEST = 9, ///< in tenths
 };
 
 void patience_add(struct patience *p, int64_t ms)
@@ -24,20 +27,26 @@
 	return (x > y) - (x < y);
 }
 
-static int64_t ninth_decile(const struct patience *p)
+/* Time that so many tenths of the last answers did not exceed. */
+static int64_t decile(const struct patience *p, size_t tenths)
 {
 	int32_t sorted[PATIENCE_TIMES];
 	size_t n = p->n < PATIENCE_TIMES ? p->n : PATIENCE_TIMES;
 
 	memcpy(sorted, p->ms, n * sizeof(*sorted));
 	qsort(sorted, n, sizeof(*sorted), ms_compare);
-	return sorted[n * 9 / 10];
+	return sorted[n * tenths / TENTHS];
+}
+
+int64_t patience_usual_ms(const struct patience *p)
+{
+	return p->n >= ENOUGH ? decile(p, MEDIAN) : 0;
 }
 
 int64_t patience_ms(const struct patience *p, int unanswered, int64_t target_ms,
 		    int64_t most_ms)
 {
-	int64_t ms = p->n >= ENOUGH ? TIMES_SLOWEST * ninth_decile(p)
+	int64_t ms = p->n >= ENOUGH ? TIMES_SLOWEST * decile(p, SLOWEST)
 				    : TIMES_TARGET * target_ms;
 
 	if (ms < target_ms)
--- a/packages/site/include/site/server.h
+++ b/packages/site/include/site/server.h
@@ -9,6 +9,7 @@
 #include "base/err.h"
 #include "base/htab.h"
 #include "site/conf.h"
+#include "site/health.h"
 
 enum {
 	SITE_SERVERS = 4096, ///< most servers known at once
@@ -49,6 +50,7 @@
 	int running; ///< this node's requests there
 	int failures; ///< in a row
 	int64_t avoid_until_ms; ///< no work before, unless nothing else is left
+	struct site_health health; ///< of short calls
 	double pace_ms; ///< between two events of its streams, 0 if not known
 	int pace_events; ///< that the pace was taken from
 	int64_t paced_ms; ///< time of the last of them
@@ -71,6 +73,14 @@
 	int share; ///< percent of a server's slots that may be busy, 0 for all
 	double cold_rate; ///< of the service, 0 for none
 	double pace_ms; ///< usual pace of the service, 0 if not known
+	bool live; ///< short call: servers that did badly lately come last
+	const char *away; ///< failure domain that is better avoided, or NULL
+};
+
+/// What a short call is to show beside its answer.
+enum site_probe {
+	SITE_PROBE_SERVER = 1, ///< whether its server is back
+	SITE_PROBE_DOMAIN = 2, ///< whether its server's failure domain is back
 };
 
 /// @return table, NULL when out of memory
@@ -160,6 +170,22 @@
 /// @param ok  false: it showed that the server can't be used at present
 void site_server_end(struct site_server *s, int64_t now, bool ok);
 
+/// A request ended there and shows nothing of the server.
+void site_server_drop(struct site_server *s);
+
+/// A short call begins at a server.
+///
+/// @return bits of enum site_probe, for site_server_call_end()
+int site_server_call(struct site_servers *t, struct site_server *s,
+		     int64_t now);
+
+/// A short call showed something, once a call.
+///
+/// @param probe  of site_server_call()
+/// @return true if the server is left alone from now on
+bool site_server_call_end(struct site_servers *t, struct site_server *s,
+			  int64_t now, enum site_outcome how, int probe);
+
 /// An event of a stream came some time after the one before.
 void site_server_paced(struct site_server *s, int64_t now, double ms);
 
--- a/packages/site/src/server.c
+++ b/packages/site/src/server.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "domains.h"
+
 enum {
 	DOMAINS_OUT = 64, ///< failure domains out at once
 	AVOID_MS =
@@ -14,12 +16,18 @@
 	PACE_KEEP_MS = 2000, ///< without events for longer, a pace is forgotten
 	PERCENT = 100,
 	COLD_BURST = 2, ///< requests that a cold server may get at once
+	ROW_SERVER = 2, ///< calls without a good answer until a server is left
+	/// Until a failure domain is left: servers of it are left before, so that the
+	/// calls went to several.
+	ROW_DOMAIN = 3,
 	GONE = 256, ///< servers remembered whose entry went
 };
 
 /* Weights of the choice, in shares of a server's slots. */
 static const double OTHER_DOMAIN = 0.25; ///< bytes between domains cost
 static const double TROUBLED = 8.0; ///< more than any load
+static const double LEFT = 32.0; ///< more than what was busy or troubled
+static const double AWAY = 0.5; ///< more than what the way to others costs
 static const double SLOW_LOAD = 1.0; ///< for each time that it is slower
 static const double SLOW_FROM = 1.25; ///< differences below are of the load
 static const double PACE_WEIGHT = 0.2; ///< of a new event in the pace
@@ -40,6 +48,7 @@
 	int n_out;
 	struct gone gone[GONE];
 	uint32_t n_gone; ///< so far
+	struct site_domains domains;
 };
 
 struct site_servers *site_servers_new(void)
@@ -334,8 +343,24 @@
 	       cold_credit(s, now, ask->cold_rate) >= 1;
 }
 
-static double load_of(const struct site_server *s, int64_t now,
-		      const struct site_ask *ask)
+/* What recent outcomes of short calls add. */
+static double live_load(const struct site_servers *t,
+			const struct site_server *s, int64_t now,
+			const struct site_ask *ask)
+{
+	double load = 0;
+
+	if (site_health_left(&s->health, now))
+		load += LEFT;
+	if (site_domains_left(&t->domains, s->entry.domain, now))
+		load += LEFT;
+	if (ask->away && strcmp(s->entry.domain, ask->away) == 0)
+		load += AWAY;
+	return load;
+}
+
+static double load_of(const struct site_servers *t, const struct site_server *s,
+		      int64_t now, const struct site_ask *ask)
 {
 	int slots = s->entry.slots > 0 ? s->entry.slots : 1;
 	double load = (double)s->running / slots;
@@ -345,6 +370,8 @@
 		load += OTHER_DOMAIN;
 	if (now < s->avoid_until_ms)
 		load += TROUBLED;
+	if (ask->live)
+		load += live_load(t, s, now, ask);
 	slowness = site_server_slowness(s, now, ask->pace_ms);
 	if (slowness > SLOW_FROM)
 		load += (slowness - 1) * SLOW_LOAD;
@@ -364,7 +391,7 @@
 
 		if (!fits(t, s, now, ask))
 			continue;
-		load = load_of(s, now, ask);
+		load = load_of(t, s, now, ask);
 		if (best && load >= best_load)
 			continue;
 		best = s;
@@ -382,6 +409,38 @@
 	s->running++;
 }
 
+void site_server_drop(struct site_server *s)
+{
+	if (s->running > 0)
+		s->running--;
+}
+
+int site_server_call(struct site_servers *t, struct site_server *s, int64_t now)
+{
+	struct site_health *d = site_domains_get(&t->domains, s->entry.domain);
+	int probe = 0;
+
+	if (site_health_begin(&s->health, now))
+		probe |= SITE_PROBE_SERVER;
+	if (d && site_health_begin(d, now))
+		probe |= SITE_PROBE_DOMAIN;
+	return probe;
+}
+
+bool site_server_call_end(struct site_servers *t, struct site_server *s,
+			  int64_t now, enum site_outcome how, int probe)
+{
+	struct site_health *d = site_domains_get(&t->domains, s->entry.domain);
+	int row = how == SITE_CALL_SILENT ? 1 : ROW_SERVER;
+
+	if (d)
+		site_health_end(d, now, how, ROW_DOMAIN,
+				probe & SITE_PROBE_DOMAIN);
+	site_domains_recount(&t->domains);
+	return site_health_end(&s->health, now, how, row,
+			       probe & SITE_PROBE_SERVER);
+}
+
 void site_server_end(struct site_server *s, int64_t now, bool ok)
 {
 	int shift;
--- /dev/null
+++ b/packages/site/test/test_health.c
@@ -0,0 +1,94 @@
+// When a server is left alone for its last outcomes, and how it comes back.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "site/health.h"
+
+enum {
+	ROW = 2,
+};
+
+static bool end(struct site_health *h, int64_t now, enum site_outcome how)
+{
+	return site_health_end(h, now, how, ROW, false);
+}
+
+static void test_row_and_share(void **state)
+{
+	struct site_health h = {0};
+
+	/* One late answer is no reason; two in a row are. */
+	assert_false(end(&h, 0, SITE_CALL_BAD));
+	assert_false(end(&h, 0, SITE_CALL_GOOD));
+	assert_false(end(&h, 0, SITE_CALL_BAD));
+	assert_true(end(&h, 0, SITE_CALL_BAD));
+	assert_true(site_health_left(&h, 999));
+	/* It fails every second request. */
+	h = (struct site_health){0};
+	for (int i = 0; i < 2; i++) {
+		assert_false(end(&h, 0, SITE_CALL_BAD));
+		assert_false(end(&h, 0, SITE_CALL_GOOD));
+	}
+	assert_true(end(&h, 0, SITE_CALL_BAD));
+	/* One in four failed is not over a third. */
+	h = (struct site_health){0};
+	for (int i = 0; i < 40; i++)
+		assert_false(
+			end(&h, 0, i % 4 ? SITE_CALL_GOOD : SITE_CALL_BAD));
+}
+
+/* After a second one call goes there, and no other until it ended. */
+static void test_one_probe(void **state)
+{
+	struct site_health h = {0};
+
+	end(&h, 0, SITE_CALL_BAD);
+	end(&h, 0, SITE_CALL_BAD);
+	assert_false(site_health_begin(&h, 999));
+	assert_false(site_health_left(&h, 1000));
+	assert_true(site_health_begin(&h, 1000));
+	assert_true(site_health_left(&h, 1001));
+	assert_false(site_health_begin(&h, 1001));
+	/* Calls from before it was left do not end the probe. */
+	assert_false(end(&h, 1100, SITE_CALL_GOOD));
+	assert_true(site_health_left(&h, 1100));
+	site_health_end(&h, 1200, SITE_CALL_BAD, ROW, true);
+	assert_true(site_health_left(&h, 1200 + 999));
+	assert_false(site_health_left(&h, 1200 + 4000));
+	/* A cancelled probe shows nothing: the next call is one. */
+	assert_true(site_health_begin(&h, 6000));
+	site_health_end(&h, 6010, SITE_CALL_UNKNOWN, ROW, true);
+	assert_true(site_health_begin(&h, 6020));
+	site_health_end(&h, 6050, SITE_CALL_GOOD, ROW, true);
+	assert_false(site_health_left(&h, 6050));
+	/* Its record is as bad as before: the next failure is enough. */
+	assert_true(end(&h, 6100, SITE_CALL_BAD));
+}
+
+/* A probe whose end was never told does not keep the server out for good. */
+static void test_lost_probe(void **state)
+{
+	struct site_health h = {0};
+
+	end(&h, 0, SITE_CALL_BAD);
+	end(&h, 0, SITE_CALL_BAD);
+	assert_true(site_health_begin(&h, 1000));
+	assert_true(site_health_left(&h, 5999));
+	assert_false(site_health_left(&h, 6000));
+	assert_true(site_health_begin(&h, 6000));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_row_and_share),
+		cmocka_unit_test(test_one_probe),
+		cmocka_unit_test(test_lost_probe),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
