feat(front): second attempts for live requests, within a budget

An attempt at an idempotent route with a target that is not answered in several times the usual time is joined by one at another server, rather of another failure domain; the first good answer counts and the other attempt is reset. A 5xx answer or a broken attempt goes to another server as far as the budget allows. [front] hedge_percent, 0 by default, switches it on; deploy sets 10. At 0 requests are sent as before, but for one thing: a caller that goes away no longer clears what made a server be avoided. An attempt that is reset is not counted for its team, as it may not have begun. forward.c is split: ends of attempts are in forward_end.c, live requests in forward_live.c.

test_hosted_live, 4 tests with real processes: past a slow, a silent and a grey server at most 4 of 60 bookings take over 300 ms and all are served; a request that may run once only is sent once.

--- /dev/null
+++ b/packages/daemon/src/front/forward_end.c
@@ -0,0 +1,240 @@
+// Ends of attempts at backend servers: what goes to the caller, and what is tried again.
+#include <string.h>
+
+#include "base/histogram.h"
+#include "base/log.h"
+#include "base/metric.h"
+#include "daemon/tally_mod.h"
+#include "front/front.h"
+
+enum {
+	FORWARD_RETRY_AFTER_MS = 400,
+	HTTP_SERVER_FAULT = 500, ///< lowest status of a server's own failure
+};
+
+int forward_running(const struct forward *f)
+{
+	int n = 0;
+
+	for (int i = 0; i < FORWARD_AT_ONCE; i++)
+		n += f->tries[i].fetch != 0;
+	return n;
+}
+
+void *forward_ctx(const struct forward *f, int try_index)
+{
+	return (void *)(uintptr_t)((uint64_t)f->self * FORWARD_AT_ONCE +
+				   (uint64_t)try_index);
+}
+
+/* Request and attempt of a context.
+ *
+ * @return NULL if the request is gone */
+static struct forward *of_ctx(const struct core *c, void *ctx, int *try_index)
+{
+	uint64_t v = (uint64_t)(uintptr_t)ctx;
+
+	*try_index = (int)(v % FORWARD_AT_ONCE);
+	return htab_get(front_of(c)->forwards,
+			(htab_handle)(v / FORWARD_AT_ONCE));
+}
+
+void forward_free(struct core *c, struct forward *f)
+{
+	for (int i = 0; i < FORWARD_AT_ONCE; i++) {
+		struct forward_try *t = &f->tries[i];
+		struct site_server *s =
+			site_servers_get(site_mod_servers(c), t->server);
+
+		if (!t->fetch)
+			continue;
+		core_fetch_cancel(c, t->fetch);
+		t->fetch = 0;
+		forward_live_showed(c, f, t, SITE_CALL_UNKNOWN);
+		if (s)
+			site_server_drop(s);
+	}
+	htab_del(front_of(c)->forwards, f->self);
+}
+
+/* Final answer of this node's own. */
+void forward_fail(struct core *c, struct forward *f, enum err e)
+{
+	const struct forward_try *t = &f->tries[f->last];
+	enum run_state run = f->maybe_ran ? RUN_MAYBE : RUN_NO;
+	bool again;
+
+	/* Only "not run" may be said with a status that promises it. */
+	if (f->maybe_ran && err_http(e) == 503)
+		e = ERR_WORK_BROKEN;
+	else if (!f->maybe_ran && err_http(e) != 503)
+		e = ERR_ROUTE_NO_SERVER;
+	again = !f->maybe_ran;
+	log_event(EV_FRONT_REFUSED,
+		  "request=%s route=%s service=%s team=%s error=%s run=%s "
+		  "servers=%d server=%s servers_age_ms=%lld left_ms=%lld",
+		  f->id, f->route, f->service, f->team, err_code(e),
+		  run_state_name(run), f->n_tried, t->server_id,
+		  (long long)t->servers_age_ms,
+		  (long long)(f->until_ms - core_now(c)));
+	core_reply_err(c, f->req, e, run, again ? FORWARD_RETRY_AFTER_MS : 0,
+		       NULL);
+	forward_free(c, f);
+}
+
+/* The attempt ended: free its place at the server. */
+static void leave_server(struct core *c, struct forward_try *t, bool ok)
+{
+	struct site_server *s =
+		site_servers_get(site_mod_servers(c), t->server);
+
+	if (s)
+		site_server_end(s, core_now(c), ok);
+	t->fetch = 0;
+}
+
+/* A second attempt was answered before the first: the first's server lags. */
+static void beaten(struct core *c, struct forward *f,
+		   const struct forward_try *second)
+{
+	for (int i = 0; i < FORWARD_AT_ONCE; i++) {
+		struct forward_try *t = &f->tries[i];
+
+		if (t->fetch && t != second)
+			forward_live_showed(c, f, t, SITE_CALL_SILENT);
+	}
+	metric_add(M_WORK_HEDGES_WON, 1);
+}
+
+static void pass_back(struct core *c, struct forward *f,
+		      const struct forward_try *t,
+		      const struct core_fetch_result *res)
+{
+	const struct front_wire_ops *wire = front_of(c)->wire->front;
+
+	for (size_t i = 0; i < res->head->n; i++) {
+		if (wire->passes_back(res->head->names[i]))
+			core_reply_header(c, f->req, res->head->names[i],
+					  res->head->values[i]);
+	}
+	metric_add(M_WORK_ANSWERED, 1);
+	if (t->hedge)
+		beaten(c, f, t);
+	histogram_add(H_FORWARD, core_now(c) - f->arrived_ms);
+	log_event(EV_FRONT_ANSWERED,
+		  "request=%s route=%s team=%s http=%d bytes=%zu servers=%d "
+		  "server=%s servers_age_ms=%lld last_ms=%lld left_ms=%lld "
+		  "hedge=%d",
+		  f->id, f->route, f->team, res->status, res->body_len,
+		  f->n_tried, t->server_id, (long long)t->servers_age_ms,
+		  (long long)(core_now(c) - t->sent_ms),
+		  (long long)(f->until_ms - core_now(c)), t->hedge);
+	core_reply(c, f->req, res->status, NULL, res->body, res->body_len);
+	forward_free(c, f);
+}
+
+/* What one attempt showed. */
+struct attempt_end {
+	bool answer; ///< the server's answer may go to the caller
+	bool server_ok; ///< the server can be used further
+	bool ran; ///< the request may have run
+	bool counted; ///< the server surely began it
+	enum site_outcome how; ///< what it shows of the server
+};
+
+static struct attempt_end judge(struct core *c, const struct forward *f,
+				const struct core_fetch_result *res)
+{
+	struct front_verdict v;
+	struct attempt_end end = {.how = SITE_CALL_UNKNOWN};
+	bool stray;
+
+	front_of(c)->wire->front->verdict(res->status, res->head, &v);
+	stray = v.id ? strcmp(v.id, f->id) != 0 : res->reused;
+	if (res->status && !stray && (v.not_run || v.other_server)) {
+		end.server_ok = !v.other_server;
+		return end;
+	}
+	end.ran = res->sent;
+	end.how = res->status ? SITE_CALL_BAD : SITE_CALL_SILENT;
+	/* Broken, perhaps to another request, or without the server's seal. */
+	if (res->err != ERR_OK || stray ||
+	    (res->status < 300 && (!v.seal || !v.id)))
+		return end;
+	end.answer = true;
+	end.server_ok = res->status < HTTP_SERVER_FAULT;
+	end.counted = true;
+	if (end.server_ok)
+		end.how = SITE_CALL_GOOD;
+	return end;
+}
+
+static bool may_try_again(struct core *c, const struct forward *f)
+{
+	return f->n_tried < f->max_servers &&
+	       (!f->maybe_ran || f->kind == SITE_IDEMPOTENT) &&
+	       core_now(c) < f->until_ms;
+}
+
+static void log_again(struct core *c, const struct forward *f,
+		      const struct forward_try *t,
+		      const struct core_fetch_result *res)
+{
+	log_event(EV_FRONT_RETRY,
+		  "request=%s route=%s server=%s servers_age_ms=%lld error=%s "
+		  "http=%d sent=%d ms=%lld",
+		  f->id, f->route, t->server_id, (long long)t->servers_age_ms,
+		  err_code(res->err), res->status, res->sent,
+		  (long long)(core_now(c) - t->sent_ms));
+}
+
+/* Whether an answer goes to the caller now: a failure of a live request's server is
+ * left to the other attempt, or to another server. */
+static bool is_final(struct core *c, struct forward *f,
+		     const struct attempt_end *end)
+{
+	if (!end->answer || !f->live || end->how == SITE_CALL_GOOD)
+		return end->answer;
+	return !forward_running(f) &&
+	       !(may_try_again(c, f) && forward_live_may_retry(c, f));
+}
+
+void forward_done(struct core *c, void *ctx,
+		  const struct core_fetch_result *res)
+{
+	int i;
+	struct forward *f = of_ctx(c, ctx, &i);
+	struct forward_try *t;
+	struct attempt_end end;
+
+	if (!f)
+		return;
+	t = &f->tries[i];
+	end = judge(c, f, res);
+	forward_live_showed(c, f, t, end.how);
+	leave_server(c, t, end.server_ok);
+	f->maybe_ran |= end.ran;
+	if (end.counted)
+		tally_mod_add(c, f->team, t->sent_wall_ms);
+	if (end.how == SITE_CALL_GOOD)
+		forward_live_answered(c, f, t);
+	if (is_final(c, f, &end)) {
+		pass_back(c, f, t, res);
+		return;
+	}
+	if (forward_running(f)) {
+		log_again(c, f, t, res);
+		return;
+	}
+	/* An answer that isn't final took its place in the budget above. */
+	if (!may_try_again(c, f) ||
+	    (!end.answer && end.ran && !forward_live_may_retry(c, f))) {
+		forward_fail(c, f,
+			     core_now(c) >= f->until_ms ? ERR_WORK_DEADLINE
+							: ERR_WORK_BROKEN);
+		return;
+	}
+	log_again(c, f, t, res);
+	metric_add(M_WORK_RETRIES, 1);
+	forward_send(c, f);
+}
--- a/test/hosted/hosted.c
+++ b/test/hosted/hosted.c
@@ -108,7 +108,7 @@
 		json_array_append_new(list, json_string(*keys));
 	h->conf_version += 3;
 	conf = json_pack(
-		"{s:I,s:[{s:s,s:s,s:s,s:s,s:s,s:i,s:i},"
+		"{s:I,s:[{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i},"
 		"{s:s,s:s,s:s,s:s,s:s,s:i,s:i},"
 		"{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i},"
 		"{s:s,s:s,s:s,s:s,s:s,s:b,s:i,s:i,s:i}],"
@@ -116,14 +116,14 @@
 		"s:[{s:s,s:o}]}",
 		"version", (json_int_t)h->conf_version, "routes", "name",
 		"book", "host", "h1", "prefix", "/book/", "kind", "idempotent",
-		"service", "desk", "timeout_ms", 2000, "max_attempts", 2,
-		"name", "pay", "host", "h1", "prefix", "/pay/", "kind",
-		"non_idempotent", "service", "desk", "timeout_ms", 2000,
-		"max_attempts", 2, "name", "learn", "host", "h1", "prefix",
-		"/learn/", "kind", "rollout", "service", "engines",
-		"max_queue_s", 40, "run_deadline_ms", 7500, "max_attempts", 3,
-		"name", "rate", "host", "h2", "prefix", "/rate/", "kind",
-		"idempotent", "service", "desk", "public", 1,
+		"service", "desk", "target_latency_ms", 150, "timeout_ms", 2000,
+		"max_attempts", 2, "name", "pay", "host", "h1", "prefix",
+		"/pay/", "kind", "non_idempotent", "service", "desk",
+		"timeout_ms", 2000, "max_attempts", 2, "name", "learn", "host",
+		"h1", "prefix", "/learn/", "kind", "rollout", "service",
+		"engines", "max_queue_s", 40, "run_deadline_ms", 7500,
+		"max_attempts", 3, "name", "rate", "host", "h2", "prefix",
+		"/rate/", "kind", "idempotent", "service", "desk", "public", 1,
 		"target_latency_ms", 300, "timeout_ms", 2000, "max_attempts", 4,
 		"services", "name", "engines", "engine", "kv_capacity", 10000,
 		"scaling", "min", 1, "max", 4, "boot_s", 1, "zone_prices", "d1",
--- a/test/hosted/hosted.h
+++ b/test/hosted/hosted.h
@@ -55,6 +55,9 @@
 	int64_t left_ms; ///< when the store took that; 0 while it stands
 	bool says_leaving; ///< its answers say that it leaves
 	int starts; ///< after the first
+	int book_ms; ///< of a desk: time that a booking takes
+	bool grey; ///< of a desk: fails every second booking
+	int booked;
 	bool dark; ///< takes connections and does not answer
 	bool drips; ///< of an engine: sends comments and no event, without end
 	int running;
--- a/test/hosted/nodes.c
+++ b/test/hosted/nodes.c
@@ -35,10 +35,12 @@
 		"[peer]\nlisten = %s:%d\n[upstream]\nsource = %s\n"
 		"[platform]\nwire = hosted\nurl = http://%s:%d\n"
 		"timeout = 800ms\n"
-		"[lead]\ncandidate = %d\n[tally]\nwindow = 1s\nsettle = 900ms\n",
+		"[lead]\ncandidate = %d\n[tally]\nwindow = 1s\nsettle = 900ms\n"
+		"%s",
 		n->id, i % 2 + 1, n->ip, NODE_FRONT_PORT, n->ip,
 		NODE_READY_PORT, n->ip, NODE_PEER_PORT, n->ip, ns->h->ip,
-		n->store_port, !is_entry(ns, i));
+		n->store_port, !is_entry(ns, i),
+		ns->settings ? ns->settings : "");
 	return fclose(f) == 0;
 }
 
--- a/test/hosted/nodes.h
+++ b/test/hosted/nodes.h
@@ -28,6 +28,7 @@
 	struct hosted *h;
 	int n;
 	int n_entry; ///< the first ones take callers, the others may lead
+	const char *settings; ///< more lines for each node's file, or NULL
 	struct node list[NODES_MAX];
 };
 
--- a/test/hosted/server.c
+++ b/test/hosted/server.c
@@ -222,10 +222,17 @@
 						       : NULL,
 				       "1",
 				       NULL};
+	bool fails;
+	int ms;
 
 	pthread_mutex_lock(&s->h->lock);
 	note_run(s, conn, id, 0);
+	ms = s->book_ms;
+	fails = s->grey && s->booked++ % 2;
 	pthread_mutex_unlock(&s->h->lock);
+	pause_ms(ms);
+	if (fails)
+		return body_answer(conn, 500, "", headers);
 	return body_answer(conn, 200, b->data ? b->data : "", headers);
 }
 
