--- a/packages/site/src/server.c
+++ b/packages/site/src/server.c
@@ -9,6 +9,7 @@
 #include "server_index.h"
 #include "server_table.h"
 #include "speed.h"
+#include "domains.h"
 
 enum {
 	SMALL = 64, ///< services up to here are compared as a whole
@@ -42,12 +43,18 @@
 	PACE_KEEP_MS = 2000, ///< without events for longer, a pace is forgotten
 	PERCENT = 100,
 	COLD_BURST = 2, ///< requests that a cold server may get at once
+	ROW_SERVER = 2, ///< calls without a good answer until a server is left
+	/// Until a failure domain is left: servers of it are left before, so that the
+	/// calls went to several.
+	ROW_DOMAIN = 3,
 };
 
 /* Weights of the choice, in shares of a server's slots. */
 static const double OTHER_DOMAIN = 0.25; ///< bytes between domains cost
 static const double TROUBLED = 8.0; ///< more than any load
 static const double CROWDED = 1.0; ///< more than its memory holds
+static const double LEFT = 32.0; ///< more than what was busy or troubled
+static const double AWAY = 0.5; ///< more than what the way to others costs
 static const double SLOW_LOAD = 1.0; ///< for each time that it is slower
 static const double SLOW_FROM = 1.25; ///< differences below are of the load
 static const double PACE_WEIGHT = 0.2; ///< of a new event in the pace
@@ -492,8 +499,24 @@
 	       cold_credit(s, now, ask->cold_rate) >= 1;
 }
 
-static double load_of(const struct site_server *s, int64_t now,
-		      const struct site_ask *ask)
+/* What recent outcomes of short calls add. */
+static double live_load(const struct site_servers *t,
+			const struct site_server *s, int64_t now,
+			const struct site_ask *ask)
+{
+	double load = 0;
+
+	if (site_health_left(&s->health, now))
+		load += LEFT;
+	if (site_domains_left(&t->domains, s->entry.domain, now))
+		load += LEFT;
+	if (ask->away && strcmp(s->entry.domain, ask->away) == 0)
+		load += AWAY;
+	return load;
+}
+
+static double load_of(const struct site_servers *t, const struct site_server *s,
+		      int64_t now, const struct site_ask *ask)
 {
 	int slots = s->entry.slots > 0 ? s->entry.slots : 1;
 	double load = (double)busy_of(s, ask) / slots;
@@ -510,6 +533,8 @@
 		load += OTHER_DOMAIN;
 	if (now < s->avoid_until_ms)
 		load += TROUBLED;
+	if (ask->live)
+		load += live_load(t, s, now, ask);
 	if (ask->speed != SITE_ANY_SPEED)
 		return load + speed_load(s, now, ask);
 	slowness = site_server_slowness(s, now, ask->pace_ms);
@@ -533,7 +558,7 @@
 
 	if (!fits(p->t, s, p->now, p->ask))
 		return false;
-	load = load_of(s, p->now, p->ask);
+	load = load_of(p->t, s, p->now, p->ask);
 	if (!p->best || load < p->best_load) {
 		p->best = s;
 		p->best_load = load;
@@ -732,6 +757,39 @@
 	s->tokens += tokens;
 }
 
+void site_server_drop(struct site_server *s)
+{
+	if (s->running > 0)
+		s->running--;
+	server_index_load(s);
+}
+
+int site_server_call(struct site_servers *t, struct site_server *s, int64_t now)
+{
+	struct site_health *d = site_domains_get(&t->domains, s->entry.domain);
+	int probe = 0;
+
+	if (site_health_begin(&s->health, now))
+		probe |= SITE_PROBE_SERVER;
+	if (d && site_health_begin(d, now))
+		probe |= SITE_PROBE_DOMAIN;
+	return probe;
+}
+
+bool site_server_call_end(struct site_servers *t, struct site_server *s,
+			  int64_t now, enum site_outcome how, int probe)
+{
+	struct site_health *d = site_domains_get(&t->domains, s->entry.domain);
+	int row = how == SITE_CALL_SILENT ? 1 : ROW_SERVER;
+
+	if (d)
+		site_health_end(d, now, how, ROW_DOMAIN,
+				probe & SITE_PROBE_DOMAIN);
+	site_domains_recount(&t->domains);
+	return site_health_end(&s->health, now, how, row,
+			       probe & SITE_PROBE_SERVER);
+}
+
 void site_server_end(struct site_server *s, int64_t now, bool ok)
 {
 	int shift;
--- a/packages/site/src/server_table.h
+++ b/packages/site/src/server_table.h
@@ -3,6 +3,7 @@
 
 #include "base/htab.h"
 #include "base/rng.h"
+#include "domains.h"
 #include "server_index.h"
 
 enum {
@@ -28,4 +29,5 @@
 	int n_out;
 	struct gone gone[GONE];
 	uint32_t n_gone; ///< so far
+	struct site_domains domains;
 };
