--- a/packages/daemon/src/room/room_mod.c
+++ b/packages/daemon/src/room/room_mod.c
@@ -217,7 +217,7 @@
 	}
 	metric_add(M_ROOM_TAKEN, 1);
 	if (room_nodes(z->room) > before)
-		log_event(EV_ROOM_NODE, "node=%s servers=%zu models=%zu", from,
+		log_event(EV_ROOM_NODE, "peer=%s servers=%zu models=%zu", from,
 			  z->in.n_at, z->in.n_steps);
 }
 
