feat(http,upstream): bound what is held for slow readers and senders

Request bodies and whole answers were bounded each (max_body) and not in sum: a thousand callers that don't read could hold gigabytes. Streamed answers of servers could wait up to 64 MB. The kernel grew a socket's send buffer to megabytes on top. New settings: [http] max_held (48 MB) counts bodies that arrive and answers that are not written yet; beyond it new requests get 503 "not run" at once, answers are still delivered. [http] unread_timeout (8 s) closes a connection whose caller acknowledges no byte of an answer; one that reads slowly gets all of it. [upstream] max_held (48 MB) refuses new requests to servers and reads answers of servers no further until there is room; calls to the platform are counted and not held up. [upstream] stream_buffer (1 MB) bounds one streamed answer that waits. send_buffer (128 KB) in both bounds the kernel's part of a connection.

--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -86,6 +86,9 @@
 		.idle_timeout_ms = settings_int(s, S_HTTP_IDLE),
 		.receive_timeout_ms = settings_int(s, S_HTTP_RECEIVE),
 		.max_body = (size_t)settings_int(s, S_HTTP_MAX_BODY),
+		.max_held = (size_t)settings_int(s, S_HTTP_MAX_HELD),
+		.send_buffer = (int)settings_int(s, S_HTTP_SNDBUF),
+		.unread_timeout_ms = settings_int(s, S_HTTP_UNREAD),
 	};
 
 	return c->opts.http->start(&opts, &c->http);
@@ -93,10 +96,14 @@
 
 static enum err start_upstream(struct core *c)
 {
+	const struct settings *s = c->opts.settings;
 	struct upstream_opts opts = {
 		.events = c->up_box,
 		.max_calls = CORE_CALLS,
-		.source = settings_str(c->opts.settings, S_UP_SOURCE),
+		.max_held = (size_t)settings_int(s, S_UP_MAX_HELD),
+		.send_buffer = (int)settings_int(s, S_UP_SNDBUF),
+		.stream_buffer = (size_t)settings_int(s, S_UP_CALL_BUFFER),
+		.source = settings_str(s, S_UP_SOURCE),
 	};
 
 	return c->opts.upstream->start(&opts, &c->up);
--- /dev/null
+++ b/packages/core/test/test_slow_reader.c
@@ -0,0 +1,167 @@
+// Callers that read their answers slowly or not at all: what is held for them is
+// bounded, and nobody else is harmed.
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include "base/clock.h"
+#include "node.h"
+#include "support/http.h"
+#include "support/proc.h"
+
+enum {
+	BIG = 3 * 1024 *
+	      1024, ///< bytes of an answer; two are more than max_held
+	HEAD_MAX = 1024, ///< bytes of an answer's head
+	RCVBUF = 16384,
+	UNREAD_MS = 1000,
+	WAIT_MS = 10000,
+	STEP_US = 150000, ///< between two reads of a slow reader
+	STEP_BYTES = 131072,
+	PORT = 8000,
+};
+
+static struct node node;
+static char big[BIG];
+
+static void on_big(struct core *c, struct core_req *r, void *ctx)
+{
+	core_reply(c, r->h, 200, "text/plain", big, sizeof(big));
+}
+
+static void on_small(struct core *c, struct core_req *r, void *ctx)
+{
+	core_reply(c, r->h, 200, "text/plain", "s", 1);
+}
+
+static enum err slow_start(struct core *c, void **state)
+{
+	static const struct core_route_opts routes[] = {
+		{CORE_PUBLIC, "GET", "/big", on_big, NULL},
+		{CORE_PUBLIC, "GET", "/small", on_small, NULL},
+	};
+
+	core_route(c, &routes[0]);
+	return core_route(c, &routes[1]);
+}
+
+static const struct core_mod_ops mod = {.name = "t", .start = slow_start};
+
+/* A connection on which a big answer is asked for. */
+static int ask_big(void)
+{
+	static const char text[] = "GET /big HTTP/1.1\r\nHost: x\r\n"
+				   "Connection: close\r\n\r\n";
+	struct sockaddr_in sa = {.sin_family = AF_INET,
+				 .sin_port = htons(PORT)};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int size = RCVBUF;
+
+	inet_pton(AF_INET, node.ip, &sa.sin_addr);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	assert_int_equal(connect(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	assert_int_equal(send(fd, text, sizeof(text) - 1, 0), sizeof(text) - 1);
+	return fd;
+}
+
+static int small_status(char run[16])
+{
+	struct http_opts opts = {.method = "GET"};
+	struct http_res res;
+	char url[128];
+	int status;
+
+	snprintf(url, sizeof(url), "%s/small", node.url);
+	opts.url = url;
+	status = http_call(&opts, &res);
+	snprintf(run, 16, "%s", res.run);
+	http_free(&res);
+	return status;
+}
+
+/* Bytes until the end of a connection. */
+static size_t read_all(int fd, int pause_us)
+{
+	static char buf[STEP_BYTES];
+	size_t sum = 0;
+	size_t step = 0;
+	ssize_t n;
+
+	while ((n = recv(fd, buf, sizeof(buf), 0)) > 0) {
+		sum += (size_t)n;
+		step += (size_t)n;
+		if (pause_us && step >= STEP_BYTES) {
+			usleep((useconds_t)pause_us);
+			step = 0;
+		}
+	}
+	return sum;
+}
+
+static void test_unread_answers(void **state)
+{
+	int64_t begun = clock_now_ms();
+	char run[16];
+	int fds[2];
+
+	for (int i = 0; i < 2; i++)
+		fds[i] = ask_big();
+	/* Two are more than may be held: what comes now is refused at once. */
+	while (small_status(run) == 200 && clock_now_ms() < begun + UNREAD_MS)
+		usleep(10000);
+	assert_int_equal(small_status(run), 503);
+	assert_string_equal(run, "no");
+	while (small_status(run) != 200 && clock_now_ms() < begun + WAIT_MS)
+		usleep(50000);
+	assert_int_equal(small_status(run), 200);
+	assert_in_range(clock_now_ms() - begun, UNREAD_MS, WAIT_MS);
+	for (int i = 0; i < 2; i++) {
+		assert_true(read_all(fds[i], 0) < BIG);
+		close(fds[i]);
+	}
+}
+
+/* It takes several times the limit, and something all the time. */
+static void test_slow_reader_gets_all(void **state)
+{
+	int64_t begun = clock_now_ms();
+	int fd = ask_big();
+
+	assert_in_range(read_all(fd, STEP_US), BIG + 1, BIG + HEAD_MAX);
+	assert_true(clock_now_ms() - begun > 2 * UNREAD_MS);
+	close(fd);
+}
+
+static int setup(void **state)
+{
+	memset(big, 'x', sizeof(big));
+	return node_start(&node, 1, "s", &mod,
+			  "[http]\nmax_held = 4MB\nunread_timeout = 1s\n")
+		       ? 0
+		       : -1;
+}
+
+static int teardown(void **state)
+{
+	node_stop(&node);
+	return 0;
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_unread_answers),
+		cmocka_unit_test(test_slow_reader_gets_all),
+	};
+
+	return cmocka_run_group_tests(tests, setup, teardown);
+}
--- a/packages/http/include/http/http.h
+++ b/packages/http/include/http/http.h
@@ -25,6 +25,9 @@
 	unsigned int max_connections; ///< of each listener
 	int64_t idle_timeout_ms; ///< longest silence inside a request
 	int64_t receive_timeout_ms; ///< longest time for a request to arrive
+	int64_t unread_timeout_ms; ///< longest time without a byte of an answer read
+	int send_buffer; ///< bytes that the kernel holds of a connection; 0: its choice
+	size_t max_held; ///< bytes of bodies and unread answers; 0 for no bound
 	size_t max_body; ///< bytes
 };
 
--- a/packages/http/src/conn_table.h
+++ b/packages/http/src/conn_table.h
@@ -23,6 +23,16 @@
 void conn_waits(struct conn_table *t, struct conn *c, bool waits,
 		int64_t now_ms);
 
+/// An answer is being written, until conn_waits().
+void conn_answers(struct conn_table *t, struct conn *c);
+
+/// Shut down connections whose caller took no byte of an answer for longer than a
+/// limit, though some are there to take.
+///
+/// @param limit_ms  0 for none
+/// @return how many
+int conn_table_unread(struct conn_table *t, int64_t now_ms, int64_t limit_ms);
+
 /// Shut down connections that wait for longer than a limit.
 ///
 /// @return how many
--- a/packages/http/src/mhd_answer.c
+++ b/packages/http/src/mhd_answer.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/metric.h"
+#include "conn_table.h"
 #include "mhd_req.h"
 
 enum {
@@ -65,8 +66,10 @@
 	struct MHD_Response *resp = MHD_create_response_from_buffer(
 		len, (void *)body, MHD_RESPMEM_MUST_COPY);
 
-	if (resp)
+	if (resp) {
 		answer_headers(r, resp, ctype);
+		mhd_req_hold(r, len);
+	}
 	pthread_mutex_lock(&r->lock);
 	answer_ready(r, status, resp);
 	r->ended = true;
@@ -154,6 +157,7 @@
 	if (!p)
 		return false;
 	r->buf = p;
+	mhd_req_hold(r, cap - r->buf_cap);
 	r->buf_cap = cap;
 	return true;
 }
@@ -203,6 +207,7 @@
 	pthread_mutex_unlock(&r->lock);
 	if (!resp)
 		return MHD_NO;
+	conn_answers(r->at->edge->conns, mhd_conn_of(r->conn));
 	res = MHD_queue_response(r->conn, (unsigned int)r->status, resp);
 	MHD_destroy_response(resp);
 	return res;
--- a/packages/http/src/mhd_edge.c
+++ b/packages/http/src/mhd_edge.c
@@ -18,7 +18,7 @@
 	MS_PER_S = 1000,
 };
 
-static struct conn *conn_of(struct MHD_Connection *conn)
+struct conn *mhd_conn_of(struct MHD_Connection *conn)
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
 		conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
@@ -34,7 +34,7 @@
 	if (!r)
 		return NULL;
 	r->conn = conn;
-	conn_waits(l->edge->conns, conn_of(conn), true, r->pub.arrived_ms);
+	conn_waits(l->edge->conns, mhd_conn_of(conn), true, r->pub.arrived_ms);
 	return r;
 }
 
@@ -56,6 +56,7 @@
 	struct mhd_listener *l = ctx;
 	struct conn_table *t = l->edge->conns;
 	const union MHD_ConnectionInfo *info;
+	int bytes = l->edge->opts.send_buffer;
 
 	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
 		conn_del(t, *socket_ctx);
@@ -63,6 +64,10 @@
 		return;
 	}
 	info = MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	/* Else the kernel grows it to megabytes for a caller that doesn't read. */
+	if (bytes)
+		setsockopt(info->connect_fd, SOL_SOCKET, SO_SNDBUF, &bytes,
+			   sizeof(bytes));
 	*socket_ctx = conn_add(t, info->connect_fd, clock_now_ms());
 }
 
@@ -71,7 +76,7 @@
 {
 	struct mhd_listener *l = ctx;
 
-	conn_waits(l->edge->conns, conn_of(conn), true, clock_now_ms());
+	conn_waits(l->edge->conns, mhd_conn_of(conn), true, clock_now_ms());
 	if (*con_cls)
 		mhd_req_close(*con_cls);
 	*con_cls = NULL;
@@ -81,7 +86,7 @@
 {
 	enum err e = r->refuse;
 
-	conn_waits(l->edge->conns, conn_of(r->conn), false, 0);
+	conn_waits(l->edge->conns, mhd_conn_of(r->conn), false, 0);
 	if (e == ERR_OK)
 		e = mhd_req_post(r);
 	return e == ERR_OK ? MHD_YES : mhd_req_refuse(r, e);
@@ -223,6 +228,10 @@
 	n = conn_table_expire(h->conns, now_ms, h->opts.receive_timeout_ms);
 	if (n)
 		metric_add(M_HTTP_SLOW, (uint64_t)n);
+	n = conn_table_unread(h->conns, now_ms, h->opts.unread_timeout_ms);
+	if (n)
+		metric_add(M_HTTP_UNREAD, (uint64_t)n);
+	metric_set(M_HTTP_HELD, atomic_load(&h->held));
 }
 
 static void mhd_set_max_body(struct http_edge *h, size_t max_body)
--- a/packages/http/src/mhd_req.c
+++ b/packages/http/src/mhd_req.c
@@ -47,6 +47,20 @@
 	return r;
 }
 
+void mhd_req_hold(struct mhd_req *r, size_t more)
+{
+	atomic_fetch_add(&r->held, more);
+	atomic_fetch_add(&r->at->edge->held, more);
+}
+
+bool mhd_req_crowded(const struct mhd_req *r, size_t more)
+{
+	const struct http_edge *edge = r->at->edge;
+
+	return edge->opts.max_held &&
+	       atomic_load(&edge->held) + more > edge->opts.max_held;
+}
+
 void mhd_req_ref(struct mhd_req *r)
 {
 	atomic_fetch_add(&r->refs, 1);
@@ -63,6 +77,7 @@
 
 		metric_set(M_HTTP_LIVE, n - 1);
 	}
+	atomic_fetch_sub(&edge->held, atomic_load(&r->held));
 	if (r->response)
 		MHD_destroy_response(r->response);
 	pthread_mutex_destroy(&r->lock);
@@ -121,6 +136,7 @@
 enum err mhd_req_headers(struct mhd_req *r, const char *method)
 {
 	struct http_req *p = &r->pub;
+	unsigned long long len;
 	const char *length;
 
 	r->seen = true;
@@ -131,10 +147,12 @@
 	if (p->path[0] != '/' || !uri_ok(p->path) || !uri_ok(p->query))
 		return ERR_HTTP_PATH;
 	length = http_req_header(p, "Content-Length");
-	if (length &&
-	    strtoull(length, NULL, 10) > atomic_load(&r->at->edge->max_body))
+	len = length ? strtoull(length, NULL, 10) : 0;
+	if (len > atomic_load(&r->at->edge->max_body))
 		return ERR_TOO_LARGE;
-	return ERR_OK;
+	/* Operators' questions are few and small, and are answered all the same. */
+	return p->listener == 0 && mhd_req_crowded(r, len) ? ERR_HTTP_BUSY
+							   : ERR_OK;
 }
 
 static bool body_grow(struct mhd_req *r, size_t need)
@@ -150,6 +168,7 @@
 	if (!p)
 		return false;
 	r->pub.body = p;
+	mhd_req_hold(r, cap - r->body_cap);
 	r->body_cap = cap;
 	return true;
 }
@@ -164,6 +183,11 @@
 		p->body_len += len;
 		return p->body_len > max + REQ_EXCESS ? ERR_TOO_LARGE : ERR_OK;
 	}
+	if (p->listener == 0 && mhd_req_crowded(r, len)) {
+		r->refuse = ERR_HTTP_BUSY;
+		p->body_len += len;
+		return ERR_OK;
+	}
 	if (!body_grow(r, p->body_len + len + 1))
 		return ERR_NOMEM;
 	memcpy(p->body + p->body_len, data, len);
--- a/packages/http/src/mhd_req.h
+++ b/packages/http/src/mhd_req.h
@@ -30,6 +30,7 @@
 	struct http_event req_event;
 	struct http_event gone_event;
 	size_t body_cap; ///< bytes of pub.body
+	atomic_size_t held; ///< bytes counted in the edge's
 	bool seen; ///< the headers were taken
 	bool posted; ///< the reader was given the request
 	bool counted; ///< among the edge's requests
@@ -64,9 +65,13 @@
 	atomic_uint live; ///< requests that the reader may still hold
 	atomic_uint open; ///< requests not yet freed
 	atomic_size_t max_body;
+	atomic_size_t held; ///< bytes of bodies and of answers not written yet
 	atomic_bool draining;
 };
 
+/// Entry of a connection in the edge's table, NULL if it has none.
+struct conn *mhd_conn_of(struct MHD_Connection *conn);
+
 /// New request with one reference.
 ///
 /// @param uri  path and query as sent
@@ -76,6 +81,12 @@
 void mhd_req_ref(struct mhd_req *r);
 void mhd_req_unref(struct mhd_req *r);
 
+/// Count bytes that a request holds until it is freed.
+void mhd_req_hold(struct mhd_req *r, size_t more);
+
+/// Whether so many more bytes would be too many.
+bool mhd_req_crowded(const struct mhd_req *r, size_t more);
+
 /// Take the method and headers.
 ///
 /// @return ERR_OK, or why the request is refused
--- a/packages/upstream/include/upstream/upstream.h
+++ b/packages/upstream/include/upstream/upstream.h
@@ -18,6 +18,11 @@
 struct upstream_opts {
 	struct mbox *events; ///< gets struct upstream_event; room for 4 a call
 	unsigned int max_calls; ///< a power of two
+	/// Bytes of bodies beyond which tagged calls are refused, and their answers
+	/// are read no further; 0 for no bound.
+	size_t max_held;
+	int send_buffer; ///< bytes that the kernel holds of a connection; 0: its choice
+	size_t stream_buffer; ///< bytes of a streamed answer that wait; 0: no bound
 	/// Local IP address, which outlives it; NULL or "" for any.
 	const char *source;
 };
--- a/packages/upstream/src/call.c
+++ b/packages/upstream/src/call.c
@@ -49,8 +49,10 @@
 	c->cancel_cmd = (struct call_cmd){CALL_CANCEL, c};
 	c->start_us = clock_now_us();
 	arena_init(&c->arena, 0);
-	if (copy_opts(c, opts))
+	if (copy_opts(c, opts)) {
+		upstream_hold(up, c->opts.body_len);
 		return c;
+	}
 	arena_free(&c->arena);
 	free(c);
 	return NULL;
@@ -67,6 +69,7 @@
 
 	if (atomic_fetch_sub(&c->refs, 1) != 1)
 		return;
+	upstream_unhold(up, c->opts.body_len + c->body_cap);
 	free(c->result.body);
 	arena_free(&c->arena);
 	free(c);
--- a/packages/upstream/src/call.h
+++ b/packages/upstream/src/call.h
@@ -41,6 +41,8 @@
 	int64_t start_us;
 	int64_t heard_ms; ///< last sign of the other side, 0 before the first
 	size_t body_cap; ///< bytes of result.body
+	atomic_size_t
+		waiting; ///< bytes of data events that wait for the receiver
 	struct upstream_result result;
 };
 
@@ -76,5 +78,12 @@
 /// @return false when it is behind: the bytes of the body must come again
 bool upstream_post_head(struct upstream_call *c);
 
+/// Count bytes that calls hold, or give them up.
+void upstream_hold(struct upstream *up, size_t more);
+void upstream_unhold(struct upstream *up, size_t less);
+
+/// Whether a call's answer must wait for room.
+bool upstream_call_behind(const struct upstream_call *c);
+
 /// Tell that a call was freed.
 void upstream_call_freed(struct upstream *up);
--- a/packages/upstream/src/curl_edge.c
+++ b/packages/upstream/src/curl_edge.c
@@ -166,11 +166,10 @@
 static void scan(struct upstream *up, int64_t now)
 {
 	struct upstream_call *next;
-	bool behind = upstream_behind(up);
 
 	for (struct upstream_call *c = up->running; c; c = next) {
 		next = c->next;
-		if (c->paused && !behind) {
+		if (c->paused && !upstream_call_behind(c)) {
 			c->paused = false;
 			c->heard_ms = now;
 			curl_easy_pause(c->easy, CURLPAUSE_CONT);
@@ -249,7 +248,9 @@
 	unsigned int live = atomic_fetch_add(&up->live, 1);
 	enum err e;
 
-	if (live >= up->opts.max_calls) {
+	if (live >= up->opts.max_calls ||
+	    (opts->tag && up->opts.max_held &&
+	     atomic_load(&up->held) + opts->body_len > up->opts.max_held)) {
 		atomic_fetch_sub(&up->live, 1);
 		return ERR_FULL;
 	}
--- a/packages/upstream/src/edge.h
+++ b/packages/upstream/src/edge.h
@@ -19,7 +19,7 @@
 	struct upstream_call *running; ///< list
 	atomic_uint live; ///< calls not yet freed
 	atomic_uint events; ///< events not yet freed
-	atomic_size_t data; ///< bytes of data in them
+	atomic_size_t held; ///< bytes of bodies, and of data in events
 };
 
 /// Whether pieces of streamed bodies must wait for the receiver.
--- a/packages/upstream/src/event.c
+++ b/packages/upstream/src/event.c
@@ -6,16 +6,43 @@
 #include "edge.h"
 
 enum {
-	EDGE_DATA_MAX = 64 * 1024 * 1024, ///< bytes waiting for the receiver
+	/// An answer may hold this much whatever others hold: else many that are
+	/// begun could wait for each other.
+	EDGE_SMALL = 65536,
 };
 
+void upstream_hold(struct upstream *up, size_t more)
+{
+	atomic_fetch_add(&up->held, more);
+}
+
+void upstream_unhold(struct upstream *up, size_t less)
+{
+	atomic_fetch_sub(&up->held, less);
+}
+
+bool upstream_call_behind(const struct upstream_call *c)
+{
+	const struct upstream_opts *o = &c->up->opts;
+	size_t waiting = atomic_load(&c->waiting);
+
+	if (c->opts.streamed && upstream_behind(c->up))
+		return true;
+	if (o->stream_buffer && waiting >= o->stream_buffer)
+		return true;
+	return c->opts.tag && o->max_held &&
+	       atomic_load(&c->up->held) >= o->max_held &&
+	       (waiting >= EDGE_SMALL || c->body_cap >= EDGE_SMALL);
+}
+
 void upstream_event_free(struct upstream_event *ev)
 {
 	struct upstream_call *c = ev->call;
 
 	if (ev->kind != UPSTREAM_DONE) {
 		atomic_fetch_sub(&c->up->events, 1);
-		atomic_fetch_sub(&c->up->data, ev->len);
+		upstream_unhold(c->up, ev->len);
+		atomic_fetch_sub(&c->waiting, ev->len);
 		free(ev);
 	}
 	call_unref(c);
@@ -24,8 +51,7 @@
 /// Half of the mailbox is kept for the ends of calls, so none is ever lost.
 bool upstream_behind(const struct upstream *up)
 {
-	return atomic_load(&up->events) >= 2 * up->opts.max_calls ||
-	       atomic_load(&up->data) >= EDGE_DATA_MAX;
+	return atomic_load(&up->events) >= 2 * up->opts.max_calls;
 }
 
 bool upstream_post_head(struct upstream_call *c)
@@ -62,7 +88,7 @@
 	struct upstream_event *ev;
 	char *copy;
 
-	if (upstream_behind(c->up))
+	if (upstream_call_behind(c))
 		return false;
 	ev = malloc(sizeof(*ev) + len);
 	if (!ev)
@@ -79,7 +105,8 @@
 	};
 	call_ref(c);
 	atomic_fetch_add(&c->up->events, 1);
-	atomic_fetch_add(&c->up->data, len);
+	upstream_hold(c->up, len);
+	atomic_fetch_add(&c->waiting, len);
 	if (mbox_put(c->up->opts.events, ev) == ERR_OK)
 		return true;
 	upstream_event_free(ev);
--- a/packages/upstream/src/transfer.c
+++ b/packages/upstream/src/transfer.c
@@ -39,6 +39,7 @@
 		if (!p)
 			return false;
 		r->body = p;
+		upstream_hold(c->up, cap - c->body_cap);
 		c->body_cap = cap;
 	}
 	memcpy(r->body + r->body_len, data, len);
@@ -77,6 +78,10 @@
 		c->too_large = true;
 		return 0;
 	}
+	if (upstream_call_behind(c)) {
+		c->paused = true;
+		return CURL_WRITEFUNC_PAUSE;
+	}
 	return body_append(c, data, len) ? len : 0;
 }
 
@@ -152,9 +157,13 @@
 static int on_socket_made(void *ctx, curl_socket_t fd, curlsocktype purpose)
 {
 	const struct linger reset = {.l_onoff = 1, .l_linger = 0};
+	const struct upstream *up = ctx;
 	unsigned int ms = UPSTREAM_UNACKED_MS;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+	if (up->opts.send_buffer)
+		setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &up->opts.send_buffer,
+			   sizeof(up->opts.send_buffer));
 	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 	return CURL_SOCKOPT_OK;
 }
@@ -262,6 +271,7 @@
 	curl_easy_setopt(c->easy, CURLOPT_PREREQFUNCTION, on_request);
 	curl_easy_setopt(c->easy, CURLOPT_PREREQDATA, c);
 	curl_easy_setopt(c->easy, CURLOPT_SOCKOPTFUNCTION, on_socket_made);
+	curl_easy_setopt(c->easy, CURLOPT_SOCKOPTDATA, c->up);
 }
 
 bool call_setup(struct upstream_call *c)
--- a/packages/upstream/test/test_upstream.c
+++ b/packages/upstream/test/test_upstream.c
@@ -27,6 +27,9 @@
 	WAIT_MS = 20000,
 	TIMEOUT_MS = 300,
 	OWN_PORT = 7703,
+	HELD_MAX = 1048576,
+	STREAM_BUFFER = 65536,
+	PIECE_MAX = 16384, ///< of libcurl
 	/// An idle timeout and what a busy machine adds.
 	ENDLESS_MS = 10 * TIMEOUT_MS,
 };
@@ -407,6 +410,60 @@
 	ops->event_free(ev);
 }
 
+/* Answers that arrive faster than they are handled, and are held: reading stops. */
+static void test_bodies_held_are_bounded(void **state)
+{
+	struct upstream_opts opts = {
+		.max_calls = MAX_CALLS,
+		.max_held = HELD_MAX,
+		.stream_buffer = STREAM_BUFFER,
+	};
+	struct mbox *events = mbox_new(4 * MAX_CALLS);
+	struct upstream_event *evs[4 * MAX_CALLS];
+	struct upstream_event *ev;
+	struct upstream_call *call, *refused;
+	struct upstream_call_opts o;
+	struct upstream *bounded;
+	static char body[HELD_MAX];
+	size_t bytes = 0;
+	char url[64];
+	int n = 0;
+
+	opts.events = events;
+	assert_int_equal(ops->start(&opts, &bounded), ERR_OK);
+	url_of(url, sizeof(url), SERVER_PORT, "/endless/body");
+	o = options(url);
+	o.streamed = true;
+	o.fresh = true;
+	assert_int_equal(ops->call(bounded, &o, &call), ERR_OK);
+	for (int64_t end = clock_now_ms() + TIMEOUT_MS; clock_now_ms() < end;) {
+		ev = mbox_get(events);
+		if (!ev) {
+			usleep(1000);
+			continue;
+		}
+		assert_true(n < 4 * MAX_CALLS);
+		evs[n++] = ev;
+		bytes += ev->len;
+	}
+	assert_true(bytes > 0);
+	/* One piece more than the bound, at most. */
+	assert_true(bytes < STREAM_BUFFER + PIECE_MAX);
+	o.tag = 1;
+	o.method = "POST";
+	o.body = body;
+	o.body_len = sizeof(body);
+	assert_int_equal(ops->call(bounded, &o, &refused), ERR_FULL);
+	ops->cancel(bounded, call);
+	for (int i = 0; i < n; i++)
+		ops->event_free(evs[i]);
+	usleep(TIMEOUT_MS * 1000);
+	while ((ev = mbox_get(events)))
+		ops->event_free(ev);
+	ops->stop(bounded);
+	mbox_free(events);
+}
+
 static void test_bad_url(void **state)
 {
 	struct upstream_call_opts o = options("gopher://x/");
@@ -447,6 +504,7 @@
 		cmocka_unit_test(test_given_up_is_reset),
 		cmocka_unit_test(test_head),
 		cmocka_unit_test(test_head_of_a_cancelled_call),
+		cmocka_unit_test(test_bodies_held_are_bounded),
 		cmocka_unit_test(test_bad_url),
 	};
 
