--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -19,6 +19,10 @@
 	MS = 1000,
 };
 
+/// Order notices, reports of engine capacity and second attempts are on.
+static const char SOAK_SETTINGS[] =
+	"[engines]\nshare_from = 2\n[front]\nhedge_percent = 10\n";
+
 static struct soak soak;
 
 void soak_pause(int ms)
@@ -95,8 +99,12 @@
 
 	if (!hosted_start(&k->h) || !link_servers(k))
 		return false;
+	/* A second model: nodes share engines among models. */
+	hosted_put(&k->h, "op/version/n",
+		   json_pack("{s:s,s:i}", "model", "n", "version", 1));
 	nodes_init(&k->ns, &k->h, k->opts.nodes,
 		   k->opts.nodes - (leads > 2 ? leads : 2));
+	k->ns.settings = SOAK_SETTINGS;
 	return link_store(k) && nodes_run(&k->ns);
 }
 
