fix(job): no takeover from a node that took its liveness key again

Cause: a loss that the leader saw was matched by the process's run alone. Entry nodes let their key lapse when they run nothing and take it again under the same run; a leader whose watch had not told that yet, and which read the node's new owner key, took a living node's batch in its first round. Found by reading, after an item ran twice in one run of test_hosted; whether this was that run's cause is not known.

Change: the loss carries the store's revision up to which all changes were known. An owner key of a later revision needs two rounds, as before.

Tests: test_takeover (owner key after the loss). test_hosted_handover, test_hosted_takeover and test_hosted pass once each.

--- a/packages/daemon/include/daemon/site_mod.h
+++ b/packages/daemon/include/daemon/site_mod.h
@@ -79,6 +79,8 @@
 /// The going of a liveness key.
 struct site_loss {
 	int64_t at_ms; ///< clock_now_ms() time at which this node learned of it
+	uint64_t
+		rev; ///< revision of the store, with all changes up to it known
 	int64_t store_ms; ///< how long the store had answered this node by then
 };
 
--- a/packages/daemon/src/job/take.c
+++ b/packages/daemon/src/job/take.c
@@ -87,21 +87,26 @@
 	struct job_takeover in = {
 		.own = t->own,
 		.watched = site_mod_lost(c, l->owner.node, l->owner.run, &loss),
+		.owner_rev = l->rev,
+		.lost_rev = loss.rev,
 		.store_ms = loss.store_ms,
 		.suspected = s != NULL,
 		.settled = t->settled,
 	};
 	bool now = job_takeover_now(&in);
 
-	if (in.watched)
+	if (in.watched && l->rev <= loss.rev)
 		l->known_ms = loss.at_ms;
 	else if (s)
 		l->known_ms = s->known_ms;
 	log_event(EV_JOB_LOST,
-		  "batch=%s owner=%s run=%s own=%d watched=%d store_ms=%lld "
+		  "batch=%s owner=%s run=%s own=%d watched=%d owner_rev=%llu "
+		  "lost_rev=%llu store_ms=%lld "
 		  "suspected=%d settled=%d known_ms=%lld take=%d",
 		  l->id, l->owner.node, l->owner.run, in.own, in.watched,
-		  (long long)in.store_ms, in.suspected, in.settled,
+		  (unsigned long long)in.owner_rev,
+		  (unsigned long long)in.lost_rev, (long long)in.store_ms,
+		  in.suspected, in.settled,
 		  (long long)(core_now(c) - l->known_ms), now);
 	return now;
 }
--- a/packages/daemon/src/site/feed.c
+++ b/packages/daemon/src/site/feed.c
@@ -70,6 +70,7 @@
 		       const char *const *deleted, size_t n_deleted,
 		       uint64_t rev)
 {
+	f->taken_rev = rev;
 	for (size_t i = 0; i < n_items; i++)
 		feed_item(c, f, &items[i]);
 	/* The copy still holds the value that goes. */
--- a/packages/daemon/src/site/feed.h
+++ b/packages/daemon/src/site/feed.h
@@ -61,6 +61,7 @@
 	bool hurry; ///< the next watch is to confirm soon what is known
 	int64_t confirmed_ms; ///< what is known was true then, 0 for never
 	const char *source; ///< node or "store" that tells what is being taken
+	uint64_t taken_rev; ///< revision of the store that is being taken
 	int64_t source_as_of_ms; ///< time at which that was true
 	struct relay_copy copy; ///< with opts.keep
 };
--- a/packages/daemon/src/site/nodes.c
+++ b/packages/daemon/src/site/nodes.c
@@ -133,6 +133,7 @@
 	snprintf(g->node, sizeof(g->node), "%s", v.node);
 	snprintf(g->run, sizeof(g->run), "%s", v.run);
 	g->loss.at_ms = core_now(c);
+	g->loss.rev = s->nodes.taken_rev;
 	g->loss.store_ms = back ? core_now(c) - back : 0;
 	s->n_gone++;
 	log_event(EV_NODE_LOST, "lost=%s run=%s store_ms=%lld", v.node, v.run,
--- a/packages/job/include/job/takeover.h
+++ b/packages/job/include/job/takeover.h
@@ -20,6 +20,8 @@
 struct job_takeover {
 	bool own; ///< an earlier process of this node
 	bool watched; ///< its key went while this node watched the keys
+	uint64_t owner_rev; ///< of the owner key
+	uint64_t lost_rev; ///< with watched: of the store when the key was gone
 	int64_t store_ms; ///< with it: how long the store had answered by then
 	bool suspected; ///< it held none in the round before either
 	bool settled; ///< the store has answered long enough in this round
@@ -27,7 +29,8 @@
 
 /// Whether the batch may be taken in this round. A key that went during an outage
 /// of the store, or before this node watched, has to be missing in two rounds: its
-/// node may be alive and about to write it again.
+/// node may be alive and about to write it again. So may one that wrote the owner key
+/// after its liveness key went: it has a new one that this node does not know yet.
 bool job_takeover_now(const struct job_takeover *t);
 
 /// A node that may be a home.
--- a/packages/job/src/takeover.c
+++ b/packages/job/src/takeover.c
@@ -8,7 +8,8 @@
 {
 	if (t->own)
 		return true;
-	if (t->watched && t->store_ms >= JOB_STORE_SETTLE_MS)
+	if (t->watched && t->owner_rev <= t->lost_rev &&
+	    t->store_ms >= JOB_STORE_SETTLE_MS)
 		return true;
 	return t->settled && t->suspected;
 }
--- a/packages/job/test/test_takeover.c
+++ b/packages/job/test/test_takeover.c
@@ -78,6 +78,23 @@
 	assert_true(job_takeover_now(&t));
 }
 
+/* Guards against a takeover from a living node: nodes that are no homes let their key
+ * lapse when they run nothing, and take it again under the same run. */
+static void test_key_taken_again_is_no_loss(void **state)
+{
+	struct job_takeover t = {
+		.watched = true,
+		.owner_rev = 12,
+		.lost_rev = 11,
+		.store_ms = JOB_STORE_SETTLE_MS,
+		.settled = true,
+	};
+
+	assert_false(job_takeover_now(&t));
+	t.owner_rev = 11;
+	assert_true(job_takeover_now(&t));
+}
+
 static void test_own_earlier_process_is_gone(void **state)
 {
 	const struct job_takeover t = {.own = true};
@@ -123,6 +140,7 @@
 		cmocka_unit_test(test_later_silence_does_not_matter),
 		cmocka_unit_test(test_loss_in_an_outage_needs_two_rounds),
 		cmocka_unit_test(test_unseen_loss_needs_two_rounds),
+		cmocka_unit_test(test_key_taken_again_is_no_loss),
 		cmocka_unit_test(test_own_earlier_process_is_gone),
 		cmocka_unit_test_setup(test_lost_home_moves_its_teams_only,
 				       setup),
