--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -91,11 +91,18 @@
 	return false;
 }
 
+/* A switch, so that two events with one number don't compile: the second would be
+ * logged under the name of the first. */
 const char *log_event_name(enum log_event ev)
 {
-	const struct event_row *r = event_find(ev);
-
-	return r ? r->name : "unknown";
+	switch (ev) {
+#define EVENT(sym, num, level, name, doc) \
+	case sym:                         \
+		return name;
+#include "base/event.def"
+#undef EVENT
+	}
+	return "unknown";
 }
 
 static json_t *line_head(const struct event_row *r)
