--- a/packages/site/test/test_site.c
+++ b/packages/site/test/test_site.c
@@ -722,6 +722,7 @@
 		site_server_begin(site_servers_choose(t, i / 10, &ask), i / 10);
 	while ((s = site_servers_next(t, &iter)))
 		assert_in_range(s->running, 6, 10);
+	site_servers_free(t);
 }
 
 /* Whatever a server's entry says or does, what its answers said of its leaving holds
