fix(site): a rejected request gives its share of the slots back

Cause: three functions end a request at a server. Change: all three end it by site_server_drop(). The new test fails without.

--- a/packages/site/src/server.c
+++ b/packages/site/src/server.c
@@ -761,6 +761,7 @@
 {
 	if (s->running > 0)
 		s->running--;
+	s->sent--;
 	server_index_load(s);
 }
 
@@ -794,20 +795,17 @@
 {
 	int shift;
 
-	if (s->running > 0)
-		s->running--;
-	s->sent--;
 	if (ok) {
 		s->failures = 0;
 		s->rejections = 0;
 		s->avoid_until_ms = 0;
-		server_index_load(s);
-		return;
+	} else {
+		shift = s->failures < AVOID_DOUBLINGS ? s->failures
+						      : AVOID_DOUBLINGS;
+		s->avoid_until_ms = now + ((int64_t)AVOID_MS << shift);
+		s->failures++;
 	}
-	shift = s->failures < AVOID_DOUBLINGS ? s->failures : AVOID_DOUBLINGS;
-	s->avoid_until_ms = now + ((int64_t)AVOID_MS << shift);
-	s->failures++;
-	server_index_load(s);
+	site_server_drop(s);
 }
 
 void site_server_rejected(struct site_server *s, int64_t now, uint64_t expected)
@@ -822,11 +820,9 @@
 		site_server_end(s, now, false);
 		return;
 	}
-	if (s->running > 0)
-		s->running--;
 	if (s->avoid_until_ms < now + REJECTED_MS)
 		s->avoid_until_ms = now + REJECTED_MS;
-	server_index_load(s);
+	site_server_drop(s);
 }
 
 void site_server_paced(struct site_server *s, int64_t now, double ms)
--- a/packages/site/test/test_site.c
+++ b/packages/site/test/test_site.c
@@ -791,6 +791,31 @@
 	site_servers_free(t);
 }
 
+/* A rejected request leaves its share of the free slots: counted as sent, it would keep
+ * this node from the slots until the next report. */
+static void test_rejection_returns_its_share(void **state)
+{
+	struct site_servers *t = site_servers_new();
+	struct site_server_entry e = entry("s1", "d1");
+	struct site_ask ask = {.service = "svc",
+			       .domain = "d1",
+			       .only_free = true,
+			       .claims = {1, 1, 7}};
+	struct site_server *s;
+
+	e.slots = 4;
+	site_servers_put(t, 1, 0, &e);
+	for (int i = 0; i < 2; i++) {
+		s = site_servers_choose(t, 0, &ask);
+		assert_non_null(s);
+		site_server_begin(s, 0);
+	}
+	assert_null(site_servers_choose(t, 0, &ask));
+	site_server_rejected(s, 0, 0);
+	assert_non_null(site_servers_choose(t, 1000, &ask));
+	site_servers_free(t);
+}
+
 /* Long samples that share an engine's memory are put back: a server with a busy slot
  * less but a full memory must not get the next one. */
 static void test_memory(void **state)
@@ -840,6 +865,7 @@
 		cmocka_unit_test(test_cold_rate),
 		cmocka_unit_test(test_slow_third),
 		cmocka_unit_test(test_memory),
+		cmocka_unit_test(test_rejection_returns_its_share),
 		cmocka_unit_test(test_others),
 		cmocka_unit_test(test_claims),
 		cmocka_unit_test(test_only_free),
