refactor(site): the table, the choice, calls, load orders and speeds have a file each

Reports are read by the table's index of ids; room/names.[ch], which copied it, are gone. Behaviour as before.

--- a/bench/bench_room.c
+++ b/bench/bench_room.c
@@ -7,8 +7,8 @@
 #include "base/clock.h"
 #include "job/job_defs.h"
 #include "job/job_run.h"
-#include "room/names.h"
 #include "room/room_msg.h"
+#include "site/server.h"
 #include "support/bench.h"
 
 enum {
@@ -18,11 +18,10 @@
 };
 
 static struct site_servers *servers;
-static struct room_names names;
 
 static htab_handle server_of(void *ctx, const char *id, size_t len)
 {
-	return room_names_find(&names, servers, ENTRY_MS, id, len);
+	return site_servers_named(servers, id, len);
 }
 
 static void add(void *ctx, htab_handle server, int delta)
@@ -36,7 +35,6 @@
 static void servers_new(int n)
 {
 	servers = site_servers_new();
-	names = (struct room_names){0};
 	for (int i = 0; i < n; i++) {
 		struct site_server_entry e = {.slots = 8, .service = "engines"};
 
--- a/packages/daemon/src/room/room_mod.c
+++ b/packages/daemon/src/room/room_mod.c
@@ -14,7 +14,6 @@
 #include "daemon/mods.h"
 #include "daemon/room_mod.h"
 #include "daemon/site_mod.h"
-#include "room/names.h"
 #include "room/room_msg.h"
 
 enum {
@@ -29,7 +28,6 @@
 
 struct room_state {
 	struct room *room;
-	struct room_names names;
 	char services[ROOM_SERVICES][SITE_NAME]; ///< that have enough engines
 	int n_services; ///< 0: reports are off
 	int64_t look_ms; ///< next look
@@ -193,10 +191,7 @@
 
 static htab_handle server_of(void *ctx, const char *id, size_t len)
 {
-	struct core *c = ctx;
-
-	return room_names_find(&room_of(c)->names, site_mod_servers(c),
-			       core_now(c), id, len);
+	return site_servers_named(site_mod_servers(ctx), id, len);
 }
 
 static void on_report(struct core *c, void *ctx, const char *from,
--- a/packages/site/include/site/server.h
+++ b/packages/site/include/site/server.h
@@ -197,6 +197,12 @@
 struct site_server *site_servers_get(const struct site_servers *t,
 				     htab_handle h);
 
+/// Server of an id in a message, which no NUL ends.
+///
+/// @return its handle, 0 if it is not known
+htab_handle site_servers_named(const struct site_servers *t, const char *id,
+			       size_t len);
+
 /// Walk the servers.
 ///
 /// @param[in,out] iter  start with 0
--- /dev/null
+++ b/packages/site/src/load_order.c
@@ -0,0 +1,89 @@
+// Load orders that other nodes told of: what a server will have, and when.
+#include <stdio.h>
+#include <string.h>
+
+#include "server_table.h"
+
+enum {
+	LOADING_MS = 1000, ///< longest usual load, from its order
+	EXPECT_MS =
+		950, ///< from an accepted order until the load is likely over
+	/// An entry shows a load a heartbeat of 2 s later; after this time the
+	/// entry is right and the order is not.
+	EXPECT_LATE_MS = 4000,
+};
+
+/* Whether an order still says more than the server's entry. */
+static bool load_open(const struct site_server *s, int64_t now)
+{
+	const struct site_load *l = &s->load;
+
+	return l->version && now - l->sent_ms < EXPECT_LATE_MS &&
+	       site_server_version(s, l->model) < l->version;
+}
+
+enum err site_servers_ordered(struct site_servers *t, int64_t now,
+			      const struct site_order *o)
+{
+	struct site_server *s = site_servers_find(t, o->server);
+	struct site_load *l;
+	bool same;
+
+	if (!s || s->entry.started_ms != o->started_ms)
+		return ERR_NOT_FOUND;
+	l = &s->load;
+	same = l->version == o->version && strcmp(l->model, o->model) == 0;
+	if (o->state == SITE_ORDER_FAILED) {
+		if (same)
+			l->version = 0;
+		return ERR_OK;
+	}
+	if (load_open(s, now) && !same && o->sent_ms < l->sent_ms)
+		return ERR_OK;
+	*l = (struct site_load){
+		.version = o->version,
+		.sent_ms = o->sent_ms,
+		.accepted = o->state == SITE_ORDER_ACCEPTED,
+		.expect_ms = o->sent_ms + EXPECT_MS,
+	};
+	snprintf(l->model, sizeof(l->model), "%s", o->model);
+	server_index_ordered(s);
+	return ERR_OK;
+}
+
+bool site_server_loading(const struct site_server *s, int64_t now)
+{
+	return load_open(s, now) && now - s->load.sent_ms < LOADING_MS;
+}
+
+/* Version of a model that a server likely has by an order, 0 if none. */
+static uint64_t expected_version(const struct site_server *s, int64_t now,
+				 const char *model)
+{
+	const struct site_load *l = &s->load;
+
+	return load_open(s, now) && l->accepted && now >= l->expect_ms &&
+			       strcmp(l->model, model) == 0
+		       ? l->version
+		       : 0;
+}
+
+uint64_t site_server_expects(const struct site_server *s, int64_t now,
+			     const char *model, uint64_t min_version)
+{
+	uint64_t v = expected_version(s, now, model);
+	bool needed = site_server_loading(s, now) ||
+		      site_server_version(s, model) < min_version;
+
+	return needed && v >= min_version ? v : 0;
+}
+
+bool site_server_has(const struct site_server *s, int64_t now,
+		     const char *model, uint64_t min_version)
+{
+	uint64_t v = site_server_version(s, model);
+
+	if (v && v >= min_version && !site_server_loading(s, now))
+		return true;
+	return site_server_expects(s, now, model, min_version) > 0;
+}
--- a/packages/site/src/server_table.h
+++ b/packages/site/src/server_table.h
@@ -9,6 +9,7 @@
 enum {
 	DOMAINS_OUT = 64, ///< failure domains out at once
 	GONE = 256, ///< servers remembered whose entry went
+	SITE_SMALL = 64, ///< services up to here are compared as a whole
 };
 
 /// A start of a server whose entry went, while something of it was left to know.
@@ -31,3 +32,14 @@
 	uint32_t n_gone; ///< so far
 	struct site_domains domains;
 };
+
+/// Draw among candidates. Nodes must not draw the same servers: their clocks differ.
+static inline uint64_t site_servers_draw(struct site_servers *t, int64_t now)
+{
+	t->rng.state += (uint64_t)now;
+	return rng_next(&t->rng);
+}
+
+/// @return server of an id, NULL if it is not known
+struct site_server *site_servers_find(const struct site_servers *t,
+				      const char *id);
