--- a/packages/rollplan/test/test_rollplan_need.c
+++ b/packages/rollplan/test/test_rollplan_need.c
@@ -278,21 +278,27 @@
 		rollplan_need(&d->plan, name_of(m), &need);
 }
 
+/* All servers have version 8, samples wait, and m0 names version 9 at 4,000 ms: half of
+ * its 16 servers load once the step's first samples are at servers. */
+static void begin_reserve(struct day *d)
+{
+	put_all(d, 8);
+	tell(d, 50, 0);
+	assert_int_equal(count_orders(d, 0, ROLLPLAN_NONE), 0);
+	rollplan_target(&d->plan, "m0", 9);
+	tell(d, 50, 4000);
+	assert_int_equal(count_orders(d, 4000, ROLLPLAN_NONE), 0);
+	tell(d, 50, 4150);
+	assert_int_equal(count_orders(d, 4150, ROLLPLAN_RESERVE), 8);
+}
+
 /* Guards against a naming that leaves no usable server: all have one version, and
  * samples wait up to the next naming. */
 static void test_same_version_everywhere(void **state)
 {
 	struct day d;
 
-	put_all(&d, 8);
-	tell(&d, 50, 0);
-	assert_int_equal(count_orders(&d, 0, ROLLPLAN_NONE), 0);
-	rollplan_target(&d.plan, "m0", 9);
-	tell(&d, 50, 4000);
-	assert_int_equal(count_orders(&d, 4000, ROLLPLAN_NONE), 0);
-	/* Half of the 16, once the step's first samples are at servers. */
-	tell(&d, 50, 4150);
-	assert_int_equal(count_orders(&d, 4150, ROLLPLAN_RESERVE), 8);
+	begin_reserve(&d);
 	tell(&d, 50, 5200);
 	assert_int_equal(count_orders(&d, 5200, ROLLPLAN_NONE), 0);
 	tell(&d, 50, 8000);
@@ -307,14 +313,7 @@
 	struct rollplan_count n;
 	struct day d;
 
-	put_all(&d, 8);
-	tell(&d, 50, 0);
-	assert_int_equal(count_orders(&d, 0, ROLLPLAN_NONE), 0);
-	rollplan_target(&d.plan, "m0", 9);
-	tell(&d, 50, 4000);
-	assert_int_equal(count_orders(&d, 4000, ROLLPLAN_NONE), 0);
-	tell(&d, 50, 4150);
-	assert_int_equal(count_orders(&d, 4150, ROLLPLAN_RESERVE), 8);
+	begin_reserve(&d);
 	rollplan_target(&d.plan, "m0", 10);
 	tell(&d, 50, 4700);
 	/* The others are stale now; one more load fits in. */
