feat(site): a server's limit is read and logged

Cause: no table of the adapter had a field for it. Change: the adapter decodes the header (positive finite numbers only), each node keeps the latest value of a server, and logs a change (server-limit) with a counter. Nothing is decided by it yet.

--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -432,6 +432,23 @@
 		site_fresh_from_bound(settings_int(set, S_SERVERS_LEAVE));
 }
 
+/* Only an answer to a request that ran shows that a server names no limit any more. */
+static void observe_limit(struct core *c, uint32_t tag,
+			  const struct front_response *v)
+{
+	struct site_server *s = site_servers_get(site_mod_servers(c), tag);
+
+	if (!s || v->other_server ||
+	    (!v->limit_per_s && (!v->id || v->not_run)))
+		return;
+	if (!site_limit_observe(&s->limit, v->limit_per_s, core_now(c)))
+		return;
+	metric_add(M_SERVERS_LIMITED, 1);
+	log_event(EV_SITE_SERVER_LIMIT,
+		  "id=%s service=%s per_s=%.3f from=answer", s->entry.id,
+		  s->entry.service, s->limit.per_s);
+}
+
 static void on_server_head(struct core *c, uint32_t tag, int status,
 			   const struct upstream_head *head)
 {
@@ -439,6 +456,7 @@
 	const char *id;
 
 	core_wire(c)->front->verdict(status, head, &v);
+	observe_limit(c, tag, &v);
 	id = v.leaving ? site_servers_mark_leaving(site_mod_servers(c), tag)
 		       : NULL;
 	if (!id)
--- a/packages/site/include/site/server.h
+++ b/packages/site/include/site/server.h
@@ -10,6 +10,7 @@
 #include "base/htab.h"
 #include "site/conf.h"
 #include "site/health.h"
+#include "site/limit.h"
 
 enum {
 	SITE_SERVERS_MAX = 4096, ///< table capacity
@@ -105,6 +106,7 @@
 	int64_t pace_updated_ms;
 	/// Mean time between events of recent runs, 0 if unknown.
 	double run_pace_ms;
+	struct site_limit limit; ///< of requests/s, that it named itself
 	double cold_credit; ///< token bucket: requests allowed while it is cold
 	int64_t cold_credit_ms; ///< time of cold_credit
 };
--- a/packages/wire/include/wire/front.h
+++ b/packages/wire/include/wire/front.h
@@ -51,6 +51,8 @@
 	bool not_run; ///< the request definitely did not run
 	bool other_server; ///< the address now belongs to another server
 	bool leaving; ///< the server accepts no new requests from now on
+	/// requests/s that the server takes from all nodes together, 0 if not given
+	double limit_per_s;
 };
 
 struct front_wire_ops {
