--- a/test/hosted/hosted.h
+++ b/test/hosted/hosted.h
@@ -54,6 +54,7 @@
 	bool leaving;
 	int64_t leaving_at_ms; ///< as recorded by the store; 0: no
 	bool sends_leaving; ///< Server-Leaving in its responses
+	const char *limit; ///< Server-Limit in its responses; NULL: none
 	int n_restarts; ///< changes the entry's `born`
 	int booking_ms; ///< duration of a booking
 	bool fails_half; ///< every second booking fails
--- a/test/hosted/server.c
+++ b/test/hosted/server.c
@@ -175,6 +175,8 @@
 	MHD_add_response_header(res, "Content-Type", "text/event-stream");
 	MHD_add_response_header(res, "X-Catkinpath-Request-Id", id);
 	MHD_add_response_header(res, "X-Catkinpath-Weight-Versions", version);
+	if (s->limit)
+		MHD_add_response_header(res, "Server-Limit", s->limit);
 	ok = MHD_queue_response(conn, 200, res);
 	MHD_destroy_response(res);
 	return ok;
@@ -248,8 +250,10 @@
 				       "X-Own",
 				       "kept",
 				       s->sends_leaving ? "Server-Leaving"
-							: NULL,
+							: "X-None",
 				       "1",
+				       s->limit ? "Server-Limit" : NULL,
+				       s->limit,
 				       NULL};
 	bool fails;
 	int ms;
--- /dev/null
+++ b/test/hosted/test_hosted_limit.c
@@ -0,0 +1,183 @@
+// Servers that name a limit get no more requests a second than that from all nodes
+// together, and callers are told at once when to come back.
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <curl/curl.h>
+
+#include "base/clock.h"
+#include "batches.h"
+
+enum {
+	LIMIT_PER_S = 2, ///< that each server names
+	WINDOW_MS = 4000,
+	/// In a window: one and a half times the limit, and 5 (the users' rule).
+	WINDOW_RUNS_MAX = 3 * LIMIT_PER_S * WINDOW_MS / 2000 + 5,
+	/// Until each node has passed on an answer that names the limit.
+	LEARN_MS = 1500,
+	LOAD_MS = 10000,
+	/// Of what both servers take; the rest covers the start and the end.
+	SERVED_MIN_PERCENT = 80,
+	REFUSED_IN_MS = 700, ///< a node holds a request this long at most
+	POLL_US = 10000,
+	EVENT_MS = 15,
+	BATCHES = 5, ///< more items than the engines take in two windows
+	BATCH_MS = 30000,
+};
+
+static struct hosted h;
+static struct nodes ns;
+static CURL *callers[NODES_ENTRY];
+
+static int setup(void **state)
+{
+	if (!hosted_start(&h))
+		return -1;
+	h.event_ms = EVENT_MS;
+	for (int i = 0; i < NODES_ENTRY; i++)
+		callers[i] = curl_easy_init();
+	return nodes_start_default(&ns, &h) ? 0 : -1;
+}
+
+static int teardown(void **state)
+{
+	for (int i = 0; i < NODES_ENTRY; i++)
+		curl_easy_cleanup(callers[i]);
+	nodes_stop(&ns);
+	hosted_stop(&h);
+	return 0;
+}
+
+static void set_limit(int first, int n, const char *limit)
+{
+	pthread_mutex_lock(&h.lock);
+	for (int i = first; i < first + n; i++)
+		h.servers[i].limit = limit;
+	pthread_mutex_unlock(&h.lock);
+}
+
+/* Most runs that began at one server within a window, from a time on. */
+static int max_runs_in_window(int64_t since)
+{
+	int max = 0;
+
+	pthread_mutex_lock(&h.lock);
+	for (int a = 0; a < h.n_runs; a++) {
+		int n = 0;
+
+		for (int b = a; b < h.n_runs; b++)
+			n += h.runs[b].server == h.runs[a].server &&
+			     h.runs[b].start_ms >= h.runs[a].start_ms &&
+			     h.runs[b].start_ms - h.runs[a].start_ms <
+				     WINDOW_MS;
+		if (h.runs[a].start_ms >= since && n > max)
+			max = n;
+	}
+	pthread_mutex_unlock(&h.lock);
+	return max;
+}
+
+struct load {
+	int served;
+	int refused;
+	int without_time; ///< refused and not told when to come back
+	int64_t longest_ms; ///< that a refused request was held
+};
+
+static void book(struct load *l, int node)
+{
+	static int n;
+	struct response a;
+	int64_t start_ms = clock_now_ms();
+	char id[32];
+
+	snprintf(id, sizeof(id), "b%d", n++);
+	node_call_with(callers[node], &ns, node, "POST", "/book/a", "k1", id,
+		       "x", &a);
+	if (a.status == 200) {
+		l->served++;
+	} else {
+		int64_t ms = clock_now_ms() - start_ms;
+
+		assert_int_equal(a.status, 503);
+		l->refused++;
+		l->without_time += atof(a.retry_after) <= 0;
+		l->longest_ms = ms > l->longest_ms ? ms : l->longest_ms;
+	}
+	response_free(&a);
+}
+
+static struct load book_for(int ms)
+{
+	int64_t end = clock_now_ms() + ms;
+	struct load l = {0};
+
+	for (int i = 0; clock_now_ms() < end; i++) {
+		book(&l, i % NODES_ENTRY);
+		usleep(POLL_US);
+	}
+	return l;
+}
+
+static void test_limited_servers_overloaded_by_many_nodes(void **state)
+{
+	int64_t start_ms;
+	struct load l;
+
+	book_for(LEARN_MS);
+	set_limit(HOSTED_ENGINES, HOSTED_BOOKING_SERVERS, "2");
+	book_for(LEARN_MS);
+	start_ms = clock_now_ms();
+	l = book_for(LOAD_MS);
+	print_message("served %d, refused %d\n", l.served, l.refused);
+	assert_in_range(max_runs_in_window(start_ms), 1, WINDOW_RUNS_MAX);
+	assert_in_range(l.served,
+			HOSTED_BOOKING_SERVERS * LIMIT_PER_S * LOAD_MS / 1000 *
+				SERVED_MIN_PERCENT / 100,
+			LOAD_MS);
+	assert_true(l.refused > 0);
+	assert_int_equal(l.without_time, 0);
+	assert_in_range(l.longest_ms, 0, REFUSED_IN_MS);
+	/* An answer without a limit ends it, for all nodes. */
+	set_limit(HOSTED_ENGINES, HOSTED_BOOKING_SERVERS, NULL);
+	book_for(2 * WINDOW_MS);
+	l = book_for(LEARN_MS);
+	assert_int_equal(l.refused, 0);
+}
+
+/* Engines with a limit: batches take longer and become whole. */
+static void test_limited_engines_overloaded_by_batches(void **state)
+{
+	int64_t start_ms;
+	char id[BATCHES][16];
+
+	set_limit(0, HOSTED_ENGINES, "2");
+	batch_submit(&ns, "warm", 0, 1);
+	json_decref(batch_read_all(&ns, "warm", clock_now_ms() + BATCH_MS));
+	start_ms = clock_now_ms();
+	for (int i = 0; i < BATCHES; i++) {
+		snprintf(id[i], sizeof(id[i]), "lim%d", i);
+		batch_submit(&ns, id[i], i % NODES_ENTRY, 1);
+	}
+	for (int i = 0; i < BATCHES; i++)
+		json_decref(batch_read_all(&ns, id[i], start_ms + BATCH_MS));
+	assert_in_range(max_runs_in_window(start_ms), 1, WINDOW_RUNS_MAX);
+	set_limit(0, HOSTED_ENGINES, NULL);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_limited_servers_overloaded_by_many_nodes),
+		cmocka_unit_test(test_limited_engines_overloaded_by_batches),
+	};
+
+	return cmocka_run_group_tests(tests, setup, teardown);
+}
