--- a/packages/daemon/src/site/limits.c
+++ b/packages/daemon/src/site/limits.c
@@ -112,8 +112,8 @@
 	struct site *s = site_of(c);
 	const struct limit_homes *now = &s->homes_now;
 	const struct limit_homes *before = &s->homes_before;
-	int rank = site_limit_rank(srv->entry.id, now->list, now->n,
-				   core_node(c));
+	int rank =
+		site_limit_rank(srv->entry.id, now->list, now->n, core_node(c));
 	bool settled =
 		core_now(c) - s->homes_changed_ms >= SITE_LIMIT_SETTLE_MS ||
 		site_limit_rank(srv->entry.id, before->list, before->n,
@@ -144,8 +144,8 @@
 
 			if (core_now(c) >= home->avoid_until_ms &&
 			    site_limit_rank(srv->entry.id, s->homes_now.list,
-					    s->homes_now.n, home->node) ==
-				    srv->limit.rank)
+					    s->homes_now.n,
+					    home->node) == srv->limit.rank)
 				return home;
 		}
 	}
@@ -307,7 +307,6 @@
 	enum err e = ERR_OK;
 
 	for (int i = 0; i < 3 && e == ERR_OK; i++)
-		e = core_peer_on(c, types[i], on_message,
-				 (void *)&handlers[i]);
+		e = core_peer_on(c, types[i], on_message, (void *)&handlers[i]);
 	return e;
 }
--- a/packages/site/src/server_limit.c
+++ b/packages/site/src/server_limit.c
@@ -27,8 +27,7 @@
 struct site_server *site_servers_next_limited(struct site_servers *t, int *iter)
 {
 	while (*iter < t->n_limited) {
-		struct site_server *s =
-			site_servers_get(t, t->limited[*iter]);
+		struct site_server *s = site_servers_get(t, t->limited[*iter]);
 
 		if (s) {
 			(*iter)++;
@@ -49,7 +48,8 @@
 	} else if (site_limit_pending(l, now)) {
 		out->pending++;
 	} else if (l->refused_until_ms > now &&
-		   (!out->refused_ms || l->refused_until_ms < out->refused_ms)) {
+		   (!out->refused_ms ||
+		    l->refused_until_ms < out->refused_ms)) {
 		out->refused_ms = l->refused_until_ms;
 	}
 }
