feat(front): lines of failed attempts show which requests are the same

Operators saw returns of a request as unrelated lines, each with an id of its own. Cause: no field is the same for a request and its returns. Change: a hash of method, host, path, query, team and body (no key) is in request-retried and request-refused. Nothing is decided by it.

--- a/packages/daemon/src/front/forward.c
+++ b/packages/daemon/src/front/forward.c
@@ -215,6 +215,22 @@
 		f->deadline_ms = req->arrived_ms + route->timeout_ms;
 }
 
+static struct suspect_id identity_of(const struct core_req *req,
+				     const char *host, const char *team)
+{
+	const struct suspect_parts parts = {
+		.method = req->method,
+		.host = host,
+		.path = req->path,
+		.query = req->query,
+		.team = team,
+		.body = req->body,
+		.body_len = req->body_len,
+	};
+
+	return suspect_identify(&parts);
+}
+
 void forward_begin(struct core *c, struct core_req *req,
 		   const struct site_route *route,
 		   const struct front_fields *fields, const char *team)
@@ -230,6 +246,7 @@
 	}
 	f->self = h;
 	f->req = req->h;
+	f->identity = identity_of(req, fields->host, team);
 	f->kind = route->kind;
 	f->arrived_ms = req->arrived_ms;
 	f->max_servers = max_servers(route);
--- a/packages/daemon/src/front/forward_end.c
+++ b/packages/daemon/src/front/forward_end.c
@@ -75,12 +75,13 @@
 	log_event(EV_FRONT_REFUSED,
 		  "request=%s route=%s service=%s team=%s error=%s run=%s "
 		  "servers=%d server=%s servers_age_ms=%lld left_ms=%lld "
-		  "retry_after_ms=%lld",
+		  "retry_after_ms=%lld identity=%016llx",
 		  f->id, f->route, f->service, f->team, err_code(e),
 		  run_state_name(run), f->n_tried, t->server_id,
 		  (long long)t->servers_age_ms,
 		  (long long)(f->deadline_ms - core_now(c)),
-		  (long long)(retryable ? retry_after_ms : 0));
+		  (long long)(retryable ? retry_after_ms : 0),
+		  (unsigned long long)f->identity.high);
 	core_reply_err(c, f->req, e, run, retryable ? retry_after_ms : 0, NULL);
 	forward_free(c, f);
 }
@@ -185,10 +186,11 @@
 {
 	log_event(EV_FRONT_RETRY,
 		  "request=%s route=%s server=%s servers_age_ms=%lld error=%s "
-		  "http=%d sent=%d ms=%lld",
+		  "http=%d sent=%d ms=%lld identity=%016llx",
 		  f->id, f->route, t->server_id, (long long)t->servers_age_ms,
 		  err_code(res->err), res->status, res->sent,
-		  (long long)(core_now(c) - t->sent_ms));
+		  (long long)(core_now(c) - t->sent_ms),
+		  (unsigned long long)f->identity.high);
 }
 
 /* Whether the answer is passed to the caller now. If its server failed and the
--- a/packages/daemon/src/front/front.h
+++ b/packages/daemon/src/front/front.h
@@ -6,6 +6,7 @@
 #include "core/core.h"
 #include "daemon/site_mod.h"
 #include "job/response_times.h"
+#include "suspect/identity.h"
 #include "wire/wire.h"
 
 enum {
@@ -32,6 +33,7 @@
 	htab_handle self;
 	htab_handle req;
 	char id[FRONT_ID_BYTES];
+	struct suspect_id identity; ///< the same when the caller sends it again
 	char team[SITE_NAME_SIZE];
 	char service[SITE_NAME_SIZE];
 	char route[SITE_NAME_SIZE];
