--- a/test/hosted/hosted.h
+++ b/test/hosted/hosted.h
@@ -17,6 +17,7 @@
 	HOSTED_SERVERS = HOSTED_ENGINES + HOSTED_BOOKING_SERVERS,
 	HOSTED_STORE_PORT = 7900,
 	HOSTED_SERVER_PORT = 7910, ///< of server 0
+	HOSTED_RESTART_MS = 700,
 	HOSTED_ENGINE_SLOTS = 6, ///< concurrent runs of an engine
 	HOSTED_RUNS_MAX = 131072, ///< capacity of the run log
 };
@@ -59,6 +60,9 @@
 	int booking_ms; ///< duration of a booking
 	bool fails_half; ///< every second booking fails
 	int n_bookings;
+	/// Bookings with the body "end" end it: the connection breaks, and it starts
+	/// anew under another id after HOSTED_RESTART_MS.
+	int64_t down_until_ms; ///< connections are closed until then, 0: it is up
 	bool unresponsive; ///< accepts connections and sends no response
 	bool comments_only; ///< engines: endless streams without events
 	int running;
@@ -153,6 +157,9 @@
 /// Delay the responses to the watches on a prefix that are waiting now.
 void hosted_delay_watches(struct hosted *h, const char *prefix, int ms);
 
+/// Publish the servers that are back after a request ended them.
+void hosted_revive(struct hosted *h);
+
 /// Longest time in ms from a server's leaving to the start of a run on it, among
 /// the runs started since a time; 0 if there is none.
 int64_t hosted_max_since_leaving_ms(struct hosted *h, int64_t since_ms);
--- a/test/hosted/server.c
+++ b/test/hosted/server.c
@@ -239,6 +239,39 @@
 	return send_stream(s, conn, id, run);
 }
 
+/* A request ends the server: it is gone from the store, and back under a new id. */
+static void end_server(struct hosted_server *s)
+{
+	hosted_withdraw(s->h, s);
+	pthread_mutex_lock(&s->h->lock);
+	s->n_restarts++;
+	snprintf(s->id, sizeof(s->id), "i-%d-%d", s->index, s->n_restarts);
+	s->down_until_ms = clock_now_ms() + HOSTED_RESTART_MS;
+	pthread_mutex_unlock(&s->h->lock);
+}
+
+/* Whether the server is down; the first call after that publishes it again. */
+static bool is_down(struct hosted_server *s)
+{
+	bool down, back;
+
+	pthread_mutex_lock(&s->h->lock);
+	down = clock_now_ms() < s->down_until_ms;
+	back = !down && s->down_until_ms;
+	if (back)
+		s->down_until_ms = 0;
+	pthread_mutex_unlock(&s->h->lock);
+	if (back)
+		hosted_publish(s->h, s);
+	return down;
+}
+
+void hosted_revive(struct hosted *h)
+{
+	for (int i = 0; i < HOSTED_SERVERS; i++)
+		is_down(&h->servers[i]);
+}
+
 static enum MHD_Result run_booking(struct hosted_server *s,
 				   struct MHD_Connection *conn, const char *id,
 				   const struct body *b)
@@ -264,6 +297,10 @@
 	fails = s->fails_half && s->n_bookings++ % 2;
 	pthread_mutex_unlock(&s->h->lock);
 	sleep_ms(ms);
+	if (b->data && strcmp(b->data, "end") == 0) {
+		end_server(s);
+		return MHD_NO;
+	}
 	if (fails)
 		return body_respond(conn, 500, "", headers);
 	return body_respond(conn, 200, b->data ? b->data : "", headers);
@@ -433,6 +470,8 @@
 			sleep_ms(20);
 		return MHD_NO;
 	}
+	if (is_down(s))
+		return MHD_NO;
 	if (*expect && strcmp(expect, s->id) != 0)
 		return body_respond(conn, 421, "", NULL);
 	if (strcmp(url, "/catkinpath/order") == 0)
