test(daemon): messages about limits, also damaged

Cause: the messages of the permits had no test of their own. Change: round trip, and the copies with changed bytes that the other messages get.

--- a/packages/daemon/test/test_peer_msgs.c
+++ b/packages/daemon/test/test_peer_msgs.c
@@ -16,6 +16,7 @@
 #include "order/notice_msg.h"
 #include "proxy_msg.h"
 #include "room/room_msg.h"
+#include "site/limit_msg.h"
 #include "site/relay_msg.h"
 #include "support/mutate.h"
 
@@ -482,6 +483,46 @@
 	read_damaged_copies(read_relay_news);
 }
 
+static void read_limits(const void *data, size_t len)
+{
+	struct limit_msg_entry list[LIMIT_MSG_ENTRIES_MAX];
+	size_t n;
+
+	if (limit_msg_read(data, len, &msg_arena, list, &n) != ERR_OK)
+		return;
+	assert_true(n <= LIMIT_MSG_ENTRIES_MAX);
+	for (size_t i = 0; i < n; i++) {
+		read_every_byte(list[i].server, NULL, 0);
+		assert_true(list[i].per_s >= 0 && list[i].wait_ms >= 0);
+		assert_true(list[i].age_ms >= 0);
+	}
+}
+
+static void test_limits_round_trip_and_survive_damage(void **state)
+{
+	const struct limit_msg_entry in[] = {
+		{"i-1", 7, 2.5, 100, 3, 20.5, 421},
+		{"i-2", 8, 0, 0, 0, 0, 0},
+		{"i-3", 9, 0.0001, 0, 0, 0, 0},
+	};
+	struct limit_msg_entry out[LIMIT_MSG_ENTRIES_MAX];
+	size_t n;
+
+	limit_msg_pack(&buf, in, 3);
+	assert_int_equal(
+		limit_msg_read(buf.data, buf.size, &msg_arena, out, &n),
+		ERR_OK);
+	assert_int_equal(n, 3);
+	assert_string_equal(out[0].server, "i-1");
+	assert_int_equal(out[0].started_ms, 7);
+	assert_true(out[0].per_s == 2.5 && out[0].wait_ms == 20.5);
+	assert_true(out[0].count == 3 && out[0].interval_ms == 421);
+	assert_true(out[1].per_s == 0);
+	/* The smallest limit is still one. */
+	assert_true(out[2].per_s > 0);
+	read_damaged_copies(read_limits);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -514,6 +555,9 @@
 			teardown),
 		cmocka_unit_test_setup_teardown(
 			test_overlong_room_report_rejected, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_limits_round_trip_and_survive_damage, setup,
+			teardown),
 		cmocka_unit_test_setup_teardown(
 			test_relay_news_round_trips_and_survives_damage, setup,
 			teardown),
