fix(front): a request under which servers end one after the other is sent to none

Cause: what a request may cost was counted for each client attempt; a return has another id and comes to another machine. Class: a bound that holds for a part is taken for a bound of the whole. Change: a request is known by a hash of method, host, path, query, team and body. A connection that breaks off under it counts against it at that start of the server; three servers and no answer bar it. It is cleared by an answer from any server, and a server that answers a request sent later did not end. Nodes tell the homes, homes that bar or clear a request tell all nodes and repeat it in reply to hellos. A barred request gets 400 at once, with a line that names the evidence; catkinctl suspects lists and clears. After two servers it is not sent to a third within one request. Why it works: the count belongs to what returns, not to one coming, and is known to every node.

--- a/packages/core/include/core/core.h
+++ b/packages/core/include/core/core.h
@@ -193,6 +193,10 @@
 enum err core_peer_send(struct core *c, const char *node,
 			enum core_peer_msg type, const void *buf, size_t len);
 
+/// Send a message to all peers, as by core_peer_send().
+void core_peer_broadcast(struct core *c, enum core_peer_msg type,
+			 const void *buf, size_t len);
+
 /// Register the handler of a message type.
 ///
 /// @param fn  handler; from is the sender's node id, buf is valid only in the call
--- a/packages/core/include/core/core_defs.h
+++ b/packages/core/include/core/core_defs.h
@@ -110,6 +110,7 @@
 	MOD_ORDER,
 	MOD_SIZING,
 	MOD_ROOM,
+	MOD_SUSPECT,
 	MOD_FRONT,
 	MOD_COUNT
 };
--- a/packages/core/src/peers.c
+++ b/packages/core/src/peers.c
@@ -80,6 +80,16 @@
 	return c->opts.peer->send(c->peer, node, (uint32_t)type, buf, len);
 }
 
+void core_peer_broadcast(struct core *c, enum core_peer_msg type,
+			 const void *buf, size_t len)
+{
+	for (size_t i = 0; i < c->n_peers; i++) {
+		if (c->opts.peer->send(c->peer, c->peers[i].node,
+				       (uint32_t)type, buf, len) != ERR_OK)
+			metric_add(M_PEER_DROPPED, 1);
+	}
+}
+
 enum err core_peer_on(struct core *c, enum core_peer_msg type,
 		      void (*fn)(struct core *c, void *ctx, const char *from,
 				 const void *buf, size_t len),
--- a/packages/daemon/include/daemon/mods.h
+++ b/packages/daemon/include/daemon/mods.h
@@ -19,6 +19,7 @@
 extern const struct core_mod_ops order_mod_ops;
 extern const struct core_mod_ops sizing_mod_ops;
 extern const struct core_mod_ops room_mod_ops;
+extern const struct core_mod_ops suspect_mod_ops;
 extern const struct core_mod_ops front_mod_ops;
 
 /// Modules of a system that coordinates only through the platform's store; an adapter
--- a/packages/daemon/src/front/forward.c
+++ b/packages/daemon/src/front/forward.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/histogram.h"
 #include "base/metric.h"
+#include "daemon/suspect_mod.h"
 #include "daemon/tally_mod.h"
 #include "front/front.h"
 
@@ -88,6 +89,7 @@
 	*t = (struct forward_attempt){
 		.server = s->self,
 		.servers_age_ms = site_mod_servers_age_ms(c),
+		.started_ms = s->entry.started_ms,
 		.sent_ms = core_now(c),
 		.sent_wall_ms = clock_wall_ms(),
 		.hedge = forward_running(f) > 0,
@@ -155,6 +157,10 @@
 	struct site_server *s;
 	enum err e;
 
+	if (suspect_mod_barred(c, f->identity)) {
+		forward_fail(c, f, ERR_SUSPECT_BARRED);
+		return;
+	}
 	/* Outdated: wait until it is confirmed or the store is found unreachable. */
 	if (!site_mod_may_start_work(c)) {
 		f->next_choice_ms = core_now(c) + FORWARD_CHOOSE_INTERVAL_MS;
--- a/packages/daemon/src/front/forward_end.c
+++ b/packages/daemon/src/front/forward_end.c
@@ -4,6 +4,7 @@
 #include "base/histogram.h"
 #include "base/log.h"
 #include "base/metric.h"
+#include "daemon/suspect_mod.h"
 #include "daemon/tally_mod.h"
 #include "front/front.h"
 
@@ -66,12 +67,15 @@
 						       : FORWARD_RETRY_AFTER_MS;
 	bool retryable;
 
-	/* Status 503 promises that the request was not run: it is used exactly then. */
-	if (f->maybe_ran && err_http(e) == 503)
+	/* Status 503 promises that the request was not run: it is used exactly then, but
+	 * for a request that shall not come again. */
+	if (e == ERR_SUSPECT_BARRED)
+		run = f->maybe_ran ? RUN_MAYBE : RUN_NO;
+	else if (f->maybe_ran && err_http(e) == 503)
 		e = ERR_WORK_BROKEN;
 	else if (!f->maybe_ran && err_http(e) != 503)
 		e = ERR_ROUTE_NO_SERVER;
-	retryable = !f->maybe_ran;
+	retryable = !f->maybe_ran && e != ERR_SUSPECT_BARRED;
 	log_event(EV_FRONT_REFUSED,
 		  "request=%s route=%s service=%s team=%s error=%s run=%s "
 		  "servers=%d server=%s servers_age_ms=%lld left_ms=%lld "
@@ -173,9 +177,23 @@
 	return end;
 }
 
+/* What the end of an attempt says of the request and of its server. */
+static void record_evidence(struct core *c, const struct forward *f,
+			    const struct forward_attempt *t,
+			    const struct end_class *end,
+			    const struct core_fetch_result *res)
+{
+	if (end->has_answer)
+		suspect_mod_answered(c, f->identity, t->server_id,
+				     t->started_ms, t->sent_ms);
+	else if (res->err == ERR_UP_BROKEN && res->sent)
+		suspect_mod_ended(c, f->identity, t->server_id, t->started_ms);
+}
+
 static bool may_retry(struct core *c, const struct forward *f)
 {
 	return f->n_tried < f->max_servers &&
+	       suspect_mod_may_retry(c, f->identity) &&
 	       (!f->maybe_ran || f->kind == SITE_IDEMPOTENT) &&
 	       core_now(c) < f->deadline_ms;
 }
@@ -219,6 +237,7 @@
 	forward_hedge_outcome(c, f, t, end.outcome);
 	release_slot(c, t, end.server_ok);
 	f->maybe_ran |= end.may_have_run;
+	record_evidence(c, f, t, &end, res);
 	if (end.begun)
 		tally_mod_count_request(c, f->team, t->sent_wall_ms);
 	if (end.outcome == SITE_CALL_GOOD)
--- a/packages/daemon/src/front/front.h
+++ b/packages/daemon/src/front/front.h
@@ -20,6 +20,7 @@
 	htab_handle fetch; ///< HTTP call in flight, 0 if none
 	htab_handle server;
 	char server_id[SITE_NAME_SIZE]; ///< "" before the first attempt
+	int64_t started_ms; ///< incarnation of the server
 	int64_t servers_age_ms; ///< age of the server list at its choice
 	int64_t sent_ms;
 	int64_t sent_wall_ms;
--- a/packages/daemon/src/mods.c
+++ b/packages/daemon/src/mods.c
@@ -13,5 +13,5 @@
 	[MOD_LEAD] = &lead_mod_ops,	    [MOD_TALLY] = &tally_mod_ops,
 	[MOD_JOB] = &job_mod_ops,	    [MOD_ORDER] = &order_mod_ops,
 	[MOD_SIZING] = &sizing_mod_ops,	    [MOD_ROOM] = &room_mod_ops,
-	[MOD_FRONT] = &front_mod_ops,
+	[MOD_SUSPECT] = &suspect_mod_ops,   [MOD_FRONT] = &front_mod_ops,
 };
--- a/packages/daemon/src/site/hello.c
+++ b/packages/daemon/src/site/hello.c
@@ -6,6 +6,7 @@
 
 #include "base/metric.h"
 #include "core/settings.h"
+#include "daemon/suspect_mod.h"
 #include "packed_msg.h"
 #include "site/limits.h"
 
@@ -26,6 +27,13 @@
 	return true;
 }
 
+/* What the sender may have missed, or forgotten by a restart. */
+static void send_state(struct core *c, const char *node)
+{
+	limits_send_state(c, node);
+	suspect_mod_send_state(c, node);
+}
+
 static void on_hello(struct core *c, void *ctx, const char *from,
 		     const void *buf, size_t len)
 {
@@ -35,7 +43,7 @@
 	    core_peer_add(c, from, addr) != ERR_OK)
 		metric_add(M_PEER_MALFORMED, 1);
 	else
-		limits_send_state(c, from);
+		send_state(c, from);
 }
 
 enum err hello_start(struct core *c)
--- /dev/null
+++ b/packages/daemon/src/suspect/suspect_mod.c
@@ -0,0 +1,386 @@
+// Shares the evidence against requests under which servers ended. Each node tells the
+// homes what broke off; a home that bars a request tells all nodes, and repeats it in
+// reply to hellos. Nothing is sent while no connection breaks off.
+#include "daemon/suspect_mod.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "base/metric.h"
+#include "daemon/mods.h"
+#include "daemon/site_mod.h"
+#include "suspect/suspect.h"
+#include "suspect/suspect_msg.h"
+
+enum {
+	TELL_INTERVAL_MS = 30000, ///< between two notices that a request still comes
+	SUSPECT_ID_CHARS = 33, ///< hexadecimal digits of an identity, with NUL
+};
+
+static struct suspects *suspects_of(struct core *c)
+{
+	return core_mod_state(c, MOD_SUSPECT);
+}
+
+static bool is_home(struct core *c, size_t *n, const struct site_node **homes)
+{
+	*homes = site_mod_homes(c, n);
+	for (size_t i = 0; i < *n; i++) {
+		if (strcmp((*homes)[i].node, core_node(c)) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void send_to(struct core *c, const char *node,
+		    const msgpack_sbuffer *buf)
+{
+	if (core_peer_send(c, node, PEER_SUSPECT_NEWS, buf->data, buf->size) !=
+	    ERR_OK)
+		metric_add(M_PEER_DROPPED, 1);
+}
+
+/* Tell the other homes, and as a home all nodes if it changes what they do. */
+static void tell(struct core *c, const struct suspect_news *news)
+{
+	const struct site_node *homes;
+	size_t n;
+	bool all = is_home(c, &n, &homes) &&
+		   (news->kind == SUSPECT_NEWS_BARRED ||
+		    news->kind == SUSPECT_NEWS_CLEARED);
+	msgpack_sbuffer buf;
+
+	msgpack_sbuffer_init(&buf);
+	suspect_msg_pack(&buf, news, 1);
+	if (all)
+		core_peer_broadcast(c, PEER_SUSPECT_NEWS, buf.data, buf.size);
+	for (size_t i = 0; !all && i < n; i++) {
+		if (core_peer_add(c, homes[i].node, homes[i].peer) == ERR_OK)
+			send_to(c, homes[i].node, &buf);
+	}
+	msgpack_sbuffer_destroy(&buf);
+}
+
+static struct suspect_news barred_news(struct core *c,
+				       const struct suspect_entry *e)
+{
+	return (struct suspect_news){
+		.kind = SUSPECT_NEWS_BARRED,
+		.id = e->id,
+		.server = "",
+		.age_ms = core_now(c) - e->barred_ms,
+		.seen_age_ms = core_now(c) - e->seen_ms,
+	};
+}
+
+static void log_barred(const struct suspect_entry *e, const char *from)
+{
+	char servers[SUSPECT_SERVERS * (SUSPECT_SERVER_ID + 1)] = "";
+	size_t len = 0;
+
+	for (int i = 0; i < e->n_servers; i++)
+		len += (size_t)snprintf(servers + len, sizeof(servers) - len,
+					"%s%s", i ? "," : "",
+					e->servers[i].id);
+	metric_add(M_SUSPECT_BARRED, 1);
+	log_event(EV_SUSPECT_BARRED,
+		  "identity=%016" PRIx64 "%016" PRIx64 " from=%s servers=%s",
+		  e->id.high, e->id.low, from, len ? servers : "-");
+}
+
+static void log_cleared(struct suspect_id id, const char *from)
+{
+	log_event(EV_SUSPECT_CLEARED,
+		  "identity=%016" PRIx64 "%016" PRIx64 " from=%s", id.high,
+		  id.low, from);
+}
+
+/* Record that a request broke off, by this node or another. */
+static void record_ended(struct core *c, struct suspect_id id,
+			 const char *server, int64_t started_ms,
+			 const char *from)
+{
+	enum suspect_change change = suspects_ended(
+		suspects_of(c), core_now(c), id, server, started_ms);
+	const struct suspect_entry *e =
+		suspects_find(suspects_of(c), core_now(c), id);
+	struct suspect_news news;
+
+	if (change == SUSPECT_SAME || !e)
+		return;
+	log_event(EV_SUSPECT_COUNTED,
+		  "identity=%016" PRIx64 "%016" PRIx64
+		  " server=%s servers=%d from=%s",
+		  id.high, id.low, server, e->n_servers, from);
+	if (change != SUSPECT_BARRED)
+		return;
+	log_barred(e, from);
+	news = barred_news(c, e);
+	tell(c, &news);
+}
+
+void suspect_mod_ended(struct core *c, struct suspect_id id, const char *server,
+		       int64_t started_ms)
+{
+	const struct suspect_news news = {
+		.kind = SUSPECT_NEWS_ENDED,
+		.id = id,
+		.server = server,
+		.started_ms = (uint64_t)started_ms,
+	};
+
+	tell(c, &news);
+	record_ended(c, id, server, started_ms, "self");
+}
+
+/* Requests that a home no longer bars: all nodes are told. */
+static void record_outlived(struct core *c, const struct suspect_news *news,
+			    int64_t sent_ms, const char *from, bool *known)
+{
+	struct suspect_id changed[SUSPECT_SERVERS];
+	size_t n = suspects_outlived(suspects_of(c), news->server,
+				     (int64_t)news->started_ms, sent_ms,
+				     changed, SUSPECT_SERVERS, known);
+
+	for (size_t i = 0; i < n; i++) {
+		const struct suspect_news cleared = {
+			.kind = SUSPECT_NEWS_CLEARED,
+			.id = changed[i],
+			.server = "",
+		};
+
+		log_cleared(changed[i], from);
+		tell(c, &cleared);
+	}
+}
+
+static void record_cleared(struct core *c, struct suspect_id id,
+			   enum suspect_change change, const char *from)
+{
+	const struct suspect_news news = {
+		.kind = SUSPECT_NEWS_CLEARED,
+		.id = id,
+		.server = "",
+	};
+
+	if (change != SUSPECT_CLEARED)
+		return;
+	log_cleared(id, from);
+	tell(c, &news);
+}
+
+void suspect_mod_answered(struct core *c, struct suspect_id id,
+			  const char *server, int64_t started_ms,
+			  int64_t sent_ms)
+{
+	const struct suspect_news news = {
+		.kind = SUSPECT_NEWS_OUTLIVED,
+		.server = server,
+		.started_ms = (uint64_t)started_ms,
+		.age_ms = core_now(c) - sent_ms,
+	};
+	bool known;
+
+	record_cleared(c, id,
+		       suspects_answered(suspects_of(c), core_now(c), id),
+		       "answer");
+	record_outlived(c, &news, sent_ms, "answer", &known);
+	if (known)
+		tell(c, &news);
+}
+
+bool suspect_mod_may_retry(struct core *c, struct suspect_id id)
+{
+	return suspects_may_retry(suspects_of(c), core_now(c), id);
+}
+
+bool suspect_mod_barred(struct core *c, struct suspect_id id)
+{
+	struct suspect_entry *e =
+		suspects_find(suspects_of(c), core_now(c), id);
+	struct suspect_news news;
+
+	if (!e || !e->barred_ms)
+		return false;
+	metric_add(M_SUSPECT_REFUSED, 1);
+	if (e->told_ms && core_now(c) - e->told_ms < TELL_INTERVAL_MS)
+		return true;
+	e->told_ms = core_now(c);
+	news = barred_news(c, e);
+	tell(c, &news);
+	return true;
+}
+
+void suspect_mod_send_state(struct core *c, const char *node)
+{
+	struct suspect_news list[SUSPECT_MSG_NEWS_MAX];
+	struct suspect_entry *e;
+	msgpack_sbuffer buf;
+	size_t iter = 0;
+	size_t n = 0;
+
+	while (n < SUSPECT_MSG_NEWS_MAX &&
+	       (e = suspects_next(suspects_of(c), &iter))) {
+		if (e->barred_ms)
+			list[n++] = barred_news(c, e);
+	}
+	if (!n)
+		return;
+	msgpack_sbuffer_init(&buf);
+	suspect_msg_pack(&buf, list, n);
+	send_to(c, node, &buf);
+	msgpack_sbuffer_destroy(&buf);
+}
+
+static void apply_barred(struct core *c, const char *from,
+			 const struct suspect_news *news)
+{
+	const struct suspect_entry *e;
+
+	if (suspects_set_barred(suspects_of(c), core_now(c), news->id,
+				core_now(c) - news->age_ms,
+				core_now(c) - news->seen_age_ms) !=
+	    SUSPECT_BARRED)
+		return;
+	e = suspects_find(suspects_of(c), core_now(c), news->id);
+	if (e)
+		log_barred(e, from);
+}
+
+static void apply_news(struct core *c, const char *from,
+		       const struct suspect_news *news)
+{
+	bool known;
+
+	switch (news->kind) {
+	case SUSPECT_NEWS_ENDED:
+		record_ended(c, news->id, news->server,
+			     (int64_t)news->started_ms, from);
+		break;
+	case SUSPECT_NEWS_OUTLIVED:
+		record_outlived(c, news, core_now(c) - news->age_ms, from,
+				&known);
+		break;
+	case SUSPECT_NEWS_CLEARED:
+		record_cleared(
+			c, news->id,
+			suspects_clear(suspects_of(c), core_now(c), news->id),
+			from);
+		break;
+	case SUSPECT_NEWS_BARRED:
+		apply_barred(c, from, news);
+		break;
+	case SUSPECT_NEWS_KINDS:
+		break;
+	}
+}
+
+static void on_news(struct core *c, void *ctx, const char *from,
+		    const void *buf, size_t len)
+{
+	struct suspect_news list[SUSPECT_MSG_NEWS_MAX];
+	struct arena a;
+	size_t n = 0;
+
+	arena_init(&a, 0);
+	if (suspect_msg_read(buf, len, &a, list, &n) != ERR_OK) {
+		metric_add(M_PEER_MALFORMED, 1);
+		n = 0;
+	}
+	for (size_t i = 0; i < n; i++)
+		apply_news(c, from, &list[i]);
+	arena_free(&a);
+}
+
+static void id_text(struct suspect_id id, char out[SUSPECT_ID_CHARS])
+{
+	snprintf(out, SUSPECT_ID_CHARS, "%016" PRIx64 "%016" PRIx64, id.high,
+		 id.low);
+}
+
+static void on_list(struct core *c, struct core_req *r, void *ctx)
+{
+	json_t *list = json_array();
+	struct suspect_entry *e;
+	size_t iter = 0;
+
+	while ((e = suspects_next(suspects_of(c), &iter))) {
+		json_t *servers = json_array();
+		char id[SUSPECT_ID_CHARS];
+
+		for (int i = 0; i < e->n_servers; i++)
+			json_array_append_new(servers,
+					      json_string(e->servers[i].id));
+		id_text(e->id, id);
+		json_array_append_new(
+			list,
+			json_pack("{s:s,s:b,s:o,s:I}", "identity", id, "barred",
+				  e->barred_ms != 0, "servers", servers,
+				  "seen_ms",
+				  (json_int_t)(core_now(c) - e->seen_ms)));
+	}
+	core_reply_json(c, r->h, 200, json_pack("{s:o}", "suspects", list));
+}
+
+static void on_clear(struct core *c, struct core_req *r, void *ctx)
+{
+	const char *text = core_req_query(r, "identity");
+	struct suspect_id id = {0, 0};
+	enum suspect_change change;
+	int end = 0;
+
+	if (!text ||
+	    sscanf(text, "%16" SCNx64 "%16" SCNx64 "%n", &id.high, &id.low,
+		   &end) != 2 ||
+	    text[end] || end != SUSPECT_ID_CHARS - 1) {
+		core_reply_err(c, r->h, ERR_INVALID, RUN_NO, 0, "identity");
+		return;
+	}
+	change = suspects_clear(suspects_of(c), core_now(c), id);
+	record_cleared(c, id, change, "operator");
+	if (change == SUSPECT_CLEARED)
+		core_reply_json(c, r->h, 200, json_pack("{s:b}", "cleared", 1));
+	else
+		core_reply_err(c, r->h, ERR_NOT_FOUND, RUN_NO, 0, "identity");
+}
+
+static enum err suspect_start(struct core *c, void **state)
+{
+	static const struct core_route_opts list = {
+		.listener = CORE_LISTENER_ADMIN,
+		.method = "GET",
+		.prefix = "/admin/suspects",
+		.fn = on_list,
+	};
+	static const struct core_route_opts clear = {
+		.listener = CORE_LISTENER_ADMIN,
+		.method = "POST",
+		.prefix = "/admin/suspects/clear",
+		.fn = on_clear,
+	};
+	enum err e;
+
+	*state = suspects_new();
+	if (!*state)
+		return ERR_NOMEM;
+	e = core_route(c, &list);
+	if (e == ERR_OK)
+		e = core_route(c, &clear);
+	return e == ERR_OK ? core_peer_on(c, PEER_SUSPECT_NEWS, on_news, NULL)
+			   : e;
+}
+
+static void suspect_stop(struct core *c, void *state)
+{
+	suspects_free(state);
+}
+
+const struct core_mod_ops suspect_mod_ops = {
+	.name = "suspect",
+	.start = suspect_start,
+	.stop = suspect_stop,
+};
--- a/packages/daemon/test/test_peer_msgs.c
+++ b/packages/daemon/test/test_peer_msgs.c
@@ -18,6 +18,7 @@
 #include "room/room_msg.h"
 #include "site/limit_msg.h"
 #include "site/relay_msg.h"
+#include "suspect/suspect_msg.h"
 #include "support/mutate.h"
 
 enum {
@@ -523,6 +524,44 @@
 	read_damaged_copies(read_limits);
 }
 
+static void read_suspects(const void *data, size_t len)
+{
+	struct suspect_news list[SUSPECT_MSG_NEWS_MAX];
+	size_t n;
+
+	if (suspect_msg_read(data, len, &msg_arena, list, &n) != ERR_OK)
+		return;
+	assert_true(n <= SUSPECT_MSG_NEWS_MAX);
+	for (size_t i = 0; i < n; i++) {
+		read_every_byte(list[i].server, NULL, 0);
+		assert_in_range(list[i].kind, 0, SUSPECT_NEWS_KINDS - 1);
+		assert_true(list[i].age_ms >= 0 && list[i].seen_age_ms >= 0);
+	}
+}
+
+static void test_suspects_round_trip_and_survive_damage(void **state)
+{
+	const struct suspect_news in[] = {
+		{SUSPECT_NEWS_ENDED, {1, 2}, "i-1", 7, 10, 20},
+		{SUSPECT_NEWS_BARRED, {UINT64_MAX, 3}, "", 0, 0, 30},
+	};
+	struct suspect_news out[SUSPECT_MSG_NEWS_MAX];
+	size_t n;
+
+	suspect_msg_pack(&buf, in, 2);
+	assert_int_equal(
+		suspect_msg_read(buf.data, buf.size, &msg_arena, out, &n),
+		ERR_OK);
+	assert_int_equal(n, 2);
+	assert_int_equal(out[0].kind, SUSPECT_NEWS_ENDED);
+	assert_string_equal(out[0].server, "i-1");
+	assert_int_equal(out[0].started_ms, 7);
+	assert_int_equal(out[0].age_ms, 10);
+	assert_true(suspect_same(out[1].id, in[1].id));
+	assert_int_equal(out[1].seen_age_ms, 30);
+	read_damaged_copies(read_suspects);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -558,6 +597,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_limits_round_trip_and_survive_damage, setup,
 			teardown),
+		cmocka_unit_test_setup_teardown(
+			test_suspects_round_trip_and_survive_damage, setup,
+			teardown),
 		cmocka_unit_test_setup_teardown(
 			test_relay_news_round_trips_and_survives_damage, setup,
 			teardown),
--- /dev/null
+++ b/packages/suspect/include/suspect/suspect.h
@@ -0,0 +1,101 @@
+// Requests under which servers ended, and those that no server gets any more. No I/O and
+// no clock.
+//
+// Evidence against a request: its connection broke off at several servers and no server
+// ever answered it. Evidence for it: an answer from any server, or that a server at which
+// it broke off answered a request that was sent later, and so did not end.
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "suspect/identity.h"
+
+enum {
+	SUSPECT_SERVERS = 3, ///< servers that end under a request before it is barred
+	SUSPECT_ENTRIES_MAX = 512, ///< requests; those barred are evicted last
+	SUSPECT_ANSWERED_MAX = 4096, ///< recent answers, a power of two
+	SUSPECT_ANSWERED_MS = 60000, ///< an answer speaks for its request this long
+	SUSPECT_KEEP_MS = 600000, ///< since a request came last
+	SUSPECT_SERVER_ID = 64, ///< bytes of a server's id, with NUL
+};
+
+/// A server at which a request broke off.
+struct suspect_server {
+	char id[SUSPECT_SERVER_ID];
+	int64_t started_ms; ///< incarnation
+	int64_t ended_ms; ///< when the connection broke off
+};
+
+struct suspect_entry {
+	struct suspect_id id; ///< 0: the entry is free
+	struct suspect_server servers[SUSPECT_SERVERS];
+	int n_servers;
+	int64_t barred_ms; ///< since then no server gets it, 0: not barred
+	int64_t cleared_ms; ///< earlier news that it is barred is outdated, 0: none
+	int64_t seen_ms; ///< it came, or another node heard of it
+	int64_t told_ms; ///< last told to other nodes that it still comes
+};
+
+enum suspect_change {
+	SUSPECT_SAME,
+	SUSPECT_COUNTED, ///< one more server
+	SUSPECT_BARRED,
+	SUSPECT_CLEARED, ///< no longer barred, or no longer suspected
+};
+
+struct suspects;
+
+/// @return table, NULL when out of memory
+struct suspects *suspects_new(void);
+
+/// @param t  table or NULL
+void suspects_free(struct suspects *t);
+
+/// Record that a request's connection broke off at a server.
+/// Load pattern: a failure domain is lost with hundreds of requests in flight, many of
+/// them alike; and a single request that ends a server each time it comes. A server
+/// counts once for a request, and not if such a request was answered lately.
+enum suspect_change suspects_ended(struct suspects *t, int64_t now,
+				   struct suspect_id id, const char *server,
+				   int64_t started_ms);
+
+/// Record that a server answered a request.
+enum suspect_change suspects_answered(struct suspects *t, int64_t now,
+				      struct suspect_id id);
+
+/// Record that a server answered a request that was sent at sent_ms: what broke off
+/// there before did not end it.
+///
+/// @param[out] changed  requests that are no longer barred
+/// @param max           of them
+/// @return number of them; *known tells whether any request counted the server
+size_t suspects_outlived(struct suspects *t, const char *server,
+			 int64_t started_ms, int64_t sent_ms,
+			 struct suspect_id *changed, size_t max, bool *known);
+
+/// Record another node's news that a request is barred.
+///
+/// @param seen_ms  when it came last, as known there
+enum suspect_change suspects_set_barred(struct suspects *t, int64_t now,
+					struct suspect_id id, int64_t barred_ms,
+					int64_t seen_ms);
+
+/// Clear a request, by an operator or by another node's news.
+enum suspect_change suspects_clear(struct suspects *t, int64_t now,
+				   struct suspect_id id);
+
+/// Entry of a request that came now, NULL if it is not suspected.
+struct suspect_entry *suspects_find(struct suspects *t, int64_t now,
+				    struct suspect_id id);
+
+/// Whether a request may be sent to a further server at once after it broke off at one:
+/// not if the next one could be the last that it ends.
+bool suspects_may_retry(struct suspects *t, int64_t now, struct suspect_id id);
+
+/// Iterate over the entries.
+///
+/// @param[in,out] iter  start with 0
+/// @return next entry, NULL at the end
+struct suspect_entry *suspects_next(struct suspects *t, size_t *iter);
--- /dev/null
+++ b/packages/suspect/src/suspect.c
@@ -0,0 +1,247 @@
+// Table of requests under which servers ended.
+#include "suspect/suspect.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct answered {
+	struct suspect_id id;
+	int64_t at_ms;
+};
+
+struct suspects {
+	struct suspect_entry entries[SUSPECT_ENTRIES_MAX];
+	struct answered answered[SUSPECT_ANSWERED_MAX];
+	int n; ///< entries in use
+};
+
+struct suspects *suspects_new(void)
+{
+	return calloc(1, sizeof(struct suspects));
+}
+
+void suspects_free(struct suspects *t)
+{
+	free(t);
+}
+
+static bool is_used(const struct suspect_entry *e)
+{
+	return e->id.low || e->id.high;
+}
+
+static void release(struct suspects *t, struct suspect_entry *e)
+{
+	memset(e, 0, sizeof(*e));
+	t->n--;
+}
+
+static struct suspect_entry *find(struct suspects *t, int64_t now,
+				  struct suspect_id id)
+{
+	for (int i = 0; t->n && i < SUSPECT_ENTRIES_MAX; i++) {
+		struct suspect_entry *e = &t->entries[i];
+
+		if (!is_used(e))
+			continue;
+		if (now - e->seen_ms >= SUSPECT_KEEP_MS)
+			release(t, e);
+		else if (suspect_same(e->id, id))
+			return e;
+	}
+	return NULL;
+}
+
+/* Entry to be given up for a new one: those not barred first, then the oldest. */
+static struct suspect_entry *least_needed(struct suspects *t)
+{
+	struct suspect_entry *worst = &t->entries[0];
+
+	for (int i = 0; i < SUSPECT_ENTRIES_MAX; i++) {
+		struct suspect_entry *e = &t->entries[i];
+
+		if (!is_used(e))
+			return e;
+		if (!e->barred_ms != !worst->barred_ms) {
+			worst = e->barred_ms ? worst : e;
+			continue;
+		}
+		if (e->seen_ms < worst->seen_ms)
+			worst = e;
+	}
+	release(t, worst);
+	return worst;
+}
+
+static struct suspect_entry *find_or_add(struct suspects *t, int64_t now,
+					 struct suspect_id id)
+{
+	struct suspect_entry *e = find(t, now, id);
+
+	if (!e) {
+		e = least_needed(t);
+		e->id = id;
+		e->seen_ms = now;
+		t->n++;
+	}
+	return e;
+}
+
+static struct answered *answered_slot(struct suspects *t, struct suspect_id id)
+{
+	return &t->answered[id.high & (SUSPECT_ANSWERED_MAX - 1)];
+}
+
+static bool answered_lately(struct suspects *t, int64_t now,
+			    struct suspect_id id)
+{
+	const struct answered *a = answered_slot(t, id);
+
+	return suspect_same(a->id, id) && now - a->at_ms < SUSPECT_ANSWERED_MS;
+}
+
+static int server_index(const struct suspect_entry *e, const char *server,
+			int64_t started_ms)
+{
+	for (int i = 0; i < e->n_servers; i++) {
+		if (e->servers[i].started_ms == started_ms &&
+		    strcmp(e->servers[i].id, server) == 0)
+			return i;
+	}
+	return -1;
+}
+
+enum suspect_change suspects_ended(struct suspects *t, int64_t now,
+				   struct suspect_id id, const char *server,
+				   int64_t started_ms)
+{
+	struct suspect_entry *e;
+	struct suspect_server *s;
+
+	if (answered_lately(t, now, id))
+		return SUSPECT_SAME;
+	e = find_or_add(t, now, id);
+	e->seen_ms = now;
+	if (e->barred_ms || server_index(e, server, started_ms) >= 0)
+		return SUSPECT_SAME;
+	s = &e->servers[e->n_servers++];
+	*s = (struct suspect_server){.started_ms = started_ms, .ended_ms = now};
+	snprintf(s->id, sizeof(s->id), "%s", server);
+	if (e->n_servers < SUSPECT_SERVERS)
+		return SUSPECT_COUNTED;
+	e->barred_ms = now;
+	return SUSPECT_BARRED;
+}
+
+static enum suspect_change clear(struct suspect_entry *e, int64_t now)
+{
+	bool was_suspected = e->barred_ms || e->n_servers;
+
+	e->barred_ms = 0;
+	e->n_servers = 0;
+	e->cleared_ms = now;
+	return was_suspected ? SUSPECT_CLEARED : SUSPECT_SAME;
+}
+
+enum suspect_change suspects_answered(struct suspects *t, int64_t now,
+				      struct suspect_id id)
+{
+	struct suspect_entry *e = find(t, now, id);
+
+	*answered_slot(t, id) = (struct answered){id, now};
+	return e ? clear(e, now) : SUSPECT_SAME;
+}
+
+/* @return whether the entry counted the server; it no longer does */
+static bool forget_server(struct suspect_entry *e, const char *server,
+			  int64_t started_ms, int64_t sent_ms)
+{
+	int i = server_index(e, server, started_ms);
+
+	if (i < 0 || sent_ms <= e->servers[i].ended_ms)
+		return false;
+	e->servers[i] = e->servers[--e->n_servers];
+	return true;
+}
+
+size_t suspects_outlived(struct suspects *t, const char *server,
+			 int64_t started_ms, int64_t sent_ms,
+			 struct suspect_id *changed, size_t max, bool *known)
+{
+	size_t n = 0;
+
+	*known = false;
+	for (int i = 0; t->n && i < SUSPECT_ENTRIES_MAX; i++) {
+		struct suspect_entry *e = &t->entries[i];
+
+		if (!e->n_servers ||
+		    !forget_server(e, server, started_ms, sent_ms))
+			continue;
+		*known = true;
+		if (!e->barred_ms)
+			continue;
+		e->barred_ms = 0;
+		e->cleared_ms = sent_ms;
+		if (n < max)
+			changed[n++] = e->id;
+	}
+	return n;
+}
+
+enum suspect_change suspects_set_barred(struct suspects *t, int64_t now,
+					struct suspect_id id, int64_t barred_ms,
+					int64_t seen_ms)
+{
+	bool is_new = !find(t, now, id);
+	struct suspect_entry *e;
+
+	if (now - seen_ms >= SUSPECT_KEEP_MS ||
+	    (answered_lately(t, now, id) &&
+	     answered_slot(t, id)->at_ms >= barred_ms))
+		return SUSPECT_SAME;
+	e = find_or_add(t, now, id);
+	if (is_new || seen_ms > e->seen_ms)
+		e->seen_ms = seen_ms;
+	if (e->barred_ms || (e->cleared_ms && barred_ms <= e->cleared_ms))
+		return SUSPECT_SAME;
+	e->barred_ms = barred_ms;
+	return SUSPECT_BARRED;
+}
+
+enum suspect_change suspects_clear(struct suspects *t, int64_t now,
+				   struct suspect_id id)
+{
+	struct suspect_entry *e = find(t, now, id);
+
+	return e ? clear(e, now) : SUSPECT_SAME;
+}
+
+struct suspect_entry *suspects_find(struct suspects *t, int64_t now,
+				    struct suspect_id id)
+{
+	struct suspect_entry *e = find(t, now, id);
+
+	if (e)
+		e->seen_ms = now;
+	return e;
+}
+
+bool suspects_may_retry(struct suspects *t, int64_t now, struct suspect_id id)
+{
+	const struct suspect_entry *e = find(t, now, id);
+
+	return !e ||
+	       (!e->barred_ms && e->n_servers < SUSPECT_SERVERS - 1);
+}
+
+struct suspect_entry *suspects_next(struct suspects *t, size_t *iter)
+{
+	while (*iter < SUSPECT_ENTRIES_MAX) {
+		struct suspect_entry *e = &t->entries[(*iter)++];
+
+		if (is_used(e))
+			return e;
+	}
+	return NULL;
+}
--- a/programs/catkinctl/ctl.h
+++ b/programs/catkinctl/ctl.h
@@ -108,5 +108,6 @@
 int cmd_key_grant(struct ctl *, const struct ctl_cmd *, int, char **);
 int cmd_domain_out(struct ctl *, const struct ctl_cmd *, int, char **);
 int cmd_show(struct ctl *, const struct ctl_cmd *, int, char **);
+int cmd_suspect_clear(struct ctl *, const struct ctl_cmd *, int, char **);
 int cmd_usage(struct ctl *, const struct ctl_cmd *, int, char **);
 int cmd_watch(struct ctl *, const struct ctl_cmd *, int, char **);
