--- a/packages/daemon/src/suspect/suspect_mod.c
+++ b/packages/daemon/src/suspect/suspect_mod.c
@@ -17,7 +17,8 @@
 #include "suspect/suspect_msg.h"
 
 enum {
-	TELL_INTERVAL_MS = 30000, ///< between two notices that a request still comes
+	TELL_INTERVAL_MS =
+		30000, ///< between two notices that a request still comes
 	SUSPECT_ID_CHARS = 33, ///< hexadecimal digits of an identity, with NUL
 };
 
@@ -49,9 +50,9 @@
 {
 	const struct site_node *homes;
 	size_t n;
-	bool all = is_home(c, &n, &homes) &&
-		   (news->kind == SUSPECT_NEWS_BARRED ||
-		    news->kind == SUSPECT_NEWS_CLEARED);
+	bool all =
+		is_home(c, &n, &homes) && (news->kind == SUSPECT_NEWS_BARRED ||
+					   news->kind == SUSPECT_NEWS_CLEARED);
 	msgpack_sbuffer buf;
 
 	msgpack_sbuffer_init(&buf);
@@ -84,8 +85,7 @@
 
 	for (int i = 0; i < e->n_servers; i++)
 		len += (size_t)snprintf(servers + len, sizeof(servers) - len,
-					"%s%s", i ? "," : "",
-					e->servers[i].id);
+					"%s%s", i ? "," : "", e->servers[i].id);
 	metric_add(M_SUSPECT_BARRED, 1);
 	log_event(EV_SUSPECT_BARRED,
 		  "identity=%016" PRIx64 "%016" PRIx64 " from=%s servers=%s",
@@ -104,8 +104,8 @@
 			 const char *server, int64_t started_ms,
 			 const char *from)
 {
-	enum suspect_change change = suspects_ended(
-		suspects_of(c), core_now(c), id, server, started_ms);
+	enum suspect_change change = suspects_ended(suspects_of(c), core_now(c),
+						    id, server, started_ms);
 	const struct suspect_entry *e =
 		suspects_find(suspects_of(c), core_now(c), id);
 	struct suspect_news news;
--- a/packages/suspect/include/suspect/suspect.h
+++ b/packages/suspect/include/suspect/suspect.h
@@ -13,10 +13,12 @@
 #include "suspect/identity.h"
 
 enum {
-	SUSPECT_SERVERS = 3, ///< servers that end under a request before it is barred
+	SUSPECT_SERVERS =
+		3, ///< servers that end under a request before it is barred
 	SUSPECT_ENTRIES_MAX = 512, ///< requests; those barred are evicted last
 	SUSPECT_ANSWERED_MAX = 4096, ///< recent answers, a power of two
-	SUSPECT_ANSWERED_MS = 60000, ///< an answer speaks for its request this long
+	SUSPECT_ANSWERED_MS =
+		60000, ///< an answer speaks for its request this long
 	SUSPECT_KEEP_MS = 600000, ///< since a request came last
 	SUSPECT_SERVER_ID = 64, ///< bytes of a server's id, with NUL
 };
--- a/packages/suspect/src/suspect.c
+++ b/packages/suspect/src/suspect.c
@@ -231,8 +231,7 @@
 {
 	const struct suspect_entry *e = find(t, now, id);
 
-	return !e ||
-	       (!e->barred_ms && e->n_servers < SUSPECT_SERVERS - 1);
+	return !e || (!e->barred_ms && e->n_servers < SUSPECT_SERVERS - 1);
 }
 
 struct suspect_entry *suspects_next(struct suspects *t, size_t *iter)
--- a/packages/suspect/test/test_suspect.c
+++ b/packages/suspect/test/test_suspect.c
@@ -104,13 +104,13 @@
 	suspects_ended(t, 120, id, "s3", 1);
 	assert_true(barred(id, 120));
 	/* Sent before it broke off, or to another start: no evidence. */
-	assert_int_equal(
-		suspects_outlived(t, "s1", 1, 90, changed, 2, &known), 0);
+	assert_int_equal(suspects_outlived(t, "s1", 1, 90, changed, 2, &known),
+			 0);
 	assert_false(known);
-	assert_int_equal(
-		suspects_outlived(t, "s1", 2, 200, changed, 2, &known), 0);
-	assert_int_equal(
-		suspects_outlived(t, "s1", 1, 200, changed, 2, &known), 1);
+	assert_int_equal(suspects_outlived(t, "s1", 2, 200, changed, 2, &known),
+			 0);
+	assert_int_equal(suspects_outlived(t, "s1", 1, 200, changed, 2, &known),
+			 1);
 	assert_true(known);
 	assert_true(suspect_same(changed[0], id));
 	assert_false(barred(id, 200));
@@ -129,9 +129,9 @@
 	assert_int_equal(suspects_answered(t, 120, id), SUSPECT_CLEARED);
 	assert_int_equal(suspects_answered(t, 121, id), SUSPECT_SAME);
 	assert_int_equal(suspects_ended(t, 130, id, "s3", 1), SUSPECT_SAME);
-	assert_int_equal(suspects_ended(t, 121 + SUSPECT_ANSWERED_MS, id, "s3",
-					1),
-			 SUSPECT_COUNTED);
+	assert_int_equal(
+		suspects_ended(t, 121 + SUSPECT_ANSWERED_MS, id, "s3", 1),
+		SUSPECT_COUNTED);
 }
 
 static void test_news_of_other_nodes_bar_and_clear(void **state)
