fix(platform): an odd entry among those of the servers costs itself only

What operators of similar systems saw: one entry of another writer ended the machines that read the list, or they stopped following it. Here: no process ended on this machine. Deep nesting, 1e400 and integers beyond 64 bits were refused already. A list with more than a megabyte of values could not be sent by relays, so that their followers heard nothing any more. Looked at as well: liveness keys, needs, owners, records and reports, which each skip what they can't parse, with a line.

--- a/packages/daemon/src/site/feed.c
+++ b/packages/daemon/src/site/feed.c
@@ -52,9 +52,11 @@
 static void feed_apply_item(struct core *c, struct feed *f,
 			    const struct kv_item *item)
 {
+	bool too_large = f->opts.value_max && item->len > f->opts.value_max;
+
 	if (f->opts.keep_copy)
-		relay_copy_put(&f->copy, item->key, item->value, item->len,
-			       item->rev);
+		relay_copy_put(&f->copy, item->key, item->value,
+			       too_large ? 0 : item->len, item->rev);
 	f->opts.ops->item(c, f->opts.ctx, item);
 }
 
--- a/packages/daemon/src/site/feed.h
+++ b/packages/daemon/src/site/feed.h
@@ -24,6 +24,8 @@
 	int64_t overdue_ms; ///< age at which a call is always made
 	int64_t watch_interval_min_ms; ///< after a watch with changes
 	bool keep_copy; ///< of the items, for followers
+	/// Bytes of an item that followers get; a larger one they get empty, 0: all.
+	size_t value_max;
 	const struct feed_ops *ops;
 	void *ctx;
 };
--- a/packages/daemon/src/site/relay.c
+++ b/packages/daemon/src/site/relay.c
@@ -73,9 +73,11 @@
 	relay_response_pack(c, &buf, r, follower);
 	e = core_peer_send(c, follower->node, PEER_RELAY_RESPONSE, buf.data,
 			   buf.size);
-	if (e != ERR_OK)
+	if (e != ERR_OK) {
+		metric_add(M_RELAY_UNSENT, 1);
 		log_event(EV_RELAY_REPLY_UNSENT, "to=%s bytes=%zu error=%s",
 			  follower->node, buf.size, err_code(e));
+	}
 	msgpack_sbuffer_destroy(&buf);
 }
 
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -25,6 +25,9 @@
 	/// wake all the others.
 	CONF_WATCH_INTERVAL_MIN_MS = 250,
 	NODES_WATCH_INTERVAL_MIN_MS = 1500,
+	/// Bytes of a server's entry; a message between nodes has room for a list
+	/// of valid ones, and an entry of another writer may have a megabyte.
+	SERVER_ENTRY_MAX = 16384,
 	RETIRE_RETRY_MS = 500,
 	/// Batches are handed over within this fraction of the time that operators
 	/// give; the remainder is for the answer, with an outage of the store.
@@ -304,6 +307,7 @@
 	if (err != ERR_OK) {
 		site_servers_remove(s->servers, server_id_of(s, item->key),
 				    core_now(c), false);
+		metric_add(M_SERVER_ENTRIES_BAD, 1);
 		log_event(EV_SITE_SERVER_BAD,
 			  "key=%s rev=%llu from=%s error=%s", item->key,
 			  (unsigned long long)item->rev, s->server_feed.source,
@@ -398,6 +402,7 @@
 		.prefix = s->wire->server_prefix,
 		.watch_interval_min_ms = s->servers_fresh.refresh_ms,
 		.keep_copy = is_relay,
+		.value_max = SERVER_ENTRY_MAX,
 		.ops = &server_ops,
 		.ctx = s,
 	};
--- a/test/hosted/hosted.c
+++ b/test/hosted/hosted.c
@@ -42,16 +42,22 @@
 	record_leaving(h, s, s->leaving);
 }
 
-void hosted_withdraw(struct hosted *h, struct hosted_server *s)
+void hosted_delete(struct hosted *h, const char *key)
 {
-	char key[64];
 	uint64_t rev;
 
-	snprintf(key, sizeof(key), "servers/%s", s->id);
 	pthread_mutex_lock(&h->lock);
 	kv_del(&h->kv, key, 0, &rev);
 	pthread_cond_broadcast(&h->changed);
 	pthread_mutex_unlock(&h->lock);
+}
+
+void hosted_withdraw(struct hosted *h, struct hosted_server *s)
+{
+	char key[64];
+
+	snprintf(key, sizeof(key), "servers/%s", s->id);
+	hosted_delete(h, key);
 	record_leaving(h, s, true);
 }
 
--- a/test/hosted/hosted.h
+++ b/test/hosted/hosted.h
@@ -141,6 +141,9 @@
 /// Publish a server's current entry.
 void hosted_publish(struct hosted *h, struct hosted_server *s);
 
+/// Delete a key of the store.
+void hosted_delete(struct hosted *h, const char *key);
+
 /// Delete a server's entry.
 void hosted_withdraw(struct hosted *h, struct hosted_server *s);
 
@@ -190,3 +193,5 @@
 bool hosted_store_start(struct hosted *h);
 bool hosted_server_start(struct hosted *h, int index);
 void hosted_put(struct hosted *h, const char *key, json_t *value);
+void hosted_put_bytes(struct hosted *h, const char *key, const char *bytes,
+		      size_t n);
--- a/test/hosted/store.c
+++ b/test/hosted/store.c
@@ -31,22 +31,28 @@
 		pthread_cond_broadcast(&h->changed);
 }
 
-void hosted_put(struct hosted *h, const char *key, json_t *value)
+void hosted_put_bytes(struct hosted *h, const char *key, const char *bytes,
+		      size_t n)
 {
-	char *text = json_dumps(value, JSON_COMPACT);
-	size_t len = sodium_base64_ENCODED_LEN(strlen(text), BASE64);
+	size_t len = sodium_base64_ENCODED_LEN(n, BASE64);
 	char *bin = malloc(len);
 	const struct kv_entry *e;
 	uint64_t rev;
 
-	sodium_bin2base64(bin, len, (unsigned char *)text, strlen(text),
-			  BASE64);
+	sodium_bin2base64(bin, len, (const unsigned char *)bytes, n, BASE64);
 	pthread_mutex_lock(&h->lock);
 	e = kv_find(&h->kv, key);
 	kv_put(&h->kv, key, bin, e && e->value ? e->rev : 0, 0, &rev);
 	pthread_cond_broadcast(&h->changed);
 	pthread_mutex_unlock(&h->lock);
 	free(bin);
+}
+
+void hosted_put(struct hosted *h, const char *key, json_t *value)
+{
+	char *text = json_dumps(value, JSON_COMPACT);
+
+	hosted_put_bytes(h, key, text, strlen(text));
 	free(text);
 	json_decref(value);
 }
