--- a/test/hosted/test_hosted_odd_entries.c
+++ b/test/hosted/test_hosted_odd_entries.c
@@ -23,7 +23,8 @@
 	POLL_US = 10000,
 };
 
-#define ENTRY "{\"service\":\"desk\",\"zone\":\"d1\",\"state\":\"ready\",\"version\":\"v1\","
+#define ENTRY \
+	"{\"service\":\"desk\",\"zone\":\"d1\",\"state\":\"ready\",\"version\":\"v1\","
 
 static struct hosted h;
 static struct nodes ns;
