fix(job): only a stream of the item continues its text

What callers of similar systems saw: an error's text in the middle of a stream, or a stream that ended as if complete. Here: an item's stream broke off after two events and was resumed. 404, 500 and a stream that goes on from another event did no harm. A 200 that is no event stream, or names no item, was read as one ("an event is missing, out of order or of another item"); a 200 with a head and no event ended the text as complete after two events. Cause: the answer to a resumed run was judged together with the text from before; class: a missing statement taken for agreement. Change: a 200 must name the item and be an event stream; a resumed stream without an event drops the text, which starts over elsewhere, since nothing shows whether it had been whole. Evidence: test_hosted_resume, six kinds of answers; three failed before, all pass.

--- a/packages/daemon/src/job/item.c
+++ b/packages/daemon/src/job/item.c
@@ -149,8 +149,10 @@
 	attempt->not_run = h.not_run || h.other_server;
 	attempt->other_server = h.other_server;
 	attempt->refused = status != 200;
-	/* Discard a response that belongs to another request. */
-	attempt->invalid |= h.id && strcmp(h.id, id) != 0;
+	/* Discard a response that belongs to another request, and one that is no stream
+	 * of this item: its text must not become part of the item's. */
+	attempt->invalid |= h.id ? strcmp(h.id, id) != 0 : status == 200;
+	attempt->invalid |= status == 200 && !h.streams;
 	attempt->version = h.version;
 	if (status == 200 && !attempt->invalid && h.version)
 		note_head_version(c, j, attempt);
@@ -201,10 +203,10 @@
 		return JOB_ATTEMPT_IMPOSSIBLE;
 	if (res->err == ERR_OK && res->status == 500)
 		return JOB_ATTEMPT_FAILED;
-	if (res->err == ERR_OK && res->status == 200 &&
-	    sse_at_event_end(&attempt->sse) && text->last_event)
-		return JOB_ATTEMPT_COMPLETE;
-	return JOB_ATTEMPT_INTERRUPTED;
+	if (res->err != ERR_OK || res->status != 200 ||
+	    !sse_at_event_end(&attempt->sse) || !text->last_event)
+		return JOB_ATTEMPT_INTERRUPTED;
+	return attempt->events ? JOB_ATTEMPT_COMPLETE : JOB_ATTEMPT_EMPTY;
 }
 
 static void log_end(struct core *c, const struct job *j,
@@ -215,6 +217,7 @@
 	static const char *const names[] = {
 		[JOB_ATTEMPT_COMPLETE] = "whole",
 		[JOB_ATTEMPT_INTERRUPTED] = "broken",
+		[JOB_ATTEMPT_EMPTY] = "empty",
 		[JOB_ATTEMPT_FAILED] = "failed",
 		[JOB_ATTEMPT_IMPOSSIBLE] = "impossible",
 		[JOB_ATTEMPT_NOT_RUN] = "not-run",
--- a/packages/job/include/job/job_run.h
+++ b/packages/job/include/job/job_run.h
@@ -51,6 +51,9 @@
 enum job_attempt_outcome {
 	JOB_ATTEMPT_COMPLETE, ///< the stream ended as complete
 	JOB_ATTEMPT_INTERRUPTED, ///< interrupted; its text is kept unless one_version
+	/// The resumed stream ended without an event: whether the text had been whole
+	/// is not known, so it starts over.
+	JOB_ATTEMPT_EMPTY,
 	JOB_ATTEMPT_FAILED, ///< the server failed it: counts against max_failures
 	JOB_ATTEMPT_IMPOSSIBLE, ///< no attempt can succeed: the item is abandoned
 	JOB_ATTEMPT_NOT_RUN, ///< refused without running
--- a/packages/job/src/job_run.c
+++ b/packages/job/src/job_run.c
@@ -303,6 +303,9 @@
 	case JOB_ATTEMPT_INTERRUPTED:
 		drop_text_if_one_version(r, it);
 		break;
+	case JOB_ATTEMPT_EMPTY:
+		free_text(it);
+		break;
 	case JOB_ATTEMPT_NOT_RUN:
 		break;
 	}
--- a/packages/wire/include/wire/engine.h
+++ b/packages/wire/include/wire/engine.h
@@ -25,6 +25,7 @@
 /// Header fields of an engine's answer.
 struct engine_response {
 	const char *id; ///< item that it answers, NULL if not given
+	bool streams; ///< its body is a stream of events
 	bool not_run; ///< the generation definitely did not run
 	bool other_server; ///< the address now belongs to another server, or to one
 		///< without the expected version
--- a/test/hosted/hosted.h
+++ b/test/hosted/hosted.h
@@ -33,6 +33,18 @@
 	HOSTED_REWARD_DELAYED, ///< response after 900 ms
 };
 
+/// How engines answer a run that goes on after an event.
+enum hosted_resume_reply {
+	HOSTED_RESUME_OK,
+	HOSTED_RESUME_404, ///< with the text of an error
+	HOSTED_RESUME_500,
+	HOSTED_RESUME_PAGE, ///< 200, no event stream
+	HOSTED_RESUME_NO_ID, ///< 200, an event stream without the item's id
+	HOSTED_RESUME_HEAD, ///< 200, the head of an event stream and no event
+	HOSTED_RESUME_OTHER_EVENT, ///< goes on one event too late
+	HOSTED_RESUME_REPLIES
+};
+
 /// A run that a server started.
 struct hosted_run {
 	char id[64];
@@ -91,6 +103,9 @@
 	int loading_rejects; ///< by loading engines
 	int version_rejects; ///< of runs that expect another version
 	int event_ms; ///< between events of a stream
+	int cut_after; ///< events after which streams from the start break off, 0: none
+	enum hosted_resume_reply resume_reply;
+	int resume_faults_left; ///< runs that still get it, then HOSTED_RESUME_OK
 	enum hosted_reward_reply reward_reply;
 	int reward_faults_left; ///< calls that still get it, then HOSTED_REWARD_OK
 	int early_rewards; ///< calls before their text was complete
--- a/test/hosted/server.c
+++ b/test/hosted/server.c
@@ -126,7 +126,9 @@
 	}
 	v = st->s->version;
 	h->runs[st->run].complete = event == st->last_event;
-	if (h->stopping || st->s->unresponsive) {
+	if (h->stopping || st->s->unresponsive ||
+	    (h->cut_after && !h->runs[st->run].last_event_id &&
+	     event > h->cut_after)) {
 		pthread_mutex_unlock(&h->lock);
 		return MHD_CONTENT_READER_END_WITH_ERROR;
 	}
@@ -223,14 +225,77 @@
 	return status;
 }
 
+/* Answer to a run that goes on after an event. */
+static enum hosted_resume_reply resume_reply(struct hosted *h,
+					     struct MHD_Connection *conn)
+{
+	enum hosted_resume_reply reply = HOSTED_RESUME_OK;
+
+	pthread_mutex_lock(&h->lock);
+	if (*header_value(conn, "Last-Event-Id") && h->resume_faults_left > 0) {
+		h->resume_faults_left--;
+		reply = h->resume_reply;
+	}
+	pthread_mutex_unlock(&h->lock);
+	return reply;
+}
+
+static enum MHD_Result answer_wrongly(struct MHD_Connection *conn,
+				      const char *id,
+				      enum hosted_resume_reply reply)
+{
+	static const char text[] = "id: 3\ndata: error of a server\n\n";
+	const char *const stream[] = {"Content-Type",
+				      "text/event-stream",
+				      "X-Catkinpath-Request-Id",
+				      id,
+				      "X-Catkinpath-Weight-Versions",
+				      "1",
+				      NULL};
+	const char *const page[] = {"Content-Type",
+				    "text/html",
+				    "X-Catkinpath-Request-Id",
+				    id,
+				    "X-Catkinpath-Weight-Versions",
+				    "1",
+				    NULL};
+	static const char *const no_id[] = {"Content-Type", "text/event-stream",
+					    "X-Catkinpath-Weight-Versions", "1",
+					    NULL};
+
+	switch (reply) {
+	case HOSTED_RESUME_404:
+		return body_respond(conn, 404, text, page);
+	case HOSTED_RESUME_500:
+		return body_respond(conn, 500, text, stream);
+	case HOSTED_RESUME_PAGE:
+		return body_respond(conn, 200, text, page);
+	case HOSTED_RESUME_NO_ID:
+		return body_respond(conn, 200, text, no_id);
+	case HOSTED_RESUME_HEAD:
+		return body_respond(conn, 200, "", stream);
+	case HOSTED_RESUME_OTHER_EVENT:
+		return body_respond(conn, 200, "id: 4\ndata: late\n\n", stream);
+	case HOSTED_RESUME_OK:
+	case HOSTED_RESUME_REPLIES:
+		break;
+	}
+	return MHD_NO;
+}
+
 static enum MHD_Result run_item(struct hosted_server *s,
 				struct MHD_Connection *conn, const char *id)
 {
 	static const char *const not_run[] = {"X-Catkinpath-Not-Run", "1",
 					      NULL};
 
+	enum hosted_resume_reply reply = resume_reply(s->h, conn);
 	int status = reject_status(s, conn);
-	int run = status ? -1 : take_slot(s, conn, id);
+	int run;
+
+	if (reply != HOSTED_RESUME_OK)
+		return answer_wrongly(conn, id, reply);
+	run = status ? -1 : take_slot(s, conn, id);
 
 	if (status)
 		return body_respond(conn, (unsigned int)status, "", not_run);
