--- a/packages/daemon/src/site/limits.c
+++ b/packages/daemon/src/site/limits.c
@@ -1,7 +1,7 @@
 // Asks homes for permits of servers with a limit, grants them, passes limits on.
 #include "site/limits.h"
 
-#include <stdio.h>
+#include <math.h>
 #include <string.h>
 
 #include "base/log.h"
@@ -16,6 +16,9 @@
 	END_TOLD_MS = 10000,
 };
 
+/// Share by which a limit changes for a line in the log.
+static const double LOGGED_CHANGE = 0.25;
+
 /* A node's view of a server's limit, as an entry of a message. */
 static struct limit_msg_entry entry_of(struct core *c,
 				       const struct site_server *srv)
@@ -49,9 +52,14 @@
 static void record(struct core *c, struct site_server *srv, double per_s,
 		   int64_t named_ms, const char *from)
 {
+	double old = srv->limit.per_s;
+
 	if (!site_servers_observe_limit(site_mod_servers(c), srv->self, per_s,
 					named_ms))
 		return;
+	/* A limit may change a little with each answer. */
+	if (old > 0 && per_s > 0 && fabs(per_s - old) < old * LOGGED_CHANGE)
+		return;
 	metric_add(M_SERVERS_LIMITED, 1);
 	log_event(EV_SITE_SERVER_LIMIT,
 		  "id=%s service=%s per_s=%.3f from=%s age_ms=%lld",
