fix(front): the third server that ends under a request ends its retries for good

What callers saw: the return under which the third server ended was answered 502, which asks for one more return. Cause: only requests that came later were looked at. Change: the end of an attempt that bars the request is answered 400 as well. Evidence: test_hosted_suspect, 3 servers ended, none later.

--- a/packages/daemon/src/front/forward_end.c
+++ b/packages/daemon/src/front/forward_end.c
@@ -198,6 +198,14 @@
 	       core_now(c) < f->deadline_ms;
 }
 
+static enum err end_error(struct core *c, const struct forward *f)
+{
+	if (suspect_mod_barred(c, f->identity))
+		return ERR_SUSPECT_BARRED;
+	return core_now(c) >= f->deadline_ms ? ERR_WORK_DEADLINE
+					     : ERR_WORK_BROKEN;
+}
+
 static void log_retry(struct core *c, const struct forward *f,
 		      const struct forward_attempt *t,
 		      const struct core_fetch_result *res)
@@ -253,9 +261,7 @@
 	/* For an answer that isn't final, is_final() has taken from the hedge budget. */
 	if (!may_retry(c, f) || (!end.has_answer && end.may_have_run &&
 				 !forward_hedge_may_retry(c, f))) {
-		forward_fail(c, f,
-			     core_now(c) >= f->deadline_ms ? ERR_WORK_DEADLINE
-							   : ERR_WORK_BROKEN);
+		forward_fail(c, f, end_error(c, f));
 		return;
 	}
 	log_retry(c, f, t, res);
