--- a/packages/site/test/test_limit.c
+++ b/packages/site/test/test_limit.c
@@ -45,6 +45,7 @@
 	int rank_of_home[2][HOMES]; ///< in the views of both kinds of senders
 	int64_t *sent; ///< times of requests
 	int n_sent;
+	int n_asks;
 };
 
 static void sender_ask(struct sim *m, struct sender *s, int64_t now)
@@ -58,6 +59,7 @@
 		if (m->rank_of_home[kind][h] != s->l.rank)
 			continue;
 		s->l.asked_ms = now;
+		m->n_asks++;
 		if (m->cut[h][who])
 			return;
 		share = site_limit_share(m->rank_of_home[kind][h], HOMES,
@@ -168,10 +170,11 @@
 			sim_init(&m, senders[i], limits[k]);
 			run(&m, 0, RUN_MS);
 			share = m.n_sent * 1000.0 / (RUN_MS * limits[k]);
-			print_message(
-				"%d senders, limit %.1f: %.2f of it, most in 4 s %d of %d\n",
-				senders[i], limits[k], share, max_in_window(&m),
-				allowed(limits[k]));
+			print_message("%d senders, limit %.1f: %.2f of it, "
+				      "most in 4 s %d of %d, %.0f asks/s\n",
+				      senders[i], limits[k], share,
+				      max_in_window(&m), allowed(limits[k]),
+				      m.n_asks * 1000.0 / RUN_MS);
 			assert_true(share * 100 >= USED_MIN_PERCENT);
 			assert_in_range(max_in_window(&m), 1,
 					allowed(limits[k]));
