test(hosted): the kinds of answers to a resumed run as one table

Cause: six functions that differed in a word. Change: one test over all kinds, the same checks and number of faults; a failure names the batch of its kind.

--- a/test/hosted/test_hosted_resume.c
+++ b/test/hosted/test_hosted_resume.c
@@ -18,6 +18,7 @@
 	BATCH_MS = 30000,
 	CUT_AFTER = 2, ///< events; every text has three at least
 	FAULTS = 12, ///< of the resumed runs of a batch
+	CUT_US = 700000, ///< after that, runs from the start are not cut
 };
 
 static struct hosted h;
@@ -38,71 +39,40 @@
 	return 0;
 }
 
-/* batch_read_all() compares each text with what the engines generate. */
-static void assert_texts_whole(enum hosted_resume_reply reply, const char *id)
+/* batch_read_all() compares each text with what the engines generate; the id of the batch
+ * names the row that failed. */
+static void test_text_resumed_where_it_is_not_continued(void **state)
 {
-	json_t *seen;
-
-	pthread_mutex_lock(&h.lock);
-	h.cut_after = CUT_AFTER;
-	h.resume_reply = reply;
-	h.resume_faults_left = FAULTS;
-	pthread_mutex_unlock(&h.lock);
-	batch_submit(&ns, id, 0, 1);
-	/* The later runs from the start are not cut. */
-	usleep(700000);
-	pthread_mutex_lock(&h.lock);
-	h.cut_after = 0;
-	pthread_mutex_unlock(&h.lock);
-	seen = batch_read_all(&ns, id, clock_now_ms() + BATCH_MS);
-	json_decref(seen);
-	assert_int_equal(h.resume_faults_left, 0);
-}
-
-static void test_text_resumed_at_a_server_that_answers_404(void **state)
-{
-	assert_texts_whole(HOSTED_RESUME_404, "r404");
-}
-
-static void test_text_resumed_at_a_server_that_answers_500(void **state)
-{
-	assert_texts_whole(HOSTED_RESUME_500, "r500");
-}
-
-static void test_text_resumed_at_a_server_that_answers_a_page(void **state)
-{
-	assert_texts_whole(HOSTED_RESUME_PAGE, "rpage");
-}
-
-static void test_text_resumed_at_a_server_that_names_no_item(void **state)
-{
-	assert_texts_whole(HOSTED_RESUME_NO_ID, "rnoid");
-}
-
-static void test_text_resumed_at_a_server_that_sends_a_head_only(void **state)
-{
-	assert_texts_whole(HOSTED_RESUME_HEAD, "rhead");
-}
+	static const char *const batches[HOSTED_RESUME_REPLIES] = {
+		[HOSTED_RESUME_404] = "r404",
+		[HOSTED_RESUME_500] = "r500",
+		[HOSTED_RESUME_PAGE] = "rpage",
+		[HOSTED_RESUME_NO_ID] = "rnoid",
+		[HOSTED_RESUME_HEAD] = "rhead",
+		[HOSTED_RESUME_OTHER_EVENT] = "rother",
+	};
 
-static void test_text_resumed_from_another_event(void **state)
-{
-	assert_texts_whole(HOSTED_RESUME_OTHER_EVENT, "rother");
+	for (int i = HOSTED_RESUME_404; i < HOSTED_RESUME_REPLIES; i++) {
+		pthread_mutex_lock(&h.lock);
+		h.cut_after = CUT_AFTER;
+		h.resume_reply = (enum hosted_resume_reply)i;
+		h.resume_faults_left = FAULTS;
+		pthread_mutex_unlock(&h.lock);
+		batch_submit(&ns, batches[i], 0, 1);
+		usleep(CUT_US);
+		pthread_mutex_lock(&h.lock);
+		h.cut_after = 0;
+		pthread_mutex_unlock(&h.lock);
+		json_decref(batch_read_all(&ns, batches[i],
+					   clock_now_ms() + BATCH_MS));
+		assert_int_equal(h.resume_faults_left, 0);
+	}
 }
 
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(
-			test_text_resumed_at_a_server_that_answers_404),
-		cmocka_unit_test(
-			test_text_resumed_at_a_server_that_answers_500),
-		cmocka_unit_test(
-			test_text_resumed_at_a_server_that_answers_a_page),
-		cmocka_unit_test(
-			test_text_resumed_at_a_server_that_names_no_item),
-		cmocka_unit_test(
-			test_text_resumed_at_a_server_that_sends_a_head_only),
-		cmocka_unit_test(test_text_resumed_from_another_event),
+		cmocka_unit_test(test_text_resumed_where_it_is_not_continued),
 	};
 
 	return cmocka_run_group_tests(tests, setup, teardown);
