fix(front): a request that was answered at any node is not barred by what homes know

Each node told the homes of every connection that broke off, whether or not it had answers for that request; homes serve no callers, so they knew of no answer, counted three servers and barred it for all. Class: evidence for one side reaches the judge, that for the other does not.

--- a/packages/daemon/src/suspect/suspect_mod.c
+++ b/packages/daemon/src/suspect/suspect_mod.c
@@ -133,6 +133,8 @@
 		.started_ms = (uint64_t)started_ms,
 	};
 
+	if (suspects_answered_lately(suspects_of(c), core_now(c), id))
+		return;
 	tell(c, &news);
 	record_ended(c, id, server, started_ms, "self");
 }
@@ -239,8 +241,18 @@
 static void apply_barred(struct core *c, const char *from,
 			 const struct suspect_news *news)
 {
+	const struct suspect_news cleared = {
+		.kind = SUSPECT_NEWS_CLEARED,
+		.id = news->id,
+		.server = "",
+	};
 	const struct suspect_entry *e;
 
+	/* Answers are known where they were passed on, not at the homes. */
+	if (suspects_answered_lately(suspects_of(c), core_now(c), news->id)) {
+		tell(c, &cleared);
+		return;
+	}
 	if (suspects_set_barred(suspects_of(c), core_now(c), news->id,
 				core_now(c) - news->age_ms,
 				core_now(c) - news->seen_age_ms) !=
--- a/packages/suspect/include/suspect/suspect.h
+++ b/packages/suspect/include/suspect/suspect.h
@@ -77,7 +77,12 @@
 			 int64_t started_ms, int64_t sent_ms,
 			 struct suspect_id *changed, size_t max, bool *known);
 
-/// Record another node's news that a request is barred.
+/// Whether a server answered a request in the last SUSPECT_ANSWERED_MS at this node.
+bool suspects_answered_lately(struct suspects *t, int64_t now,
+			      struct suspect_id id);
+
+/// Record another node's news that a request is barred; ignored if it was answered
+/// lately at this node, whose answers the other one may not know of.
 ///
 /// @param seen_ms  when it came last, as known there
 enum suspect_change suspects_set_barred(struct suspects *t, int64_t now,
--- a/packages/suspect/src/suspect.c
+++ b/packages/suspect/src/suspect.c
@@ -93,8 +93,8 @@
 	return &t->answered[id.high & (SUSPECT_ANSWERED_MAX - 1)];
 }
 
-static bool answered_lately(struct suspects *t, int64_t now,
-			    struct suspect_id id)
+bool suspects_answered_lately(struct suspects *t, int64_t now,
+			      struct suspect_id id)
 {
 	const struct answered *a = answered_slot(t, id);
 
@@ -119,7 +119,7 @@
 	struct suspect_entry *e;
 	struct suspect_server *s;
 
-	if (answered_lately(t, now, id))
+	if (suspects_answered_lately(t, now, id))
 		return SUSPECT_SAME;
 	e = find_or_add(t, now, id);
 	e->seen_ms = now;
@@ -197,8 +197,7 @@
 	struct suspect_entry *e;
 
 	if (now - seen_ms >= SUSPECT_KEEP_MS ||
-	    (answered_lately(t, now, id) &&
-	     answered_slot(t, id)->at_ms >= barred_ms))
+	    suspects_answered_lately(t, now, id))
 		return SUSPECT_SAME;
 	e = find_or_add(t, now, id);
 	if (is_new || seen_ms > e->seen_ms)
--- a/packages/suspect/test/test_suspect.c
+++ b/packages/suspect/test/test_suspect.c
@@ -149,6 +149,22 @@
 			 SUSPECT_BARRED);
 }
 
+/* Load pattern: servers end under requests that many callers send alike; a home, to which
+ * no caller comes, knows of no answers. */
+static void test_news_do_not_bar_what_was_answered_here(void **state)
+{
+	struct suspect_id id = identity("/rates", NULL);
+
+	suspects_answered(t, 1000, id);
+	assert_int_equal(suspects_set_barred(t, 2000, id, 1900, 1900),
+			 SUSPECT_SAME);
+	assert_true(suspects_answered_lately(t, 2000, id));
+	assert_false(barred(id, 2000));
+	assert_int_equal(suspects_set_barred(t, 1000 + SUSPECT_ANSWERED_MS, id,
+					     1900, 5000),
+			 SUSPECT_BARRED);
+}
+
 /* Nodes repeat to each other what they know; only a return renews it. */
 static void test_request_forgotten_when_it_no_longer_comes(void **state)
 {
@@ -205,6 +221,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_news_of_other_nodes_bar_and_clear, setup,
 			teardown),
+		cmocka_unit_test_setup_teardown(
+			test_news_do_not_bar_what_was_answered_here, setup,
+			teardown),
 		cmocka_unit_test_setup_teardown(
 			test_request_forgotten_when_it_no_longer_comes, setup,
 			teardown),
