--- a/test/hosted/hosted.h
+++ b/test/hosted/hosted.h
@@ -72,7 +72,7 @@
 	int booking_ms; ///< duration of a booking
 	bool fails_half; ///< every second booking fails
 	int n_bookings;
-	/// Bookings with the body "end" end it: the connection breaks, and it starts
+	/// Bookings with the body "end-server" end it: the connection breaks, and it starts
 	/// anew under another id after HOSTED_RESTART_MS.
 	int64_t down_until_ms; ///< connections are closed until then, 0: it is up
 	bool unresponsive; ///< accepts connections and sends no response
--- a/test/hosted/test_hosted_suspect.c
+++ b/test/hosted/test_hosted_suspect.c
@@ -103,7 +103,7 @@
 
 	for (int i = 0; clock_now_ms() < end; i++) {
 		snprintf(id, sizeof(id), "end%d", i);
-		status = book(i % NODES_ENTRY, "k1", id, "end");
+		status = book(i % NODES_ENTRY, "k1", id, "end-server");
 		usleep(RETURN_US);
 	}
 	third_ms = time_of_run("end", ENDED_MAX);
