test(review): a home that does not know a new route yet gives up a whole batch

A batch on a route that was just added is accepted by a home whose watch on the operators' keys has gone silent. It finds no route and abandons all items for good.

--- /dev/null
+++ b/review/hosted/site.h
@@ -0,0 +1,66 @@
+// A small deployment on loopback: daemons with the settings of the deploy file's
+// template, the project's stand-in of the platform, and a proxy between each daemon
+// and the platform's store.
+#pragma once
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "hosted.h"
+#include "nodes.h"
+#include "quiet.h"
+
+enum {
+	SITE_NODES = 5, ///< three entry nodes, then one lead node a failure domain
+	SITE_ENTRY_NODES = 3,
+	SITE_LINK_PORT = 7980, ///< of the first node's proxy to the store
+	/// Exit codes of a case.
+	CASE_HELD = 0,
+	CASE_BROKEN = 1,
+	CASE_NOT_RUN = 2,
+};
+
+struct site {
+	struct hosted hosted;
+	struct nodes nodes;
+	struct quiet *links[SITE_NODES]; ///< of each node to the store
+	uint64_t conf_version;
+};
+
+/// Whether the case runs with its disruption: TROUBLE=0 is without.
+bool site_trouble(void);
+
+/// Write a line with the time since the start to record.txt.
+void site_record(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
+
+/// Start the platform and the daemons, publish the first configuration and wait until
+/// all daemons are ready.
+///
+/// @return false if the case can't run
+bool site_start(struct site *s);
+
+/// Start a daemon again that has ended.
+bool site_restart_node(struct site *s, int i);
+
+void site_stop(struct site *s);
+
+/// Publish the next version of the configuration.
+///
+/// @param extra_routes  JSON array of further routes, NULL for none; released
+void site_publish(struct site *s, json_t *extra_routes);
+
+/// Submit a batch once.
+///
+/// @param path  path of the batch, below the prefix of its route
+/// @return HTTP status, 0 without an answer
+int site_submit(struct site *s, int node, const char *path, const char *id,
+		int items);
+
+/// Node that the store names as a batch's owner, -1 for none.
+int site_owner(struct site *s, const char *id);
+
+/// Number of runs that servers began for a batch's items.
+int site_runs(struct site *s, const char *batch);
+
+void site_sleep_ms(int ms);
