--- a/review/hosted/quiet.c
+++ b/review/hosted/quiet.c
@@ -19,6 +19,7 @@
 
 struct quiet_pair {
 	int fd[2]; ///< caller, target
+	struct in_addr caller;
 	bool silent;
 	bool waiting; ///< for the answer to the latest request
 	char request[QUIET_REQUEST_BYTES]; ///< start of the latest request
@@ -74,6 +75,7 @@
 	}
 	q->pairs[q->n++] = (struct quiet_pair){
 		.fd = {fd, target},
+		.caller = from.sin_addr,
 		.silent = q->cut,
 	};
 }
@@ -204,6 +206,33 @@
 	return n;
 }
 
+static void quiet_reset_fd(int fd)
+{
+	const struct linger reset = {.l_onoff = 1, .l_linger = 0};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
+int quiet_reset(struct quiet *q, const char *caller)
+{
+	struct in_addr ip;
+	int n = 0;
+
+	inet_pton(AF_INET, caller, &ip);
+	pthread_mutex_lock(&q->lock);
+	for (int i = q->n - 1; i >= 0; i--) {
+		if (q->pairs[i].caller.s_addr != ip.s_addr)
+			continue;
+		quiet_reset_fd(q->pairs[i].fd[0]);
+		quiet_reset_fd(q->pairs[i].fd[1]);
+		/* The poll loop closes both sockets, which resets them. */
+		shutdown(q->pairs[i].fd[0], SHUT_RD);
+		n++;
+	}
+	pthread_mutex_unlock(&q->lock);
+	return n;
+}
+
 void quiet_cut(struct quiet *q)
 {
 	pthread_mutex_lock(&q->lock);
--- a/review/hosted/quiet.h
+++ b/review/hosted/quiet.h
@@ -18,6 +18,11 @@
 /// @return number of connections silenced
 int quiet_silence(struct quiet *q, const char *request);
 
+/// Reset the open connections of one caller; new ones work.
+///
+/// @return number of connections reset
+int quiet_reset(struct quiet *q, const char *caller);
+
 /// Silence all open connections and all new ones until quiet_heal().
 void quiet_cut(struct quiet *q);
 void quiet_heal(struct quiet *q);
