test(review): a restarted entry node gives clients the answers to old reads

A home's replies to the reads of a killed process are taken by the new process of the same node for replies to its own: the handles of both start alike. Clients of another tenant get foreign results.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec "$(dirname "$0")/../run_driver.sh" "$(dirname "$0")" same_lookup
--- a/review/build.sh
+++ b/review/build.sh
@@ -15,7 +15,7 @@
 	test/support/addr.c test/support/proc.c test/fakes/platform/kv.c
 	review/hosted/quiet.c review/hosted/site.c
 	target/packages/base/libcatkin_base.a)
-for driver in new_route same_lookup; do
+for driver in new_route old_reply same_lookup; do
 	gcc "${flags[@]}" -o "$out/$driver" "review/hosted/$driver.c" \
 		"${parts[@]}" "${libs[@]}" -pthread -lm
 done
--- a/review/hosted/new_route.c
+++ b/review/hosted/new_route.c
@@ -25,7 +25,7 @@
 
 		snprintf(id, sizeof(id), "probe%d", i);
 		snprintf(path, sizeof(path), "/learn/%s", id);
-		site_submit(&site, 0, path, id, PROBE_ITEMS);
+		site_submit(&site, 0, "k1", path, id, PROBE_ITEMS);
 		if (site_owner(&site, id) >= SITE_ENTRY_NODES)
 			return site_owner(&site, id);
 		site_sleep_ms(500);
@@ -110,7 +110,7 @@
 
 		snprintf(id, sizeof(id), "drill%d", i);
 		snprintf(path, sizeof(path), "/drill/%s", id);
-		status = site_submit(&site, entry, path, id, BATCH_ITEMS);
+		status = site_submit(&site, entry, "k1", path, id, BATCH_ITEMS);
 		site_record("trainer: batch %s sent to n%d: %d, owner n%d", id,
 			    entry, status, site_owner(&site, id));
 		accepted += status == 202;
--- a/review/hosted/site.c
+++ b/review/hosted/site.c
@@ -27,22 +27,25 @@
 
 void site_record(const char *fmt, ...)
 {
+	static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 	const char *path = getenv("RECORD");
 	va_list ap;
 
+	pthread_mutex_lock(&lock);
 	if (!record_file) {
 		record_file = fopen(path ? path : "record.txt", "we");
 		start_ms = clock_now_ms();
 	}
-	if (!record_file)
-		return;
-	fprintf(record_file, "%7.3f ",
-		(double)(clock_now_ms() - start_ms) / 1000);
-	va_start(ap, fmt);
-	vfprintf(record_file, fmt, ap);
-	va_end(ap);
-	fputc('\n', record_file);
-	fflush(record_file);
+	if (record_file) {
+		fprintf(record_file, "%7.3f ",
+			(double)(clock_now_ms() - start_ms) / 1000);
+		va_start(ap, fmt);
+		vfprintf(record_file, fmt, ap);
+		va_end(ap);
+		fputc('\n', record_file);
+		fflush(record_file);
+	}
+	pthread_mutex_unlock(&lock);
 }
 
 void site_sleep_ms(int ms)
@@ -120,6 +123,22 @@
 	hosted_stop(&s->hosted);
 }
 
+/* Tenants t1, t2, ... with the keys k1, k2, ... */
+static json_t *tenants(void)
+{
+	json_t *list = json_array();
+
+	for (int i = 1; i <= SITE_TENANTS; i++) {
+		char name[16], key[16];
+
+		snprintf(name, sizeof(name), "t%d", i);
+		snprintf(key, sizeof(key), "k%d", i);
+		json_array_append_new(list, json_pack("{s:s,s:[s]}", "name",
+						      name, "api_keys", key));
+	}
+	return list;
+}
+
 void site_publish(struct site *s, json_t *extra_routes)
 {
 	json_t *routes = json_pack(
@@ -143,23 +162,23 @@
 	s->conf_version += 10;
 	hosted_put(
 		&s->hosted, "op/config",
-		json_pack("{s:I,s:o,s:[{s:s,s:{s:i}},{s:s}],s:[{s:s,s:[s,s]}]}",
-			  "version", (json_int_t)s->conf_version, "routes",
-			  routes, "services", "name", "engines", "engine",
+		json_pack("{s:I,s:o,s:[{s:s,s:{s:i}},{s:s}],s:o}", "version",
+			  (json_int_t)s->conf_version, "routes", routes,
+			  "services", "name", "engines", "engine",
 			  "kv_capacity", 10000, "name", "desk", "tenants",
-			  "name", "t1", "api_keys", "k1", "k2"));
+			  tenants()));
 	site_record("operator: configuration %d is acknowledged by the store",
 		    (int)s->conf_version);
 }
 
-int site_submit(struct site *s, int node, const char *path, const char *id,
-		int items)
+int site_submit(struct site *s, int node, const char *key, const char *path,
+		const char *id, int items)
 {
 	char *body = batch_body(id, items, 1);
 	struct response a;
 	int status;
 
-	node_call(&s->nodes, node, "POST", path, "k1", id, body, &a);
+	node_call(&s->nodes, node, "POST", path, key, id, body, &a);
 	status = a.status;
 	response_free(&a);
 	free(body);
--- a/review/hosted/site.h
+++ b/review/hosted/site.h
@@ -14,6 +14,7 @@
 enum {
 	SITE_NODES = 5, ///< three entry nodes, then one lead node a failure domain
 	SITE_ENTRY_NODES = 3,
+	SITE_TENANTS = 8, ///< t1 with the key k1, and so on
 	SITE_LINK_PORT = 7980, ///< of the first node's proxy to the store
 	/// Exit codes of a case.
 	CASE_HELD = 0,
@@ -52,10 +53,11 @@
 
 /// Submit a batch once.
 ///
+/// @param key   of the tenant
 /// @param path  path of the batch, below the prefix of its route
 /// @return HTTP status, 0 without an answer
-int site_submit(struct site *s, int node, const char *path, const char *id,
-		int items);
+int site_submit(struct site *s, int node, const char *key, const char *path,
+		const char *id, int items);
 
 /// Node that the store names as a batch's owner, -1 for none.
 int site_owner(struct site *s, const char *id);
