--- a/review/build.sh
+++ b/review/build.sh
@@ -13,7 +13,7 @@
 parts=(test/hosted/body.c test/hosted/hosted.c test/hosted/nodes.c
 	test/hosted/result.c test/hosted/server.c test/hosted/store.c
 	test/support/addr.c test/support/proc.c test/fakes/platform/kv.c
-	review/hosted/quiet.c review/hosted/site.c
+	review/hosted/quiet.c review/hosted/dep.c
 	target/packages/base/libcatkin_base.a)
 for driver in new_route old_reply same_lookup; do
 	gcc "${flags[@]}" -o "$out/$driver" "review/hosted/$driver.c" \
--- a/review/hosted/site.c
+++ b/review/hosted/dep.c
@@ -1,5 +1,5 @@
 // Starts and stops the deployment, publishes configurations, submits batches.
-#include "site.h"
+#include "dep.h"
 
 #include <stdarg.h>
 #include <stdio.h>
@@ -12,20 +12,20 @@
 #include "base/clock.h"
 
 enum {
-	SITE_READY_MS = 20000,
+	DEP_READY_MS = 20000,
 };
 
 static FILE *record_file;
 static int64_t start_ms;
 
-bool site_trouble(void)
+bool dep_trouble(void)
 {
 	const char *trouble = getenv("TROUBLE");
 
 	return !trouble || strcmp(trouble, "0") != 0;
 }
 
-void site_record(const char *fmt, ...)
+void dep_record(const char *fmt, ...)
 {
 	static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 	const char *path = getenv("RECORD");
@@ -48,7 +48,7 @@
 	pthread_mutex_unlock(&lock);
 }
 
-void site_sleep_ms(int ms)
+void dep_sleep_ms(int ms)
 {
 	struct timespec ts = {ms / 1000, ms % 1000 * 1000000L};
 
@@ -56,7 +56,7 @@
 }
 
 /* The lines of deploy/settings.ini, with the bounds of the small deployments. */
-static bool write_settings(const struct site *s, int i)
+static bool write_settings(const struct dep *s, int i)
 {
 	const struct node *n = &s->nodes.list[i];
 	FILE *f = fopen(n->conf, "we");
@@ -79,46 +79,46 @@
 		n->id, i % 2 + 1, n->ip, NODE_FRONT_PORT, n->ip,
 		NODE_ADMIN_PORT, s->hosted.ip, n->store_port, s->hosted.ip,
 		HOSTED_STORE_PORT, n->ip, NODE_PEER_PORT, n->ip,
-		i >= SITE_ENTRY_NODES);
+		i >= DEP_ENTRY_NODES);
 	return fclose(f) == 0;
 }
 
-static bool start_node(struct site *s, int i)
+static bool start_node(struct dep *s, int i)
 {
 	return write_settings(s, i) && node_start(&s->nodes, i);
 }
 
-bool site_restart_node(struct site *s, int i)
+bool dep_restart_node(struct dep *s, int i)
 {
-	return start_node(s, i) && node_wait_ready(&s->nodes, i, SITE_READY_MS);
+	return start_node(s, i) && node_wait_ready(&s->nodes, i, DEP_READY_MS);
 }
 
-bool site_start(struct site *s)
+bool dep_start(struct dep *s)
 {
 	memset(s, 0, sizeof(*s));
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	if (!hosted_start(&s->hosted))
 		return false;
-	site_publish(s, NULL);
-	nodes_init(&s->nodes, &s->hosted, SITE_NODES, SITE_ENTRY_NODES);
-	for (int i = 0; i < SITE_NODES; i++) {
-		s->links[i] = quiet_start(s->hosted.ip, SITE_LINK_PORT + i,
+	dep_publish(s, NULL);
+	nodes_init(&s->nodes, &s->hosted, DEP_NODES, DEP_ENTRY_NODES);
+	for (int i = 0; i < DEP_NODES; i++) {
+		s->links[i] = quiet_start(s->hosted.ip, DEP_LINK_PORT + i,
 					  s->hosted.ip, HOSTED_STORE_PORT);
-		s->nodes.list[i].store_port = SITE_LINK_PORT + i;
+		s->nodes.list[i].store_port = DEP_LINK_PORT + i;
 		if (!s->links[i] || !start_node(s, i))
 			return false;
 	}
-	for (int i = 0; i < SITE_NODES; i++) {
-		if (!node_wait_ready(&s->nodes, i, SITE_READY_MS))
+	for (int i = 0; i < DEP_NODES; i++) {
+		if (!node_wait_ready(&s->nodes, i, DEP_READY_MS))
 			return false;
 	}
 	return true;
 }
 
-void site_stop(struct site *s)
+void dep_stop(struct dep *s)
 {
 	nodes_stop(&s->nodes);
-	for (int i = 0; i < SITE_NODES; i++)
+	for (int i = 0; i < DEP_NODES; i++)
 		quiet_stop(s->links[i]);
 	hosted_stop(&s->hosted);
 }
@@ -128,7 +128,7 @@
 {
 	json_t *list = json_array();
 
-	for (int i = 1; i <= SITE_TENANTS; i++) {
+	for (int i = 1; i <= DEP_TENANTS; i++) {
 		char name[16], key[16];
 
 		snprintf(name, sizeof(name), "t%d", i);
@@ -139,7 +139,7 @@
 	return list;
 }
 
-void site_publish(struct site *s, json_t *extra_routes)
+void dep_publish(struct dep *s, json_t *extra_routes)
 {
 	json_t *routes = json_pack(
 		"[{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i},"
@@ -160,19 +160,18 @@
 		json_decref(extra_routes);
 	}
 	s->conf_version += 10;
-	hosted_put(
-		&s->hosted, "op/config",
-		json_pack("{s:I,s:o,s:[{s:s,s:{s:i}},{s:s}],s:o}", "version",
-			  (json_int_t)s->conf_version, "routes", routes,
-			  "services", "name", "engines", "engine",
-			  "kv_capacity", 10000, "name", "desk", "tenants",
-			  tenants()));
-	site_record("operator: configuration %d is acknowledged by the store",
-		    (int)s->conf_version);
+	hosted_put(&s->hosted, "op/config",
+		   json_pack("{s:I,s:o,s:[{s:s,s:{s:i}},{s:s}],s:o}", "version",
+			     (json_int_t)s->conf_version, "routes", routes,
+			     "services", "name", "engines", "engine",
+			     "kv_capacity", 10000, "name", "desk", "tenants",
+			     tenants()));
+	dep_record("operator: configuration %d is acknowledged by the store",
+		   (int)s->conf_version);
 }
 
-int site_submit(struct site *s, int node, const char *key, const char *path,
-		const char *id, int items)
+int dep_submit(struct dep *s, int node, const char *key, const char *path,
+	       const char *id, int items)
 {
 	char *body = batch_body(id, items, 1);
 	struct response a;
@@ -185,7 +184,7 @@
 	return status;
 }
 
-int site_owner(struct site *s, const char *id)
+int dep_owner(struct dep *s, const char *id)
 {
 	char key[96];
 	char *value;
@@ -193,7 +192,7 @@
 
 	snprintf(key, sizeof(key), "catkin/run/%s", id);
 	value = hosted_get_value(&s->hosted, key);
-	for (int i = 0; value && i < SITE_NODES; i++) {
+	for (int i = 0; value && i < DEP_NODES; i++) {
 		char name[64];
 
 		snprintf(name, sizeof(name), "\"%s\"", s->nodes.list[i].id);
@@ -204,7 +203,7 @@
 	return node;
 }
 
-int site_runs(struct site *s, const char *batch)
+int dep_runs(struct dep *s, const char *batch)
 {
 	struct hosted *h = &s->hosted;
 	size_t len = strlen(batch);
--- a/review/hosted/site.h
+++ b/review/hosted/dep.h
@@ -12,57 +12,58 @@
 #include "quiet.h"
 
 enum {
-	SITE_NODES = 5, ///< three entry nodes, then one lead node a failure domain
-	SITE_ENTRY_NODES = 3,
-	SITE_TENANTS = 8, ///< t1 with the key k1, and so on
-	SITE_LINK_PORT = 7980, ///< of the first node's proxy to the store
+	DEP_NODES =
+		5, ///< three entry nodes, then one lead node a failure domain
+	DEP_ENTRY_NODES = 3,
+	DEP_TENANTS = 8, ///< t1 with the key k1, and so on
+	DEP_LINK_PORT = 7980, ///< of the first node's proxy to the store
 	/// Exit codes of a case.
 	CASE_HELD = 0,
 	CASE_BROKEN = 1,
 	CASE_NOT_RUN = 2,
 };
 
-struct site {
+struct dep {
 	struct hosted hosted;
 	struct nodes nodes;
-	struct quiet *links[SITE_NODES]; ///< of each node to the store
+	struct quiet *links[DEP_NODES]; ///< of each node to the store
 	uint64_t conf_version;
 };
 
 /// Whether the case runs with its disruption: TROUBLE=0 is without.
-bool site_trouble(void);
+bool dep_trouble(void);
 
 /// Write a line with the time since the start to record.txt.
-void site_record(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
+void dep_record(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
 
 /// Start the platform and the daemons, publish the first configuration and wait until
 /// all daemons are ready.
 ///
 /// @return false if the case can't run
-bool site_start(struct site *s);
+bool dep_start(struct dep *s);
 
 /// Start a daemon again that has ended.
-bool site_restart_node(struct site *s, int i);
+bool dep_restart_node(struct dep *s, int i);
 
-void site_stop(struct site *s);
+void dep_stop(struct dep *s);
 
 /// Publish the next version of the configuration.
 ///
 /// @param extra_routes  JSON array of further routes, NULL for none; released
-void site_publish(struct site *s, json_t *extra_routes);
+void dep_publish(struct dep *s, json_t *extra_routes);
 
 /// Submit a batch once.
 ///
 /// @param key   of the tenant
 /// @param path  path of the batch, below the prefix of its route
 /// @return HTTP status, 0 without an answer
-int site_submit(struct site *s, int node, const char *key, const char *path,
-		const char *id, int items);
+int dep_submit(struct dep *s, int node, const char *key, const char *path,
+	       const char *id, int items);
 
 /// Node that the store names as a batch's owner, -1 for none.
-int site_owner(struct site *s, const char *id);
+int dep_owner(struct dep *s, const char *id);
 
 /// Number of runs that servers began for a batch's items.
-int site_runs(struct site *s, const char *batch);
+int dep_runs(struct dep *s, const char *batch);
 
-void site_sleep_ms(int ms);
+void dep_sleep_ms(int ms);
--- a/review/hosted/old_reply.c
+++ b/review/hosted/old_reply.c
@@ -9,7 +9,7 @@
 #include <pthread.h>
 
 #include "base/clock.h"
-#include "site.h"
+#include "dep.h"
 
 enum {
 	ENTRY = 0, ///< the node that is killed
@@ -30,7 +30,7 @@
 	ROUNDS = 3, ///< until the first wrong answer
 };
 
-static struct site site;
+static struct dep dep;
 
 struct reader {
 	const char *key;
@@ -69,8 +69,8 @@
 
 	if (json_integer_value(json_object_get(page, "total")) != r->total) {
 		wrong++;
-		site_record("client: %s asked for %s (%d items), got %.200s",
-			    r->key, r->batch, r->total, text);
+		dep_record("client: %s asked for %s (%d items), got %.200s",
+			   r->key, r->batch, r->total, text);
 	}
 	for (size_t i = 0; i < json_array_size(results); i++) {
 		const json_t *result = json_array_get(results, i);
@@ -95,7 +95,7 @@
 	long status = 0;
 
 	snprintf(url, sizeof(url), "http://%s:%d/catkinpath/lots/%s?after=0",
-		 site.nodes.list[ENTRY].ip, NODE_FRONT_PORT, r->batch);
+		 dep.nodes.list[ENTRY].ip, NODE_FRONT_PORT, r->batch);
 	snprintf(auth, sizeof(auth), "Authorization: Bearer %s", r->key);
 	headers = curl_slist_append(headers, "Host: h1");
 	headers = curl_slist_append(headers, auth);
@@ -132,8 +132,8 @@
 
 	snprintf(id, sizeof(id), "probe-%s", key);
 	snprintf(path, sizeof(path), "/learn/%s", id);
-	site_submit(&site, OTHER_ENTRY, key, path, id, 2);
-	return site_owner(&site, id);
+	dep_submit(&dep, OTHER_ENTRY, key, path, id, 2);
+	return dep_owner(&dep, id);
 }
 
 /* Another tenant whose batches have the same home, NULL if there is none. */
@@ -155,21 +155,20 @@
 	int status;
 
 	snprintf(path, sizeof(path), "/learn/%s", id);
-	status = site_submit(&site, OTHER_ENTRY, key, path, id, items);
-	site_record("trainer: %s submits %s with %d items at n%d: %d, owner "
-		    "n%d",
-		    key, id, items, OTHER_ENTRY, status,
-		    site_owner(&site, id));
+	status = dep_submit(&dep, OTHER_ENTRY, key, path, id, items);
+	dep_record("trainer: %s submits %s with %d items at n%d: %d, owner "
+		   "n%d",
+		   key, id, items, OTHER_ENTRY, status, dep_owner(&dep, id));
 	return status == 202;
 }
 
 static void kill_entry(void)
 {
-	proc_kill(&site.nodes.list[ENTRY].proc);
-	site_record("disruption: the process of n%d is killed", ENTRY);
-	site_sleep_ms(RESTART_MS);
-	node_start(&site.nodes, ENTRY);
-	site_record("n%d starts again", ENTRY);
+	proc_kill(&dep.nodes.list[ENTRY].proc);
+	dep_record("disruption: the process of n%d is killed", ENTRY);
+	dep_sleep_ms(RESTART_MS);
+	node_start(&dep.nodes, ENTRY);
+	dep_record("n%d starts again", ENTRY);
 }
 
 /* @return signs of another batch in the clients' answers, -1 if a batch was refused */
@@ -191,22 +190,22 @@
 		if (!submit("k1", id, FIRST_ITEMS))
 			return -1;
 	}
-	site_sleep_ms(FIRST_READ_AFTER_MS);
+	dep_sleep_ms(FIRST_READ_AFTER_MS);
 	for (int i = 0; i < FIRST_READERS; i++) {
 		snprintf(id, sizeof(id), "first%d-%d", round,
 			 i % FIRST_BATCHES);
 		start_reader(&first[i], "k1", id, FIRST_ITEMS);
 	}
-	site_sleep_ms(KILL_AFTER_MS);
+	dep_sleep_ms(KILL_AFTER_MS);
 	killed_ms = clock_now_ms();
-	if (site_trouble())
+	if (dep_trouble())
 		kill_entry();
 	for (int i = 0; i < SECOND_READERS; i++) {
 		int64_t due_ms =
 			killed_ms + SECOND_FROM_MS + i * SECOND_INTERVAL_MS;
 
 		if (due_ms > clock_now_ms())
-			site_sleep_ms((int)(due_ms - clock_now_ms()));
+			dep_sleep_ms((int)(due_ms - clock_now_ms()));
 		start_reader(&second[i], key, own, SECOND_ITEMS);
 	}
 	for (int i = 0; i < FIRST_READERS; i++) {
@@ -218,8 +217,8 @@
 		wrong += second[i].wrong;
 		*answered += second[i].status == 200;
 	}
-	site_record("%s read %s %d times, %d signs of another tenant's batch",
-		    key, own, SECOND_READERS, wrong);
+	dep_record("%s read %s %d times, %d signs of another tenant's batch",
+		   key, own, SECOND_READERS, wrong);
 	return wrong;
 }
 
@@ -231,19 +230,19 @@
 	int home;
 
 	/* Nodes don't ask homes in their first 600 ms. */
-	site_sleep_ms(SETTLE_MS);
+	dep_sleep_ms(SETTLE_MS);
 	home = home_of("k1");
-	if (home >= SITE_ENTRY_NODES)
+	if (home >= DEP_ENTRY_NODES)
 		key = second_tenant(home);
 	if (!key)
 		return CASE_NOT_RUN;
-	site_record("home of k1 and %s: n%d; clients read at n%d", key, home,
-		    ENTRY);
-	site_sleep_ms(SETTLE_MS);
-	site.hosted.event_ms = EVENT_MS;
+	dep_record("home of k1 and %s: n%d; clients read at n%d", key, home,
+		   ENTRY);
+	dep_sleep_ms(SETTLE_MS);
+	dep.hosted.event_ms = EVENT_MS;
 	for (int round = 0; round < ROUNDS && !wrong; round++) {
 		wrong = run_round(key, round, &answered);
-		site_sleep_ms(SETTLE_MS);
+		dep_sleep_ms(SETTLE_MS);
 	}
 	if (!answered || wrong < 0)
 		return CASE_NOT_RUN;
@@ -252,8 +251,8 @@
 
 int main(void)
 {
-	int code = site_start(&site) ? run_case() : CASE_NOT_RUN;
+	int code = dep_start(&dep) ? run_case() : CASE_NOT_RUN;
 
-	site_stop(&site);
+	dep_stop(&dep);
 	return code;
 }
--- a/review/hosted/quiet.c
+++ b/review/hosted/quiet.c
@@ -125,11 +125,11 @@
 		struct quiet_pair *p = &q->pairs[i];
 
 		fds[1 + 2 * i] = (struct pollfd){p->fd[0], POLLIN, 0};
-		fds[2 + 2 * i] = (struct pollfd){p->silent ? -1 : p->fd[1],
-						 POLLIN, 0};
+		fds[2 + 2 * i] =
+			(struct pollfd){p->silent ? -1 : p->fd[1], POLLIN, 0};
 	}
 	pthread_mutex_unlock(&q->lock);
-	poll(fds, (nfds_t)(1 + 2 * n), QUIET_POLL_MS);
+	poll(fds, 1 + 2 * (nfds_t)n, QUIET_POLL_MS);
 	pthread_mutex_lock(&q->lock);
 	for (int i = n - 1; i >= 0; i--) {
 		bool ok = true;
--- a/review/hosted/same_lookup.c
+++ b/review/hosted/same_lookup.c
@@ -7,7 +7,7 @@
 
 #include <pthread.h>
 
-#include "site.h"
+#include "dep.h"
 #include "support/proc.h"
 
 enum {
@@ -24,7 +24,7 @@
 	DENIED_FREE = 5, ///< the rule allows so many, and one in 500
 };
 
-static struct site site;
+static struct dep dep;
 static struct proc servers[SERVERS];
 static int n_starts;
 
@@ -46,7 +46,7 @@
 	char id[32], port[16], key[64], addr[64];
 	const char *const argv[] = {"../review/lookup_server",
 				    id,
-				    site.hosted.ip,
+				    dep.hosted.ip,
 				    port,
 				    "400",
 				    NULL};
@@ -54,11 +54,11 @@
 	server_id(i, id, sizeof(id));
 	snprintf(port, sizeof(port), "%d", SERVER_PORT + i);
 	snprintf(key, sizeof(key), "servers/%s", id);
-	snprintf(addr, sizeof(addr), "%s:%s", site.hosted.ip, port);
+	snprintf(addr, sizeof(addr), "%s:%s", dep.hosted.ip, port);
 	if (!proc_start(&servers[i], id, argv) ||
-	    !wait_port(site.hosted.ip, SERVER_PORT + i, 5000))
+	    !wait_port(dep.hosted.ip, SERVER_PORT + i, 5000))
 		return false;
-	hosted_put(&site.hosted, key,
+	hosted_put(&dep.hosted, key,
 		   json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i}", "service",
 			     "sizes", "addr", addr, "zone", i % 2 ? "d2" : "d1",
 			     "version", "v1", "slots", SERVER_SLOTS, "state",
@@ -90,7 +90,7 @@
 
 		server_id(i, id, sizeof(id));
 		snprintf(key, sizeof(key), "servers/%s", id);
-		hosted_delete(&site.hosted, key);
+		hosted_delete(&dep.hosted, key);
 	}
 }
 
@@ -99,12 +99,12 @@
 	struct lookup *l = ctx;
 	struct response a;
 
-	node_call(&site.nodes, l->node, "POST", "/size/hand", "k1", l->id,
+	node_call(&dep.nodes, l->node, "POST", "/size/hand", "k1", l->id,
 		  l->body, &a);
 	l->status = a.status;
 	response_free(&a);
-	site_record("caller: lookup %s '%s' at n%d: %d", l->id, l->body,
-		    l->node, l->status);
+	dep_record("caller: lookup %s '%s' at n%d: %d", l->id, l->body, l->node,
+		   l->status);
 	return NULL;
 }
 
@@ -115,15 +115,15 @@
 	pthread_t threads[CALLERS];
 
 	for (int i = 0; i < CALLERS; i++) {
-		calls[i] = (struct lookup){.node = i % SITE_ENTRY_NODES,
+		calls[i] = (struct lookup){.node = i % DEP_ENTRY_NODES,
 					   .body = "hand=183"};
 		snprintf(calls[i].id, sizeof(calls[i].id), "first%d", i);
 		pthread_create(&threads[i], NULL, look_up, &calls[i]);
 	}
-	site_sleep_ms(CRASH_AFTER_MS);
-	if (site_trouble()) {
+	dep_sleep_ms(CRASH_AFTER_MS);
+	if (dep_trouble()) {
 		kill_servers();
-		site_record("disruption: all servers of the service crash");
+		dep_record("disruption: all servers of the service crash");
 	}
 	for (int i = 0; i < CALLERS; i++)
 		pthread_join(threads[i], NULL);
@@ -131,12 +131,12 @@
 
 static bool bring_back(void)
 {
-	if (!site_trouble())
+	if (!dep_trouble())
 		return true;
-	site_sleep_ms(ENTRY_EXPIRES_MS);
+	dep_sleep_ms(ENTRY_EXPIRES_MS);
 	expire_entries();
-	site_sleep_ms(DOWN_MS - ENTRY_EXPIRES_MS);
-	site_record("the servers are back");
+	dep_sleep_ms(DOWN_MS - ENTRY_EXPIRES_MS);
+	dep_record("the servers are back");
 	return start_servers();
 }
 
@@ -147,9 +147,9 @@
 	int other = 0;
 
 	for (int i = 0; i < LATER_LOOKUPS; i++) {
-		struct lookup same = {.node = i % SITE_ENTRY_NODES,
+		struct lookup same = {.node = i % DEP_ENTRY_NODES,
 				      .body = "hand=183"};
-		struct lookup differs = {.node = i % SITE_ENTRY_NODES,
+		struct lookup differs = {.node = i % DEP_ENTRY_NODES,
 					 .body = "hand=201"};
 
 		snprintf(same.id, sizeof(same.id), "later%d", i);
@@ -161,11 +161,11 @@
 			look_up(&differs);
 			other += differs.status == 200;
 		}
-		site_sleep_ms(LATER_INTERVAL_MS);
+		dep_sleep_ms(LATER_INTERVAL_MS);
 	}
-	site_record("later lookups: %d of %d denied with 400, %d served; "
-		    "another lookup: %d of %d served",
-		    denied, LATER_LOOKUPS, served, other, LATER_LOOKUPS / 10);
+	dep_record("later lookups: %d of %d denied with 400, %d served; "
+		   "another lookup: %d of %d served",
+		   denied, LATER_LOOKUPS, served, other, LATER_LOOKUPS / 10);
 	if (!other)
 		return CASE_NOT_RUN;
 	return denied > DENIED_FREE + 1 ? CASE_BROKEN : CASE_HELD;
@@ -173,27 +173,26 @@
 
 static int run_case(void)
 {
-	site_publish(
-		&site,
-		json_pack("[{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i}]", "name", "size",
-			  "host", "h1", "prefix", "/size/", "kind",
-			  "idempotent", "service", "sizes", "target_latency_ms",
-			  800, "timeout_ms", 3000, "max_attempts", 2));
+	dep_publish(&dep, json_pack("[{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i}]",
+				    "name", "size", "host", "h1", "prefix",
+				    "/size/", "kind", "idempotent", "service",
+				    "sizes", "target_latency_ms", 800,
+				    "timeout_ms", 3000, "max_attempts", 2));
 	if (!start_servers())
 		return CASE_NOT_RUN;
-	site_sleep_ms(SETTLE_MS);
+	dep_sleep_ms(SETTLE_MS);
 	ask_together();
 	if (!bring_back())
 		return CASE_NOT_RUN;
-	site_sleep_ms(SETTLE_MS);
+	dep_sleep_ms(SETTLE_MS);
 	return look_up_later();
 }
 
 int main(void)
 {
-	int code = site_start(&site) ? run_case() : CASE_NOT_RUN;
+	int code = dep_start(&dep) ? run_case() : CASE_NOT_RUN;
 
 	kill_servers();
-	site_stop(&site);
+	dep_stop(&dep);
 	return code;
 }
