--- a/packages/core/include/core/core.h
+++ b/packages/core/include/core/core.h
@@ -9,7 +9,9 @@
 enum core_peer_msg {
 	PEER_MSG_NONE = 0,
 #define PEER_MSG(sym, num, doc) sym = (num),
+#define PEER_REPLY(sym, num, doc) sym = (num),
 #include "core/peer_msg.def"
+#undef PEER_REPLY
 #undef PEER_MSG
 };
 
@@ -186,13 +188,33 @@
 /// messages get no reply.
 void core_peer_reset(struct core *c, const char *node);
 
-/// Send a message; it is copied, and its delivery is not guaranteed. The body must
-/// be one msgpack object; the receiver drops anything else.
+/// A process of a node. What was learned from one says nothing of the next: numbers that
+/// it chose, such as handles, start anew.
+struct core_peer_run {
+	char node[64];
+	uint64_t
+		run; ///< 0: of an earlier version, which doesn't name its process
+};
+
+/// Send a message to any process of a node; it is copied, and its delivery is not
+/// guaranteed. The body must be one msgpack object; the receiver drops anything else.
 ///
-/// @return ERR_OK, ERR_NOT_FOUND for an unknown peer, ERR_FULL
+/// @return ERR_OK, ERR_NOT_FOUND for an unknown peer, ERR_FULL, ERR_INVALID for a reply
 enum err core_peer_send(struct core *c, const char *node,
 			enum core_peer_msg type, const void *buf, size_t len);
 
+/// Sender of the message being handled.
+struct core_peer_run core_peer_sender(const struct core *c);
+
+/// Send a reply, as by core_peer_send(). Another process of that node does not take it.
+///
+/// @param to  core_peer_sender() when the message arrived that this replies to
+enum err core_peer_reply(struct core *c, const struct core_peer_run *to,
+			 enum core_peer_msg type, const void *buf, size_t len);
+
+/// Count and log a reply to nothing that this node still waits for.
+void core_peer_late_reply(const char *from, enum core_peer_msg type);
+
 /// Send a message to all peers, as by core_peer_send().
 void core_peer_broadcast(struct core *c, enum core_peer_msg type,
 			 const void *buf, size_t len);
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -114,6 +114,7 @@
 	struct peer_opts opts = {
 		.events = c->peer_queue,
 		.node = core_node(c),
+		.run = c->run,
 		.listen = settings_str(c->opts.settings, S_PEER_LISTEN),
 	};
 
@@ -222,6 +223,8 @@
 	c->now_ms = clock_now_ms();
 	c->next_tick_ms = c->now_ms;
 	randombytes_buf(&id, sizeof(id));
+	id |= 1;
+	c->run = id;
 	snprintf(c->incarnation, sizeof(c->incarnation), "%016llx",
 		 (unsigned long long)id);
 	e = create_queues(c) ? start_all(c) : ERR_SYS;
--- a/packages/core/src/core.h
+++ b/packages/core/src/core.h
@@ -84,6 +84,8 @@
 	bool route_draining[CORE_ROUTES_MAX]; ///< also served while draining
 	size_t n_routes;
 	struct peer_handler peer_handlers[CORE_PEER_TYPES_MAX];
+	uint64_t run; ///< `incarnation` as a number, not 0
+	struct core_peer_run sender; ///< of the message being handled
 	struct core_peer *peers;
 	size_t n_peers;
 	size_t peers_cap;
--- a/packages/daemon/src/conf_mod_peer.c
+++ b/packages/daemon/src/conf_mod_peer.c
@@ -26,8 +26,11 @@
 void conf_mod_peer_send(struct conf_mod *m, const char *to,
 			const struct conf_msg *msg)
 {
+	/* A query is answered while it is handled. */
+	struct core_peer_run asker = core_peer_sender(m->c);
 	msgpack_sbuffer buf;
 	msgpack_packer pk;
+	enum err e;
 
 	msgpack_sbuffer_init(&buf);
 	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
@@ -39,7 +42,13 @@
 		msgpack_pack_str_with_body(&pk, msg->text, msg->len);
 	else
 		msgpack_pack_nil(&pk);
-	core_peer_send(m->c, to, peer_msg_types[msg->type], buf.data, buf.size);
+	e = msg->type == CONF_MSG_REPLY
+		    ? core_peer_reply(m->c, &asker, PEER_CONF_ANSWER, buf.data,
+				      buf.size)
+		    : core_peer_send(m->c, to, peer_msg_types[msg->type],
+				     buf.data, buf.size);
+	if (e != ERR_OK)
+		metric_add(M_PEER_DROPPED, 1);
 	msgpack_sbuffer_destroy(&buf);
 }
 
--- a/packages/daemon/src/job/caller.c
+++ b/packages/daemon/src/job/caller.c
@@ -20,7 +20,7 @@
 	if (to->req)
 		core_reply(c, to->req, status, ctype, body, len);
 	else
-		job_home_reply(c, to->node, &reply);
+		job_home_reply(c, &to->from, &reply);
 }
 
 void job_caller_refuse(struct core *c, const struct job_caller *to, enum err e,
@@ -37,5 +37,5 @@
 	if (to->req)
 		core_reply_err(c, to->req, e, run, retry_after_ms, NULL);
 	else
-		job_home_reply(c, to->node, &reply);
+		job_home_reply(c, &to->from, &reply);
 }
--- a/packages/daemon/src/job/caller.h
+++ b/packages/daemon/src/job/caller.h
@@ -5,7 +5,7 @@
 
 struct job_caller {
 	htab_handle req; ///< at this node; 0 if another node forwarded it
-	char node[64]; ///< that forwarded the request
+	struct core_peer_run from; ///< process that forwarded the request
 	uint64_t seq; ///< of its request
 };
 
--- a/packages/daemon/src/job/home.c
+++ b/packages/daemon/src/job/home.c
@@ -214,8 +214,10 @@
 		htab_get(home_state_of(c)->pending, (htab_handle)reply->seq);
 	struct home_pending saved;
 
-	if (!p || strcmp(p->home, from) != 0)
+	if (!p || strcmp(p->home, from) != 0) {
+		core_peer_late_reply(from, PEER_JOB_REPLY);
 		return;
+	}
 	saved = *p;
 	htab_del(home_state_of(c)->pending, saved.self);
 	if (!is_final(reply)) {
@@ -266,7 +268,7 @@
 	    core_peer_add(c, from, request.addr) != ERR_OK) {
 		metric_add(M_PEER_MALFORMED, 1);
 	} else {
-		snprintf(to.node, sizeof(to.node), "%s", from);
+		to.from = core_peer_sender(c);
 		to.seq = request.seq;
 		if (can_serve(c, &request))
 			job_serve_local(c, &to, &request, false);
@@ -276,7 +278,7 @@
 	arena_free(&a);
 }
 
-void job_home_reply(struct core *c, const char *node,
+void job_home_reply(struct core *c, const struct core_peer_run *to,
 		    const struct home_reply *reply)
 {
 	msgpack_sbuffer buf;
@@ -284,10 +286,10 @@
 
 	msgpack_sbuffer_init(&buf);
 	job_home_reply_pack(&buf, reply);
-	e = core_peer_send(c, node, PEER_JOB_REPLY, buf.data, buf.size);
+	e = core_peer_reply(c, to, PEER_JOB_REPLY, buf.data, buf.size);
 	if (e != ERR_OK)
 		log_event(EV_JOB_HOME_REPLY_UNSENT, "to=%s bytes=%zu error=%s",
-			  node, buf.size, err_code(e));
+			  to->node, buf.size, err_code(e));
 	msgpack_sbuffer_destroy(&buf);
 }
 
--- a/packages/daemon/src/job/home.h
+++ b/packages/daemon/src/job/home.h
@@ -59,7 +59,7 @@
 /// Serve requests locally whose home timed out.
 void job_home_step(struct core *c);
 
-void job_home_reply(struct core *c, const char *node,
+void job_home_reply(struct core *c, const struct core_peer_run *to,
 		    const struct home_reply *reply);
 
 void job_home_free(struct core *c);
--- a/packages/daemon/src/proxy.c
+++ b/packages/daemon/src/proxy.c
@@ -32,7 +32,7 @@
 
 /// A call made on behalf of a peer.
 struct proxied_call {
-	char node[SITE_NAME_SIZE];
+	struct core_peer_run from;
 	uint64_t seq;
 };
 
@@ -148,6 +148,8 @@
 		o = htab_get(p->pending, (htab_handle)seq);
 		if (o && strcmp(o->peer, from) == 0)
 			finish(c, p, o, &res);
+		else
+			core_peer_late_reply(from, PEER_KV_REPLY);
 	}
 	arena_free(&a);
 }
@@ -165,10 +167,10 @@
 
 	msgpack_sbuffer_init(&buf);
 	proxy_reply_pack(&buf, to->seq, res);
-	e = core_peer_send(c, to->node, PEER_KV_REPLY, buf.data, buf.size);
+	e = core_peer_reply(c, &to->from, PEER_KV_REPLY, buf.data, buf.size);
 	if (e != ERR_OK)
 		log_event(EV_KV_PROXY_LOST, "peer=%s bytes=%zu error=%s",
-			  to->node, buf.size, err_code(e));
+			  to->from.node, buf.size, err_code(e));
 	msgpack_sbuffer_destroy(&buf);
 }
 
@@ -198,7 +200,7 @@
 		metric_add(M_PEER_MALFORMED, 1);
 		free(to);
 	} else {
-		snprintf(to->node, sizeof(to->node), "%s", from);
+		to->from = core_peer_sender(c);
 		to->seq = request.seq;
 		if (kv_call_direct(c, &request.call,
 				   (struct kv_cb){on_call_done, to}) !=
--- a/packages/daemon/src/site/limits.c
+++ b/packages/daemon/src/site/limits.c
@@ -49,6 +49,19 @@
 	return e;
 }
 
+static void send_reply(struct core *c, const struct limit_msg_entry *reply)
+{
+	struct core_peer_run to = core_peer_sender(c);
+	msgpack_sbuffer buf;
+
+	msgpack_sbuffer_init(&buf);
+	limit_msg_pack(&buf, reply, 1);
+	if (core_peer_reply(c, &to, PEER_LIMIT_REPLY, buf.data, buf.size) !=
+	    ERR_OK)
+		metric_add(M_PEER_DROPPED, 1);
+	msgpack_sbuffer_destroy(&buf);
+}
+
 static void record(struct core *c, struct site_server *srv, double per_s,
 		   int64_t named_ms, const char *from)
 {
@@ -261,7 +274,7 @@
 	reply.count = (uint64_t)g.n;
 	reply.wait_ms = g.wait_ms;
 	reply.interval_ms = g.interval_ms;
-	send_list(c, from, PEER_LIMIT_REPLY, &reply, 1);
+	send_reply(c, &reply);
 }
 
 static void on_reply(struct core *c, const char *from,
--- a/packages/daemon/src/site/relay.c
+++ b/packages/daemon/src/site/relay.c
@@ -71,12 +71,12 @@
 
 	msgpack_sbuffer_init(&buf);
 	relay_response_pack(c, &buf, r, follower);
-	e = core_peer_send(c, follower->node, PEER_RELAY_RESPONSE, buf.data,
-			   buf.size);
+	e = core_peer_reply(c, &follower->from, PEER_RELAY_RESPONSE, buf.data,
+			    buf.size);
 	if (e != ERR_OK) {
 		metric_add(M_RELAY_UNSENT, 1);
 		log_event(EV_RELAY_REPLY_UNSENT, "to=%s bytes=%zu error=%s",
-			  follower->node, buf.size, err_code(e));
+			  follower->from.node, buf.size, err_code(e));
 	}
 	msgpack_sbuffer_destroy(&buf);
 }
@@ -113,7 +113,7 @@
 
 		if (core_now(c) - follower->arrived_ms >=
 		    RELAY_FOLLOWER_EXPIRY_MS) {
-			core_peer_del(c, follower->node);
+			core_peer_del(c, follower->from.node);
 			*follower = r->followers[--r->n_followers];
 		} else if (follower->pending &&
 			   core_now(c) >= follower->not_before_ms &&
@@ -132,7 +132,7 @@
 					    const char *node)
 {
 	for (int i = 0; i < r->n_followers; i++) {
-		if (strcmp(r->followers[i].node, node) == 0)
+		if (strcmp(r->followers[i].from.node, node) == 0)
 			return &r->followers[i];
 	}
 	if (r->n_followers == RELAY_FOLLOWERS_MAX)
@@ -158,7 +158,7 @@
 	follower = follower_slot(c, r, from);
 	if (!follower)
 		return;
-	snprintf(follower->node, sizeof(follower->node), "%s", from);
+	follower->from = core_peer_sender(c);
 	follower->pending = true;
 	follower->was_stale = data_too_old(c, r);
 	follower->arrived_ms = core_now(c);
@@ -247,6 +247,8 @@
 				       relay_as_of(c, sent_ms, status.held_ms));
 		else
 			avoid_stale_relay(c, r, from, &status, prefixes);
+	} else {
+		core_peer_late_reply(from, PEER_RELAY_RESPONSE);
 	}
 	arena_free(&a);
 	relay_step(c, r);
--- a/packages/daemon/src/site/relay.h
+++ b/packages/daemon/src/site/relay.h
@@ -17,7 +17,7 @@
 
 /// A follower and its last request.
 struct relay_follower {
-	char node[FOLLOW_ID_MAX];
+	struct core_peer_run from;
 	bool pending; ///< not answered yet
 	bool was_stale; ///< the relay's data was too old at arrived_ms
 	int64_t arrived_ms;
--- a/packages/daemon/src/usage_mod_copy.c
+++ b/packages/daemon/src/usage_mod_copy.c
@@ -271,15 +271,18 @@
 	return true;
 }
 
-static void send_ack(struct usage_mod *m, const char *to, uint64_t version)
+static void send_ack(struct usage_mod *m, uint64_t version)
 {
+	struct core_peer_run to = core_peer_sender(m->c);
 	msgpack_sbuffer buf;
 	msgpack_packer pk;
 
 	msgpack_sbuffer_init(&buf);
 	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
 	msgpack_pack_uint64(&pk, version);
-	core_peer_send(m->c, to, PEER_USAGE_ACK, buf.data, buf.size);
+	if (core_peer_reply(m->c, &to, PEER_USAGE_ACK, buf.data, buf.size) !=
+	    ERR_OK)
+		metric_add(M_PEER_DROPPED, 1);
 	msgpack_sbuffer_destroy(&buf);
 }
 
@@ -300,7 +303,7 @@
 	msgpack_unpacked_init(&u);
 	if (msgpack_unpack_next(&u, buf, len, &off) == MSGPACK_UNPACK_SUCCESS &&
 	    merge_copies(m, &u.data, &version))
-		send_ack(m, from, version);
+		send_ack(m, version);
 	else
 		drop_bad_message(from, len);
 	msgpack_unpacked_destroy(&u);
--- a/packages/daemon/src/work_mod_claim.c
+++ b/packages/daemon/src/work_mod_claim.c
@@ -32,7 +32,7 @@
 
 /// Sender of a claim request.
 struct claim_requester {
-	char from[WORK_NAME_LEN]; ///< node id, "" for this node
+	struct core_peer_run from; ///< node "" for this node
 	uint64_t ticket; ///< handle of the API call there
 };
 
@@ -146,8 +146,8 @@
 		return;
 	requester = *found;
 	htab_del(requesters, (htab_handle)ticket);
-	if (*requester.from)
-		claim_verdict_send(s->c, requester.from, requester.ticket, v,
+	if (*requester.from.node)
+		claim_verdict_send(s->c, &requester.from, requester.ticket, v,
 				   a);
 	else
 		work_keyed_verdict(s->c, (htab_handle)requester.ticket, v, a,
@@ -240,8 +240,8 @@
 
 static void claim_reject(struct core *c, const struct claim_requester *a)
 {
-	if (*a->from)
-		claim_verdict_send(c, a->from, a->ticket, CLAIM_UNAVAILABLE,
+	if (*a->from.node)
+		claim_verdict_send(c, &a->from, a->ticket, CLAIM_UNAVAILABLE,
 				   NULL);
 }
 
@@ -304,7 +304,7 @@
 		log_event(EV_WORK_PEER_BAD, "from=%s message=claim-ask", from);
 		return;
 	}
-	snprintf(a.from, sizeof(a.from), "%s", from);
+	a.from = core_peer_sender(c);
 	claim_ask_local(c, &req, &a);
 }
 
--- a/packages/daemon/src/work_mod_claim_msg.c
+++ b/packages/daemon/src/work_mod_claim_msg.c
@@ -95,8 +95,9 @@
 	a->body = kept > 0 && kept == a->len ? body : NULL;
 }
 
-enum err claim_verdict_send(struct core *c, const char *node, uint64_t ticket,
-			    enum claim_verdict v, const struct claim_answer *a)
+enum err claim_verdict_send(struct core *c, const struct core_peer_run *to,
+			    uint64_t ticket, enum claim_verdict v,
+			    const struct claim_answer *a)
 {
 	struct claim_answer none = {0};
 	msgpack_sbuffer sb;
@@ -106,7 +107,7 @@
 	msgpack_pack_uint64(&pk, ticket);
 	msgpack_pack_uint8(&pk, (uint8_t)v);
 	pack_answer(&pk, a ? a : &none);
-	return work_pack_send(c, node, PEER_CLAIM_VERDICT, &sb);
+	return work_pack_reply(c, to, PEER_CLAIM_VERDICT, &sb);
 }
 
 bool claim_verdict_read(const void *buf, size_t len,
--- a/packages/daemon/src/work_mod_claim_msg.h
+++ b/packages/daemon/src/work_mod_claim_msg.h
@@ -18,8 +18,9 @@
 	char ctype[128];
 };
 
-enum err claim_verdict_send(struct core *c, const char *node, uint64_t ticket,
-			    enum claim_verdict v, const struct claim_answer *a);
+enum err claim_verdict_send(struct core *c, const struct core_peer_run *to,
+			    uint64_t ticket, enum claim_verdict v,
+			    const struct claim_answer *a);
 bool claim_verdict_read(const void *buf, size_t len,
 			struct claim_verdict_msg *m);
 void claim_verdict_msg_free(struct claim_verdict_msg *m);
--- a/packages/daemon/src/work_mod_msg.c
+++ b/packages/daemon/src/work_mod_msg.c
@@ -116,7 +116,16 @@
 	return e;
 }
 
-static enum err send_chunk(struct core *c, const char *node,
+enum err work_pack_reply(struct core *c, const struct core_peer_run *to,
+			 enum core_peer_msg type, msgpack_sbuffer *sb)
+{
+	enum err e = core_peer_reply(c, to, type, sb->data, sb->size);
+
+	msgpack_sbuffer_destroy(sb);
+	return e;
+}
+
+static enum err send_chunk(struct core *c, const struct core_peer_run *to,
 			   enum core_peer_msg type,
 			   const struct work_chunk *chunk)
 {
@@ -126,10 +135,10 @@
 	work_pack_begin(&pk, &sb, CHUNK_FIELDS, &chunk->ref);
 	msgpack_pack_uint64(&pk, chunk->offset);
 	work_pack_bin(&pk, chunk->data, chunk->len);
-	return work_pack_send(c, node, type, &sb);
+	return work_pack_reply(c, to, type, &sb);
 }
 
-enum err work_send_chunks(struct core *c, const char *node,
+enum err work_send_chunks(struct core *c, const struct core_peer_run *to,
 			  enum core_peer_msg type, const struct work_ref *ref,
 			  const char *body, size_t len)
 {
@@ -143,7 +152,7 @@
 			.len = remaining < WORK_CHUNK_BYTES ? remaining
 							    : WORK_CHUNK_BYTES,
 		};
-		enum err e = send_chunk(c, node, type, &chunk);
+		enum err e = send_chunk(c, to, type, &chunk);
 
 		if (e != ERR_OK)
 			return e;
--- a/packages/daemon/src/work_mod_msg.h
+++ b/packages/daemon/src/work_mod_msg.h
@@ -51,9 +51,15 @@
 enum err work_pack_send(struct core *c, const char *node,
 			enum core_peer_msg type, msgpack_sbuffer *sb);
 
+/// Send a packed reply and free the buffer.
+enum err work_pack_reply(struct core *c, const struct core_peer_run *to,
+			 enum core_peer_msg type, msgpack_sbuffer *sb);
+
 /// Send a body after its first WORK_CHUNK_BYTES, as chunks of
 /// [ref, offset, bytes].
-enum err work_send_chunks(struct core *c, const char *node,
+///
+/// @param to  process that the chunks are meant for, run 0 for any of the node
+enum err work_send_chunks(struct core *c, const struct core_peer_run *to,
 			  enum core_peer_msg type, const struct work_ref *ref,
 			  const char *body, size_t len);
 
--- a/packages/daemon/src/work_mod_peer.c
+++ b/packages/daemon/src/work_mod_peer.c
@@ -64,7 +64,7 @@
 	return !r->malformed && m->chunk_len <= m->body_len;
 }
 
-enum err work_done_send(struct core *c, const char *node,
+enum err work_done_send(struct core *c, const struct core_peer_run *to,
 			const struct work_done *m)
 {
 	msgpack_sbuffer sb;
@@ -80,7 +80,7 @@
 	msgpack_pack_uint64(&pk, m->lines);
 	msgpack_pack_uint64(&pk, m->body_len);
 	work_pack_bin(&pk, m->chunk, m->chunk_len);
-	return work_pack_send(c, node, PEER_WORK_DONE, &sb);
+	return work_pack_reply(c, to, PEER_WORK_DONE, &sb);
 }
 
 bool work_done_read(struct work_reader *r, const void *buf, size_t len,
--- a/packages/daemon/src/work_mod_peer.h
+++ b/packages/daemon/src/work_mod_peer.h
@@ -50,7 +50,7 @@
 	size_t chunk_len;
 };
 
-enum err work_done_send(struct core *c, const char *node,
+enum err work_done_send(struct core *c, const struct core_peer_run *to,
 			const struct work_done *m);
 bool work_done_read(struct work_reader *r, const void *buf, size_t len,
 		    struct work_done *m);
--- a/packages/daemon/src/work_mod_peer_in.c
+++ b/packages/daemon/src/work_mod_peer_in.c
@@ -17,8 +17,8 @@
 /// Request from another node.
 struct work_inbound {
 	htab_handle h;
-	char from[WORK_NAME_LEN];
-	struct work_ref ref; ///< its id there
+	struct core_peer_run from;
+	struct work_ref ref; ///< its id there, numbered anew by each process
 	struct work_open open; ///< `chunk` is no longer valid
 	struct work_buf body;
 	struct trace_ctx trace;
@@ -35,24 +35,28 @@
 }
 
 /* Head of the request's hash chain. */
-static htab_handle *in_bucket(struct work_state *s, const char *from,
+static htab_handle *in_bucket(struct work_state *s,
+			      const struct core_peer_run *from,
 			      const struct work_ref *ref)
 {
-	uint64_t hash = XXH64(from, strlen(from), ref->id);
+	uint64_t hash =
+		XXH64(from->node, strlen(from->node), ref->id ^ from->run);
 
 	return &s->inbound_buckets[hash % WORK_INBOUND_MAX];
 }
 
-static struct work_inbound *in_find(struct core *c, const char *from,
-				    const struct work_ref *ref)
+/* A request of the process whose message is being handled. */
+static struct work_inbound *in_find(struct core *c, const struct work_ref *ref)
 {
 	struct work_state *s = work_state(c);
+	struct core_peer_run from = core_peer_sender(c);
 	struct work_inbound *in =
-		htab_get(s->inbound_requests, *in_bucket(s, from, ref));
+		htab_get(s->inbound_requests, *in_bucket(s, &from, ref));
 
 	while (in) {
 		if (in->ref.h == ref->h && in->ref.id == ref->id &&
-		    strcmp(in->from, from) == 0)
+		    in->from.run == from.run &&
+		    strcmp(in->from.node, from.node) == 0)
 			return in;
 		in = htab_get(s->inbound_requests, in->next_in_bucket);
 	}
@@ -62,7 +66,7 @@
 static void in_free(struct core *c, struct work_inbound *in)
 {
 	struct work_state *s = work_state(c);
-	htab_handle *link = in_bucket(s, in->from, &in->ref);
+	htab_handle *link = in_bucket(s, &in->from, &in->ref);
 
 	while (*link != in->h) {
 		struct work_inbound *other =
@@ -75,7 +79,7 @@
 	htab_del(s->inbound_requests, in->h);
 }
 
-static void in_send_done(struct core *c, const char *to,
+static void in_send_done(struct core *c, const struct core_peer_run *to,
 			 const struct work_ref *ref, uint64_t lines,
 			 const struct work_result *res)
 {
@@ -100,7 +104,7 @@
 				 len);
 }
 
-static void in_reject(struct core *c, const char *to,
+static void in_reject(struct core *c, const struct core_peer_run *to,
 		      const struct work_ref *ref, enum err e,
 		      enum run_state run, int64_t retry_after_ms)
 {
@@ -125,7 +129,7 @@
 	work_pack_begin(&pk, &sb, LINE_FIELDS, &in->ref);
 	msgpack_pack_uint64(&pk, in->lines++);
 	work_pack_bin(&pk, line, len);
-	work_pack_send(c, in->from, PEER_WORK_LINE, &sb);
+	work_pack_reply(c, &in->from, PEER_WORK_LINE, &sb);
 }
 
 static void in_on_done(struct core *c, void *ctx, const struct work_result *res)
@@ -134,7 +138,7 @@
 
 	if (!in)
 		return;
-	in_send_done(c, in->from, &in->ref, in->lines, res);
+	in_send_done(c, &in->from, &in->ref, in->lines, res);
 	in_free(c, in);
 }
 
@@ -166,7 +170,7 @@
 
 	if (e == ERR_OK)
 		return;
-	in_reject(c, in->from, &in->ref, e, RUN_NO, retry_after_ms);
+	in_reject(c, &in->from, &in->ref, e, RUN_NO, retry_after_ms);
 	in_free(c, in);
 }
 
@@ -176,33 +180,34 @@
 	enum err e = work_buf_add(&in->body, data, len, in->open.body_len);
 
 	if (e != ERR_OK) {
-		in_reject(c, in->from, &in->ref, e, RUN_NO, 0);
+		in_reject(c, &in->from, &in->ref, e, RUN_NO, 0);
 		in_free(c, in);
 	} else if (in->body.len == in->open.body_len) {
 		in_submit(c, in);
 	}
 }
 
-static void in_open(struct core *c, const char *from, const struct work_open *m)
+static void in_open(struct core *c, const struct work_open *m)
 {
 	struct work_state *s = work_state(c);
+	struct core_peer_run from = core_peer_sender(c);
 	struct work_inbound *in;
 	htab_handle h;
 
-	if (in_find(c, from, &m->ref))
+	if (in_find(c, &m->ref))
 		return;
 	in = core_draining(c) ? NULL : htab_add(s->inbound_requests, &h);
 	if (!in) {
-		in_reject(c, from, &m->ref, ERR_ADMIT_FULL, RUN_NO, 0);
+		in_reject(c, &from, &m->ref, ERR_ADMIT_FULL, RUN_NO, 0);
 		return;
 	}
 	in->h = h;
 	in->ref = m->ref;
 	in->open = *m;
 	in->received_ms = core_now(c);
-	snprintf(in->from, sizeof(in->from), "%s", from);
-	in->next_in_bucket = *in_bucket(s, from, &m->ref);
-	*in_bucket(s, from, &m->ref) = h;
+	in->from = from;
+	in->next_in_bucket = *in_bucket(s, &from, &m->ref);
+	*in_bucket(s, &from, &m->ref) = h;
 	trace_parse(&in->trace, m->trace);
 	in_append_body(c, in, m->chunk, m->chunk_len);
 }
@@ -214,7 +219,7 @@
 	struct work_open m;
 
 	if (work_open_read(&r, buf, len, &m))
-		in_open(c, from, &m);
+		in_open(c, &m);
 	else
 		log_event(EV_WORK_PEER_BAD, "from=%s message=open", from);
 	work_read_end(&r);
@@ -228,7 +233,7 @@
 	struct work_inbound *in = NULL;
 
 	if (work_read_chunk(&r, buf, len, &chunk))
-		in = in_find(c, from, &chunk.ref);
+		in = in_find(c, &chunk.ref);
 	else
 		log_event(EV_WORK_PEER_BAD, "from=%s message=chunk", from);
 	if (in && !in->work && chunk.offset == in->body.len)
@@ -259,7 +264,7 @@
 
 	if (!in_read_ref(from, buf, len, &ref))
 		return;
-	in = in_find(c, from, &ref);
+	in = in_find(c, &ref);
 	if (!in)
 		return;
 	if (in->work)
@@ -271,10 +276,11 @@
 static void in_on_probe(struct core *c, void *ctx, const char *from,
 			const void *buf, size_t len)
 {
+	struct core_peer_run sender = core_peer_sender(c);
 	struct work_ref ref;
 
-	if (in_read_ref(from, buf, len, &ref) && !in_find(c, from, &ref))
-		in_reject(c, from, &ref, ERR_WORK_PEER_LOST, RUN_MAYBE, 0);
+	if (in_read_ref(from, buf, len, &ref) && !in_find(c, &ref))
+		in_reject(c, &sender, &ref, ERR_WORK_PEER_LOST, RUN_MAYBE, 0);
 }
 
 void work_peer_in_tick(struct core *c, int64_t now)
--- a/packages/daemon/src/work_mod_peer_out.c
+++ b/packages/daemon/src/work_mod_peer_out.c
@@ -58,6 +58,7 @@
 
 enum err work_peer_open(struct core *c, struct work *w, const char *node)
 {
+	struct core_peer_run to = {.run = 0};
 	struct work_ref ref = out_ref(w);
 	struct work_open m;
 	enum err e;
@@ -73,7 +74,8 @@
 	e = work_open_send(c, w->target, &m);
 	if (e != ERR_OK)
 		return e;
-	e = work_send_chunks(c, w->target, PEER_WORK_CHUNK, &ref, w->opts.body,
+	snprintf(to.node, sizeof(to.node), "%s", node);
+	e = work_send_chunks(c, &to, PEER_WORK_CHUNK, &ref, w->opts.body,
 			     w->opts.body_len);
 	if (e == ERR_OK)
 		metric_add(M_WORK_FORWARDED, 1);
--- a/packages/daemon/src/work_mod_slot.c
+++ b/packages/daemon/src/work_mod_slot.c
@@ -206,6 +206,7 @@
 {
 	struct slot_asks m;
 	struct slot_permits out = {.n = 0};
+	struct core_peer_run asker = core_peer_sender(c);
 
 	if (!slot_asks_read(buf, len, &m)) {
 		log_event(EV_WORK_PEER_BAD, "from=%s message=slot-ask", from);
@@ -226,7 +227,7 @@
 		out.n++;
 	}
 	if (out.n > 0)
-		slot_permits_send(c, from, &out);
+		slot_permits_send(c, &asker, &out);
 }
 
 static void slot_on_permit(struct core *c, void *ctx, const char *from,
--- a/packages/daemon/src/work_mod_slot_msg.c
+++ b/packages/daemon/src/work_mod_slot_msg.c
@@ -152,7 +152,7 @@
 	msgpack_pack_uint64(pk, age > 0 ? (uint64_t)age : 0);
 }
 
-void slot_permits_send(struct core *c, const char *node,
+void slot_permits_send(struct core *c, const struct core_peer_run *to,
 		       const struct slot_permits *m)
 {
 	msgpack_sbuffer sb;
@@ -161,7 +161,7 @@
 	pack_begin(&pk, &sb, PERMIT_FIELDS * m->n);
 	for (size_t i = 0; i < m->n; i++)
 		pack_permit(c, &pk, &m->items[i]);
-	work_pack_send(c, node, PEER_SLOT_PERMIT, &sb);
+	work_pack_reply(c, to, PEER_SLOT_PERMIT, &sb);
 }
 
 static void read_permit(struct core *c, struct work_reader *r,
--- a/packages/daemon/src/work_mod_slot_msg.h
+++ b/packages/daemon/src/work_mod_slot_msg.h
@@ -37,7 +37,7 @@
 void slot_asks_flush(struct core *c);
 bool slot_asks_read(const void *buf, size_t len, struct slot_asks *m);
 
-void slot_permits_send(struct core *c, const char *node,
+void slot_permits_send(struct core *c, const struct core_peer_run *to,
 		       const struct slot_permits *m);
 bool slot_permits_read(struct core *c, const void *buf, size_t len,
 		       struct slot_permits *m);
--- a/packages/peer/include/peer/peer.h
+++ b/packages/peer/include/peer/peer.h
@@ -19,12 +19,16 @@
 struct peer_opts {
 	struct mbox *events; ///< receives struct peer_msg
 	const char *node; ///< this node's id, sent with each message
+	uint64_t run; ///< of this process, sent with each message; not 0
 	const char *listen; ///< "IP:port"
 };
 
 /// A received message.
 struct peer_msg {
 	char from[PEER_ID_MAX]; ///< sender's node id
+	uint64_t run; ///< sender's process, 0 if the message doesn't name it
+	uint64_t
+		to_run; ///< process that it is meant for, 0 for any of the node
 	uint32_t type;
 	size_t len; ///< bytes of data
 	char data[];
@@ -48,9 +52,10 @@
 
 	/// Send a copy of a message; dropped if the peer can't be reached.
 	///
+	/// @param to_run  process that it is meant for, 0 for any of the node
 	/// @return ERR_OK, ERR_FULL, ERR_NOMEM or ERR_TOO_LARGE
-	enum err (*send)(struct peer_edge *p, const char *node, uint32_t type,
-			 const void *buf, size_t len);
+	enum err (*send)(struct peer_edge *p, const char *node, uint64_t to_run,
+			 uint32_t type, const void *buf, size_t len);
 
 	/// Free a received message. Thread-safe.
 	void (*msg_free)(struct peer_edge *p, struct peer_msg *m);
--- a/packages/peer/src/link.c
+++ b/packages/peer/src/link.c
@@ -1,13 +1,13 @@
 // Hash table of DEALER sockets by node id.
 #include "link.h"
 
-#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <zmq.h>
 
 #include "base/metric.h"
+#include "envelope.h"
 
 enum {
 	LINK_LINGER_MS = 100, ///< to send queued messages on close
@@ -32,10 +32,12 @@
 struct link_table {
 	void *zmq;
 	const char *node;
+	uint64_t run; ///< this process
+	uint32_t n_connections; ///< opened so far
 	struct link *buckets[LINK_BUCKETS];
 };
 
-struct link_table *link_table_new(void *zmq, const char *node)
+struct link_table *link_table_new(void *zmq, const char *node, uint64_t run)
 {
 	struct link_table *t = calloc(1, sizeof(*t));
 
@@ -43,6 +45,7 @@
 		return NULL;
 	t->zmq = zmq;
 	t->node = node;
+	t->run = run;
 	return t;
 }
 
@@ -67,10 +70,13 @@
 static void *link_socket(struct link_table *t, const char *addr)
 {
 	void *sock = zmq_socket(t->zmq, ZMQ_DEALER);
+	uint8_t id[ENVELOPE_ID_BYTES];
 	char url[PEER_ADDR_MAX + 8];
 
 	if (!sock)
 		return NULL;
+	envelope_id_write(id, t->run, ++t->n_connections);
+	zmq_setsockopt(sock, ZMQ_ROUTING_ID, id, sizeof(id));
 	set_int(sock, ZMQ_LINGER, LINK_LINGER_MS);
 	set_int(sock, ZMQ_SNDHWM, LINK_SEND_QUEUE_MAX);
 	set_int(sock, ZMQ_IMMEDIATE, 1);
@@ -119,21 +125,22 @@
 	free(l);
 }
 
-void link_table_send(struct link_table *t, const char *node, uint32_t type,
-		     const void *buf, size_t len)
+void link_table_send(struct link_table *t, const char *node, uint64_t to_run,
+		     uint32_t type, const void *buf, size_t len)
 {
 	struct link *l = *link_slot(t, node);
-	uint32_t type_be = htonl(type);
+	uint8_t frame[ENVELOPE_TYPE_BYTES];
+	size_t frame_len = envelope_type_write(frame, type, to_run);
 	int more = ZMQ_DONTWAIT | ZMQ_SNDMORE;
 
 	if (!l || zmq_send(l->sock, t->node, strlen(t->node), more) < 0 ||
-	    zmq_send(l->sock, &type_be, sizeof(type_be), more) < 0 ||
+	    zmq_send(l->sock, frame, frame_len, more) < 0 ||
 	    zmq_send(l->sock, buf, len, ZMQ_DONTWAIT) < 0) {
 		metric_add(M_PEER_DROPPED, 1);
 		return;
 	}
 	metric_add(M_PEER_SENT, 1);
-	metric_add(M_PEER_SENT_BYTES, strlen(t->node) + sizeof(type_be) + len);
+	metric_add(M_PEER_SENT_BYTES, strlen(t->node) + frame_len + len);
 }
 
 void link_table_free(struct link_table *t)
--- a/packages/peer/src/link.h
+++ b/packages/peer/src/link.h
@@ -12,8 +12,9 @@
 ///
 /// @param zmq   ZeroMQ context
 /// @param node  this node's id; must outlive the table
+/// @param run  this process
 /// @return table, NULL when out of memory
-struct link_table *link_table_new(void *zmq, const char *node);
+struct link_table *link_table_new(void *zmq, const char *node, uint64_t run);
 
 /// Close all connections.
 void link_table_free(struct link_table *t);
@@ -25,5 +26,7 @@
 void link_table_del(struct link_table *t, const char *node);
 
 /// Send a message; dropped if there is no connection or its queue is full.
-void link_table_send(struct link_table *t, const char *node, uint32_t type,
-		     const void *buf, size_t len);
+///
+/// @param to_run  process that it is meant for, 0 for any of the node
+void link_table_send(struct link_table *t, const char *node, uint64_t to_run,
+		     uint32_t type, const void *buf, size_t len);
--- a/packages/peer/src/zmq_edge.c
+++ b/packages/peer/src/zmq_edge.c
@@ -1,5 +1,4 @@
 // Thread of the ZeroMQ transport: runs commands and delivers received messages.
-#include <arpa/inet.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
@@ -9,6 +8,7 @@
 
 #include "base/mbox.h"
 #include "base/metric.h"
+#include "envelope.h"
 #include "link.h"
 
 enum {
@@ -31,6 +31,7 @@
 	enum cmd_kind kind;
 	char node[PEER_ID_MAX];
 	char addr[PEER_ADDR_MAX];
+	uint64_t to_run;
 	uint32_t type;
 	size_t len;
 	char data[];
@@ -61,8 +62,8 @@
 		else if (kind == CMD_DEL)
 			link_table_del(p->links, c->node);
 		else if (kind == CMD_SEND)
-			link_table_send(p->links, c->node, c->type, c->data,
-					c->len);
+			link_table_send(p->links, c->node, c->to_run, c->type,
+					c->data, c->len);
 		free(c);
 		if (kind == CMD_QUIT)
 			return false;
@@ -110,10 +111,13 @@
 static struct peer_msg *msg_from_frames(zmq_msg_t *frames, int n)
 {
 	struct peer_msg *m;
+	uint64_t to_run;
+	uint32_t type;
 	size_t len;
-	uint32_t type_be;
 
-	if (n != EDGE_FRAMES || zmq_msg_size(&frames[2]) != sizeof(type_be) ||
+	if (n != EDGE_FRAMES ||
+	    !envelope_type_read(zmq_msg_data(&frames[2]),
+				zmq_msg_size(&frames[2]), &type, &to_run) ||
 	    !id_ok(zmq_msg_data(&frames[1]), zmq_msg_size(&frames[1])))
 		return NULL;
 	len = zmq_msg_size(&frames[3]);
@@ -123,9 +127,11 @@
 	if (!m)
 		return NULL;
 	memcpy(m->from, zmq_msg_data(&frames[1]), zmq_msg_size(&frames[1]));
-	memcpy(&type_be, zmq_msg_data(&frames[2]), sizeof(type_be));
 	memcpy(m->data, zmq_msg_data(&frames[3]), len);
-	m->type = ntohl(type_be);
+	m->run = envelope_id_run(zmq_msg_data(&frames[0]),
+				 zmq_msg_size(&frames[0]));
+	m->to_run = to_run;
+	m->type = type;
 	m->len = len;
 	return m;
 }
@@ -244,8 +250,9 @@
 	return cmd_put(p, cmd_new(CMD_DEL, node, NULL, 0));
 }
 
-static enum err edge_send(struct peer_edge *p, const char *node, uint32_t type,
-			  const void *buf, size_t len)
+static enum err edge_send(struct peer_edge *p, const char *node,
+			  uint64_t to_run, uint32_t type, const void *buf,
+			  size_t len)
 {
 	struct cmd *c;
 
@@ -254,6 +261,7 @@
 	c = cmd_new(CMD_SEND, node, buf, len);
 	if (!c)
 		return ERR_NOMEM;
+	c->to_run = to_run;
 	c->type = type;
 	return cmd_put(p, c);
 }
@@ -301,7 +309,7 @@
 	if (!p->cmds || !p->zmq)
 		goto err;
 	zmq_ctx_set(p->zmq, ZMQ_MAX_SOCKETS, 4096);
-	p->links = link_table_new(p->zmq, p->node);
+	p->links = link_table_new(p->zmq, p->node, opts->run);
 	if (!p->links)
 		goto err;
 	if (!edge_listen(p)) {
--- a/packages/peer/test/test_peer.c
+++ b/packages/peer/test/test_peer.c
@@ -26,6 +26,7 @@
 	CUT_MS = 5500, ///< a failure domain is cut off
 	/// A read waits so long for a home, its own wait included.
 	RETURN_MS = 1450,
+	RUN_OF_FIRST = 4711, ///< plus the endpoint's number
 };
 
 struct endpoint {
@@ -36,7 +37,10 @@
 
 static void endpoint_start(struct endpoint *e, const char *node, int host)
 {
-	struct peer_opts opts = {.node = node};
+	struct peer_opts opts = {
+		.node = node,
+		.run = (uint64_t)(RUN_OF_FIRST + host),
+	};
 
 	snprintf(e->addr, sizeof(e->addr), "127.77.%d.%d:%d",
 		 (int)(getpid() & 0xff), host, PORT);
@@ -71,7 +75,7 @@
 
 static void send_to_a(struct endpoint *from)
 {
-	assert_int_equal(peer_zmq_ops.send(from->edge, "a", 7, "text", 4),
+	assert_int_equal(peer_zmq_ops.send(from->edge, "a", 0, 7, "text", 4),
 			 ERR_OK);
 }
 
@@ -103,6 +107,48 @@
 	endpoint_stop(&a);
 }
 
+/* First message that arrives, NULL after RECV_TIMEOUT_MS. */
+static struct peer_msg *take_one(struct endpoint *e)
+{
+	if (!readable(e, RECV_TIMEOUT_MS))
+		return NULL;
+	mbox_clear(e->inbox);
+	return mbox_get(e->inbox);
+}
+
+/* A reply to a process that was killed was taken by the next one of its node. */
+static void test_messages_name_both_processes(void **state)
+{
+	static const uint64_t meant_for[] = {0, 0x1122334455667788};
+	struct endpoint a, b;
+
+	endpoint_start(&a, "a", 1);
+	endpoint_start(&b, "b", 2);
+	assert_int_equal(peer_zmq_ops.add(b.edge, "a", a.addr), ERR_OK);
+	/* A second connection of one process: its id must differ. */
+	assert_int_equal(peer_zmq_ops.add(b.edge, "a", a.addr), ERR_OK);
+	while (!readable(&a, RESEND_MS))
+		send_to_a(&b);
+	take_all(&a);
+	for (int i = 0; i < 2; i++) {
+		struct peer_msg *m;
+
+		assert_int_equal(peer_zmq_ops.send(b.edge, "a", meant_for[i], 8,
+						   "text", 4),
+				 ERR_OK);
+		while ((m = take_one(&a)) && m->type != 8)
+			peer_zmq_ops.msg_free(a.edge, m);
+		assert_non_null(m);
+		assert_string_equal(m->from, "b");
+		assert_true(m->run == RUN_OF_FIRST + 2);
+		assert_true(m->to_run == meant_for[i]);
+		assert_int_equal(m->len, 4);
+		peer_zmq_ops.msg_free(a.edge, m);
+	}
+	endpoint_stop(&b);
+	endpoint_stop(&a);
+}
+
 /* Send until a message arrives; false after timeout_ms. */
 static bool reaches_a(struct endpoint *a, struct endpoint *b, int timeout_ms)
 {
@@ -149,6 +195,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_stop_frees_unread_messages),
+		cmocka_unit_test(test_messages_name_both_processes),
 		cmocka_unit_test(test_peer_is_reached_after_cut),
 	};
 
--- a/test/hosted/nodes.c
+++ b/test/hosted/nodes.c
@@ -14,6 +14,7 @@
 
 enum {
 	READY_MS = 15000,
+	WAIT_MS = 300,
 	CALL_MS = 6000,
 };
 
@@ -94,6 +95,7 @@
 	ns->h = h;
 	ns->n = n;
 	ns->n_entry = n_entry;
+	ns->wait_ms = WAIT_MS;
 	for (int i = 0; i < n; i++) {
 		struct node *node = &ns->list[i];
 
@@ -200,7 +202,7 @@
 {
 	struct curl_slist *l = NULL;
 	CURL *e = curl;
-	char url[512], auth[128];
+	char url[512], auth[128], wait[16];
 	long status = 0;
 
 	memset(out, 0, sizeof(*out));
@@ -211,7 +213,8 @@
 	l = add_header(l, "Authorization", key ? auth : NULL);
 	l = add_header(l, "X-Catkinpath-Request-Id", id);
 	l = add_header(l, "X-Catkinpath-Deadline-Ms", "3000");
-	l = add_header(l, "X-Catkinpath-Wait-Ms", "300");
+	snprintf(wait, sizeof(wait), "%d", ns->wait_ms);
+	l = add_header(l, "X-Catkinpath-Wait-Ms", wait);
 	l = curl_slist_append(l, "Expect:");
 	curl_easy_reset(e);
 	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
--- a/test/hosted/nodes.h
+++ b/test/hosted/nodes.h
@@ -29,6 +29,7 @@
 	int n;
 	int n_entry; ///< the first ones serve callers, the rest may lead
 	const char *settings; ///< extra lines for each settings file, or NULL
+	int wait_ms; ///< X-Catkinpath-Wait-Ms of requests
 	struct node list[NODES_MAX];
 };
 
@@ -61,7 +62,7 @@
 	size_t len; ///< bytes
 };
 
-/// Send a request with host "h1", a deadline of 3 s and a result wait of 300 ms.
+/// Send a request with host "h1", a deadline of 3 s and a result wait of wait_ms.
 ///
 /// @param key  API key, NULL for none
 /// @param id  X-Catkinpath-Request-Id, NULL for none
