--- a/packages/daemon/src/front/forward.c
+++ b/packages/daemon/src/front/forward.c
@@ -16,6 +16,7 @@
 	/// Shortest timeout of an attempt that may be retried at another server.
 	FORWARD_ATTEMPT_MIN_MS = 400,
 	FORWARD_CHOOSE_INTERVAL_MS = 60, ///< while no server is free
+	FORWARD_TRIAL_POLL_MS = 20, ///< while the store is asked for a trial
 	/// Longest wait for a server, such as for the rate limit of a cold one; after
 	/// that another node serves the caller better.
 	FORWARD_QUEUE_MAX_MS = 300,
@@ -141,6 +142,36 @@
 	return o.pending ? 0 : 1;
 }
 
+/* Whether a request may not be sent now; it was refused, or waits. */
+static bool is_held_back(struct core *c, struct forward *f)
+{
+	int64_t wait_ms;
+	enum suspect_verdict v;
+
+	if (f->trial)
+		return false;
+	v = suspect_mod_verdict(c, f->identity, f->self, &wait_ms);
+	if (v == SUSPECT_SEND)
+		return false;
+	if (!site_servers_count_usable(site_mod_servers(c), f->service)) {
+		forward_fail(c, f, ERR_ROUTE_NO_SERVER);
+	} else if (v == SUSPECT_TRY) {
+		f->trial = suspect_mod_try(c, f->identity, f->self);
+		f->max_servers = f->n_tried + 1;
+		f->may_hedge = false;
+		f->next_choice_ms = core_now(c) + FORWARD_TRIAL_POLL_MS;
+		return !f->trial;
+	} else if (v == SUSPECT_REFUSE) {
+		forward_fail(c, f, ERR_SUSPECT_BARRED);
+	} else {
+		f->retry_after_ms = wait_ms > FORWARD_RETRY_AFTER_MS
+					    ? wait_ms
+					    : FORWARD_RETRY_AFTER_MS;
+		forward_fail(c, f, ERR_SUSPECT_HELD);
+	}
+	return true;
+}
+
 void forward_send(struct core *c, struct forward *f)
 {
 	const struct site_conf *conf = site_mod_conf(c);
@@ -157,10 +188,8 @@
 	struct site_server *s;
 	enum err e;
 
-	if (suspect_mod_barred(c, f->identity)) {
-		forward_fail(c, f, ERR_SUSPECT_BARRED);
+	if (is_held_back(c, f))
 		return;
-	}
 	/* Outdated: wait until it is confirmed or the store is found unreachable. */
 	if (!site_mod_may_start_work(c)) {
 		f->next_choice_ms = core_now(c) + FORWARD_CHOOSE_INTERVAL_MS;
--- a/packages/daemon/src/front/forward_end.c
+++ b/packages/daemon/src/front/forward_end.c
@@ -187,7 +187,10 @@
 		suspect_mod_answered(c, f->identity, t->server_id,
 				     t->started_ms, t->sent_ms);
 	else if (res->err == ERR_UP_BROKEN && res->sent)
-		suspect_mod_ended(c, f->identity, t->server_id, t->started_ms);
+		suspect_mod_ended(c, f->identity, t->server_id, t->started_ms,
+				  t->sent_ms);
+	else if (f->trial && !end->may_have_run)
+		suspect_mod_trial_unused(c, f->identity);
 }
 
 static bool may_retry(struct core *c, const struct forward *f)
@@ -200,7 +203,7 @@
 
 static enum err end_error(struct core *c, const struct forward *f)
 {
-	if (suspect_mod_barred(c, f->identity))
+	if (suspect_mod_refused(c, f->identity))
 		return ERR_SUSPECT_BARRED;
 	return core_now(c) >= f->deadline_ms ? ERR_WORK_DEADLINE
 					     : ERR_WORK_BROKEN;
--- a/packages/daemon/src/front/front.h
+++ b/packages/daemon/src/front/front.h
@@ -49,6 +49,7 @@
 	int64_t caller_deadline_ms;
 	int64_t deadline_ms; ///< the earlier of the route's and the caller's deadline
 	int64_t next_choice_ms;
+	bool trial; ///< it is barred, and sent once to see whether it ends a server
 	bool awaits_permit; ///< of a server with a limit
 	int64_t retry_after_ms; ///< told when it is refused, 0 for the default
 	struct forward_attempt attempts[FORWARD_MAX_IN_FLIGHT];
--- a/packages/daemon/src/store_keys.h
+++ b/packages/daemon/src/store_keys.h
@@ -10,6 +10,7 @@
 #define KEY_TALLY "catkin/tally/" ///< WINDOW/NODE: requests per team
 #define KEY_SEALED "catkin/sealed/" ///< WINDOW: usage to report
 #define KEY_NEED "catkin/need/" ///< NODE.INCARNATION: requests it has to run
+#define KEY_TRIAL "catkin/trial/" ///< IDENTITY/NUMBER: node that may try it
 #define KEY_LEADER "catkin/leader" ///< current leader
 #define KEY_EPOCH "catkin/epoch" ///< the leader's fencing token
 
--- a/packages/daemon/src/suspect/suspect_mod.c
+++ b/packages/daemon/src/suspect/suspect_mod.c
@@ -15,6 +15,8 @@
 #include "daemon/site_mod.h"
 #include "suspect/suspect.h"
 #include "suspect/suspect_msg.h"
+#include "suspect/suspect_state.h"
+#include "suspect/trial.h"
 
 enum {
 	TELL_INTERVAL_MS =
@@ -24,7 +26,9 @@
 
 static struct suspects *suspects_of(struct core *c)
 {
-	return core_mod_state(c, MOD_SUSPECT);
+	struct suspect_state *s = core_mod_state(c, MOD_SUSPECT);
+
+	return s->table;
 }
 
 static bool is_home(struct core *c, size_t *n, const struct site_node **homes)
@@ -50,9 +54,10 @@
 {
 	const struct site_node *homes;
 	size_t n;
-	bool all =
-		is_home(c, &n, &homes) && (news->kind == SUSPECT_NEWS_BARRED ||
-					   news->kind == SUSPECT_NEWS_CLEARED);
+	bool all = is_home(c, &n, &homes) &&
+		   (news->kind == SUSPECT_NEWS_BARRED ||
+		    news->kind == SUSPECT_NEWS_CONFIRMED ||
+		    news->kind == SUSPECT_NEWS_CLEARED);
 	msgpack_sbuffer buf;
 
 	msgpack_sbuffer_init(&buf);
@@ -99,16 +104,35 @@
 		  id.low, from);
 }
 
+/* Tell what changes the refusals of a request. */
+static void record_change(struct core *c, const struct suspect_entry *e,
+			  enum suspect_change change, const char *from)
+{
+	struct suspect_news news = barred_news(c, e);
+
+	if (change == SUSPECT_CONFIRMED || e->confirmed) {
+		log_event(EV_SUSPECT_CONFIRMED,
+			  "identity=%016" PRIx64 "%016" PRIx64 " from=%s",
+			  e->id.high, e->id.low, from);
+	}
+	if (change == SUSPECT_BARRED) {
+		log_barred(e, from);
+		tell(c, &news);
+	}
+	news.kind = SUSPECT_NEWS_CONFIRMED;
+	if (e->confirmed)
+		tell(c, &news);
+}
+
 /* Record that a request broke off, by this node or another. */
 static void record_ended(struct core *c, struct suspect_id id,
 			 const char *server, int64_t started_ms,
-			 const char *from)
+			 int64_t sent_ms, const char *from)
 {
-	enum suspect_change change = suspects_ended(suspects_of(c), core_now(c),
-						    id, server, started_ms);
+	enum suspect_change change = suspects_ended(
+		suspects_of(c), core_now(c), id, server, started_ms, sent_ms);
 	const struct suspect_entry *e =
 		suspects_find(suspects_of(c), core_now(c), id);
-	struct suspect_news news;
 
 	if (change == SUSPECT_SAME || !e)
 		return;
@@ -116,27 +140,25 @@
 		  "identity=%016" PRIx64 "%016" PRIx64
 		  " server=%s servers=%d from=%s",
 		  id.high, id.low, server, e->n_servers, from);
-	if (change != SUSPECT_BARRED)
-		return;
-	log_barred(e, from);
-	news = barred_news(c, e);
-	tell(c, &news);
+	if (change == SUSPECT_BARRED || change == SUSPECT_CONFIRMED)
+		record_change(c, e, change, from);
 }
 
 void suspect_mod_ended(struct core *c, struct suspect_id id, const char *server,
-		       int64_t started_ms)
+		       int64_t started_ms, int64_t sent_ms)
 {
 	const struct suspect_news news = {
 		.kind = SUSPECT_NEWS_ENDED,
 		.id = id,
 		.server = server,
 		.started_ms = (uint64_t)started_ms,
+		.age_ms = core_now(c) - sent_ms,
 	};
 
 	if (suspects_answered_lately(suspects_of(c), core_now(c), id))
 		return;
 	tell(c, &news);
-	record_ended(c, id, server, started_ms, "self");
+	record_ended(c, id, server, started_ms, sent_ms, "self");
 }
 
 /* Requests that a home no longer bars: all nodes are told. */
@@ -187,6 +209,7 @@
 	};
 	bool known;
 
+	trial_give_back(c, id);
 	record_cleared(c, id,
 		       suspects_answered(suspects_of(c), core_now(c), id),
 		       "answer");
@@ -200,36 +223,62 @@
 	return suspects_may_retry(suspects_of(c), core_now(c), id);
 }
 
-bool suspect_mod_barred(struct core *c, struct suspect_id id)
+static void tell_that_it_comes(struct core *c, struct suspect_id id)
 {
 	struct suspect_entry *e =
 		suspects_find(suspects_of(c), core_now(c), id);
 	struct suspect_news news;
 
-	if (!e || !e->barred_ms)
-		return false;
-	metric_add(M_SUSPECT_REFUSED, 1);
-	if (e->told_ms && core_now(c) - e->told_ms < TELL_INTERVAL_MS)
-		return true;
+	if (!e || (e->told_ms && core_now(c) - e->told_ms < TELL_INTERVAL_MS))
+		return;
 	e->told_ms = core_now(c);
 	news = barred_news(c, e);
 	tell(c, &news);
-	return true;
 }
 
-void suspect_mod_send_state(struct core *c, const char *node)
+enum suspect_verdict suspect_mod_verdict(struct core *c, struct suspect_id id,
+					 htab_handle owner, int64_t *wait_ms)
+{
+	enum suspect_verdict v =
+		suspects_verdict(suspects_of(c), core_now(c), id, wait_ms);
+
+	if (v == SUSPECT_SEND)
+		return v;
+	tell_that_it_comes(c, id);
+	if (trial_is_for(c, id, owner))
+		return SUSPECT_TRY;
+	if (v != SUSPECT_TRY)
+		metric_add(M_SUSPECT_REFUSED, 1);
+	return v;
+}
+
+bool suspect_mod_try(struct core *c, struct suspect_id id, htab_handle owner)
+{
+	const struct suspect_entry *e =
+		suspects_find(suspects_of(c), core_now(c), id);
+
+	return e && trial_take(c, id, e->trials + 1, owner);
+}
+
+bool suspect_mod_refused(struct core *c, struct suspect_id id)
+{
+	const struct suspect_entry *e =
+		suspects_find(suspects_of(c), core_now(c), id);
+
+	return e && e->barred_ms && e->confirmed;
+}
+
+void suspect_mod_trial_unused(struct core *c, struct suspect_id id)
+{
+	if (trial_give_back(c, id))
+		suspects_trial_unused(suspects_of(c), core_now(c), id);
+}
+
+static void send_news(struct core *c, const char *node,
+		      const struct suspect_news *list, size_t n)
 {
-	struct suspect_news list[SUSPECT_MSG_NEWS_MAX];
-	struct suspect_entry *e;
 	msgpack_sbuffer buf;
-	size_t iter = 0;
-	size_t n = 0;
 
-	while (n < SUSPECT_MSG_NEWS_MAX &&
-	       (e = suspects_next(suspects_of(c), &iter))) {
-		if (e->barred_ms)
-			list[n++] = barred_news(c, e);
-	}
 	if (!n)
 		return;
 	msgpack_sbuffer_init(&buf);
@@ -238,6 +287,30 @@
 	msgpack_sbuffer_destroy(&buf);
 }
 
+void suspect_mod_send_state(struct core *c, const char *node)
+{
+	struct suspect_news barred[SUSPECT_MSG_NEWS_MAX];
+	struct suspect_news confirmed[SUSPECT_MSG_NEWS_MAX];
+	struct suspect_entry *e;
+	size_t iter = 0;
+	size_t n = 0;
+	size_t n_confirmed = 0;
+
+	while (n < SUSPECT_MSG_NEWS_MAX &&
+	       (e = suspects_next(suspects_of(c), &iter))) {
+		if (!e->barred_ms)
+			continue;
+		barred[n] = barred_news(c, e);
+		if (e->confirmed) {
+			confirmed[n_confirmed] = barred[n];
+			confirmed[n_confirmed++].kind = SUSPECT_NEWS_CONFIRMED;
+		}
+		n++;
+	}
+	send_news(c, node, barred, n);
+	send_news(c, node, confirmed, n_confirmed);
+}
+
 static void apply_barred(struct core *c, const char *from,
 			 const struct suspect_news *news)
 {
@@ -263,6 +336,18 @@
 		log_barred(e, from);
 }
 
+static void apply_confirmed(struct core *c, const char *from,
+			    const struct suspect_news *news)
+{
+	enum suspect_change change =
+		suspects_confirm(suspects_of(c), core_now(c), news->id);
+	const struct suspect_entry *e =
+		suspects_find(suspects_of(c), core_now(c), news->id);
+
+	if (change == SUSPECT_CONFIRMED && e)
+		record_change(c, e, change, from);
+}
+
 static void apply_news(struct core *c, const char *from,
 		       const struct suspect_news *news)
 {
@@ -271,7 +356,8 @@
 	switch (news->kind) {
 	case SUSPECT_NEWS_ENDED:
 		record_ended(c, news->id, news->server,
-			     (int64_t)news->started_ms, from);
+			     (int64_t)news->started_ms,
+			     core_now(c) - news->age_ms, from);
 		break;
 	case SUSPECT_NEWS_OUTLIVED:
 		record_outlived(c, news, core_now(c) - news->age_ms, from,
@@ -286,6 +372,9 @@
 	case SUSPECT_NEWS_BARRED:
 		apply_barred(c, from, news);
 		break;
+	case SUSPECT_NEWS_CONFIRMED:
+		apply_confirmed(c, from, news);
+		break;
 	case SUSPECT_NEWS_KINDS:
 		break;
 	}
@@ -330,9 +419,10 @@
 		id_text(e->id, id);
 		json_array_append_new(
 			list,
-			json_pack("{s:s,s:b,s:o,s:I}", "identity", id, "barred",
-				  e->barred_ms != 0, "servers", servers,
-				  "seen_ms",
+			json_pack("{s:s,s:b,s:b,s:i,s:o,s:I}", "identity", id,
+				  "barred", e->barred_ms != 0, "confirmed",
+				  e->confirmed, "trials", e->trials, "servers",
+				  servers, "seen_ms",
 				  (json_int_t)(core_now(c) - e->seen_ms)));
 	}
 	core_reply_json(c, r->h, 200, json_pack("{s:o}", "suspects", list));
@@ -374,10 +464,15 @@
 		.prefix = "/admin/suspects/clear",
 		.fn = on_clear,
 	};
+	struct suspect_state *s = calloc(1, sizeof(*s));
 	enum err e;
 
-	*state = suspects_new();
-	if (!*state)
+	*state = s;
+	if (!s)
+		return ERR_NOMEM;
+	s->table = suspects_new();
+	s->trials = trials_new();
+	if (!s->table || !s->trials)
 		return ERR_NOMEM;
 	e = core_route(c, &list);
 	if (e == ERR_OK)
@@ -388,7 +483,11 @@
 
 static void suspect_stop(struct core *c, void *state)
 {
-	suspects_free(state);
+	struct suspect_state *s = state;
+
+	suspects_free(s->table);
+	trials_free(s->trials);
+	free(s);
 }
 
 const struct core_mod_ops suspect_mod_ops = {
--- a/packages/daemon/src/suspect/suspect_msg.h
+++ b/packages/daemon/src/suspect/suspect_msg.h
@@ -16,6 +16,9 @@
 	SUSPECT_NEWS_OUTLIVED, ///< the server is up; without a request
 	SUSPECT_NEWS_CLEARED, ///< answered, or cleared by an operator
 	SUSPECT_NEWS_BARRED,
+	/// A server ended once more. Sent in messages of its own: earlier versions refuse
+	/// the whole message.
+	SUSPECT_NEWS_CONFIRMED,
 	SUSPECT_NEWS_KINDS
 };
 
@@ -24,7 +27,7 @@
 	struct suspect_id id;
 	const char *server; ///< id; "" without a server
 	uint64_t started_ms; ///< incarnation of the server
-	int64_t age_ms; ///< of the event
+	int64_t age_ms; ///< of the event; of ENDED: since it was sent to the server
 	int64_t seen_age_ms; ///< since the request came last
 };
 
--- a/packages/suspect/include/suspect/suspect.h
+++ b/packages/suspect/include/suspect/suspect.h
@@ -4,6 +4,10 @@
 // Evidence against a request: its connection broke off at several servers and no server
 // ever answered it. Evidence for it: an answer from any server, or that a server at which
 // it broke off answered a request that was sent later, and so did not end.
+//
+// Servers that end within one moment, under whatever they had, say less of a request than
+// servers that end one after the other under the same one. What a moment says is tested by
+// a trial: one sending, at one node of all.
 #pragma once
 
 #include <stdbool.h>
@@ -20,6 +24,11 @@
 	SUSPECT_ANSWERED_MS =
 		60000, ///< an answer speaks for its request this long
 	SUSPECT_KEEP_MS = 600000, ///< since a request came last
+	/// Without an end before a request is sent, its next end is of another moment. All
+	/// servers of a failure domain are lost within less.
+	SUSPECT_MOMENT_MS = 1000,
+	SUSPECT_MOMENTS = 3, ///< that need no trial
+	SUSPECT_TRIALS = 3, ///< of a request; RULES.md, BUDGET
 	SUSPECT_SERVER_ID = 64, ///< bytes of a server's id, with NUL
 };
 
@@ -34,6 +43,11 @@
 	struct suspect_id id; ///< 0: the entry is free
 	struct suspect_server servers[SUSPECT_SERVERS];
 	int n_servers;
+	int moments; ///< in which servers ended
+	int64_t moment_end_ms; ///< last end of the latest
+	bool confirmed; ///< servers ended one after the other, or in a trial
+	int trials; ///< that some node had
+	int64_t next_trial_ms;
 	int64_t barred_ms; ///< since then no server gets it, 0: not barred
 	int64_t cleared_ms; ///< earlier news that it is barred is outdated, 0: none
 	int64_t seen_ms; ///< it came, or another node heard of it
@@ -44,9 +58,18 @@
 	SUSPECT_SAME,
 	SUSPECT_COUNTED, ///< one more server
 	SUSPECT_BARRED,
+	SUSPECT_CONFIRMED, ///< barred, and a server ended once more
 	SUSPECT_CLEARED, ///< no longer barred, or no longer suspected
 };
 
+/// What may be done with a request that came.
+enum suspect_verdict {
+	SUSPECT_SEND,
+	SUSPECT_TRY, ///< by the node that is granted its next trial
+	SUSPECT_WAIT, ///< it is not known yet whether it ends servers
+	SUSPECT_REFUSE,
+};
+
 struct suspects;
 
 /// @return table, NULL when out of memory
@@ -59,9 +82,29 @@
 /// Load pattern: a failure domain is lost with hundreds of requests in flight, many of
 /// them alike; and a single request that ends a server each time it comes. A server
 /// counts once for a request, and not if such a request was answered lately.
+///
+/// @param sent_ms  when it was sent there
 enum suspect_change suspects_ended(struct suspects *t, int64_t now,
 				   struct suspect_id id, const char *server,
-				   int64_t started_ms);
+				   int64_t started_ms, int64_t sent_ms);
+
+/// What to do with a request that came now.
+/// Load pattern: all servers of a service end at once under lookups that are alike, and
+/// callers go on asking; and a request that ends each server, from one caller or many.
+///
+/// @param[out] wait_ms  SUSPECT_WAIT: until it may be tried
+enum suspect_verdict suspects_verdict(struct suspects *t, int64_t now,
+				      struct suspect_id id, int64_t *wait_ms);
+
+/// Record that a node was granted a trial, this one or another.
+///
+/// @param trial  its number, from 1
+void suspects_trial_granted(struct suspects *t, int64_t now,
+			    struct suspect_id id, int trial);
+
+/// Record that a server refused the request of a trial without running it.
+void suspects_trial_unused(struct suspects *t, int64_t now,
+			   struct suspect_id id);
 
 /// Record that a server answered a request.
 enum suspect_change suspects_answered(struct suspects *t, int64_t now,
@@ -89,6 +132,10 @@
 					struct suspect_id id, int64_t barred_ms,
 					int64_t seen_ms);
 
+/// Record another node's news that a server ended under a barred request once more.
+enum suspect_change suspects_confirm(struct suspects *t, int64_t now,
+				     struct suspect_id id);
+
 /// Clear a request, by an operator or by another node's news.
 enum suspect_change suspects_clear(struct suspects *t, int64_t now,
 				   struct suspect_id id);
--- a/packages/suspect/src/suspect.c
+++ b/packages/suspect/src/suspect.c
@@ -5,6 +5,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+/// Wait before each trial, after the end or trial before it, in ms. What is likely to end
+/// servers is tried seldom: each trial may cost others their requests.
+static const int64_t TRIAL_WAIT_MS[2][SUSPECT_TRIALS + 1] = {
+	{1000, 5000, 60000, 0},
+	{60000, 60000, 300000, 0},
+};
+
 struct answered {
 	struct suspect_id id;
 	int64_t at_ms;
@@ -112,35 +119,113 @@
 	return -1;
 }
 
+static void set_next_trial(struct suspect_entry *e, int64_t now)
+{
+	e->next_trial_ms = now + TRIAL_WAIT_MS[e->confirmed][e->trials];
+}
+
+/* @return whether the end is of another moment than those before */
+static bool count_moment(struct suspect_entry *e, int64_t now, int64_t sent_ms)
+{
+	bool is_new = e->moments == 0 ||
+		      sent_ms - e->moment_end_ms >= SUSPECT_MOMENT_MS;
+
+	e->moments += is_new;
+	if (is_new || now > e->moment_end_ms)
+		e->moment_end_ms = now;
+	return is_new;
+}
+
+static enum suspect_change confirm(struct suspect_entry *e, int64_t now)
+{
+	if (e->confirmed)
+		return SUSPECT_SAME;
+	e->confirmed = true;
+	set_next_trial(e, now);
+	return SUSPECT_CONFIRMED;
+}
+
 enum suspect_change suspects_ended(struct suspects *t, int64_t now,
 				   struct suspect_id id, const char *server,
-				   int64_t started_ms)
+				   int64_t started_ms, int64_t sent_ms)
 {
 	struct suspect_entry *e;
 	struct suspect_server *s;
+	bool new_moment;
 
 	if (suspects_answered_lately(t, now, id))
 		return SUSPECT_SAME;
 	e = find_or_add(t, now, id);
 	e->seen_ms = now;
-	if (e->barred_ms || server_index(e, server, started_ms) >= 0)
+	if (server_index(e, server, started_ms) >= 0)
 		return SUSPECT_SAME;
+	new_moment = count_moment(e, now, sent_ms);
+	if (e->barred_ms)
+		return new_moment ? confirm(e, now) : SUSPECT_SAME;
 	s = &e->servers[e->n_servers++];
 	*s = (struct suspect_server){.started_ms = started_ms, .ended_ms = now};
 	snprintf(s->id, sizeof(s->id), "%s", server);
 	if (e->n_servers < SUSPECT_SERVERS)
 		return SUSPECT_COUNTED;
 	e->barred_ms = now;
+	e->confirmed = e->moments >= SUSPECT_MOMENTS;
+	set_next_trial(e, now);
 	return SUSPECT_BARRED;
 }
 
+enum suspect_verdict suspects_verdict(struct suspects *t, int64_t now,
+				      struct suspect_id id, int64_t *wait_ms)
+{
+	struct suspect_entry *e = suspects_find(t, now, id);
+
+	*wait_ms = 0;
+	if (!e || !e->barred_ms)
+		return SUSPECT_SEND;
+	if (e->trials < SUSPECT_TRIALS && now >= e->next_trial_ms)
+		return SUSPECT_TRY;
+	if (e->confirmed || e->trials >= SUSPECT_TRIALS)
+		return SUSPECT_REFUSE;
+	*wait_ms = e->next_trial_ms - now;
+	return SUSPECT_WAIT;
+}
+
+void suspects_trial_granted(struct suspects *t, int64_t now,
+			    struct suspect_id id, int trial)
+{
+	struct suspect_entry *e = find(t, now, id);
+
+	if (!e || trial <= e->trials || trial > SUSPECT_TRIALS)
+		return;
+	e->trials = trial;
+	set_next_trial(e, now);
+}
+
+void suspects_trial_unused(struct suspects *t, int64_t now,
+			   struct suspect_id id)
+{
+	struct suspect_entry *e = find(t, now, id);
+
+	if (!e || !e->barred_ms || !e->trials)
+		return;
+	e->trials--;
+	e->next_trial_ms = now + TRIAL_WAIT_MS[0][0];
+}
+
+static void reset(struct suspect_entry *e, int64_t cleared_ms)
+{
+	e->barred_ms = 0;
+	e->confirmed = false;
+	e->moments = 0;
+	e->trials = 0;
+	e->cleared_ms = cleared_ms;
+}
+
 static enum suspect_change clear(struct suspect_entry *e, int64_t now)
 {
 	bool was_suspected = e->barred_ms || e->n_servers;
 
-	e->barred_ms = 0;
+	reset(e, now);
 	e->n_servers = 0;
-	e->cleared_ms = now;
 	return was_suspected ? SUSPECT_CLEARED : SUSPECT_SAME;
 }
 
@@ -181,8 +266,7 @@
 		*known = true;
 		if (!e->barred_ms)
 			continue;
-		e->barred_ms = 0;
-		e->cleared_ms = sent_ms;
+		reset(e, sent_ms);
 		if (n < max)
 			changed[n++] = e->id;
 	}
@@ -205,9 +289,23 @@
 	if (e->barred_ms || (e->cleared_ms && barred_ms <= e->cleared_ms))
 		return SUSPECT_SAME;
 	e->barred_ms = barred_ms;
+	/* Ends of the same moment may still be on their way. */
+	if (!e->moments || barred_ms > e->moment_end_ms)
+		e->moment_end_ms = barred_ms;
+	if (!e->moments)
+		e->moments = 1;
+	set_next_trial(e, barred_ms);
 	return SUSPECT_BARRED;
 }
 
+enum suspect_change suspects_confirm(struct suspects *t, int64_t now,
+				     struct suspect_id id)
+{
+	struct suspect_entry *e = find(t, now, id);
+
+	return e && e->barred_ms ? confirm(e, now) : SUSPECT_SAME;
+}
+
 enum suspect_change suspects_clear(struct suspects *t, int64_t now,
 				   struct suspect_id id)
 {
--- a/packages/suspect/test/test_suspect.c
+++ b/packages/suspect/test/test_suspect.c
@@ -50,14 +50,17 @@
 {
 	struct suspect_id id = identity("/a", "x");
 
-	assert_int_equal(suspects_ended(t, 10, id, "s1", 1), SUSPECT_COUNTED);
+	assert_int_equal(suspects_ended(t, 10, id, "s1", 1, 10),
+			 SUSPECT_COUNTED);
 	assert_true(suspects_may_retry(t, 10, id));
 	/* The same start of a server counts once, a new start again. */
-	assert_int_equal(suspects_ended(t, 11, id, "s1", 1), SUSPECT_SAME);
-	assert_int_equal(suspects_ended(t, 20, id, "s1", 2), SUSPECT_COUNTED);
+	assert_int_equal(suspects_ended(t, 11, id, "s1", 1, 11), SUSPECT_SAME);
+	assert_int_equal(suspects_ended(t, 20, id, "s1", 2, 20),
+			 SUSPECT_COUNTED);
 	assert_false(suspects_may_retry(t, 20, id));
 	assert_false(barred(id, 20));
-	assert_int_equal(suspects_ended(t, 30, id, "s2", 1), SUSPECT_BARRED);
+	assert_int_equal(suspects_ended(t, 30, id, "s2", 1, 30),
+			 SUSPECT_BARRED);
 	assert_true(barred(id, 30));
 	assert_false(barred(identity("/a", "y"), 30));
 	assert_false(barred(identity("/b", "x"), 30));
@@ -84,10 +87,10 @@
 		char server[8];
 
 		snprintf(server, sizeof(server), "s%d", i);
-		suspects_ended(t, 1000, common, server, 1);
+		suspects_ended(t, 1000, common, server, 1, 1000);
 	}
-	suspects_ended(t, 1000, once, "s0", 1);
-	suspects_ended(t, 1010, once, "s5", 1);
+	suspects_ended(t, 1000, once, "s0", 1, 1000);
+	suspects_ended(t, 1010, once, "s5", 1, 1010);
 	assert_false(barred(common, 1010));
 	assert_false(barred(once, 1010));
 }
@@ -99,9 +102,9 @@
 	struct suspect_id changed[2];
 	bool known;
 
-	suspects_ended(t, 100, id, "s1", 1);
-	suspects_ended(t, 110, id, "s2", 1);
-	suspects_ended(t, 120, id, "s3", 1);
+	suspects_ended(t, 100, id, "s1", 1, 100);
+	suspects_ended(t, 110, id, "s2", 1, 110);
+	suspects_ended(t, 120, id, "s3", 1, 120);
 	assert_true(barred(id, 120));
 	/* Sent before it broke off, or to another start: no evidence. */
 	assert_int_equal(suspects_outlived(t, "s1", 1, 90, changed, 2, &known),
@@ -117,21 +120,23 @@
 	/* News from before that do not bar it again. */
 	assert_int_equal(suspects_set_barred(t, 210, id, 120, 205),
 			 SUSPECT_SAME);
-	assert_int_equal(suspects_ended(t, 220, id, "s4", 1), SUSPECT_BARRED);
+	assert_int_equal(suspects_ended(t, 220, id, "s4", 1, 220),
+			 SUSPECT_BARRED);
 }
 
 static void test_answer_clears_a_request(void **state)
 {
 	struct suspect_id id = identity("/a", "x");
 
-	suspects_ended(t, 100, id, "s1", 1);
-	suspects_ended(t, 110, id, "s2", 1);
+	suspects_ended(t, 100, id, "s1", 1, 100);
+	suspects_ended(t, 110, id, "s2", 1, 110);
 	assert_int_equal(suspects_answered(t, 120, id), SUSPECT_CLEARED);
 	assert_int_equal(suspects_answered(t, 121, id), SUSPECT_SAME);
-	assert_int_equal(suspects_ended(t, 130, id, "s3", 1), SUSPECT_SAME);
-	assert_int_equal(
-		suspects_ended(t, 121 + SUSPECT_ANSWERED_MS, id, "s3", 1),
-		SUSPECT_COUNTED);
+	assert_int_equal(suspects_ended(t, 130, id, "s3", 1, 130),
+			 SUSPECT_SAME);
+	assert_int_equal(suspects_ended(t, 121 + SUSPECT_ANSWERED_MS, id, "s3",
+					1, 121 + SUSPECT_ANSWERED_MS),
+			 SUSPECT_COUNTED);
 }
 
 static void test_news_of_other_nodes_bar_and_clear(void **state)
@@ -190,13 +195,14 @@
 		char server[8];
 
 		snprintf(server, sizeof(server), "s%d", i);
-		suspects_ended(t, i, id, server, 1);
+		suspects_ended(t, i, id, server, 1, i);
 	}
 	for (int i = 0; i < 3 * SUSPECT_ENTRIES_MAX; i++) {
 		char body[16];
 
 		snprintf(body, sizeof(body), "b%d", i);
-		suspects_ended(t, 100 + i, identity("/a", body), "s9", 1);
+		suspects_ended(t, 100 + i, identity("/a", body), "s9", 1,
+			       100 + i);
 	}
 	assert_true(barred(id, 5000));
 	while (suspects_next(t, &iter))
--- a/test/hosted/hosted.h
+++ b/test/hosted/hosted.h
@@ -110,6 +110,7 @@
 	int reward_faults_left; ///< calls that still get it, then HOSTED_REWARD_OK
 	int early_rewards; ///< calls before their text was complete
 	int wrong_rewards; ///< calls that differ from the batch's
+	bool crash_bookings; ///< bookings that run end their servers
 	int store_down; ///< the store: 0 up, 1 answers 503, 2 does not answer
 	int store_loss_percent; ///< responses dropped
 	uint64_t store_loss_seed; ///< selects them
--- a/test/hosted/server.c
+++ b/test/hosted/server.c
@@ -362,7 +362,8 @@
 	fails = s->fails_half && s->n_bookings++ % 2;
 	pthread_mutex_unlock(&s->h->lock);
 	sleep_ms(ms);
-	if (b->data && strcmp(b->data, "end-server") == 0) {
+	if (s->h->crash_bookings ||
+	    (b->data && strcmp(b->data, "end-server") == 0)) {
 		end_server(s);
 		return MHD_NO;
 	}
