--- a/packages/upstream/include/upstream/upstream.h
+++ b/packages/upstream/include/upstream/upstream.h
@@ -62,7 +62,9 @@
 	enum err err; ///< ERR_OK: status and complete body arrived
 	bool sent; ///< at least one byte of the request may have been sent
 	bool reused; ///< used a connection that had carried other requests
-	int status; ///< 0 if none arrived
+	/// The body ended with its connection: nothing says that it is whole.
+	bool unframed;
+	int status; ///< 0 unless a whole head arrived
 	char *body; ///< body, NULL if it was streamed or is empty
 	size_t body_len; ///< bytes
 	char ctype[128]; ///< Content-Type, "" if none
--- a/packages/upstream/src/call.c
+++ b/packages/upstream/src/call.c
@@ -93,7 +93,7 @@
 		return ERR_TIMEOUT;
 	switch (code) {
 	case CURLE_OK:
-		return c->result.status ? ERR_OK : ERR_UP_BROKEN;
+		return c->head_check.complete ? ERR_OK : ERR_UP_BROKEN;
 	case CURLE_OPERATION_TIMEDOUT:
 		return ERR_TIMEOUT;
 	case CURLE_URL_MALFORMAT:
@@ -113,6 +113,16 @@
 	return request_size > 0 || c->attempts > 1 || c->result.status > 0;
 }
 
+/* A head that was cut off says nothing: what would have followed may contradict it. */
+static void drop_partial_head(struct upstream_call *c)
+{
+	if (c->head_check.complete)
+		return;
+	c->result.status = 0;
+	c->result.head.n = 0;
+	c->result.ctype[0] = '\0';
+}
+
 void call_finish(struct upstream_call *c, CURLcode code)
 {
 	struct upstream_result *r = &c->result;
@@ -134,5 +144,9 @@
 	r->total_us = clock_now_us() - c->start_us;
 	if (ctype && strlen(ctype) < sizeof(r->ctype))
 		strcpy(r->ctype, ctype);
+	r->unframed = !c->head_check.has_length && !c->head_check.chunked &&
+		      !c->head_check.no_body &&
+		      strcmp(c->opts.method, "HEAD") != 0;
+	drop_partial_head(c);
 	call_free_transfer(c);
 }
--- a/packages/upstream/src/call.h
+++ b/packages/upstream/src/call.h
@@ -19,6 +19,22 @@
 	struct upstream_call *call;
 };
 
+/// What the lines of an answer's head showed so far.
+struct head_check {
+	bool open; ///< a status line without the empty line after it
+	bool complete; ///< of a final answer
+	bool final; ///< the status line is that of a final answer
+	bool no_body; ///< its status allows none
+	bool chunked;
+	bool has_length;
+	uint64_t length;
+};
+
+/// Check the next line of a head.
+///
+/// @return false for what is no head: two answers run together, or two lengths
+bool head_check_line(struct head_check *h, const char *line, size_t len);
+
 struct upstream_call {
 	atomic_int refs;
 	struct upstream *up;
@@ -35,6 +51,7 @@
 	bool too_large;
 	bool head_posted;
 	size_t head_len; ///< bytes of header lines so far
+	struct head_check head_check;
 	bool head_overflow; ///< more header fields than UPSTREAM_MAX_HEADERS
 	bool idle_expired;
 	bool send_expired; ///< the connection was ready only after send_until_ms
--- a/packages/upstream/src/transfer.c
+++ b/packages/upstream/src/transfer.c
@@ -22,7 +22,6 @@
 	/// Most bytes of an answer's head, including interim answers and the trailer;
 	/// four times what common servers send at most.
 	UPSTREAM_HEAD_MAX_BYTES = 65536,
-	UPSTREAM_FINAL_STATUS_MIN = 200, ///< lowest status of a final answer
 };
 
 static bool body_append(struct upstream_call *c, const char *data, size_t len)
@@ -116,21 +115,12 @@
 		h->n++;
 }
 
-static bool is_head_end(const char *line, size_t len)
-{
-	return len <= 2 && (len == 0 || line[len - 1] == '\n');
-}
-
 /// Post the head as soon as it is complete: its information about the server is
 /// needed even if the call is cancelled before the body ends. If the queue is full,
 /// it is posted with the body's first byte or comes with UPSTREAM_DONE.
 static void head_post_early(struct upstream_call *c)
 {
-	long status = 0;
-
-	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (status >= UPSTREAM_FINAL_STATUS_MIN)
-		head_post(c);
+	head_post(c);
 }
 
 static size_t on_header(char *data, size_t size, size_t n, void *ctx)
@@ -141,11 +131,12 @@
 	if (!c->head_len)
 		c->last_progress_ms = clock_now_ms();
 	c->head_len += size * n;
-	if (c->head_len > UPSTREAM_HEAD_MAX_BYTES)
+	if (c->head_len > UPSTREAM_HEAD_MAX_BYTES ||
+	    !head_check_line(&c->head_check, data, size * n))
 		return 0;
 	if (c->opts.want_head)
 		head_add_line(c, data, size * n);
-	if (c->opts.tag && is_head_end(data, size * n) && !c->head_overflow)
+	if (c->opts.tag && c->head_check.complete && !c->head_overflow)
 		head_post_early(c);
 	/* An answer that can't be forwarded completely must not be forwarded. */
 	return c->head_overflow ? 0 : size * n;
--- a/packages/upstream/test/server.c
+++ b/packages/upstream/test/server.c
@@ -111,6 +111,50 @@
 	 "A: b\r\n"},
 };
 
+#define ID "X-Catkinpath-Request-Id: 7\r\nX-Catkinpath-Server-Seal: s\r\n"
+
+const struct server_answer server_answers[SERVER_ANSWERS] = {
+	{"HTTP/1.1 200 OK\r\n" ID "Content-Length: 12\r\n\r\n0123456789ab",
+	 "GET", false},
+	{"HTTP/1.1 200 OK\r\n" ID "Transfer-Encoding: chunked\r\n\r\n"
+	 "4\r\nabcd\r\n3\r\nefg\r\n0\r\n\r\n",
+	 "GET", false},
+	{"HTTP/1.1 200 OK\r\n" ID "\r\n0123456789", "GET", true},
+	{"HTTP/1.1 100 Continue\r\n\r\n"
+	 "HTTP/1.1 200 OK\r\n" ID "Content-Length: 2\r\n\r\nok",
+	 "GET", false},
+	{"HTTP/1.1 204 No Content\r\n" ID "\r\n", "GET", false},
+	{"HTTP/1.0 200 OK\r\n" ID "\r\nabcdef", "GET", true},
+	{"HTTP/1.1 503 Busy\r\nX-Catkinpath-Not-Run: 1\r\n" ID
+	 "Content-Length: 4\r\n\r\nbusy",
+	 "GET", false},
+	{"HTTP/1.1 200 OK\r\n" ID "Content-Length: 90\r\n\r\n", "HEAD", false},
+	{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" ID "\r\n", "POST", false},
+};
+
+/* The client's kernel gets what was sent before the reset. */
+static void reset_after(int fd)
+{
+	const struct linger reset = {.l_onoff = 1, .l_linger = 0};
+	struct timespec ts = {0, 2000000};
+
+	nanosleep(&ts, NULL);
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
+static bool serve_cut(int fd, const char *req)
+{
+	int k, n;
+
+	if (sscanf(strchr(req, ' ') + 1, "/cut/%d/%d ", &k, &n) != 2 &&
+	    sscanf(strchr(req, ' ') + 1, "/rst/%d/%d ", &k, &n) != 2)
+		return false;
+	send(fd, server_answers[k].text, (size_t)n, MSG_NOSIGNAL);
+	if (path_is(req, "/rst/"))
+		reset_after(fd);
+	return true;
+}
+
 static void pause_ms(int ms)
 {
 	struct timespec ts = {0, ms * 1000000L};
@@ -158,7 +202,7 @@
 /// @return false to end the connection
 static bool serve(int fd, const char *req, int nth)
 {
-	if (serve_endless(fd, req))
+	if (serve_endless(fd, req) || serve_cut(fd, req))
 		return false;
 	if (path_is(req, "/silent")) {
 		char c;
--- a/packages/upstream/test/server.h
+++ b/packages/upstream/test/server.h
@@ -8,9 +8,13 @@
 //   /big     a body of SERVER_BIG_BYTES bytes
 //   /endless/PART  repeats one part of an answer until the client closes, at full
 //            speed; /drop/PART the same, one piece every SERVER_DROP_INTERVAL_MS
+//   /cut/K/N  the first N bytes of answer K of server_answers, then the connection is
+//            closed; /rst/K/N the same, and it is reset
 // A second port resets each connection as soon as it is accepted.
 #pragma once
 
+#include <stdbool.h>
+
 enum {
 	SERVER_PORT = 7700,
 	SERVER_RESET_PORT = 7701,
@@ -22,5 +26,17 @@
 /// Start the server on an IP address.
 void server_start(const char *ip);
 
+struct server_answer {
+	const char *text;
+	const char *method;
+	bool unframed; ///< its body ends with the connection
+};
+
+enum {
+	SERVER_ANSWERS = 9,
+};
+
+extern const struct server_answer server_answers[SERVER_ANSWERS];
+
 /// Requests that were read completely since the last call.
 int server_requests(void);
--- a/packages/upstream/test/test_upstream.c
+++ b/packages/upstream/test/test_upstream.c
@@ -74,6 +74,8 @@
 }
 
 struct outcome {
+	bool unframed;
+	size_t n_fields; ///< of the head
 	enum err err;
 	bool sent;
 	int status;
@@ -97,6 +99,8 @@
 			out.err = ev->result->err;
 			out.sent = ev->result->sent;
 			out.status = ev->result->status;
+			out.unframed = ev->result->unframed;
+			out.n_fields = ev->result->head.n;
 			out.len += ev->result->body_len;
 		} else {
 			out.len += ev->len;
@@ -197,6 +201,57 @@
 	}
 }
 
+static size_t head_len_of(const char *text)
+{
+	const char *final = strstr(text, "HTTP/1.1 200");
+	const char *end = strstr(final ? final : text, "\r\n\r\n");
+
+	return (size_t)(end - text) + 4;
+}
+
+/* @param whole_len  bytes of the answer's body */
+static void check_cut(int k, size_t n, bool reset, size_t whole_len)
+{
+	const struct server_answer *a = &server_answers[k];
+	bool whole_head = n >= head_len_of(a->text);
+	struct upstream_call_opts o;
+	struct outcome out;
+	char url[128], path[64];
+	bool ok;
+
+	snprintf(path, sizeof(path), "/%s/%d/%zu", reset ? "rst" : "cut", k, n);
+	url_of(url, sizeof(url), SERVER_PORT, path);
+	o = options(url);
+	o.method = a->method;
+	o.want_head = true;
+	out = run(&o);
+	ok = out.err == ERR_OK;
+	if (ok && (!whole_head || (!a->unframed && out.len != whole_len)))
+		fail_msg("%s: %d, looks whole", path, out.status);
+	if (ok && out.unframed != a->unframed)
+		fail_msg("%s: unframed is %d", path, out.unframed);
+	if (!reset && n == strlen(a->text) && !ok)
+		fail_msg("%s: %s", path, err_code(out.err));
+	/* Part of a head is no promise that the request did not run. */
+	if (!whole_head && (out.status || out.n_fields))
+		fail_msg("%s: %d of a partial head", path, out.status);
+	assert_true(out.sent);
+}
+
+/* A server that closed within its answer's head was taken to have answered with an empty
+ * body: callers got a success that was not whole. */
+static void test_answer_cut_at_any_byte_is_not_whole(void **state)
+{
+	static const size_t len[SERVER_ANSWERS] = {12, 7, 10, 2, 0, 6, 4, 0, 0};
+
+	for (int k = 0; k < SERVER_ANSWERS; k++) {
+		for (size_t n = 0; n <= strlen(server_answers[k].text); n++) {
+			check_cut(k, n, false, len[k]);
+			check_cut(k, n, true, len[k]);
+		}
+	}
+}
+
 /* A request whose connection is ready after send_until_ms is not sent. */
 static void test_late_connection_sends_nothing(void **state)
 {
@@ -522,6 +577,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_error_and_sent_of_each_fault),
 		cmocka_unit_test(test_endless_answer_ends_call),
+		cmocka_unit_test(test_answer_cut_at_any_byte_is_not_whole),
 		cmocka_unit_test(test_late_connection_sends_nothing),
 		cmocka_unit_test(test_reset_connection_fails),
 		cmocka_unit_test(test_request_written_at_most_once),
