--- a/packages/core/include/core/core.h
+++ b/packages/core/include/core/core.h
@@ -111,6 +111,10 @@
 /// Value of a query parameter; NULL if absent.
 const char *core_req_query(const struct core_req *r, const char *name);
 
+/// Let the answer's body end with the connection, without a length, before core_reply():
+/// for a body that is not known to be whole.
+void core_reply_end_by_close(struct core *c, htab_handle h);
+
 /// Add a header to the answer; call before core_reply() or core_stream_begin().
 void core_reply_header(struct core *c, htab_handle h, const char *name,
 		       const char *value);
--- a/packages/core/include/core/core_defs.h
+++ b/packages/core/include/core/core_defs.h
@@ -55,7 +55,8 @@
 	bool sent; ///< a byte of the request may have left this process
 	bool reused; ///< sent on a connection that had carried other requests: an
 		///< answer without a request id may belong to one of those
-	int status; ///< HTTP status, 0 if none arrived
+	bool unframed; ///< the body ended with its connection, perhaps too early
+	int status; ///< HTTP status, 0 unless a whole head arrived
 	const char *body; ///< complete body, NULL when it was streamed
 	size_t body_len; ///< bytes
 	const char *ctype; ///< Content-Type, "" if none
--- a/packages/core/src/req.c
+++ b/packages/core/src/req.c
@@ -191,6 +191,14 @@
 		c->opts.http->header(e->http, name, value);
 }
 
+void core_reply_end_by_close(struct core *c, htab_handle h)
+{
+	struct req_entry *e = entry(c, h);
+
+	if (e)
+		c->opts.http->end_by_close(e->http);
+}
+
 void core_reply(struct core *c, htab_handle h, int status, const char *ctype,
 		const void *body, size_t len)
 {
--- a/packages/daemon/src/front/forward_end.c
+++ b/packages/daemon/src/front/forward_end.c
@@ -125,6 +125,8 @@
 			core_reply_header(c, f->req, res->head->names[i],
 					  res->head->values[i]);
 	}
+	if (res->unframed)
+		core_reply_end_by_close(c, f->req);
 	metric_add(M_WORK_ANSWERED, 1);
 	if (t->hedge)
 		report_slow_servers(c, f, t);
@@ -225,8 +227,12 @@
 /* Whether the answer is passed to the caller now. If its server failed and the
  * request may be hedged, another attempt may still succeed. */
 static bool is_final(struct core *c, struct forward *f,
-		     const struct end_class *end)
+		     const struct end_class *end, bool unframed)
 {
+	/* Nothing says that it is whole: an answer of another server may be sure. */
+	if (end->has_answer && unframed &&
+	    (forward_running(f) || may_retry(c, f)))
+		return false;
 	if (!end->has_answer || !f->may_hedge || end->outcome == SITE_CALL_GOOD)
 		return end->has_answer;
 	return !forward_running(f) &&
@@ -253,7 +259,7 @@
 		tally_mod_count_request(c, f->team, t->sent_wall_ms);
 	if (end.outcome == SITE_CALL_GOOD)
 		forward_hedge_answered(c, f, t);
-	if (is_final(c, f, &end)) {
+	if (is_final(c, f, &end, res->unframed)) {
 		relay_answer(c, f, t, res);
 		return;
 	}
--- a/packages/http/include/http/http.h
+++ b/packages/http/include/http/http.h
@@ -72,6 +72,10 @@
 	/// Add a header field to the answer; ignored beyond 64 fields.
 	void (*header)(struct http_req *r, const char *name, const char *value);
 
+	/// Let the answer's body end with the connection, without a length: it is not
+	/// known to be whole.
+	void (*end_by_close)(struct http_req *r);
+
 	/// Answer with a complete body, which is copied, and release the reference.
 	void (*answer)(struct http_req *r, int status, const char *ctype,
 		       const void *body, size_t len);
--- a/packages/http/src/mhd_answer.c
+++ b/packages/http/src/mhd_answer.c
@@ -60,12 +60,58 @@
 	mhd_req_resume(r);
 }
 
+void mhd_end_by_close(struct http_req *req)
+{
+	req_of(req)->ends_by_close = true;
+}
+
+/// Body of an answer without a length.
+struct unframed {
+	size_t len; ///< bytes
+	char data[];
+};
+
+static ssize_t unframed_read(void *ctx, uint64_t pos, char *out, size_t max)
+{
+	const struct unframed *u = ctx;
+	size_t n = u->len - (size_t)pos < max ? u->len - (size_t)pos : max;
+
+	if (!n)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	memcpy(out, u->data + pos, n);
+	return (ssize_t)n;
+}
+
+/* HTTP/1.0 has no chunks, whose last one would say that the body is whole. */
+static struct MHD_Response *unframed_response(const void *body, size_t len)
+{
+	struct unframed *u = malloc(sizeof(*u) + len);
+	struct MHD_Response *resp;
+
+	if (!u)
+		return NULL;
+	u->len = len;
+	if (len)
+		memcpy(u->data, body, len);
+	resp = MHD_create_response_from_callback(
+		MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, unframed_read, u, free);
+	if (!resp)
+		free(u);
+	else
+		MHD_set_response_options(
+			resp, MHD_RF_HTTP_1_0_COMPATIBLE_STRICT, MHD_RO_END);
+	return resp;
+}
+
 void mhd_answer(struct http_req *req, int status, const char *ctype,
 		const void *body, size_t len)
 {
 	struct mhd_req *r = req_of(req);
-	struct MHD_Response *resp = MHD_create_response_from_buffer(
-		len, (void *)body, MHD_RESPMEM_MUST_COPY);
+	struct MHD_Response *resp =
+		r->ends_by_close
+			? unframed_response(body, len)
+			: MHD_create_response_from_buffer(
+				  len, (void *)body, MHD_RESPMEM_MUST_COPY);
 
 	if (resp) {
 		answer_headers(r, resp, ctype);
--- a/packages/http/src/mhd_req.h
+++ b/packages/http/src/mhd_req.h
@@ -54,6 +54,7 @@
 	size_t buf_cap; ///< bytes allocated
 	struct http_pair *out_headers; ///< answer headers, in the arena
 	size_t n_out_headers;
+	bool ends_by_close; ///< the answer's body has no length
 };
 
 struct http_server {
@@ -119,6 +120,7 @@
 
 /// Implementations of the functions of struct http_ops.
 void mhd_header(struct http_req *req, const char *name, const char *value);
+void mhd_end_by_close(struct http_req *req);
 void mhd_answer(struct http_req *req, int status, const char *ctype,
 		const void *body, size_t len);
 void mhd_stream_begin(struct http_req *req, int status, const char *ctype);
--- a/packages/http/src/mhd_server.c
+++ b/packages/http/src/mhd_server.c
@@ -265,6 +265,7 @@
 	.start = mhd_start,
 	.release_gone = mhd_gone_done,
 	.header = mhd_header,
+	.end_by_close = mhd_end_by_close,
 	.answer = mhd_answer,
 	.stream_begin = mhd_stream_begin,
 	.stream_write = mhd_stream_write,
--- a/test/hosted/dup_server.c
+++ b/test/hosted/dup_server.c
@@ -94,7 +94,56 @@
 	send_response(fd, 200, fields, r->body, body_len);
 }
 
-static void send_duplicate(const struct conn *c, const struct request *previous)
+/* The first bytes of an answer, one more each time. */
+static void send_cut(struct conn *c, const struct request *r)
+{
+	char text[MESSAGE_MAX_BYTES];
+	int n = snprintf(text, sizeof(text),
+			 "HTTP/1.1 200 -\r\nX-Catkinpath-Request-Id: %s\r\n"
+			 "X-Catkinpath-Server-Seal: seal\r\n"
+			 "Content-Length: %zu\r\n\r\n%s",
+			 r->id, strlen(r->body), r->body);
+
+	send(c->fd, text,
+	     (size_t)(1 + atomic_fetch_add(&c->srv->n_cut, 7) % (n - 1)),
+	     MSG_NOSIGNAL);
+}
+
+static void send_unframed(const struct conn *c, const struct request *r,
+			  size_t body_len)
+{
+	char text[MESSAGE_MAX_BYTES];
+	int n = snprintf(text, sizeof(text),
+			 "HTTP/1.1 200 -\r\nX-Catkinpath-Request-Id: %s\r\n"
+			 "X-Catkinpath-Server-Seal: seal\r\n"
+			 "Connection: close\r\n\r\n%.*s",
+			 r->id, (int)body_len, r->body);
+
+	send(c->fd, text, (size_t)n, MSG_NOSIGNAL);
+}
+
+static void answer_and_close(struct conn *c, const struct request *r)
+{
+	char fields[256];
+	size_t len = strlen(r->body);
+	int kind = atomic_load(&c->srv->answer);
+
+	if (dup_server_runs(c->srv, r->id) > 1) {
+		snprintf(fields, sizeof(fields),
+			 "X-Catkinpath-Request-Id: %s\r\n"
+			 "X-Catkinpath-Server-Seal: seal\r\n"
+			 "Connection: close\r\n",
+			 r->id);
+		send_response(c->fd, 200, fields, r->body, len);
+	} else if (kind == DUP_ANSWER_CUT) {
+		send_cut(c, r);
+	} else {
+		send_unframed(c, r,
+			      kind == DUP_ANSWER_UNFRAMED_CUT ? len / 2 : len);
+	}
+}
+
+static void send_duplicate(struct conn *c, const struct request *previous)
 {
 	char fields[256];
 
@@ -124,6 +173,9 @@
 		send_response(c->fd, 500, "X-Catkinpath-Server-Seal: seal\r\n",
 			      "", 0);
 		break;
+	case DUP_CUT:
+		send_cut(c, previous);
+		break;
 	case DUP_KINDS:
 		break;
 	}
@@ -158,6 +210,10 @@
 
 	while (read_request(c->fd, &current)) {
 		log_request(c->srv, current.id);
+		if (atomic_load(&c->srv->answer) != DUP_ANSWER_WHOLE) {
+			answer_and_close(c, &current);
+			break;
+		}
 		if (*previous.id)
 			send_duplicate(c, &previous);
 		send_echo(c->fd, &current, sizeof(current.body));
--- a/test/hosted/dup_server.h
+++ b/test/hosted/dup_server.h
@@ -17,13 +17,25 @@
 	DUP_NOT_RUN, ///< 503 marked as not run, with the earlier request id
 	DUP_NOT_RUN_NO_ID, ///< the same without a request id
 	DUP_FAILED, ///< 500 without a request id
+	DUP_CUT, ///< up to any byte
 	DUP_KINDS,
 };
 
+/// What happens to the first answer to each request; a second one is whole.
+enum dup_answer {
+	DUP_ANSWER_WHOLE,
+	DUP_ANSWER_CUT, ///< at any byte, then the connection is closed
+	DUP_ANSWER_UNFRAMED, ///< no length, and the connection is closed
+	DUP_ANSWER_UNFRAMED_CUT, ///< the same after half of the body
+	DUP_ANSWERS,
+};
+
 struct dup_server {
 	int fd; ///< listening socket
 	char addr[64]; ///< "IP:port" it listens on
 	atomic_int kind; ///< enum dup_kind
+	atomic_int answer; ///< enum dup_answer
+	atomic_int n_cut; ///< answers and duplicates that were cut
 	atomic_int n_duplicates; ///< duplicates sent
 	pthread_mutex_t lock;
 	char request_ids[DUP_SERVER_LOG_MAX][64]; ///< of the runs
--- a/test/hosted/nodes.c
+++ b/test/hosted/nodes.c
@@ -180,6 +180,7 @@
 	copy_header(line, len, "X-Catkinpath-Server-Seal:", a->seal,
 		    sizeof(a->seal));
 	copy_header(line, len, "X-Own:", a->x_own, sizeof(a->x_own));
+	copy_header(line, len, "Content-Length:", a->length, sizeof(a->length));
 	copy_header(line, len, "Retry-After:", a->retry_after,
 		    sizeof(a->retry_after));
 	return len;
--- a/test/hosted/nodes.h
+++ b/test/hosted/nodes.h
@@ -58,6 +58,7 @@
 	char seal[64];
 	char x_own[64]; ///< header X-Own, which the booking server sets
 	char retry_after[32];
+	char length[32]; ///< Content-Length, "" if none
 	char *body; ///< owned
 	size_t len; ///< bytes
 };
--- a/test/hosted/test_hosted_copies.c
+++ b/test/hosted/test_hosted_copies.c
@@ -102,10 +102,55 @@
 	assert_true(dup.n_duplicates > 0);
 }
 
+/* A server closed within the head or the body of its answer, or sent a body without a
+ * length: callers got a success whose body was not whole, framed as if it were. */
+static void check_answers(enum dup_answer answer, const char *path,
+			  bool non_idempotent)
+{
+	atomic_store(&dup.answer, answer);
+	for (int i = 0; i < CALLS_PER_KIND; i++) {
+		struct response a;
+		char id[64];
+		bool whole;
+
+		snprintf(id, sizeof(id), "a%d.%d.%d", answer, non_idempotent,
+			 i);
+		node_call(&ns, 0, "POST", path, "k1", id, id, &a);
+		whole = a.body && strcmp(a.body, id) == 0;
+		if (a.status / 100 == 2 && *a.length && !whole)
+			fail_msg("answer %d: %s got %s, whole by length",
+				 answer, id, a.body ? a.body : "nothing");
+		if (non_idempotent && promises_not_run(a.status))
+			fail_msg("answer %d: %s refused with %d", answer, id,
+				 a.status);
+		if (non_idempotent && dup_server_runs(&dup, id) > 1)
+			fail_msg("answer %d: %s ran twice", answer, id);
+		if (!non_idempotent && (a.status != 200 || !whole))
+			fail_msg("answer %d: %s got %d, %s", answer, id,
+				 a.status, a.body ? a.body : "nothing");
+		/* What is ready is delivered, and does not claim to be whole. */
+		if (answer == DUP_ANSWER_UNFRAMED && !whole)
+			fail_msg("%s got %d", id, a.status);
+		response_free(&a);
+	}
+	atomic_store(&dup.answer, DUP_ANSWER_WHOLE);
+}
+
+static void test_answer_that_ends_early_does_not_look_whole(void **state)
+{
+	atomic_store(&dup.kind, DUP_COMPLETE);
+	for (enum dup_answer k = DUP_ANSWER_CUT; k < DUP_ANSWERS; k++) {
+		check_answers(k, "/book/c", false);
+		check_answers(k, "/pay/c", true);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_late_duplicate_not_accepted),
+		cmocka_unit_test(
+			test_answer_that_ends_early_does_not_look_whole),
 	};
 
 	return cmocka_run_group_tests(tests, setup, teardown);
