--- a/packages/core/include/core/core.h
+++ b/packages/core/include/core/core.h
@@ -58,6 +58,12 @@
 /// @return milliseconds of clock_now_ms()
 int64_t core_now(const struct core *c);
 
+/// When the platform ends this process.
+///
+/// @param[out] begun_ms  when it was told to stop
+/// @return clock_now_ms() time, INT64_MAX if it is not stopping or the time is not known
+int64_t core_end_ms(const struct core *c, int64_t *begun_ms);
+
 /// Settings in force.
 const struct settings *core_settings(const struct core *c);
 
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -56,6 +56,15 @@
 	return c->phase != CORE_SERVING;
 }
 
+int64_t core_end_ms(const struct core *c, int64_t *begun_ms)
+{
+	int64_t grace_ms = settings_int(c->opts.settings, S_NODE_GRACE);
+
+	*begun_ms = c->drain_start_ms;
+	return core_draining(c) && grace_ms ? c->drain_start_ms + grace_ms
+					    : INT64_MAX;
+}
+
 static unsigned int round_up_pow2(unsigned int n)
 {
 	unsigned int p = 4;
--- a/packages/core/src/core.h
+++ b/packages/core/src/core.h
@@ -70,6 +70,7 @@
 	int64_t next_tick_ms;
 	enum core_phase phase;
 	int64_t phase_start_ms;
+	int64_t drain_start_ms;
 	struct mbox *http_queue;
 	struct mbox *upstream_queue;
 	struct mbox *peer_queue;
--- a/packages/core/src/loop.c
+++ b/packages/core/src/loop.c
@@ -168,6 +168,7 @@
 void core_drain_begin(struct core *c)
 {
 	enter_phase(c, CORE_DRAINING);
+	c->drain_start_ms = c->now_ms;
 	log_event(EV_DRAIN, "requests=%u", c->opts.http->open(c->http));
 	c->opts.http->drain(c->http);
 	for (int i = 0; i < c->n_started_mods; i++) {
--- a/packages/daemon/src/front/forward.c
+++ b/packages/daemon/src/front/forward.c
@@ -10,6 +10,7 @@
 #include "daemon/suspect_mod.h"
 #include "daemon/tally_mod.h"
 #include "front/front.h"
+#include "front/stopping.h"
 
 enum {
 	FORWARD_CONNECT_MS = 400, ///< some round trips and a retransmission
@@ -250,6 +251,15 @@
 		f->deadline_ms = req->arrived_ms + route->timeout_ms;
 }
 
+static bool node_takes(struct core *c, const struct forward *f)
+{
+	struct stopping s;
+
+	s.end_ms = core_end_ms(c, &s.begun_ms);
+	return stopping_takes(&s, core_now(c), f->deadline_ms - core_now(c),
+			      f->kind != SITE_IDEMPOTENT);
+}
+
 static struct suspect_id identity_of(const struct core_req *req,
 				     const char *host, const char *team)
 {
@@ -295,20 +305,30 @@
 	req->on_abort = on_abort;
 	req->user = (void *)(uintptr_t)h;
 	metric_add(M_WORK_SUBMITTED, 1);
-	forward_send(c, f);
+	if (node_takes(c, f))
+		forward_send(c, f);
+	else
+		forward_fail(c, f, ERR_HTTP_DRAINING);
 }
 
 void forward_step_all(struct core *c)
 {
 	struct forward *f;
+	struct stopping stopping;
 	size_t iter = 0;
 	int64_t now = core_now(c);
 
+	stopping.end_ms = core_end_ms(c, &stopping.begun_ms);
 	while ((f = htab_next(front_of(c)->forwards, &iter, NULL))) {
 		struct core_req *req = core_req_get(c, f->req);
 
 		if (!req)
 			continue;
+		if (stopping_answers_all(&stopping, now)) {
+			f->maybe_ran |= forward_running(f) > 0;
+			forward_fail(c, f, ERR_HTTP_DRAINING);
+			continue;
+		}
 		if (forward_running(f)) {
 			forward_hedge_step(c, f);
 			continue;
--- a/packages/daemon/src/front/front_mod.c
+++ b/packages/daemon/src/front/front_mod.c
@@ -9,6 +9,7 @@
 #include "daemon/mods.h"
 #include "daemon/platform_mod.h"
 #include "front/front.h"
+#include "front/stopping.h"
 
 enum {
 	FRONT_MAX_FORWARDS = 4096, ///< requests being forwarded
@@ -72,6 +73,15 @@
 		forward_begin(c, req, route, fields, team);
 }
 
+/* Whether even a short call may be cut off with the process. */
+static bool ends_soon(struct core *c)
+{
+	struct stopping s;
+
+	s.end_ms = core_end_ms(c, &s.begun_ms);
+	return !stopping_takes(&s, core_now(c), 0, true);
+}
+
 static void on_request(struct core *c, struct core_req *req, void *ctx)
 {
 	struct front *f = front_of(c);
@@ -83,6 +93,10 @@
 
 	headers = core_req_headers(req, &n);
 	f->wire->front->fields(headers, n, &req->arena, &fields);
+	if (ends_soon(c)) {
+		refuse(c, req, fields.id, ERR_HTTP_DRAINING);
+		return;
+	}
 	e = f->wire->front->call(req->method, req->path, req->query, &call);
 	if (e != ERR_OK)
 		refuse(c, req, fields.id, e);
