--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -103,13 +103,25 @@
 	return c->opts.http->start(&opts, &c->http);
 }
 
+/* The rest of a VM's memory is for callers' bodies, batches, and copies of both. */
+static size_t max_held(const struct settings *s)
+{
+	enum {
+		MEMORY_PARTS = 8,
+	};
+	int64_t held = settings_int(s, S_UP_MAX_HELD);
+	int64_t part = settings_int(s, S_NODE_MEMORY) / MEMORY_PARTS;
+
+	return (size_t)(part && part < held ? part : held);
+}
+
 static enum err start_upstream(struct core *c)
 {
 	const struct settings *s = c->opts.settings;
 	struct upstream_opts opts = {
 		.events = c->upstream_queue,
 		.max_calls = CORE_FETCHES_MAX,
-		.max_held = (size_t)settings_int(s, S_UP_MAX_HELD),
+		.max_held = max_held(s),
 		.send_buffer = (int)settings_int(s, S_UP_SNDBUF),
 		.stream_buffer = (size_t)settings_int(s, S_UP_STREAM_BUFFER),
 		.source = settings_str(s, S_UP_SOURCE),
--- a/packages/upstream/src/call.h
+++ b/packages/upstream/src/call.h
@@ -101,7 +101,16 @@
 void upstream_sub_held(struct upstream *up, size_t less);
 
 /// Whether reading of a call's answer must pause: a limit is reached.
-bool upstream_call_must_pause(const struct upstream_call *c);
+///
+/// @param more  bytes that the next part of the answer takes
+bool upstream_call_must_pause(const struct upstream_call *c, size_t more);
+
+/// Whether a call's answer is to be given up: memory is short, and it has more than its
+/// share.
+///
+/// Load pattern: all servers of a service answer without end, and other clients' requests
+/// are refused for want of memory until the answers time out.
+bool upstream_call_is_greedy(const struct upstream_call *c, size_t more);
 
 /// Stop counting a freed call towards max_calls.
 void upstream_call_freed(struct upstream *up);
--- a/packages/upstream/src/curl_client.c
+++ b/packages/upstream/src/curl_client.c
@@ -169,7 +169,7 @@
 
 	for (struct upstream_call *c = up->running; c; c = next) {
 		next = c->next;
-		if (c->paused && !upstream_call_must_pause(c)) {
+		if (c->paused && !upstream_call_must_pause(c, 0)) {
 			c->paused = false;
 			c->last_progress_ms = now;
 			curl_easy_pause(c->easy, CURLPAUSE_CONT);
--- a/packages/upstream/src/event.c
+++ b/packages/upstream/src/event.c
@@ -3,25 +3,49 @@
 #include <string.h>
 
 #include "base/mbox.h"
+#include "base/metric.h"
 #include "curl_client.h"
 
 enum {
 	/// Bytes that an answer may hold even if max_held is reached; otherwise many
 	/// partly received answers could block each other for good.
 	UPSTREAM_CALL_MIN_BYTES = 65536,
+	/// Answers get so many quarters of max_held, so that requests can still start.
+	UPSTREAM_ANSWER_QUARTERS = 3,
 };
 
 void upstream_add_held(struct upstream *up, size_t more)
 {
-	atomic_fetch_add(&up->held_bytes, more);
+	metric_set(M_UP_HELD, atomic_fetch_add(&up->held_bytes, more) + more);
 }
 
 void upstream_sub_held(struct upstream *up, size_t less)
 {
-	atomic_fetch_sub(&up->held_bytes, less);
+	metric_set(M_UP_HELD, atomic_fetch_sub(&up->held_bytes, less) - less);
 }
 
-bool upstream_call_must_pause(const struct upstream_call *c)
+static size_t answers_max(const struct upstream *up)
+{
+	return up->opts.max_held / 4 * UPSTREAM_ANSWER_QUARTERS;
+}
+
+static bool memory_is_short(const struct upstream *up, size_t more)
+{
+	return up->opts.max_held &&
+	       atomic_load(&up->held_bytes) + more > answers_max(up);
+}
+
+bool upstream_call_is_greedy(const struct upstream_call *c, size_t more)
+{
+	const struct upstream *up = c->up;
+
+	return c->opts.tag && memory_is_short(up, more) &&
+	       c->body_cap >= UPSTREAM_CALL_MIN_BYTES &&
+	       c->body_cap + more >
+		       answers_max(up) / (atomic_load(&up->n_calls) + 1);
+}
+
+bool upstream_call_must_pause(const struct upstream_call *c, size_t more)
 {
 	const struct upstream_opts *o = &c->up->opts;
 	size_t queued_bytes = atomic_load(&c->queued_bytes);
@@ -30,8 +54,7 @@
 		return true;
 	if (o->stream_buffer && queued_bytes >= o->stream_buffer)
 		return true;
-	return c->opts.tag && o->max_held &&
-	       atomic_load(&c->up->held_bytes) >= o->max_held &&
+	return c->opts.tag && memory_is_short(c->up, more) &&
 	       (queued_bytes >= UPSTREAM_CALL_MIN_BYTES ||
 		c->body_cap >= UPSTREAM_CALL_MIN_BYTES);
 }
@@ -89,7 +112,7 @@
 	struct upstream_event *ev;
 	char *copy;
 
-	if (upstream_call_must_pause(c))
+	if (upstream_call_must_pause(c, len))
 		return false;
 	ev = malloc(sizeof(*ev) + len);
 	if (!ev)
--- a/packages/upstream/src/transfer.c
+++ b/packages/upstream/src/transfer.c
@@ -24,15 +24,21 @@
 	UPSTREAM_HEAD_MAX_BYTES = 65536,
 };
 
+static size_t body_cap_for(const struct upstream_call *c, size_t len)
+{
+	size_t cap = c->body_cap ? c->body_cap : UPSTREAM_BODY_MIN_BYTES;
+
+	while (cap < c->result.body_len + len + 1)
+		cap *= 2;
+	return cap;
+}
+
 static bool body_append(struct upstream_call *c, const char *data, size_t len)
 {
 	struct upstream_result *r = &c->result;
-	size_t need = r->body_len + len;
-	size_t cap = c->body_cap ? c->body_cap : UPSTREAM_BODY_MIN_BYTES;
+	size_t cap = body_cap_for(c, len);
 	char *p;
 
-	while (cap < need + 1)
-		cap *= 2;
 	if (cap != c->body_cap) {
 		p = realloc(r->body, cap);
 		if (!p)
@@ -42,8 +48,8 @@
 		c->body_cap = cap;
 	}
 	memcpy(r->body + r->body_len, data, len);
-	r->body_len = need;
-	r->body[need] = '\0';
+	r->body_len += len;
+	r->body[r->body_len] = '\0';
 	return true;
 }
 
@@ -65,6 +71,7 @@
 {
 	struct upstream_call *c = ctx;
 	size_t len = size * n;
+	size_t more;
 
 	c->last_progress_ms = clock_now_ms();
 	if (c->opts.streamed) {
@@ -73,11 +80,13 @@
 		c->paused = true;
 		return CURL_WRITEFUNC_PAUSE;
 	}
-	if (c->result.body_len + len > c->opts.max_body) {
+	more = body_cap_for(c, len) - c->body_cap;
+	if (c->result.body_len + len > c->opts.max_body ||
+	    (more && upstream_call_is_greedy(c, more))) {
 		c->too_large = true;
 		return 0;
 	}
-	if (upstream_call_must_pause(c)) {
+	if (more && upstream_call_must_pause(c, more)) {
 		c->paused = true;
 		return CURL_WRITEFUNC_PAUSE;
 	}
--- a/test/hosted/dup_server.c
+++ b/test/hosted/dup_server.c
@@ -122,6 +122,33 @@
 	send(c->fd, text, (size_t)n, MSG_NOSIGNAL);
 }
 
+/* @return whether this was an endless answer */
+static bool answer_endlessly(struct conn *c, const struct request *r)
+{
+	static const struct {
+		const char *begin, *repeated;
+	} kinds[] = {
+		{"HTTP/1.1 200 -\r\nContent-Length: 999999999999\r\n\r\n", "x"},
+		{"HTTP/1.1 200 -\r\nTransfer-Encoding: chunked\r\n\r\n",
+		 "4\r\nabcd\r\n"},
+		{"HTTP/1.1 200 -\r\n", "A: b\r\n"},
+		{"HTTP/1.1 200 -\r\nA: ", "b"},
+	};
+	int kind = atomic_load(&c->srv->answer) - DUP_ANSWER_ENDLESS_BODY;
+	char block[65536];
+	size_t n = 0;
+
+	if (kind < 0 || strncmp(r->body, "end", 3) != 0)
+		return false;
+	for (size_t len = strlen(kinds[kind].repeated);
+	     n + len <= sizeof(block); n += len)
+		memcpy(block + n, kinds[kind].repeated, len);
+	send(c->fd, kinds[kind].begin, strlen(kinds[kind].begin), MSG_NOSIGNAL);
+	while (send(c->fd, block, n, MSG_NOSIGNAL) > 0)
+		;
+	return true;
+}
+
 static void answer_and_close(struct conn *c, const struct request *r)
 {
 	char fields[256];
@@ -210,7 +237,10 @@
 
 	while (read_request(c->fd, &current)) {
 		log_request(c->srv, current.id);
-		if (atomic_load(&c->srv->answer) != DUP_ANSWER_WHOLE) {
+		if (answer_endlessly(c, &current))
+			break;
+		if (atomic_load(&c->srv->answer) < DUP_ANSWERS &&
+		    atomic_load(&c->srv->answer) != DUP_ANSWER_WHOLE) {
 			answer_and_close(c, &current);
 			break;
 		}
--- a/test/hosted/dup_server.h
+++ b/test/hosted/dup_server.h
@@ -28,6 +28,12 @@
 	DUP_ANSWER_UNFRAMED, ///< no length, and the connection is closed
 	DUP_ANSWER_UNFRAMED_CUT, ///< the same after half of the body
 	DUP_ANSWERS,
+	/// All answers, until the node closes; to bodies that begin with "end" only.
+	DUP_ANSWER_ENDLESS_BODY = DUP_ANSWERS,
+	DUP_ANSWER_ENDLESS_CHUNKS,
+	DUP_ANSWER_ENDLESS_HEAD,
+	DUP_ANSWER_ENDLESS_LINE, ///< of a head
+	DUP_ANSWERS_ENDLESS_END,
 };
 
 struct dup_server {
