--- a/test/soak/checks.c
+++ b/test/soak/checks.c
@@ -7,6 +7,9 @@
 
 enum {
 	READ_PAUSE_MS = 50,
+	OUTAGES = 2, ///< of two servers each
+	OUTAGE_MS = 1500, ///< until they are known again
+	OUTAGE_LOOKUPS = 6, ///< at a time
 };
 
 /* Orders runs by id. */
@@ -114,6 +117,37 @@
 	return status;
 }
 
+struct lookup {
+	struct soak *k;
+	int node;
+	pthread_t thread;
+};
+
+static void *look_up(void *ctx)
+{
+	const struct lookup *l = ctx;
+
+	book_after_faults(l->k, l->node);
+	return NULL;
+}
+
+/* Servers crash under the booking by which the recovery is seen: it did not end them. */
+static void crash_under_lookups(struct soak *k)
+{
+	struct lookup lookups[OUTAGE_LOOKUPS];
+
+	k->h.crash_bookings = true;
+	for (int i = 0; i < OUTAGE_LOOKUPS; i++) {
+		lookups[i] = (struct lookup){k, i % k->ns.n_entry, 0};
+		pthread_create(&lookups[i].thread, NULL, look_up, &lookups[i]);
+	}
+	for (int i = 0; i < OUTAGE_LOOKUPS; i++)
+		pthread_join(lookups[i].thread, NULL);
+	k->h.crash_bookings = false;
+	soak_sleep(OUTAGE_MS);
+	hosted_revive(&k->h);
+}
+
 static void check_recovery(struct soak *k, int64_t deadline)
 {
 	for (int i = 0; i < k->ns.n; i++) {
@@ -204,6 +238,8 @@
 	int64_t deadline = clock_now_ms() + k->opts.recover_ms;
 
 	leaving_check(k);
+	for (int i = 0; i < OUTAGES; i++)
+		crash_under_lookups(k);
 	check_recovery(k, deadline);
 	for (int i = 0; i < k->n_batches; i++) {
 		if (k->batches[i].accepted)
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -106,6 +106,8 @@
 	nodes_init(&k->ns, &k->h, k->opts.nodes,
 		   k->opts.nodes - (candidates > 2 ? candidates : 2));
 	k->ns.settings = SOAK_SETTINGS;
+	/* Homes hold reads for longer than a process takes to start again. */
+	k->ns.wait_ms = SOAK_READ_WAIT_MS;
 	return start_store_links(k) && nodes_start_all(&k->ns);
 }
 
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -24,6 +24,7 @@
 	/// Time after a sender resumes in which its stale orders are ignored.
 	SOAK_RESUME_MS = 300,
 	SOAK_LEAVE_MS = 2000, ///< after which a leaving server must get no runs
+	SOAK_READ_WAIT_MS = 1000,
 	SOAK_HEALTHY_MS = 3000, ///< without a fault, after which a node, a
 		///< link or the store counts as healthy
 };
