--- a/packages/daemon/include/daemon/suspect_mod.h
+++ b/packages/daemon/include/daemon/suspect_mod.h
@@ -20,7 +20,7 @@
 /// Whether a request that broke off is refused for good. Asks for no trial.
 bool suspect_mod_refused(struct core *c, struct suspect_id id);
 
-/// Record that a server refused the request of a trial without running it.
+/// Record that no server ran the request of a trial.
 void suspect_mod_trial_unused(struct core *c, struct suspect_id id);
 
 /// Whether a request that broke off at a server may be sent to a further one.
--- a/packages/daemon/src/front/forward_end.c
+++ b/packages/daemon/src/front/forward_end.c
@@ -67,6 +67,8 @@
 						       : FORWARD_RETRY_AFTER_MS;
 	bool retryable;
 
+	if (f->trial && !f->maybe_ran)
+		suspect_mod_trial_unused(c, f->identity);
 	/* Status 503 promises that the request was not run: it is used exactly then, but
 	 * for a request that shall not come again. */
 	if (e == ERR_SUSPECT_BARRED)
@@ -191,8 +193,6 @@
 	else if (res->err == ERR_UP_BROKEN && res->sent)
 		suspect_mod_ended(c, f->identity, t->server_id, t->started_ms,
 				  t->sent_ms);
-	else if (f->trial && !end->may_have_run)
-		suspect_mod_trial_unused(c, f->identity);
 }
 
 static bool may_retry(struct core *c, const struct forward *f)
--- a/packages/daemon/src/suspect/suspect_mod.c
+++ b/packages/daemon/src/suspect/suspect_mod.c
@@ -485,6 +485,8 @@
 {
 	struct suspect_state *s = state;
 
+	if (!s)
+		return;
 	suspects_free(s->table);
 	trials_free(s->trials);
 	free(s);
--- a/packages/suspect/include/suspect/suspect.h
+++ b/packages/suspect/include/suspect/suspect.h
@@ -28,7 +28,9 @@
 	/// servers of a failure domain are lost within less.
 	SUSPECT_MOMENT_MS = 1000,
 	SUSPECT_MOMENTS = 3, ///< that need no trial
-	SUSPECT_TRIALS = 3, ///< of a request; RULES.md, BUDGET
+	/// Further ones of a request that is confirmed; RULES.md, BUDGET, counts three
+	/// together with the one that confirmed it.
+	SUSPECT_TRIALS_CONFIRMED = 2,
 	SUSPECT_SERVER_ID = 64, ///< bytes of a server's id, with NUL
 };
 
@@ -47,6 +49,7 @@
 	int64_t moment_end_ms; ///< last end of the latest
 	bool confirmed; ///< servers ended one after the other, or in a trial
 	int trials; ///< that some node had
+	int last_trial; ///< number of the last one, once it is confirmed
 	int64_t next_trial_ms;
 	int64_t barred_ms; ///< since then no server gets it, 0: not barred
 	int64_t cleared_ms; ///< earlier news that it is barred is outdated, 0: none
--- a/packages/suspect/src/suspect.c
+++ b/packages/suspect/src/suspect.c
@@ -5,11 +5,16 @@
 #include <stdlib.h>
 #include <string.h>
 
-/// Wait before each trial, after the end or trial before it, in ms. What is likely to end
-/// servers is tried seldom: each trial may cost others their requests.
-static const int64_t TRIAL_WAIT_MS[2][SUSPECT_TRIALS + 1] = {
-	{1000, 5000, 60000, 0},
-	{60000, 60000, 300000, 0},
+enum {
+	TRIAL_WAITS = 3,
+};
+
+/// Wait before the first, second and further trials, after the end or trial before it, in
+/// ms. What is likely to end servers is tried seldom: each trial may cost others their
+/// requests.
+static const int64_t TRIAL_WAIT_MS[2][TRIAL_WAITS] = {
+	{1000, 5000, 60000},
+	{60000, 60000, 300000},
 };
 
 struct answered {
@@ -121,7 +126,9 @@
 
 static void set_next_trial(struct suspect_entry *e, int64_t now)
 {
-	e->next_trial_ms = now + TRIAL_WAIT_MS[e->confirmed][e->trials];
+	int i = e->trials < TRIAL_WAITS ? e->trials : TRIAL_WAITS - 1;
+
+	e->next_trial_ms = now + TRIAL_WAIT_MS[e->confirmed][i];
 }
 
 /* @return whether the end is of another moment than those before */
@@ -141,6 +148,7 @@
 	if (e->confirmed)
 		return SUSPECT_SAME;
 	e->confirmed = true;
+	e->last_trial = e->trials + SUSPECT_TRIALS_CONFIRMED;
 	set_next_trial(e, now);
 	return SUSPECT_CONFIRMED;
 }
@@ -168,8 +176,9 @@
 	if (e->n_servers < SUSPECT_SERVERS)
 		return SUSPECT_COUNTED;
 	e->barred_ms = now;
-	e->confirmed = e->moments >= SUSPECT_MOMENTS;
 	set_next_trial(e, now);
+	if (e->moments >= SUSPECT_MOMENTS)
+		confirm(e, now);
 	return SUSPECT_BARRED;
 }
 
@@ -181,9 +190,10 @@
 	*wait_ms = 0;
 	if (!e || !e->barred_ms)
 		return SUSPECT_SEND;
-	if (e->trials < SUSPECT_TRIALS && now >= e->next_trial_ms)
+	if (now >= e->next_trial_ms &&
+	    (!e->confirmed || e->trials < e->last_trial))
 		return SUSPECT_TRY;
-	if (e->confirmed || e->trials >= SUSPECT_TRIALS)
+	if (e->confirmed)
 		return SUSPECT_REFUSE;
 	*wait_ms = e->next_trial_ms - now;
 	return SUSPECT_WAIT;
@@ -194,7 +204,7 @@
 {
 	struct suspect_entry *e = find(t, now, id);
 
-	if (!e || trial <= e->trials || trial > SUSPECT_TRIALS)
+	if (!e || trial <= e->trials)
 		return;
 	e->trials = trial;
 	set_next_trial(e, now);
--- a/packages/suspect/test/test_trials.c
+++ b/packages/suspect/test/test_trials.c
@@ -377,27 +377,49 @@
 	suspects_free(t);
 }
 
-/* What a home did not see is told by the others, older news included. */
-static void test_trials_are_as_many_as_the_store_grants(void **state)
+static void test_confirmed_request_is_tried_a_few_times(void **state)
 {
 	struct suspects *t = suspects_new();
 	int64_t now = 1000000;
 	int64_t wait_ms;
 
 	suspects_set_barred(t, now, lookup(), now, now);
-	suspects_confirm(t, now, lookup());
-	suspects_trial_granted(t, now, lookup(), 2);
 	suspects_trial_granted(t, now, lookup(), 1);
-	now += 300000;
-	assert_int_equal(suspects_verdict(t, now, lookup(), &wait_ms),
-			 SUSPECT_TRY);
-	suspects_trial_granted(t, now, lookup(), 3);
+	suspects_confirm(t, now, lookup());
+	for (int i = 0; i < SUSPECT_TRIALS_CONFIRMED; i++) {
+		now += 300000;
+		assert_int_equal(suspects_verdict(t, now, lookup(), &wait_ms),
+				 SUSPECT_TRY);
+		/* Older news of another node change nothing. */
+		suspects_trial_granted(t, now, lookup(), 2 + i);
+		suspects_trial_granted(t, now, lookup(), 1);
+	}
 	for (int i = 0; i < 60; i++, now += 300000)
 		assert_int_equal(suspects_verdict(t, now, lookup(), &wait_ms),
 				 SUSPECT_REFUSE);
 	suspects_free(t);
 }
 
+/* Trials that time out say nothing: callers are not told that they err. */
+static void test_trials_go_on_until_one_tells(void **state)
+{
+	struct suspects *t = suspects_new();
+	int64_t now = 1000000;
+	int64_t wait_ms;
+
+	suspects_set_barred(t, now, lookup(), now, now);
+	for (int trial = 1; trial < 20; trial++) {
+		now += 60000;
+		assert_int_equal(suspects_verdict(t, now, lookup(), &wait_ms),
+				 SUSPECT_TRY);
+		suspects_trial_granted(t, now, lookup(), trial);
+		assert_int_equal(
+			suspects_verdict(t, now + 10, lookup(), &wait_ms),
+			SUSPECT_WAIT);
+	}
+	suspects_free(t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -406,7 +428,8 @@
 		cmocka_unit_test(
 			test_servers_that_end_one_by_one_need_no_trial),
 		cmocka_unit_test(test_one_moment_says_to_wait),
-		cmocka_unit_test(test_trials_are_as_many_as_the_store_grants),
+		cmocka_unit_test(test_confirmed_request_is_tried_a_few_times),
+		cmocka_unit_test(test_trials_go_on_until_one_tells),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
