--- a/packages/peer/src/zmq_edge.c
+++ b/packages/peer/src/zmq_edge.c
@@ -272,12 +272,16 @@
 	int64_t max = PEER_MSG_MAX;
 	int hwm = EDGE_RECV_QUEUE_MAX;
 	int zero = 0;
+	int one = 1;
 
 	p->router = zmq_socket(p->zmq, ZMQ_ROUTER);
 	if (!p->router)
 		return false;
 	zmq_setsockopt(p->router, ZMQ_LINGER, &zero, sizeof(zero));
 	zmq_setsockopt(p->router, ZMQ_RCVHWM, &hwm, sizeof(hwm));
+	/* A connection that reconnects has its old routing id: without this it is
+	 * refused while the old one, which may be dead, is open here. */
+	zmq_setsockopt(p->router, ZMQ_ROUTER_HANDOVER, &one, sizeof(one));
 	zmq_setsockopt(p->router, ZMQ_MAXMSGSIZE, &max, sizeof(max));
 	snprintf(url, sizeof(url), "tcp://%s", p->opts.listen);
 	return zmq_bind(p->router, url) == 0;
--- a/packages/peer/test/test_peer.c
+++ b/packages/peer/test/test_peer.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
+#include <zmq.h>
 
 #include <cmocka.h>
 
@@ -152,6 +153,42 @@
 	endpoint_stop(&a);
 }
 
+/* A connection that broke off at its sender only comes back with its routing id; the
+ * receiver refused it as long as it took the first one for alive. */
+static void
+test_reconnected_peer_is_heard_beside_its_old_connection(void **state)
+{
+	static const char id[] = "R12345678abcd";
+	void *zmq = zmq_ctx_new();
+	void *socks[2];
+	struct endpoint a;
+	char url[80];
+
+	endpoint_start(&a, "a", 1);
+	snprintf(url, sizeof(url), "tcp://%s", a.addr);
+	for (int i = 0; i < 2; i++) {
+		struct peer_msg *m;
+
+		socks[i] = zmq_socket(zmq, ZMQ_DEALER);
+		zmq_setsockopt(socks[i], ZMQ_ROUTING_ID, id, sizeof(id) - 1);
+		assert_int_equal(zmq_connect(socks[i], url), 0);
+		zmq_send(socks[i], "b", 1, ZMQ_SNDMORE);
+		zmq_send(socks[i], "\0\0\0\7", 4, ZMQ_SNDMORE);
+		zmq_send(socks[i], "text", 4, 0);
+		m = take_one(&a);
+		assert_non_null(m);
+		peer_zmq_ops.msg_free(a.edge, m);
+	}
+	endpoint_stop(&a);
+	for (int i = 0; i < 2; i++) {
+		int zero = 0;
+
+		zmq_setsockopt(socks[i], ZMQ_LINGER, &zero, sizeof(zero));
+		zmq_close(socks[i]);
+	}
+	zmq_ctx_term(zmq);
+}
+
 /* Send until a message arrives; false after timeout_ms. */
 static bool reaches_a(struct endpoint *a, struct endpoint *b, int timeout_ms)
 {
@@ -199,6 +236,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_stop_frees_unread_messages),
 		cmocka_unit_test(test_messages_name_both_processes),
+		cmocka_unit_test(
+			test_reconnected_peer_is_heard_beside_its_old_connection),
 		cmocka_unit_test(test_peer_is_reached_after_cut),
 	};
 
