--- a/packages/core/include/core/core.h
+++ b/packages/core/include/core/core.h
@@ -202,8 +202,8 @@
 /// it chose, such as handles, start anew.
 struct core_peer_run {
 	char node[64];
-	uint64_t
-		run; ///< 0: of an earlier version, which doesn't name its process
+	/// 0: the node runs an earlier version, which does not name its process.
+	uint64_t run;
 };
 
 /// Send a message to any process of a node; it is copied, and its delivery is not
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "memory.h"
 
 enum {
 	HTTP_EVENTS_PER_REQ = 2,
@@ -95,7 +96,7 @@
 		.idle_timeout_ms = settings_int(s, S_HTTP_IDLE),
 		.receive_timeout_ms = settings_int(s, S_HTTP_RECEIVE),
 		.max_body = (size_t)settings_int(s, S_HTTP_MAX_BODY),
-		.max_held = (size_t)settings_int(s, S_HTTP_MAX_HELD),
+		.max_held = memory_share(s, MEMORY_HTTP),
 		.send_buffer = (int)settings_int(s, S_HTTP_SNDBUF),
 		.unread_timeout_ms = settings_int(s, S_HTTP_UNREAD),
 	};
@@ -103,25 +104,13 @@
 	return c->opts.http->start(&opts, &c->http);
 }
 
-/* The rest of a VM's memory is for callers' bodies, batches, and copies of both. */
-static size_t max_held(const struct settings *s)
-{
-	enum {
-		MEMORY_PARTS = 8,
-	};
-	int64_t held = settings_int(s, S_UP_MAX_HELD);
-	int64_t part = settings_int(s, S_NODE_MEMORY) / MEMORY_PARTS;
-
-	return (size_t)(part && part < held ? part : held);
-}
-
 static enum err start_upstream(struct core *c)
 {
 	const struct settings *s = c->opts.settings;
 	struct upstream_opts opts = {
 		.events = c->upstream_queue,
 		.max_calls = CORE_FETCHES_MAX,
-		.max_held = max_held(s),
+		.max_held = memory_share(s, MEMORY_UPSTREAM),
 		.send_buffer = (int)settings_int(s, S_UP_SNDBUF),
 		.stream_buffer = (size_t)settings_int(s, S_UP_STREAM_BUFFER),
 		.source = settings_str(s, S_UP_SOURCE),
@@ -136,6 +125,7 @@
 		.events = c->peer_queue,
 		.node = core_node(c),
 		.run = c->run,
+		.max_unread = memory_share(c->opts.settings, MEMORY_PEER),
 		.listen = settings_str(c->opts.settings, S_PEER_LISTEN),
 	};
 
--- a/packages/daemon/src/front/stopping.h
+++ b/packages/daemon/src/front/stopping.h
@@ -19,9 +19,9 @@
 /// Whether a node takes a request that came now.
 ///
 /// Load pattern: clients call a node until their balancer has noticed that it stops, and
-/// those with open connections until they are closed; requests that came late were cut off
-/// with the process. One that must not be repeated is taken only if all of its time is
-/// left; of one that may be, half of the grace is enough, as it seldom needs its deadline.
+/// those with open connections until they are closed. A request that must not be repeated
+/// is taken only if all of its time is left; of one that may be, half of the grace is
+/// enough, as it seldom needs its deadline.
 ///
 /// @param need_ms  time that the request may need
 bool stopping_takes(const struct stopping *s, int64_t now, int64_t need_ms,
--- a/packages/daemon/src/site/limits.c
+++ b/packages/daemon/src/site/limits.c
@@ -277,6 +277,15 @@
 	send_reply(c, &reply);
 }
 
+static bool is_asked(struct core *c, const struct site_server *srv,
+		     const char *node)
+{
+	const struct limit_homes *homes = &site_of(c)->homes_now;
+
+	return site_limit_rank(srv->entry.id, homes->list, homes->n, node) ==
+	       srv->limit.rank;
+}
+
 static void on_reply(struct core *c, const char *from,
 		     const struct limit_msg_entry *e)
 {
@@ -288,9 +297,11 @@
 		.interval_ms = e->interval_ms,
 	};
 
-	/* A late reply: the next home has been asked, and may have granted permits. */
-	if (srv && srv->limit.asked_ms)
+	/* Another home has been asked since, and may have granted permits. */
+	if (srv && srv->limit.asked_ms && is_asked(c, srv, from))
 		apply_grant(c, srv, &g);
+	else
+		core_peer_late_reply(from, PEER_LIMIT_REPLY);
 }
 
 static void on_state(struct core *c, const char *from,
--- a/packages/daemon/src/store_keys.h
+++ b/packages/daemon/src/store_keys.h
@@ -11,6 +11,7 @@
 #define KEY_SEALED "catkin/sealed/" ///< WINDOW: usage to report
 #define KEY_NEED "catkin/need/" ///< NODE.INCARNATION: requests it has to run
 #define KEY_TRIAL "catkin/trial/" ///< IDENTITY/NUMBER: node that may try it
+#define KEY_TRIAL_NOW "catkin/trial-now" ///< node that sends a barred request
 #define KEY_LEADER "catkin/leader" ///< current leader
 #define KEY_EPOCH "catkin/epoch" ///< the leader's fencing token
 
--- a/packages/daemon/src/suspect/suspect_mod.c
+++ b/packages/daemon/src/suspect/suspect_mod.c
@@ -110,16 +110,17 @@
 {
 	struct suspect_news news = barred_news(c, e);
 
-	if (change == SUSPECT_CONFIRMED || e->confirmed) {
+	if (e->confirmed)
 		log_event(EV_SUSPECT_CONFIRMED,
-			  "identity=%016" PRIx64 "%016" PRIx64 " from=%s",
-			  e->id.high, e->id.low, from);
-	}
+			  "identity=%016" PRIx64 "%016" PRIx64
+			  " from=%s last_trial=%d",
+			  e->id.high, e->id.low, from, e->last_trial);
 	if (change == SUSPECT_BARRED) {
 		log_barred(e, from);
 		tell(c, &news);
 	}
 	news.kind = SUSPECT_NEWS_CONFIRMED;
+	news.started_ms = (uint64_t)e->last_trial;
 	if (e->confirmed)
 		tell(c, &news);
 }
@@ -154,11 +155,15 @@
 		.started_ms = (uint64_t)started_ms,
 		.age_ms = core_now(c) - sent_ms,
 	};
+	const struct suspect_entry *e;
 
 	if (suspects_answered_lately(suspects_of(c), core_now(c), id))
 		return;
 	tell(c, &news);
 	record_ended(c, id, server, started_ms, sent_ms, "self");
+	e = suspects_find(suspects_of(c), core_now(c), id);
+	if (e && e->confirmed)
+		trial_mark_ended(c, id, e->last_trial);
 }
 
 /* Requests that a home no longer bars: all nodes are told. */
@@ -257,7 +262,7 @@
 	const struct suspect_entry *e =
 		suspects_find(suspects_of(c), core_now(c), id);
 
-	return e && trial_take(c, id, e->trials + 1, owner);
+	return e && trial_take(c, e, owner);
 }
 
 bool suspect_mod_refused(struct core *c, struct suspect_id id)
@@ -303,6 +308,8 @@
 		barred[n] = barred_news(c, e);
 		if (e->confirmed) {
 			confirmed[n_confirmed] = barred[n];
+			confirmed[n_confirmed].started_ms =
+				(uint64_t)e->last_trial;
 			confirmed[n_confirmed++].kind = SUSPECT_NEWS_CONFIRMED;
 		}
 		n++;
@@ -336,13 +343,13 @@
 		log_barred(e, from);
 }
 
-static void apply_confirmed(struct core *c, const char *from,
-			    const struct suspect_news *news)
+void suspect_confirm(struct core *c, struct suspect_id id, int last_trial,
+		     const char *from)
 {
 	enum suspect_change change =
-		suspects_confirm(suspects_of(c), core_now(c), news->id);
+		suspects_confirm(suspects_of(c), core_now(c), id, last_trial);
 	const struct suspect_entry *e =
-		suspects_find(suspects_of(c), core_now(c), news->id);
+		suspects_find(suspects_of(c), core_now(c), id);
 
 	if (change == SUSPECT_CONFIRMED && e)
 		record_change(c, e, change, from);
@@ -373,7 +380,9 @@
 		apply_barred(c, from, news);
 		break;
 	case SUSPECT_NEWS_CONFIRMED:
-		apply_confirmed(c, from, news);
+		if (news->started_ms <= INT32_MAX)
+			suspect_confirm(c, news->id, (int)news->started_ms,
+					from);
 		break;
 	case SUSPECT_NEWS_KINDS:
 		break;
--- a/packages/daemon/src/suspect/suspect_msg.h
+++ b/packages/daemon/src/suspect/suspect_msg.h
@@ -26,7 +26,8 @@
 	enum suspect_news_kind kind;
 	struct suspect_id id;
 	const char *server; ///< id; "" without a server
-	uint64_t started_ms; ///< incarnation of the server
+	uint64_t
+		started_ms; ///< incarnation of the server; of CONFIRMED: last trial
 	int64_t age_ms; ///< of the event; of ENDED: since it was sent to the server
 	int64_t seen_age_ms; ///< since the request came last
 };
--- a/packages/peer/include/peer/peer.h
+++ b/packages/peer/include/peer/peer.h
@@ -21,6 +21,7 @@
 	const char *node; ///< this node's id, sent with each message
 	uint64_t run; ///< of this process, sent with each message; not 0
 	const char *listen; ///< "IP:port"
+	size_t max_unread; ///< bytes of received messages that are not freed yet
 };
 
 /// A received message.
--- a/packages/peer/src/zmq_edge.c
+++ b/packages/peer/src/zmq_edge.c
@@ -14,7 +14,6 @@
 enum {
 	EDGE_CMD_QUEUE_MAX = 16384,
 	EDGE_UNREAD_MAX = 8192, ///< received messages not yet freed
-	EDGE_UNREAD_BYTES_MAX = 64 * 1024 * 1024, ///< of them together
 	EDGE_READ_BATCH = 256, ///< messages read in a row
 	EDGE_RECV_QUEUE_MAX = 4096,
 	EDGE_FRAMES = 4, ///< routing id, sender, type, body
@@ -162,7 +161,7 @@
 static bool unread_limit_reached(const struct peer_edge *p)
 {
 	return atomic_load(&p->n_unread) >= EDGE_UNREAD_MAX ||
-	       atomic_load(&p->unread_bytes) >= EDGE_UNREAD_BYTES_MAX;
+	       atomic_load(&p->unread_bytes) >= p->opts.max_unread;
 }
 
 static void read_msgs(struct peer_edge *p)
--- a/packages/peer/test/test_peer.c
+++ b/packages/peer/test/test_peer.c
@@ -41,6 +41,7 @@
 	struct peer_opts opts = {
 		.node = node,
 		.run = (uint64_t)(RUN_OF_FIRST + host),
+		.max_unread = PEER_MSG_MAX,
 	};
 
 	snprintf(e->addr, sizeof(e->addr), "127.77.%d.%d:%d",
--- a/packages/suspect/include/suspect/suspect.h
+++ b/packages/suspect/include/suspect/suspect.h
@@ -5,9 +5,8 @@
 // ever answered it. Evidence for it: an answer from any server, or that a server at which
 // it broke off answered a request that was sent later, and so did not end.
 //
-// Servers that end within one moment, under whatever they had, say less of a request than
-// servers that end one after the other under the same one. What a moment says is tested by
-// a trial: one sending, at one node of all.
+// Servers that end at the same time are weak evidence: an outage of their domain looks the
+// same. It is tested by a trial, in which one node of all sends the request once.
 #pragma once
 
 #include <stdbool.h>
@@ -24,12 +23,12 @@
 	SUSPECT_ANSWERED_MS =
 		60000, ///< an answer speaks for its request this long
 	SUSPECT_KEEP_MS = 600000, ///< since a request came last
-	/// Without an end before a request is sent, its next end is of another moment. All
-	/// servers of a failure domain are lost within less.
+	/// An end belongs to a new moment if its request was sent at least this long after
+	/// the end before. A failure domain is lost within less.
 	SUSPECT_MOMENT_MS = 1000,
-	SUSPECT_MOMENTS = 3, ///< that need no trial
-	/// Further ones of a request that is confirmed; RULES.md, BUDGET, counts three
-	/// together with the one that confirmed it.
+	SUSPECT_MOMENTS = 3, ///< that confirm a request without a trial
+	/// Further trials of a confirmed request, over all nodes. Source: the users allow
+	/// three sendings after the third server, the one that confirmed it included.
 	SUSPECT_TRIALS_CONFIRMED = 2,
 	SUSPECT_SERVER_ID = 64, ///< bytes of a server's id, with NUL
 };
@@ -49,7 +48,7 @@
 	int64_t moment_end_ms; ///< last end of the latest
 	bool confirmed; ///< servers ended one after the other, or in a trial
 	int trials; ///< that some node had
-	int last_trial; ///< number of the last one, once it is confirmed
+	int last_trial; ///< the same at all nodes; once it is confirmed
 	int64_t next_trial_ms;
 	int64_t barred_ms; ///< since then no server gets it, 0: not barred
 	int64_t cleared_ms; ///< earlier news that it is barred is outdated, 0: none
@@ -135,9 +134,12 @@
 					struct suspect_id id, int64_t barred_ms,
 					int64_t seen_ms);
 
-/// Record another node's news that a server ended under a barred request once more.
+/// Record that a server ended under a barred request once more, as another node or the
+/// store says.
+///
+/// @param last_trial  number of the last trial that any node may be granted
 enum suspect_change suspects_confirm(struct suspects *t, int64_t now,
-				     struct suspect_id id);
+				     struct suspect_id id, int last_trial);
 
 /// Clear a request, by an operator or by another node's news.
 enum suspect_change suspects_clear(struct suspects *t, int64_t now,
--- a/packages/suspect/src/suspect.c
+++ b/packages/suspect/src/suspect.c
@@ -143,16 +143,24 @@
 	return is_new;
 }
 
-static enum suspect_change confirm(struct suspect_entry *e, int64_t now)
+/* Nodes that confirm a request by evidence of their own agree on the smallest number. */
+static enum suspect_change confirm(struct suspect_entry *e, int64_t now,
+				   int last_trial)
 {
+	if (!e->confirmed || last_trial < e->last_trial)
+		e->last_trial = last_trial;
 	if (e->confirmed)
 		return SUSPECT_SAME;
 	e->confirmed = true;
-	e->last_trial = e->trials + SUSPECT_TRIALS_CONFIRMED;
 	set_next_trial(e, now);
 	return SUSPECT_CONFIRMED;
 }
 
+static enum suspect_change confirm_here(struct suspect_entry *e, int64_t now)
+{
+	return confirm(e, now, e->trials + SUSPECT_TRIALS_CONFIRMED);
+}
+
 enum suspect_change suspects_ended(struct suspects *t, int64_t now,
 				   struct suspect_id id, const char *server,
 				   int64_t started_ms, int64_t sent_ms)
@@ -169,7 +177,7 @@
 		return SUSPECT_SAME;
 	new_moment = count_moment(e, now, sent_ms);
 	if (e->barred_ms)
-		return new_moment ? confirm(e, now) : SUSPECT_SAME;
+		return new_moment ? confirm_here(e, now) : SUSPECT_SAME;
 	s = &e->servers[e->n_servers++];
 	*s = (struct suspect_server){.started_ms = started_ms, .ended_ms = now};
 	snprintf(s->id, sizeof(s->id), "%s", server);
@@ -178,7 +186,7 @@
 	e->barred_ms = now;
 	set_next_trial(e, now);
 	if (e->moments >= SUSPECT_MOMENTS)
-		confirm(e, now);
+		confirm_here(e, now);
 	return SUSPECT_BARRED;
 }
 
@@ -309,11 +317,11 @@
 }
 
 enum suspect_change suspects_confirm(struct suspects *t, int64_t now,
-				     struct suspect_id id)
+				     struct suspect_id id, int last_trial)
 {
 	struct suspect_entry *e = find(t, now, id);
 
-	return e && e->barred_ms ? confirm(e, now) : SUSPECT_SAME;
+	return e && e->barred_ms ? confirm(e, now, last_trial) : SUSPECT_SAME;
 }
 
 enum suspect_change suspects_clear(struct suspects *t, int64_t now,
--- a/packages/upstream/src/call.c
+++ b/packages/upstream/src/call.c
@@ -69,7 +69,7 @@
 
 	if (atomic_fetch_sub(&c->refs, 1) != 1)
 		return;
-	upstream_sub_held(up, c->opts.body_len + c->body_cap);
+	upstream_sub_held(up, c->opts.body_len + c->body_cap + c->head_len);
 	free(c->result.body);
 	arena_free(&c->arena);
 	free(c);
--- a/packages/upstream/src/call.h
+++ b/packages/upstream/src/call.h
@@ -110,7 +110,12 @@
 ///
 /// Load pattern: all servers of a service answer without end, and other clients' requests
 /// are refused for want of memory until the answers time out.
+///
+/// @param more  bytes that the next part of the body takes
 bool upstream_call_is_greedy(const struct upstream_call *c, size_t more);
 
+/// The same for an answer's head.
+bool upstream_head_is_greedy(const struct upstream_call *c);
+
 /// Stop counting a freed call towards max_calls.
 void upstream_call_freed(struct upstream *up);
--- a/packages/upstream/src/event.c
+++ b/packages/upstream/src/event.c
@@ -10,6 +10,8 @@
 	/// Bytes that an answer may hold even if max_held is reached; otherwise many
 	/// partly received answers could block each other for good.
 	UPSTREAM_CALL_MIN_BYTES = 65536,
+	/// Bytes that a head may have if memory is short; common servers send less.
+	UPSTREAM_HEAD_SHORT_BYTES = 16384,
 	/// Answers get so many quarters of max_held, so that requests can still start.
 	UPSTREAM_ANSWER_QUARTERS = 3,
 };
@@ -45,6 +47,12 @@
 		       answers_max(up) / (atomic_load(&up->n_calls) + 1);
 }
 
+bool upstream_head_is_greedy(const struct upstream_call *c)
+{
+	return memory_is_short(c->up, 0) &&
+	       c->head_len > UPSTREAM_HEAD_SHORT_BYTES;
+}
+
 bool upstream_call_must_pause(const struct upstream_call *c, size_t more)
 {
 	const struct upstream_opts *o = &c->up->opts;
--- a/packages/upstream/src/transfer.c
+++ b/packages/upstream/src/transfer.c
@@ -140,7 +140,9 @@
 	if (!c->head_len)
 		c->last_progress_ms = clock_now_ms();
 	c->head_len += size * n;
+	upstream_add_held(c->up, size * n);
 	if (c->head_len > UPSTREAM_HEAD_MAX_BYTES ||
+	    upstream_head_is_greedy(c) ||
 	    !head_check_line(&c->head_check, data, size * n))
 		return 0;
 	if (c->opts.want_head)
--- a/test/hosted/dup_server.h
+++ b/test/hosted/dup_server.h
@@ -7,7 +7,7 @@
 #include <stdbool.h>
 
 enum {
-	DUP_SERVER_LOG_MAX = 4096, ///< capacity of the request log
+	DUP_SERVER_LOG_MAX = 65536, ///< capacity of the request log
 };
 
 enum dup_kind {
--- a/test/hosted/nodes.c
+++ b/test/hosted/nodes.c
@@ -245,6 +245,26 @@
 	curl_easy_cleanup(e);
 }
 
+static void *caller_run(void *ctx)
+{
+	struct node_caller *l = ctx;
+
+	node_call(l->ns, l->node, l->method, l->path, "k1",
+		  *l->id ? l->id : NULL, l->body, &l->answer);
+	return NULL;
+}
+
+void node_caller_start(struct node_caller *l)
+{
+	if (pthread_create(&l->thread, NULL, caller_run, l) != 0)
+		abort();
+}
+
+void node_caller_join(struct node_caller *l)
+{
+	pthread_join(l->thread, NULL);
+}
+
 long node_metric(const struct nodes *ns, int i, const char *name)
 {
 	struct response a = {0};
--- a/test/hosted/nodes.h
+++ b/test/hosted/nodes.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <jansson.h>
+#include <pthread.h>
 #include <stdbool.h>
 
 #include "hosted.h"
@@ -77,6 +78,24 @@
 		    const char *path, const char *key, const char *id,
 		    const char *body, struct response *out);
 
+/// A call on a thread of its own.
+struct node_caller {
+	struct nodes *ns;
+	int node;
+	const char *method;
+	char path[96];
+	char id[48]; ///< request id, "" for none
+	const char *body;
+	struct response answer;
+	pthread_t thread;
+};
+
+/// Start a call with key "k1".
+void node_caller_start(struct node_caller *l);
+
+/// Wait for the answer, which the caller of this frees.
+void node_caller_join(struct node_caller *l);
+
 /// Value of a metric from a node's admin port.
 ///
 /// @return value, -1 without a response or if the metric does not exist
--- a/test/hosted/test_hosted_outage.c
+++ b/test/hosted/test_hosted_outage.c
@@ -1,6 +1,5 @@
 // Lookups that are alike were refused with 400 at all nodes, for good, after all servers of
 // their service had crashed under them once or twice.
-#include <pthread.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -27,13 +26,6 @@
 static struct hosted h;
 static struct nodes ns;
 
-struct caller {
-	int node;
-	char id[32];
-	int status;
-	pthread_t thread;
-};
-
 static int setup(void **state)
 {
 	if (!hosted_start(&h))
@@ -50,24 +42,16 @@
 	return 0;
 }
 
-static void *ask(void *ctx)
+static int ask(int node, int n)
 {
-	struct caller *l = ctx;
 	struct response a;
+	char id[32];
 
-	node_call(&ns, l->node, "POST", "/book/same", "k1", l->id, "same", &a);
-	l->status = a.status;
+	snprintf(id, sizeof(id), "later%d", n);
+	node_call(&ns, node, "POST", "/book/same", "k1", id, "same", &a);
+	n = a.status;
 	response_free(&a);
-	return NULL;
-}
-
-static int ask_once(int node, int n)
-{
-	struct caller l = {.node = node};
-
-	snprintf(l.id, sizeof(l.id), "later%d", n);
-	ask(&l);
-	return l.status;
+	return n;
 }
 
 static void revive(int ms)
@@ -82,18 +66,24 @@
 
 static void crash_all_under_lookups(int outage)
 {
-	struct caller callers[CALLERS] = {0};
+	struct node_caller callers[CALLERS];
 
 	for (int i = 0; i < CALLERS; i++) {
-		callers[i].node = i % NODES_ENTRY;
+		callers[i] = (struct node_caller){.ns = &ns,
+						  .node = i % NODES_ENTRY,
+						  .method = "POST",
+						  .path = "/book/same",
+						  .body = "same"};
 		snprintf(callers[i].id, sizeof(callers[i].id), "o%d-%d", outage,
 			 i);
-		pthread_create(&callers[i].thread, NULL, ask, &callers[i]);
+		node_caller_start(&callers[i]);
 	}
 	usleep(CRASH_AFTER_MS * 1000);
 	h.crash_bookings = true;
-	for (int i = 0; i < CALLERS; i++)
-		pthread_join(callers[i].thread, NULL);
+	for (int i = 0; i < CALLERS; i++) {
+		node_caller_join(&callers[i]);
+		response_free(&callers[i].answer);
+	}
 	h.crash_bookings = false;
 	revive(BACK_MS);
 }
@@ -108,7 +98,7 @@
 		crash_all_under_lookups(i);
 	since_ms = clock_now_ms();
 	for (int i = 0; i < LATER_CALLS; i++) {
-		int status = ask_once(i % NODES_ENTRY, i);
+		int status = ask(i % NODES_ENTRY, i);
 
 		denied += status == 400;
 		refused += served_ms && status != 200;
--- a/test/hosted/test_hosted_restart.c
+++ b/test/hosted/test_hosted_restart.c
@@ -1,6 +1,5 @@
 // An entry node that was killed and started again gave its clients the answers that homes
 // had for reads of its earlier process: other batches' totals, items and texts.
-#include <pthread.h>
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -38,14 +37,6 @@
 static struct hosted h;
 static struct nodes ns;
 
-struct reader {
-	char batch[32];
-	int total; ///< items of the batch
-	int status;
-	int foreign; ///< signs of another batch in the answer
-	pthread_t thread;
-};
-
 static int setup(void **state)
 {
 	if (!hosted_start(&h))
@@ -61,44 +52,39 @@
 	return 0;
 }
 
-static int count_foreign(const struct reader *r, const struct response *a)
+static void start_reader(struct node_caller *l, const char *batch)
 {
-	json_t *page = json_loadb(a->body ? a->body : "", a->len, 0, NULL);
-	const json_t *results = json_object_get(page, "results");
-	int n = json_integer_value(json_object_get(page, "total")) != r->total;
+	*l = (struct node_caller){.ns = &ns, .node = ENTRY, .method = "GET"};
+	snprintf(l->path, sizeof(l->path), "/catkinpath/lots/%s?after=0",
+		 batch);
+	node_caller_start(l);
+}
 
+/* @return signs of another batch in a reader's answer */
+static int join_reader(struct node_caller *l, const char *batch, int total,
+		       int *answered)
+{
+	json_t *page, *results;
+	int n = 0;
+
+	node_caller_join(l);
+	page = json_loadb(l->answer.body ? l->answer.body : "", l->answer.len,
+			  0, NULL);
+	results = json_object_get(page, "results");
+	if (l->answer.status == 200 && l->answer.body)
+		n = json_integer_value(json_object_get(page, "total")) != total;
 	for (size_t i = 0; i < json_array_size(results); i++) {
 		const char *id = json_string_value(
 			json_object_get(json_array_get(results, i), "id"));
 
-		n += !id || strncmp(id, r->batch, strlen(r->batch)) != 0;
+		n += !id || strncmp(id, batch, strlen(batch)) != 0;
 	}
+	*answered += l->answer.status == 200;
 	json_decref(page);
+	response_free(&l->answer);
 	return n;
 }
 
-static void *read_once(void *ctx)
-{
-	struct reader *r = ctx;
-	struct response a;
-	char path[96];
-
-	snprintf(path, sizeof(path), "/catkinpath/lots/%s?after=0", r->batch);
-	node_call(&ns, ENTRY, "GET", path, "k1", NULL, NULL, &a);
-	r->status = a.status;
-	if (a.status == 200 && a.body)
-		r->foreign = count_foreign(r, &a);
-	response_free(&a);
-	return NULL;
-}
-
-static void start_reader(struct reader *r, const char *batch, int total)
-{
-	*r = (struct reader){.total = total};
-	snprintf(r->batch, sizeof(r->batch), "%s", batch);
-	assert_int_equal(pthread_create(&r->thread, NULL, read_once, r), 0);
-}
-
 static void submit(const char *id, int items)
 {
 	char *body = batch_body(id, items, 1);
@@ -134,8 +120,14 @@
 	return t;
 }
 
-static void restart_entry(const struct trouble *t)
+static void start_trouble(const struct trouble *t, int home)
 {
+	if (t->home_held_ms)
+		proc_signal(&ns.list[home].proc, SIGSTOP);
+	if (t->home_killed) {
+		proc_kill(&ns.list[home].proc);
+		assert_true(node_start(&ns, home));
+	}
 	for (int i = 0; i < t->kills; i++) {
 		proc_kill(&ns.list[ENTRY].proc);
 		usleep((useconds_t)t->down_ms * 1000);
@@ -147,50 +139,37 @@
 static int run_round(int round, const struct trouble *t, int home,
 		     int *answered)
 {
-	struct reader old[OLD_READERS], new[NEW_READERS];
-	struct proc *home_proc = &ns.list[home].proc;
+	struct node_caller old[OLD_READERS], new[NEW_READERS];
 	int64_t held_until_ms;
-	char id[32], own[32];
-	int foreign = 0;
+	char id[OLD_BATCHES][32], own[32];
+	int foreign = 0, ignored = 0;
 
 	snprintf(own, sizeof(own), "Lnew%d", round);
 	submit(own, NEW_ITEMS);
 	for (int i = 0; i < OLD_BATCHES; i++) {
-		snprintf(id, sizeof(id), "old%d-%d", round, i);
-		submit(id, OLD_ITEMS);
+		snprintf(id[i], sizeof(id[i]), "old%d-%d", round, i);
+		submit(id[i], OLD_ITEMS);
 	}
 	usleep(READ_AFTER_MS * 1000);
-	for (int i = 0; i < OLD_READERS; i++) {
-		snprintf(id, sizeof(id), "old%d-%d", round, i % OLD_BATCHES);
-		start_reader(&old[i], id, OLD_ITEMS);
-	}
+	for (int i = 0; i < OLD_READERS; i++)
+		start_reader(&old[i], id[i % OLD_BATCHES]);
 	usleep(25 * 1000);
 	held_until_ms = clock_now_ms() + t->home_held_ms;
-	if (t->home_held_ms)
-		proc_signal(home_proc, SIGSTOP);
-	if (t->home_killed) {
-		proc_kill(home_proc);
-		assert_true(node_start(&ns, home));
-	}
-	restart_entry(t);
+	start_trouble(t, home);
 	usleep(500 * 1000);
 	for (int i = 0; i < NEW_READERS; i++) {
 		usleep(NEW_READ_INTERVAL_MS * 1000);
-		start_reader(&new[i], own, NEW_ITEMS);
+		start_reader(&new[i], own);
 	}
 	if (held_until_ms > clock_now_ms())
 		usleep((useconds_t)(held_until_ms - clock_now_ms()) * 1000);
 	if (t->home_held_ms)
-		proc_signal(home_proc, SIGCONT);
-	for (int i = 0; i < OLD_READERS; i++) {
-		pthread_join(old[i].thread, NULL);
-		foreign += old[i].foreign;
-	}
-	for (int i = 0; i < NEW_READERS; i++) {
-		pthread_join(new[i].thread, NULL);
-		foreign += new[i].foreign;
-		*answered += new[i].status == 200;
-	}
+		proc_signal(&ns.list[home].proc, SIGCONT);
+	for (int i = 0; i < OLD_READERS; i++)
+		foreign += join_reader(&old[i], id[i % OLD_BATCHES], OLD_ITEMS,
+				       &ignored);
+	for (int i = 0; i < NEW_READERS; i++)
+		foreign += join_reader(&new[i], own, NEW_ITEMS, answered);
 	return foreign;
 }
 
