feat(upstream): answers tell how they were framed and what came behind them

Nothing logged told apart a body that ended with its connection, one that a second answer filled up, and a whole one that the node broke. request-answered and -retried name the framing (length, chunks, close, none), the bytes that were read behind the body, whether the connection had carried other requests, and the bytes taken. catkinpath_upstream_surplus_total counts answers behind whose body more was sent. No decision uses it yet.

libcurl drops what follows a body; its debug function is shown it, and is switched on once the head stated a length.

--- a/packages/core/include/core/core_defs.h
+++ b/packages/core/include/core/core_defs.h
@@ -9,6 +9,7 @@
 #include "base/err.h"
 #include "base/htab.h"
 #include "base/trace.h"
+#include "upstream/upstream.h"
 
 struct core;
 struct core_req;
@@ -47,15 +48,14 @@
 	void *ctx;
 };
 
-struct upstream_head;
-
 /// Outcome of an outgoing request.
 struct core_fetch_result {
 	enum err err; ///< ERR_OK when the answer arrived completely
 	bool sent; ///< a byte of the request may have left this process
 	bool reused; ///< sent on a connection that had carried other requests: an
 		///< answer without a request id may belong to one of those
-	bool unframed; ///< the body ended with its connection, perhaps too early
+	enum upstream_framing framing;
+	size_t surplus; ///< bytes that the server sent behind the body
 	int status; ///< HTTP status, 0 unless a whole head arrived
 	const char *body; ///< complete body, NULL when it was streamed
 	size_t body_len; ///< bytes
--- a/packages/daemon/src/front/forward_end.c
+++ b/packages/daemon/src/front/forward_end.c
@@ -127,7 +127,7 @@
 			core_reply_header(c, f->req, res->head->names[i],
 					  res->head->values[i]);
 	}
-	if (res->unframed)
+	if (res->framing == UPSTREAM_BY_CLOSE)
 		core_reply_end_by_close(c, f->req);
 	metric_add(M_WORK_ANSWERED, 1);
 	if (t->hedge)
@@ -136,11 +136,13 @@
 	log_event(EV_FRONT_ANSWERED,
 		  "request=%s route=%s team=%s http=%d bytes=%zu servers=%d "
 		  "server=%s servers_age_ms=%lld last_ms=%lld left_ms=%lld "
-		  "hedge=%d",
+		  "hedge=%d reused=%d framing=%s surplus=%zu",
 		  f->id, f->route, f->team, res->status, res->body_len,
 		  f->n_tried, t->server_id, (long long)t->servers_age_ms,
 		  (long long)(core_now(c) - t->sent_ms),
-		  (long long)(f->deadline_ms - core_now(c)), t->hedge);
+		  (long long)(f->deadline_ms - core_now(c)), t->hedge,
+		  res->reused, upstream_framing_name(res->framing),
+		  res->surplus);
 	core_reply(c, f->req, res->status, NULL, res->body, res->body_len);
 	forward_free(c, f);
 }
@@ -217,10 +219,12 @@
 {
 	log_event(EV_FRONT_RETRY,
 		  "request=%s route=%s server=%s servers_age_ms=%lld error=%s "
-		  "http=%d sent=%d ms=%lld identity=%016llx",
+		  "http=%d sent=%d bytes=%zu reused=%d framing=%s surplus=%zu "
+		  "ms=%lld identity=%016llx",
 		  f->id, f->route, t->server_id, (long long)t->servers_age_ms,
-		  err_code(res->err), res->status, res->sent,
-		  (long long)(core_now(c) - t->sent_ms),
+		  err_code(res->err), res->status, res->sent, res->body_len,
+		  res->reused, upstream_framing_name(res->framing),
+		  res->surplus, (long long)(core_now(c) - t->sent_ms),
 		  (unsigned long long)f->identity.high);
 }
 
@@ -259,7 +263,7 @@
 		tally_mod_count_request(c, f->team, t->sent_wall_ms);
 	if (end.outcome == SITE_CALL_GOOD)
 		forward_hedge_answered(c, f, t);
-	if (is_final(c, f, &end, res->unframed)) {
+	if (is_final(c, f, &end, res->framing == UPSTREAM_BY_CLOSE)) {
 		relay_answer(c, f, t, res);
 		return;
 	}
--- a/packages/upstream/include/upstream/upstream.h
+++ b/packages/upstream/include/upstream/upstream.h
@@ -58,12 +58,22 @@
 	size_t n;
 };
 
+/// What says where an answer's body ends.
+enum upstream_framing {
+	UPSTREAM_NO_BODY, ///< there is none, or no whole head arrived
+	UPSTREAM_BY_LENGTH,
+	UPSTREAM_BY_CHUNKS,
+	UPSTREAM_BY_CLOSE, ///< the end of its connection
+};
+
+const char *upstream_framing_name(enum upstream_framing f);
+
 struct upstream_result {
 	enum err err; ///< ERR_OK: status and complete body arrived
 	bool sent; ///< at least one byte of the request may have been sent
 	bool reused; ///< used a connection that had carried other requests
-	/// The body ended with its connection: nothing says that it is whole.
-	bool unframed;
+	enum upstream_framing framing;
+	size_t surplus; ///< bytes that were read behind the body
 	int status; ///< 0 unless a whole head arrived
 	char *body; ///< body, NULL if it was streamed or is empty
 	size_t body_len; ///< bytes
--- a/packages/upstream/src/call.c
+++ b/packages/upstream/src/call.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/metric.h"
 
 static const char *const *copy_headers(struct arena *a, const char *const *src)
 {
@@ -123,6 +124,17 @@
 	c->result.ctype[0] = '\0';
 }
 
+static enum upstream_framing framing_of(const struct upstream_call *c)
+{
+	const struct head_check *h = &c->head_check;
+
+	if (!h->complete || h->no_body || strcmp(c->opts.method, "HEAD") == 0)
+		return UPSTREAM_NO_BODY;
+	if (h->chunked)
+		return UPSTREAM_BY_CHUNKS;
+	return h->has_length ? UPSTREAM_BY_LENGTH : UPSTREAM_BY_CLOSE;
+}
+
 void call_finish(struct upstream_call *c, CURLcode code)
 {
 	struct upstream_result *r = &c->result;
@@ -144,9 +156,9 @@
 	r->total_us = clock_now_us() - c->start_us;
 	if (ctype && strlen(ctype) < sizeof(r->ctype))
 		strcpy(r->ctype, ctype);
-	r->unframed = !c->head_check.has_length && !c->head_check.chunked &&
-		      !c->head_check.no_body &&
-		      strcmp(c->opts.method, "HEAD") != 0;
+	r->framing = framing_of(c);
+	if (r->surplus)
+		metric_add(M_UP_SURPLUS, 1);
 	drop_partial_head(c);
 	call_free_transfer(c);
 }
--- a/packages/upstream/src/call.h
+++ b/packages/upstream/src/call.h
@@ -52,6 +52,8 @@
 	bool head_posted;
 	size_t head_len; ///< bytes of header lines so far
 	struct head_check head_check;
+	uint64_t
+		wire_body; ///< bytes read since the head, those behind the body too
 	bool head_overflow; ///< more header fields than UPSTREAM_MAX_HEADERS
 	bool idle_expired;
 	bool send_expired; ///< the connection was ready only after send_until_ms
@@ -83,6 +85,13 @@
 /// @param code  libcurl's result of the transfer
 void call_finish(struct upstream_call *c, CURLcode code);
 
+/// Begin to count the bytes that are read behind the body.
+void surplus_watch(struct upstream_call *c);
+
+/// CURLOPT_DEBUGFUNCTION
+int surplus_on_debug(CURL *easy, curl_infotype type, char *data, size_t len,
+		     void *ctx);
+
 /// Free the transfer without a result.
 void call_free_transfer(struct upstream_call *c);
 
--- a/packages/upstream/src/head_check.c
+++ b/packages/upstream/src/head_check.c
@@ -94,6 +94,18 @@
 	return true;
 }
 
+const char *upstream_framing_name(enum upstream_framing f)
+{
+	static const char *const names[] = {
+		[UPSTREAM_NO_BODY] = "none",
+		[UPSTREAM_BY_LENGTH] = "length",
+		[UPSTREAM_BY_CHUNKS] = "chunks",
+		[UPSTREAM_BY_CLOSE] = "close",
+	};
+
+	return names[f];
+}
+
 bool head_check_line(struct head_check *h, const char *line, size_t len)
 {
 	if (len >= 5 && strncmp(line, "HTTP/", 5) == 0)
--- a/packages/upstream/src/transfer.c
+++ b/packages/upstream/src/transfer.c
@@ -145,6 +145,8 @@
 	    upstream_head_is_greedy(c) ||
 	    !head_check_line(&c->head_check, data, size * n))
 		return 0;
+	if (c->head_check.complete && !c->head_check.open && !c->wire_body)
+		surplus_watch(c);
 	if (c->opts.want_head)
 		head_add_line(c, data, size * n);
 	if (c->opts.tag && c->head_check.complete && !c->head_overflow)
@@ -272,6 +274,8 @@
 	curl_easy_setopt(c->easy, CURLOPT_WRITEDATA, c);
 	curl_easy_setopt(c->easy, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(c->easy, CURLOPT_HEADERDATA, c);
+	curl_easy_setopt(c->easy, CURLOPT_DEBUGFUNCTION, surplus_on_debug);
+	curl_easy_setopt(c->easy, CURLOPT_DEBUGDATA, c);
 	curl_easy_setopt(c->easy, CURLOPT_PREREQFUNCTION, on_request);
 	curl_easy_setopt(c->easy, CURLOPT_PREREQDATA, c);
 	curl_easy_setopt(c->easy, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
--- a/packages/upstream/test/test_upstream.c
+++ b/packages/upstream/test/test_upstream.c
@@ -74,7 +74,7 @@
 }
 
 struct outcome {
-	bool unframed;
+	enum upstream_framing framing;
 	size_t n_fields; ///< of the head
 	enum err err;
 	bool sent;
@@ -99,7 +99,7 @@
 			out.err = ev->result->err;
 			out.sent = ev->result->sent;
 			out.status = ev->result->status;
-			out.unframed = ev->result->unframed;
+			out.framing = ev->result->framing;
 			out.n_fields = ev->result->head.n;
 			out.len += ev->result->body_len;
 		} else {
@@ -228,8 +228,8 @@
 	ok = out.err == ERR_OK;
 	if (ok && (!whole_head || (!a->unframed && out.len != whole_len)))
 		fail_msg("%s: %d, looks whole", path, out.status);
-	if (ok && out.unframed != a->unframed)
-		fail_msg("%s: unframed is %d", path, out.unframed);
+	if (ok && (out.framing == UPSTREAM_BY_CLOSE) != a->unframed)
+		fail_msg("%s: by %s", path, upstream_framing_name(out.framing));
 	if (!reset && n == strlen(a->text) && !ok)
 		fail_msg("%s: %s", path, err_code(out.err));
 	/* Part of a head is no promise that the request did not run. */
