test(upstream): an answer that was cut and sent once more is taken for whole

test_text_that_speaks_of_http_is_whole holds, and has to go on holding: nine texts, each followed by five kinds of bytes that belong to no request.

--- a/packages/upstream/test/server.c
+++ b/packages/upstream/test/server.c
@@ -3,6 +3,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdbool.h>
@@ -17,6 +18,7 @@
 enum {
 	REQ_MAX_BYTES = 4096,
 	BACKLOG = 64,
+	SERVER_KEEP_OPEN_MS = 20,
 };
 
 static atomic_int requests;
@@ -132,6 +134,34 @@
 	{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" ID "\r\n", "POST", false},
 };
 
+const char *const server_texts[SERVER_TEXTS] = {
+	"it said HTTP/1.1 200 OK",
+	"HTTP/1.1 200 OK\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Type: text/html\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"HTTP/1.1 404 Not Found\r\nContent-Length: 50\r\n\r\nnot all",
+	"ends with HTTP/1",
+	"ends with H",
+	"GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+	"HTTP/1.1 200 HTTP/1.1 200 HTTP/1.1 200",
+};
+
+const char *const server_strays[SERVER_STRAYS] = {
+	"",
+	"\r\n",
+	"neither a field\r\nnor a line",
+	"HTTP/1.1 200 OK\r\nX-Catkinpath-Request-Id: 6\r\n"
+	"Content-Length: 5\r\n\r\nother",
+	"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+};
+
+static void pause_ms(int ms)
+{
+	struct timespec ts = {0, ms * 1000000L};
+
+	nanosleep(&ts, NULL);
+}
+
 /* The client's kernel gets what was sent before the reset. */
 static void reset_after(int fd)
 {
@@ -155,11 +185,69 @@
 	return true;
 }
 
-static void pause_ms(int ms)
+static void send_part(int fd, const char *text, size_t len, int gap_ms)
 {
-	struct timespec ts = {0, ms * 1000000L};
+	const char *end = strstr(text, "\r\n\r\n");
+	size_t head = end ? (size_t)(end - text) + 4 : len;
+
+	if (gap_ms < 0 && head < len) {
+		send(fd, text, head, MSG_NOSIGNAL);
+		pause_ms(-gap_ms);
+		text += head;
+		len -= head;
+	}
+	send(fd, text, len, MSG_NOSIGNAL);
+}
 
-	nanosleep(&ts, NULL);
+/* Until the client closes, or long enough for it to look at what it got. */
+static void keep_open(int fd)
+{
+	struct pollfd p = {.fd = fd, .events = POLLIN};
+
+	poll(&p, 1, SERVER_KEEP_OPEN_MS);
+}
+
+static bool serve_copy(int fd, const char *req)
+{
+	char both[2048];
+	int k, n, copy, gap_ms;
+	const char *text;
+	size_t len;
+
+	if (sscanf(strchr(req, ' ') + 1, "/copy/%d/%d/%d/%d ", &k, &n, &copy,
+		   &gap_ms) != 4)
+		return false;
+	text = server_answers[k].text;
+	len = copy < 0 ? strlen(text) : (size_t)copy;
+	if (gap_ms > 0) {
+		send(fd, text, (size_t)n, MSG_NOSIGNAL);
+		pause_ms(gap_ms);
+		send(fd, text, len, MSG_NOSIGNAL);
+	} else {
+		memcpy(both, text, (size_t)n);
+		memcpy(both + n, text, len);
+		both[(size_t)n + len] = '\0';
+		send_part(fd, both, (size_t)n + len, gap_ms);
+	}
+	if (copy < 0)
+		keep_open(fd);
+	return true;
+}
+
+static bool serve_text(int fd, const char *req)
+{
+	char text[1024];
+	int b, s, n;
+
+	if (sscanf(strchr(req, ' ') + 1, "/text/%d/%d ", &b, &s) != 2)
+		return false;
+	n = snprintf(text, sizeof(text),
+		     "HTTP/1.1 200 OK\r\n" ID "Content-Length: %zu\r\n\r\n%s%s",
+		     strlen(server_texts[b]), server_texts[b],
+		     server_strays[s]);
+	send(fd, text, (size_t)n, MSG_NOSIGNAL);
+	keep_open(fd);
+	return true;
 }
 
 /* At full speed a buffer of many pieces is sent at once. */
@@ -202,7 +290,8 @@
 /// @return false to end the connection
 static bool serve(int fd, const char *req, int nth)
 {
-	if (serve_endless(fd, req) || serve_cut(fd, req))
+	if (serve_endless(fd, req) || serve_cut(fd, req) ||
+	    serve_copy(fd, req) || serve_text(fd, req))
 		return false;
 	if (path_is(req, "/silent")) {
 		char c;
--- a/packages/upstream/test/server.h
+++ b/packages/upstream/test/server.h
@@ -10,6 +10,10 @@
 //            speed; /drop/PART the same, one piece every SERVER_DROP_INTERVAL_MS
 //   /cut/K/N  the first N bytes of answer K of server_answers, then the connection is
 //            closed; /rst/K/N the same, and it is reset
+//   /copy/K/N/C/G  the first N bytes of answer K and then, as if it were sent twice, the
+//            first C bytes of it once more; all of it if C is -1, else the connection is
+//            closed; G: milliseconds between the two, -1 for between head and body
+//   /text/B/S  text B of server_texts, and behind it bytes S of server_strays
 // A second port resets each connection as soon as it is accepted.
 #pragma once
 
@@ -38,5 +42,16 @@
 
 extern const struct server_answer server_answers[SERVER_ANSWERS];
 
+enum {
+	SERVER_TEXTS = 9,
+	SERVER_STRAYS = 5,
+};
+
+/// Bodies that speak of HTTP.
+extern const char *const server_texts[SERVER_TEXTS];
+
+/// What belongs to no request.
+extern const char *const server_strays[SERVER_STRAYS];
+
 /// Requests that were read completely since the last call.
 int server_requests(void);
--- a/packages/upstream/test/test_upstream.c
+++ b/packages/upstream/test/test_upstream.c
@@ -80,6 +80,7 @@
 	bool sent;
 	int status;
 	size_t len; ///< bytes of the body, streamed or not
+	char body[256]; ///< its begin, if it is not streamed
 };
 
 static struct outcome run(const struct upstream_call_opts *o)
@@ -102,6 +103,8 @@
 			out.framing = ev->result->framing;
 			out.n_fields = ev->result->head.n;
 			out.len += ev->result->body_len;
+			snprintf(out.body, sizeof(out.body), "%s",
+				 ev->result->body ? ev->result->body : "");
 		} else {
 			out.len += ev->len;
 		}
@@ -252,6 +255,96 @@
 	}
 }
 
+/* Connections with bytes that belong to no request stay open. */
+static void close_connections(void)
+{
+	const struct upstream_opts opts = {
+		.events = box,
+		.max_calls = MAX_CALLS,
+	};
+
+	ops->stop(up);
+	assert_int_equal(ops->start(&opts, &up), ERR_OK);
+}
+
+/* @return whether the answer was taken for whole and has another body */
+static bool takes_copy_for_whole(int k, size_t n, int copy, int gap_ms)
+{
+	static const char *const bodies[SERVER_ANSWERS] = {
+		"0123456789ab", "abcdefg", "0123456789", "ok", "",
+		"abcdef",	"busy",	   "",		 "",
+	};
+	const struct server_answer *a = &server_answers[k];
+	struct upstream_call_opts o;
+	struct outcome out;
+	char url[128], path[64];
+
+	snprintf(path, sizeof(path), "/copy/%d/%zu/%d/%d", k, n, copy, gap_ms);
+	url_of(url, sizeof(url), SERVER_PORT, path);
+	o = options(url);
+	o.method = a->method;
+	o.want_head = true;
+	o.fresh = true;
+	o.idle_timeout_ms = TIMEOUT_MS;
+	out = run(&o);
+	if (n == strlen(a->text) && !a->unframed && out.err != ERR_OK)
+		fail_msg("%s: %s, the first answer is whole", path,
+			 err_code(out.err));
+	if (out.err != ERR_OK || a->unframed ||
+	    strcmp(out.body, bodies[k]) == 0)
+		return false;
+	print_message("%s: %d %s\n", path, out.status, out.body);
+	return true;
+}
+
+/* A server broke its answer off and sent it once more on the same connection: the second
+ * answer's first bytes filled up the first one's body. */
+static void test_cut_answer_and_its_copy_are_not_one(void **state)
+{
+	static const int copies[] = {-1, 3, 12, 15, 25, 60};
+	int taken = 0;
+	int n_cases = 0;
+
+	for (int k = 0; k < SERVER_ANSWERS; k++) {
+		size_t len = strlen(server_answers[k].text);
+
+		for (size_t n = 1; n <= len; n++) {
+			for (size_t i = 0; i < 6; i++, n_cases++)
+				taken += takes_copy_for_whole(k, n, copies[i],
+							      0);
+			n_cases += 2;
+			taken += takes_copy_for_whole(k, n, -1, 10);
+			taken += takes_copy_for_whole(k, n, -1, -5);
+		}
+	}
+	close_connections();
+	print_message("taken for whole: %d of %d\n", taken, n_cases);
+	assert_int_equal(taken, 0);
+}
+
+/* An answer is whole whatever its text speaks of, and whatever follows it. */
+static void test_text_that_speaks_of_http_is_whole(void **state)
+{
+	for (int i = 0; i < SERVER_TEXTS * SERVER_STRAYS; i++) {
+		const char *text = server_texts[i / SERVER_STRAYS];
+		struct upstream_call_opts o;
+		struct outcome out;
+		char url[128], path[64];
+
+		snprintf(path, sizeof(path), "/text/%d/%d", i / SERVER_STRAYS,
+			 i % SERVER_STRAYS);
+		url_of(url, sizeof(url), SERVER_PORT, path);
+		o = options(url);
+		o.want_head = true;
+		o.fresh = true;
+		out = run(&o);
+		if (out.err != ERR_OK || strcmp(out.body, text) != 0)
+			fail_msg("%s: %s, %s", path, err_code(out.err),
+				 out.body);
+	}
+	close_connections();
+}
+
 /* A request whose connection is ready after send_until_ms is not sent. */
 static void test_late_connection_sends_nothing(void **state)
 {
@@ -578,6 +671,8 @@
 		cmocka_unit_test(test_error_and_sent_of_each_fault),
 		cmocka_unit_test(test_endless_answer_ends_call),
 		cmocka_unit_test(test_answer_cut_at_any_byte_is_not_whole),
+		cmocka_unit_test(test_cut_answer_and_its_copy_are_not_one),
+		cmocka_unit_test(test_text_that_speaks_of_http_is_whole),
 		cmocka_unit_test(test_late_connection_sends_nothing),
 		cmocka_unit_test(test_reset_connection_fails),
 		cmocka_unit_test(test_request_written_at_most_once),
