fix(upstream): a cut answer and the second one behind it are not taken for one

Callers got a success whose body was the begin of the server's body, filled up with the head of the server's second answer, framed by the first one's length (MIXED).

Cause: the end of an answer was taken from a count of bytes alone. A server that breaks an answer off and sends it once more on the same connection fills the count up; libcurl reports no error and drops what follows, which is all that tells. A first status line that was cut was filled up the same way, with the copy as its reason phrase.

Change: at the last byte of a body whose length was stated, the client looks for an answer that begins within the body and goes on behind it. What follows is what libcurl read beyond the body, shown to its debug function, and what waits in the socket; where a text may be the begin of an answer, it is waited for up to 100 ms, else not at all. It is a second answer if its status line goes on behind the body, if a line of the first one's head is repeated, or if exactly its missing bytes follow. The call then ends with answer-mixed, which is no sign of a server's crash (no evidence against a request). A status line within another is no head. A body is whole only with as many bytes as the head stated.

--- a/packages/upstream/src/call.c
+++ b/packages/upstream/src/call.c
@@ -46,6 +46,7 @@
 		return NULL;
 	atomic_init(&c->refs, 1);
 	c->up = up;
+	c->fd = CURL_SOCKET_BAD;
 	c->start_cmd = (struct call_cmd){CALL_START, c};
 	c->cancel_cmd = (struct call_cmd){CALL_CANCEL, c};
 	c->start_us = clock_now_us();
@@ -72,6 +73,8 @@
 		return;
 	upstream_sub_held(up, c->opts.body_len + c->body_cap + c->head_len);
 	free(c->result.body);
+	free(c->own_head.text);
+	free(c->surplus);
 	arena_free(&c->arena);
 	free(c);
 	upstream_call_freed(up);
@@ -86,15 +89,28 @@
 	c->headers = NULL;
 }
 
+/* libcurl saw no error. */
+static enum err end_error(const struct upstream_call *c)
+{
+	if (!c->head_check.complete)
+		return ERR_UP_BROKEN;
+	if (c->result.framing == UPSTREAM_BY_LENGTH &&
+	    c->body_seen != c->head_check.length)
+		return ERR_UP_BROKEN;
+	return ERR_OK;
+}
+
 static enum err call_error(const struct upstream_call *c, CURLcode code)
 {
 	if (c->too_large)
 		return ERR_TOO_LARGE;
+	if (c->mixed)
+		return ERR_UP_MIXED;
 	if (c->idle_expired || c->send_expired)
 		return ERR_TIMEOUT;
 	switch (code) {
 	case CURLE_OK:
-		return c->head_check.complete ? ERR_OK : ERR_UP_BROKEN;
+		return end_error(c);
 	case CURLE_OPERATION_TIMEDOUT:
 		return ERR_TIMEOUT;
 	case CURLE_URL_MALFORMAT:
@@ -152,11 +168,13 @@
 	r->status = (int)status;
 	r->sent = call_maybe_sent(c, size);
 	r->reused = connects == 0;
+	r->framing = framing_of(c);
 	r->err = call_error(c, code);
 	r->total_us = clock_now_us() - c->start_us;
 	if (ctype && strlen(ctype) < sizeof(r->ctype))
 		strcpy(r->ctype, ctype);
-	r->framing = framing_of(c);
+	if (r->err == ERR_UP_MIXED)
+		metric_add(M_UP_MIXED, 1);
 	if (r->surplus)
 		metric_add(M_UP_SURPLUS, 1);
 	drop_partial_head(c);
--- a/packages/upstream/src/call.h
+++ b/packages/upstream/src/call.h
@@ -13,6 +13,15 @@
 	CALL_QUIT,
 };
 
+enum {
+	/// Most bytes of an answer's head, including interim answers and the trailer;
+	/// four times what common servers send at most.
+	UPSTREAM_HEAD_MAX_BYTES = 65536,
+	/// Most bytes behind a body that are looked at.
+	UPSTREAM_SURPLUS_MAX_BYTES = 4096,
+	HEAD_STATUS_LINE_MIN = 12, ///< bytes of "HTTP/1.1 200"
+};
+
 /// Command to the client's thread.
 struct call_cmd {
 	enum call_cmd_kind kind;
@@ -35,6 +44,39 @@
 /// @return false for what is no head: two answers run together, or two lengths
 bool head_check_line(struct head_check *h, const char *line, size_t len);
 
+/// Whether a text begins with the status line of an answer.
+bool head_is_status_line(const char *text, size_t len);
+
+/// Whether a text of any length may begin with one.
+bool head_may_be_status_line(const char *text, size_t len);
+
+/// Whether a status line begins within a line.
+bool head_has_status_line(const char *line, size_t len);
+
+/// Lines of the final answer's head.
+struct own_head {
+	char *text;
+	size_t len; ///< bytes
+	size_t cap;
+};
+
+enum second_answer {
+	SECOND_NONE,
+	SECOND_MAYBE, ///< what follows the body will tell
+	SECOND_FOUND, ///< the body is cut and filled up with a second answer
+};
+
+/// Whether a second answer may begin within a body.
+bool second_answer_may_begin(const char *body, size_t len);
+
+/// Look for a second answer that begins within a body and goes on behind it.
+///
+/// @param own  head of the answer to which the body belongs
+/// @param surplus  bytes behind the body, as far as they are known
+enum second_answer second_answer_find(const struct own_head *own,
+				      const char *body, size_t len,
+				      const char *surplus, size_t surplus_len);
+
 struct upstream_call {
 	atomic_int refs;
 	struct upstream *up;
@@ -52,8 +94,14 @@
 	bool head_posted;
 	size_t head_len; ///< bytes of header lines so far
 	struct head_check head_check;
-	uint64_t
-		wire_body; ///< bytes read since the head, those behind the body too
+	struct own_head own_head;
+	curl_socket_t fd; ///< of the connection in use
+	uint64_t body_seen; ///< bytes of the body that were accepted
+	uint64_t wire_body; ///< of the body and behind it, as read
+	char *surplus; ///< UPSTREAM_SURPLUS_MAX_BYTES behind the body, NULL if none
+	size_t surplus_len; ///< of those that libcurl read
+	int64_t surplus_until_ms; ///< end of the wait for more, 0 before it began
+	bool mixed; ///< the body is filled up with a second answer
 	bool head_overflow; ///< more header fields than UPSTREAM_MAX_HEADERS
 	bool idle_expired;
 	bool send_expired; ///< the connection was ready only after send_until_ms
@@ -88,6 +136,18 @@
 /// Begin to count the bytes that are read behind the body.
 void surplus_watch(struct upstream_call *c);
 
+enum body_end {
+	BODY_END_WHOLE,
+	BODY_END_WAIT, ///< call again once more may have arrived
+	BODY_END_MIXED,
+};
+
+/// What the end of a body is, at its last bytes.
+///
+/// @param body  all of it, or the last piece if it is streamed
+enum body_end surplus_check(struct upstream_call *c, const char *body,
+			    size_t len);
+
 /// CURLOPT_DEBUGFUNCTION
 int surplus_on_debug(CURL *easy, curl_infotype type, char *data, size_t len,
 		     void *ctx);
--- a/packages/upstream/src/curl_client.c
+++ b/packages/upstream/src/curl_client.c
@@ -112,12 +112,16 @@
 		     void *known)
 {
 	struct upstream *up = ctx;
+	struct upstream_call *c = NULL;
 	struct epoll_event ev = {.data.fd = fd};
 
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &c);
 	if (what == CURL_POLL_REMOVE) {
 		epoll_ctl(up->epoll, EPOLL_CTL_DEL, fd, NULL);
 		return 0;
 	}
+	if (c)
+		c->fd = fd;
 	if (what & CURL_POLL_IN)
 		ev.events |= EPOLLIN;
 	if (what & CURL_POLL_OUT)
--- a/packages/upstream/src/head_check.c
+++ b/packages/upstream/src/head_check.c
@@ -7,7 +7,6 @@
 #include "call.h"
 
 enum {
-	STATUS_LINE_MIN = 12, ///< bytes of "HTTP/1.1 200"
 	STATUS_FINAL_MIN = 200,
 	STATUS_NO_CONTENT = 204,
 	STATUS_NOT_MODIFIED = 304,
@@ -18,18 +17,30 @@
 	return c >= '0' && c <= '9';
 }
 
-static bool is_status_line(const char *line, size_t len)
+/* The pattern of a status line; 0 stands for a digit. */
+static const char status_line[] = "HTTP/1.0 000";
+
+bool head_may_be_status_line(const char *text, size_t len)
+{
+	for (size_t i = 0; i < len && i < HEAD_STATUS_LINE_MIN; i++) {
+		if (status_line[i] == '0' ? !is_digit(text[i])
+					  : text[i] != status_line[i])
+			return false;
+	}
+	return len > 0;
+}
+
+bool head_is_status_line(const char *text, size_t len)
 {
-	return len >= STATUS_LINE_MIN && strncmp(line, "HTTP/1.", 7) == 0 &&
-	       is_digit(line[7]) && line[8] == ' ' && is_digit(line[9]) &&
-	       is_digit(line[10]) && is_digit(line[11]);
+	return len >= HEAD_STATUS_LINE_MIN &&
+	       head_may_be_status_line(text, len);
 }
 
-/* A field that was cut off, and the answer that came after it on the connection. */
-static bool has_status_line(const char *line, size_t len)
+/* A line that was cut off, and the answer that came after it on the connection. */
+bool head_has_status_line(const char *line, size_t len)
 {
-	for (size_t i = 1; i + STATUS_LINE_MIN <= len; i++) {
-		if (line[i] == 'H' && is_status_line(line + i, len - i))
+	for (size_t i = 1; i + HEAD_STATUS_LINE_MIN <= len; i++) {
+		if (line[i] == 'H' && head_is_status_line(line + i, len - i))
 			return true;
 	}
 	return false;
@@ -37,9 +48,9 @@
 
 static bool begin_head(struct head_check *h, const char *line, size_t len)
 {
-	int status = len >= STATUS_LINE_MIN ? atoi(line + 9) : 0;
+	int status = len >= HEAD_STATUS_LINE_MIN ? atoi(line + 9) : 0;
 
-	if (h->open || h->complete)
+	if (h->open || h->complete || head_has_status_line(line, len))
 		return false;
 	*h = (struct head_check){
 		.open = true,
@@ -56,15 +67,20 @@
 	       strncasecmp(line, name, name_len) == 0;
 }
 
+static void trim(const char **value, size_t *len)
+{
+	while (*len && (**value == ' ' || **value == '\t'))
+		(*value)++, (*len)--;
+	while (*len && strchr(" \t\r\n", (*value)[*len - 1]))
+		(*len)--;
+}
+
 static bool check_length(struct head_check *h, const char *value, size_t len)
 {
 	uint64_t length = 0;
 	size_t digits = 0;
 
-	while (len && (*value == ' ' || *value == '\t'))
-		value++, len--;
-	while (len && strchr(" \t\r\n", value[len - 1]))
-		len--;
+	trim(&value, &len);
 	for (; digits < len && is_digit(value[digits]); digits++)
 		length = length * 10 + (uint64_t)(value[digits] - '0');
 	if (!len || digits < len || (h->has_length && length != h->length))
@@ -81,8 +97,8 @@
 
 	/* The continuation of a field before it. */
 	if (*line == ' ' || *line == '\t')
-		return !has_status_line(line, len);
-	if (!colon || colon == line || has_status_line(line, len))
+		return !head_has_status_line(line, len);
+	if (!colon || colon == line || head_has_status_line(line, len))
 		return false;
 	name_len = (size_t)(colon - line);
 	if (field_is(line, name_len, "Content-Length"))
--- a/packages/upstream/src/surplus.c
+++ b/packages/upstream/src/surplus.c
@@ -1,23 +1,99 @@
-// Bytes that a server sent behind a body whose length it stated. libcurl drops them, but
-// shows them to its debug function.
+// Bytes behind a body whose length the server stated: those that libcurl read with the body,
+// which it drops but shows to its debug function, and those that wait in the socket.
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "base/clock.h"
 #include "call.h"
 
+enum {
+	/// Wait for what follows a body that may end within a second answer. What a server
+	/// sends in one piece arrives within a few round trips.
+	SURPLUS_WAIT_MS = 100,
+};
+
 void surplus_watch(struct upstream_call *c)
 {
-	if (c->head_check.has_length)
+	if (c->head_check.has_length && strcmp(c->opts.method, "HEAD") != 0)
 		curl_easy_setopt(c->easy, CURLOPT_VERBOSE, 1L);
 }
 
+static bool reserve(struct upstream_call *c)
+{
+	if (!c->surplus)
+		c->surplus = malloc(UPSTREAM_SURPLUS_MAX_BYTES);
+	return c->surplus != NULL;
+}
+
 int surplus_on_debug(CURL *easy, curl_infotype type, char *data, size_t len,
 		     void *ctx)
 {
 	struct upstream_call *c = ctx;
+	size_t extra;
 
 	if (type != CURLINFO_DATA_IN || !c->head_check.has_length)
 		return 0;
 	c->wire_body += len;
-	if (c->wire_body > c->head_check.length)
-		c->result.surplus =
-			(size_t)(c->wire_body - c->head_check.length);
+	if (c->wire_body <= c->head_check.length)
+		return 0;
+	c->result.surplus = (size_t)(c->wire_body - c->head_check.length);
+	extra = c->result.surplus < len ? c->result.surplus : len;
+	data += len - extra;
+	if (extra > UPSTREAM_SURPLUS_MAX_BYTES)
+		extra = UPSTREAM_SURPLUS_MAX_BYTES;
+	if (reserve(c)) {
+		memcpy(c->surplus, data, extra);
+		c->surplus_len = extra;
+	}
 	return 0;
 }
+
+/* Add what waits in the socket.
+ *
+ * @param[out] ended  whether nothing more will come */
+static size_t peek(struct upstream_call *c, bool *ended)
+{
+	size_t room = UPSTREAM_SURPLUS_MAX_BYTES - c->surplus_len;
+	ssize_t n;
+
+	*ended = true;
+	if (c->fd == CURL_SOCKET_BAD || !room || !reserve(c))
+		return c->surplus_len;
+	n = recv(c->fd, c->surplus + c->surplus_len, room,
+		 MSG_PEEK | MSG_DONTWAIT);
+	*ended = n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR) ||
+		 (size_t)(n < 0 ? 0 : n) == room;
+	if (n <= 0)
+		return c->surplus_len;
+	c->result.surplus = c->surplus_len + (size_t)n;
+	return c->surplus_len + (size_t)n;
+}
+
+enum body_end surplus_check(struct upstream_call *c, const char *body,
+			    size_t len)
+{
+	size_t piece = c->opts.streamed ? len : len - (size_t)c->body_seen;
+	int64_t now = clock_now_ms();
+	enum second_answer found;
+	size_t n;
+	bool ended;
+
+	if (!c->head_check.has_length ||
+	    c->body_seen + piece != c->head_check.length ||
+	    !second_answer_may_begin(body, len))
+		return BODY_END_WHOLE;
+	n = peek(c, &ended);
+	found = second_answer_find(&c->own_head, body, len,
+				   c->surplus ? c->surplus : "", n);
+	if (!c->surplus_until_ms)
+		c->surplus_until_ms = now + SURPLUS_WAIT_MS;
+	if (found == SECOND_MAYBE && !ended && now < c->surplus_until_ms)
+		return BODY_END_WAIT;
+	/* What follows would be taken for the next answer's begin. */
+	if (n)
+		curl_easy_setopt(c->easy, CURLOPT_FORBID_REUSE, 1L);
+	c->mixed = found == SECOND_FOUND;
+	return c->mixed ? BODY_END_MIXED : BODY_END_WHOLE;
+}
--- a/packages/upstream/src/transfer.c
+++ b/packages/upstream/src/transfer.c
@@ -15,13 +15,11 @@
 enum {
 	MS_PER_S = 1000,
 	UPSTREAM_BODY_MIN_BYTES = 1024, ///< initial bytes of a body buffer
+	UPSTREAM_HEAD_MIN_BYTES = 512, ///< initial bytes of a head's copy
 	UPSTREAM_SOURCE_LEN = 80, ///< bytes of "host!" and a local address
 	/// TCP_USER_TIMEOUT: a connection ends if sent bytes stay unacknowledged for
 	/// this long; several times the round trip between failure domains.
 	UPSTREAM_UNACKED_MS = 2000,
-	/// Most bytes of an answer's head, including interim answers and the trailer;
-	/// four times what common servers send at most.
-	UPSTREAM_HEAD_MAX_BYTES = 65536,
 };
 
 static size_t body_cap_for(const struct upstream_call *c, size_t len)
@@ -67,30 +65,76 @@
 	return c->head_posted;
 }
 
+static size_t pause_reading(struct upstream_call *c)
+{
+	c->paused = true;
+	return CURL_WRITEFUNC_PAUSE;
+}
+
+static size_t stream_piece(struct upstream_call *c, const char *data,
+			   size_t len)
+{
+	enum body_end end = surplus_check(c, data, len);
+
+	if (end == BODY_END_MIXED)
+		return 0;
+	if (end == BODY_END_WAIT || !head_post(c) ||
+	    !upstream_post_data(c, data, len))
+		return pause_reading(c);
+	c->body_seen += len;
+	return len;
+}
+
+/// The body's last bytes are delivered again while it is waited for what follows them.
 static size_t on_body(char *data, size_t size, size_t n, void *ctx)
 {
 	struct upstream_call *c = ctx;
 	size_t len = size * n;
 	size_t more;
+	enum body_end end;
 
 	c->last_progress_ms = clock_now_ms();
-	if (c->opts.streamed) {
-		if (head_post(c) && upstream_post_data(c, data, len))
-			return len;
-		c->paused = true;
-		return CURL_WRITEFUNC_PAUSE;
-	}
+	if (c->opts.streamed)
+		return stream_piece(c, data, len);
 	more = body_cap_for(c, len) - c->body_cap;
 	if (c->result.body_len + len > c->opts.max_body ||
 	    (more && upstream_call_is_greedy(c, more))) {
 		c->too_large = true;
 		return 0;
 	}
-	if (more && upstream_call_must_pause(c, more)) {
-		c->paused = true;
-		return CURL_WRITEFUNC_PAUSE;
+	if (more && upstream_call_must_pause(c, more))
+		return pause_reading(c);
+	if (!body_append(c, data, len))
+		return 0;
+	end = surplus_check(c, c->result.body, c->result.body_len);
+	if (end == BODY_END_WAIT) {
+		c->result.body_len -= len;
+		return pause_reading(c);
+	}
+	c->body_seen += len;
+	return end == BODY_END_MIXED ? 0 : len;
+}
+
+/// Keep the head's lines of the final answer.
+static bool own_head_add(struct own_head *own, const char *line, size_t len)
+{
+	size_t cap = own->cap ? own->cap : UPSTREAM_HEAD_MIN_BYTES;
+	char *p;
+
+	if (len > 5 && strncmp(line, "HTTP/", 5) == 0)
+		own->len = 0;
+	while (cap < own->len + len)
+		cap *= 2;
+	if (cap != own->cap) {
+		p = realloc(own->text, cap);
+		if (!p)
+			return false;
+		own->text = p;
+		own->cap = cap;
 	}
-	return body_append(c, data, len) ? len : 0;
+	memcpy(own->text + own->len, line, len);
+	own->len += len;
+	return true;
 }
 
 /// Store one "Name: value" line. A status line starts a new answer, such as the
@@ -143,7 +187,8 @@
 	upstream_add_held(c->up, size * n);
 	if (c->head_len > UPSTREAM_HEAD_MAX_BYTES ||
 	    upstream_head_is_greedy(c) ||
-	    !head_check_line(&c->head_check, data, size * n))
+	    !head_check_line(&c->head_check, data, size * n) ||
+	    !own_head_add(&c->own_head, data, size * n))
 		return 0;
 	if (c->head_check.complete && !c->head_check.open && !c->wire_body)
 		surplus_watch(c);
--- a/packages/upstream/test/test_upstream.c
+++ b/packages/upstream/test/test_upstream.c
@@ -293,6 +293,9 @@
 	if (out.err != ERR_OK || a->unframed ||
 	    strcmp(out.body, bodies[k]) == 0)
 		return false;
+	/* No more and no fewer bytes than a whole answer with that body has. */
+	if (copy > 0 && n + (size_t)copy == strlen(a->text))
+		return false;
 	print_message("%s: %d %s\n", path, out.status, out.body);
 	return true;
 }
