fix(upstream): a body that ends with its connection is an error unless its user asks

Rewards, items, orders, calls to the store and the own wire took ERR_OK for a whole answer, also where nothing had said that it was: a stream of events cut at the end of an event could be listed as completed, a body of the own wire was passed on with a length.

Cause: the flag for such answers had to be looked at by each user, and one of eleven did. The class: no error seen is taken for a whole answer.

Change: the client ends such a call with answer-unframed; body and status are there for the one user that passes them on without a length (the front). Heads whose coding is not chunks alone, or whose length does not fit, are none: libcurl reads their bodies up to the connection's end, and the check took them for framed.

--- a/packages/daemon/src/front/forward_end.c
+++ b/packages/daemon/src/front/forward_end.c
@@ -172,8 +172,8 @@
 	end.may_have_run = res->sent;
 	end.outcome = res->status ? SITE_CALL_BAD : SITE_CALL_NO_ANSWER;
 	/* Incomplete, perhaps the answer to another request, or without the server's seal. */
-	if (res->err != ERR_OK || other_request ||
-	    (res->status < 300 && (!v.seal || !v.id)))
+	if ((res->err != ERR_OK && res->err != ERR_UP_UNFRAMED) ||
+	    other_request || (res->status < 300 && (!v.seal || !v.id)))
 		return end;
 	end.has_answer = true;
 	end.server_ok = res->status < HTTP_SERVER_ERROR_MIN;
@@ -263,7 +263,7 @@
 		tally_mod_count_request(c, f->team, t->sent_wall_ms);
 	if (end.outcome == SITE_CALL_GOOD)
 		forward_hedge_answered(c, f, t);
-	if (is_final(c, f, &end, res->framing == UPSTREAM_BY_CLOSE)) {
+	if (is_final(c, f, &end, res->err == ERR_UP_UNFRAMED)) {
 		relay_answer(c, f, t, res);
 		return;
 	}
--- a/packages/upstream/src/call.c
+++ b/packages/upstream/src/call.c
@@ -94,6 +94,8 @@
 {
 	if (!c->head_check.complete)
 		return ERR_UP_BROKEN;
+	if (c->result.framing == UPSTREAM_BY_CLOSE)
+		return ERR_UP_UNFRAMED;
 	if (c->result.framing == UPSTREAM_BY_LENGTH &&
 	    c->body_seen != c->head_check.length)
 		return ERR_UP_BROKEN;
@@ -175,6 +177,8 @@
 		strcpy(r->ctype, ctype);
 	if (r->err == ERR_UP_MIXED)
 		metric_add(M_UP_MIXED, 1);
+	if (r->err == ERR_UP_UNFRAMED)
+		metric_add(M_UP_UNFRAMED, 1);
 	if (r->surplus)
 		metric_add(M_UP_SURPLUS, 1);
 	drop_partial_head(c);
--- a/packages/upstream/src/head_check.c
+++ b/packages/upstream/src/head_check.c
@@ -7,6 +7,7 @@
 #include "call.h"
 
 enum {
+	LENGTH_MAX_DIGITS = 18, ///< fit into the type of a length
 	STATUS_FINAL_MIN = 200,
 	STATUS_NO_CONTENT = 204,
 	STATUS_NOT_MODIFIED = 304,
@@ -75,6 +76,14 @@
 		(*len)--;
 }
 
+/* Other codings than chunks say nothing about the body's end. */
+static bool check_coding(struct head_check *h, const char *value, size_t len)
+{
+	trim(&value, &len);
+	h->chunked = field_is(value, len, "chunked");
+	return h->chunked && !h->has_length;
+}
+
 static bool check_length(struct head_check *h, const char *value, size_t len)
 {
 	uint64_t length = 0;
@@ -83,7 +92,8 @@
 	trim(&value, &len);
 	for (; digits < len && is_digit(value[digits]); digits++)
 		length = length * 10 + (uint64_t)(value[digits] - '0');
-	if (!len || digits < len || (h->has_length && length != h->length))
+	if (!len || digits < len || digits > LENGTH_MAX_DIGITS ||
+	    (h->has_length && length != h->length))
 		return false;
 	h->has_length = true;
 	h->length = length;
@@ -103,10 +113,8 @@
 	name_len = (size_t)(colon - line);
 	if (field_is(line, name_len, "Content-Length"))
 		return check_length(h, colon + 1, len - name_len - 1);
-	if (field_is(line, name_len, "Transfer-Encoding")) {
-		h->chunked = true;
-		return !h->has_length;
-	}
+	if (field_is(line, name_len, "Transfer-Encoding"))
+		return check_coding(h, colon + 1, len - name_len - 1);
 	return true;
 }
 
--- a/packages/upstream/test/server.c
+++ b/packages/upstream/test/server.c
@@ -115,7 +115,7 @@
 
 #define ID "X-Catkinpath-Request-Id: 7\r\nX-Catkinpath-Server-Seal: s\r\n"
 
-const struct server_answer server_answers[SERVER_ANSWERS] = {
+const struct server_answer server_answers[SERVER_ALL_ANSWERS] = {
 	{"HTTP/1.1 200 OK\r\n" ID "Content-Length: 12\r\n\r\n0123456789ab",
 	 "GET", false},
 	{"HTTP/1.1 200 OK\r\n" ID "Transfer-Encoding: chunked\r\n\r\n"
@@ -132,6 +132,15 @@
 	 "GET", false},
 	{"HTTP/1.1 200 OK\r\n" ID "Content-Length: 90\r\n\r\n", "HEAD", false},
 	{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" ID "\r\n", "POST", false},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\n01234", "GET",
+	 true},
+	{"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n"
+	 "01234",
+	 "GET", false},
+	{"HTTP/1.1 200 OK\r\nContent-Length: 5, 5\r\n\r\n01234", "GET", false},
+	{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 4\r\n\r\n"
+	 "01234",
+	 "GET", false},
 };
 
 const char *const server_texts[SERVER_TEXTS] = {
--- a/packages/upstream/test/server.h
+++ b/packages/upstream/test/server.h
@@ -38,9 +38,12 @@
 
 enum {
 	SERVER_ANSWERS = 9,
+	SERVER_ODD_ANSWERS =
+		4, ///< behind them; their heads state no usable end
+	SERVER_ALL_ANSWERS = SERVER_ANSWERS + SERVER_ODD_ANSWERS,
 };
 
-extern const struct server_answer server_answers[SERVER_ANSWERS];
+extern const struct server_answer server_answers[SERVER_ALL_ANSWERS];
 
 enum {
 	SERVER_TEXTS = 9,
--- a/packages/upstream/test/test_upstream.c
+++ b/packages/upstream/test/test_upstream.c
@@ -229,11 +229,13 @@
 	o.want_head = true;
 	out = run(&o);
 	ok = out.err == ERR_OK;
-	if (ok && (!whole_head || (!a->unframed && out.len != whole_len)))
+	if (ok && (!whole_head || a->unframed || out.len != whole_len))
 		fail_msg("%s: %d, looks whole", path, out.status);
-	if (ok && (out.framing == UPSTREAM_BY_CLOSE) != a->unframed)
+	if (out.err == ERR_UP_UNFRAMED && (!whole_head || !a->unframed))
 		fail_msg("%s: by %s", path, upstream_framing_name(out.framing));
-	if (!reset && n == strlen(a->text) && !ok)
+	if (!reset && n == strlen(a->text) &&
+	    (out.err != (a->unframed ? ERR_UP_UNFRAMED : ERR_OK) ||
+	     out.len != whole_len))
 		fail_msg("%s: %s", path, err_code(out.err));
 	/* Part of a head is no promise that the request did not run. */
 	if (!whole_head && (out.status || out.n_fields))
@@ -290,8 +292,7 @@
 	if (n == strlen(a->text) && !a->unframed && out.err != ERR_OK)
 		fail_msg("%s: %s, the first answer is whole", path,
 			 err_code(out.err));
-	if (out.err != ERR_OK || a->unframed ||
-	    strcmp(out.body, bodies[k]) == 0)
+	if (out.err != ERR_OK || strcmp(out.body, bodies[k]) == 0)
 		return false;
 	/* No more and no fewer bytes than a whole answer with that body has. */
 	if (copy > 0 && n + (size_t)copy == strlen(a->text))
@@ -348,6 +349,22 @@
 	close_connections();
 }
 
+/* A body whose head stated an end that the client does not use ended with its connection,
+ * and was taken for whole. */
+static void test_head_without_usable_end_is_no_answer(void **state)
+{
+	for (int k = SERVER_ANSWERS; k < SERVER_ALL_ANSWERS; k++) {
+		struct upstream_call_opts o;
+		char url[128], path[64];
+
+		snprintf(path, sizeof(path), "/cut/%d/%zu", k,
+			 strlen(server_answers[k].text));
+		url_of(url, sizeof(url), SERVER_PORT, path);
+		o = options(url);
+		assert_int_equal(run(&o).err, ERR_UP_BROKEN);
+	}
+}
+
 /* A request whose connection is ready after send_until_ms is not sent. */
 static void test_late_connection_sends_nothing(void **state)
 {
@@ -676,6 +693,7 @@
 		cmocka_unit_test(test_answer_cut_at_any_byte_is_not_whole),
 		cmocka_unit_test(test_cut_answer_and_its_copy_are_not_one),
 		cmocka_unit_test(test_text_that_speaks_of_http_is_whole),
+		cmocka_unit_test(test_head_without_usable_end_is_no_answer),
 		cmocka_unit_test(test_late_connection_sends_nothing),
 		cmocka_unit_test(test_reset_connection_fails),
 		cmocka_unit_test(test_request_written_at_most_once),
