--- a/packages/upstream/test/server.c
+++ b/packages/upstream/test/server.c
@@ -159,8 +159,7 @@
 	"",
 	"\r\n",
 	"neither a field\r\nnor a line",
-	"HTTP/1.1 200 OK\r\nX-Catkinpath-Request-Id: 6\r\n"
-	"Content-Length: 5\r\n\r\nother",
+	"HTTP/1.1 200 OK\r\nX-Catkinpath-Request-Id: 6\r\nContent-Length: 5\r\n\r\nother",
 	"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
 };
 
