--- a/packages/upstream/src/call.c
+++ b/packages/upstream/src/call.c
@@ -71,7 +71,9 @@
 
 	if (atomic_fetch_sub(&c->refs, 1) != 1)
 		return;
-	upstream_sub_held(up, c->opts.body_len + c->body_cap + c->head_len);
+	upstream_sub_held(
+		up, c->opts.body_len + c->body_cap + c->head_len +
+			    (c->surplus ? UPSTREAM_SURPLUS_MAX_BYTES : 0));
 	free(c->result.body);
 	free(c->own_head.text);
 	free(c->surplus);
--- a/packages/upstream/src/surplus.c
+++ b/packages/upstream/src/surplus.c
@@ -22,8 +22,11 @@
 
 static bool reserve(struct upstream_call *c)
 {
-	if (!c->surplus)
-		c->surplus = malloc(UPSTREAM_SURPLUS_MAX_BYTES);
+	if (c->surplus)
+		return true;
+	c->surplus = malloc(UPSTREAM_SURPLUS_MAX_BYTES);
+	if (c->surplus)
+		upstream_add_held(c->up, UPSTREAM_SURPLUS_MAX_BYTES);
 	return c->surplus != NULL;
 }
 
