test(hosted): answers that are cut and sent twice reach callers as whole ones

Each success is compared with its server's whole body. struct response tells the answer's id, its transfer coding and whether libcurl read it to its end.

--- a/test/hosted/nodes.c
+++ b/test/hosted/nodes.c
@@ -181,6 +181,10 @@
 		    sizeof(a->seal));
 	copy_header(line, len, "X-Own:", a->x_own, sizeof(a->x_own));
 	copy_header(line, len, "Content-Length:", a->length, sizeof(a->length));
+	copy_header(line, len, "Transfer-Encoding:", a->coding,
+		    sizeof(a->coding));
+	copy_header(line, len, "X-Catkinpath-Request-Id:", a->id,
+		    sizeof(a->id));
 	copy_header(line, len, "Retry-After:", a->retry_after,
 		    sizeof(a->retry_after));
 	return len;
@@ -229,7 +233,7 @@
 	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(e, CURLOPT_HEADERDATA, out);
 	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)CALL_MS);
-	curl_easy_perform(e);
+	out->complete = curl_easy_perform(e) == CURLE_OK;
 	curl_easy_getinfo(e, CURLINFO_RESPONSE_CODE, &status);
 	out->status = (int)status;
 	curl_slist_free_all(l);
--- a/test/hosted/nodes.h
+++ b/test/hosted/nodes.h
@@ -60,6 +60,9 @@
 	char x_own[64]; ///< header X-Own, which the booking server sets
 	char retry_after[32];
 	char length[32]; ///< Content-Length, "" if none
+	char coding[32]; ///< Transfer-Encoding, "" if none
+	char id[64]; ///< X-Catkinpath-Request-Id, "" if none
+	bool complete; ///< read up to the end that its framing states
 	char *body; ///< owned
 	size_t len; ///< bytes
 };
