fix(upstream): a cut chunk that a second answer fills up is no whole answer

Callers got a success by chunks whose body was the begin of the server's body, the head of its second answer, and that answer's body.

The empty line behind the second answer's head is taken for the end of the chunk, and its chunks for the next ones; what is missing of the chunk has to be as long as that head, less one or two bytes.

Change: a body by chunks that holds a head with all fields of its own answer's is no whole answer; streamed pieces are looked at before they are passed on. A text that merely speaks of HTTP does not hold that head.

--- a/packages/upstream/src/call.c
+++ b/packages/upstream/src/call.c
@@ -98,6 +98,10 @@
 		return ERR_UP_BROKEN;
 	if (c->result.framing == UPSTREAM_BY_CLOSE)
 		return ERR_UP_UNFRAMED;
+	if (c->result.framing == UPSTREAM_BY_CHUNKS && c->result.body_len &&
+	    second_answer_repeats_head(&c->own_head, c->result.body,
+				       c->result.body_len))
+		return ERR_UP_MIXED;
 	if (c->result.framing == UPSTREAM_BY_LENGTH &&
 	    c->body_seen != c->head_check.length)
 		return ERR_UP_BROKEN;
--- a/packages/upstream/src/call.h
+++ b/packages/upstream/src/call.h
@@ -136,6 +136,11 @@
 /// Begin to count the bytes that are read behind the body.
 void surplus_watch(struct upstream_call *c);
 
+/// Whether a body holds a head with the fields of its own answer's. What fills up a chunk
+/// that was cut ends with that head: the empty line behind it is taken for the chunk's end.
+bool second_answer_repeats_head(const struct own_head *own, char *body,
+				size_t len);
+
 enum body_end {
 	BODY_END_WHOLE,
 	BODY_END_WAIT, ///< call again once more may have arrived
--- a/packages/upstream/src/second_answer.c
+++ b/packages/upstream/src/second_answer.c
@@ -162,3 +162,59 @@
 	free(text);
 	return found;
 }
+
+/* Whether all fields of a head occur, by their names, in the lines of a text. */
+static bool has_own_fields(const struct own_head *own, char *text, size_t len)
+{
+	const struct own_head lines = {.text = text, .len = len};
+	const char *end = own->text + own->len;
+	bool has_field = false;
+
+	for (const char *p = own->text; p < end;) {
+		const char *nl = memchr(p, '\n', (size_t)(end - p));
+		size_t line_len = nl ? (size_t)(nl - p) + 1 : (size_t)(end - p);
+		const char *colon = memchr(p, ':', line_len);
+
+		if (colon &&
+		    !is_own_line(&lines, p, (size_t)(colon - p) + 1, false))
+			return false;
+		has_field |= colon != NULL;
+		p += line_len;
+	}
+	return has_field;
+}
+
+/* Bytes of the lines of a head at the begin of a text. */
+static size_t head_lines(const char *text, size_t len)
+{
+	struct head_check h = {0};
+	size_t pos = 0;
+
+	while (!h.complete && pos < len && pos <= UPSTREAM_HEAD_MAX_BYTES) {
+		size_t max =
+			len - pos < LINE_MAX_BYTES ? len - pos : LINE_MAX_BYTES;
+		const char *nl = memchr(text + pos, '\n', max);
+		size_t end = nl ? (size_t)(nl - text) + 1 : 0;
+
+		if (!nl || !head_check_line(&h, text + pos, end - pos))
+			break;
+		pos = end;
+	}
+	return pos;
+}
+
+bool second_answer_repeats_head(const struct own_head *own, char *body,
+				size_t len)
+{
+	char *end = body + len;
+
+	for (char *p = body; p < end; p++) {
+		p = memchr(p, 'H', (size_t)(end - p));
+		if (!p)
+			return false;
+		if (head_is_status_line(p, (size_t)(end - p)) &&
+		    has_own_fields(own, p, head_lines(p, (size_t)(end - p))))
+			return true;
+	}
+	return false;
+}
--- a/packages/upstream/src/transfer.c
+++ b/packages/upstream/src/transfer.c
@@ -71,11 +71,15 @@
 	return CURL_WRITEFUNC_PAUSE;
 }
 
-static size_t stream_piece(struct upstream_call *c, const char *data,
-			   size_t len)
+static size_t stream_piece(struct upstream_call *c, char *data, size_t len)
 {
 	enum body_end end = surplus_check(c, data, len);
 
+	if (c->head_check.chunked &&
+	    second_answer_repeats_head(&c->own_head, data, len)) {
+		c->mixed = true;
+		return 0;
+	}
 	if (end == BODY_END_MIXED)
 		return 0;
 	if (end == BODY_END_WAIT || !head_post(c) ||
--- a/packages/upstream/test/server.c
+++ b/packages/upstream/test/server.c
@@ -132,6 +132,9 @@
 	 "GET", false},
 	{"HTTP/1.1 200 OK\r\n" ID "Content-Length: 90\r\n\r\n", "HEAD", false},
 	{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" ID "\r\n", "POST", false},
+	{"HTTP/1.1 200 OK\r\n" ID "Transfer-Encoding: chunked\r\n\r\n"
+	 "aa\r\n" SERVER_LONG_CHUNK "\r\n0\r\n\r\n",
+	 "GET", false},
 	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\n01234", "GET",
 	 true},
 	{"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n"
--- a/packages/upstream/test/server.h
+++ b/packages/upstream/test/server.h
@@ -30,6 +30,13 @@
 /// Start the server on an IP address.
 void server_start(const char *ip);
 
+/// 170 bytes: more than the head of its answer.
+#define SERVER_LONG_CHUNK                                         \
+	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" \
+	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" \
+	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" \
+	"aaaaa"
+
 struct server_answer {
 	const char *text;
 	const char *method;
@@ -37,7 +44,7 @@
 };
 
 enum {
-	SERVER_ANSWERS = 9,
+	SERVER_ANSWERS = 10,
 	SERVER_ODD_ANSWERS =
 		4, ///< behind them; their heads state no usable end
 	SERVER_ALL_ANSWERS = SERVER_ANSWERS + SERVER_ODD_ANSWERS,
--- a/packages/upstream/test/test_upstream.c
+++ b/packages/upstream/test/test_upstream.c
@@ -247,7 +247,8 @@
  * body: callers got a success that was not whole. */
 static void test_answer_cut_at_any_byte_is_not_whole(void **state)
 {
-	static const size_t len[SERVER_ANSWERS] = {12, 7, 10, 2, 0, 6, 4, 0, 0};
+	static const size_t len[SERVER_ANSWERS] = {12, 7, 10, 2, 0,
+						   6,  4, 0,  0, 170};
 
 	for (int k = 0; k < SERVER_ANSWERS; k++) {
 		for (size_t n = 0; n <= strlen(server_answers[k].text); n++) {
@@ -270,11 +271,20 @@
 }
 
 /* @return whether the answer was taken for whole and has another body */
-static bool takes_copy_for_whole(int k, size_t n, int copy, int gap_ms)
+static bool takes_copy_for_whole(int k, size_t n, int copy, int gap_ms,
+				 bool streamed)
 {
 	static const char *const bodies[SERVER_ANSWERS] = {
-		"0123456789ab", "abcdefg", "0123456789", "ok", "",
-		"abcdef",	"busy",	   "",		 "",
+		"0123456789ab",
+		"abcdefg",
+		"0123456789",
+		"ok",
+		"",
+		"abcdef",
+		"busy",
+		"",
+		"",
+		SERVER_LONG_CHUNK,
 	};
 	const struct server_answer *a = &server_answers[k];
 	struct upstream_call_opts o;
@@ -287,12 +297,14 @@
 	o.method = a->method;
 	o.want_head = true;
 	o.fresh = true;
+	o.streamed = streamed;
 	o.idle_timeout_ms = TIMEOUT_MS;
 	out = run(&o);
 	if (n == strlen(a->text) && !a->unframed && out.err != ERR_OK)
 		fail_msg("%s: %s, the first answer is whole", path,
 			 err_code(out.err));
-	if (out.err != ERR_OK || strcmp(out.body, bodies[k]) == 0)
+	if (out.err != ERR_OK || (streamed ? out.len == strlen(bodies[k])
+					   : strcmp(out.body, bodies[k]) == 0))
 		return false;
 	/* No more and no fewer bytes than a whole answer with that body has. */
 	if (copy > 0 && n + (size_t)copy == strlen(a->text))
@@ -315,10 +327,11 @@
 		for (size_t n = 1; n <= len; n++) {
 			for (size_t i = 0; i < 6; i++, n_cases++)
 				taken += takes_copy_for_whole(k, n, copies[i],
-							      0);
-			n_cases += 2;
-			taken += takes_copy_for_whole(k, n, -1, 10);
-			taken += takes_copy_for_whole(k, n, -1, -5);
+							      0, false);
+			n_cases += 3;
+			taken += takes_copy_for_whole(k, n, -1, 10, false);
+			taken += takes_copy_for_whole(k, n, -1, -5, false);
+			taken += takes_copy_for_whole(k, n, -1, 0, true);
 		}
 	}
 	close_connections();
