refactor(upstream): the check of an answer's head is public

gate and catkinctl call libcurl themselves and need the same check. The declaration moves from src/call.h to include/upstream/head_check.h; nothing else changes.

--- a/packages/upstream/src/call.h
+++ b/packages/upstream/src/call.h
@@ -5,6 +5,7 @@
 #include <stdatomic.h>
 
 #include "base/arena.h"
+#include "upstream/head_check.h"
 #include "upstream/upstream.h"
 
 enum call_cmd_kind {
@@ -19,22 +20,6 @@
 	struct upstream_call *call;
 };
 
-/// What the lines of an answer's head showed so far.
-struct head_check {
-	bool open; ///< a status line without the empty line after it
-	bool complete; ///< of a final answer
-	bool final; ///< the status line is that of a final answer
-	bool no_body; ///< its status allows none
-	bool chunked;
-	bool has_length;
-	uint64_t length;
-};
-
-/// Check the next line of a head.
-///
-/// @return false for what is no head: two answers run together, or two lengths
-bool head_check_line(struct head_check *h, const char *line, size_t len);
-
 struct upstream_call {
 	atomic_int refs;
 	struct upstream *up;
