fix(gate): a cut reply to an order is no reply

An order counts as answered, and its intent is deleted, on a reply that was cut: the status of its first line is taken although the rest of its head, or of its body, never came.

A reply is now taken only if its head was complete and its body had a length, chunks, or none by its status; else it is ERR_UP_BROKEN with sent set (ERR_CLOSED if the gate itself closed). duty_order.c treats every error alike: it keeps the intent, sends the order again under its id and notes that bytes may be in flight, as after a lost reply. So a platform that never states a length gets each order again until the intent's age limit, and the order's outcome is unknown.

--- a/packages/gate/include/gate/gate.h
+++ b/packages/gate/include/gate/gate.h
@@ -38,7 +38,8 @@
 struct gate_reply {
 	uint64_t tag;
 	enum err err; ///< ERR_OK: answered; ERR_CLOSED: the gate closed first;
-	///< ERR_TIMEOUT: no reply; ERR_NOMEM
+	///< ERR_TIMEOUT: no reply; ERR_UP_BROKEN: a cut one, or one of unknown end;
+	///< ERR_NOMEM
 	bool sent; ///< bytes may have been sent
 	int status; ///< HTTP status, 0 if none
 	char *body; ///< freed by the caller, may be NULL
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "base/mbox.h"
 #include "gate_conn.h"
+#include "upstream/head_check.h"
 
 enum {
 	GATE_RING_ENTRIES = 2 * GATE_ORDERS_MAX, ///< of each ring buffer
@@ -32,6 +33,7 @@
 
 struct gate_job {
 	struct gate_reply reply;
+	struct head_check head; ///< of the reply
 	char *path;
 	char *body;
 	size_t len;
@@ -80,6 +82,13 @@
 	return size * n;
 }
 
+static size_t gate_on_header(char *data, size_t size, size_t n, void *ctx)
+{
+	struct gate_job *job = ctx;
+
+	return head_check_line(&job->head, data, size * n) ? size * n : 0;
+}
+
 static bool gate_is_closed(const struct gate *g)
 {
 	return g->conn.closed || g->conn.close_requested ||
@@ -105,9 +114,24 @@
 	curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, (long)o->timeout_ms);
 	curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, gate_on_body);
 	curl_easy_setopt(h, CURLOPT_WRITEDATA, &job->reply);
+	curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, gate_on_header);
+	curl_easy_setopt(h, CURLOPT_HEADERDATA, job);
 	gate_conn_attach(&g->conn, h);
 }
 
+/* libcurl takes an answer for whole that ended within its head, or with its connection;
+ * the gate's own closing ends one so, too. */
+static enum err gate_result(const struct gate *g, const struct head_check *head,
+			    CURLcode code)
+{
+	if (code == CURLE_OK && head_check_framed(head))
+		return ERR_OK;
+	if (g->conn.closed)
+		return ERR_CLOSED;
+	return code == CURLE_OK || code == CURLE_PARTIAL_FILE ? ERR_UP_BROKEN
+							      : ERR_TIMEOUT;
+}
+
 /* Fills the reply from the result of the HTTP request. */
 static void gate_set_result(struct gate *g, struct gate_job *job, CURL *h,
 			    CURLcode code)
@@ -119,11 +143,9 @@
 	curl_easy_getinfo(h, CURLINFO_CONNECT_TIME_T, &connected);
 	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &status);
 	r->sent = connected > 0;
-	r->err = g->conn.closed ? ERR_CLOSED : ERR_TIMEOUT;
-	if (code != CURLE_OK)
-		return;
-	r->err = ERR_OK;
-	r->status = (int)status;
+	r->err = gate_result(g, &job->head, code);
+	if (r->err == ERR_OK)
+		r->status = (int)status;
 }
 
 static void gate_perform(struct gate *g, struct gate_job *job)
--- a/packages/gate/test/test_gate.c
+++ b/packages/gate/test/test_gate.c
@@ -15,11 +15,13 @@
 #include "base/clock.h"
 #include "gate/gate.h"
 #include "support/addr.h"
+#include "support/cut_server.h"
 #include "support/http.h"
 #include "support/proc.h"
 
 enum {
 	PORT = 7000,
+	CUT_PORT = 7001,
 	WAIT_TIMEOUT_MS = 20000,
 	SHORT_MS = 1500,
 	LONG_MS = 60000,
@@ -215,6 +217,62 @@
 	gate_free(g);
 }
 
+/* Answers. The line end behind the last, empty chunk may lack its last byte: libcurl has
+ * seen the body's end by then. */
+static const struct {
+	const char *text;
+	int spare; ///< bytes that a whole one may lack at its end; -1: its end is unknown
+} answers[] = {
+	{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{ } ", 0},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	 "4\r\n{ } \r\n0\r\n\r\n",
+	 1},
+	{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 None\r\n\r\n", 0},
+	{"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n{ } ", -1},
+};
+
+/* Cuts of an answer that were taken for whole, and whole ones that were not. */
+static int misjudged(struct gate *g, struct cut_server *s, const char *text,
+		     int spare)
+{
+	size_t len = strlen(text);
+	int wrong = 0;
+
+	for (size_t n = 0; n <= len; n++) {
+		bool whole = spare >= 0 && n + (size_t)spare >= len;
+		struct gate_reply r;
+
+		cut_server_set(s, text, n);
+		assert_int_equal(send_usage(g, n), ERR_OK);
+		r = wait_reply(g);
+		assert_true(r.sent);
+		if ((r.err == ERR_OK) == whole && (r.status != 0) == whole)
+			continue;
+		wrong++;
+		print_message("%zu of %zu bytes: %s, status %d: %s\n", n, len,
+			      err_code(r.err), r.status, text);
+	}
+	return wrong;
+}
+
+static void test_cut_answer_not_taken_for_whole(void **state)
+{
+	char ip[16], url[64];
+	struct cut_server *s = cut_server_start(addr_ip(1, ip), CUT_PORT);
+	struct gate *g;
+	int wrong = 0;
+
+	assert_non_null(s);
+	snprintf(url, sizeof(url), "http://%s:%d", ip, CUT_PORT);
+	g = open_gate(url, clock_now_ms() + LONG_MS);
+	for (size_t i = 0; i < sizeof(answers) / sizeof(answers[0]); i++)
+		wrong += misjudged(g, s, answers[i].text, answers[i].spare);
+	gate_free(g);
+	print_message("%d of %d wrong\n", wrong, cut_server_requests(s));
+	cut_server_stop(s);
+	assert_int_equal(wrong, 0);
+}
+
 static int setup(void **state)
 {
 	char ip[16], listen[32];
@@ -244,6 +302,7 @@
 		cmocka_unit_test(test_close_returns_running_order),
 		cmocka_unit_test(test_lost_reply_or_refused_connect_times_out),
 		cmocka_unit_test(test_outstanding_orders_limited),
+		cmocka_unit_test(test_cut_answer_not_taken_for_whole),
 	};
 
 	return cmocka_run_group_tests(tests, setup, teardown);
--- a/packages/upstream/include/upstream/head_check.h
+++ b/packages/upstream/include/upstream/head_check.h
@@ -21,3 +21,11 @@
 ///
 /// @return false for what is no head: two answers run together, or two lengths
 bool head_check_line(struct head_check *h, const char *line, size_t len);
+
+/// Whether the head is complete, and states where the body ends.
+///
+/// A body whose end nothing but the connection's marks is never known to be whole.
+static inline bool head_check_framed(const struct head_check *h)
+{
+	return h->complete && (h->no_body || h->chunked || h->has_length);
+}
