fix(ctl): a cut answer of a node is no answer

Callers saw exit 0 with nothing shown, or with a part of the answer, when a node's connection closed within its answer; an edit was told as accepted (exit 0) on the first line of the answer alone.

An answer is now taken only if its head was complete and said where its body ends; else it is lost: a read asks the next node, and an edit, whose id prevents a second application, too; sent stays set, so that its exit code is 3 (unknown).

--- a/programs/catkinctl/call.c
+++ b/programs/catkinctl/call.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "ctl.h"
+#include "upstream/head_check.h"
 
 enum {
 	CONNECT_TIMEOUT_MS = 1000,
@@ -30,9 +31,15 @@
 	return size * n;
 }
 
+static size_t check_header(char *p, size_t size, size_t n, void *ctx)
+{
+	return head_check_line(ctx, p, size * n) ? size * n : 0;
+}
+
 static CURLcode call_node(const char *url, const char *method, const char *body,
 			  struct response_buf *b, long *status)
 {
+	struct head_check head = {0};
 	CURL *easy = curl_easy_init();
 	CURLcode rc;
 
@@ -46,11 +53,17 @@
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, b);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, check_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, &head);
 	if (body)
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
 	rc = curl_easy_perform(easy);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, status);
 	curl_easy_cleanup(easy);
+	/* libcurl takes an answer for whole that ended within its head, or with its
+	 * connection. */
+	if (rc == CURLE_OK && !head_check_framed(&head))
+		return CURLE_PARTIAL_FILE;
 	return rc;
 }
 
