fix(ctl): a cleared request whose answer was lost is of unknown outcome

"suspects clear" told exit 5, "no node was reached; nothing was sent", when a node had read the request and its answer was lost or cut. Cause: it looked at the status alone, not at sent.

--- a/programs/catkinctl/cmd_suspect.c
+++ b/programs/catkinctl/cmd_suspect.c
@@ -17,7 +17,11 @@
 			 "/admin/suspects/clear?identity=%s",
 			 identity->sval[0]);
 		ctl_call(ctl, "POST", path, NULL, &a);
-		if (a.status == 0) {
+		if (a.status == 0 && a.sent) {
+			ctl_report_error(ERR_UP_BROKEN,
+					 "it may have been cleared");
+			rc = CTL_UNKNOWN;
+		} else if (a.status == 0) {
 			ctl_report_error(ERR_CTL_UNREACHABLE, NULL);
 			rc = CTL_UNREACHABLE;
 		} else {
--- a/test/e2e/test_ctl_cut.c
+++ b/test/e2e/test_ctl_cut.c
@@ -119,6 +119,13 @@
 	assert_int_equal(count_known_outcomes(args), 0);
 }
 
+static void test_cut_answer_to_clear_not_called_unsent(void **state)
+{
+	static const char *const args[] = {"suspects", "clear", "id", NULL};
+
+	assert_int_equal(count_known_outcomes(args), 0);
+}
+
 static int start(void **state)
 {
 	for (int i = 0; i < NODES; i++) {
@@ -145,6 +152,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_cut_answer_to_read_not_shown),
 		cmocka_unit_test(test_cut_answer_to_edit_not_accepted),
+		cmocka_unit_test(test_cut_answer_to_clear_not_called_unsent),
 	};
 
 	return cmocka_run_group_tests(tests, start, stop);
