test(hosted): texts and scores of answers that ended with their connection

Callers read `completed` with a part of the text, or a score of a response that was cut, when an engine's stream or a reward call's response has neither length nor chunks and its connection is closed, between two events or within the body. Cause: the end of the connection is taken for the end of the answer.

--- a/test/hosted/hosted.h
+++ b/test/hosted/hosted.h
@@ -28,6 +28,7 @@
 	HOSTED_REWARD_REJECTED, ///< 503 marked as not run
 	HOSTED_REWARD_DROPPED, ///< connection closed after the run
 	HOSTED_REWARD_TRUNCATED, ///< connection closed within the body
+	HOSTED_REWARD_UNFRAMED, ///< the same, of a body without length or chunks
 	HOSTED_REWARD_WRONG_ID, ///< another call's id
 	HOSTED_REWARD_UNSEALED, ///< no seal
 	HOSTED_REWARD_DELAYED, ///< response after 900 ms
@@ -104,6 +105,7 @@
 	int version_rejects; ///< of runs that expect another version
 	int event_ms; ///< between events of a stream
 	int cut_after; ///< events after which streams from the start break off, 0: none
+	bool unframed_cuts; ///< those streams have no chunks: their end seems regular
 	enum hosted_resume_reply resume_reply;
 	int resume_faults_left; ///< runs that still get it, then HOSTED_RESUME_OK
 	enum hosted_reward_reply reward_reply;
--- a/test/hosted/server.c
+++ b/test/hosted/server.c
@@ -98,6 +98,13 @@
 	return h->n_runs - 1;
 }
 
+/* The end of the connection is then the end of the body. */
+static void drop_framing(struct MHD_Response *res)
+{
+	MHD_set_response_options(res, MHD_RF_HTTP_1_0_COMPATIBLE_STRICT,
+				 MHD_RO_END);
+}
+
 /// An event stream in flight.
 struct stream {
 	struct hosted_server *s;
@@ -105,6 +112,7 @@
 	int next_event; ///< number of the next event
 	int last_event;
 	int run; ///< index among the runs
+	bool unframed; ///< sent without length and chunks
 	uint64_t reported_version; ///< weights last reported to the caller
 };
 
@@ -112,6 +120,8 @@
 {
 	struct stream *st = ctx;
 	struct hosted *h = st->s->h;
+	ssize_t cut_end = st->unframed ? MHD_CONTENT_READER_END_OF_STREAM
+				       : MHD_CONTENT_READER_END_WITH_ERROR;
 	char version[64] = "";
 	int event = st->next_event;
 	uint64_t v;
@@ -130,7 +140,7 @@
 	    (h->cut_after && !h->runs[st->run].last_event_id &&
 	     event > h->cut_after)) {
 		pthread_mutex_unlock(&h->lock);
-		return MHD_CONTENT_READER_END_WITH_ERROR;
+		return cut_end;
 	}
 	pthread_mutex_unlock(&h->lock);
 	if (v != st->reported_version)
@@ -169,9 +179,13 @@
 	st->run = run;
 	pthread_mutex_lock(&s->h->lock);
 	st->reported_version = s->version;
+	st->unframed =
+		s->h->unframed_cuts && s->h->cut_after && st->next_event == 1;
 	pthread_mutex_unlock(&s->h->lock);
 	res = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, 4096,
 						stream_read, st, stream_free);
+	if (st->unframed)
+		drop_framing(res);
 	snprintf(version, sizeof(version), "%llu",
 		 (unsigned long long)st->reported_version);
 	MHD_add_response_header(res, "Content-Type", "text/event-stream");
@@ -418,13 +432,23 @@
 	return snprintf(buf, max, "half");
 }
 
-static enum MHD_Result send_truncated(struct MHD_Connection *conn,
+static ssize_t unframed_read(void *ctx, uint64_t pos, char *buf, size_t max)
+{
+	if (pos)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	return snprintf(buf, max, "half");
+}
+
+static enum MHD_Result send_truncated(struct MHD_Connection *conn, bool framed,
 				      const char *const *headers)
 {
 	struct MHD_Response *res = MHD_create_response_from_callback(
-		8, 64, truncated_read, NULL, NULL);
+		framed ? 8 : MHD_SIZE_UNKNOWN, 64,
+		framed ? truncated_read : unframed_read, NULL, NULL);
 	enum MHD_Result ok;
 
+	if (!framed)
+		drop_framing(res);
 	for (; headers[0]; headers += 2)
 		MHD_add_response_header(res, headers[0], headers[1]);
 	ok = MHD_queue_response(conn, 200, res);
@@ -459,7 +483,9 @@
 	case HOSTED_REWARD_DROPPED:
 		return MHD_NO;
 	case HOSTED_REWARD_TRUNCATED:
-		return send_truncated(conn, sealed);
+		return send_truncated(conn, true, sealed);
+	case HOSTED_REWARD_UNFRAMED:
+		return send_truncated(conn, false, sealed);
 	case HOSTED_REWARD_UNSEALED:
 		return body_respond(conn, 200, "rated", unsealed);
 	case HOSTED_REWARD_DELAYED:
