test(work): a cut answer without a length is passed on with one

Callers got 200, Catkin-Run: done and half of a booking's answer, with a Content-Length that fits, when the backend server's answer had neither length nor chunks and its connection was closed within the body; from the node of its failure domain, and by way of a peer. Cause: work_mod_attempt.c takes ERR_OK alone, and the answer goes on with a length of its own.

--- a/test/fakes/service/desk.c
+++ b/test/fakes/service/desk.c
@@ -22,6 +22,7 @@
 struct desk_truncated {
 	char *body;
 	size_t send_len;
+	bool framed; ///< its length is stated
 };
 
 static struct desk_opts desk;
@@ -76,7 +77,8 @@
 	size_t n = c->send_len - (size_t)pos;
 
 	if (pos >= c->send_len)
-		return MHD_CONTENT_READER_END_WITH_ERROR;
+		return c->framed ? MHD_CONTENT_READER_END_WITH_ERROR
+				 : MHD_CONTENT_READER_END_OF_STREAM;
 	n = n < max ? n : max;
 	memcpy(buf, c->body + pos, n);
 	return (ssize_t)n;
@@ -90,7 +92,8 @@
 	free(c);
 }
 
-static enum MHD_Result desk_reply_half(struct MHD_Connection *conn, json_t *obj)
+static enum MHD_Result desk_reply_half(struct MHD_Connection *conn, json_t *obj,
+				       bool framed)
 {
 	struct desk_truncated *c = calloc(1, sizeof(*c));
 	struct MHD_Response *res;
@@ -100,8 +103,13 @@
 	c->body = json_dumps(obj, JSON_COMPACT);
 	len = strlen(c->body);
 	c->send_len = len / 2;
-	res = MHD_create_response_from_callback(len, len, desk_truncated_read,
-						c, desk_truncated_free);
+	c->framed = framed;
+	res = MHD_create_response_from_callback(framed ? len : MHD_SIZE_UNKNOWN,
+						len, desk_truncated_read, c,
+						desk_truncated_free);
+	if (!framed)
+		MHD_set_response_options(res, MHD_RF_HTTP_1_0_COMPATIBLE_STRICT,
+					 MHD_RO_END);
 	rc = MHD_queue_response(conn, MHD_HTTP_OK, res);
 	MHD_destroy_response(res);
 	json_decref(obj);
@@ -188,7 +196,9 @@
 		desk_sleep(f.delay_ms);
 		return desk_reply(conn, MHD_HTTP_OK, answer);
 	case FAULT_DROP_HALF:
-		return desk_reply_half(conn, answer);
+		return desk_reply_half(conn, answer, true);
+	case FAULT_DROP_UNFRAMED:
+		return desk_reply_half(conn, answer, false);
 	case FAULT_ERROR:
 		return desk_reply(conn, MHD_HTTP_INTERNAL_SERVER_ERROR, answer);
 	default:
--- a/test/fakes/service/fault.c
+++ b/test/fakes/service/fault.c
@@ -17,6 +17,7 @@
 	[FAULT_HANG] = "hang",
 	[FAULT_LATE] = "late",
 	[FAULT_DROP_HALF] = "drop_half",
+	[FAULT_DROP_UNFRAMED] = "drop_unframed",
 	[FAULT_ERROR] = "error",
 	[FAULT_SLOW] = "slow",
 };
--- a/test/fakes/service/fault.h
+++ b/test/fakes/service/fault.h
@@ -13,6 +13,7 @@
 	FAULT_HANG, ///< run; connection reset after delay_ms
 	FAULT_LATE, ///< run; response after delay_ms
 	FAULT_DROP_HALF, ///< run; half of the response, connection closed
+	FAULT_DROP_UNFRAMED, ///< the same, of a body without length or chunks
 	FAULT_ERROR, ///< run; response 500
 	FAULT_SLOW, ///< run after delay_ms, then the response
 	FAULT_MODES
