--- a/packages/upstream/src/call.h
+++ b/packages/upstream/src/call.h
@@ -5,6 +5,8 @@
 #include <stdatomic.h>
 
 #include "base/arena.h"
+#include "second_answer.h"
+#include "upstream/head_check.h"
 #include "upstream/upstream.h"
 
 enum call_cmd_kind {
@@ -14,12 +16,8 @@
 };
 
 enum {
-	/// Most bytes of an answer's head, including interim answers and the trailer;
-	/// four times what common servers send at most.
-	UPSTREAM_HEAD_MAX_BYTES = 65536,
 	/// Most bytes behind a body that are looked at.
 	UPSTREAM_SURPLUS_MAX_BYTES = 4096,
-	HEAD_STATUS_LINE_MIN = 12, ///< bytes of "HTTP/1.1 200"
 };
 
 /// Command to the client's thread.
@@ -28,55 +26,6 @@
 	struct upstream_call *call;
 };
 
-/// What the lines of an answer's head showed so far.
-struct head_check {
-	bool open; ///< a status line without the empty line after it
-	bool complete; ///< of a final answer
-	bool final; ///< the status line is that of a final answer
-	bool no_body; ///< its status allows none
-	bool chunked;
-	bool has_length;
-	uint64_t length;
-};
-
-/// Check the next line of a head.
-///
-/// @return false for what is no head: two answers run together, or two lengths
-bool head_check_line(struct head_check *h, const char *line, size_t len);
-
-/// Whether a text begins with the status line of an answer.
-bool head_is_status_line(const char *text, size_t len);
-
-/// Whether a text of any length may begin with one.
-bool head_may_be_status_line(const char *text, size_t len);
-
-/// Whether a status line begins within a line.
-bool head_has_status_line(const char *line, size_t len);
-
-/// Lines of the final answer's head.
-struct own_head {
-	char *text;
-	size_t len; ///< bytes
-	size_t cap;
-};
-
-enum second_answer {
-	SECOND_NONE,
-	SECOND_MAYBE, ///< what follows the body will tell
-	SECOND_FOUND, ///< the body is cut and filled up with a second answer
-};
-
-/// Whether a second answer may begin within a body.
-bool second_answer_may_begin(const char *body, size_t len);
-
-/// Look for a second answer that begins within a body and goes on behind it.
-///
-/// @param own  head of the answer to which the body belongs
-/// @param surplus  bytes behind the body, as far as they are known
-enum second_answer second_answer_find(const struct own_head *own,
-				      const char *body, size_t len,
-				      const char *surplus, size_t surplus_len);
-
 struct upstream_call {
 	atomic_int refs;
 	struct upstream *up;
@@ -136,11 +85,6 @@
 /// Begin to count the bytes that are read behind the body.
 void surplus_watch(struct upstream_call *c);
 
-/// Whether a body holds a head with the fields of its own answer's. What fills up a chunk
-/// that was cut ends with that head: the empty line behind it is taken for the chunk's end.
-bool second_answer_repeats_head(const struct own_head *own, char *body,
-				size_t len);
-
 enum body_end {
 	BODY_END_WHOLE,
 	BODY_END_WAIT, ///< call again once more may have arrived
