fix(http): a connection whose caller reads nothing ends with a reset

Cause: shutdown() alone queues an orderly end behind the bytes that were sent. Change: the socket is reset. A body with a length or chunks was recognisable before. Evidence: test_unread_body_without_length_does_not_look_whole fails before, passes now; found by reading the places that end an answer.

--- a/packages/core/test/test_slow_reader.c
+++ b/packages/core/test/test_slow_reader.c
@@ -40,6 +40,12 @@
 	core_reply(c, r->h, 200, "text/plain", big, sizeof(big));
 }
 
+static void on_unframed(struct core *c, struct core_req *r, void *ctx)
+{
+	core_reply_end_by_close(c, r->h);
+	core_reply(c, r->h, 200, "text/plain", big, sizeof(big));
+}
+
 static void on_small(struct core *c, struct core_req *r, void *ctx)
 {
 	core_reply(c, r->h, 200, "text/plain", "s", 1);
@@ -49,20 +55,25 @@
 {
 	static const struct core_route_opts routes[] = {
 		{CORE_LISTENER_PUBLIC, "GET", "/big", on_big, NULL},
+		{CORE_LISTENER_PUBLIC, "GET", "/unframed", on_unframed, NULL},
 		{CORE_LISTENER_PUBLIC, "GET", "/small", on_small, NULL},
 	};
 
 	core_route(c, &routes[0]);
-	return core_route(c, &routes[1]);
+	core_route(c, &routes[1]);
+	return core_route(c, &routes[2]);
 }
 
 static const struct core_mod_ops mod = {.name = "t", .start = slow_start};
 
 /* Open a connection and request a big answer on it. */
-static int request_big(void)
+static int request_big(const char *path)
 {
-	static const char text[] = "GET /big HTTP/1.1\r\nHost: x\r\n"
-				   "Connection: close\r\n\r\n";
+	char text[128];
+	int len = snprintf(text, sizeof(text),
+			   "GET %s HTTP/1.1\r\nHost: x\r\n"
+			   "Connection: close\r\n\r\n",
+			   path);
 	struct sockaddr_in sa = {.sin_family = AF_INET,
 				 .sin_port = htons(PORT)};
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -71,7 +82,7 @@
 	inet_pton(AF_INET, node.ip, &sa.sin_addr);
 	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
 	assert_int_equal(connect(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
-	assert_int_equal(send(fd, text, sizeof(text) - 1, 0), sizeof(text) - 1);
+	assert_int_equal(send(fd, text, (size_t)len, 0), len);
 	return fd;
 }
 
@@ -90,6 +101,8 @@
 	return status;
 }
 
+static bool was_reset; ///< the last connection that was read to its end
+
 /* Read until the connection ends, with pauses of pause_us; @return bytes */
 static size_t read_all(int fd, int pause_us)
 {
@@ -106,6 +119,7 @@
 			step = 0;
 		}
 	}
+	was_reset = n < 0;
 	return total;
 }
 
@@ -116,7 +130,7 @@
 	int fds[2];
 
 	for (int i = 0; i < 2; i++)
-		fds[i] = request_big();
+		fds[i] = request_big("/big");
 	/* Two unread answers exceed max_held: new requests are refused at once. */
 	while (small_status(run) == 200 &&
 	       clock_now_ms() < start_ms + UNREAD_MS)
@@ -137,7 +151,7 @@
 static void test_slow_reader_gets_whole_answer(void **state)
 {
 	int64_t start_ms = clock_now_ms();
-	int fd = request_big();
+	int fd = request_big("/big");
 
 	assert_in_range(read_all(fd, READ_PAUSE_US), BIG_ANSWER_BYTES + 1,
 			BIG_ANSWER_BYTES + HEAD_MAX_BYTES);
@@ -145,6 +159,18 @@
 	close(fd);
 }
 
+/* A caller that read nothing for too long got the begin of a body without a length, and
+ * its orderly end. */
+static void test_unread_body_without_length_does_not_look_whole(void **state)
+{
+	int fd = request_big("/unframed");
+
+	usleep(3 * UNREAD_MS * 1000);
+	assert_true(read_all(fd, 0) < BIG_ANSWER_BYTES);
+	assert_true(was_reset);
+	close(fd);
+}
+
 static int setup(void **state)
 {
 	memset(big, 'x', sizeof(big));
@@ -165,6 +191,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_unread_answers_are_bounded),
 		cmocka_unit_test(test_slow_reader_gets_whole_answer),
+		cmocka_unit_test(
+			test_unread_body_without_length_does_not_look_whole),
 	};
 
 	return cmocka_run_group_tests(tests, setup, teardown);
--- a/packages/http/src/conn_table.c
+++ b/packages/http/src/conn_table.c
@@ -119,6 +119,7 @@
 int conn_table_close_unread(struct conn_table *t, int64_t now_ms,
 			    int64_t limit_ms)
 {
+	const struct linger reset = {.l_onoff = 1, .l_linger = 0};
 	int n = 0;
 
 	pthread_mutex_lock(&t->lock);
@@ -130,6 +131,8 @@
 	for (struct conn *c = t->head; c; c = c->next) {
 		if (!c->answering || !is_unread(c, now_ms, limit_ms))
 			continue;
+		/* An orderly end would look like the end of a body without a length. */
+		setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 		shutdown(c->fd, SHUT_RDWR);
 		c->answering = false;
 		n++;
