fix(front): an answer that was held back is delivered if no surer one comes

Cause: asked another server and dropped what it had. Change: the answer is kept in the request's arena, and passed on where the request would fail, or where the next answer is a server's error. Without memory it is passed on at once. Evidence: test_answer_that_ends_early_does_not_look_whole with an answer without a length, then cut ones: 502 work-broken before, 200 now.

--- a/packages/daemon/src/front/forward_end.c
+++ b/packages/daemon/src/front/forward_end.c
@@ -59,39 +59,6 @@
 	htab_del(front_of(c)->forwards, f->self);
 }
 
-void forward_fail(struct core *c, struct forward *f, enum err e)
-{
-	const struct forward_attempt *t = &f->attempts[f->last_attempt];
-	enum run_state run = f->maybe_ran ? RUN_MAYBE : RUN_NO;
-	int64_t retry_after_ms = f->retry_after_ms > 0 ? f->retry_after_ms
-						       : FORWARD_RETRY_AFTER_MS;
-	bool retryable;
-
-	if (f->trial && !f->maybe_ran)
-		suspect_mod_trial_unused(c, f->identity);
-	/* Status 503 promises that the request was not run: it is used exactly then, but
-	 * for a request that shall not come again. */
-	if (e == ERR_SUSPECT_BARRED)
-		run = f->maybe_ran ? RUN_MAYBE : RUN_NO;
-	else if (f->maybe_ran && err_http(e) == 503)
-		e = ERR_WORK_BROKEN;
-	else if (!f->maybe_ran && err_http(e) != 503)
-		e = ERR_ROUTE_NO_SERVER;
-	retryable = !f->maybe_ran && e != ERR_SUSPECT_BARRED;
-	log_event(EV_FRONT_REFUSED,
-		  "request=%s route=%s service=%s team=%s error=%s run=%s "
-		  "servers=%d server=%s servers_age_ms=%lld left_ms=%lld "
-		  "retry_after_ms=%lld identity=%016llx",
-		  f->id, f->route, f->service, f->team, err_code(e),
-		  run_state_name(run), f->n_tried, t->server_id,
-		  (long long)t->servers_age_ms,
-		  (long long)(f->deadline_ms - core_now(c)),
-		  (long long)(retryable ? retry_after_ms : 0),
-		  (unsigned long long)f->identity.high);
-	core_reply_err(c, f->req, e, run, retryable ? retry_after_ms : 0, NULL);
-	forward_free(c, f);
-}
-
 /* Free the ended attempt's slot at the server. */
 static void release_slot(struct core *c, struct forward_attempt *t, bool ok)
 {
@@ -147,6 +114,91 @@
 	forward_free(c, f);
 }
 
+void forward_fail(struct core *c, struct forward *f, enum err e)
+{
+	const struct forward_attempt *t = &f->attempts[f->last_attempt];
+	enum run_state run = f->maybe_ran ? RUN_MAYBE : RUN_NO;
+	int64_t retry_after_ms = f->retry_after_ms > 0 ? f->retry_after_ms
+						       : FORWARD_RETRY_AFTER_MS;
+	bool retryable;
+
+	if (f->kept) {
+		relay_answer(c, f, &f->kept_attempt, f->kept);
+		return;
+	}
+	if (f->trial && !f->maybe_ran)
+		suspect_mod_trial_unused(c, f->identity);
+	/* Status 503 promises that the request was not run: it is used exactly then, but
+	 * for a request that shall not come again. */
+	if (e == ERR_SUSPECT_BARRED)
+		run = f->maybe_ran ? RUN_MAYBE : RUN_NO;
+	else if (f->maybe_ran && err_http(e) == 503)
+		e = ERR_WORK_BROKEN;
+	else if (!f->maybe_ran && err_http(e) != 503)
+		e = ERR_ROUTE_NO_SERVER;
+	retryable = !f->maybe_ran && e != ERR_SUSPECT_BARRED;
+	log_event(EV_FRONT_REFUSED,
+		  "request=%s route=%s service=%s team=%s error=%s run=%s "
+		  "servers=%d server=%s servers_age_ms=%lld left_ms=%lld "
+		  "retry_after_ms=%lld identity=%016llx",
+		  f->id, f->route, f->service, f->team, err_code(e),
+		  run_state_name(run), f->n_tried, t->server_id,
+		  (long long)t->servers_age_ms,
+		  (long long)(f->deadline_ms - core_now(c)),
+		  (long long)(retryable ? retry_after_ms : 0),
+		  (unsigned long long)f->identity.high);
+	core_reply_err(c, f->req, e, run, retryable ? retry_after_ms : 0, NULL);
+	forward_free(c, f);
+}
+
+static const char *copy_text(struct arena *a, const char *text)
+{
+	return text ? arena_strdup(a, text) : NULL;
+}
+
+static struct upstream_head *copy_head(struct arena *a,
+				       const struct upstream_head *head)
+{
+	struct upstream_head *copy = arena_alloc(a, sizeof(*copy));
+
+	if (!copy)
+		return NULL;
+	copy->n = head->n;
+	for (size_t i = 0; i < head->n; i++) {
+		copy->names[i] = arena_strdup(a, head->names[i]);
+		copy->values[i] = arena_strdup(a, head->values[i]);
+		if (!copy->names[i] || !copy->values[i])
+			return NULL;
+	}
+	return copy;
+}
+
+/* Keep an answer that is passed to the caller if no surer one comes.
+ *
+ * @return false when out of memory */
+static bool keep_answer(struct core *c, struct forward *f,
+			const struct forward_attempt *t,
+			const struct core_fetch_result *res)
+{
+	struct core_req *req = core_req_get(c, f->req);
+	struct core_fetch_result *kept =
+		req ? arena_alloc(&req->arena, sizeof(*kept)) : NULL;
+
+	if (!kept)
+		return false;
+	*kept = *res;
+	kept->ctype = copy_text(&req->arena, res->ctype);
+	kept->head = copy_head(&req->arena, res->head);
+	if (res->body_len)
+		kept->body =
+			arena_strndup(&req->arena, res->body, res->body_len);
+	if (!kept->ctype || !kept->head || (res->body_len && !kept->body))
+		return false;
+	f->kept = kept;
+	f->kept_attempt = *t;
+	return true;
+}
+
 /* Classification of an ended attempt. */
 struct end_class {
 	bool has_answer; ///< the server's answer may be passed to the caller
@@ -264,6 +316,14 @@
 	if (end.outcome == SITE_CALL_GOOD)
 		forward_hedge_answered(c, f, t);
 	if (is_final(c, f, &end, res->err == ERR_UP_UNFRAMED)) {
+		if (f->kept && !end.server_ok)
+			relay_answer(c, f, &f->kept_attempt, f->kept);
+		else
+			relay_answer(c, f, t, res);
+		return;
+	}
+	if (end.has_answer && end.server_ok && !f->kept &&
+	    !keep_answer(c, f, t, res)) {
 		relay_answer(c, f, t, res);
 		return;
 	}
--- a/packages/daemon/src/front/front.h
+++ b/packages/daemon/src/front/front.h
@@ -54,6 +54,10 @@
 	int64_t retry_after_ms; ///< told when it is refused, 0 for the default
 	struct forward_attempt attempts[FORWARD_MAX_IN_FLIGHT];
 	int last_attempt; ///< index into attempts
+	/// An answer of which nothing says that it is whole, NULL if none; in the arena of
+	/// the request.
+	const struct core_fetch_result *kept;
+	struct forward_attempt kept_attempt;
 	htab_handle tried[FORWARD_MAX_ATTEMPTS]; ///< servers
 	int n_tried;
 };
--- a/test/hosted/dup_server.c
+++ b/test/hosted/dup_server.c
@@ -155,7 +155,11 @@
 	size_t len = strlen(r->body);
 	int kind = atomic_load(&c->srv->answer);
 
-	if (dup_server_runs(c->srv, r->id) > 1) {
+	bool again = dup_server_runs(c->srv, r->id) > 1;
+
+	if (again && kind == DUP_ANSWER_UNFRAMED_THEN_CUT) {
+		send_cut(c, r);
+	} else if (again) {
 		snprintf(fields, sizeof(fields),
 			 "X-Catkinpath-Request-Id: %s\r\n"
 			 "X-Catkinpath-Server-Seal: seal\r\n"
--- a/test/hosted/dup_server.h
+++ b/test/hosted/dup_server.h
@@ -27,6 +27,8 @@
 	DUP_ANSWER_CUT, ///< at any byte, then the connection is closed
 	DUP_ANSWER_UNFRAMED, ///< no length, and the connection is closed
 	DUP_ANSWER_UNFRAMED_CUT, ///< the same after half of the body
+	/// Whole without a length; further ones are cut at any byte.
+	DUP_ANSWER_UNFRAMED_THEN_CUT,
 	DUP_ANSWERS,
 	/// All answers, until the node closes; to bodies that begin with "end" only.
 	DUP_ANSWER_ENDLESS_BODY = DUP_ANSWERS,
