fix(upstream): bytes that are no answer are told from a broken one

Bytes in place of a status line ended a call as invalid, as if the request's URL were, and a line that is not part of a head as answer-broken, which counts as evidence that the request ends servers. Both are answer-garbled now, and no such evidence.

--- a/packages/upstream/src/call.c
+++ b/packages/upstream/src/call.c
@@ -116,14 +116,19 @@
 		return ERR_UP_MIXED;
 	if (c->idle_expired || c->send_expired)
 		return ERR_TIMEOUT;
+	if (c->garbled)
+		return ERR_UP_GARBLED;
 	switch (code) {
 	case CURLE_OK:
 		return end_error(c);
 	case CURLE_OPERATION_TIMEDOUT:
 		return ERR_TIMEOUT;
+	case CURLE_WEIRD_SERVER_REPLY:
+		return ERR_UP_GARBLED;
 	case CURLE_URL_MALFORMAT:
 	case CURLE_UNSUPPORTED_PROTOCOL:
-		return ERR_INVALID;
+		/* Also for bytes in place of a status line. */
+		return c->attempts ? ERR_UP_GARBLED : ERR_INVALID;
 	case CURLE_OUT_OF_MEMORY:
 		return ERR_NOMEM;
 	default:
--- a/packages/upstream/src/call.h
+++ b/packages/upstream/src/call.h
@@ -50,6 +50,7 @@
 	char *surplus; ///< UPSTREAM_SURPLUS_MAX_BYTES behind the body, NULL if none
 	size_t surplus_len; ///< of those that libcurl read
 	int64_t surplus_until_ms; ///< end of the wait for more, 0 before it began
+	bool garbled; ///< a line is not part of a head
 	bool mixed; ///< the body is filled up with a second answer
 	bool head_overflow; ///< more header fields than UPSTREAM_MAX_HEADERS
 	bool idle_expired;
--- a/packages/upstream/src/transfer.c
+++ b/packages/upstream/src/transfer.c
@@ -189,10 +189,10 @@
 		c->last_progress_ms = clock_now_ms();
 	c->head_len += size * n;
 	upstream_add_held(c->up, size * n);
-	if (c->head_len > UPSTREAM_HEAD_MAX_BYTES ||
-	    upstream_head_is_greedy(c) ||
-	    !head_check_line(&c->head_check, data, size * n) ||
-	    !own_head_add(&c->own_head, data, size * n))
+	if (c->head_len > UPSTREAM_HEAD_MAX_BYTES || upstream_head_is_greedy(c))
+		return 0;
+	c->garbled = !head_check_line(&c->head_check, data, size * n);
+	if (c->garbled || !own_head_add(&c->own_head, data, size * n))
 		return 0;
 	if (c->head_check.complete && !c->head_check.open && !c->wire_body)
 		surplus_watch(c);
--- a/packages/upstream/test/server.c
+++ b/packages/upstream/test/server.c
@@ -304,6 +304,10 @@
 	if (serve_endless(fd, req) || serve_cut(fd, req) ||
 	    serve_copy(fd, req) || serve_text(fd, req))
 		return false;
+	if (path_is(req, "/garbage")) {
+		send(fd, "no answer\r\n\r\n", 13, MSG_NOSIGNAL);
+		return false;
+	}
 	if (path_is(req, "/silent")) {
 		char c;
 
--- a/packages/upstream/test/server.h
+++ b/packages/upstream/test/server.h
@@ -1,6 +1,7 @@
 // A test server whose fault is chosen by the request's path:
 //   /ok      complete answer, the connection stays open
 //   /silent  no answer
+//   /garbage no answer, then the connection is closed
 //   /half    half of the body, then the connection is closed
 //   /drip    half of the body, then silence
 //   /die     complete answer to the first request of a connection; the next one
--- a/packages/upstream/test/test_upstream.c
+++ b/packages/upstream/test/test_upstream.c
@@ -136,6 +136,8 @@
 		 ERR_TIMEOUT, true, 1},
 		{"half an answer", SERVER_PORT, "/half", 0, 0, ERR_UP_BROKEN,
 		 true, 1},
+		{"no answer at all", SERVER_PORT, "/garbage", 0, 0,
+		 ERR_UP_GARBLED, true, 1},
 		{"silent within", SERVER_PORT, "/drip", 0, TIMEOUT_MS,
 		 ERR_TIMEOUT, true, 1},
 		{"too large", SERVER_PORT, "/big", 0, 0, ERR_TOO_LARGE, true,
@@ -374,7 +376,7 @@
 			 strlen(server_answers[k].text));
 		url_of(url, sizeof(url), SERVER_PORT, path);
 		o = options(url);
-		assert_int_equal(run(&o).err, ERR_UP_BROKEN);
+		assert_int_equal(run(&o).err, ERR_UP_GARBLED);
 	}
 }
 
