test(drain): print what incomplete requests got and the servers' slots

Only on failure: kind, status, curl code, bytes, Catkin-Run, times and end of each incomplete answer, and each node's view of the slots. If the requests don't all run, the test now joins its threads, which write to its stack, before it fails. Bounds and checks are the same.

--- a/test/e2e/test_drain.c
+++ b/test/e2e/test_drain.c
@@ -39,6 +39,11 @@
 	bool complete;
 	int status;
 	int curl_code;
+	uint64_t start_ms; ///< on the clock of the daemons' logs
+	uint64_t took_ms;
+	size_t received; ///< bytes of the answer's body
+	char run[16]; ///< Catkin-Run
+	char tail[96]; ///< last bytes of the answer's body
 };
 
 static int post(const char *base, const char *path, const char *body,
@@ -76,6 +81,41 @@
 	return status == 200;
 }
 
+static uint64_t wall_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+static void note_answer(struct request *r, const struct http_res *res)
+{
+	size_t from = 0;
+
+	r->took_ms = wall_ms() - r->start_ms;
+	r->received = res->len;
+	snprintf(r->run, sizeof(r->run), "%s", res->run);
+	if (res->len >= sizeof(r->tail))
+		from = res->len - sizeof(r->tail) + 1;
+	snprintf(r->tail, sizeof(r->tail), "%s",
+		 res->body ? res->body + from : "");
+}
+
+static void print_requests(const struct request *r)
+{
+	for (int i = 0; i < REQUESTS; i++) {
+		if (r[i].complete)
+			continue;
+		printf("request %d: %s, status %d, curl %d, %zu bytes, run "
+		       "\"%s\", at %llu for %llu ms, ends \"%s\"\n",
+		       i, r[i].stream ? "stream" : "call", r[i].status,
+		       r[i].curl_code, r[i].received, r[i].run,
+		       (unsigned long long)r[i].start_ms,
+		       (unsigned long long)r[i].took_ms, r[i].tail);
+	}
+}
+
 static void *run_request(void *arg)
 {
 	struct request *r = arg;
@@ -84,6 +124,7 @@
 
 	snprintf(body, sizeof(body), "{\"prompt\":[1,2],\"max_tokens\":%d}",
 		 TOKENS);
+	r->start_ms = wall_ms();
 	if (r->stream)
 		r->status =
 			post(sys.nodes[0].url, "/v1/generate/talk", body, &res);
@@ -93,6 +134,7 @@
 	r->curl_code = res.curl;
 	r->complete = r->curl_code == 0 && r->status == 200 && res.body &&
 		      (!r->stream || strstr(res.body, "\"end\""));
+	note_answer(r, &res);
 	http_free(&res);
 	return NULL;
 }
@@ -110,6 +152,28 @@
 	return n - 1; /* without this status request */
 }
 
+/// Slots of the servers as each node sees them.
+static void print_slots(void)
+{
+	for (int i = 0; i < sys.n_nodes; i++) {
+		json_t *obj;
+		json_t *work;
+		char url[128];
+		char *text;
+
+		snprintf(url, sizeof(url), "%s/admin/status",
+			 sys.nodes[i].admin);
+		obj = http_json("GET", url, NULL, NULL, NULL);
+		work = json_object_get(obj, "work");
+		text = json_dumps(json_object_get(work, "servers"),
+				  JSON_COMPACT | JSON_ENCODE_ANY);
+		printf("%llu %s: %s\n", (unsigned long long)wall_ms(),
+		       sys.nodes[i].id, text ? text : "no status");
+		free(text);
+		json_decref(obj);
+	}
+}
+
 static bool all_requests_running(void *ctx)
 {
 	return requests_running() >= REQUESTS;
@@ -133,8 +197,22 @@
 	}
 }
 
+/// @return number of complete answers
+static int join_requests(struct request *r)
+{
+	int complete = 0;
+
+	for (int i = 0; i < REQUESTS; i++) {
+		pthread_join(r[i].thread, NULL);
+		complete += r[i].complete;
+	}
+	return complete;
+}
+
 static void start_requests(struct request *r)
 {
+	bool running;
+
 	memset(r, 0, REQUESTS * sizeof(*r));
 	delay_calls();
 	for (int i = 0; i < REQUESTS; i++) {
@@ -143,19 +221,14 @@
 			pthread_create(&r[i].thread, NULL, run_request, &r[i]),
 			0);
 	}
-	assert_true(wait_until(all_requests_running, NULL, START_TIMEOUT_MS));
-}
-
-/// @return number of complete answers
-static int join_requests(struct request *r)
-{
-	int complete = 0;
-
-	for (int i = 0; i < REQUESTS; i++) {
-		pthread_join(r[i].thread, NULL);
-		complete += r[i].complete;
+	running = wait_until(all_requests_running, NULL, START_TIMEOUT_MS);
+	if (!running) {
+		printf("requests at the node: %d\n", requests_running());
+		print_slots();
+		printf("%d of %d complete\n", join_requests(r), REQUESTS);
+		print_requests(r);
 	}
-	return complete;
+	assert_true(running);
 }
 
 static void sleep_ms(uint64_t ms)
@@ -225,6 +298,10 @@
 		complete = join_requests(r);
 		printf("round %d: SIGTERM after %d ms, %d of %d complete\n",
 		       round, (int)term_delay_ms, complete, REQUESTS);
+		if (complete < REQUESTS) {
+			print_requests(r);
+			print_slots();
+		}
 		assert_int_equal(complete, REQUESTS);
 		assert_true(proc_wait(&sys.nodes[0].proc, START_TIMEOUT_MS,
 				      &status));
