fix(slot): a coordinator that is older than the configuration takes slot.start

Cause: a coordinator read slot.start when it was made, and n2 makes the one of desk-d1-1 before `set slot.start 64` reaches it (0.2 s after its start). The limit began at 1, and 12 calls of 1.5 s queued.

Change: until a coordinator may grant (2 s), and as long as it has no samples, its limit follows slot.start; a former coordinator's limit is kept.

Not mended: calls at a node that was restarted gracefully wait until its earlier permits lapse, with 503 "admit-stalled".

--- a/packages/daemon/src/work_mod_slot.c
+++ b/packages/daemon/src/work_mod_slot.c
@@ -115,6 +115,10 @@
 		slot_become_coordinator(c, srv);
 	if (!srv->coordinator)
 		return;
+	/* It grants nothing yet: the configuration may have come after it. */
+	if (core_now(c) - srv->coordinator->started_ms < SLOT_PERMIT_TTL_MS)
+		slot_limit_set_start(&srv->coordinator->limit,
+				     (int)slot_conf_int(c, CF_SLOT_START, 1));
 	srv->coordinator->limit.o.max = (int)slot_conf_int(c, CF_SLOT_MAX, 1);
 	slot_coordinator_tick(srv->coordinator, core_now(c));
 	slot_coordinator_set_reachable(srv->coordinator, core_now(c), heard,
--- a/packages/slot/include/slot/limit.h
+++ b/packages/slot/include/slot/limit.h
@@ -38,6 +38,9 @@
 
 void slot_limit_init(struct slot_limit *l, const struct slot_limit_opts *opts);
 
+/// Change the initial slots; no effect once there are samples.
+void slot_limit_set_start(struct slot_limit *l, int start);
+
 /// Adjusts the limit; decreases it at most once in a permit lifetime.
 ///
 /// @param used  slots committed over all nodes
--- a/packages/slot/src/limit.c
+++ b/packages/slot/src/limit.c
@@ -24,6 +24,18 @@
 	};
 }
 
+void slot_limit_set_start(struct slot_limit *l, int start)
+{
+	bool sampled = l->baseline_ms > 0 || l->decreased_ms >= 0;
+
+	if (sampled)
+		return;
+	/* Otherwise it is the limit of a former coordinator. */
+	if (l->adaptive_slots == l->o.start)
+		l->adaptive_slots = start;
+	l->o.start = start;
+}
+
 static void limit_add_latency(struct slot_limit *l, double ms)
 {
 	if (l->baseline_ms == 0) {
