--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,19 @@
+#!/bin/sh
+# Builds the stand-ins of the cases in review/6 to review/10, after the build of
+# deploy/system.toml. Output: target/review-2.
+set -eu
+cd "$(dirname "$0")/.."
+out=target/review-2
+mkdir -p $out
+libs="libmicrohttpd jansson libsodium libcurl"
+flags="-std=gnu11 -O1 -g -Wall -D_GNU_SOURCE -DCATKIN_BIN_DIR=\"target/bin\"
+  -Ipackages/base/include -Itest -Ireview/world -Itest/hosted
+  $(pkg-config --cflags $libs)"
+common="review/world/world.c test/hosted/hosted.c review/world/store.c
+  review/world/engine.c test/hosted/body.c test/hosted/nodes.c
+  review/world/kv.c test/support/addr.c test/support/proc.c
+  test/support/link.c"
+for c in new_route end_handover; do
+	cc $flags review/world/$c.c $common target/packages/base/libcatkin_base.a \
+		$(pkg-config --libs $libs) -lck -lm -lpthread -o $out/$c
+done
