--- a/review/world/end_handover.c
+++ b/review/world/end_handover.c
@@ -18,7 +18,7 @@
 	AGAIN_MS = 4000,
 	PROC_END_MS = 12000,
 	READY_MS = 15000,
-	ROUNDS = 3, ///< nodes that are stopped in turn
+	ROUNDS = 6, ///< nodes that are stopped in turn
 };
 
 static struct world w;
--- a/review/world/engine.c
+++ b/review/world/engine.c
@@ -356,6 +356,32 @@
 		is_down(&h->servers[i]);
 }
 
+static ssize_t big_read(void *ctx, uint64_t pos, char *buf, size_t max)
+{
+	size_t left = WORLD_BIG_BYTES - (size_t)pos;
+
+	if (!left)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	max = max < left ? max : left;
+	memset(buf, 'b', max);
+	return (ssize_t)max;
+}
+
+static enum MHD_Result send_unframed(struct MHD_Connection *conn,
+				     const char *const *headers)
+{
+	struct MHD_Response *res = MHD_create_response_from_callback(
+		MHD_SIZE_UNKNOWN, 65536, big_read, NULL, NULL);
+	enum MHD_Result ok;
+
+	drop_framing(res);
+	for (; headers[0] && headers[1]; headers += 2)
+		MHD_add_response_header(res, headers[0], headers[1]);
+	ok = MHD_queue_response(conn, 200, res);
+	MHD_destroy_response(res);
+	return ok;
+}
+
 static enum MHD_Result run_booking(struct hosted_server *s,
 				   struct MHD_Connection *conn, const char *id,
 				   const struct body *b)
@@ -372,13 +398,15 @@
 				       s->limit ? "Server-Limit" : NULL,
 				       s->limit,
 				       NULL};
-	bool fails;
+	bool fails, refuses;
 	int ms;
 
 	pthread_mutex_lock(&s->h->lock);
 	log_run(s, conn, id, 0);
 	ms = s->booking_ms;
 	fails = s->fails_half && s->n_bookings++ % 2;
+	refuses = world_booking == WORLD_BOOKING_503 &&
+		  s->index == HOSTED_ENGINES && s->n_bookings++ % 10 < 4;
 	pthread_mutex_unlock(&s->h->lock);
 	sleep_ms(ms);
 	if (s->h->crash_bookings ||
@@ -388,6 +416,10 @@
 	}
 	if (fails)
 		return body_respond(conn, 500, "", headers);
+	if (refuses)
+		return body_respond(conn, 503, "no stock service", headers);
+	if (world_booking == WORLD_BOOKING_UNFRAMED)
+		return send_unframed(conn, headers);
 	return body_respond(conn, 200, b->data ? b->data : "", headers);
 }
 
--- a/review/world/world.c
+++ b/review/world/world.c
@@ -16,6 +16,7 @@
 	MAX_QUEUE_S = 40,
 };
 
+enum world_booking world_booking;
 int world_slow_from = 1 << 30;
 
 bool world_trouble(void)
--- a/review/world/world.h
+++ b/review/world/world.h
@@ -28,6 +28,20 @@
 	FILE *record;
 };
 
+/// How the booking servers answer a booking that they ran.
+enum world_booking {
+	WORLD_BOOKING_WHOLE,
+	/// Sealed, without X-Catkinpath-Not-Run; four of ten at the first server.
+	WORLD_BOOKING_503,
+	WORLD_BOOKING_UNFRAMED, ///< WORLD_BIG_BYTES that end with the connection
+};
+
+enum {
+	WORLD_BIG_BYTES = 4000000,
+};
+
+extern enum world_booking world_booking;
+
 /// Number from which on an item is slow, see engine.c.
 extern int world_slow_from;
 
