--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -13,7 +13,7 @@
   review/world/engine.c test/hosted/body.c test/hosted/nodes.c
   review/world/kv.c test/support/addr.c test/support/proc.c
   test/support/link.c"
-for c in new_route end_handover cut_answer own_refusal smuggled; do
+for c in end_handover cut_answer smuggled own_refusal long_names; do
 	cc $flags review/world/$c.c $common target/packages/base/libcatkin_base.a \
 		$(pkg-config --libs $libs) -lck -lm -lpthread -o $out/$c
 done
--- a/review/world/cut_answer.c
+++ b/review/world/cut_answer.c
@@ -100,7 +100,7 @@
 
 	world_booking = WORLD_BOOKING_UNFRAMED;
 	world_start(&w);
-	world_publish_conf(&w, NULL, NULL);
+	world_publish_conf(&w);
 	world_sleep_ms(1000);
 	ask(&w.ns.list[0], &a);
 	body = a.bytes - a.head_len;
--- a/review/world/end_handover.c
+++ b/review/world/end_handover.c
@@ -188,7 +188,7 @@
 	world_slow_from = ITEMS;
 	world_start(&w);
 	w.ns.wait_ms = 1000;
-	world_publish_conf(&w, NULL, NULL);
+	world_publish_conf(&w);
 	world_sleep_ms(1000);
 	for (; !lost && round_no < ROUNDS; round_no++)
 		lost = play_round();
--- a/review/world/engine.c
+++ b/review/world/engine.c
@@ -403,6 +403,8 @@
 
 	pthread_mutex_lock(&s->h->lock);
 	log_run(s, conn, id, 0);
+	snprintf(world_last_tenant, sizeof(world_last_tenant), "%s",
+		 header_value(conn, "X-Catkinpath-Tenant"));
 	ms = s->booking_ms;
 	fails = s->fails_half && s->n_bookings++ % 2;
 	refuses = world_booking == WORLD_BOOKING_503 &&
--- a/review/world/own_refusal.c
+++ b/review/world/own_refusal.c
@@ -18,7 +18,7 @@
 	int twice = 0;
 
 	world_start(&w);
-	world_publish_conf(&w, NULL, NULL);
+	world_publish_conf(&w);
 	world_sleep_ms(1000);
 	if (world_trouble())
 		world_booking = WORLD_BOOKING_503;
--- a/review/world/smuggled.c
+++ b/review/world/smuggled.c
@@ -47,7 +47,7 @@
 	int unasked = 0;
 
 	world_start(&w);
-	world_publish_conf(&w, NULL, NULL);
+	world_publish_conf(&w);
 	world_sleep_ms(1000);
 	body = make_batch();
 	if (world_submit(&w, 0, "B", "/learn/", body) != 202)
--- a/review/world/world.h
+++ b/review/world/world.h
@@ -42,6 +42,9 @@
 
 extern enum world_booking world_booking;
 
+/// X-Catkinpath-Tenant of the last booking that a server ran.
+extern char world_last_tenant[256];
+
 /// Number from which on an item is slow, see engine.c.
 extern int world_slow_from;
 
@@ -66,11 +69,14 @@
 
 void world_sleep_ms(int ms);
 
-/// Publish a configuration with the routes of hosted_publish_conf() and one more
-/// rollout route and one more booking route on host h1.
+/// Publish a configuration with the routes of hosted_publish_conf() and tenant t1, which
+/// has the keys k1 and k2.
+void world_publish_conf(struct world *w);
+
+/// Publish a configuration with the routes of hosted_publish_conf() and these tenants.
 ///
-/// @param prefix  of the rollout route, NULL for none
-void world_publish_conf(struct world *w, const char *prefix, const char *probe);
+/// @param tenants  taken over
+void world_publish_tenants(struct world *w, json_t *tenants);
 
 /// Body of a batch of items "ID.0", "ID.1", ... without reward calls.
 ///
