--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,13 +7,13 @@
 mkdir -p $out
 libs="libmicrohttpd jansson libsodium libcurl"
 flags="-std=gnu11 -O1 -g -Wall -D_GNU_SOURCE -DCATKIN_BIN_DIR=\"target/bin\"
-  -Ipackages/base/include -Itest -Ireview/world -Itest/hosted
+  -Ipackages/base/include -Itest -Ireview/standins/hosted -Itest/hosted
   $(pkg-config --cflags $libs)"
-common="review/world/world.c test/hosted/hosted.c review/world/store.c
-  review/world/engine.c test/hosted/body.c test/hosted/nodes.c
-  review/world/kv.c test/support/addr.c test/support/proc.c
+common="review/standins/hosted/world.c test/hosted/hosted.c review/standins/hosted/store.c
+  review/standins/hosted/server.c test/hosted/body.c test/hosted/nodes.c
+  review/standins/hosted/kv.c test/support/addr.c test/support/proc.c
   test/support/link.c"
 for c in end_handover cut_answer smuggled own_refusal long_names; do
-	cc $flags review/world/$c.c $common target/packages/base/libcatkin_base.a \
+	cc $flags review/standins/hosted/$c.c $common target/packages/base/libcatkin_base.a \
 		$(pkg-config --libs $libs) -lck -lm -lpthread -o $out/$c
 done
--- a/review/world/world.h
+++ b/review/standins/hosted/world.h
@@ -45,7 +45,7 @@
 /// X-Catkinpath-Tenant of the last booking that a server ran.
 extern char world_last_tenant[256];
 
-/// Number from which on an item is slow, see engine.c.
+/// Number from which on an item is slow, see server.c.
 extern int world_slow_from;
 
 /// Whether the case's disruption is to be played: not with TROUBLE=0.
