--- a/review/standins/hosted/world.c
+++ b/review/standins/hosted/world.c
@@ -63,6 +63,7 @@
 	end_all(w);
 	fclose(w->record);
 	/* The stand-in's threads may still wait in calls. */
+	fflush(stdout);
 	_Exit(broken ? 1 : 0);
 }
 
@@ -72,6 +73,7 @@
 	printf("could not run: %s\n", why);
 	end_all(w);
 	fclose(w->record);
+	fflush(stdout);
 	_Exit(2);
 }
 
