--- a/review/standins/hosted/server.c
+++ b/review/standins/hosted/server.c
@@ -216,6 +216,7 @@
 		s->running++;
 		run = log_run(s, conn, id,
 			      atoi(header_value(conn, "Last-Event-Id")));
+		world_keys_passed += *header_value(conn, "Authorization") != 0;
 	}
 	pthread_mutex_unlock(&s->h->lock);
 	return run;
--- a/review/standins/hosted/smuggled.c
+++ b/review/standins/hosted/smuggled.c
@@ -1,4 +1,5 @@
-// An item of a batch names a Content-Length among its headers; its body holds a request.
+// Items of a batch name headers that the system has to set or to leave out itself: a length,
+// beside a body that holds a request, a tenant, and the client's key.
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
@@ -6,7 +7,10 @@
 #include "world.h"
 
 enum {
-	ITEMS = 4,
+	ITEMS = 8,
+	ITEM_LENGTH = 1, ///< with a Content-Length
+	ITEM_TENANT = 2, ///< with an X-Catkinpath-Tenant
+	ITEM_KEY = 3, ///< with an Authorization
 	BODY_TEXT_MAX = 1024,
 };
 
@@ -18,21 +22,32 @@
 
 static struct world w;
 
-/* The batch, whose item 1 has the body above. */
+static void set_header(json_t *items, int item, const char *name,
+		       const char *value)
+{
+	json_t *obj = json_array_get(items, (size_t)item);
+
+	json_object_set_new(json_object_get(obj, "headers"), name,
+			    json_string(value));
+}
+
 static char *make_batch(void)
 {
 	char *plain = world_batch("B", "/learn/", ITEMS);
 	json_t *obj = json_loads(plain, 0, NULL);
-	json_t *item = json_array_get(json_object_get(obj, "items"), 1);
+	json_t *items = json_object_get(obj, "items");
 	char text[BODY_TEXT_MAX];
 	char *out;
 
 	sodium_bin2base64(text, sizeof(text), (const unsigned char *)inner,
 			  sizeof(inner) - 1, sodium_base64_VARIANT_ORIGINAL);
-	json_object_set_new(item, "body", json_string(text));
-	if (world_trouble())
-		json_object_set_new(json_object_get(item, "headers"),
-				    "Content-Length", json_string("0"));
+	json_object_set_new(json_array_get(items, ITEM_LENGTH), "body",
+			    json_string(text));
+	if (world_trouble()) {
+		set_header(items, ITEM_LENGTH, "Content-Length", "0");
+		set_header(items, ITEM_TENANT, "X-Catkinpath-Tenant", "t2");
+		set_header(items, ITEM_KEY, "Authorization", "Bearer k1");
+	}
 	out = json_dumps(obj, JSON_COMPACT);
 	json_decref(obj);
 	free(plain);
@@ -42,9 +57,10 @@
 int main(void)
 {
 	struct hosted_run *r;
-	char what[160];
+	char what[200];
 	char *body;
 	int unasked = 0;
+	int wrong_tenant = 0;
 
 	world_start(&w);
 	world_publish_conf(&w);
@@ -57,16 +73,22 @@
 	pthread_mutex_lock(&w.h.lock);
 	for (r = w.h.runs; r < w.h.runs + w.h.n_runs; r++) {
 		bool sent = strncmp(r->id, "B.", 2) == 0;
+		bool wrong = sent && strcmp(r->team, "t1") != 0;
 
 		world_note(&w, "server i-%d ran request %s for tenant %s%s",
 			   r->server, r->id, r->team,
-			   sent ? "" : ", which no client sent");
+			   !sent   ? ", which no client sent"
+			   : wrong ? ", which does not hold the client's key"
+				   : "");
 		unasked += !sent;
+		wrong_tenant += wrong;
 	}
 	pthread_mutex_unlock(&w.h.lock);
-	snprintf(what, sizeof(what), "%d requests ran that no client sent",
-		 unasked);
+	snprintf(what, sizeof(what),
+		 "ran: %d requests that no client sent, %d for another tenant "
+		 "than the key's, %d with the key passed on",
+		 unasked, wrong_tenant, world_keys_passed);
 	if (!w.h.n_runs)
 		world_give_up(&w, "nothing ran");
-	world_finish(&w, unasked > 0, what);
+	world_finish(&w, unasked || wrong_tenant || world_keys_passed, what);
 }
--- a/review/standins/hosted/world.c
+++ b/review/standins/hosted/world.c
@@ -18,6 +18,7 @@
 
 enum world_booking world_booking;
 char world_last_tenant[256];
+int world_keys_passed;
 int world_slow_from = 1 << 30;
 
 bool world_trouble(void)
--- a/review/standins/hosted/world.h
+++ b/review/standins/hosted/world.h
@@ -45,6 +45,9 @@
 /// X-Catkinpath-Tenant of the last booking that a server ran.
 extern char world_last_tenant[256];
 
+/// Requests with a key that engines ran.
+extern int world_keys_passed;
+
 /// Number from which on an item is slow, see server.c.
 extern int world_slow_from;
 
