--- a/review/standins/hosted/smuggled.c
+++ b/review/standins/hosted/smuggled.c
@@ -31,6 +31,14 @@
 			    json_string(value));
 }
 
+/* ONLY names one of the three headers, to play it alone. */
+static bool is_played(const char *name)
+{
+	const char *only = getenv("ONLY");
+
+	return world_trouble() && (!only || strcmp(only, name) == 0);
+}
+
 static char *make_batch(void)
 {
 	char *plain = world_batch("B", "/learn/", ITEMS);
@@ -43,11 +51,12 @@
 			  sizeof(inner) - 1, sodium_base64_VARIANT_ORIGINAL);
 	json_object_set_new(json_array_get(items, ITEM_LENGTH), "body",
 			    json_string(text));
-	if (world_trouble()) {
+	if (is_played("length"))
 		set_header(items, ITEM_LENGTH, "Content-Length", "0");
+	if (is_played("tenant"))
 		set_header(items, ITEM_TENANT, "X-Catkinpath-Tenant", "t2");
+	if (is_played("key"))
 		set_header(items, ITEM_KEY, "Authorization", "Bearer k1");
-	}
 	out = json_dumps(obj, JSON_COMPACT);
 	json_decref(obj);
 	free(plain);
