--- a/review/standins/hosted/world.h
+++ b/review/standins/hosted/world.h
@@ -15,7 +15,6 @@
 	WORLD_LEADS = 3, ///< lead nodes, one a failure domain
 	WORLD_NODES = WORLD_ENTRIES + WORLD_LEADS,
 	WORLD_STORE_PORT = 7901, ///< of lead 0's link to the store
-	7905, ///< of the duty calls' listener, if a case has one
 };
 
 struct world {
