--- a/review/lab/lab.c
+++ b/review/lab/lab.c
@@ -86,6 +86,7 @@
 /* As the platform fills in deploy/settings.ini. */
 static bool write_settings(const struct lab *l, const struct lab_node *n)
 {
+	int octet = LAB_STORE_OCTET + (int)(n - l->nodes);
 	FILE *f = fopen(n->conf, "we");
 
 	if (!f)
@@ -95,16 +96,16 @@
 		"memory = %dMB\ngrace = 8s\n\n"
 		"[http]\nlisten = %s:%d\nadmin = %s:%d\nmax_body = 32MB\n"
 		"max_connections = 1024\n\n[front]\nhedge_percent = 10\n\n"
-		"[platform]\nwire = hosted\nurl = http://%s.1:8408\n"
-		"duty_url = http://%s.1:8408\ntimeout = 800ms\n"
+		"[platform]\nwire = hosted\nurl = http://%s.%d:8408\n"
+		"duty_url = http://%s.%d:8408\ntimeout = 800ms\n"
 		"value_max = 1048576B\n\n[peer]\nlisten = %s:%d\n\n"
 		"[lead]\ncandidate = %d\n\n[tally]\nwindow = 5s\n\n"
 		"[configuration]\napply = 2000ms\nevacuate = 5000ms\n"
 		"revoke = 5000ms\n\n[servers]\nleave = 2000ms\n",
 		n->name, n->name[strlen(n->name) - 1], n->storage ? 290 : 260,
 		n->ip, n->storage ? CONTROL_PORT : FRONT_PORT, n->ip,
-		n->storage ? PEER_PORT + 15 : READY_PORT, l->net, l->net, n->ip,
-		PEER_PORT, n->storage);
+		n->storage ? PEER_PORT + 15 : READY_PORT, l->net, octet, l->net,
+		octet, n->ip, PEER_PORT, n->storage);
 	return fclose(f) == 0;
 }
 
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -18,6 +18,7 @@
 	LAB_SERVERS_MAX = 16,
 	LAB_RUNS_MAX = 65536,
 	LAB_NAME_BYTES = 96,
+	LAB_STORE_OCTET = 100, ///< last byte of the store's address for node 0
 	LAB_EXIT_HELD = 0,
 	LAB_EXIT_BROKEN = 1,
 	LAB_EXIT_CANNOT_RUN = 2,
@@ -59,6 +60,15 @@
 	long list_calls; ///< of keys below catkin/run/
 };
 
+/// The store as one node reaches it.
+struct lab_port {
+	struct lab *lab;
+	struct MHD_Daemon *http;
+	bool silent; ///< the store answers this node nothing, and does nothing for it
+	const char *muted; ///< prefix of watches whose connections went silent
+	int64_t muted_ms; ///< those that were open then
+};
+
 /// A run of a request at a server.
 struct lab_run {
 	int64_t at_ms;
@@ -101,7 +111,7 @@
 	FILE *record;
 	pthread_mutex_t lock;
 	struct lab_store store;
-	struct MHD_Daemon *store_http;
+	struct lab_port ports[LAB_NODES_MAX];
 	struct lab_server servers[LAB_SERVERS_MAX];
 	int n_servers;
 	int event_ms; ///< between events of a stream
@@ -142,6 +152,12 @@
 /// Sort the keys of lab_fill().
 void lab_fill_end(struct lab *l);
 
+/// Whether the store turns a node away: it gets no answer, also to waiting watches.
+void lab_turn_away(struct lab *l, int node, bool on);
+
+/// Let the open connection of a node's watch on a prefix go silent for good. New ones work.
+void lab_mute_watch(struct lab *l, int node, const char *prefix);
+
 /// Text of a key, free with free(); NULL if there is none.
 char *lab_get(struct lab *l, const char *key);
 
--- a/review/lab/store.c
+++ b/review/lab/store.c
@@ -274,10 +274,19 @@
 	return false;
 }
 
-static void watch(struct lab_store *s, struct MHD_Connection *conn, FILE *f)
+static bool is_muted(const struct lab_port *port, const char *prefix,
+		     int64_t began_ms)
 {
+	return port->muted && strcmp(port->muted, prefix) == 0 &&
+	       began_ms <= port->muted_ms;
+}
+
+static void watch(struct lab_port *port, struct MHD_Connection *conn, FILE *f)
+{
+	struct lab_store *s = &port->lab->store;
 	char prefix[256], text[32];
-	int64_t until = lab_now_ms();
+	int64_t began = lab_now_ms();
+	int64_t until = began;
 	uint64_t after;
 	int n = 0;
 
@@ -289,6 +298,8 @@
 	while (!s->stopping && lab_now_ms() < until &&
 	       !has_change(s, prefix, after))
 		wait_change(s);
+	while (!s->stopping && is_muted(port, prefix, began))
+		wait_change(s);
 	fputs("{\"events\":[", f);
 	for (size_t i = first_change(s, after); i < s->n_changes; i++) {
 		const struct lab_change *c = &s->changes[i];
@@ -382,15 +393,16 @@
 	return 200;
 }
 
-static int run(struct lab_store *s, struct MHD_Connection *conn,
+static int run(struct lab_port *port, struct MHD_Connection *conn,
 	       const char *url, const char *body, FILE *f)
 {
+	struct lab_store *s = &port->lab->store;
 	char key[256];
 	const struct lab_key *k;
 
 	expire(s);
 	if (strcmp(url, "/catkinpath/kv-watch") == 0) {
-		watch(s, conn, f);
+		watch(port, conn, f);
 	} else if (strcmp(url, "/catkinpath/kv-range") == 0) {
 		list(s, conn, f);
 	} else if (strcmp(url, "/catkinpath/kv-txn") == 0) {
@@ -412,12 +424,38 @@
 	return 200;
 }
 
+/* Wait as long as the store does not answer a node.
+ *
+ * @return whether it did not: the call then ends without an answer */
+static bool was_turned_away(struct lab_port *port)
+{
+	bool silent = port->silent;
+
+	while (port->silent && !port->lab->store.stopping)
+		lab_sleep_ms(HISTORY_MS_TICK);
+	return silent;
+}
+
+void lab_turn_away(struct lab *l, int node, bool on)
+{
+	l->ports[node].silent = on;
+}
+
+void lab_mute_watch(struct lab *l, int node, const char *prefix)
+{
+	pthread_mutex_lock(&l->store.lock);
+	l->ports[node].muted = prefix;
+	l->ports[node].muted_ms = lab_now_ms();
+	pthread_mutex_unlock(&l->store.lock);
+}
+
 static enum MHD_Result on_call(void *ctx, struct MHD_Connection *conn,
 			       const char *url, const char *method,
 			       const char *version, const char *data,
 			       size_t *len, void **state)
 {
-	struct lab *l = ctx;
+	struct lab_port *port = ctx;
+	struct lab *l = port->lab;
 	struct call *c = *state;
 	struct MHD_Response *res;
 	enum MHD_Result ok;
@@ -439,11 +477,17 @@
 		return MHD_YES;
 	}
 	lab_sleep_ms(l->store.answer_ms);
+	if (was_turned_away(port))
+		return MHD_NO;
 	f = open_memstream(&text, &size);
 	pthread_mutex_lock(&l->store.lock);
-	status = run(&l->store, conn, url, c->data ? c->data : "", f);
+	status = run(port, conn, url, c->data ? c->data : "", f);
 	pthread_mutex_unlock(&l->store.lock);
 	fclose(f);
+	if (was_turned_away(port)) {
+		free(text);
+		return MHD_NO;
+	}
 	res = MHD_create_response_from_buffer(size, text,
 					      MHD_RESPMEM_MUST_FREE);
 	MHD_add_response_header(res, "Content-Type", "application/json");
@@ -464,26 +508,37 @@
 	*state = NULL;
 }
 
-bool lab_store_start(struct lab *l)
+static bool port_start(struct lab *l, int node)
 {
 	struct sockaddr_in sa = {.sin_family = AF_INET,
 				 .sin_port = htons(STORE_PORT)};
+	struct lab_port *port = &l->ports[node];
 	char ip[32];
 
-	pthread_mutex_init(&l->store.lock, NULL);
-	pthread_cond_init(&l->store.changed, NULL);
-	l->store.answer_ms = 4;
-	snprintf(ip, sizeof(ip), "%s.1", l->net);
+	port->lab = l;
+	snprintf(ip, sizeof(ip), "%s.%d", l->net, LAB_STORE_OCTET + node);
 	inet_pton(AF_INET, ip, &sa.sin_addr);
-	l->store_http = MHD_start_daemon(
+	port->http = MHD_start_daemon(
 		MHD_USE_THREAD_PER_CONNECTION |
 			MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
-		0, NULL, NULL, on_call, l, MHD_OPTION_SOCK_ADDR, &sa,
+		0, NULL, NULL, on_call, port, MHD_OPTION_SOCK_ADDR, &sa,
 		MHD_OPTION_NOTIFY_COMPLETED, on_end, NULL,
 		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
 		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTIONS_MAX,
 		MHD_OPTION_END);
-	return l->store_http != NULL;
+	return port->http != NULL;
+}
+
+bool lab_store_start(struct lab *l)
+{
+	pthread_mutex_init(&l->store.lock, NULL);
+	pthread_cond_init(&l->store.changed, NULL);
+	l->store.answer_ms = 4;
+	for (int i = 0; i < LAB_NODES_MAX; i++) {
+		if (!port_start(l, i))
+			return false;
+	}
+	return true;
 }
 
 void lab_store_stop(struct lab *l)
@@ -492,6 +547,8 @@
 	l->store.stopping = true;
 	pthread_cond_broadcast(&l->store.changed);
 	pthread_mutex_unlock(&l->store.lock);
-	if (l->store_http)
-		MHD_stop_daemon(l->store_http);
+	for (int i = 0; i < LAB_NODES_MAX; i++) {
+		if (l->ports[i].http)
+			MHD_stop_daemon(l->ports[i].http);
+	}
 }
