--- a/review/lab/lab.c
+++ b/review/lab/lab.c
@@ -153,6 +153,11 @@
 	return true;
 }
 
+bool lab_node_restart(struct lab *l, int i)
+{
+	return spawn(&l->nodes[i]);
+}
+
 static size_t discard(char *data, size_t size, size_t n, void *ctx)
 {
 	return size * n;
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -65,6 +65,7 @@
 	struct lab *lab;
 	struct MHD_Daemon *http;
 	bool silent; ///< the store answers this node nothing, and does nothing for it
+	bool busy; ///< the store answers this node 503
 	const char *muted; ///< prefix of watches whose connections went silent
 	int64_t muted_ms; ///< those that were open then
 };
@@ -75,6 +76,8 @@
 	int64_t end_ms; ///< 0: still running
 	int server;
 	bool complete;
+	int first_event; ///< of an engine's stream
+	uint64_t version; ///< weights of an engine's stream
 	char method[12];
 	char path[LAB_NAME_BYTES];
 	char id[LAB_NAME_BYTES];
@@ -94,6 +97,7 @@
 	struct MHD_Daemon *http;
 	int running;
 	uint64_t version;
+	uint64_t loading; ///< version that an order asked for, 0: none
 };
 
 struct lab_node {
@@ -155,6 +159,9 @@
 /// Whether the store turns a node away: it gets no answer, also to waiting watches.
 void lab_turn_away(struct lab *l, int node, bool on);
 
+/// Whether the store answers a node 503, also its waiting watches.
+void lab_be_busy(struct lab *l, int node, bool on);
+
 /// Let the open connection of a node's watch on a prefix go silent for good. New ones work.
 void lab_mute_watch(struct lab *l, int node, const char *prefix);
 
@@ -163,6 +170,8 @@
 
 /// Start the daemons with settings like those of a small deployment.
 bool lab_nodes_start(struct lab *l, int entry, int storage);
+/// Start a node's process again after it ended.
+bool lab_node_restart(struct lab *l, int i);
 bool lab_node_ready(struct lab *l, int i);
 bool lab_nodes_wait_ready(struct lab *l, int timeout_ms);
 void lab_node_signal(struct lab *l, int i, int sig);
--- a/review/lab/server.c
+++ b/review/lab/server.c
@@ -121,7 +121,7 @@
 	char version[32];
 
 	pthread_mutex_lock(&s->lab->lock);
-	if (s->running >= SLOTS) {
+	if (s->running >= SLOTS || s->loading) {
 		pthread_mutex_unlock(&s->lab->lock);
 		return respond(conn, 503, "", not_run);
 	}
@@ -135,6 +135,8 @@
 		 field(conn, "X-Catkinpath-Request-Id"));
 	snprintf(version, sizeof(version), "%llu",
 		 (unsigned long long)s->version);
+	s->lab->runs[st->run].first_event = st->next;
+	s->lab->runs[st->run].version = s->version;
 	pthread_mutex_unlock(&s->lab->lock);
 	res = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, 4096,
 						stream_read, st, stream_free);
@@ -185,17 +187,48 @@
 	lab_put(s->lab, key, text);
 }
 
+/* Mode "wait": runs finish first, those that come are not run meanwhile. */
+static void *load(void *ctx)
+{
+	struct lab_server *s = ctx;
+	int running;
+
+	do {
+		lab_sleep_ms(10);
+		pthread_mutex_lock(&s->lab->lock);
+		running = s->running;
+		pthread_mutex_unlock(&s->lab->lock);
+	} while (running && !s->lab->stopping);
+	lab_sleep_ms(LOAD_MS);
+	pthread_mutex_lock(&s->lab->lock);
+	s->version = s->loading;
+	s->loading = 0;
+	pthread_mutex_unlock(&s->lab->lock);
+	publish(s);
+	return NULL;
+}
+
 static enum MHD_Result run_order(struct lab_server *s,
 				 struct MHD_Connection *conn, const char *body)
 {
 	json_t *obj = json_loads(body, 0, NULL);
-
-	lab_sleep_ms(LOAD_MS);
-	s->version =
+	uint64_t version =
 		(uint64_t)json_integer_value(json_object_get(obj, "version"));
+	int status = 202;
+	pthread_t thread;
+
 	json_decref(obj);
-	publish(s);
-	return respond(conn, 202, "", NULL);
+	pthread_mutex_lock(&s->lab->lock);
+	if (s->loading)
+		status = 409;
+	else if (s->version == version)
+		status = 200;
+	else
+		s->loading = version;
+	pthread_mutex_unlock(&s->lab->lock);
+	if (status == 202 && pthread_create(&thread, NULL, load, s) == 0)
+		pthread_detach(thread);
+	return respond(conn, status, "", NULL);
 }
 
 static enum MHD_Result on_call(void *ctx, struct MHD_Connection *conn,
--- a/review/lab/store.c
+++ b/review/lab/store.c
@@ -295,7 +295,7 @@
 	after = strtoull(text, NULL, 10);
 	lab_mhd_query(conn, "wait_ms", text, sizeof(text));
 	until += atoi(text);
-	while (!s->stopping && lab_now_ms() < until &&
+	while (!s->stopping && !port->busy && lab_now_ms() < until &&
 	       !has_change(s, prefix, after))
 		wait_change(s);
 	while (!s->stopping && is_muted(port, prefix, began))
@@ -436,6 +436,21 @@
 	return silent;
 }
 
+static enum MHD_Result respond_busy(struct MHD_Connection *conn)
+{
+	struct MHD_Response *res = MHD_create_response_from_buffer(
+		0, (void *)"", MHD_RESPMEM_PERSISTENT);
+	enum MHD_Result ok = MHD_queue_response(conn, 503, res);
+
+	MHD_destroy_response(res);
+	return ok;
+}
+
+void lab_be_busy(struct lab *l, int node, bool on)
+{
+	l->ports[node].busy = on;
+}
+
 void lab_turn_away(struct lab *l, int node, bool on)
 {
 	l->ports[node].silent = on;
@@ -479,14 +494,16 @@
 	lab_sleep_ms(l->store.answer_ms);
 	if (was_turned_away(port))
 		return MHD_NO;
+	if (port->busy)
+		return respond_busy(conn);
 	f = open_memstream(&text, &size);
 	pthread_mutex_lock(&l->store.lock);
 	status = run(port, conn, url, c->data ? c->data : "", f);
 	pthread_mutex_unlock(&l->store.lock);
 	fclose(f);
-	if (was_turned_away(port)) {
+	if (was_turned_away(port) || port->busy) {
 		free(text);
-		return MHD_NO;
+		return port->busy ? respond_busy(conn) : MHD_NO;
 	}
 	res = MHD_create_response_from_buffer(size, text,
 					      MHD_RESPMEM_MUST_FREE);
