--- a/review/lab/big_batch.c
+++ b/review/lab/big_batch.c
@@ -18,7 +18,7 @@
 enum {
 	ENTRY = 6,
 	STORAGE = 3,
-	CALLERS = 12,
+	CALLERS = 48,
 	ITEMS = 64,
 	BIG_ITEM_BYTES = 320000, ///< in base64: a batch has 20 MB
 	SMALL_ITEM_BYTES = 3200,
@@ -27,7 +27,7 @@
 	ATTEMPTS = 2, ///< the sheet: one retry
 	READY_MS = 20000,
 	SETTLE_MS = 3000,
-	THINK_MS = 200, ///< between a caller's bookings
+	THINK_MS = 300, ///< between a caller's bookings
 	ANSWER_MS = 1500, ///< deadline of a booking
 	CHECK_MS = 10, ///< of the memory
 	RESTART_MS = 300,
