--- a/review/lab/big_batch.c
+++ b/review/lab/big_batch.c
@@ -204,7 +204,7 @@
 	return NULL;
 }
 
-static char *batch(const char *batch_id, size_t item_bytes)
+static char *batch(const char *batch_id, int step, size_t item_bytes)
 {
 	json_t *items = json_array();
 	char *body = malloc(item_bytes + 1);
@@ -228,7 +228,7 @@
 				  "9c2e41:1000,5d07b8:16", "body", body,
 				  "token_count", 1416, "group", group));
 	}
-	obj = json_pack("{s:i,s:s,s:i,s:i,s:o}", "step", 0, "model", "m",
+	obj = json_pack("{s:i,s:s,s:i,s:i,s:o}", "step", step, "model", "m",
 			"min_version", 1, "target_groups", 14, "items", items);
 	text = json_dumps(obj, JSON_COMPACT);
 	json_decref(obj);
@@ -245,7 +245,7 @@
 
 	snprintf(id, sizeof(id), "7c41%08x%04d", 0x52d6a3f8, step);
 	snprintf(path, sizeof(path), "/learn/%s", id);
-	body = batch(id, item_bytes);
+	body = batch(id, step, item_bytes);
 	for (int i = 0; i < ATTEMPTS; i++) {
 		int node = (step + i) % ENTRY;
 		struct lab_answer a;
