test(review): case 9 asks whether the trainer's groups are whole

The rule speaks of a step that runs out of time: a step whose 14 of 16 groups are read has not, whatever its other items do.

--- a/review/lab/old_keys.c
+++ b/review/lab/old_keys.c
@@ -12,6 +12,7 @@
 	GROUPS = 16,
 	GROUP_ITEMS = 4,
 	ITEMS = GROUPS * GROUP_ITEMS,
+	TARGET_GROUPS = 14, ///< that the trainer waits for: 90%
 	/// Three trainers with a batch each 4 s, as on the sheet of Ghent.
 	BATCHES_A_DAY = 3 * 86400 / 4,
 	DAYS = 7,
@@ -47,7 +48,8 @@
 				  group));
 	}
 	obj = json_pack("{s:i,s:s,s:i,s:i,s:o}", "step", 0, "model", "m",
-			"min_version", 1, "target_groups", 14, "items", items);
+			"min_version", 1, "target_groups", TARGET_GROUPS,
+			"items", items);
 	text = json_dumps(obj, JSON_COMPACT);
 	json_decref(obj);
 	return text;
@@ -232,7 +234,9 @@
 	} while (results < ITEMS &&
 		 now - sent_ms < RUN_DEADLINE_MS + WAIT_LONGER_MS);
 	steady_ms = kill_home ? lost_ms + CONTACT_MS : sent_ms;
-	idle = now - steady_ms >= AT_NO_SERVER_MS
+	/* With fewer results a group that the trainer waits for is not whole. */
+	idle = results < TARGET_GROUPS * GROUP_ITEMS &&
+			       now - steady_ms >= AT_NO_SERVER_MS
 		       ? at_no_server(l, id, now - AT_NO_SERVER_MS)
 		       : 0;
 	lab_note(l,
