--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -10,7 +10,7 @@
 libs="libmicrohttpd libsodium jansson libcurl"
 src="test/hosted/hosted.c test/hosted/store.c test/hosted/server.c test/hosted/body.c
 	test/fakes/platform/kv.c test/support/addr.c test/support/proc.c
-	review/rig-3/rig.c review/rig-3/proxy.c review/rig-3/history.c"
+	review/rig-3/rig.c review/rig-3/proxy.c"
 for c in review/1[1-5]/case.c; do
 	[ -e "$c" ] || continue
 	n=$(basename "$(dirname "$c")")
--- a/review/rig-3/proxy.c
+++ b/review/rig-3/proxy.c
@@ -11,7 +11,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "history.h"
 #include "rig.h"
 
 enum {
@@ -23,8 +22,7 @@
 
 static struct sockaddr_in target;
 static _Atomic(const char *) silence_prefix;
-static _Atomic(const char *) slow_prefix;
-static atomic_int slow_ms;
+static _Atomic(const char *) list_prefix; ///< of rig_proxy_silence_list()
 static atomic_int silence_generation;
 static atomic_int n_silenced;
 
@@ -32,7 +30,6 @@
 	int client;
 	int store;
 	int generation; ///< silence_generation when it began
-	bool used; ///< a request came
 	char request[REQUEST_BYTES]; ///< start of the latest one
 };
 
@@ -69,22 +66,16 @@
 		;
 }
 
-/* Whether the request lists the prefix whose connections open late. */
-static bool is_slow_list(const struct pipe_ends *p)
+/* Whether the request is the one that rig_proxy_silence_list() waits for. */
+static bool is_list_to_silence(const struct pipe_ends *p)
 {
-	const char *prefix = atomic_load(&slow_prefix);
+	const char *prefix = atomic_load(&list_prefix);
 	const char *at = strstr(p->request, "kv-range?prefix=");
 
 	return prefix && at &&
 	       strncmp(at + strlen("kv-range?prefix="), prefix,
-		       strlen(prefix)) == 0;
-}
-
-/* Whether the request lists owner keys, and the history is on. */
-static bool is_owner_list(const struct pipe_ends *p)
-{
-	return history_count() &&
-	       strncmp(p->request, OWNER_LIST, strlen(OWNER_LIST)) == 0;
+		       strlen(prefix)) == 0 &&
+	       atomic_compare_exchange_strong(&list_prefix, &prefix, NULL);
 }
 
 static bool forward(struct pipe_ends *p, bool to_store)
@@ -101,11 +92,10 @@
 
 		memcpy(p->request, buf, keep);
 		p->request[keep] = '\0';
-		if (!p->used && is_slow_list(p))
-			rig_sleep_ms(atomic_load(&slow_ms));
-		p->used = true;
-		if (is_owner_list(p))
-			return history_answer(p->client, p->request);
+		if (is_list_to_silence(p)) {
+			stay_silent(p);
+			return false;
+		}
 	}
 	return write_all(to_store ? p->store : p->client, buf, n);
 }
@@ -200,10 +190,9 @@
 	atomic_fetch_add(&silence_generation, 1);
 }
 
-void rig_proxy_open_late(const char *prefix, int ms)
+void rig_proxy_silence_list(const char *prefix)
 {
-	atomic_store(&slow_ms, ms);
-	atomic_store(&slow_prefix, prefix);
+	atomic_store(&list_prefix, prefix);
 }
 
 int rig_proxy_silenced(void)
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -71,9 +71,8 @@
 /// stands in the query. Later connections work.
 void rig_proxy_silence(const char *prefix);
 
-/// From now on a new connection whose first request lists a prefix opens so much later,
-/// as if its opening packet had been lost.
-void rig_proxy_open_late(const char *prefix, int ms);
+/// Silence, for good, the connection that carries the next list of keys below a prefix.
+void rig_proxy_silence_list(const char *prefix);
 
 /// Number of connections silenced so far.
 int rig_proxy_silenced(void);
