--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -20,6 +20,7 @@
 
 static FILE *record_file;
 static int64_t record_start_ms;
+static int wait_ms = 1000; ///< X-Catkinpath-Wait-Ms
 
 bool rig_trouble(void)
 {
@@ -189,7 +190,7 @@
 {
 	struct curl_slist *l = NULL;
 	CURL *e = curl_easy_init();
-	char url[512], auth[128];
+	char url[512], auth[128], wait[16];
 	long status = 0;
 
 	memset(out, 0, sizeof(*out));
@@ -200,7 +201,8 @@
 	l = add_header(l, "Authorization", auth);
 	l = add_header(l, "X-Catkinpath-Request-Id", id);
 	l = add_header(l, "X-Catkinpath-Deadline-Ms", "5000");
-	l = add_header(l, "X-Catkinpath-Wait-Ms", "1000");
+	snprintf(wait, sizeof(wait), "%d", wait_ms);
+	l = add_header(l, "X-Catkinpath-Wait-Ms", wait);
 	l = curl_slist_append(l, "Expect:");
 	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(e, CURLOPT_URL, url);
@@ -218,6 +220,11 @@
 	curl_slist_free_all(l);
 }
 
+void rig_set_wait(int ms)
+{
+	wait_ms = ms;
+}
+
 void rig_answer_free(struct rig_answer *a)
 {
 	free(a->body);
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -81,6 +81,8 @@
 void rig_call(const struct rig_node *n, const char *method, const char *path,
 	      const char *key, const char *id, const char *body,
 	      struct rig_answer *out);
+/// Set how long reads of batches may wait, first 1 s.
+void rig_set_wait(int ms);
 void rig_answer_free(struct rig_answer *a);
 
 /// Sleep.
