fix(job): only the creator of an owner key and a finished load start a batch

A home stops, the next home owns its batch and reads the records; a trainer sends the batch again. From then on reads of positions that had been read were answered with no result, and listed items ran again.

Cause: a submission that found the owner key naming this node started the batch with whatever part of the list was there. The load under way then ended as "busy" and dropped what it read.

Change: a batch is started in two places. Who created the owner key starts it, as no record can exist; everybody else goes through the load, which joins the one that is under way (job_load_owned(), job_load_recheck_owner()). A load waits for a write of an earlier run here.

--- a/packages/daemon/src/job/job.h
+++ b/packages/daemon/src/job/job.h
@@ -78,7 +78,7 @@
 	htab_handle self;
 	char id[JOB_ID_BYTES];
 	struct job_list list; ///< results in the store
-	struct list_share list_share; ///< its readers' store calls
+	struct list_share list_share; ///< store calls that extend it
 	bool owner_known;
 	struct job_owner owner;
 	uint64_t owner_rev;
@@ -234,7 +234,9 @@
 enum err job_batch_parse(const struct jobs *jobs, const char *id,
 			 const char *value, size_t len, struct job_spec **out);
 
-/// Run a batch that this node owns. Items with results in its list are complete.
+/// Run a batch that this node owns. Items with results in its list are complete, so the
+/// list must have every record: only the creator of the owner key and a finished load
+/// may start a batch.
 ///
 /// @param spec  owned by the batch on success
 enum err job_start(struct core *c, struct job *j, struct job_spec *spec);
@@ -307,6 +309,13 @@
 ///         if one before it is missing
 enum err job_records_add(struct job *j, const struct kv_result *res);
 
+/// List the records after those that are known, or join the list in flight. Its end calls
+/// job_load_listed() and job_readers_listed().
+void job_records_list(struct core *c, struct job *j);
+
+/// A list of a batch's records ended: go on with the readers that wait for it.
+void job_readers_listed(struct core *c, struct job *j, enum err e);
+
 /// Serve a request at this node.
 ///
 /// @param maybe_taken  another node may have accepted the batch
--- a/packages/daemon/src/job/job_mod.c
+++ b/packages/daemon/src/job/job_mod.c
@@ -72,7 +72,8 @@
 
 bool job_is_idle(const struct job *j)
 {
-	return !j->running && !j->store_busy && !j->watching;
+	return !j->running && !j->store_busy && !j->watching &&
+	       !j->list_share.in_flight;
 }
 
 static void remove_idle(struct core *c, struct jobs *jobs)
--- a/packages/daemon/src/job/load.c
+++ b/packages/daemon/src/job/load.c
@@ -1,7 +1,8 @@
 // Loads a batch that this node takes over: reads body, records and unfinished texts
 // concurrently, writes the owner key once the body is parsed, then starts the batch.
 //
-// The previous owner may write after the reads: a later record conflicts by its number,
+// A batch has one load at a time: whoever needs it here joins the one under way. The
+// previous owner may write after the reads: a later record conflicts by its number,
 // newer texts by their revision.
 #include "job/load.h"
 
@@ -35,7 +36,8 @@
 	bool owned; ///< the owner key names this node
 	bool reads_started; ///< of records and texts
 	bool listed; ///< all records were in the batch's list when it was read
-	bool owned_at_list; ///< the last read of it began with owned set
+	bool waits_for_list; ///< of the batch's records
+	uint64_t list_wanted; ///< first list that began with owned set
 	bool list_due; ///< at list_read_ms
 	int64_t list_read_ms;
 	htab_handle job; ///< batch whose list has the records
@@ -77,6 +79,32 @@
 		load_free(jobs_of(c), l);
 }
 
+static struct job_load *load_find(const struct jobs *jobs, const char *id)
+{
+	struct job_load *l = jobs->loads;
+
+	while (l && (l->done || strcmp(l->id, id) != 0))
+		l = l->next;
+	return l;
+}
+
+/* @return NULL when out of memory */
+static struct job_load *load_add(struct core *c, const char *id)
+{
+	struct jobs *jobs = jobs_of(c);
+	struct job_load *l = calloc(1, sizeof(*l));
+
+	if (!l) {
+		log_event(EV_JOB_BAD, "batch=%s error=no-memory", id);
+		return NULL;
+	}
+	snprintf(l->id, sizeof(l->id), "%s", id);
+	l->loss_known_ms = core_now(c);
+	l->next = jobs->loads;
+	jobs->loads = l;
+	return l;
+}
+
 /* Counts the end of a store call.
  *
  * @return false if the load is finished; it may have been freed */
@@ -129,8 +157,6 @@
 		job_step(c, j);
 }
 
-static void load_records(struct core *c, struct job_load *l);
-
 static void schedule_list(struct core *c, struct job_load *l)
 {
 	l->listed = false;
@@ -138,6 +164,42 @@
 	l->list_read_ms = core_now(c) + LOAD_RETRY_MS;
 }
 
+/* Ends a load that can't write the owner key, unless the key may name this node
+ * nevertheless: then no other node would run the batch. */
+static void load_failed(struct core *c, struct job_load *l, const char *why)
+{
+	if (l->spec && core_now(c) < l->late_write_until_ms)
+		schedule_owner_read(c, l);
+	else
+		load_finish(c, l, why);
+}
+
+static void set_owned(struct core *c, struct job_load *l, uint64_t rev)
+{
+	const struct job *j = job_find(c, l->id);
+
+	if (!l->owned && j)
+		l->list_wanted = list_share_next(&j->list_share);
+	l->owned = true;
+	l->rev = rev;
+}
+
+/* Whether an owner makes this node run the batch. */
+static bool runs_here(const struct core *c, const struct job_owner *o)
+{
+	return job_owner_is_self(c, o) && !o->ended && !o->complete;
+}
+
+/* Whether the batch's list has each record that was written before this node owned it. */
+static bool list_is_whole(const struct job_load *l, const struct job *j)
+{
+	return l->listed && j->self == l->job &&
+	       (list_share_covers(&j->list_share, l->list_wanted) ||
+		j->list.rev >= l->rev);
+}
+
+static void load_records(struct core *c, struct job_load *l);
+
 /* Runs the batch if the owner key is written and all data is loaded. */
 static void load_run_if_ready(struct core *c, struct job_load *l)
 {
@@ -150,10 +212,10 @@
 		load_finish(c, l, "busy");
 	else if (jobs_of(c)->handover.closed)
 		load_finish(c, l, "draining");
-	else if (!j || j->self != l->job)
+	else if (!j || j->store_busy)
+		/* A write of an earlier run here may add a record. */
 		schedule_list(c, l);
-	else if (!l->owned_at_list && j->list.rev < l->rev)
-		/* The previous owner may have written between list and takeover. */
+	else if (!list_is_whole(l, j))
 		load_records(c, l);
 	else
 		run_loaded(c, l, j);
@@ -190,52 +252,36 @@
 		l, kv_get(c, key, (struct kv_cb){on_texts, l}));
 }
 
-static void on_records(struct core *c, void *ctx, const struct kv_result *res)
-{
-	struct job_load *l = ctx;
-	struct job *j;
-
-	if (!load_call_ended(c, l))
-		return;
-	j = job_find_or_create(c, l->id);
-	if (j && j->running) {
-		load_finish(c, l, "busy");
-		return;
-	}
-	/* List from the start if the batch was removed from the table meanwhile. */
-	if (!j || j->self != l->job || res->err != ERR_OK ||
-	    job_records_add(j, res) != ERR_OK) {
-		schedule_list(c, l);
-		return;
-	}
-	l->listed = !res->more;
-	if (res->more)
-		load_records(c, l);
-	else
-		load_run_if_ready(c, l);
-}
-
 static void load_records(struct core *c, struct job_load *l)
 {
 	struct job *j = job_find_or_create(c, l->id);
-	char prefix[STORE_KEY_SIZE];
-	char from[STORE_KEY_SIZE];
 
 	l->listed = false;
 	l->list_due = false;
-	l->owned_at_list = l->owned;
 	if (!j) {
 		schedule_list(c, l);
 		return;
 	}
+	if (j->self != l->job)
+		l->list_wanted = list_share_next(&j->list_share);
 	l->job = j->self;
-	snprintf(prefix, sizeof(prefix), KEY_RECORD "%s/", l->id);
-	snprintf(from, sizeof(from), KEY_RECORD "%s/%08llu", l->id,
-		 (unsigned long long)j->list.records - 1);
-	if (!load_call_begun(l, kv_list_after(c, prefix,
-					      j->list.records ? from : NULL,
-					      (struct kv_cb){on_records, l})))
+	l->waits_for_list = true;
+	job_records_list(c, j);
+}
+
+void job_load_listed(struct core *c, const struct job *j, enum err e)
+{
+	struct job_load *l = load_find(jobs_of(c), j->id);
+
+	if (!l || !l->waits_for_list)
+		return;
+	l->waits_for_list = false;
+	if (e != ERR_OK) {
 		schedule_list(c, l);
+		return;
+	}
+	l->listed = true;
+	load_run_if_ready(c, l);
 }
 
 /* Starts reading records and texts, once. */
@@ -248,30 +294,25 @@
 	load_texts(c, l);
 }
 
-/* Resolves an unknown outcome of an owner key's write. */
+/* Resolves an unknown outcome of an owner key's write, or confirms the key. */
 static void on_owner_read(struct core *c, void *ctx,
 			  const struct kv_result *res)
 {
 	struct job_load *l = ctx;
 	struct job_owner owner;
-	bool owned_here;
 
 	if (!load_call_ended(c, l))
 		return;
-	owned_here = res->err == ERR_OK &&
-		     job_owner_parse(&res->items[0], &owner) == ERR_OK &&
-		     job_owner_is_self(c, &owner) && !owner.ended &&
-		     !owner.complete;
-
 	if (res->err != ERR_OK && res->err != ERR_NOT_FOUND) {
 		schedule_owner_read(c, l);
-	} else if (owned_here) {
+	} else if (res->err == ERR_OK &&
+		   job_owner_parse(&res->items[0], &owner) == ERR_OK &&
+		   runs_here(c, &owner)) {
 		l->owner = owner;
-		l->rev = res->items[0].rev;
-		l->owned = true;
+		set_owned(c, l, res->items[0].rev);
 		start_reads(c, l);
 		load_run_if_ready(c, l);
-	} else if (core_now(c) < l->late_write_until_ms) {
+	} else if (!l->owned && core_now(c) < l->late_write_until_ms) {
 		l->active = false;
 		schedule_owner_read(c, l);
 		l->owner_read_ms += LOAD_LATE_POLL_MS;
@@ -314,13 +355,12 @@
 	if (!load_call_ended(c, l))
 		return;
 	if (res->err == ERR_KV_CONFLICT) {
-		load_finish(c, l, err_code(res->err));
+		load_failed(c, l, err_code(res->err));
 	} else if (res->err != ERR_OK) {
 		l->late_write_until_ms = core_now(c) + LOAD_LATE_WRITE_MS;
 		schedule_owner_read(c, l);
 	} else {
-		l->rev = res->rev;
-		l->owned = true;
+		set_owned(c, l, res->rev);
 		load_run_if_ready(c, l);
 	}
 }
@@ -332,42 +372,58 @@
 
 	if (!load_call_ended(c, l))
 		return;
-	if (e == ERR_OK)
+	if (e == ERR_OK && !l->spec)
 		e = job_batch_parse(jobs_of(c), l->id, res->items[0].value,
 				    res->items[0].len, &l->spec);
 	if (e == ERR_OK)
 		e = job_owner_put(c, l->id, &l->owner, l->rev,
 				  (struct kv_cb){on_owner_written, l});
 	if (!load_call_begun(l, e))
-		load_finish(c, l, err_code(e));
+		load_failed(c, l, err_code(e));
 }
 
-void job_load_recheck_owner(struct core *c, struct job_spec *spec)
+/* Joins the load of a submitted batch that is under way, or adds one. The owner key may
+ * name this node, whatever the one under way finds by its own write. */
+static struct job_load *load_join(struct core *c, struct job_spec *spec)
 {
-	struct jobs *jobs = jobs_of(c);
-	struct job_load *l = calloc(1, sizeof(*l));
+	struct job_load *l = load_find(jobs_of(c), spec->id);
 
-	if (!l) {
-		log_event(EV_JOB_BAD, "batch=%s error=no-memory", spec->id);
+	if (!l)
+		l = load_add(c, spec->id);
+	if (l)
+		l->late_write_until_ms = core_now(c) + LOAD_LATE_WRITE_MS;
+	if (l && !l->spec)
+		l->spec = spec;
+	else
 		job_spec_free(spec);
+	return l;
+}
+
+void job_load_recheck_owner(struct core *c, struct job_spec *spec)
+{
+	bool joins = job_loading(jobs_of(c), spec->id);
+	struct job_load *l = load_join(c, spec);
+
+	if (l && !joins)
+		schedule_owner_read(c, l);
+}
+
+void job_load_owned(struct core *c, struct job_spec *spec,
+		    const struct job_owner *owner, uint64_t rev)
+{
+	bool joins = job_loading(jobs_of(c), spec->id);
+	struct job_load *l = load_join(c, spec);
+
+	if (!l || joins)
 		return;
-	}
-	snprintf(l->id, sizeof(l->id), "%s", spec->id);
-	l->spec = spec;
-	l->late_write_until_ms = core_now(c) + LOAD_LATE_WRITE_MS;
-	l->loss_known_ms = core_now(c);
-	l->next = jobs->loads;
-	jobs->loads = l;
-	schedule_owner_read(c, l);
+	l->owner = *owner;
+	set_owned(c, l, rev);
+	start_reads(c, l);
 }
 
 bool job_loading(const struct jobs *jobs, const char *id)
 {
-	const struct job_load *l = jobs->loads;
-
-	while (l && (l->done || strcmp(l->id, id) != 0))
-		l = l->next;
-	return l != NULL;
+	return load_find(jobs, id) != NULL;
 }
 
 int job_loads_active(const struct jobs *jobs)
@@ -382,15 +438,14 @@
 void job_load_begin(struct core *c, const char *id,
 		    const struct job_load_opts *opts)
 {
-	struct jobs *jobs = jobs_of(c);
-	struct job_load *l = calloc(1, sizeof(*l));
+	struct job_load *l;
 	char key[STORE_KEY_SIZE];
 
-	if (!l) {
-		log_event(EV_JOB_BAD, "batch=%s error=no-memory", id);
+	if (job_loading(jobs_of(c), id))
+		return;
+	l = load_add(c, id);
+	if (!l)
 		return;
-	}
-	snprintf(l->id, sizeof(l->id), "%s", id);
 	l->owner = *opts->owner;
 	l->rev = opts->rev;
 	l->loss_known_ms = opts->loss_known_ms;
@@ -398,8 +453,6 @@
 	snprintf(l->owner.incarnation, sizeof(l->owner.incarnation), "%s",
 		 core_incarnation(c));
 	l->active = true;
-	l->next = jobs->loads;
-	jobs->loads = l;
 	snprintf(key, sizeof(key), KEY_BATCH "%s", l->id);
 	if (load_call_begun(l, kv_get(c, key, (struct kv_cb){on_batch, l})))
 		start_reads(c, l);
--- a/packages/daemon/src/job/read.c
+++ b/packages/daemon/src/job/read.c
@@ -68,6 +68,22 @@
 	}
 }
 
+/* Whether the list has every result with a position. No other node writes while this
+ * node runs the batch; a list of all items is final. */
+static bool is_list_whole(const struct job *j)
+{
+	return j->running || j->list.n >= j->owner.total;
+}
+
+static void reader_answer_if_due(struct core *c, struct job_reader *r,
+				 const struct job *j)
+{
+	if (has_news(j, r) || core_now(c) >= r->deadline_ms)
+		reader_answer(c, r, j);
+}
+
+static void read_records(struct core *c, struct job_reader *r, struct job *j);
+
 void job_readers_step(struct core *c)
 {
 	struct job_reader *r;
@@ -83,27 +99,6 @@
 	}
 }
 
-/* The store returns records in the order of their numbers, which are the last parts of
- * their keys. */
-enum err job_records_add(struct job *j, const struct kv_result *res)
-{
-	enum err e = ERR_OK;
-
-	for (size_t i = 0; i < res->n_items && e == ERR_OK; i++) {
-		const char *slash = strrchr(res->items[i].key, '/');
-
-		e = job_list_add(&j->list, strtoull(slash + 1, NULL, 10),
-				 res->items[i].value, res->items[i].len);
-	}
-	if (e != ERR_OK)
-		log_event(EV_JOB_BAD, "batch=%s record=%llu error=%s", j->id,
-			  (unsigned long long)j->list.records, err_code(e));
-	job_list_answered(&j->list, e, res->more, res->rev);
-	return e;
-}
-
-static void read_records(struct core *c, struct job_reader *r, struct job *j);
-
 /* Goes on with a reader after a list of the records. */
 static void reader_continue(struct core *c, struct job_reader *r, struct job *j,
 			    enum err e)
@@ -112,6 +107,10 @@
 	bool over = list_share_covers(&j->list_share, r->list_wanted) &&
 		    (core_now(c) >= r->deadline_ms || !j->list.rev);
 
+	if (is_list_whole(j)) {
+		reader_answer_if_due(c, r, j);
+		return;
+	}
 	switch (list_share_after_list(e == ERR_OK, has_news(j, r), over)) {
 	case LIST_SHARE_ANSWER:
 		reader_answer(c, r, j);
@@ -125,15 +124,11 @@
 	}
 }
 
-static void list_records(struct core *c, struct job *j);
-
-/* Ends a list for all readers that wait for it. */
-static void list_ended(struct core *c, struct job *j, enum err e)
+void job_readers_listed(struct core *c, struct job *j, enum err e)
 {
 	struct job_reader *r;
 	size_t iter = 0;
 
-	list_share_end(&j->list_share);
 	while ((r = htab_next(jobs_of(c)->readers, &iter, NULL))) {
 		if (r->job != j->self || !r->waits_for_list)
 			continue;
@@ -143,35 +138,6 @@
 	}
 }
 
-static void on_listed(struct core *c, void *ctx, const struct kv_result *res)
-{
-	struct job *j = htab_get(jobs_of(c)->jobs, (htab_handle)(uintptr_t)ctx);
-	enum err e = res->err == ERR_OK ? ERR_OK : ERR_KV_DOWN;
-
-	if (!j)
-		return;
-	if (e == ERR_OK && job_records_add(j, res) != ERR_OK)
-		e = ERR_FULL;
-	if (e == ERR_OK && res->more)
-		list_records(c, j);
-	else
-		list_ended(c, j, e);
-}
-
-static void list_records(struct core *c, struct job *j)
-{
-	char prefix[STORE_KEY_SIZE];
-	char from[STORE_KEY_SIZE];
-
-	snprintf(prefix, sizeof(prefix), KEY_RECORD "%s/", j->id);
-	snprintf(from, sizeof(from), KEY_RECORD "%s/%08llu", j->id,
-		 (unsigned long long)j->list.records - 1);
-	if (kv_list_after(c, prefix, j->list.records ? from : NULL,
-			  (struct kv_cb){on_listed,
-					 (void *)(uintptr_t)j->self}) != ERR_OK)
-		list_ended(c, j, ERR_KV_DOWN);
-}
-
 static void on_watched(struct core *c, void *ctx, const struct kv_result *res)
 {
 	struct job_reader *r = reader_of(c, ctx);
@@ -221,8 +187,7 @@
 	}
 	r->busy = true;
 	r->waits_for_list = true;
-	if (list_share_begin(&j->list_share))
-		list_records(c, j);
+	job_records_list(c, j);
 }
 
 static void reader_serve(struct core *c, struct job_reader *r, struct job *j)
@@ -231,14 +196,10 @@
 		reader_refuse(c, r, ERR_BATCH_UNKNOWN);
 		return;
 	}
-	/* No other node writes while this node runs the batch, and results not seen in
-	 * the store have no position. A list of all results is final. */
-	if (j->running || j->list.n >= j->owner.total) {
-		if (has_news(j, r) || core_now(c) >= r->deadline_ms)
-			reader_answer(c, r, j);
-		return;
-	}
-	read_records(c, r, j);
+	if (is_list_whole(j))
+		reader_answer_if_due(c, r, j);
+	else
+		read_records(c, r, j);
 }
 
 static void on_owner(struct core *c, void *ctx, const struct kv_result *res)
--- a/packages/daemon/src/job/submit.c
+++ b/packages/daemon/src/job/submit.c
@@ -112,36 +112,64 @@
 	job_caller_answer(c, to, 202, "application/json", "{}", 2);
 }
 
-/* The batch is accepted. Runs it if the owner key names this node. */
-static void submit_done(struct core *c, struct job_submit *s, uint64_t rev)
+static void submit_accept(struct core *c, struct job_submit *s)
 {
-	struct jobs *jobs = jobs_of(c);
-	bool owned_here = job_owner_is_self(c, &s->owner) && !s->owner.ended;
-	struct job *j = owned_here ? job_find_or_create(c, s->spec->id) : NULL;
-
-	if (j && !j->running) {
-		j->owner_known = true;
-		j->owner = s->owner;
-		j->owner_rev = rev;
-		log_event(EV_JOB_TAKEN,
-			  "batch=%s team=%s model=%s step=%lld items=%zu "
-			  "min_version=%llu",
-			  s->spec->id, s->spec->team, s->spec->model,
-			  (long long)s->spec->step, s->spec->n_items,
-			  (unsigned long long)s->spec->min_version);
-		if (job_start(c, j, s->spec) == ERR_OK)
-			s->spec = NULL;
-	}
 	histogram_add(H_BATCH_TAKEN,
 		      core_now(c) + SUBMIT_TIMEOUT_MS - s->deadline_ms);
 	answer_accepted(c, &s->caller);
-	if (owned_here && !(j && j->running))
-		hand_to_loader(c, s);
-	submit_free(jobs, s);
-	if (j && j->running)
+	submit_free(jobs_of(c), s);
+}
+
+/* Runs a batch whose owner key this submission created: it has no records yet. */
+static struct job *start_created(struct core *c, struct job_submit *s,
+				 uint64_t rev)
+{
+	struct job *j = job_find_or_create(c, s->spec->id);
+
+	if (!j || jobs_of(c)->handover.closed)
+		return NULL;
+	j->owner_known = true;
+	j->owner = s->owner;
+	j->owner_rev = rev;
+	log_event(EV_JOB_TAKEN,
+		  "batch=%s team=%s model=%s step=%lld items=%zu "
+		  "min_version=%llu",
+		  s->spec->id, s->spec->team, s->spec->model,
+		  (long long)s->spec->step, s->spec->n_items,
+		  (unsigned long long)s->spec->min_version);
+	if (job_start(c, j, s->spec) != ERR_OK)
+		return NULL;
+	s->spec = NULL;
+	return j;
+}
+
+static void submit_created(struct core *c, struct job_submit *s, uint64_t rev)
+{
+	struct job *j = start_created(c, s, rev);
+
+	if (!j) {
+		job_load_owned(c, s->spec, &s->owner, rev);
+		s->spec = NULL;
+	}
+	submit_accept(c, s);
+	if (j)
 		job_step(c, j);
 }
 
+/* The owner key exists. If it names this node, the batch may have records, and a takeover
+ * may be reading them: only a load may start it. */
+static void submit_exists(struct core *c, struct job_submit *s, uint64_t rev)
+{
+	const struct job *j = job_find(c, s->spec->id);
+
+	if (job_owner_is_self(c, &s->owner) && !s->owner.ended &&
+	    !s->owner.complete && !(j && j->running)) {
+		job_load_owned(c, s->spec, &s->owner, rev);
+		s->spec = NULL;
+	}
+	submit_accept(c, s);
+}
+
 static void submit_schedule(struct core *c, struct job_submit *s,
 			    enum submit_step step, int64_t wait_ms)
 {
@@ -169,7 +197,7 @@
 		     const struct kv_result *res)
 {
 	if (res->err == ERR_OK) {
-		submit_done(c, s, res->rev);
+		submit_created(c, s, res->rev);
 		return;
 	}
 	if (res->err == ERR_KV_UNKNOWN)
@@ -190,7 +218,7 @@
 		submit_schedule(c, s, SUBMIT_CHECK, JOB_RETRY_MS);
 	} else if (job_owner_parse(&res->items[0], &owner) == ERR_OK) {
 		s->owner = owner;
-		submit_done(c, s, res->items[0].rev);
+		submit_exists(c, s, res->items[0].rev);
 	} else {
 		log_event(EV_JOB_BAD, "key=%s", res->items[0].key);
 		submit_refuse(c, s, ERR_INTERNAL);
--- a/test/hosted/test_hosted_handover.c
+++ b/test/hosted/test_hosted_handover.c
@@ -610,6 +610,73 @@
 	restart(home);
 }
 
+/* Submit a batch at a home, and wait until it has records.
+ *
+ * @param[out] listed  results that entry nodes return
+ * @return its home */
+static int submit_with_records(const char *id, int *listed)
+{
+	int home;
+
+	batch_wait_home_owner(&ns, clock_now_ms() + BATCH_MS);
+	h.event_ms = SLOW_EVENT_MS;
+	batch_submit(&ns, id, 0, 1);
+	assert_true(wait_until(has_records, (void *)id, BATCH_MS));
+	home = batch_owner(&ns, id);
+	assert_in_range(home, NODES_ENTRY, ALL_NODES - 1);
+	*listed = results_from(0, id, 0);
+	assert_true(*listed > 1);
+	return home;
+}
+
+/* Stop a home; its next home owns the batch, and its reads are held. */
+static void stop_until_held(const char *id, int home, int reads)
+{
+	struct resend s = {id, home, 0, 0};
+
+	proc_signal(&ns.list[home].proc, SIGTERM);
+	assert_true(wait_until(owner_changed, &s, BATCH_MS));
+	assert_true(wait_until(reads_held, &reads, STOP_MS));
+}
+
+/* Guards against a batch run with a part of its records: it is submitted again while its
+ * next home reads them, and results that were read come back empty or run again. */
+static void test_submit_again_while_loaded_keeps_results(void **state)
+{
+	const char *id = "again";
+	int listed;
+	int home = submit_with_records(id, &listed);
+	json_t *before = read_results(&ns, 0, id, 0);
+	json_t *after;
+
+	hold_reads(NULL, "catkin/record/");
+	stop_until_held(id, home, 1);
+	batch_submit(&ns, id, 1, 1);
+	usleep(EVENT_MS * 1000);
+	hold_reads(NULL, NULL);
+	for (int i = 0; i < NODES_ENTRY; i++)
+		assert_true(results_from(i, id, listed - 1) > 0);
+	h.event_ms = EVENT_MS;
+	assert_read_once(id);
+	after = read_results(&ns, 0, id, 0);
+	for (int i = 0; i < listed; i++) {
+		const json_t *r = json_array_get(
+			json_object_get(before, "results"), (size_t)i);
+
+		assert_true(json_equal(
+			r, json_array_get(json_object_get(after, "results"),
+					  (size_t)i)));
+		assert_int_equal(
+			hosted_run_count(&h, json_string_value(
+						     json_object_get(r, "id"))),
+			1);
+	}
+	json_decref(before);
+	json_decref(after);
+	assert_true(proc_wait(&ns.list[home].proc, STOP_MS, NULL));
+	restart(home);
+}
+
 static const struct CMUnitTest tests[] = {
 	cmocka_unit_test(test_lost_home_resent_soon),
 	cmocka_unit_test(test_lost_home_then_leader_resent),
@@ -621,6 +688,7 @@
 	cmocka_unit_test(test_stop_without_store_resumes),
 	cmocka_unit_test(test_two_stops_no_duplicates),
 	cmocka_unit_test(test_end_between_pages_keeps_results),
+	cmocka_unit_test(test_submit_again_while_loaded_keeps_results),
 };
 
 int main(int argc, char **argv)
