fix(job): a load starts a batch by the owner key as it is, not as it was

What callers saw: a trainer ends a batch while its next home is loading it, and gets its acknowledgement; then the home sends items of the ended batch to engines.

Cause: the load kept the owner key as it had written it. The end, which the same node carries out beside the load, and reads that had seen a newer key were not asked; an end at another node was noticed by the watch that begins with the run.

Change: before a load starts a batch, it takes over a newer owner key that this node knows, and reads the key again if it was confirmed over 500 ms ago. A key that names another node, or says ended or complete, ends the load.

--- a/packages/daemon/src/job/end.c
+++ b/packages/daemon/src/job/end.c
@@ -64,6 +64,7 @@
 	log_event(EV_JOB_ENDED, "batch=%s team=%s owner=%s rev=%llu", e->id,
 		  e->team, e->owner.node, (unsigned long long)rev);
 	if (j && rev > j->owner_rev) {
+		j->owner_known = true;
 		j->owner = e->owner;
 		j->owner_rev = rev;
 	}
--- a/packages/daemon/src/job/load.c
+++ b/packages/daemon/src/job/load.c
@@ -20,6 +20,9 @@
 	/// effect seconds later.
 	LOAD_LATE_WRITE_MS = 8000,
 	LOAD_LATE_POLL_MS = 1000, ///< added between such polls
+	/// An owner key read longer ago is read again before the batch starts: an end
+	/// must cancel items within seconds.
+	LOAD_OWNER_AGE_MAX_MS = 500,
 };
 
 /// A batch being loaded. Once its owner key may name this node, the load is kept until
@@ -30,10 +33,12 @@
 	int calls; ///< in flight
 	bool done; ///< freed after the last call
 	bool owner_read_due;
+	bool owner_reading; ///< a read of the owner key is in flight
 	int64_t owner_read_ms;
 	int64_t late_write_until_ms; ///< a write may take effect until then
 	bool active; ///< counts toward the limit of takeovers
 	bool owned; ///< the owner key names this node
+	int64_t owner_ms; ///< with owned: the key named it then
 	bool reads_started; ///< of records and texts
 	bool listed; ///< all records were in the batch's list when it was read
 	bool waits_for_list; ///< of the batch's records
@@ -174,13 +179,16 @@
 		load_finish(c, l, why);
 }
 
-static void set_owned(struct core *c, struct job_load *l, uint64_t rev)
+/* The owner key named this node when a call of a given start was answered. */
+static void set_owned(struct core *c, struct job_load *l, uint64_t rev,
+		      int64_t since_ms)
 {
 	const struct job *j = job_find(c, l->id);
 
 	if (!l->owned && j)
 		l->list_wanted = list_share_next(&j->list_share);
 	l->owned = true;
+	l->owner_ms = since_ms;
 	l->rev = rev;
 }
 
@@ -190,6 +198,17 @@
 	return job_owner_is_self(c, o) && !o->ended && !o->complete;
 }
 
+/* Reads and ends beside the load may know a newer owner key. */
+static bool load_still_owned(struct core *c, struct job_load *l,
+			     const struct job *j)
+{
+	if (!j->owner_known || j->owner_rev <= l->rev)
+		return true;
+	l->owner = j->owner;
+	l->rev = j->owner_rev;
+	return runs_here(c, &l->owner);
+}
+
 /* Whether the batch's list has each record that was written before this node owned it. */
 static bool list_is_whole(const struct job_load *l, const struct job *j)
 {
@@ -199,13 +218,15 @@
 }
 
 static void load_records(struct core *c, struct job_load *l);
+static void load_read_owner(struct core *c, struct job_load *l);
 
 /* Runs the batch if the owner key is written and all data is loaded. */
 static void load_run_if_ready(struct core *c, struct job_load *l)
 {
 	struct job *j;
 
-	if (!l->owned || !l->spec || !l->listed || !l->texts_known)
+	if (!l->owned || !l->spec || !l->listed || !l->texts_known ||
+	    l->owner_reading)
 		return;
 	j = job_find_or_create(c, l->id);
 	if (j && j->running)
@@ -215,8 +236,12 @@
 	else if (!j || j->store_busy)
 		/* A write of an earlier run here may add a record. */
 		schedule_list(c, l);
+	else if (!load_still_owned(c, l, j))
+		load_finish(c, l, "other-owner");
 	else if (!list_is_whole(l, j))
 		load_records(c, l);
+	else if (core_now(c) - l->owner_ms > LOAD_OWNER_AGE_MAX_MS)
+		load_read_owner(c, l);
 	else
 		run_loaded(c, l, j);
 }
@@ -303,13 +328,14 @@
 
 	if (!load_call_ended(c, l))
 		return;
+	l->owner_reading = false;
 	if (res->err != ERR_OK && res->err != ERR_NOT_FOUND) {
 		schedule_owner_read(c, l);
 	} else if (res->err == ERR_OK &&
 		   job_owner_parse(&res->items[0], &owner) == ERR_OK &&
 		   runs_here(c, &owner)) {
 		l->owner = owner;
-		set_owned(c, l, res->items[0].rev);
+		set_owned(c, l, res->items[0].rev, l->owner_read_ms);
 		start_reads(c, l);
 		load_run_if_ready(c, l);
 	} else if (!l->owned && core_now(c) < l->late_write_until_ms) {
@@ -327,8 +353,10 @@
 
 	snprintf(key, sizeof(key), KEY_RUN "%s", l->id);
 	l->owner_read_due = false;
-	if (!load_call_begun(l,
-			     kv_get(c, key, (struct kv_cb){on_owner_read, l})))
+	l->owner_read_ms = core_now(c);
+	l->owner_reading = load_call_begun(
+		l, kv_get(c, key, (struct kv_cb){on_owner_read, l}));
+	if (!l->owner_reading)
 		schedule_owner_read(c, l);
 }
 
@@ -360,7 +388,7 @@
 		l->late_write_until_ms = core_now(c) + LOAD_LATE_WRITE_MS;
 		schedule_owner_read(c, l);
 	} else {
-		set_owned(c, l, res->rev);
+		set_owned(c, l, res->rev, core_now(c));
 		load_run_if_ready(c, l);
 	}
 }
@@ -417,7 +445,7 @@
 	if (!l || joins)
 		return;
 	l->owner = *owner;
-	set_owned(c, l, rev);
+	set_owned(c, l, rev, core_now(c));
 	start_reads(c, l);
 }
 
--- a/test/hosted/test_hosted_handover.c
+++ b/test/hosted/test_hosted_handover.c
@@ -677,6 +677,34 @@
 	restart(home);
 }
 
+/* Guards against items that are sent after the end of their batch was acknowledged: the
+ * next home was loading the batch, and started it by the owner key as it was before. */
+static void test_end_while_loaded_sends_nothing(void **state)
+{
+	const char *id = "ended";
+	int listed;
+	int home = submit_with_records(id, &listed);
+	int64_t ended_ms;
+	int late = 0;
+
+	hold_reads("catkin/texts/", NULL);
+	stop_until_held(id, home, 1);
+	end_batch(id);
+	ended_ms = clock_now_ms();
+	hold_reads(NULL, NULL);
+	usleep(RUN_MS * 1000);
+	pthread_mutex_lock(&h.lock);
+	for (int i = 0; i < h.n_runs; i++)
+		late += strncmp(h.runs[i].id, id, strlen(id)) == 0 &&
+			h.runs[i].start_ms > ended_ms;
+	pthread_mutex_unlock(&h.lock);
+	assert_int_equal(late, 0);
+	assert_true(results_from(1, id, listed - 1) > 0);
+	h.event_ms = EVENT_MS;
+	assert_true(proc_wait(&ns.list[home].proc, STOP_MS, NULL));
+	restart(home);
+}
+
 static const struct CMUnitTest tests[] = {
 	cmocka_unit_test(test_lost_home_resent_soon),
 	cmocka_unit_test(test_lost_home_then_leader_resent),
@@ -689,6 +717,7 @@
 	cmocka_unit_test(test_two_stops_no_duplicates),
 	cmocka_unit_test(test_end_between_pages_keeps_results),
 	cmocka_unit_test(test_submit_again_while_loaded_keeps_results),
+	cmocka_unit_test(test_end_while_loaded_sends_nothing),
 };
 
 int main(int argc, char **argv)
