fix(job): a read that waits where a batch stops running goes on with the store

What callers saw: a read waits for results at a home that hands the batch over or loses it. At its deadline it was answered with no result, though the next home had written results that others had read.

Cause: a reader at a running batch waits without a call, as the list of a running batch is whole. Nothing told it when the batch stopped running, nor that the next home may write once the handover is sent.

Change: is_list_whole() is the one test for that; readers without a call at a batch whose list is not whole any more list or watch its records.

Evidence: test_waiting_read_gets_next_homes_results failed 3 of 3 times on and passes 3 of 3 now.

--- a/packages/daemon/src/job/read.c
+++ b/packages/daemon/src/job/read.c
@@ -69,10 +69,11 @@
 }
 
 /* Whether the list has every result with a position. No other node writes while this
- * node runs the batch; a list of all items is final. */
+ * node runs the batch, until it is handed over; a list of all items is final. */
 static bool is_list_whole(const struct job *j)
 {
-	return j->running || j->list.n >= j->owner.total;
+	return (j->running && !j->handover_sent_ms) ||
+	       j->list.n >= j->owner.total;
 }
 
 static void reader_answer_if_due(struct core *c, struct job_reader *r,
@@ -84,6 +85,14 @@
 
 static void read_records(struct core *c, struct job_reader *r, struct job *j);
 
+/* Reads records of which none may be known; a list that began earlier won't do. */
+static void read_new_records(struct core *c, struct job_reader *r,
+			     struct job *j)
+{
+	r->list_wanted = list_share_next(&j->list_share);
+	read_records(c, r, j);
+}
+
 void job_readers_step(struct core *c)
 {
 	struct job_reader *r;
@@ -94,8 +103,13 @@
 
 		if (!j)
 			reader_refuse(c, r, ERR_KV_DOWN);
-		else if (!r->busy && core_now(c) >= r->deadline_ms)
-			reader_answer(c, r, j);
+		else if (r->busy)
+			continue;
+		else if (is_list_whole(j))
+			reader_answer_if_due(c, r, j);
+		else
+			/* The batch stopped running here while the reader waited. */
+			read_new_records(c, r, j);
 	}
 }
 
--- a/test/hosted/test_hosted_handover.c
+++ b/test/hosted/test_hosted_handover.c
@@ -33,6 +33,8 @@
 	RETIRE_S = 4,
 	EVENT_MS = 50, ///< interval between events of a stream
 	SLOW_EVENT_MS = 300, ///< the same, while a batch's records are written
+	LONG_WAIT_MS =
+		2400, ///< of a read that waits for the next home's results
 	RECORDS_MIN = 2, ///< of a batch that is handed over
 	READ_WAIT_MS = 300, ///< of reads that wait for results
 };
@@ -705,6 +707,37 @@
 	restart(home);
 }
 
+/* Guards against a read that is answered with no result at its deadline: it waits at a home
+ * that hands the batch over meanwhile, and the next home writes results. */
+static void test_waiting_read_gets_next_homes_results(void **state)
+{
+	const char *id = "waits";
+	struct node_caller reader = {.ns = &ns, .node = 0, .method = "GET"};
+	struct resend s = {id, 0, 0, 0};
+	int listed;
+	int home = submit_with_records(id, &listed);
+	json_t *page;
+
+	s.except_node = home;
+	put_retire(home);
+	ns.wait_ms = LONG_WAIT_MS;
+	snprintf(reader.path, sizeof(reader.path),
+		 "/catkinpath/lots/%s?after=%d", id, results_from(0, id, 0));
+	node_caller_start(&reader);
+	assert_true(wait_until(owner_changed, &s, BATCH_MS));
+	h.event_ms = EVENT_MS;
+	node_caller_join(&reader);
+	assert_int_equal(reader.answer.status, 200);
+	page = json_loadb(reader.answer.body, reader.answer.len, 0, NULL);
+	assert_true(json_array_size(json_object_get(page, "results")) > 0);
+	json_decref(page);
+	response_free(&reader.answer);
+	ns.wait_ms = 0;
+	assert_read_once(id);
+	restart(home);
+	del_retire(home);
+}
+
 static const struct CMUnitTest tests[] = {
 	cmocka_unit_test(test_lost_home_resent_soon),
 	cmocka_unit_test(test_lost_home_then_leader_resent),
@@ -718,6 +751,7 @@
 	cmocka_unit_test(test_end_between_pages_keeps_results),
 	cmocka_unit_test(test_submit_again_while_loaded_keeps_results),
 	cmocka_unit_test(test_end_while_loaded_sends_nothing),
+	cmocka_unit_test(test_waiting_read_gets_next_homes_results),
 };
 
 int main(int argc, char **argv)
