fix(site): a domain stays out of service while the operators' keys are listed again

What callers saw: the store loses its history while a failure domain is out of service; requests reach servers of that domain until the new list has come to its key.

Cause: the domains were put back when the list began. A list takes several calls once it has several pages.

Change: each list marks the domains that it has, and those without its mark are put back when it ends (site_servers_begin_domains(), site_servers_end_domains()). The stand-in of the store can forget a prefix's history (hosted_relist_held()).

--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -202,7 +202,7 @@
 {
 	struct site *s = ctx;
 
-	site_servers_clear_domains_out(s->servers);
+	site_servers_begin_domains(s->servers);
 }
 
 static void apply_retire(struct core *c, struct site *s, const char *node,
@@ -270,6 +270,9 @@
 
 static void operator_list_end(struct core *c, void *ctx)
 {
+	struct site *s = ctx;
+
+	site_servers_end_domains(s->servers);
 }
 
 static const struct feed_ops operator_ops = {
--- a/packages/site/include/site/server.h
+++ b/packages/site/include/site/server.h
@@ -211,8 +211,10 @@
 void site_servers_set_domain_out(struct site_servers *t, const char *domain,
 				 bool out);
 
-/// Put all failure domains back in service, before the full list is read again.
-void site_servers_clear_domains_out(struct site_servers *t);
+/// Read the full list of the domains out of service: between the two calls each of them
+/// is set again, and those that are not are put back by the second call only.
+void site_servers_begin_domains(struct site_servers *t);
+void site_servers_end_domains(struct site_servers *t);
 
 /// @return server, NULL for a stale handle
 struct site_server *site_servers_get(const struct site_servers *t,
--- a/packages/site/src/server.c
+++ b/packages/site/src/server.c
@@ -326,32 +326,43 @@
 		server_index_set_usable(s, site_server_usable(t, s));
 }
 
+static void put_domain_back(struct site_servers *t, int pos)
+{
+	t->n_domains_out--;
+	memmove(t->domains_out[pos], t->domains_out[t->n_domains_out],
+		SITE_NAME_SIZE);
+	memset(t->domains_out[t->n_domains_out], 0, SITE_NAME_SIZE);
+	t->domain_rounds[pos] = t->domain_rounds[t->n_domains_out];
+	reindex_usable(t);
+}
+
 void site_servers_set_domain_out(struct site_servers *t, const char *domain,
 				 bool out)
 {
 	int pos = domain_out_index(t, domain);
 
 	if (out && pos < 0 && t->n_domains_out < DOMAINS_OUT_MAX) {
-		strncpy(t->domains_out[t->n_domains_out], domain,
-			SITE_NAME_SIZE - 1);
-		t->n_domains_out++;
-		reindex_usable(t);
-	} else if (!out && pos >= 0) {
-		t->n_domains_out--;
-		memmove(t->domains_out[pos], t->domains_out[t->n_domains_out],
-			SITE_NAME_SIZE);
-		memset(t->domains_out[t->n_domains_out], 0, SITE_NAME_SIZE);
+		pos = t->n_domains_out++;
+		strncpy(t->domains_out[pos], domain, SITE_NAME_SIZE - 1);
 		reindex_usable(t);
 	}
+	if (out && pos >= 0)
+		t->domain_rounds[pos] = t->domains_round;
+	else if (pos >= 0)
+		put_domain_back(t, pos);
 }
 
-void site_servers_clear_domains_out(struct site_servers *t)
+void site_servers_begin_domains(struct site_servers *t)
 {
-	if (!t->n_domains_out)
-		return;
-	memset(t->domains_out, 0, sizeof(t->domains_out));
-	t->n_domains_out = 0;
-	reindex_usable(t);
+	t->domains_round++;
+}
+
+void site_servers_end_domains(struct site_servers *t)
+{
+	for (int i = t->n_domains_out - 1; i >= 0; i--) {
+		if (t->domain_rounds[i] != t->domains_round)
+			put_domain_back(t, i);
+	}
 }
 
 bool site_server_usable(const struct site_servers *t,
--- a/packages/site/src/server_table.h
+++ b/packages/site/src/server_table.h
@@ -29,6 +29,8 @@
 	struct rng rng;
 	uint32_t list_round; ///< of the full list being read
 	char domains_out[DOMAINS_OUT_MAX][SITE_NAME_SIZE];
+	uint32_t domain_rounds[DOMAINS_OUT_MAX]; ///< last list that had each
+	uint32_t domains_round; ///< of the list of them being read
 	int n_domains_out;
 	struct removed removed[REMOVED_MAX];
 	uint32_t n_removed; ///< total so far; the oldest are overwritten
--- a/test/hosted/hosted.h
+++ b/test/hosted/hosted.h
@@ -136,6 +136,9 @@
 	const char *delay_prefix;
 	int64_t delay_before_ms;
 	int delay_ms;
+	/// Prefix; watches on it that began by forget_before_ms get 410.
+	const char *forget_prefix;
+	int64_t forget_before_ms;
 	int64_t stale_ok_until_ms; ///< a sender resumed: stale orders are ignored
 	json_t *ordered_sizes; ///< "service/domain" to servers ordered
 	bool stopping;
@@ -186,6 +189,13 @@
 /// Delay the responses to the watches on a prefix that are waiting now.
 void hosted_delay_watches(struct hosted *h, const char *prefix, int ms);
 
+/// Answer the watches on a prefix that are waiting now with 410, and give the lists that
+/// follow one item a page; their second pages are held.
+void hosted_relist_held(struct hosted *h, const char *prefix);
+
+/// Let the lists go on, with all items in a page.
+void hosted_relist_release(struct hosted *h);
+
 /// Publish the servers that are back after a request ended them.
 void hosted_revive(struct hosted *h);
 
--- a/test/hosted/store.c
+++ b/test/hosted/store.c
@@ -151,7 +151,28 @@
 		wait_change(h);
 }
 
-static json_t *watch(struct hosted *h, struct MHD_Connection *conn)
+void hosted_relist_held(struct hosted *h, const char *prefix)
+{
+	pthread_mutex_lock(&h->lock);
+	h->page_prefix = prefix;
+	h->hold_page = prefix;
+	h->forget_prefix = prefix;
+	h->forget_before_ms = clock_now_ms();
+	pthread_cond_broadcast(&h->changed);
+	pthread_mutex_unlock(&h->lock);
+}
+
+void hosted_relist_release(struct hosted *h)
+{
+	pthread_mutex_lock(&h->lock);
+	h->page_prefix = NULL;
+	h->hold_page = NULL;
+	h->forget_prefix = NULL;
+	pthread_cond_broadcast(&h->changed);
+	pthread_mutex_unlock(&h->lock);
+}
+
+static json_t *watch(struct hosted *h, struct MHD_Connection *conn, int *status)
 {
 	const char *prefix = query_arg(conn, "prefix");
 	uint64_t after = strtoull(query_arg(conn, "after"), NULL, 10);
@@ -160,8 +181,15 @@
 	json_t *reply;
 
 	while (!h->stopping && clock_now_ms() < deadline &&
-	       !kv_changed_since(&h->kv, prefix, after))
+	       !kv_changed_since(&h->kv, prefix, after) &&
+	       !is_disturbed(prefix, h->forget_prefix, began,
+			     h->forget_before_ms))
 		wait_change(h);
+	if (is_disturbed(prefix, h->forget_prefix, began,
+			 h->forget_before_ms)) {
+		*status = 410;
+		return json_object();
+	}
 	reply = json_pack("{s:o,s:I}", "events",
 			  entries(&h->kv, prefix, "", true, after), "at",
 			  (json_int_t)h->kv.rev);
@@ -334,7 +362,7 @@
 	kv_expire_leases(&h->kv, clock_now_ms());
 	*status = 200;
 	if (strcmp(url, "/catkinpath/kv-watch") == 0)
-		return watch(h, conn);
+		return watch(h, conn, status);
 	if (strcmp(url, "/catkinpath/kv-txn") == 0)
 		return txn(h, body, status);
 	if (strcmp(url, "/usage-reports") == 0)
