fix(site): known nodes are dropped when a list of them ends, not when it begins

What callers saw: a home stops while the store has lost its history. It finds no next home, so its batches wait for the leader, and none of their items run meanwhile.

Change: each list marks the nodes that it has; those without its mark are dropped when it ends, as relays too. Until the first list is whole a node knows no homes and works by itself.

--- a/packages/daemon/include/daemon/site_mod.h
+++ b/packages/daemon/include/daemon/site_mod.h
@@ -62,6 +62,7 @@
 	int64_t known_ms; ///< clock_now_ms() time since which it is known
 	int64_t hello_sent_ms; ///< last hello sent to it, 0: never
 	int64_t avoid_until_ms; ///< it left an ask for permits unanswered
+	uint32_t list_round; ///< last list that had it
 };
 
 /// Other live nodes that may be asked for help: first some of the own failure
@@ -72,7 +73,7 @@
 
 /// Live nodes that may be homes, including this one if it may.
 ///
-/// @param[out] n  count
+/// @param[out] n  count, 0 until all nodes were listed once
 const struct site_node *site_mod_homes(struct core *c, size_t *n);
 
 /// Number that changes with the set of live nodes.
--- a/packages/daemon/src/site/nodes.c
+++ b/packages/daemon/src/site/nodes.c
@@ -9,7 +9,7 @@
 
 const struct site_node *site_mod_homes(struct core *c, size_t *n)
 {
-	*n = site_of(c)->n_homes;
+	*n = site_of(c)->nodes_listed ? site_of(c)->n_homes : 0;
 	return site_of(c)->homes;
 }
 
@@ -31,7 +31,8 @@
 
 /* Add a node at the front or the end of a list, or update it. */
 static void node_put(struct site_node *list, size_t *n,
-		     const struct live_value *v, bool front, int64_t now)
+		     const struct live_value *v, bool front, int64_t now,
+		     uint32_t round)
 {
 	struct site_node *h = node_find(list, *n, v->node);
 
@@ -42,8 +43,11 @@
 		if (front)
 			memmove(list + 1, list, *n * sizeof(*list));
 		(*n)++;
-		h->known_ms = now;
+		*h = (struct site_node){0};
 	}
+	if (strcmp(h->peer, v->peer) != 0)
+		h->known_ms = now;
+	h->list_round = round;
 	snprintf(h->node, sizeof(h->node), "%s", v->node);
 	snprintf(h->peer, sizeof(h->peer), "%s", v->peer);
 }
@@ -58,6 +62,21 @@
 	memmove(h, h + 1, (size_t)(list + *n - h) * sizeof(*h));
 }
 
+/* Remove the nodes that the list which ended did not have. */
+static void drop_unlisted(struct core *c, struct site *s,
+			  struct site_node *list, size_t *n)
+{
+	for (size_t i = *n; i-- > 0;) {
+		char node[SITE_NAME_SIZE];
+
+		if (list[i].list_round == s->nodes_round)
+			continue;
+		strcpy(node, list[i].node);
+		node_del(list, n, node);
+		relay_node_removed(c, &s->relay, node);
+	}
+}
+
 uint64_t site_mod_nodes_gen(struct core *c)
 {
 	return site_of(c)->nodes_gen;
@@ -154,13 +173,14 @@
 		core_peer_add(c, v->node, v->peer);
 	if (!self && (same_domain || v->relay))
 		node_put(s->neighbours, &s->n_neighbours, v,
-			 same_domain && !v->relay, core_now(c));
+			 same_domain && !v->relay, core_now(c), s->nodes_round);
 	if (!v->relay)
 		return;
 	if (v->retiring)
 		node_del(s->homes, &s->n_homes, v->node);
 	else
-		node_put(s->homes, &s->n_homes, v, false, core_now(c));
+		node_put(s->homes, &s->n_homes, v, false, core_now(c),
+			 s->nodes_round);
 	if (!self)
 		relay_node_changed(c, &s->relay, v->node, v->peer, same_domain);
 }
@@ -170,8 +190,7 @@
 	struct site *s = ctx;
 
 	s->nodes_gen++;
-	s->n_homes = 0;
-	s->n_neighbours = 0;
+	s->nodes_round++;
 }
 
 static void nodes_item(struct core *c, void *ctx, const struct kv_item *item)
@@ -198,8 +217,14 @@
 	relay_node_removed(c, &s->relay, key + sizeof(KEY_LIVE) - 1);
 }
 
+/* Nodes are dropped only now: a list may take several calls. */
 static void nodes_list_end(struct core *c, void *ctx)
 {
+	struct site *s = ctx;
+
+	drop_unlisted(c, s, s->homes, &s->n_homes);
+	drop_unlisted(c, s, s->neighbours, &s->n_neighbours);
+	s->nodes_listed = true;
 }
 
 const struct feed_ops site_nodes_ops = {
--- a/packages/daemon/src/site/site.h
+++ b/packages/daemon/src/site/site.h
@@ -37,6 +37,8 @@
 	struct feed server_feed;
 	struct feed node_feed;
 	uint64_t nodes_gen; ///< changes with the live nodes
+	uint32_t nodes_round; ///< lists of the nodes begun
+	bool nodes_listed; ///< one was whole
 	struct site_node homes[SITE_NODES_MAX];
 	size_t n_homes;
 	struct site_node neighbours[SITE_NODES_MAX];
--- a/test/hosted/test_hosted_handover.c
+++ b/test/hosted/test_hosted_handover.c
@@ -738,6 +738,34 @@
 	del_retire(home);
 }
 
+static bool store_reads_held(void *ctx)
+{
+	bool held;
+
+	pthread_mutex_lock(&h.lock);
+	held = h.n_held > 0;
+	pthread_mutex_unlock(&h.lock);
+	return held;
+}
+
+/* Guards against a stopping home that finds no next home: it had forgotten the others when a
+ * new list of the live nodes began. */
+static void test_stop_while_nodes_are_listed_hands_over(void **state)
+{
+	char id[16];
+	int home = submit_and_run("j", id);
+
+	hosted_relist_held(&h, "catkin/live/");
+	assert_true(wait_until(store_reads_held, NULL, STOP_MS));
+	usleep(RUN_MS * 1000);
+	proc_signal(&ns.list[home].proc, SIGTERM);
+	assert_true(proc_wait(&ns.list[home].proc, STOP_MS, NULL));
+	hosted_relist_release(&h);
+	assert_true(node_logged(&ns, home, "\"left_to_leader\":0"));
+	assert_read_once(id);
+	restart(home);
+}
+
 static const struct CMUnitTest tests[] = {
 	cmocka_unit_test(test_lost_home_resent_soon),
 	cmocka_unit_test(test_lost_home_then_leader_resent),
@@ -752,6 +780,7 @@
 	cmocka_unit_test(test_submit_again_while_loaded_keeps_results),
 	cmocka_unit_test(test_end_while_loaded_sends_nothing),
 	cmocka_unit_test(test_waiting_read_gets_next_homes_results),
+	cmocka_unit_test(test_stop_while_nodes_are_listed_hands_over),
 };
 
 int main(int argc, char **argv)
