fix(tally): a report's list begins anew after leadership was lost

A leader that loses its right to act between two pages of a window's counts went on, when it had it again, after the last key of that page, and added the next window's counts to those it had.

Cause: the position in the list outlived the leadership that it was read under.

Change: a report that begins, begins its list.

Evidence: test_lost_leadership_drops_listed_pages fails on (the list goes on after "catkin/tally/1000/old") and passes now.

--- a/packages/daemon/src/tally/report.c
+++ b/packages/daemon/src/tally/report.c
@@ -229,6 +229,8 @@
 	    r->window < newest_settled - REPORT_LOOKBACK_WINDOWS)
 		r->window = newest_settled - lookback + 1;
 	r->epoch = epoch;
+	/* A list that ended with the last leadership is of another window. */
+	r->cursor[0] = '\0';
 	if (r->window <= newest_settled)
 		r->step = REPORT_LIST;
 }
