fix(tally): a window is reported from its sealed bytes, with every team

With over 512 teams in a window the report had 512 of them; a later leader's report had 512 others, and the platform accepted both. The teams over the bound were not billed in either.

Cause: the first leader reported its own sum, in the order in which it had added it up, a later one the sealed figures, which are sorted; both were cut after 512.

Change: a report has one source, the bytes of the sealed key, and an entry for each team in them. Figures that can't be read are not reported as none, and a window that the store refuses for its size does not hold up the next ones: both are logged (tally-unreported).

--- a/packages/daemon/src/tally/report.c
+++ b/packages/daemon/src/tally/report.c
@@ -1,8 +1,8 @@
 // The leader sums up a window's usage, makes the figures final in the store and
 // reports them to the platform.
 //
-// Creating one key makes the figures final: every report of the window, also after a
-// lost answer or by a later leader, sends that key's figures.
+// Creating one key makes the figures final. Reports are made from that key's bytes alone:
+// after a lost answer and by a later leader they are the same.
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,7 +16,6 @@
 
 enum {
 	REPORT_RETRY_MS = 400,
-	REPORT_TEAMS_MAX = 512, ///< in a report
 	/// Past windows that a new leader reports: more than pass without a leader.
 	/// A window reported before is reported again, unchanged.
 	REPORT_LOOKBACK_WINDOWS = 8,
@@ -43,6 +42,23 @@
 	report_set_step(c, r, REPORT_IDLE, 0);
 }
 
+/* Gives a window up that can't be reported, so that the next ones can. */
+static void report_skip(struct core *c, struct tally_report *r, enum err e)
+{
+	log_event(EV_TALLY_UNREPORTED, "window=%lld epoch=%llu error=%s",
+		  (long long)r->window, (unsigned long long)r->epoch,
+		  err_code(e));
+	report_done(c, r);
+}
+
+void tally_report_free(struct tally_report *r)
+{
+	json_decref(r->sum);
+	free(r->sealed);
+	r->sum = NULL;
+	r->sealed = NULL;
+}
+
 static void sum_item(struct tally_report *r, const struct kv_item *item)
 {
 	json_t *obj = json_loadb(item->value, item->len, 0, NULL);
@@ -84,12 +100,20 @@
 	report_set_step(c, r, REPORT_FINALIZE, 0);
 }
 
+/* Whether the store refuses a value whenever it is written. */
+static bool is_refused(enum err e)
+{
+	return e == ERR_TOO_LARGE || e == ERR_INVALID;
+}
+
 static void on_finalized(struct core *c, void *ctx, const struct kv_result *res)
 {
 	struct tally_report *r = report_of(c);
 
 	if (res->err == ERR_OK)
 		report_set_step(c, r, REPORT_SEND, 0);
+	else if (is_refused(res->err))
+		report_skip(c, r, res->err);
 	else if (res->err == ERR_KV_CONFLICT || res->err == ERR_KV_UNKNOWN)
 		report_set_step(c, r, REPORT_READ, 0);
 	else
@@ -105,12 +129,10 @@
 	} else if (res->err != ERR_OK) {
 		report_set_step(c, r, REPORT_READ, REPORT_RETRY_MS);
 	} else {
-		json_decref(r->sum);
-		r->sum = json_loadb(res->items[0].value, res->items[0].len, 0,
-				    NULL);
-		if (!r->sum)
-			r->sum = json_object();
-		report_set_step(c, r, REPORT_SEND, 0);
+		free(r->sealed);
+		r->sealed = strndup(res->items[0].value, res->items[0].len);
+		report_set_step(c, r, r->sealed ? REPORT_SEND : REPORT_READ,
+				r->sealed ? 0 : REPORT_RETRY_MS);
 	}
 }
 
@@ -122,73 +144,77 @@
 
 	log_event(ok ? EV_TALLY_REPORTED : EV_TALLY_FAILED,
 		  "window=%lld epoch=%llu teams=%zu error=%s http=%d",
-		  (long long)r->window, (unsigned long long)r->epoch,
-		  json_object_size(r->sum), err_code(res->err), res->status);
+		  (long long)r->window, (unsigned long long)r->epoch, r->teams,
+		  err_code(res->err), res->status);
 	if (ok)
 		report_done(c, r);
 	else
 		report_set_step(c, r, REPORT_SEND, REPORT_RETRY_MS);
 }
 
-static size_t report_counts(const struct tally_report *r,
-			    struct duty_count *counts)
+/* @return one entry for each team, in the order of the sealed text; NULL when out of memory */
+static struct duty_count *report_counts(json_t *figures, struct arena *a)
 {
+	struct duty_count *counts = arena_alloc(
+		a, (json_object_size(figures) + 1) * sizeof(*counts));
 	const char *team;
 	json_t *n;
 	size_t k = 0;
 
-	json_object_foreach(r->sum, team, n) {
-		if (k == REPORT_TEAMS_MAX)
-			break;
+	if (!counts)
+		return NULL;
+	json_object_foreach(figures, team, n) {
 		counts[k++] = (struct duty_count){
 			.team = team,
 			.requests = (uint64_t)json_integer_value(n),
 		};
 	}
-	return k;
+	return counts;
 }
 
 static enum err report_send(struct core *c, struct tally_report *r)
 {
 	const struct duty_wire_ops *wire = core_wire(c)->duty;
-	struct duty_count counts[REPORT_TEAMS_MAX];
-	const struct duty_report rep = {
+	json_t *figures = json_loads(r->sealed, 0, NULL);
+	struct duty_report rep = {
 		.holder = core_node(c),
 		.epoch = r->epoch,
 		.window = r->window,
-		.counts = counts,
-		.n = report_counts(r, counts),
+		.n = json_object_size(figures),
 	};
 	struct lead_call call = {
 		.path = wire->report_path,
 		.on_done = on_sent,
 	};
+	enum err e = ERR_PARSE;
 	struct arena a;
-	enum err e;
 
 	arena_init(&a, 0);
-	call.headers = wire->report(&rep, &a, &call.body);
-	e = lead_call_send(c, &call);
+	r->teams = rep.n;
+	if (json_is_object(figures)) {
+		rep.counts = report_counts(figures, &a);
+		call.headers =
+			rep.counts ? wire->report(&rep, &a, &call.body) : NULL;
+		e = lead_call_send(c, &call);
+	}
 	arena_free(&a);
+	json_decref(figures);
 	return e;
 }
 
 static enum err report_finalize(struct core *c, struct tally_report *r)
 {
-	char *text = json_dumps(r->sum, JSON_COMPACT | JSON_SORT_KEYS);
 	char key[STORE_KEY_SIZE];
-	const struct kv_put_opts put = {
-		.key = key,
-		.value = text,
-		.len = text ? strlen(text) : 0,
-	};
-	enum err e = ERR_NOMEM;
+	struct kv_put_opts put = {.key = key};
 
 	snprintf(key, sizeof(key), KEY_SEALED "%lld", (long long)r->window);
-	if (text)
-		e = kv_put(c, &put, (struct kv_cb){on_finalized, NULL});
-	free(text);
-	return e;
+	free(r->sealed);
+	r->sealed = json_dumps(r->sum, JSON_COMPACT | JSON_SORT_KEYS);
+	if (!r->sealed)
+		return ERR_NOMEM;
+	put.value = r->sealed;
+	put.len = strlen(r->sealed);
+	return kv_put(c, &put, (struct kv_cb){on_finalized, NULL});
 }
 
 static enum err report_call(struct core *c, struct tally_report *r)
@@ -216,8 +242,7 @@
 }
 
 /* Start the next window's report, settle_ms after its end. */
-static void report_begin(struct core *c, struct tally *t, uint64_t epoch,
-			 int64_t wall_ms)
+static void report_begin(struct tally *t, uint64_t epoch, int64_t wall_ms)
 {
 	struct tally_report *r = &t->report;
 	int64_t newest_settled = (wall_ms - t->settle_ms) / t->window_ms - 1;
@@ -235,6 +260,18 @@
 		r->step = REPORT_LIST;
 }
 
+/* @return whether a call is outstanding */
+static bool report_call_begun(struct core *c, struct tally_report *r)
+{
+	enum err e = report_call(c, r);
+
+	if (is_refused(e) || e == ERR_PARSE)
+		report_skip(c, r, e);
+	else if (e != ERR_OK)
+		r->next_call_ms = core_now(c) + REPORT_RETRY_MS;
+	return e == ERR_OK;
+}
+
 void tally_report_step(struct core *c, struct tally *t, int64_t wall_ms)
 {
 	struct tally_report *r = &t->report;
@@ -249,10 +286,8 @@
 	if (r->step != REPORT_IDLE && r->epoch != epoch)
 		r->step = REPORT_IDLE;
 	if (r->step == REPORT_IDLE)
-		report_begin(c, t, epoch, wall_ms);
+		report_begin(t, epoch, wall_ms);
 	if (r->step == REPORT_IDLE || core_now(c) < r->next_call_ms)
 		return;
-	r->call_outstanding = report_call(c, r) == ERR_OK;
-	if (!r->call_outstanding)
-		r->next_call_ms = core_now(c) + REPORT_RETRY_MS;
+	r->call_outstanding = report_call_begun(c, r);
 }
--- a/packages/daemon/src/tally/tally.h
+++ b/packages/daemon/src/tally/tally.h
@@ -34,7 +34,9 @@
 	enum report_step step;
 	bool call_outstanding;
 	int64_t window; ///< in progress, or next
-	json_t *sum; ///< team to requests
+	json_t *sum; ///< team to requests, of the nodes' counts that were read
+	char *sealed; ///< final figures as they are in the store
+	size_t teams; ///< in the final figures
 	char cursor[256]; ///< last key of the previous page
 	uint64_t epoch; ///< of the leadership that started the report
 	int64_t next_call_ms;
@@ -47,5 +49,7 @@
 	struct tally_report report;
 };
 
+void tally_report_free(struct tally_report *r);
+
 /// Take the next step of the leader's report.
 void tally_report_step(struct core *c, struct tally *t, int64_t wall_ms);
--- a/packages/daemon/src/tally/tally_mod.c
+++ b/packages/daemon/src/tally/tally_mod.c
@@ -164,7 +164,7 @@
 
 	for (int i = 0; i < TALLY_WINDOWS_MAX; i++)
 		json_decref(t->windows[i].counts);
-	json_decref(t->report.sum);
+	tally_report_free(&t->report);
 	free(t);
 }
 
--- a/packages/daemon/test/test_tally_report.c
+++ b/packages/daemon/test/test_tally_report.c
@@ -255,6 +255,64 @@
 	}
 }
 
+/* Counts of the teams in the given order, which starts at `first`. */
+static void node_counts(const char *node, int first)
+{
+	json_t *obj = json_object();
+	char key[STORE_KEY_SIZE];
+	char *text;
+
+	for (int i = 0; i < TEAMS; i++) {
+		char team[16];
+
+		snprintf(team, sizeof(team), "t%03d",
+			 (first + i * STRIDE) % TEAMS);
+		json_object_set_new(obj, team, json_integer(i + 1));
+	}
+	text = json_dumps(obj, JSON_COMPACT);
+	snprintf(key, sizeof(key), KEY_TALLY "%d/%s", FIRST_WINDOW, node);
+	value_set(key, text);
+	free(text);
+	json_decref(obj);
+}
+
+static int teams_sent(void)
+{
+	int n = 0;
+
+	for (const char *p = sent; *p; p++)
+		n += *p == ',';
+	return n;
+}
+
+/* Guards against a report that lacks the teams over a fixed number. */
+static void test_report_has_every_team(void **state)
+{
+	node_counts("a", 3);
+	run_ms(10);
+	assert_int_equal(n_sent, 1);
+	assert_int_equal(teams_sent(), TEAMS);
+}
+
+/* Guards against two reports of one window that differ: the first leader's from its sum, the
+ * next one's from the sealed figures. */
+static void test_later_leader_sends_the_sealed_figures(void **state)
+{
+	char first[BODY_BYTES];
+
+	node_counts("a", 3);
+	node_counts("b", 5);
+	run_ms(10);
+	assert_int_equal(n_sent, 1);
+	strcpy(first, sent);
+	forget_report();
+	epoch = 2;
+	node_counts("c", 11); /* written after the window was sealed */
+	while (sent_window != FIRST_WINDOW || n_sent == 1)
+		run_ms(1);
+	assert_string_equal(sent, first);
+}
+
 static void answer_page(const char *team, bool more)
 {
 	const struct kv_cb cb = answer.cb;
@@ -287,12 +345,43 @@
 	assert_string_equal(sent, "new=1,");
 }
 
+/* Guards against an empty report in place of figures that can't be read. */
+static void test_unreadable_figures_are_not_reported(void **state)
+{
+	char key[STORE_KEY_SIZE];
+
+	snprintf(key, sizeof(key), KEY_SEALED "%d", FIRST_WINDOW);
+	value_set(key, "{\"t1\":");
+	run_ms(10);
+	assert_int_equal(n_sent, 0);
+	wall_ms += WINDOW_MS;
+	run_ms(10);
+	assert_int_equal(sent_window, FIRST_WINDOW + 1);
+}
+
+/* Guards against windows that are never reported: the figures of one before them are too large
+ * for the store. */
+static void test_too_large_figures_do_not_stop_later_windows(void **state)
+{
+	put_error = ERR_TOO_LARGE;
+	run_ms(STEPS_MAX);
+	assert_int_equal(n_sent, 0);
+	put_error = ERR_OK;
+	wall_ms += WINDOW_MS;
+	run_ms(10);
+	assert_int_equal(sent_window, FIRST_WINDOW + 1);
+}
+
 #define TALLY_TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
 
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		TALLY_TEST(test_report_has_every_team),
+		TALLY_TEST(test_later_leader_sends_the_sealed_figures),
 		TALLY_TEST(test_lost_leadership_drops_listed_pages),
+		TALLY_TEST(test_unreadable_figures_are_not_reported),
+		TALLY_TEST(test_too_large_figures_do_not_stop_later_windows),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
