fix(tally): a leader reports every window of an outage

A leader that can't reach the platform for more than eight windows passed over those in between, in silence; they were sealed and never reported.

Cause: the bound on how far a new leader looks back was applied to a leader that knows which window it reported last.

Change: without another leader in between, reports go on after the last one.

Evidence: test_leader_reports_all_windows_of_an_outage fails on (2 of 21 windows) and passes now.

--- a/packages/daemon/src/tally/report.c
+++ b/packages/daemon/src/tally/report.c
@@ -17,7 +17,8 @@
 enum {
 	REPORT_RETRY_MS = 400,
 	/// Past windows that a new leader reports: more than pass without a leader.
-	/// A window reported before is reported again, unchanged.
+	/// A window reported before is reported again, unchanged. A leader that goes on
+	/// reports every window since its last one.
 	REPORT_LOOKBACK_WINDOWS = 8,
 };
 
@@ -241,18 +242,27 @@
 	return ERR_CLOSED;
 }
 
+/* First window of a leadership. Without another leader in between this node goes on after
+ * its last one. */
+static int64_t first_window(const struct tally_report *r, uint64_t epoch,
+			    int64_t newest_settled)
+{
+	int64_t lookback = epoch > 1 ? REPORT_LOOKBACK_WINDOWS : 1;
+
+	if (r->window && (epoch == r->epoch || epoch == r->epoch + 1))
+		return r->window;
+	return newest_settled - lookback + 1;
+}
+
 /* Start the next window's report, settle_ms after its end. */
 static void report_begin(struct tally *t, uint64_t epoch, int64_t wall_ms)
 {
 	struct tally_report *r = &t->report;
 	int64_t newest_settled = (wall_ms - t->settle_ms) / t->window_ms - 1;
-	int64_t lookback = epoch > 1 ? REPORT_LOOKBACK_WINDOWS : 1;
 
 	if (!r->sum)
 		r->sum = json_object();
-	if (r->epoch != epoch ||
-	    r->window < newest_settled - REPORT_LOOKBACK_WINDOWS)
-		r->window = newest_settled - lookback + 1;
+	r->window = first_window(r, epoch, newest_settled);
 	r->epoch = epoch;
 	/* A list that ended with the last leadership is of another window. */
 	r->cursor[0] = '\0';
--- a/packages/daemon/test/test_tally_report.c
+++ b/packages/daemon/test/test_tally_report.c
@@ -372,6 +372,22 @@
 	assert_int_equal(sent_window, FIRST_WINDOW + 1);
 }
 
+/* Guards against windows that the leader passes over after it could not reach the platform
+ * for longer than a new leader looks back. */
+static void test_leader_reports_all_windows_of_an_outage(void **state)
+{
+	platform_up = false;
+	for (int i = 0; i < OUTAGE_WINDOWS; i++) {
+		run_ms(10);
+		wall_ms += WINDOW_MS;
+	}
+	assert_int_equal(n_sent, 0);
+	platform_up = true;
+	run_ms(STEPS_MAX);
+	assert_int_equal(n_sent, OUTAGE_WINDOWS + 1);
+	assert_int_equal(sent_window, FIRST_WINDOW + OUTAGE_WINDOWS);
+}
+
 #define TALLY_TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
 
 int main(void)
@@ -382,6 +398,7 @@
 		TALLY_TEST(test_lost_leadership_drops_listed_pages),
 		TALLY_TEST(test_unreadable_figures_are_not_reported),
 		TALLY_TEST(test_too_large_figures_do_not_stop_later_windows),
+		TALLY_TEST(test_leader_reports_all_windows_of_an_outage),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
