fix(site): a route has all of its services

Of a route with more than eight services the first eight in the order of the configuration got all requests, in silence.

Cause: a fixed table in the route, filled until it was full.

Change: the targets are in the configuration's arena, as many as there are.

--- a/packages/site/include/site/conf.h
+++ b/packages/site/include/site/conf.h
@@ -12,7 +12,6 @@
 	SITE_NAME_SIZE = 64, ///< bytes of a name, including the NUL
 	SITE_ADDR_SIZE = 64, ///< bytes of "IP:port", including the NUL
 	SITE_KEY_HASH_SIZE = 16, ///< bytes of a key's hash
-	SITE_TARGETS_MAX = 8, ///< services per route
 };
 
 /// How often a request of a route may be run.
@@ -34,7 +33,7 @@
 	enum site_route_kind kind;
 	bool streaming; ///< responses are event streams
 	bool open; ///< needs no key
-	struct site_route_target targets[SITE_TARGETS_MAX];
+	struct site_route_target *targets;
 	int n_targets;
 	/// Longest time that a caller waits, 0 for no limit.
 	int64_t timeout_ms;
