fix(front): a team's name is passed on and billed whole

What callers saw: of a team's name servers and usage reports got the first 63 bytes; teams that differ later shared one entry in the reports.

Cause: the name was copied into buffers of SITE_NAME_SIZE on its way from the configuration; batches cut it after 127 bytes.

Change: site_mod_auth() gives the configuration's own text, a forward keeps a copy of any length. A batch whose team's name its keys can't hold is refused (batch-target).

--- a/packages/daemon/include/daemon/site_mod.h
+++ b/packages/daemon/include/daemon/site_mod.h
@@ -49,11 +49,11 @@
 ///
 /// @param route      route, NULL for calls bound only to a team
 /// @param bearer     key, may be NULL
-/// @param[out] team  name, "" on an open route without a key
+/// @param[out] team  name, "" on an open route without a key; valid until the next event
 /// @return ERR_OK, ERR_CONF_NONE, ERR_CONF_CUT_OFF, ERR_KEY_MISSING or
 ///         ERR_KEY_UNKNOWN
 enum err site_mod_auth(struct core *c, const struct site_route *route,
-		       const char *bearer, char team[SITE_NAME_SIZE]);
+		       const char *bearer, const char **team);
 
 /// A live node.
 struct site_node {
--- a/packages/daemon/src/front/forward.c
+++ b/packages/daemon/src/front/forward.c
@@ -287,7 +287,11 @@
 	htab_handle h;
 	struct forward *f = htab_add(fr->forwards, &h);
 
-	if (!f) {
+	if (f)
+		f->team = strdup(team);
+	if (!f || !f->team) {
+		if (f)
+			htab_del(fr->forwards, h);
 		core_reply_err(c, req->h, ERR_FULL, RUN_NO,
 			       FORWARD_RETRY_AFTER_MS, NULL);
 		return;
@@ -300,7 +304,6 @@
 	f->max_servers = max_servers(route);
 	set_deadlines(f, req, route, fields);
 	snprintf(f->id, sizeof(f->id), "%s", fields->id ? fields->id : "");
-	snprintf(f->team, sizeof(f->team), "%s", team);
 	snprintf(f->route, sizeof(f->route), "%s", route->name);
 	snprintf(f->service, sizeof(f->service), "%s",
 		 site_route_service(route, rng_next(&fr->rng)));
--- a/packages/daemon/src/front/forward_end.c
+++ b/packages/daemon/src/front/forward_end.c
@@ -1,4 +1,5 @@
 // Ends of attempts at backend servers: answers the caller, retries or fails.
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/histogram.h"
@@ -56,6 +57,7 @@
 		if (s)
 			site_server_release(s);
 	}
+	free(f->team);
 	htab_del(front_of(c)->forwards, f->self);
 }
 
--- a/packages/daemon/src/front/front.h
+++ b/packages/daemon/src/front/front.h
@@ -35,7 +35,7 @@
 	htab_handle req;
 	char id[FRONT_ID_BYTES];
 	struct suspect_id identity; ///< the same when the caller sends it again
-	char team[SITE_NAME_SIZE];
+	char *team; ///< owned
 	char service[SITE_NAME_SIZE];
 	char route[SITE_NAME_SIZE];
 	enum site_route_kind kind;
--- a/packages/daemon/src/front/front_mod.c
+++ b/packages/daemon/src/front/front_mod.c
@@ -41,8 +41,8 @@
 			const struct front_call *call,
 			const struct front_fields *fields)
 {
-	char team[SITE_NAME_SIZE];
-	enum err e = site_mod_auth(c, NULL, req->bearer, team);
+	const char *team;
+	enum err e = site_mod_auth(c, NULL, req->bearer, &team);
 
 	if (e == ERR_OK)
 		job_mod_call(c, req, call, fields->wait_ms, team);
@@ -66,14 +66,14 @@
 	const struct site_conf *conf = site_mod_conf(c);
 	const struct site_route *route =
 		conf ? site_conf_route(conf, fields->host, req->path) : NULL;
-	char team[SITE_NAME_SIZE];
+	const char *team = "";
 	enum err e = ERR_CONF_NONE;
 
 	/* An old configuration may lack a route that was added since. */
 	if (conf && !route)
 		e = site_mod_keys_fresh(c) ? ERR_HTTP_ROUTE : ERR_CONF_CUT_OFF;
 	else if (route)
-		e = site_mod_auth(c, route, req->bearer, team);
+		e = site_mod_auth(c, route, req->bearer, &team);
 	if (e == ERR_OK && route->kind == SITE_BATCH && !fields->id)
 		e = ERR_BATCH_INVALID;
 	if (e == ERR_OK && route->kind != SITE_BATCH)
@@ -174,7 +174,11 @@
 static void front_stop(struct core *c, void *state)
 {
 	struct front *f = state;
+	struct forward *fwd;
+	size_t iter = 0;
 
+	while ((fwd = htab_next(f->forwards, &iter, NULL)))
+		free(fwd->team);
 	htab_free(f->forwards);
 	free(f);
 }
--- a/packages/daemon/src/job/job_mod.c
+++ b/packages/daemon/src/job/job_mod.c
@@ -230,11 +230,13 @@
 }
 
 /* The owner key and the batch's key hold them. */
-static enum err check_names(const char *id, const char *host, const char *path)
+static enum err check_names(const struct home_request *request)
 {
-	if (!job_batch_id_valid(id))
+	if (!job_batch_id_valid(request->job))
 		return ERR_BATCH_ID;
-	return strlen(host) < JOB_ID_BYTES && strlen(path) < JOB_ID_BYTES
+	return strlen(request->host) < JOB_ID_BYTES &&
+			       strlen(request->path) < JOB_ID_BYTES &&
+			       strlen(request->team) < JOB_ID_BYTES
 		       ? ERR_OK
 		       : ERR_BATCH_TARGET;
 }
@@ -243,7 +245,7 @@
 static enum err check_submission(struct core *c,
 				 const struct home_request *request)
 {
-	enum err e = check_names(request->job, request->host, request->path);
+	enum err e = check_names(request);
 
 	return e == ERR_OK ? job_memory_check_size(&jobs_of(c)->memory,
 						   request->len)
@@ -302,6 +304,9 @@
 	if (!request.job || !request.item || !request.team)
 		core_reply_err(c, req->h, ERR_NOMEM, RUN_NO, JOB_RETRY_MS,
 			       NULL);
+	else if (strlen(team) >= JOB_ID_BYTES)
+		/* No batch of it was taken. */
+		core_reply_err(c, req->h, ERR_BATCH_UNKNOWN, RUN_NO, 0, NULL);
 	else if (!job_home_forward(c, req, &request))
 		job_serve_local(c, &(struct job_caller){.req = req->h},
 				&request, false);
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -131,19 +131,19 @@
 }
 
 enum err site_mod_auth(struct core *c, const struct site_route *route,
-		       const char *bearer, char team[SITE_NAME_SIZE])
+		       const char *bearer, const char **team)
 {
 	const struct site *s = site_of(c);
 	const char *name;
 
-	team[0] = '\0';
+	*team = "";
 	if (!s->conf)
 		return ERR_CONF_NONE;
 	if (!s->conf->has_teams)
 		return ERR_OK;
 	name = site_conf_team_of_key(s->conf, bearer);
 	if (name)
-		snprintf(team, SITE_NAME_SIZE, "%s", name);
+		*team = name;
 	if (route && route->open)
 		return ERR_OK;
 	if (!site_mod_keys_fresh(c))
--- a/test/hosted/hosted.c
+++ b/test/hosted/hosted.c
@@ -141,6 +141,21 @@
 	hosted_put(h, "op/config", conf);
 }
 
+void hosted_publish_team(struct hosted *h, const char *name, const char *key)
+{
+	char *text = hosted_get_value(h, "op/config");
+	json_t *conf = json_loads(text, 0, NULL);
+
+	h->conf_version += 3;
+	json_object_set_new(conf, "version",
+			    json_integer((json_int_t)h->conf_version));
+	json_array_append_new(
+		json_object_get(conf, "tenants"),
+		json_pack("{s:s,s:[s]}", "name", name, "api_keys", key));
+	hosted_put(h, "op/config", conf);
+	free(text);
+}
+
 void hosted_set_version(struct hosted *h, uint64_t version)
 {
 	hosted_put(h, "op/version/m",
--- a/test/hosted/hosted.h
+++ b/test/hosted/hosted.h
@@ -49,7 +49,7 @@
 /// A run that a server started.
 struct hosted_run {
 	char id[64];
-	char team[64];
+	char team[256];
 	int server;
 	int sender_octet; ///< last octet of the sender's IP address
 	int64_t start_ms;
@@ -156,6 +156,9 @@
 /// @param keys  NULL-terminated
 void hosted_publish_conf(struct hosted *h, const char *const *keys);
 
+/// Publish the configuration with one more team, which has one API key.
+void hosted_publish_team(struct hosted *h, const char *name, const char *key);
+
 /// Value of a key in the store.
 ///
 /// @return text, free with free(); NULL if the key does not exist
