fix(site): every domain out of service and every model's version counts

The 65th domain that operators take out of service kept its requests, and the 65th model with a named version kept its weights, in silence; which ones depended on the order of the keys.

Without memory the key is logged with its error.

--- a/packages/daemon/src/site/site.h
+++ b/packages/daemon/src/site/site.h
@@ -8,7 +8,6 @@
 #include "wire/wire.h"
 
 enum {
-	SITE_MOD_MODELS_MAX = 64, ///< models with published versions
 	SITE_NODES_MAX = 64, ///< of each list of nodes
 	SITE_LOSSES_MAX = 64, ///< remembered losses of liveness keys
 };
@@ -31,7 +30,8 @@
 	const struct publish_wire_ops *wire;
 	struct site_conf *conf;
 	struct site_servers *servers;
-	struct publish_weights weights[SITE_MOD_MODELS_MAX];
+	struct publish_weights
+		*weights; ///< of each model with a published version
 	int n_weights;
 	struct feed operator_feed;
 	struct feed server_feed;
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -177,6 +177,19 @@
 		  conf->n_services, conf->n_teams);
 }
 
+/* Add an empty row. */
+static bool weights_grow(struct site *s)
+{
+	struct publish_weights *p =
+		realloc(s->weights, (size_t)(s->n_weights + 1) * sizeof(*p));
+
+	if (!p)
+		return false;
+	s->weights = p;
+	s->n_weights++;
+	return true;
+}
+
 static void apply_weights(struct site *s, const struct kv_item *item)
 {
 	struct publish_weights w;
@@ -188,12 +201,14 @@
 	}
 	while (i < s->n_weights && strcmp(s->weights[i].model, w.model) != 0)
 		i++;
-	if (i == SITE_MOD_MODELS_MAX ||
-	    (i < s->n_weights && s->weights[i].version >= w.version))
+	if (i < s->n_weights && s->weights[i].version >= w.version)
+		return;
+	if (i == s->n_weights && !weights_grow(s)) {
+		log_event(EV_SITE_CONF_BAD, "error=%s key=%s",
+			  err_code(ERR_NOMEM), item->key);
 		return;
+	}
 	s->weights[i] = w;
-	if (i == s->n_weights)
-		s->n_weights++;
 	log_event(EV_SITE_WEIGHTS, "model=%s version=%llu", w.model,
 		  (unsigned long long)w.version);
 }
@@ -243,8 +258,9 @@
 		apply_conf(s, item);
 		break;
 	case PUBLISH_DOMAIN_OUT:
-		site_servers_set_domain_out(s->servers, name, true);
-		log_event(EV_SITE_DOMAIN, "domain=%s out=1", name);
+		log_event(EV_SITE_DOMAIN, "domain=%s out=1 error=%s", name,
+			  err_code(site_servers_set_domain_out(s->servers, name,
+							       true)));
 		break;
 	case PUBLISH_WEIGHTS:
 		apply_weights(s, item);
@@ -587,6 +603,7 @@
 	feed_free(&s->node_feed);
 	site_conf_free(s->conf);
 	site_servers_free(s->servers);
+	free(s->weights);
 	free(s);
 }
 
--- a/packages/site/include/site/server.h
+++ b/packages/site/include/site/server.h
@@ -208,8 +208,10 @@
 			 int64_t store_up_since_ms);
 
 /// Take a failure domain out of service, or put it back.
-void site_servers_set_domain_out(struct site_servers *t, const char *domain,
-				 bool out);
+///
+/// @return ERR_OK, ERR_NOMEM
+enum err site_servers_set_domain_out(struct site_servers *t, const char *domain,
+				     bool out);
 
 /// Read the full list of the domains out of service: between the two calls each of them
 /// is set again, and those that are not are put back by the second call only.
--- a/packages/site/src/server.c
+++ b/packages/site/src/server.c
@@ -32,6 +32,7 @@
 		return;
 	server_index_free(&t->index);
 	htab_free(t->tab);
+	free(t->domains_out);
 	free(t);
 }
 
@@ -310,7 +311,7 @@
 static int domain_out_index(const struct site_servers *t, const char *domain)
 {
 	for (int i = 0; i < t->n_domains_out; i++) {
-		if (strcmp(t->domains_out[i], domain) == 0)
+		if (strcmp(t->domains_out[i].name, domain) == 0)
 			return i;
 	}
 	return -1;
@@ -328,28 +329,40 @@
 
 static void put_domain_back(struct site_servers *t, int pos)
 {
-	t->n_domains_out--;
-	memmove(t->domains_out[pos], t->domains_out[t->n_domains_out],
-		SITE_NAME_SIZE);
-	memset(t->domains_out[t->n_domains_out], 0, SITE_NAME_SIZE);
-	t->domain_rounds[pos] = t->domain_rounds[t->n_domains_out];
+	t->domains_out[pos] = t->domains_out[--t->n_domains_out];
 	reindex_usable(t);
 }
 
-void site_servers_set_domain_out(struct site_servers *t, const char *domain,
-				 bool out)
+/* @return position, -1 when out of memory */
+static int take_domain_out(struct site_servers *t, const char *domain)
+{
+	size_t size = (size_t)(t->n_domains_out + 1) * sizeof(*t->domains_out);
+	struct domain_out *p = realloc(t->domains_out, size);
+
+	if (!p)
+		return -1;
+	t->domains_out = p;
+	p += t->n_domains_out++;
+	memset(p, 0, sizeof(*p));
+	strncpy(p->name, domain, SITE_NAME_SIZE - 1);
+	reindex_usable(t);
+	return t->n_domains_out - 1;
+}
+
+enum err site_servers_set_domain_out(struct site_servers *t, const char *domain,
+				     bool out)
 {
 	int pos = domain_out_index(t, domain);
 
-	if (out && pos < 0 && t->n_domains_out < DOMAINS_OUT_MAX) {
-		pos = t->n_domains_out++;
-		strncpy(t->domains_out[pos], domain, SITE_NAME_SIZE - 1);
-		reindex_usable(t);
-	}
-	if (out && pos >= 0)
-		t->domain_rounds[pos] = t->domains_round;
+	if (out && pos < 0)
+		pos = take_domain_out(t, domain);
+	if (out && pos < 0)
+		return ERR_NOMEM;
+	if (out)
+		t->domains_out[pos].list_round = t->domains_round;
 	else if (pos >= 0)
 		put_domain_back(t, pos);
+	return ERR_OK;
 }
 
 void site_servers_begin_domains(struct site_servers *t)
@@ -360,7 +373,7 @@
 void site_servers_end_domains(struct site_servers *t)
 {
 	for (int i = t->n_domains_out - 1; i >= 0; i--) {
-		if (t->domain_rounds[i] != t->domains_round)
+		if (t->domains_out[i].list_round != t->domains_round)
 			put_domain_back(t, i);
 	}
 }
--- a/packages/site/src/server_table.h
+++ b/packages/site/src/server_table.h
@@ -7,8 +7,6 @@
 #include "server_index.h"
 
 enum {
-	/// Failure domains out of service at the same time.
-	DOMAINS_OUT_MAX = 64,
 	REMOVED_MAX = 256, ///< removed servers remembered
 	/// Up to this size a choice compares all servers.
 	SITE_SMALL_SERVICE = 64,
@@ -23,15 +21,20 @@
 	bool leaving;
 };
 
+/// A failure domain out of service.
+struct domain_out {
+	char name[SITE_NAME_SIZE];
+	uint32_t list_round; ///< last list that had it
+};
+
 struct site_servers {
 	struct htab *tab;
 	struct server_index index;
 	struct rng rng;
 	uint32_t list_round; ///< of the full list being read
-	char domains_out[DOMAINS_OUT_MAX][SITE_NAME_SIZE];
-	uint32_t domain_rounds[DOMAINS_OUT_MAX]; ///< last list that had each
-	uint32_t domains_round; ///< of the list of them being read
+	struct domain_out *domains_out;
 	int n_domains_out;
+	uint32_t domains_round; ///< of the list of them being read
 	struct removed removed[REMOVED_MAX];
 	uint32_t n_removed; ///< total so far; the oldest are overwritten
 	struct site_domains domains;
--- a/packages/site/test/test_site.c
+++ b/packages/site/test/test_site.c
@@ -118,6 +118,31 @@
 	site_servers_free(t);
 }
 
+/* Guards against requests to domains that are out of service: there are more of them than a
+ * fixed number. */
+static void test_every_domain_out_gets_no_work(void **state)
+{
+	enum {
+		DOMAINS = 200
+	};
+	struct site_servers *t = site_servers_new();
+	char name[16];
+
+	for (int i = 0; i < DOMAINS; i++) {
+		snprintf(name, sizeof(name), "d%d", i);
+		site_servers_set_domain_out(t, name, true);
+	}
+	for (int i = 0; i < DOMAINS; i++) {
+		struct site_server_entry e;
+
+		snprintf(name, sizeof(name), "d%d", i);
+		e = entry("s1", name);
+		site_servers_put(t, (uint64_t)i + 1, 0, &e);
+		assert_null(choose(t, 0));
+	}
+	site_servers_free(t);
+}
+
 /* The entry is deleted while the store is up: no outage, so nothing delays it. */
 static void test_deleted_entry_removes_server(void **state)
 {
@@ -1062,6 +1087,7 @@
 		cmocka_unit_test(test_key_gives_its_team),
 		cmocka_unit_test(test_restart_invalidates_handle),
 		cmocka_unit_test(test_leaving_or_domain_out_gets_no_work),
+		cmocka_unit_test(test_every_domain_out_gets_no_work),
 		cmocka_unit_test(test_deleted_entry_removes_server),
 		cmocka_unit_test(test_server_kept_through_store_outage),
 		cmocka_unit_test(test_list_removes_absent_servers),
