fix(rollplan): models and services over a fixed number are loaded, sized or reported

A fleet's 17th model in the order of the store's keys was never loaded, the 17th service and the 17th domain of a service were never sized, the ninth model of a server was not seen, and the 1,025th server of a service was in no plan. Nothing said so.

Change: the bounds are as high as what the tables beside them hold (models 128, servers 4,096, sized services and domains 64, models of a server 32), and what is still left out is logged once (table-full) and counted (catkinpath_table_full_total): in these tables, homes, relays, followers of a relay, and services with shared engines.

--- a/packages/base/test/test_base.c
+++ b/packages/base/test/test_base.c
@@ -13,6 +13,7 @@
 #include "base/mbox.h"
 #include "base/metric.h"
 #include "base/msgpack_check.h"
+#include "base/table_full.h"
 
 static void test_arena_enforces_limit(void **state)
 {
@@ -105,6 +106,16 @@
 	assert_false(msgpack_is_valid(deep, sizeof(deep)));
 }
 
+static void test_table_full_counts(void **state)
+{
+	uint64_t before = metric_get(M_TABLE_FULL);
+
+	table_full("t", "a", 1);
+	table_full("t", "a", 1);
+	table_full("t", "b", 1);
+	assert_int_equal(metric_get(M_TABLE_FULL) - before, 3);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -114,6 +125,7 @@
 		cmocka_unit_test(test_err_lookups),
 		cmocka_unit_test(test_metric_render),
 		cmocka_unit_test(test_packed_rejects_malformed),
+		cmocka_unit_test(test_table_full_counts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/daemon/src/order/order_mod.c
+++ b/packages/daemon/src/order/order_mod.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "base/table_full.h"
 #include "base/metric.h"
 #include "core/settings.h"
 #include "daemon/lead_mod.h"
@@ -224,8 +225,11 @@
 	const char *model;
 
 	for (int i = 0; (model = site_mod_model(c, i)); i++) {
-		rollplan_set_target(&o->plan, model,
-				    site_mod_weight_version(c, model));
+		if (rollplan_set_target(&o->plan, model,
+					site_mod_weight_version(c, model)) !=
+		    ERR_OK)
+			table_full("models-to-load", model,
+				   ROLLPLAN_MODELS_MAX);
 		rollplan_set_work(&o->plan, model,
 				  sizing_mod_step_tokens(c, model));
 		update_demand(c, o, model);
--- a/packages/daemon/src/room/room_mod.c
+++ b/packages/daemon/src/room/room_mod.c
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/table_full.h"
 #include "base/metric.h"
 #include "core/settings.h"
 #include "daemon/job_mod.h"
@@ -18,7 +19,7 @@
 #include "room/room_msg.h"
 
 enum {
-	ROOM_SERVICES_MAX = 8, ///< services with shared engines
+	ROOM_SERVICES_MAX = 64, ///< services with shared engines
 	ROOM_REPORT_MS = 200,
 	/// Interval and duration of the reports after the start of a step: nodes
 	/// that started one at the same moment learn which free slots are taken.
@@ -75,10 +76,13 @@
 	for (size_t i = 0; conf && i < conf->n_services; i++) {
 		const char *name = conf->services[i].name;
 
-		if (site_mod_loads_weights(c, name) &&
-		    st->n_services < ROOM_SERVICES_MAX)
+		if (!site_mod_loads_weights(c, name))
+			continue;
+		if (st->n_services < ROOM_SERVICES_MAX)
 			snprintf(st->services[st->n_services++], SITE_NAME_SIZE,
 				 "%s", name);
+		else
+			table_full("shared-services", name, ROOM_SERVICES_MAX);
 	}
 	if (!old_count != !st->n_services)
 		log_event(EV_ENGINE_REPORTS_ACTIVE, "active=%d services=%d",
--- a/packages/daemon/src/site/nodes.c
+++ b/packages/daemon/src/site/nodes.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "base/table_full.h"
 #include "lead/live_value.h"
 #include "site/site.h"
 #include "store_keys.h"
@@ -29,15 +30,17 @@
 	return NULL;
 }
 
-/* Add a node at the front or the end of a list, or update it. */
-static void node_put(struct site_node *list, size_t *n,
+/* Add a node at the front or the end of a list, or update it.
+ *
+ * @return false if the list is full */
+static bool node_put(struct site_node *list, size_t *n,
 		     const struct live_value *v, bool front, int64_t now,
 		     uint32_t round)
 {
 	struct site_node *h = node_find(list, *n, v->node);
 
 	if (!h && *n == SITE_NODES_MAX)
-		return;
+		return false;
 	if (!h) {
 		h = front ? list : &list[*n];
 		if (front)
@@ -50,6 +53,7 @@
 	h->list_round = round;
 	snprintf(h->node, sizeof(h->node), "%s", v->node);
 	snprintf(h->peer, sizeof(h->peer), "%s", v->peer);
+	return true;
 }
 
 static void node_del(struct site_node *list, size_t *n, const char *node)
@@ -178,9 +182,9 @@
 		return;
 	if (v->retiring)
 		node_del(s->homes, &s->n_homes, v->node);
-	else
-		node_put(s->homes, &s->n_homes, v, false, core_now(c),
-			 s->nodes_round);
+	else if (!node_put(s->homes, &s->n_homes, v, false, core_now(c),
+			   s->nodes_round))
+		table_full("homes", v->node, SITE_NODES_MAX);
 	if (!self)
 		relay_node_changed(c, &s->relay, v->node, v->peer, same_domain);
 }
--- a/packages/daemon/src/site/relay.c
+++ b/packages/daemon/src/site/relay.c
@@ -8,6 +8,7 @@
 
 #include "base/log.h"
 #include "base/metric.h"
+#include "base/table_full.h"
 #include "core/settings.h"
 #include "site/relay_msg.h"
 
@@ -43,8 +44,9 @@
 void relay_node_changed(struct core *c, struct relay *r, const char *node,
 			const char *addr, bool same_domain)
 {
-	if (!r->is_relay)
-		follow_add(&r->follow, core_now(c), node, addr, same_domain);
+	if (!r->is_relay &&
+	    !follow_add(&r->follow, core_now(c), node, addr, same_domain))
+		table_full("relays", node, FOLLOW_RELAYS_MAX);
 }
 
 void relay_node_removed(struct core *c, struct relay *r, const char *node)
@@ -156,8 +158,10 @@
 	if (!r->is_relay || core_peer_add(c, from, q.addr) != ERR_OK)
 		return;
 	follower = follower_slot(c, r, from);
-	if (!follower)
+	if (!follower) {
+		table_full("followers", from, RELAY_FOLLOWERS_MAX);
 		return;
+	}
 	follower->from = core_peer_sender(c);
 	follower->pending = true;
 	follower->was_stale = data_too_old(c, r);
--- a/packages/daemon/src/site/site_mod.c
+++ b/packages/daemon/src/site/site_mod.c
@@ -7,6 +7,7 @@
 
 #include "base/log.h"
 #include "base/metric.h"
+#include "base/table_full.h"
 #include "core/settings.h"
 #include "daemon/job_mod.h"
 #include "daemon/mods.h"
@@ -333,6 +334,8 @@
 			  err_code(err));
 		return;
 	}
+	if (e.n_models_left_out)
+		table_full("models-of-server", e.id, SITE_MODELS_MAX);
 	err = site_servers_put(s->servers, item->rev, core_now(c), &e);
 	log_event(EV_SITE_SERVER,
 		  "id=%s service=%s addr=%s domain=%s leaving=%d cold_ms=%lld "
--- a/packages/daemon/src/sizing/need.c
+++ b/packages/daemon/src/sizing/need.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "base/table_full.h"
 #include "daemon/job_mod.h"
 #include "daemon/lead_mod.h"
 #include "daemon/site_mod.h"
@@ -32,8 +33,10 @@
 		if (strcmp(rows->rows[i].service, service) == 0)
 			return &rows->rows[i];
 	}
-	if (rows->n == NEED_SERVICES_MAX)
+	if (rows->n == NEED_SERVICES_MAX) {
+		table_full("needs-of-services", service, NEED_SERVICES_MAX);
 		return NULL;
+	}
 	row = &rows->rows[rows->n++];
 	snprintf(row->service, sizeof(row->service), "%s", service);
 	row->requests = 0;
@@ -47,8 +50,10 @@
 		if (strcmp(models->rows[i].name, name) == 0)
 			return &models->rows[i];
 	}
-	if (models->n == NEED_MODELS_MAX)
+	if (models->n == NEED_MODELS_MAX) {
+		table_full("needs-of-models", name, NEED_MODELS_MAX);
 		return NULL;
+	}
 	models->rows[models->n] = (struct need_model){.step_tokens = 0};
 	snprintf(models->rows[models->n].name, SITE_NAME_SIZE, "%s", name);
 	return &models->rows[models->n++];
--- a/packages/daemon/src/sizing/need.h
+++ b/packages/daemon/src/sizing/need.h
@@ -8,8 +8,8 @@
 #include "store_keys.h"
 
 enum {
-	NEED_SERVICES_MAX = 16, ///< services whose servers can be ordered
-	NEED_MODELS_MAX = 64, ///< models whose work per step is estimated
+	NEED_SERVICES_MAX = 64, ///< services whose servers can be ordered
+	NEED_MODELS_MAX = 128, ///< models whose work per step is estimated
 };
 
 /// Work of a model's step (its largest batch), in tokens to generate.
--- a/packages/daemon/src/sizing/sizing_mod.c
+++ b/packages/daemon/src/sizing/sizing_mod.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "base/table_full.h"
 #include "core/settings.h"
 #include "daemon/lead_mod.h"
 #include "daemon/mods.h"
@@ -19,7 +20,7 @@
 #include "wire/wire.h"
 
 enum {
-	SIZING_DOMAINS_MAX = 16, ///< failure domains of a service
+	SIZING_DOMAINS_MAX = 64, ///< failure domains of a service
 	SIZING_STEP_MS = 1000, ///< fleet_step() expects about one call a second
 	SIZING_RETRY_MS = 1000, ///< after an order that was not accepted
 	/// From a server's start until this node sees it: a heartbeat to the store
@@ -191,16 +192,24 @@
 		if (strcmp(z->services[i].name, svc->name) == 0)
 			return &z->services[i];
 	}
-	if (z->n_services == NEED_SERVICES_MAX)
+	if (z->n_services == NEED_SERVICES_MAX) {
+		table_full("sized-services", svc->name, NEED_SERVICES_MAX);
 		return NULL;
+	}
 	out = &z->services[z->n_services++];
 	*out = (struct sized_service){0};
 	snprintf(out->name, sizeof(out->name), "%s", svc->name);
 	out->first_seen_ms = core_now(c);
 	fleet_init(&out->fleet, &opts);
-	for (int i = 0; i < sz->n_domains && i < SIZING_DOMAINS_MAX; i++) {
-		struct sized_domain *d = &out->domains[out->n_domains++];
+	for (int i = 0; i < sz->n_domains; i++) {
+		struct sized_domain *d = &out->domains[out->n_domains];
 
+		if (i >= SIZING_DOMAINS_MAX) {
+			table_full("sized-domains", sz->domains[i].name,
+				   SIZING_DOMAINS_MAX);
+			continue;
+		}
+		out->n_domains++;
 		snprintf(d->name, sizeof(d->name), "%s", sz->domains[i].name);
 		d->price = sz->domains[i].price;
 	}
--- a/packages/relay/include/relay/follow.h
+++ b/packages/relay/include/relay/follow.h
@@ -32,7 +32,9 @@
 };
 
 /// Add or update a relay. It is selected once there was time to connect to it.
-void follow_add(struct follow *f, int64_t now, const char *node,
+///
+/// @return false if there is no room for a new one
+bool follow_add(struct follow *f, int64_t now, const char *node,
 		const char *addr, bool same_domain);
 
 /// Remove a relay.
--- a/packages/relay/src/follow.c
+++ b/packages/relay/src/follow.c
@@ -24,7 +24,7 @@
 	return NULL;
 }
 
-void follow_add(struct follow *f, int64_t now, const char *node,
+bool follow_add(struct follow *f, int64_t now, const char *node,
 		const char *addr, bool same_domain)
 {
 	struct follow_relay *r = find(f, node);
@@ -35,11 +35,12 @@
 		strncpy(r->node, node, FOLLOW_ID_MAX - 1);
 	}
 	if (!r)
-		return;
+		return false;
 	if (strcmp(r->addr, addr) != 0)
 		r->avoid_until_ms = now + FOLLOW_CONNECT_DELAY_MS;
 	strncpy(r->addr, addr, FOLLOW_ID_MAX - 1);
 	r->same_domain = same_domain;
+	return true;
 }
 
 static void clear_current(struct follow *f)
--- a/packages/rollplan/include/rollplan/rollplan.h
+++ b/packages/rollplan/include/rollplan/rollplan.h
@@ -17,6 +17,7 @@
 // the model's servers will remain usable when the next version is published.
 #pragma once
 
+#include "base/err.h"
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -25,7 +26,7 @@
 #include "site/server.h"
 
 enum {
-	ROLLPLAN_MODELS_MAX = 16, ///< models in a plan
+	ROLLPLAN_MODELS_MAX = 128, ///< models in a plan
 	ROLLPLAN_PENDING_MAX = 64, ///< outstanding orders
 };
 
@@ -105,9 +106,11 @@
 
 void rollplan_init(struct rollplan *p, const struct rollplan_opts *opts);
 
-/// Set the target version of a model; a new model is added unless the plan is full.
-void rollplan_set_target(struct rollplan *p, const char *model,
-			 uint64_t version);
+/// Set the target version of a model.
+///
+/// @return ERR_OK, ERR_FULL for a new model when the plan is full
+enum err rollplan_set_target(struct rollplan *p, const char *model,
+			     uint64_t version);
 
 /// Set the work per step of a model, relative to other models. If not known, it
 /// counts as the mean of the others.
--- a/packages/rollplan/src/rollplan.c
+++ b/packages/rollplan/src/rollplan.c
@@ -19,21 +19,22 @@
 	load_limit_init(&p->limit, opts->max_loads, opts->load_max_ms);
 }
 
-void rollplan_set_target(struct rollplan *p, const char *model,
-			 uint64_t version)
+enum err rollplan_set_target(struct rollplan *p, const char *model,
+			     uint64_t version)
 {
 	int idx = share_model_index(p, model);
 	struct rollplan_model *m;
 
 	if (idx >= 0) {
 		p->models[idx].version = version;
-		return;
+		return ERR_OK;
 	}
 	if (p->n_models == ROLLPLAN_MODELS_MAX)
-		return;
+		return ERR_FULL;
 	m = &p->models[p->n_models++];
 	strncpy(m->name, model, SITE_NAME_SIZE - 1);
 	m->version = version;
+	return ERR_OK;
 }
 
 void rollplan_set_work(struct rollplan *p, const char *model, double work)
@@ -210,7 +211,7 @@
 static void count_rows(const struct rollplan *p, const struct share_row *rows,
 		       int n, int64_t now, struct rollplan_count *counts)
 {
-	memset(counts, 0, ROLLPLAN_MODELS_MAX * sizeof(*counts));
+	memset(counts, 0, (size_t)p->n_models * sizeof(*counts));
 	for (int i = 0; i < n; i++) {
 		if (rows[i].owner >= 0)
 			count_row(p, &rows[i], now, &counts[rows[i].owner]);
--- a/packages/rollplan/src/share.h
+++ b/packages/rollplan/src/share.h
@@ -4,7 +4,7 @@
 #include "rollplan/rollplan.h"
 
 enum {
-	SHARE_SERVERS_MAX = 1024, ///< servers considered per service
+	SHARE_SERVERS_MAX = SITE_SERVERS_MAX, ///< of a service
 };
 
 /// A server and its assignment.
--- a/packages/rollplan/test/test_rollplan.c
+++ b/packages/rollplan/test/test_rollplan.c
@@ -73,6 +73,51 @@
 	}
 }
 
+/* Guards against models whose weights are never loaded: there are more of them than a fixed
+ * number. One that has no place in the plan is refused. */
+static void test_every_model_is_loaded(void **state)
+{
+	enum {
+		MANY = 24
+	};
+	const struct rollplan_opts opts = {.max_loads = MANY,
+					   .load_max_ms = LOAD_MS,
+					   .order_timeout_ms = 4000};
+	struct site_server_entry e = {.slots = 12, .n_models = MANY};
+	struct site_servers *t = site_servers_new();
+	bool loaded[MANY] = {false};
+	struct rollplan_order o;
+	struct rollplan p;
+	char name[16];
+	int n = 0;
+
+	rollplan_init(&p, &opts);
+	strcpy(e.service, "svc");
+	strcpy(e.domain, "d0");
+	for (int i = 0; i < MANY; i++) {
+		snprintf(name, sizeof(name), "m%d", i);
+		strcpy(e.models[i].name, name);
+		e.models[i].version = 1;
+		assert_int_equal(rollplan_set_target(&p, name, 2), ERR_OK);
+	}
+	for (int i = 0; i < MANY; i++) {
+		snprintf(e.id, sizeof(e.id), "s%02d", i);
+		site_servers_put(t, (uint64_t)i + 1, 0, &e);
+	}
+	while (rollplan_next_order(&p, t, "svc", 0, &o))
+		loaded[atoi(o.model + 1)] = true;
+	for (int i = 0; i < MANY; i++)
+		n += loaded[i];
+	assert_int_equal(n, MANY);
+	for (int i = MANY; i < ROLLPLAN_MODELS_MAX; i++) {
+		snprintf(name, sizeof(name), "m%d", i);
+		assert_int_equal(rollplan_set_target(&p, name, 2), ERR_OK);
+	}
+	assert_int_equal(rollplan_set_target(&p, "more", 2), ERR_FULL);
+	assert_int_equal(rollplan_set_target(&p, "m0", 3), ERR_OK);
+	site_servers_free(t);
+}
+
 /* Guards against too few usable servers and against needless loads: each model
  * publishes ten versions, one every four seconds. */
 static void test_each_model_keeps_usable_servers(void **state)
@@ -285,6 +330,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_each_model_keeps_usable_servers),
+		cmocka_unit_test(test_every_model_is_loaded),
 		cmocka_unit_test(test_shares_follow_work),
 		cmocka_unit_test(test_lost_server_is_replaced),
 		cmocka_unit_test(test_model_without_usable_servers_first),
--- a/packages/site/include/site/server.h
+++ b/packages/site/include/site/server.h
@@ -14,7 +14,7 @@
 
 enum {
 	SITE_SERVERS_MAX = 4096, ///< table capacity
-	SITE_MODELS_MAX = 8, ///< models per server
+	SITE_MODELS_MAX = 32, ///< models per server
 	/// After a store outage, a live server registers again within this time.
 	SITE_REREGISTER_MS = 2200,
 };
@@ -38,6 +38,7 @@
 	int64_t cold_left_ms;
 	struct site_model models[SITE_MODELS_MAX];
 	int n_models;
+	int n_models_left_out; ///< more than SITE_MODELS_MAX
 };
 
 /// Progress of an order to load weights.
