fix(job): lost batches that can't be loaded keep no other waiting

If more lost batches than eight can't be loaded, a batch whose key comes after theirs is never taken over: its step runs out of time.

Cause: each round began with the first of its list and loaded eight; which ones was decided by the order of the keys. Of more than 1,024 the rest was left out.

Change: a round goes on after the last batch that was loaded, and the list grows with the batches.

Evidence: test_unloadable_batches_keep_no_other_waiting fails on (not sent again within 30 s) and passes now.

--- a/packages/daemon/src/job/takeover.c
+++ b/packages/daemon/src/job/takeover.c
@@ -23,7 +23,7 @@
 	/// Rounds continue for so long after a loss, even if this node's store calls
 	/// failed since.
 	TAKEOVER_RECENT_LOSS_MS = 10000,
-	TAKEOVER_BATCHES_MAX = 1024, ///< lost batches in a round
+	TAKEOVER_LOST_MIN = 64, ///< initial rows of a table of lost batches
 	TAKEOVER_LOADS_MAX = 8, ///< batches loaded at once
 };
 
@@ -42,10 +42,12 @@
 };
 
 struct job_takeover_scan {
-	struct lost_batch lost[TAKEOVER_BATCHES_MAX];
+	struct lost_batch *lost; ///< in the order of their keys
 	size_t n_lost;
-	struct suspect suspects[TAKEOVER_BATCHES_MAX];
+	size_t lost_cap; ///< rows
+	struct suspect *suspects;
 	size_t n_suspects;
+	char last_loaded[JOB_ID_BYTES]; ///< the next round goes on after it
 	char last_key[256]; ///< last key of the listed page
 	bool busy; ///< a round is in progress
 	bool own_only; ///< only batches of this node's earlier process
@@ -56,7 +58,13 @@
 
 void job_takeover_free(struct jobs *jobs)
 {
-	free(jobs->takeover_scan);
+	struct job_takeover_scan *t = jobs->takeover_scan;
+
+	if (!t)
+		return;
+	free(t->lost);
+	free(t->suspects);
+	free(t);
 	jobs->takeover_scan = NULL;
 }
 
@@ -114,30 +122,52 @@
 	return now;
 }
 
-static void take_over_lost(struct core *c, struct job_takeover_scan *t)
+static void load_lost(struct core *c, struct job_takeover_scan *t,
+		      struct lost_batch *l)
 {
 	const struct jobs *jobs = jobs_of(c);
+	struct job_load_opts opts = {
+		.owner = &l->owner,
+		.rev = l->rev,
+	};
 
-	for (size_t i = 0; i < t->n_lost; i++) {
-		struct lost_batch *l = &t->lost[i];
-		struct job_load_opts opts = {
-			.owner = &l->owner,
-			.rev = l->rev,
-		};
-
-		if (job_loads_active(jobs) >= TAKEOVER_LOADS_MAX ||
-		    job_loading(jobs, l->id) || !may_take_over(c, t, l))
-			continue;
-		opts.loss_known_ms = l->loss_known_ms;
-		job_load_begin(c, l->id, &opts);
-	}
-	t->n_suspects = t->settled ? t->n_lost : 0;
+	if (job_loads_active(jobs) >= TAKEOVER_LOADS_MAX ||
+	    job_loading(jobs, l->id) || !may_take_over(c, t, l))
+		return;
+	opts.loss_known_ms = l->loss_known_ms;
+	strcpy(t->last_loaded, l->id);
+	job_load_begin(c, l->id, &opts);
+}
+
+/* Remember the batches lost in this round. */
+static void suspect_all(struct job_takeover_scan *t)
+{
+	struct suspect *p = realloc(t->suspects, (t->n_lost + 1) * sizeof(*p));
+
+	t->n_suspects = t->settled && p ? t->n_lost : 0;
+	if (!p)
+		return;
+	t->suspects = p;
 	for (size_t i = 0; i < t->n_suspects; i++) {
 		strcpy(t->suspects[i].id, t->lost[i].id);
 		t->suspects[i].loss_known_ms = t->lost[i].loss_known_ms;
 	}
 }
 
+/* Load pattern: more batches are lost than are loaded at once, and some can't be loaded. Each
+ * round goes on where the last one ended, so that these don't keep the others waiting. */
+static void take_over_lost(struct core *c, struct job_takeover_scan *t)
+{
+	size_t first = 0;
+
+	while (first < t->n_lost &&
+	       strcmp(t->lost[first].id, t->last_loaded) <= 0)
+		first++;
+	for (size_t i = 0; i < t->n_lost; i++)
+		load_lost(c, t, &t->lost[(first + i) % t->n_lost]);
+	suspect_all(t);
+}
+
 /* Whether this node takes over batches of that owner. */
 static bool is_candidate(struct core *c, const struct job_takeover_scan *t,
 			 const struct job_owner *o)
@@ -150,6 +180,22 @@
 	       job_owner_is_self(c, o);
 }
 
+/* @return NULL when out of memory */
+static struct lost_batch *lost_add(struct job_takeover_scan *t)
+{
+	size_t cap = t->lost_cap ? 2 * t->lost_cap : TAKEOVER_LOST_MIN;
+	struct lost_batch *p;
+
+	if (t->n_lost == t->lost_cap) {
+		p = realloc(t->lost, cap * sizeof(*p));
+		if (!p)
+			return NULL;
+		t->lost = p;
+		t->lost_cap = cap;
+	}
+	return &t->lost[t->n_lost++];
+}
+
 static void check_owner_key(struct core *c, struct job_takeover_scan *t,
 			    const struct kv_item *item)
 {
@@ -165,11 +211,11 @@
 	if (owner.ended || owner.complete || (j && j->running) ||
 	    !is_candidate(c, t, &owner))
 		return;
-	if (t->n_lost == TAKEOVER_BATCHES_MAX) {
+	l = lost_add(t);
+	if (!l) {
 		log_event(EV_JOB_REFUSED, "batch=%s takeover=next-round", id);
 		return;
 	}
-	l = &t->lost[t->n_lost++];
 	snprintf(l->id, sizeof(l->id), "%s", id);
 	l->owner = owner;
 	l->rev = item->rev;
--- a/test/hosted/test_hosted_handover.c
+++ b/test/hosted/test_hosted_handover.c
@@ -36,6 +36,7 @@
 	LONG_WAIT_MS =
 		2400, ///< of a read that waits for the next home's results
 	RECORDS_MIN = 2, ///< of a batch that is handed over
+	UNLOADABLE = 40, ///< batches whose bodies are missing
 	READ_WAIT_MS = 300, ///< of reads that wait for results
 };
 
@@ -766,6 +767,36 @@
 	restart(home);
 }
 
+static bool unloadable_tried(void *ctx)
+{
+	return node_logged(&ns, *(int *)ctx, "\"batch\":\"A00\",\"takeover\"");
+}
+
+/* Guards against a batch that is never taken over: the leader tries those before it in each
+ * round, and they can't be loaded. */
+static void test_unloadable_batches_keep_no_other_waiting(void **state)
+{
+	char id[16], key[64];
+	int home = submit_off_leader("k", id);
+	int lead = leader();
+
+	for (int i = 0; i < UNLOADABLE; i++) {
+		snprintf(key, sizeof(key), "catkin/run/A%02d", i);
+		hosted_put(&h, key,
+			   json_pack("{s:s,s:s,s:s,s:b,s:b,s:i,s:i}", "node",
+				     "gone", "run", "r", "team", "t1", "ended",
+				     0, "over", 0, "total", 1, "at_ms", 1));
+	}
+	assert_true(wait_until(unloadable_tried, &lead, BATCH_MS));
+	resend_after_ms(id, home, kill_until_expired(home));
+	json_decref(batch_read_all(&ns, id, clock_now_ms() + BATCH_MS));
+	for (int i = 0; i < UNLOADABLE; i++) {
+		snprintf(key, sizeof(key), "catkin/run/A%02d", i);
+		hosted_delete(&h, key);
+	}
+	restart(home);
+}
+
 static const struct CMUnitTest tests[] = {
 	cmocka_unit_test(test_lost_home_resent_soon),
 	cmocka_unit_test(test_lost_home_then_leader_resent),
@@ -781,6 +812,7 @@
 	cmocka_unit_test(test_end_while_loaded_sends_nothing),
 	cmocka_unit_test(test_waiting_read_gets_next_homes_results),
 	cmocka_unit_test(test_stop_while_nodes_are_listed_hands_over),
+	cmocka_unit_test(test_unloadable_batches_keep_no_other_waiting),
 };
 
 int main(int argc, char **argv)
