fix(site): a node that starts is told all limits and barred requests

A node that starts was told the first 256 servers with a limit, and the first 256 barred requests, in the order of the tables; it sent the others' requests as if nothing were known.

Change: what does not fit into one message goes into the next one.

--- a/packages/daemon/src/site/limits.c
+++ b/packages/daemon/src/site/limits.c
@@ -103,10 +103,13 @@
 	size_t n = 0;
 	int iter = 0;
 
-	while (n < LIMIT_MSG_ENTRIES_MAX &&
-	       (srv = site_servers_next_limited(site_mod_servers(c), &iter))) {
+	while ((srv = site_servers_next_limited(site_mod_servers(c), &iter))) {
 		list[n] = entry_of(c, srv);
 		n += list[n].per_s > 0 || list[n].age_ms < END_TOLD_MS;
+		if (n < LIMIT_MSG_ENTRIES_MAX)
+			continue;
+		send_list(c, node, PEER_LIMIT_STATE, list, n);
+		n = 0;
 	}
 	if (n)
 		send_list(c, node, PEER_LIMIT_STATE, list, n);
--- a/packages/daemon/src/suspect/suspect_mod.c
+++ b/packages/daemon/src/suspect/suspect_mod.c
@@ -301,10 +301,15 @@
 	size_t n = 0;
 	size_t n_confirmed = 0;
 
-	while (n < SUSPECT_MSG_NEWS_MAX &&
-	       (e = suspects_next(suspects_of(c), &iter))) {
+	while ((e = suspects_next(suspects_of(c), &iter))) {
 		if (!e->barred_ms)
 			continue;
+		if (n == SUSPECT_MSG_NEWS_MAX) {
+			send_news(c, node, barred, n);
+			send_news(c, node, confirmed, n_confirmed);
+			n = 0;
+			n_confirmed = 0;
+		}
 		barred[n] = barred_news(c, e);
 		if (e->confirmed) {
 			confirmed[n_confirmed] = barred[n];
