--- a/packages/job/include/job/job_run.h
+++ b/packages/job/include/job/job_run.h
@@ -163,7 +163,8 @@
 ///
 /// @param version  weights that generated it, 0 if not known
 /// @return ERR_OK, ERR_NOMEM; ERR_INVALID for one out of order or of weights that the
-///         batch does not allow: the attempt must be ended as JOB_ATTEMPT_INTERRUPTED
+///         batch does not allow: the attempt must be ended as JOB_ATTEMPT_INTERRUPTED.
+///         A text of more than JOB_VERSIONS_MAX versions starts over
 enum err job_run_add_event(struct job_run *r, int item, uint64_t id,
 			   uint64_t version, const char *data, size_t len);
 
--- a/packages/job/src/job_run.c
+++ b/packages/job/src/job_run.c
@@ -251,6 +251,13 @@
 	return ERR_OK;
 }
 
+/* Whether a text has no room for one more version: it can't be completed as it is. */
+static bool versions_full(const struct job_text *t, uint64_t version)
+{
+	return t->n_versions == JOB_VERSIONS_MAX &&
+	       t->versions[t->n_versions - 1] != version;
+}
+
 /* Add a weight version to a text; false if the batch does not allow it. */
 static bool add_version(struct job_run *r, struct job_text *t, uint64_t version)
 {
@@ -272,8 +279,11 @@
 
 	if (r->items[item].phase != JOB_SENT || id != t->last_event + 1)
 		return ERR_INVALID;
-	if (!add_version(r, t, version))
+	if (!add_version(r, t, version)) {
+		if (versions_full(t, version))
+			free_text(&r->items[item]);
 		return ERR_INVALID;
+	}
 	if (!text_append(t, data, len))
 		return ERR_NOMEM;
 	t->last_event = id;
--- a/packages/job/test/test_job.c
+++ b/packages/job/test/test_job.c
@@ -104,6 +104,32 @@
 	job_spec_free(s);
 }
 
+/* Guards against an item that is sent again and again and never complete: its text has as many
+ * weight versions as a result can name, and the next event has another one. */
+static void test_text_of_too_many_versions_starts_over(void **state)
+{
+	struct job_spec *s = spec_new();
+	struct job_run *r = run_new(s, false);
+	const struct job_text *t = job_run_text(r, 0);
+	uint64_t version = 3;
+	uint64_t event = 1;
+
+	job_run_item_sent(r, 0);
+	for (; event <= JOB_VERSIONS_MAX; event++)
+		assert_int_equal(
+			job_run_add_event(r, 0, event, version++, "a", 1),
+			ERR_OK);
+	assert_int_equal(job_run_add_event(r, 0, event, version, "b", 1),
+			 ERR_INVALID);
+	job_run_attempt_ended(r, 0, 10, JOB_ATTEMPT_INTERRUPTED);
+	assert_int_equal(t->last_event, 0);
+	job_run_item_sent(r, 0);
+	assert_int_equal(job_run_add_event(r, 0, 1, version, "a", 1), ERR_OK);
+	assert_int_equal(t->n_versions, 1);
+	job_run_free(r);
+	job_spec_free(s);
+}
+
 /* A text was listed as completed although its stream, which stated no end, was cut at the
  * end of an event; servers that state none must complete theirs, too. */
 static void test_text_of_unknown_end_is_complete_once_confirmed(void **state)
@@ -708,6 +734,7 @@
 		cmocka_unit_test(test_malformed_texts_are_rejected),
 		cmocka_unit_test(test_longest_items_start_first),
 		cmocka_unit_test(test_interrupted_text_resumes_in_order),
+		cmocka_unit_test(test_text_of_too_many_versions_starts_over),
 		cmocka_unit_test(
 			test_text_of_unknown_end_is_complete_once_confirmed),
 		cmocka_unit_test(test_one_version_restarts_interrupted_text),
