fix(tally): counts that a node drops are logged, a window in flight is not reused

A node keeps the counts of 24 windows. When the store was away for longer, the oldest were dropped in silence; and an entry whose write was in flight could be reused, so that the answer set the revision of another window's key.

Change: the oldest entry without a call in flight is reused, and dropped counts are logged (tally-unreported). A write that can't be sent is tried again after 300 ms, as others are.

Evidence: by reading; no test of its own.

--- a/packages/daemon/src/tally/tally_mod.c
+++ b/packages/daemon/src/tally/tally_mod.c
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/table_full.h"
 #include "core/settings.h"
 #include "daemon/mods.h"
 #include "daemon/tally_mod.h"
@@ -24,20 +25,41 @@
 	return core_mod_state(c, MOD_TALLY);
 }
 
-/* Counts of a window, added at its first request; evicts the oldest when full. */
-static struct tally_window *window_get(struct tally *t, int64_t number)
+/* Entry for a new window: a free one, or the oldest of those that no call writes now. */
+static struct tally_window *window_to_reuse(struct tally *t)
 {
 	struct tally_window *reuse = NULL;
 
 	for (int i = 0; i < TALLY_WINDOWS_MAX; i++) {
 		struct tally_window *w = &t->windows[i];
 
-		if (w->counts && w->number == number)
+		if (!w->counts)
 			return w;
-		if (!reuse || !w->counts ||
-		    (reuse->counts && w->number < reuse->number))
+		if (!w->call_outstanding &&
+		    (!reuse || w->number < reuse->number))
 			reuse = w;
 	}
+	return reuse;
+}
+
+/* Counts of a window, added at its first request.
+ *
+ * @return NULL if all entries are being written */
+static struct tally_window *window_get(struct tally *t, int64_t number)
+{
+	struct tally_window *reuse;
+
+	for (int i = 0; i < TALLY_WINDOWS_MAX; i++) {
+		if (t->windows[i].counts && t->windows[i].number == number)
+			return &t->windows[i];
+	}
+	reuse = window_to_reuse(t);
+	if (!reuse)
+		return NULL;
+	if (reuse->dirty)
+		log_event(EV_TALLY_UNREPORTED, "window=%lld teams=%zu error=%s",
+			  (long long)reuse->number,
+			  json_object_size(reuse->counts), err_code(ERR_FULL));
 	json_decref(reuse->counts);
 	*reuse = (struct tally_window){
 		.number = number,
@@ -52,8 +74,12 @@
 	struct tally_window *w = window_get(t, wall_ms / t->window_ms);
 	json_int_t n;
 
-	if (!*team || !w->counts)
+	if (!*team)
 		return;
+	if (!w || !w->counts) {
+		table_full("usage-windows", team, TALLY_WINDOWS_MAX);
+		return;
+	}
 	n = json_integer_value(json_object_get(w->counts, team));
 	json_object_set_new(w->counts, team, json_integer(n + 1));
 	w->dirty = true;
@@ -109,6 +135,8 @@
 			ERR_OK;
 		w->dirty = !w->call_outstanding;
 	}
+	if (!w->call_outstanding)
+		w->next_call_ms = core_now(c) + TALLY_RETRY_MS;
 	free(text);
 }
 
