--- a/packages/daemon/src/job/takeover.c
+++ b/packages/daemon/src/job/takeover.c
@@ -154,15 +154,23 @@
 	}
 }
 
+/* Index of the first batch after the one that was loaded last, the count if there is none. */
+static size_t next_to_load(const struct job_takeover_scan *t)
+{
+	size_t i = 0;
+
+	while (t->lost && i < t->n_lost &&
+	       strcmp(t->lost[i].id, t->last_loaded) <= 0)
+		i++;
+	return i;
+}
+
 /* Load pattern: more batches are lost than are loaded at once, and some can't be loaded. Each
  * round goes on where the last one ended, so that these don't keep the others waiting. */
 static void take_over_lost(struct core *c, struct job_takeover_scan *t)
 {
-	size_t first = 0;
+	size_t first = next_to_load(t);
 
-	while (first < t->n_lost &&
-	       strcmp(t->lost[first].id, t->last_loaded) <= 0)
-		first++;
 	for (size_t i = 0; i < t->n_lost; i++)
 		load_lost(c, t, &t->lost[(first + i) % t->n_lost]);
 	suspect_all(t);
--- a/packages/daemon/test/test_tally_report.c
+++ b/packages/daemon/test/test_tally_report.c
@@ -216,7 +216,7 @@
 /* The state of a process that ends. */
 static void forget_report(void)
 {
-	json_decref(tally.report.sum);
+	tally_report_free(&tally.report);
 	memset(&tally.report, 0, sizeof(tally.report));
 }
 
