--- a/test/hosted/test_hosted_handover.c
+++ b/test/hosted/test_hosted_handover.c
@@ -580,14 +580,13 @@
 	return n;
 }
 
-/* Guards against losing results that were read: a trainer's end conflicts with the takeover
- * while the next home has one page of the batch's records, and that node's readers wait for
- * records after those that it lacks. */
-static void test_end_between_pages_keeps_results(void **state)
+/* Submit a batch at a home, and wait until it has records.
+ *
+ * @param[out] listed  results that entry nodes return
+ * @return its home */
+static int submit_with_records(const char *id, int *listed)
 {
-	int reads = 2; /* the batch and the second page */
-	const char *id = "pages";
-	int home, listed;
+	int home;
 
 	batch_wait_home_owner(&ns, clock_now_ms() + BATCH_MS);
 	h.event_ms = SLOW_EVENT_MS;
@@ -595,8 +594,21 @@
 	assert_true(wait_until(has_records, (void *)id, BATCH_MS));
 	home = batch_owner(&ns, id);
 	assert_in_range(home, NODES_ENTRY, ALL_NODES - 1);
-	listed = results_from(0, id, 0);
-	assert_true(listed > 1);
+	*listed = results_from(0, id, 0);
+	assert_true(*listed > 1);
+	return home;
+}
+
+/* Guards against losing results that were read: a trainer's end conflicts with the takeover
+ * while the next home has one page of the batch's records, and that node's readers wait for
+ * records after those that it lacks. */
+static void test_end_between_pages_keeps_results(void **state)
+{
+	int reads = 2; /* the batch and the second page */
+	const char *id = "pages";
+	int listed;
+	int home = submit_with_records(id, &listed);
+
 	hold_reads("catkin/batch/", "catkin/record/");
 	proc_signal(&ns.list[home].proc, SIGTERM);
 	assert_true(wait_until(reads_held, &reads, STOP_MS));
@@ -613,25 +625,6 @@
 	restart(home);
 }
 
-/* Submit a batch at a home, and wait until it has records.
- *
- * @param[out] listed  results that entry nodes return
- * @return its home */
-static int submit_with_records(const char *id, int *listed)
-{
-	int home;
-
-	batch_wait_home_owner(&ns, clock_now_ms() + BATCH_MS);
-	h.event_ms = SLOW_EVENT_MS;
-	batch_submit(&ns, id, 0, 1);
-	assert_true(wait_until(has_records, (void *)id, BATCH_MS));
-	home = batch_owner(&ns, id);
-	assert_in_range(home, NODES_ENTRY, ALL_NODES - 1);
-	*listed = results_from(0, id, 0);
-	assert_true(*listed > 1);
-	return home;
-}
-
 /* Stop a home; its next home owns the batch, and its reads are held. */
 static void stop_until_held(const char *id, int home, int reads)
 {
